--- a/src/main/java/org/jaywood/agent/Admission.java
+++ b/src/main/java/org/jaywood/agent/Admission.java
@@ -2,6 +2,8 @@
 
 import java.util.concurrent.TimeUnit;
 
+import org.jaywood.wire.RefusalReason;
+
 /**
  * Decides what the upstream of this agent may receive. A call reaches the upstream only
  * with an admission, and each admission is released exactly once.
--- a/src/main/java/org/jaywood/agent/AdmissionRefusal.java
+++ b/src/main/java/org/jaywood/agent/AdmissionRefusal.java
@@ -1,5 +1,7 @@
 package org.jaywood.agent;
 
+import org.jaywood.wire.RefusalReason;
+
 /**
  * Refusal of a call before its upstream saw it.
  */
--- a/src/main/java/org/jaywood/agent/CallHandler.java
+++ b/src/main/java/org/jaywood/agent/CallHandler.java
@@ -22,6 +22,7 @@
 import org.jaywood.wire.Headers;
 import org.jaywood.wire.HttpPort;
 import org.jaywood.wire.Json;
+import org.jaywood.wire.RefusalReason;
 import org.jaywood.wire.WireClient;
 
 /**
--- a/src/main/java/org/jaywood/agent/RefusalReason.java
+++ b/src/main/java/org/jaywood/wire/RefusalReason.java
@@ -1,4 +1,4 @@
-package org.jaywood.agent;
+package org.jaywood.wire;
 
 /**
  * Why an agent refused a call. Each of them means that the upstream never saw the call.
