Check deployment files as a whole and make applies safe against races and lost replies

Cause: the parser stopped at the first error and an apply without an answer left its author in doubt. Change: DeploymentParser reads YAML nodes and reports all errors with line and path. ConfigurationRepository records each generation in the history before it is replaced, resolves lost replies by the apply id, names the winner of a race, checks an expected generation, rolls back as a new generation and never reuses a number. ConfigurationView calls listeners in the order of generations and logs an older source once.

--- /dev/null
+++ b/src/main/java/org/jaywood/config/ConfigurationHistory.java
@@ -0,0 +1,96 @@
+package org.jaywood.config;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.jaywood.platform.Futures;
+import org.jaywood.platform.ObjectStore;
+import org.jaywood.platform.PlatformException;
+import org.jaywood.platform.PlatformException.Kind;
+import org.jaywood.wire.Json;
+
+/**
+ * Applied configurations by generation, one object each. Entries are created and never
+ * changed.
+ */
+public final class ConfigurationHistory {
+
+	/** Kind of the objects. */
+	public static final String KIND = "history";
+
+	/**
+	 * Generations without an entry after which a listing ends. Numbers are skipped when
+	 * the platform came back with an older configuration.
+	 */
+	private static final int MAX_GAP = 64;
+
+	private final ObjectStore store;
+
+	ConfigurationHistory(ObjectStore store) {
+		this.store = store;
+	}
+
+	public Optional<AppliedConfiguration> find(long generation) {
+		try {
+			return Optional.of(Json.read(Futures.await(this.store.get(KIND, Long.toString(generation))).value(),
+					AppliedConfiguration.class));
+		}
+		catch (PlatformException ex) {
+			if (ex.kind() == Kind.NOT_FOUND) {
+				return Optional.empty();
+			}
+			throw ex;
+		}
+	}
+
+	/**
+	 * Lists entries, latest first.
+	 * @param latest generation to begin with
+	 * @param limit largest number of entries
+	 */
+	public List<AppliedConfiguration> list(long latest, int limit) {
+		List<AppliedConfiguration> entries = new ArrayList<>();
+		int gap = 0;
+		for (long generation = latest; generation > 0 && entries.size() < limit && gap < MAX_GAP; generation--) {
+			Optional<AppliedConfiguration> entry = find(generation);
+			entry.ifPresent(entries::add);
+			gap = entry.isPresent() ? 0 : gap + 1;
+		}
+		return entries;
+	}
+
+	boolean holds(AppliedConfiguration applied) {
+		return find(applied.generation()).filter((entry) -> entry.applyId().equals(applied.applyId())).isPresent();
+	}
+
+	/**
+	 * Writes an entry unless the generation has one.
+	 */
+	void record(AppliedConfiguration applied) {
+		try {
+			Futures.await(this.store.create(KIND, Long.toString(applied.generation()), Json.bytes(applied)));
+		}
+		catch (PlatformException ex) {
+			if (ex.kind() != Kind.CONFLICT) {
+				throw ex;
+			}
+		}
+	}
+
+	/**
+	 * Returns a generation without an entry, not below the candidate. A platform that
+	 * came back with an older configuration may still hold later entries; steps double so
+	 * that a long history costs few reads.
+	 */
+	long firstUnused(long candidate) {
+		long generation = candidate;
+		long step = 1;
+		while (find(generation).isPresent()) {
+			generation += step;
+			step *= 2;
+		}
+		return generation;
+	}
+
+}
--- a/src/main/java/org/jaywood/config/ConfigurationRepository.java
+++ b/src/main/java/org/jaywood/config/ConfigurationRepository.java
@@ -3,15 +3,19 @@
 import java.util.Optional;
 import java.util.UUID;
 
+import org.jspecify.annotations.Nullable;
+
 import org.jaywood.platform.Futures;
 import org.jaywood.platform.ObjectStore;
 import org.jaywood.platform.PlatformException;
+import org.jaywood.platform.PlatformException.Kind;
 import org.jaywood.platform.StoredObject;
 import org.jaywood.wire.Json;
 
 /**
  * The applied configuration in the object API. An apply is one conditional update, so it
- * takes effect as a whole or not at all.
+ * takes effect as a whole or not at all. Each generation is in the history before the
+ * next one replaces it.
  */
 public final class ConfigurationRepository {
 
@@ -21,10 +25,25 @@
 	/** Name of the object that holds the configuration. */
 	public static final String NAME = "current";
 
+	/**
+	 * Tries to learn the outcome of a write without an answer; with the time limit of the
+	 * platform's adapter and the pauses this takes at most about 40 s.
+	 */
+	private static final int RESOLVE_TRIES = 6;
+
+	private static final long FIRST_PAUSE_MILLIS = 100;
+
 	private final ObjectStore store;
 
+	private final ConfigurationHistory history;
+
 	public ConfigurationRepository(ObjectStore store) {
 		this.store = store;
+		this.history = new ConfigurationHistory(store);
+	}
+
+	public ConfigurationHistory history() {
+		return this.history;
 	}
 
 	/**
@@ -32,7 +51,7 @@
 	 * @return the configuration, or empty if none was ever applied
 	 */
 	public Optional<AppliedConfiguration> current() {
-		return stored().map((object) -> Json.read(object.value(), AppliedConfiguration.class));
+		return Optional.ofNullable(stored()).map(ConfigurationRepository::configuration);
 	}
 
 	/**
@@ -43,27 +62,118 @@
 	 * @return the configuration now in the object API
 	 */
 	public AppliedConfiguration apply(Deployment deployment, String author, long nowMillis) {
-		Optional<StoredObject> before = stored();
-		long generation = before.map((object) -> Json.read(object.value(), AppliedConfiguration.class).generation())
-			.orElse(0L) + 1;
-		AppliedConfiguration next = new AppliedConfiguration(generation, UUID.randomUUID().toString(), author,
-				nowMillis, deployment.digest(), deployment);
-		byte[] value = Json.bytes(next);
-		Futures.await(before.map((object) -> this.store.update(KIND, NAME, value, object.version()))
-			.orElseGet(() -> this.store.create(KIND, NAME, value)));
+		return apply(deployment, ApplyOptions.by(author, nowMillis));
+	}
+
+	/**
+	 * Applies a deployment.
+	 * @param deployment a checked deployment
+	 * @param options how it is applied
+	 * @return the configuration as it took effect
+	 * @throws ApplyConflictException if another configuration was in force; nothing was
+	 * changed
+	 * @throws ApplyUnknownException if the platform did not answer and the outcome could
+	 * not be learned
+	 */
+	public AppliedConfiguration apply(Deployment deployment, ApplyOptions options) {
+		StoredObject before = stored();
+		AppliedConfiguration inForce = (before != null) ? configuration(before) : AppliedConfiguration.NONE;
+		if (options.expectedGeneration().orElse(inForce.generation()) != inForce.generation()) {
+			throw new ApplyConflictException(inForce,
+					"expected generation " + options.expectedGeneration().getAsLong());
+		}
+		if (before != null) {
+			this.history.record(inForce);
+		}
+		long generation = this.history.firstUnused(Math.max(inForce.generation(), options.highestSeenGeneration()) + 1);
+		AppliedConfiguration next = new AppliedConfiguration(generation, UUID.randomUUID().toString(), options.author(),
+				options.nowMillis(), deployment.digest(), deployment);
+		write(next, before);
+		recordQuietly(next);
 		return next;
 	}
 
-	private Optional<StoredObject> stored() {
+	/**
+	 * Applies the deployment of an earlier generation as a new generation.
+	 * @param generation the earlier generation
+	 * @param options how it is applied
+	 * @return the new configuration
+	 */
+	public AppliedConfiguration rollback(long generation, ApplyOptions options) {
+		AppliedConfiguration earlier = this.history.find(generation)
+			.or(() -> current().filter((inForce) -> inForce.generation() == generation))
+			.orElseThrow(() -> new ConfigurationException("history has no generation " + generation));
+		return apply(earlier.deployment(), options);
+	}
+
+	private void write(AppliedConfiguration next, @Nullable StoredObject before) {
+		byte[] value = Json.bytes(next);
+		PlatformException last = null;
+		for (int i = 0; i < RESOLVE_TRIES; i++) {
+			try {
+				// A first write may still be under way. Repeating it is safe: both have
+				// the same condition and value, so at most one takes effect.
+				Futures.await((before != null) ? this.store.update(KIND, NAME, value, before.version())
+						: this.store.create(KIND, NAME, value));
+				return;
+			}
+			catch (PlatformException ex) {
+				if (ex.kind() == Kind.CONFLICT && resolve(next, i)) {
+					return;
+				}
+				if (ex.kind() == Kind.NOT_FOUND || ex.kind() == Kind.REFUSED && last == null) {
+					throw ex;
+				}
+				last = ex;
+			}
+			Futures.pause(FIRST_PAUSE_MILLIS << i);
+		}
+		throw new ApplyUnknownException(next, (last != null) ? last : new IllegalStateException());
+	}
+
+	/**
+	 * Learns what became of a write whose condition no longer holds.
+	 * @return true if it took effect; false if the platform does not tell yet
+	 */
+	private boolean resolve(AppliedConfiguration next, int tryNumber) {
+		try {
+			AppliedConfiguration inForce = current().orElse(AppliedConfiguration.NONE);
+			if (inForce.applyId().equals(next.applyId()) || this.history.holds(next)) {
+				return true;
+			}
+			throw new ApplyConflictException(inForce, "another apply came first");
+		}
+		catch (PlatformException ex) {
+			if (tryNumber == RESOLVE_TRIES - 1) {
+				throw new ApplyUnknownException(next, ex);
+			}
+			return false;
+		}
+	}
+
+	private void recordQuietly(AppliedConfiguration applied) {
 		try {
-			return Optional.of(Futures.await(this.store.get(KIND, NAME)));
+			this.history.record(applied);
 		}
 		catch (PlatformException ex) {
-			if (ex.kind() == PlatformException.Kind.NOT_FOUND) {
-				return Optional.empty();
+			// The apply took effect. The next apply records this generation first.
+		}
+	}
+
+	private @Nullable StoredObject stored() {
+		try {
+			return Futures.await(this.store.get(KIND, NAME));
+		}
+		catch (PlatformException ex) {
+			if (ex.kind() == Kind.NOT_FOUND) {
+				return null;
 			}
 			throw ex;
 		}
 	}
 
+	private static AppliedConfiguration configuration(StoredObject object) {
+		return Json.read(object.value(), AppliedConfiguration.class);
+	}
+
 }
--- a/src/main/java/org/jaywood/config/ConfigurationView.java
+++ b/src/main/java/org/jaywood/config/ConfigurationView.java
@@ -1,6 +1,8 @@
 package org.jaywood.config;
 
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 
@@ -13,10 +15,15 @@
  */
 public final class ConfigurationView {
 
+	/** Bound on the sources remembered for the log; peers come and go. */
+	private static final int MAX_OLDER_SOURCES = 256;
+
 	private final EventLog log;
 
 	private final List<Consumer<AppliedConfiguration>> listeners = new CopyOnWriteArrayList<>();
 
+	private final Set<String> olderSources = ConcurrentHashMap.newKeySet();
+
 	private volatile AppliedConfiguration current = AppliedConfiguration.NONE;
 
 	public ConfigurationView(EventLog log) {
@@ -32,7 +39,8 @@
 	}
 
 	/**
-	 * Registers a listener that is called after each change of the configuration.
+	 * Registers a listener that is called after each change of the configuration, one
+	 * change at a time and in the order of generations. A listener must not block.
 	 */
 	public void onChange(Consumer<AppliedConfiguration> listener) {
 		this.listeners.add(listener);
@@ -44,16 +52,29 @@
 	 * @param source where it comes from, for the log
 	 * @return whether it is now in force for the first time
 	 */
-	public boolean offer(AppliedConfiguration offered, String source) {
-		synchronized (this) {
-			if (offered.generation() <= this.current.generation()) {
-				return false;
-			}
-			this.current = offered;
+	public synchronized boolean offer(AppliedConfiguration offered, String source) {
+		if (offered.generation() <= this.current.generation()) {
+			noteOlder(offered, source);
+			return false;
 		}
+		this.current = offered;
+		this.olderSources.remove(source);
 		this.log.log(Event.CONFIGURATION_IN_FORCE, "generation", offered.generation(), "source", source);
 		this.listeners.forEach((listener) -> listener.accept(offered));
 		return true;
 	}
 
+	/**
+	 * Logs a source of an older configuration once, until it offers one that is not.
+	 */
+	private void noteOlder(AppliedConfiguration offered, String source) {
+		if (offered.generation() == this.current.generation()) {
+			this.olderSources.remove(source);
+		}
+		else if (this.olderSources.size() < MAX_OLDER_SOURCES && this.olderSources.add(source)) {
+			this.log.log(Event.CONFIGURATION_OLDER_IGNORED, "source", source, "offered", offered.generation(),
+					"generation", this.current.generation());
+		}
+	}
+
 }
--- a/src/main/java/org/jaywood/config/DeploymentParser.java
+++ b/src/main/java/org/jaywood/config/DeploymentParser.java
@@ -1,28 +1,130 @@
 package org.jaywood.config;
 
-import java.io.IOException;
+import java.io.StringReader;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.regex.Pattern;
 
-import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.MapperFeature;
-import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import org.yaml.snakeyaml.LoaderOptions;
+import org.yaml.snakeyaml.Yaml;
+import org.yaml.snakeyaml.error.Mark;
+import org.yaml.snakeyaml.error.MarkedYAMLException;
+import org.yaml.snakeyaml.error.YAMLException;
+import org.yaml.snakeyaml.nodes.Node;
 
 /**
- * Reads a deployment from its YAML file.
+ * Reads a deployment from its YAML file and checks all its rules. All errors are reported
+ * at once, each with its line and path, so that an operator corrects a file in one pass.
  */
 public final class DeploymentParser {
 
-	private static final YAMLMapper YAML = YAMLMapper.builder()
-		.enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
-		.enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
-		.build();
+	/** The applied object repeats the file as JSON and must stay below a megabyte. */
+	public static final int LIMIT_BYTES = 512 * 1024;
 
+	private static final int MAX_DEPTH = 16;
+
+	private static final int MAX_ALIASES = 16;
+
+	private static final Set<String> TOP_FIELDS = Set.of("dataCentres", "services", "workspaces");
+
+	private static final Pattern REGION = Pattern.compile("[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?");
+
+	private static final String REGION_EXPECTED = "a region of 1 to 63 lower-case letters, digits and inner hyphens";
+
+	/**
+	 * Reads a deployment.
+	 * @param yaml content of the file
+	 * @return a deployment that follows all rules
+	 * @throws InvalidDeploymentException with all errors of the file
+	 */
 	public Deployment parse(byte[] yaml) {
+		if (yaml.length > LIMIT_BYTES) {
+			throw fileError(1, "file of " + yaml.length + " bytes is too large: at most " + LIMIT_BYTES);
+		}
+		Node root = compose(decode(yaml));
+		ErrorCollector errors = new ErrorCollector();
+		Deployment deployment = read(new YamlField(root, root.getStartMark(), "", errors));
+		errors.throwIfAny();
+		return deployment;
+	}
+
+	private static String decode(byte[] yaml) {
+		try {
+			return StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(yaml)).toString();
+		}
+		catch (CharacterCodingException ex) {
+			throw fileError(1, "file is not UTF-8 text");
+		}
+	}
+
+	private static Node compose(String text) {
+		LoaderOptions options = new LoaderOptions();
+		options.setNestingDepthLimit(MAX_DEPTH);
+		options.setMaxAliasesForCollections(MAX_ALIASES);
+		options.setCodePointLimit(LIMIT_BYTES);
 		try {
-			return YAML.readValue(yaml, Deployment.class);
+			Node root = new Yaml(options).compose(new StringReader(text));
+			if (root == null) {
+				throw fileError(1, "file is empty: expected dataCentres, services and workspaces");
+			}
+			return root;
 		}
-		catch (IOException ex) {
-			throw new ConfigurationException("cannot read deployment: " + ex.getMessage(), ex);
+		catch (MarkedYAMLException ex) {
+			Mark mark = ex.getProblemMark();
+			throw fileError((mark != null) ? mark.getLine() + 1 : 1, "not valid YAML: " + ex.getProblem());
 		}
+		catch (YAMLException ex) {
+			throw fileError(1, "not valid YAML: " + String.valueOf(ex.getMessage()).lines().findFirst().orElse(""));
+		}
+	}
+
+	private static InvalidDeploymentException fileError(int line, String message) {
+		return new InvalidDeploymentException(List.of(new DeploymentError(line, "", message)));
+	}
+
+	private static Deployment read(YamlField file) {
+		Optional<YamlMapping> mapping = file.mapping();
+		if (mapping.isEmpty()) {
+			return Deployment.EMPTY;
+		}
+		YamlMapping top = mapping.get().allow(TOP_FIELDS);
+		YamlField centresField = top.required("dataCentres", "at least one data centre");
+		NamedEntries<DataCentre> centres = NamedEntries.read(centresField, DeploymentParser::dataCentre);
+		if (centresField != null && centres.names().isEmpty()) {
+			centresField.error("no data centre: expected at least one");
+		}
+		ServiceReader services = new ServiceReader(centres.names());
+		return new Deployment(centres.values(), NamedEntries.read(top.field("services"), services::read).values(),
+				NamedEntries.read(top.field("workspaces"), DeploymentParser::workspace).values());
+	}
+
+	private static Optional<DataCentre> dataCentre(YamlField field) {
+		return field.mapping().flatMap((raw) -> {
+			YamlMapping mapping = raw.allow(Set.of("region", "inService"));
+			Optional<String> region = Optional.ofNullable(mapping.required("region", REGION_EXPECTED))
+				.flatMap((value) -> value.text(REGION, REGION_EXPECTED));
+			Optional<Boolean> inService = value(mapping, "inService", YamlField::bool, true);
+			return region.flatMap((name) -> inService.map((serves) -> new DataCentre(name, serves)));
+		});
+	}
+
+	private static Optional<WorkspaceSpec> workspace(YamlField field) {
+		return field.mapping()
+			.map((mapping) -> mapping.allow(Set.of("share")))
+			.flatMap((mapping) -> Optional.ofNullable(mapping.required("share", "a whole number of at least 1")))
+			.flatMap((share) -> share.number(1, 1_000_000))
+			.map((share) -> new WorkspaceSpec(share.intValue()));
+	}
+
+	static <T> Optional<T> value(YamlMapping mapping, String name, Function<YamlField, Optional<T>> reader,
+			T fallback) {
+		YamlField field = mapping.field(name);
+		return (field != null) ? reader.apply(field) : Optional.of(fallback);
 	}
 
 }
--- a/src/main/java/org/jaywood/platform/Futures.java
+++ b/src/main/java/org/jaywood/platform/Futures.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Bridges blocking code on virtual threads and futures.
@@ -47,4 +48,16 @@
 		}
 	}
 
+	/**
+	 * Pauses between two tries. An interrupt ends the pause and stays set.
+	 */
+	public static void pause(long millis) {
+		try {
+			TimeUnit.MILLISECONDS.sleep(millis);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 }
--- /dev/null
+++ b/src/test/java/org/jaywood/config/ConfigurationViewPropertyTests.java
@@ -0,0 +1,79 @@
+package org.jaywood.config;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.LongRange;
+import net.jqwik.api.constraints.NotEmpty;
+import net.jqwik.api.constraints.Size;
+
+import org.jaywood.event.EventLog;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against an order, duplication or interleaving of offers that takes a process
+ * back to an older generation or leaves it below the highest one offered.
+ */
+class ConfigurationViewPropertyTests {
+
+	private static AppliedConfiguration generation(long number) {
+		return new AppliedConfiguration(number, "apply-" + number, "test", 0, Deployment.EMPTY.digest(),
+				Deployment.EMPTY);
+	}
+
+	@Property(tries = 500)
+	void endsAtHighestWhateverTheOrder(
+			@ForAll @NotEmpty @Size(max = 30) List<@LongRange(min = 1, max = 12) Long> offers) {
+		ConfigurationView view = new ConfigurationView(new EventLog("test"));
+		long before = 0;
+		for (long offer : offers) {
+			boolean taken = view.offer(generation(offer), "source");
+			long now = view.current().generation();
+			assertThat(now).isEqualTo(Math.max(before, offer));
+			assertThat(taken).isEqualTo(offer > before);
+			before = now;
+		}
+	}
+
+	@Property(tries = 60)
+	void neverGoesDownWhenSourcesInterleave(
+			@ForAll @NotEmpty @Size(max = 40) List<@LongRange(min = 1, max = 20) Long> offers,
+			@ForAll @IntRange(min = 2, max = 6) int sources) throws InterruptedException {
+		ConfigurationView view = new ConfigurationView(new EventLog("test"));
+		List<Long> inForce = new CopyOnWriteArrayList<>();
+		view.onChange((configuration) -> inForce.add(configuration.generation()));
+		CountDownLatch begin = new CountDownLatch(1);
+		List<Thread> threads = new ArrayList<>();
+		for (int source = 0; source < sources; source++) {
+			int number = source;
+			threads.add(Thread.ofVirtual().start(() -> {
+				awaitQuietly(begin);
+				for (int i = number; i < offers.size(); i += sources) {
+					view.offer(generation(offers.get(i)), "source " + number);
+				}
+			}));
+		}
+		begin.countDown();
+		for (Thread thread : threads) {
+			thread.join();
+		}
+		assertThat(view.current().generation()).isEqualTo(offers.stream().mapToLong(Long::longValue).max().orElse(0));
+		assertThat(inForce).isInStrictOrder();
+	}
+
+	private static void awaitQuietly(CountDownLatch latch) {
+		try {
+			latch.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
