Watch the configuration from three processes of a data centre and sync before serving

Cause: each process held a watch, a restarted one served before it knew the configuration, and an outage of the platform was logged at every try. Change: PeerNode is split into PlatformWatch, PeerProbe, StartSync, Isolation and the metrics of control traffic. Watchers are elected by rendezvous rank. Outages are logged on change and retried with backoff and jitter. Ports stay closed without a credential on other than loopback addresses.

--- a/src/main/java/org/jaywood/agent/Agent.java
+++ b/src/main/java/org/jaywood/agent/Agent.java
@@ -7,7 +7,6 @@
 import org.jaywood.event.EventLog;
 import org.jaywood.peer.PeerNode;
 import org.jaywood.peer.ProcessIdentity;
-import org.jaywood.wire.HttpPort;
 import org.jaywood.wire.WireClient;
 
 /**
@@ -22,8 +21,6 @@
 
 	private final PeerNode peer;
 
-	private final HttpPort operatorPort;
-
 	private final Admission admission = new Admission();
 
 	private final Activation activation;
@@ -34,13 +31,13 @@
 		ProcessIdentity identity = new ProcessIdentity("agent", settings.vm(), settings.region(), settings.dataCentre(),
 				UUID.randomUUID().toString(), settings.advertisedAddress());
 		this.peer = new PeerNode(identity, settings.listenAddress(), settings.platformAddress(), settings.credential(),
-				log, this.admission::leaving);
+				log, this.admission::leaving, settings.operatorAddress());
 		WireClient upstream = WireClient.plain(settings.listenAddress().host());
 		this.activation = new Activation(settings, this.admission,
 				new EngineClient(upstream, settings.upstreamAddress()), log);
 		new CallHandler(settings, this.peer.configuration(), this.admission, upstream).register(this.peer.port());
-		this.operatorPort = HttpPort.open(settings.operatorAddress(), log, settings.credential(), (exchange) -> {
-		}).route("GET", "/state", (exchange) -> exchange.respondJson(200, state()));
+		this.peer.operatorPort(settings.operatorAddress())
+			.route("GET", "/state", (exchange) -> exchange.respondJson(200, state()));
 		this.peer.configuration()
 			.onChange((configuration) -> Thread
 				.startVirtualThread(() -> this.activation.activate(this.peer.configuration().current())));
@@ -48,8 +45,7 @@
 
 	public void start() {
 		this.peer.start();
-		this.operatorPort.start();
-		this.log.log(Event.PROCESS_STARTED, "role", "agent", "address", this.peer.port().address());
+		this.log.log(Event.PROCESS_STARTED, "role", "agent", "address", this.settings.listenAddress());
 	}
 
 	/**
@@ -67,12 +63,11 @@
 	private Map<String, Object> state() {
 		return Map.of("identity", this.peer.identity(), "generation", this.peer.configuration().current().generation(),
 				"inFlight", this.admission.inFlight(), "servedWeights", this.activation.servedWeights(), "leaving",
-				this.admission.leaving());
+				this.admission.leaving(), "peer", this.peer.state());
 	}
 
 	@Override
 	public void close() {
-		this.operatorPort.close();
 		this.peer.close();
 	}
 
--- a/src/main/java/org/jaywood/event/Event.java
+++ b/src/main/java/org/jaywood/event/Event.java
@@ -42,6 +42,16 @@
 	/** A process has lost contact to the platform and all peers. */
 	ISOLATED(1204, Level.ERROR, "no contact to platform or peers for {seconds} s; refusing new work"),
 
+	/** A process that had lost contact to the platform and all peers has it again. */
+	CONTACT_REGAINED(1205, Level.INFO, "contact to platform or peers regained after {seconds} s"),
+
+	/**
+	 * Ports stay closed because the process has no credential and binds an address that
+	 * others reach.
+	 */
+	CONTROL_PORTS_CLOSED(1206, Level.WARNING,
+			"no credential set and {address} is not a loopback address: peer and operator ports stay closed"),
+
 	/** All chunks of a manifest are verified. */
 	WEIGHTS_VERIFIED(1301, Level.INFO, "manifest {manifest} verified, {chunks} chunks in {seconds} s"),
 
--- /dev/null
+++ b/src/main/java/org/jaywood/peer/ControlTraffic.java
@@ -0,0 +1,88 @@
+package org.jaywood.peer;
+
+import java.net.http.HttpHeaders;
+import java.net.http.HttpRequest.BodyPublisher;
+import java.net.http.HttpResponse;
+import java.util.Map;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+
+import org.jaywood.wire.Exchange;
+
+/**
+ * Counts the messages and bytes that a process exchanges for configuration and
+ * membership, against the budget of 17 KB/s. Bytes are those of HTTP heads and bodies,
+ * without those of TCP and IP.
+ */
+final class ControlTraffic {
+
+	/** Request line or status line and the headers that the library adds. */
+	private static final long FIXED_HEAD_BYTES = 90;
+
+	private final Counter sentMessages;
+
+	private final Counter sentBytes;
+
+	private final Counter receivedMessages;
+
+	private final Counter receivedBytes;
+
+	ControlTraffic(MetricRegistry metrics) {
+		this.sentMessages = metrics.counter("control.sent.messages");
+		this.sentBytes = metrics.counter("control.sent.bytes");
+		this.receivedMessages = metrics.counter("control.received.messages");
+		this.receivedBytes = metrics.counter("control.received.bytes");
+	}
+
+	/**
+	 * Whether a path carries configuration or membership.
+	 */
+	static boolean isControl(String path) {
+		return path.equals("/v1/probe") || path.equals("/v1/configuration") || path.equals("/v1/vms");
+	}
+
+	/**
+	 * Counts a request that this process sent and the reply to it.
+	 */
+	void countOutgoing(HttpResponse<?> reply) {
+		long bodyBytes = reply.request().bodyPublisher().map(BodyPublisher::contentLength).orElse(0L);
+		sent(headBytes(reply.request().headers()) + Math.max(0, bodyBytes));
+		received(headBytes(reply.headers()) + ((reply.body() instanceof byte[] body) ? body.length : 0));
+	}
+
+	/**
+	 * Counts a request that this process received and its reply.
+	 */
+	void countIncoming(Exchange exchange, Map<String, String> replyHeaders, long replyBodyBytes) {
+		received(exchange.headBytes() + exchange.headerLong("Content-Length", 0));
+		sent(FIXED_HEAD_BYTES + replyBodyBytes
+				+ replyHeaders.entrySet()
+					.stream()
+					.mapToLong((header) -> header.getKey().length() + header.getValue().length() + 4L)
+					.sum());
+	}
+
+	private void sent(long bytes) {
+		this.sentMessages.inc();
+		this.sentBytes.inc(bytes);
+	}
+
+	private void received(long bytes) {
+		this.receivedMessages.inc();
+		this.receivedBytes.inc(bytes);
+	}
+
+	private static long headBytes(HttpHeaders headers) {
+		return FIXED_HEAD_BYTES + headers.map()
+			.entrySet()
+			.stream()
+
+			.flatMap((header) -> header.getValue()
+				.stream()
+				.map((value) -> header.getKey().length() + value.length() + 4L))
+			.mapToLong(Long::longValue)
+			.sum();
+	}
+
+}
--- a/src/main/java/org/jaywood/peer/Membership.java
+++ b/src/main/java/org/jaywood/peer/Membership.java
@@ -15,7 +15,7 @@
 /**
  * The VMs known to a process: the platform's lagging list, corrected by what the process
  * saw itself. An observed leave stays until the list shows the VM as gone or under a new
- * address.
+ * address, or the process there says that it serves.
  */
 public final class Membership {
 
@@ -29,26 +29,48 @@
 		return this.version;
 	}
 
-	public void merge(VmPage page) {
-		page.vms().forEach((entry) -> {
-			if (entry.state() == VmState.GONE) {
-				VmRecord removed = this.records.remove(entry.vm());
-				if (removed != null) {
-					this.observedLeaving.remove(removed.address());
-				}
-			}
-			else {
-				this.records.put(entry.vm(), entry);
-			}
-		});
+	/**
+	 * Merges changes of the platform's list. A platform that came back with an older list
+	 * lowers the version, so that its next changes are seen; VMs that the older list
+	 * lacks are kept until it shows them as gone.
+	 */
+	public synchronized void merge(VmPage page) {
+		page.vms().forEach(this::merge);
 		this.version = page.version();
 	}
 
+	private void merge(VmRecord entry) {
+		VmRecord before = (entry.state() != VmState.GONE) ? this.records.put(entry.vm(), entry)
+				: this.records.remove(entry.vm());
+		if (before != null && (entry.state() == VmState.GONE || !before.address().equals(entry.address()))) {
+			this.observedLeaving.remove(before.address());
+		}
+	}
+
+	/**
+	 * Takes the list of a peer if nothing is known yet, so that a process started during
+	 * an outage of the platform knows its peers.
+	 */
+	public synchronized void adopt(VmPage page) {
+		if (this.version == 0) {
+			page.vms().forEach(this::merge);
+		}
+	}
+
+	/**
+	 * The whole list with the version up to which it is complete.
+	 */
+	public synchronized VmPage page() {
+		return new VmPage(this.version, List.copyOf(this.records.values()));
+	}
+
 	/**
 	 * Notes that a process said itself that it leaves.
 	 */
 	public void observeLeaving(Address address) {
-		this.observedLeaving.add(address);
+		if (this.records.values().stream().anyMatch((entry) -> entry.address().equals(address))) {
+			this.observedLeaving.add(address);
+		}
 	}
 
 	public void observeServing(Address address) {
--- a/src/main/java/org/jaywood/peer/PeerNode.java
+++ b/src/main/java/org/jaywood/peer/PeerNode.java
@@ -2,28 +2,27 @@
 
 import java.io.IOException;
 import java.net.http.HttpResponse;
-import java.time.Duration;
-import java.util.Collections;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
+import com.codahale.metrics.MetricRegistry;
+import com.sun.net.httpserver.HttpServer;
 import org.jspecify.annotations.Nullable;
 
 import org.jaywood.config.AppliedConfiguration;
-import org.jaywood.config.ConfigurationRepository;
 import org.jaywood.config.ConfigurationView;
 import org.jaywood.event.Event;
 import org.jaywood.event.EventLog;
-import org.jaywood.platform.Futures;
 import org.jaywood.platform.HttpPlatform;
-import org.jaywood.platform.ObjectPage;
-import org.jaywood.platform.PlatformException;
-import org.jaywood.platform.VmRecord;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Credential;
 import org.jaywood.wire.Exchange;
@@ -31,6 +30,7 @@
 import org.jaywood.wire.HttpPort;
 import org.jaywood.wire.Json;
 import org.jaywood.wire.WireClient;
+import org.jaywood.wire.WireException;
 
 /**
  * The part of a process that talks to its peers: it holds the configuration and the
@@ -38,46 +38,114 @@
  */
 public final class PeerNode implements AutoCloseable {
 
-	private static final long WATCH_MILLIS = 10_000;
-
 	private static final long PROBE_INTERVAL_MILLIS = 1_000;
 
 	private static final int PROBES_PER_INTERVAL = 2;
 
-	private static final Duration PROBE_TIMEOUT = Duration.ofSeconds(2);
-
 	private static final int PROBE_LIMIT_BYTES = 4_096;
 
+	private static final long ISOLATION_MILLIS = 30_000;
+
 	private final ProcessIdentity identity;
 
 	private final EventLog log;
 
+	private final @Nullable Credential credential;
+
+	private final Optional<Address> closedBecauseOf;
+
 	private final ConfigurationView configuration;
 
 	private final Membership membership = new Membership();
 
+	private final MetricRegistry metrics = ProcessMetrics.create();
+
+	private final ControlTraffic traffic = new ControlTraffic(this.metrics);
+
 	private final HttpPlatform platform;
 
 	private final WireClient client;
 
 	private final HttpPort port;
 
+	private final List<HttpPort> operatorPorts = new ArrayList<>();
+
 	private final BooleanSupplier leaving;
 
 	private final ExecutorService tasks = Executors.newVirtualThreadPerTaskExecutor();
 
+	private final PlatformContact platformContact;
+
+	private final Isolation isolation;
+
+	private final PlatformWatch watch;
+
+	private final PeerProbe peers;
+
+	private final StartSync startSync;
+
+	private final Semaphore probeNow = new Semaphore(0);
+
+	/**
+	 * Creates a node.
+	 * @param identity who the process is
+	 * @param listenAddress peer port
+	 * @param platformAddress platform
+	 * @param credential credential between processes, or null
+	 * @param log log of the process
+	 * @param leaving whether the process refuses new work because it stops
+	 * @param otherAddresses other addresses that the process listens on
+	 */
 	public PeerNode(ProcessIdentity identity, Address listenAddress, Address platformAddress,
-			@Nullable Credential credential, EventLog log, BooleanSupplier leaving) {
+			@Nullable Credential credential, EventLog log, BooleanSupplier leaving, Address... otherAddresses) {
 		this.identity = identity;
 		this.log = log;
+		this.credential = credential;
 		this.leaving = leaving;
+		this.closedBecauseOf = PortPolicy.violation(credential,
+				Stream.concat(Stream.of(listenAddress), Stream.of(otherAddresses)).toArray(Address[]::new));
 		this.configuration = new ConfigurationView(log);
-		this.platform = new HttpPlatform(WireClient.plain(listenAddress.host()), platformAddress);
+		this.platform = new HttpPlatform(
+				new WireClient(listenAddress.host(), null, Map::of, this.traffic::countOutgoing), platformAddress);
 		this.client = new WireClient(listenAddress.host(), credential, this::commonHeaders, this::observeReply);
-		this.port = HttpPort.open(listenAddress, log, credential, this::observeRequest);
-		this.port.route("POST", "/v1/probe", this::answerProbe);
-		this.port.route("GET", "/v1/configuration",
-				(exchange) -> exchange.respondJson(200, this.configuration.current()));
+		long nowMillis = System.currentTimeMillis();
+		this.platformContact = new PlatformContact(log, nowMillis);
+		this.isolation = new Isolation(ISOLATION_MILLIS, this.platformContact, log, nowMillis);
+		this.watch = new PlatformWatch(this.platform, this.configuration, this.membership, this.platformContact,
+				this::watcher);
+		this.peers = new PeerProbe(this.client, this.configuration, this.membership, identity.address(), this::ownProbe,
+				this::observeProbe, this.tasks);
+		this.startSync = new StartSync(this.watch, this.peers, () -> this.configuration.current().generation());
+		this.configuration.onChange((changed) -> this.probeNow.release());
+		this.port = openPort(listenAddress).route("POST", "/v1/probe", this::answerProbe)
+			.route("GET", "/v1/configuration", (exchange) -> answer(exchange, this.configuration.current()))
+			.route("GET", "/v1/vms", (exchange) -> answer(exchange, this.membership.page()));
+	}
+
+	private HttpPort openPort(Address address) {
+		if (this.closedBecauseOf.isEmpty()) {
+			return HttpPort.open(address, this.log, this.credential, this::observeRequest);
+		}
+		try {
+			return HttpPort.over(HttpServer.create(), this.log);
+		}
+		catch (IOException ex) {
+			throw new WireException("cannot create a port", ex);
+		}
+	}
+
+	/**
+	 * Creates the operator port of the process, which serves {@code /metrics}. It opens
+	 * when this node starts.
+	 */
+	public HttpPort operatorPort(Address address) {
+		HttpPort operatorPort = this.closedBecauseOf.isPresent() ? openPort(address)
+				: HttpPort.open(address, this.log, this.credential, (exchange) -> {
+				});
+		operatorPort.route("GET", "/metrics",
+				(exchange) -> exchange.respondJson(200, ProcessMetrics.report(this.metrics)));
+		this.operatorPorts.add(operatorPort);
+		return operatorPort;
 	}
 
 	public ProcessIdentity identity() {
@@ -104,74 +172,82 @@
 		return this.port;
 	}
 
+	public MetricRegistry metrics() {
+		return this.metrics;
+	}
+
 	/**
-	 * Opens the peer port and starts the tasks that keep configuration and membership
-	 * current.
+	 * Opens the ports, takes the highest configuration of platform and peers, which takes
+	 * a few seconds at most, and starts the tasks that keep it current.
 	 */
 	public void start() {
-		this.port.start();
-		this.tasks.execute(() -> repeat("watch configuration", this::watchConfiguration));
-		this.tasks.execute(() -> repeat("watch VMs", this::watchVms));
-		this.tasks.execute(() -> repeat("probe", this::probePeers));
+		this.closedBecauseOf.ifPresentOrElse((address) -> this.log.log(Event.CONTROL_PORTS_CLOSED, "address", address),
+				() -> {
+					this.port.start();
+					this.operatorPorts.forEach(HttpPort::start);
+				});
+		this.startSync.run(System.currentTimeMillis());
+		this.tasks.execute(this.watch::followConfiguration);
+		this.tasks.execute(this.watch::followVms);
+		this.tasks.execute(this::probePeers);
 	}
 
-	private void repeat(String name, Task task) {
-		while (!Thread.currentThread().isInterrupted()) {
-			try {
-				task.run();
-			}
-			catch (InterruptedException ex) {
-				return;
-			}
-			catch (IOException | RuntimeException ex) {
-				this.log.log(Event.TASK_FAILED, "task", name, "error", ex);
-				if (!pause(PROBE_INTERVAL_MILLIS)) {
-					return;
-				}
-			}
-		}
+	/**
+	 * Whether the highest configuration of platform and peers was taken since the start.
+	 */
+	public boolean ready() {
+		return this.startSync.done();
 	}
 
-	private void watchConfiguration() {
-		long seen = 0;
-		while (true) {
-			ObjectPage page = Futures.await(this.platform.watch(ConfigurationRepository.KIND, seen, WATCH_MILLIS));
-			page.objects()
-				.stream()
-				.filter((object) -> object.name().equals(ConfigurationRepository.NAME) && !object.deleted())
-				.map((object) -> Json.read(object.value(), AppliedConfiguration.class))
-				.forEach((offered) -> this.configuration.offer(offered, "platform"));
-			seen = page.version();
-		}
+	/**
+	 * Whether neither the platform nor a peer was heard for so long that this process
+	 * must refuse new work.
+	 */
+	public boolean isolated(long nowMillis) {
+		return this.isolation.isolated(nowMillis);
 	}
 
-	private void watchVms() {
-		while (true) {
-			this.membership.merge(Futures.await(this.platform.changes(this.membership.version(), WATCH_MILLIS)));
-		}
+	public long lastContactMillis() {
+		return this.isolation.lastContactMillis();
 	}
 
-	private void probePeers() throws InterruptedException {
-		List<VmRecord> peers = this.membership.live()
-			.filter((entry) -> !entry.address().equals(this.identity.address()))
-			.collect(Collectors.collectingAndThen(Collectors.toList(), (list) -> {
-				Collections.shuffle(list);
-				return list;
-			}));
-		peers.stream().limit(PROBES_PER_INTERVAL).forEach((peer) -> this.tasks.execute(() -> probe(peer.address())));
-		TimeUnit.MILLISECONDS.sleep(PROBE_INTERVAL_MILLIS);
+	private boolean watcher() {
+		return WatcherElection.elects(this.membership.live(), this.identity.dataCentre(), this.identity.vm());
 	}
 
-	private void probe(Address peer) {
-		try {
-			HttpResponse<byte[]> reply = this.client.post(peer.uri("/v1/probe"), ownProbe(), PROBE_TIMEOUT);
-			observeProbe(Json.read(reply.body(), Probe.class));
-		}
-		catch (IOException ex) {
-			// An unreachable peer is not an event: the next round probes others.
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
+	/**
+	 * Part of the state dump on configuration and membership.
+	 */
+	public Map<String, Object> state() {
+		AppliedConfiguration current = this.configuration.current();
+		Map<String, Object> state = new LinkedHashMap<>();
+		state.put("ready", ready());
+		state.put("generation", current.generation());
+		state.put("digest", current.digest());
+		state.put("author", current.author());
+		state.put("lastContactMillis", lastContactMillis());
+		state.put("lastPlatformContactMillis", this.platformContact.lastAnswerMillis());
+		state.put("lastPeerContactMillis", this.isolation.lastPeerMillis());
+		state.put("platformReachable", this.platformContact.reachable());
+		state.put("isolated", isolated(System.currentTimeMillis()));
+		state.put("watcher", watcher());
+		state.put("membershipVersion", this.membership.version());
+		state.put("peers", this.membership.live().count());
+		return state;
+	}
+
+	private void probePeers() {
+		while (!Thread.currentThread().isInterrupted()) {
+			this.peers.probeRandom(PROBES_PER_INTERVAL);
+			this.isolation.report(System.currentTimeMillis());
+			try {
+				// A changed configuration is shown to peers at once.
+				this.probeNow.tryAcquire(PROBE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+				this.probeNow.drainPermits();
+			}
+			catch (InterruptedException ex) {
+				return;
+			}
 		}
 	}
 
@@ -183,39 +259,27 @@
 	}
 
 	private void answerProbe(Exchange exchange) throws IOException {
-		observeProbe(exchange.json(Probe.class, PROBE_LIMIT_BYTES));
-		exchange.respondJson(200, ownProbe());
+		Probe probe = exchange.json(Probe.class, PROBE_LIMIT_BYTES);
+		this.startSync.heard(probe.address());
+		observeProbe(probe);
+		answer(exchange, ownProbe());
+	}
+
+	private void answer(Exchange exchange, Object content) throws IOException {
+		byte[] body = Json.bytes(content);
+		this.traffic.countIncoming(exchange, commonHeaders(), body.length);
+		exchange.respond(200, "application/json", body);
 	}
 
 	private void observeProbe(Probe probe) {
+		this.isolation.heardPeer(System.currentTimeMillis());
 		if (probe.leaving()) {
 			this.membership.observeLeaving(probe.address());
 		}
 		else {
 			this.membership.observeServing(probe.address());
 		}
-		observeGeneration(probe.generation(), probe.address());
-	}
-
-	private void observeGeneration(long generation, Address source) {
-		if (generation > this.configuration.current().generation()) {
-			this.tasks.execute(() -> fetchConfiguration(source));
-		}
-	}
-
-	private void fetchConfiguration(Address source) {
-		try {
-			HttpResponse<byte[]> reply = this.client.get(source.uri("/v1/configuration"), PROBE_TIMEOUT);
-			if (reply.statusCode() == 200) {
-				this.configuration.offer(Json.read(reply.body(), AppliedConfiguration.class), source.toString());
-			}
-		}
-		catch (IOException ex) {
-			// Another message or probe will show the newer generation again.
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
+		this.peers.noteGeneration(probe.generation(), probe.address());
 	}
 
 	private Map<String, String> commonHeaders() {
@@ -229,41 +293,25 @@
 		commonHeaders().forEach(exchange::setHeader);
 		String sender = exchange.header(Headers.SENDER);
 		if (sender != null) {
-			observeGeneration(exchange.headerLong(Headers.GENERATION, 0), Address.parse(sender));
+			this.peers.noteGeneration(exchange.headerLong(Headers.GENERATION, 0), Address.parse(sender));
 		}
 	}
 
 	private void observeReply(HttpResponse<?> reply) {
+		if (ControlTraffic.isControl(reply.request().uri().getPath())) {
+			this.traffic.countOutgoing(reply);
+		}
 		reply.headers()
 			.firstValue(Headers.SENDER)
-			.ifPresent((sender) -> observeGeneration(reply.headers().firstValueAsLong(Headers.GENERATION).orElse(0),
-					Address.parse(sender)));
-	}
-
-	private static boolean pause(long millis) {
-		try {
-			TimeUnit.MILLISECONDS.sleep(millis);
-			return true;
-		}
-		catch (InterruptedException ex) {
-			return false;
-		}
+			.ifPresent((sender) -> this.peers
+				.noteGeneration(reply.headers().firstValueAsLong(Headers.GENERATION).orElse(0), Address.parse(sender)));
 	}
 
 	@Override
 	public void close() {
 		this.tasks.shutdownNow();
 		this.port.close();
-	}
-
-	/**
-	 * A step of a periodic task.
-	 */
-	@FunctionalInterface
-	private interface Task {
-
-		void run() throws IOException, InterruptedException, PlatformException;
-
+		this.operatorPorts.forEach(HttpPort::close);
 	}
 
 }
--- /dev/null
+++ b/src/main/java/org/jaywood/peer/PlatformWatch.java
@@ -0,0 +1,146 @@
+package org.jaywood.peer;
+
+import java.util.function.BooleanSupplier;
+
+import org.jaywood.config.AppliedConfiguration;
+import org.jaywood.config.ConfigurationRepository;
+import org.jaywood.config.ConfigurationView;
+import org.jaywood.platform.Backoff;
+import org.jaywood.platform.Futures;
+import org.jaywood.platform.HttpPlatform;
+import org.jaywood.platform.ObjectPage;
+import org.jaywood.platform.PlatformException;
+import org.jaywood.platform.VmPage;
+import org.jaywood.wire.Json;
+import org.jaywood.wire.WireException;
+
+/**
+ * Keeps configuration and membership current from the platform. Failed calls are repeated
+ * with growing pauses.
+ */
+final class PlatformWatch {
+
+	private static final String SOURCE = "platform";
+
+	private static final long CONFIGURATION_WAIT_MILLIS = 10_000;
+
+	/**
+	 * Each waiting process counts as one call, so a longer wait costs the platform less.
+	 */
+	private static final long VMS_WAIT_MILLIS = 20_000;
+
+	private static final long ELECTION_INTERVAL_MILLIS = 1_000;
+
+	private static final long FIRST_BACKOFF_MILLIS = 200;
+
+	/** Bounds both the load on a recovering platform and the delay of the next apply. */
+	private static final long LONGEST_BACKOFF_MILLIS = 3_000;
+
+	private final HttpPlatform platform;
+
+	private final ConfigurationView configuration;
+
+	private final Membership membership;
+
+	private final PlatformContact contact;
+
+	private final BooleanSupplier watcher;
+
+	PlatformWatch(HttpPlatform platform, ConfigurationView configuration, Membership membership,
+			PlatformContact contact, BooleanSupplier watcher) {
+		this.platform = platform;
+		this.configuration = configuration;
+		this.membership = membership;
+		this.contact = contact;
+		this.watcher = watcher;
+	}
+
+	/**
+	 * Reads the list of VMs and the configuration once.
+	 */
+	void readOnce() {
+		try {
+			this.membership.merge(Futures.await(this.platform.changes(0, 0)));
+			new ConfigurationRepository(this.platform).current().ifPresent(this::offer);
+			this.contact.answered(System.currentTimeMillis());
+		}
+		catch (PlatformException | WireException ex) {
+			this.contact.failed(ex, System.currentTimeMillis());
+			throw ex;
+		}
+	}
+
+	/**
+	 * Follows the configuration while this process is a watcher, until interrupted.
+	 */
+	void followConfiguration() {
+		repeat(new Step() {
+			private long seen;
+
+			@Override
+			public void run() {
+				if (!PlatformWatch.this.watcher.getAsBoolean()) {
+					this.seen = 0;
+					Futures.pause(ELECTION_INTERVAL_MILLIS);
+					return;
+				}
+				this.seen = nextConfiguration(this.seen);
+			}
+		});
+	}
+
+	private long nextConfiguration(long seen) {
+		ObjectPage page = Futures
+			.await(this.platform.watch(ConfigurationRepository.KIND, seen, CONFIGURATION_WAIT_MILLIS));
+		page.objects()
+			.stream()
+			.filter((object) -> object.name().equals(ConfigurationRepository.NAME) && !object.deleted())
+			.map((object) -> Json.read(object.value(), AppliedConfiguration.class))
+			.forEach(this::offer);
+		this.contact.answered(System.currentTimeMillis());
+		return page.version();
+	}
+
+	private void offer(AppliedConfiguration offered) {
+		this.configuration.offer(offered, SOURCE);
+	}
+
+	/**
+	 * Follows the list of VMs, until interrupted.
+	 */
+	void followVms() {
+		repeat(() -> {
+			VmPage page = Futures.await(this.platform.changes(this.membership.version(), VMS_WAIT_MILLIS));
+			this.contact.answered(System.currentTimeMillis());
+			if (page.version() < this.membership.version()) {
+				page = Futures.await(this.platform.changes(0, 0));
+			}
+			this.membership.merge(page);
+		});
+	}
+
+	private void repeat(Step step) {
+		Backoff backoff = new Backoff(FIRST_BACKOFF_MILLIS, LONGEST_BACKOFF_MILLIS);
+		while (!Thread.currentThread().isInterrupted()) {
+			try {
+				step.run();
+				backoff.succeeded();
+			}
+			catch (RuntimeException ex) {
+				this.contact.failed(ex, System.currentTimeMillis());
+				Futures.pause(backoff.failed());
+			}
+		}
+	}
+
+	/**
+	 * One call that waits for changes.
+	 */
+	@FunctionalInterface
+	private interface Step {
+
+		void run();
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/peer/WatcherElection.java
@@ -0,0 +1,40 @@
+package org.jaywood.peer;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Stream;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+
+import org.jaywood.platform.VmRecord;
+
+/**
+ * Chooses the few processes of a data centre that watch the configuration at the
+ * platform. Each process decides for itself by rendezvous rank over its list of VMs, so
+ * the choice needs no messages; differing lists cost a watch more or less.
+ */
+final class WatcherElection {
+
+	/** Two may fail at once without delay to the configuration. */
+	static final int WATCHERS = 3;
+
+	private WatcherElection() {
+	}
+
+	/**
+	 * Whether a VM is a watcher of its data centre. A VM without known neighbours is.
+	 */
+	static boolean elects(Stream<VmRecord> live, String dataCentre, String vm) {
+		List<String> ranked = live.filter((entry) -> entry.dataCentre().equals(dataCentre))
+			.map(VmRecord::vm)
+			.sorted(Comparator.comparingLong(WatcherElection::score).thenComparing(Comparator.naturalOrder()))
+			.limit(WATCHERS)
+			.toList();
+		return ranked.contains(vm) || ranked.isEmpty();
+	}
+
+	private static long score(String vm) {
+		return Hashing.komihash5_0().hashCharsToLong("configuration-watch " + vm);
+	}
+
+}
--- a/src/main/java/org/jaywood/router/Router.java
+++ b/src/main/java/org/jaywood/router/Router.java
@@ -50,8 +50,6 @@
 
 	private final HttpPort callerPort;
 
-	private final HttpPort operatorPort;
-
 	private final AtomicInteger inFlight = new AtomicInteger();
 
 	private volatile boolean leaving;
@@ -62,17 +60,16 @@
 		ProcessIdentity identity = new ProcessIdentity("router", settings.vm(), settings.region(),
 				settings.dataCentre(), UUID.randomUUID().toString(), settings.advertisedAddress());
 		this.peer = new PeerNode(identity, settings.listenAddress(), settings.platformAddress(), settings.credential(),
-				log, () -> this.leaving);
+				log, () -> this.leaving, settings.operatorAddress(), settings.callerAddress());
 		this.callerPort = HttpPort.open(settings.callerAddress(), log)
 			.route("POST", "/v1/completions", this::complete)
 			.route("*", "/services/", this::plain);
-		this.operatorPort = HttpPort.open(settings.operatorAddress(), log, settings.credential(), (exchange) -> {
-		}).route("GET", "/state", (exchange) -> exchange.respondJson(200, state()));
+		this.peer.operatorPort(settings.operatorAddress())
+			.route("GET", "/state", (exchange) -> exchange.respondJson(200, state()));
 	}
 
 	public void start() {
 		this.peer.start();
-		this.operatorPort.start();
 		this.callerPort.start();
 		this.log.log(Event.PROCESS_STARTED, "role", "router", "address", this.callerPort.address());
 	}
@@ -212,13 +209,12 @@
 
 	private Map<String, Object> state() {
 		return Map.of("identity", this.peer.identity(), "generation", this.peer.configuration().current().generation(),
-				"inFlight", this.inFlight.get(), "leaving", this.leaving);
+				"inFlight", this.inFlight.get(), "leaving", this.leaving, "peer", this.peer.state());
 	}
 
 	@Override
 	public void close() {
 		this.callerPort.close();
-		this.operatorPort.close();
 		this.peer.close();
 	}
 
--- a/src/main/java/org/jaywood/wire/Exchange.java
+++ b/src/main/java/org/jaywood/wire/Exchange.java
@@ -91,6 +91,19 @@
 		}
 	}
 
+	/**
+	 * Size of the request line and headers as received.
+	 */
+	public long headBytes() {
+		return method().length() + target().length() + 12L + this.http.getRequestHeaders()
+			.entrySet()
+			.stream()
+			.flatMap((
+					header) -> header.getValue().stream().map((value) -> header.getKey().length() + value.length() + 4))
+			.mapToInt(Integer::intValue)
+			.sum();
+	}
+
 	/**
 	 * IP number of the client.
 	 */
