Check the package layers with ArchUnit

Change: ArchitectureTests with the layers, the stand-ins' single dependency on weights (Manifest) and the process rule. Conclusion: kept as a unit test.

--- /dev/null
+++ b/src/test/java/org/jaywood/ArchitectureTests.java
@@ -0,0 +1,105 @@
+package org.jaywood;
+
+import com.tngtech.archunit.base.DescribedPredicate;
+import com.tngtech.archunit.core.domain.JavaClass;
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.lang.ArchRule;
+import com.tngtech.archunit.lang.syntax.ArchRuleDefinition;
+import com.tngtech.archunit.library.Architectures;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards the layers of docs/design.md section 3 and the rule that only bench starts
+ * processes.
+ */
+class ArchitectureTests {
+
+	private static final JavaClasses CLASSES = new ClassFileImporter()
+		.withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
+		.importPackages("org.jaywood");
+
+	@Nested
+	class Layers {
+
+		@Test
+		void dependenciesPointDown() {
+			ArchRule rule = Architectures.layeredArchitecture()
+				.consideringOnlyDependenciesInLayers()
+				.layer("cli")
+				.definedBy("org.jaywood.cli..")
+				.layer("bench")
+				.definedBy("org.jaywood.bench..")
+				.layer("standin")
+				.definedBy("org.jaywood.standin..")
+				.layer("router")
+				.definedBy("org.jaywood.router..")
+				.layer("agent")
+				.definedBy("org.jaywood.agent..")
+				.layer("weights")
+				.definedBy("org.jaywood.weights..")
+				.layer("peer")
+				.definedBy("org.jaywood.peer..")
+				.layer("config")
+				.definedBy("org.jaywood.config..")
+				.layer("platform")
+				.definedBy("org.jaywood.platform..")
+				.layer("wire")
+				.definedBy("org.jaywood.wire..")
+				.layer("event")
+				.definedBy("org.jaywood.event..")
+				.whereLayer("cli")
+				.mayNotBeAccessedByAnyLayer()
+				.whereLayer("bench")
+				.mayOnlyBeAccessedByLayers("cli")
+				.whereLayer("standin")
+				.mayOnlyBeAccessedByLayers("cli", "bench")
+				.whereLayer("router")
+				.mayOnlyBeAccessedByLayers("cli", "bench")
+				.whereLayer("agent")
+				.mayOnlyBeAccessedByLayers("cli", "bench")
+				.whereLayer("weights")
+				.mayOnlyBeAccessedByLayers("cli", "bench", "standin", "agent")
+				.whereLayer("peer")
+				.mayOnlyBeAccessedByLayers("cli", "bench", "router", "agent", "weights")
+				.whereLayer("config")
+				.mayOnlyBeAccessedByLayers("cli", "bench", "router", "agent", "weights", "peer")
+				.whereLayer("platform")
+				.mayOnlyBeAccessedByLayers("cli", "bench", "router", "agent", "weights", "peer", "config");
+			rule.check(CLASSES);
+		}
+
+		@Test
+		void standinsKnowOnlyTheManifestOfTheWeights() {
+			DescribedPredicate<JavaClass> otherWeights = DescribedPredicate.describe("weights but the manifest",
+					(type) -> type.getPackageName().equals("org.jaywood.weights")
+							&& !type.getSimpleName().equals("Manifest"));
+			ArchRuleDefinition.noClasses()
+				.that()
+				.resideInAPackage("org.jaywood.standin..")
+				.should()
+				.dependOnClassesThat(otherWeights)
+				.check(CLASSES);
+		}
+
+	}
+
+	@Nested
+	class Processes {
+
+		@Test
+		void onlyBenchStartsProcesses() {
+			ArchRuleDefinition.noClasses()
+				.that()
+				.resideOutsideOfPackage("org.jaywood.bench..")
+				.should()
+				.dependOnClassesThat()
+				.areAssignableTo(ProcessBuilder.class)
+				.check(CLASSES);
+		}
+
+	}
+
+}
