--- a/src/main/java/org/jaywood/cli/BenchCommand.java
+++ b/src/main/java/org/jaywood/cli/BenchCommand.java
@@ -14,6 +14,7 @@
 import org.jaywood.bench.Experiment;
 import org.jaywood.bench.ExperimentOptions;
 import org.jaywood.bench.Profile;
+import org.jaywood.bench.ResultPlot;
 
 /**
  * Runs experiments.
@@ -21,7 +22,7 @@
 @Parameters(commandDescription = "Runs an experiment or the demo with real processes")
 final class BenchCommand implements Command {
 
-	private static final List<Experiment> EXPERIMENTS = List.of(new Demo());
+	private static final List<Experiment> EXPERIMENTS = List.of(new Demo(), new ResultPlot());
 
 	@Parameter(description = "EXPERIMENT [ARGUMENT...]", required = true)
 	private List<String> experiments = new ArrayList<>();
