--- a/src/main/java/org/jaywood/cli/AgentCommand.java
+++ b/src/main/java/org/jaywood/cli/AgentCommand.java
@@ -1,12 +1,14 @@
 package org.jaywood.cli;
 
 import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
 
 import org.jaywood.agent.Agent;
 import org.jaywood.agent.AgentSettings;
 import org.jaywood.event.EventLog;
+import org.jaywood.peer.PortPolicy;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Credential;
 
@@ -20,7 +22,8 @@
 	@ParametersDelegate
 	private final NodeOptions node = new NodeOptions();
 
-	@Parameter(names = "--service", required = true, description = "Service of the upstream")
+	@Parameter(names = "--service", required = true, validateWith = Converters.NameValidator.class,
+			description = "Service of the upstream")
 	private String service;
 
 	@Parameter(names = "--upstream", required = true, converter = Converters.AddressConverter.class,
@@ -41,6 +44,11 @@
 
 	@Override
 	public int run() throws InterruptedException {
+		PortPolicy.violation(Credential.parse(this.node.credential), this.node.listen, this.node.operator)
+			.ifPresent((address) -> {
+				throw new ParameterException("--credential is not set: an agent that listens on " + address
+						+ " needs one, because others reach this address");
+			});
 		AgentSettings settings = new AgentSettings(this.node.vm, this.node.region, this.node.dataCentre, this.service,
 				this.node.listen, this.node.advertised(), this.node.operator, this.upstream, this.node.platform,
 				this.store, this.storeRegion, Credential.parse(this.node.credential), this.node.drainMillis);
--- a/src/main/java/org/jaywood/cli/DumpCommand.java
+++ b/src/main/java/org/jaywood/cli/DumpCommand.java
@@ -21,12 +21,16 @@
 @Parameters(commandDescription = "Prints the state of the process at an operator port as JSON")
 final class DumpCommand implements Command {
 
-	@Parameter(description = "ADDRESS", required = true)
-	private List<String> addresses = new ArrayList<>();
+	@Parameter(description = "ADDRESS", required = true, converter = Converters.AddressConverter.class)
+	private List<Address> addresses = new ArrayList<>();
 
-	@Parameter(names = "--credential", description = "Credential of the process")
+	@Parameter(names = "--credential", validateWith = Converters.CredentialValidator.class,
+			description = "Credential of the process")
 	private @Nullable String credential;
 
+	@Parameter(names = "--metrics", description = "Prints the metrics instead of the state")
+	private boolean metrics;
+
 	@Override
 	public String name() {
 		return "dump";
@@ -36,7 +40,7 @@
 	public int run() throws Exception {
 		WireClient client = new WireClient(null, Credential.parse(this.credential), Map::of, (reply) -> {
 		});
-		HttpResponse<byte[]> reply = client.get(Address.parse(this.addresses.getFirst()).uri("/state"),
+		HttpResponse<byte[]> reply = client.get(this.addresses.getFirst().uri(this.metrics ? "/metrics" : "/state"),
 				Duration.ofSeconds(5));
 		System.out.println(new String(reply.body(), StandardCharsets.UTF_8));
 		return (reply.statusCode() == 200) ? 0 : 1;
--- a/src/main/java/org/jaywood/cli/Jaywood.java
+++ b/src/main/java/org/jaywood/cli/Jaywood.java
@@ -12,6 +12,8 @@
 import com.beust.jcommander.ParameterException;
 import org.jspecify.annotations.Nullable;
 
+import org.jaywood.config.ApplyConflictException;
+import org.jaywood.config.ApplyUnknownException;
 import org.jaywood.event.LineFormatter;
 
 /**
@@ -23,9 +25,16 @@
 	/** Exit status for wrong settings. */
 	public static final int EXIT_USAGE = 2;
 
+	/** Exit status of an apply that changed nothing because another one came first. */
+	public static final int EXIT_CONFLICT = 3;
+
+	/** Exit status of an apply of which nobody knows whether it took effect. */
+	public static final int EXIT_UNKNOWN = 4;
+
 	private final Map<String, Command> commands = List
-		.of(new RouterCommand(), new AgentCommand(), new StandinCommand(), new ValidateCommand(), new ApplyCommand(),
-				new DumpCommand(), new BenchCommand())
+		.of(new RouterCommand(), new AgentCommand(), new StandinCommand(), new ValidateCommand(), new PlanCommand(),
+				new ApplyCommand(), new RollbackCommand(), new HistoryCommand(), new StatusCommand(), new DumpCommand(),
+				new BenchCommand())
 		.stream()
 		.collect(Collectors.toMap(Command::name, Function.identity()));
 
@@ -46,23 +55,31 @@
 	public int run(String... args) {
 		JCommander parser = parser();
 		try {
+			if (args.length > 1 && List.of(args).contains("--help") && this.commands.containsKey(args[0])) {
+				parser.getUsageFormatter().usage(args[0]);
+				return 0;
+			}
 			parser.parse(args);
 			String name = parser.getParsedCommand();
 			if (this.help || name == null) {
 				parser.usage();
 				return this.help ? 0 : EXIT_USAGE;
 			}
-			if (List.of(args).contains("--help")) {
-				parser.getUsageFormatter().usage(name);
-				return 0;
-			}
 			Command command = this.commands.get(name);
 			return (command != null) ? command.run() : EXIT_USAGE;
 		}
 		catch (ParameterException ex) {
-			System.err.println("jaywood: " + ex.getMessage());
+			System.err.println("jaywood: " + String.valueOf(ex.getMessage()).replaceAll("\\s*\\R\\s*", " "));
 			return EXIT_USAGE;
 		}
+		catch (ApplyConflictException ex) {
+			System.err.println("jaywood: " + ex.getMessage());
+			return EXIT_CONFLICT;
+		}
+		catch (ApplyUnknownException ex) {
+			System.err.println("jaywood: " + ex.getMessage());
+			return EXIT_UNKNOWN;
+		}
 		catch (Exception ex) {
 			System.err.println("jaywood: " + ex.getMessage());
 			return 1;
--- a/src/main/java/org/jaywood/cli/NodeOptions.java
+++ b/src/main/java/org/jaywood/cli/NodeOptions.java
@@ -11,13 +11,16 @@
 @SuppressWarnings("NullAway.Init")
 class NodeOptions {
 
-	@Parameter(names = "--vm", required = true, description = "Name of the VM")
+	@Parameter(names = "--vm", required = true, validateWith = Converters.NameValidator.class,
+			description = "Name of the VM")
 	String vm;
 
-	@Parameter(names = "--region", required = true, description = "Region of the VM")
+	@Parameter(names = "--region", required = true, validateWith = Converters.NameValidator.class,
+			description = "Region of the VM")
 	String region;
 
-	@Parameter(names = "--data-centre", required = true, description = "Data centre of the VM")
+	@Parameter(names = "--data-centre", required = true, validateWith = Converters.NameValidator.class,
+			description = "Data centre of the VM")
 	String dataCentre;
 
 	@Parameter(names = "--listen", required = true, converter = Converters.AddressConverter.class,
@@ -36,12 +39,13 @@
 			description = "Object API and VM list of the platform, ip:port")
 	Address platform;
 
-	@Parameter(names = "--credential",
+	@Parameter(names = "--credential", validateWith = Converters.CredentialValidator.class,
 			description = "Credential between processes; two separated by a comma during a change of keys")
 	@Nullable String credential;
 
-	@Parameter(names = "--drain-millis", description = "Longest time of a planned stop in milliseconds")
-	long drainMillis = 60_000;
+	@Parameter(names = "--drain-millis", converter = Converters.PositiveConverter.class,
+			description = "Longest time of a planned stop in milliseconds")
+	Long drainMillis = 60_000L;
 
 	Address advertised() {
 		return (this.advertise != null) ? this.advertise : this.listen;
--- /dev/null
+++ b/src/main/java/org/jaywood/cli/OperatorOptions.java
@@ -0,0 +1,116 @@
+package org.jaywood.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import org.jspecify.annotations.Nullable;
+
+import org.jaywood.config.AppliedConfiguration;
+import org.jaywood.config.ApplyOptions;
+import org.jaywood.config.ConfigurationRepository;
+import org.jaywood.config.Deployment;
+import org.jaywood.config.DeploymentParser;
+import org.jaywood.peer.HighestGeneration;
+import org.jaywood.platform.Futures;
+import org.jaywood.platform.HttpPlatform;
+import org.jaywood.platform.PlatformException;
+import org.jaywood.platform.VmRecord;
+import org.jaywood.platform.VmState;
+import org.jaywood.wire.Address;
+import org.jaywood.wire.Credential;
+import org.jaywood.wire.WireClient;
+
+/**
+ * Options common to the commands of operators.
+ */
+@SuppressWarnings("NullAway.Init")
+class OperatorOptions {
+
+	/** Peers asked for their generation when the operator names none. */
+	private static final int SAMPLED_PEERS = 8;
+
+	@Parameter(names = "--platform", required = true, converter = Converters.AddressConverter.class,
+			description = "Object API and VM list of the platform, ip:port")
+	Address platform;
+
+	@Parameter(names = "--peer", converter = Converters.AddressConverter.class,
+			description = "Peer port of a router or agent to ask as well, ip:port; repeatable")
+	List<Address> peers = new ArrayList<>();
+
+	@Parameter(names = "--credential", validateWith = Converters.CredentialValidator.class,
+			description = "Credential between processes")
+	@Nullable String credential;
+
+	WireClient client() {
+		return new WireClient(null, Credential.parse(this.credential), Map::of, (reply) -> {
+		});
+	}
+
+	HttpPlatform platformClient() {
+		return new HttpPlatform(WireClient.plain(null), this.platform);
+	}
+
+	ConfigurationRepository repository() {
+		return new ConfigurationRepository(platformClient());
+	}
+
+	HighestGeneration highestGeneration() {
+		return new HighestGeneration(client());
+	}
+
+	/**
+	 * Options of an apply, above the generations of the named peers or, if none is named,
+	 * of a few from the list of VMs.
+	 */
+	ApplyOptions applyOptions(String author, @Nullable Long expectedGeneration) {
+		long highest = highestGeneration().configuration(this.peers.isEmpty() ? sampledPeers() : this.peers)
+			.map(AppliedConfiguration::generation)
+			.orElse(0L);
+		return new ApplyOptions(author, System.currentTimeMillis(),
+				(expectedGeneration != null) ? OptionalLong.of(expectedGeneration) : OptionalLong.empty(), highest);
+	}
+
+	private List<Address> sampledPeers() {
+		try {
+			List<Address> all = new ArrayList<>(Futures.await(platformClient().changes(0, 0))
+				.vms()
+				.stream()
+				.filter((entry) -> entry.state() == VmState.LIVE)
+				.map(VmRecord::address)
+				.toList());
+			Collections.shuffle(all);
+			return all.stream().limit(SAMPLED_PEERS).toList();
+		}
+		catch (PlatformException ex) {
+			// The apply itself reports the outage.
+			return List.of();
+		}
+	}
+
+	static Deployment readFile(List<String> files) {
+		if (files.size() != 1) {
+			throw new ParameterException(
+					"FILE value '" + String.join(" ", files) + "' is not allowed: expected one file");
+		}
+		Path file = Path.of(files.getFirst());
+		try {
+			if (Files.size(file) > 16L * DeploymentParser.LIMIT_BYTES) {
+				throw new ParameterException("FILE value '" + file + "' is not allowed: expected at most "
+						+ DeploymentParser.LIMIT_BYTES + " bytes");
+			}
+			return new DeploymentParser().parse(Files.readAllBytes(file));
+		}
+		catch (IOException ex) {
+			throw new ParameterException("FILE value '" + file + "' is not allowed: expected a readable file");
+		}
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/cli/StatusCommand.java
@@ -0,0 +1,111 @@
+package org.jaywood.cli;
+
+import java.util.List;
+import java.util.stream.Collectors;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+
+import org.jaywood.config.AppliedConfiguration;
+import org.jaywood.config.ConfigurationException;
+import org.jaywood.peer.FleetStatus;
+import org.jaywood.peer.FleetStatus.Group;
+import org.jaywood.peer.VmStatus;
+import org.jaywood.platform.Futures;
+import org.jaywood.platform.PlatformException;
+import org.jaywood.platform.VmRecord;
+import org.jaywood.platform.VmState;
+import org.jaywood.wire.Json;
+
+/**
+ * Shows what is in force at each data centre and service, and what is behind and why.
+ */
+@Parameters(commandDescription = "Shows what is in force where, what is behind and why")
+final class StatusCommand implements Command {
+
+	/** Exit status when something is behind, for scripts that wait. */
+	private static final int EXIT_BEHIND = 1;
+
+	private static final int SHOWN_BEHIND = 5;
+
+	@ParametersDelegate
+	private final OperatorOptions options = new OperatorOptions();
+
+	@Parameter(names = "--operator-port", converter = Converters.PortConverter.class,
+			description = "Operator port at the host of each peer port")
+	private Integer operatorPort = 7101;
+
+	@Parameter(names = "--json", description = "Prints JSON")
+	private boolean json;
+
+	@Override
+	public String name() {
+		return "status";
+	}
+
+	@Override
+	public int run() {
+		FleetStatus status = readFleet();
+		if (this.json) {
+			System.out.println(Json.text(status));
+		}
+		else {
+			print(status);
+		}
+		return status.complete() ? 0 : EXIT_BEHIND;
+	}
+
+	private FleetStatus readFleet() {
+		AppliedConfiguration known = this.options.highestGeneration()
+			.configuration(this.options.peers)
+			.orElse(AppliedConfiguration.NONE);
+		List<VmRecord> vms;
+		try {
+			AppliedConfiguration stored = this.options.repository().current().orElse(AppliedConfiguration.NONE);
+			if (stored.generation() < known.generation()) {
+				System.err.println("platform holds generation " + stored.generation() + ", older than generation "
+						+ known.generation() + " in force at a peer");
+			}
+			known = (stored.generation() > known.generation()) ? stored : known;
+			vms = Futures.await(this.options.platformClient().changes(0, 0)).vms();
+		}
+		catch (PlatformException ex) {
+			System.err.println("platform: " + ex.getMessage());
+			vms = this.options.highestGeneration()
+				.vms(this.options.peers)
+				.orElseThrow(() -> new ConfigurationException(
+						"the platform does not answer; name a router or agent with --peer ip:port"))
+				.vms();
+		}
+		return FleetStatus.read(vms.stream().filter((vm) -> vm.state() != VmState.GONE).toList(), known,
+				this.operatorPort, this.options.client());
+	}
+
+	private static void print(FleetStatus status) {
+		System.out.println(
+				"wanted: generation " + status.wanted() + (status.author().isEmpty() ? "" : " by " + status.author()));
+		System.out.printf("%-16s %-16s %-8s %-9s %s%n", "data centre", "service", "dc", "in force", "upstreams");
+		status.groups().forEach(StatusCommand::print);
+		System.out.println(status.complete() ? "complete: everything is in force" : "not complete");
+	}
+
+	private static void print(Group group) {
+		String upstreams = group.upstreams()
+			.entrySet()
+			.stream()
+			.map((entry) -> entry.getKey() + " " + entry.getValue())
+			.collect(Collectors.joining(", "));
+		System.out.printf("%-16s %-16s %-8s %-9s %s%n", group.dataCentre(), group.service(),
+				group.inService() ? "in" : "out", group.inForce() + "/" + group.vms(), upstreams);
+		group.behind().stream().limit(SHOWN_BEHIND).forEach(StatusCommand::print);
+		if (group.behind().size() > SHOWN_BEHIND) {
+			System.out.println("    and " + (group.behind().size() - SHOWN_BEHIND) + " more; see --json");
+		}
+	}
+
+	private static void print(VmStatus vm) {
+		System.out.println("    behind: " + vm.vm() + ": " + vm.behindReason());
+	}
+
+}
--- a/src/main/java/org/jaywood/cli/ValidateCommand.java
+++ b/src/main/java/org/jaywood/cli/ValidateCommand.java
@@ -1,15 +1,11 @@
 package org.jaywood.cli;
 
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 
-import org.jaywood.config.DeploymentParser;
-
 /**
  * Checks a deployment file.
  */
@@ -25,8 +21,8 @@
 	}
 
 	@Override
-	public int run() throws Exception {
-		new DeploymentParser().parse(Files.readAllBytes(Path.of(this.files.getFirst())));
+	public int run() {
+		OperatorOptions.readFile(this.files);
 		System.out.println("valid: " + this.files.getFirst());
 		return 0;
 	}
--- /dev/null
+++ b/src/main/java/org/jaywood/peer/FleetStatus.java
@@ -0,0 +1,127 @@
+package org.jaywood.peer;
+
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Semaphore;
+import java.util.stream.Collectors;
+
+import org.jaywood.config.AppliedConfiguration;
+import org.jaywood.platform.Futures;
+import org.jaywood.platform.VmRecord;
+import org.jaywood.wire.Address;
+import org.jaywood.wire.Json;
+import org.jaywood.wire.WireClient;
+import org.jaywood.wire.WireException;
+
+/**
+ * State of the whole fleet, gathered from the operator ports of all routers and agents.
+ *
+ * @param wanted generation that should be in force
+ * @param author who applied it
+ * @param appliedAtMillis when it was applied, milliseconds since the epoch
+ * @param groups states by data centre and service
+ */
+public record FleetStatus(long wanted, String author, long appliedAtMillis, List<Group> groups) {
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(3);
+
+	/** Bounds open connections when the fleet has thousands of VMs. */
+	private static final int MAX_CONCURRENT_READS = 64;
+
+	/**
+	 * Reads the state dumps of all VMs.
+	 * @param vms list of VMs
+	 * @param wanted configuration that should be in force
+	 * @param operatorPort port of the operator address at the host of the peer address
+	 * @param client client with the credential of the fleet
+	 */
+	public static FleetStatus read(Collection<VmRecord> vms, AppliedConfiguration wanted, int operatorPort,
+			WireClient client) {
+		Semaphore permits = new Semaphore(MAX_CONCURRENT_READS);
+		List<VmStatus> statuses = vms.stream().map((entry) -> Futures.run(() -> {
+			permits.acquire();
+			try {
+				return readOne(entry, wanted, new Address(entry.address().host(), operatorPort), client);
+			}
+			finally {
+				permits.release();
+			}
+		})).toList().stream().map(Futures::await).toList();
+		return of(statuses, wanted);
+	}
+
+	private static VmStatus readOne(VmRecord entry, AppliedConfiguration wanted, Address operator, WireClient client)
+			throws InterruptedException {
+		try {
+			HttpResponse<byte[]> reply = client.get(operator.uri("/state"), TIMEOUT);
+			if (reply.statusCode() != 200) {
+				return VmStatus.unreachable(entry, operator + " answers " + reply.statusCode());
+			}
+			return VmStatus.of(entry, Json.tree(reply.body()), wanted);
+		}
+		catch (IOException | WireException ex) {
+			return VmStatus.unreachable(entry, "no answer from " + operator);
+		}
+	}
+
+	static FleetStatus of(List<VmStatus> statuses, AppliedConfiguration wanted) {
+		Comparator<Group> order = Comparator.comparing(Group::dataCentre).thenComparing(Group::service);
+		List<Group> groups = statuses.stream()
+			.collect(Collectors.groupingBy((status) -> List.of(status.dataCentre(), groupName(status))))
+			.entrySet()
+			.stream()
+			.map((entry) -> group(entry.getKey().getFirst(), entry.getKey().getLast(), entry.getValue(), wanted))
+			.sorted(order)
+			.toList();
+		return new FleetStatus(wanted.generation(), wanted.author(), wanted.appliedAtMillis(), groups);
+	}
+
+	private static String groupName(VmStatus status) {
+		return status.service().isEmpty() ? status.role() : status.service();
+	}
+
+	private static Group group(String dataCentre, String service, List<VmStatus> statuses,
+			AppliedConfiguration wanted) {
+		boolean inService = wanted.deployment().dataCentres().containsKey(dataCentre)
+				&& wanted.deployment().dataCentres().get(dataCentre).inService();
+		long inForce = statuses.stream().filter((status) -> status.generation() >= wanted.generation()).count();
+		Map<String, Long> upstreams = statuses.stream()
+			.map(VmStatus::upstreamState)
+			.filter((state) -> !state.isEmpty())
+			.collect(Collectors.groupingBy((state) -> state, TreeMap::new, Collectors.counting()));
+		List<VmStatus> behind = statuses.stream()
+			.filter(VmStatus::behind)
+			.sorted(Comparator.comparing(VmStatus::vm))
+			.toList();
+		return new Group(dataCentre, service, inService, inForce, statuses.size(), upstreams, behind);
+	}
+
+	/**
+	 * Whether the wanted generation is in force everywhere and nothing is behind.
+	 */
+	public boolean complete() {
+		return this.groups.stream().allMatch((group) -> group.behind().isEmpty() && group.inForce() == group.vms());
+	}
+
+	/**
+	 * State of one service, or of the routers, in one data centre.
+	 *
+	 * @param dataCentre the data centre
+	 * @param service the service, or {@code router}
+	 * @param inService whether the data centre is in service
+	 * @param inForce VMs at which the wanted generation is in force
+	 * @param vms number of VMs
+	 * @param upstreams number of upstreams by state
+	 * @param behind VMs that are behind
+	 */
+	public record Group(String dataCentre, String service, boolean inService, long inForce, long vms,
+			Map<String, Long> upstreams, List<VmStatus> behind) {
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/peer/VmStatus.java
@@ -0,0 +1,69 @@
+package org.jaywood.peer;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import org.jaywood.config.AppliedConfiguration;
+import org.jaywood.config.Deployment;
+import org.jaywood.platform.VmRecord;
+import org.jaywood.platform.VmState;
+
+/**
+ * What an operator sees of one VM.
+ *
+ * @param vm name of the VM
+ * @param role {@code router} or {@code agent}
+ * @param service service of its upstream, or empty
+ * @param dataCentre its data centre
+ * @param generation generation in force there, or -1 if it does not answer
+ * @param upstreamState state of its upstream: fetching, verified, activating, cold, warm,
+ * draining, out or unknown; empty for a router
+ * @param behindReason why it is behind; empty if it is not
+ */
+public record VmStatus(String vm, String role, String service, String dataCentre, long generation, String upstreamState,
+		String behindReason) {
+
+	static VmStatus unreachable(VmRecord entry, String reason) {
+		return new VmStatus(entry.vm(), entry.role(), entry.service(), entry.dataCentre(), -1,
+				entry.role().equals("agent") ? "unknown" : "", reason);
+	}
+
+	/**
+	 * Reads the state dump of a process.
+	 * @param entry its entry in the list of VMs
+	 * @param state its state dump
+	 * @param wanted configuration that should be in force
+	 */
+	static VmStatus of(VmRecord entry, JsonNode state, AppliedConfiguration wanted) {
+		long generation = state.path("generation").asLong();
+		String upstreamState = entry.role().equals("agent") ? upstreamState(entry, state, wanted.deployment()) : "";
+		return new VmStatus(entry.vm(), entry.role(), entry.service(), entry.dataCentre(), generation, upstreamState,
+				behindReason(state, generation, wanted.generation()));
+	}
+
+	private static String upstreamState(VmRecord entry, JsonNode state, Deployment deployment) {
+		String told = state.path("upstreamState").asText();
+		if (!told.isEmpty()) {
+			return told;
+		}
+		if (!deployment.serves(entry.service(), entry.dataCentre())) {
+			return "out";
+		}
+		return (state.path("leaving").asBoolean() || entry.state() == VmState.LEAVING) ? "draining" : "unknown";
+	}
+
+	private static String behindReason(JsonNode state, long generation, long wanted) {
+		String told = state.path("behindReason").asText();
+		if (state.path("peer").path("isolated").asBoolean()) {
+			return "no contact to platform or peers";
+		}
+		if (generation < wanted) {
+			return "generation " + generation + " in force" + (told.isEmpty() ? "" : "; " + told);
+		}
+		return told;
+	}
+
+	public boolean behind() {
+		return !this.behindReason.isEmpty();
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/jaywood/peer/MembershipTests.java
@@ -0,0 +1,111 @@
+package org.jaywood.peer;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.event.EventLog;
+import org.jaywood.platform.VmPage;
+import org.jaywood.platform.VmRecord;
+import org.jaywood.platform.VmState;
+import org.jaywood.wire.Address;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against a leaving VM that gets new work because the platform's list lags, and
+ * against more watches than the platform can bear.
+ */
+class MembershipTests {
+
+	private final Membership membership = new Membership();
+
+	private static VmRecord vm(int number, VmState state) {
+		return new VmRecord("vm-" + number, "agent", "pool", "doto", "kushiro-a",
+				new Address("127.0.0." + number, 7100), state);
+	}
+
+	@Nested
+	class Merge {
+
+		private final Membership membership = MembershipTests.this.membership;
+
+		@Test
+		void keepsObservedLeavingUntilListShowsVmAsGone() {
+			this.membership.merge(new VmPage(1, List.of(vm(1, VmState.LIVE), vm(2, VmState.LIVE))));
+			this.membership.observeLeaving(vm(1, VmState.LIVE).address());
+			this.membership.merge(new VmPage(2, List.of(vm(1, VmState.LIVE))));
+			assertThat(this.membership.agentsOf("pool").map(VmRecord::vm).toList()).containsExactly("vm-2");
+			this.membership.merge(new VmPage(3, List.of(vm(1, VmState.GONE))));
+			this.membership.merge(new VmPage(4, List.of(vm(1, VmState.LIVE))));
+			assertThat(this.membership.live().count()).isEqualTo(2);
+		}
+
+		@Test
+		void forgetsObservedLeavingWhenVmServesAgain() {
+			this.membership.merge(new VmPage(1, List.of(vm(1, VmState.LIVE))));
+			this.membership.observeLeaving(vm(1, VmState.LIVE).address());
+			this.membership.observeServing(vm(1, VmState.LIVE).address());
+			assertThat(this.membership.live().count()).isEqualTo(1);
+		}
+
+		@Test
+		void keepsVmsThatOlderListLacks() {
+			this.membership.merge(new VmPage(9, List.of(vm(1, VmState.LIVE), vm(2, VmState.LIVE))));
+			this.membership.merge(new VmPage(3, List.of(vm(1, VmState.LIVE))));
+			assertThat(this.membership.version()).isEqualTo(3);
+			assertThat(this.membership.live().count()).isEqualTo(2);
+		}
+
+		@Test
+		void adoptsListOfPeerOnlyWhenNothingIsKnown() {
+			this.membership.adopt(new VmPage(5, List.of(vm(1, VmState.LIVE))));
+			assertThat(this.membership.live().count()).isEqualTo(1);
+			this.membership.merge(new VmPage(6, List.of()));
+			this.membership.adopt(new VmPage(9, List.of(vm(2, VmState.LIVE))));
+			assertThat(this.membership.live().count()).isEqualTo(1);
+		}
+
+	}
+
+	@Nested
+	class Watchers {
+
+		@Test
+		void areThreeOfADataCentre() {
+			List<VmRecord> live = IntStream.rangeClosed(1, 100).mapToObj((i) -> vm(i, VmState.LIVE)).toList();
+			assertThat(live.stream()
+				.filter((entry) -> WatcherElection.elects(live.stream(), "kushiro-a", entry.vm()))
+				.count()).isEqualTo(3);
+		}
+
+		@Test
+		void areElectedWithoutKnownNeighbours() {
+			assertThat(WatcherElection.elects(Stream.of(), "kushiro-a", "vm-1")).isTrue();
+		}
+
+	}
+
+	@Nested
+	class Contact {
+
+		@Test
+		void isLostOnlyWhenPlatformAndPeersAreSilent() {
+			EventLog log = new EventLog("test");
+			PlatformContact platform = new PlatformContact(log, 0);
+			Isolation isolation = new Isolation(30_000, platform, log, 0);
+			assertThat(isolation.isolated(30_000)).isFalse();
+			assertThat(isolation.isolated(30_001)).isTrue();
+			isolation.heardPeer(20_000);
+			assertThat(isolation.isolated(50_000)).isFalse();
+			platform.answered(40_000);
+			assertThat(isolation.isolated(70_000)).isFalse();
+			assertThat(isolation.isolated(70_001)).isTrue();
+		}
+
+	}
+
+}
