Give the platform stand-in rates, outages, lost replies and restores

Cause: tests could not provoke the faults of the platform. ConfigurationIT runs the faults against real processes.

--- /dev/null
+++ b/src/main/java/org/jaywood/standin/ObjectTable.java
@@ -0,0 +1,90 @@
+package org.jaywood.standin;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.jspecify.annotations.Nullable;
+
+import org.jaywood.wire.BadInputException;
+
+/**
+ * Objects of the platform stand-in with versions, conditional writes and earlier values,
+ * which a restore from an old backup brings back.
+ */
+final class ObjectTable {
+
+	private static final int KEPT_VALUES = 64;
+
+	private final Map<String, Map<String, Entry>> kinds = new HashMap<>();
+
+	private final Map<String, Deque<JsonNode>> earlier = new HashMap<>();
+
+	private long version;
+
+	synchronized long version() {
+		return this.version;
+	}
+
+	synchronized @Nullable Entry find(String kind, String name) {
+		Entry entry = this.kinds.getOrDefault(kind, Map.of()).get(name);
+		return (entry != null && !entry.deleted()) ? entry : null;
+	}
+
+	/**
+	 * Writes an object if its version is the expected one.
+	 * @param expectedVersion expected version, or 0 if the object must not exist
+	 * @return the new version, or 0 if the condition does not hold
+	 */
+	synchronized long write(String kind, String name, JsonNode value, boolean deleted, long expectedVersion) {
+		Entry before = find(kind, name);
+		if (((before != null) ? before.version() : 0) != expectedVersion) {
+			return 0;
+		}
+		Deque<JsonNode> values = this.earlier.computeIfAbsent(kind + "/" + name, (key) -> new ArrayDeque<>());
+		values.addLast(value);
+		if (values.size() > KEPT_VALUES) {
+			values.removeFirst();
+		}
+		return put(kind, name, value, deleted);
+	}
+
+	/**
+	 * Brings back the value that an object had some writes ago.
+	 */
+	synchronized void restore(String kind, String name, int writesAgo) {
+		List<JsonNode> values = List.copyOf(this.earlier.getOrDefault(kind + "/" + name, new ArrayDeque<>()));
+		int index = values.size() - 1 - writesAgo;
+		if (index < 0 || writesAgo < 0) {
+			throw new BadInputException(400,
+					"object " + kind + "/" + name + " has no value " + writesAgo + " writes ago");
+		}
+		put(kind, name, values.get(index), false);
+	}
+
+	private long put(String kind, String name, JsonNode value, boolean deleted) {
+		this.version++;
+		this.kinds.computeIfAbsent(kind, (key) -> new HashMap<>()).put(name, new Entry(this.version, value, deleted));
+		return this.version;
+	}
+
+	/**
+	 * Objects of a kind that changed after a version, as the watch shows them.
+	 */
+	synchronized List<Map<String, Object>> changes(String kind, long after) {
+		return this.kinds.getOrDefault(kind, Map.of())
+			.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().version() > after)
+			.map((entry) -> Map.<String, Object>of("name", entry.getKey(), "version", entry.getValue().version(),
+					"value", entry.getValue().value(), "deleted", entry.getValue().deleted()))
+			.toList();
+	}
+
+	record Entry(long version, JsonNode value, boolean deleted) {
+	}
+
+}
--- a/src/main/java/org/jaywood/standin/PlatformStandin.java
+++ b/src/main/java/org/jaywood/standin/PlatformStandin.java
@@ -1,14 +1,11 @@
 package org.jaywood.standin;
 
 import java.io.IOException;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import org.jspecify.annotations.Nullable;
 
 import org.jaywood.event.EventLog;
 import org.jaywood.wire.Address;
@@ -19,27 +16,35 @@
 
 /**
  * Stand-in of the platform: an object API with versions, conditional updates and watches,
- * and a list of VMs that lags.
+ * and a list of VMs that lags. {@code POST /control} sets faults ({@code down},
+ * {@code slowMillis}, {@code loseReplies} with {@code loseKind}, {@code vmLagMillis},
+ * {@code readsPerSecond}, {@code writesPerSecond}) and restores an earlier value
+ * ({@code restore} with {@code kind}, {@code name}, {@code writesAgo});
+ * {@code GET /record} counts calls.
  */
 public final class PlatformStandin implements AutoCloseable {
 
 	private static final int VALUE_LIMIT_BYTES = 1024 * 1024;
 
-	private final Map<String, Map<String, Entry>> kinds = new HashMap<>();
+	private static final long CHECK_MILLIS = 50;
 
-	private final Map<String, VmEntry> vms = new LinkedHashMap<>();
+	private final ObjectTable objects = new ObjectTable();
 
-	private final HttpPort port;
+	private final VmTable vms = new VmTable();
+
+	private final PlatformFaults faults = new PlatformFaults();
 
-	private long version;
+	private final HttpPort port;
 
 	public PlatformStandin(Address address, EventLog log) {
 		this.port = HttpPort.open(address, log)
 			.route("GET", "/objects/", this::read)
 			.route("PUT", "/objects/", this::write)
-			.route("DELETE", "/objects/", this::delete)
+			.route("DELETE", "/objects/", this::write)
 			.route("GET", "/vms", this::listVms)
 			.route("PUT", "/vms/", this::putVm)
+			.route("POST", "/control", this::control)
+			.route("GET", "/record", (exchange) -> exchange.respondJson(200, this.faults.record()))
 			.start();
 	}
 
@@ -49,12 +54,17 @@
 
 	private void read(Exchange exchange) throws IOException, InterruptedException {
 		String[] parts = exchange.path().split("/");
-		if (parts.length == 3) {
+		boolean watch = parts.length == 3;
+		if (!this.faults.admit(exchange, (watch ? "watch " : "read ") + parts[2], false)) {
+			exchange.respondError(429, "read rate exceeded");
+			return;
+		}
+		if (watch) {
 			watch(exchange, parts[2]);
 			return;
 		}
-		Entry entry = find(parts[2], parts[3]);
-		if (entry == null || entry.deleted()) {
+		ObjectTable.Entry entry = this.objects.find(parts[2], parts[3]);
+		if (entry == null) {
 			exchange.respondError(404, "no such object");
 			return;
 		}
@@ -62,88 +72,76 @@
 		exchange.respondJson(200, entry.value());
 	}
 
-	private synchronized @Nullable Entry find(String kind, String name) {
-		return this.kinds.getOrDefault(kind, Map.of()).get(name);
-	}
-
 	private void watch(Exchange exchange, String kind) throws IOException, InterruptedException {
 		long after = exchange.queryLong("after", 0);
-		long deadlineNanos = System.nanoTime() + exchange.queryLong("waitMillis", 0) * 1_000_000;
-		Map<String, Object> page;
-		synchronized (this) {
-			List<Map<String, Object>> changes = changes(kind, after);
-			while (changes.isEmpty() && deadlineNanos - System.nanoTime() > 0) {
-				wait(Math.max(1, (deadlineNanos - System.nanoTime()) / 1_000_000));
-				changes = changes(kind, after);
-			}
-			page = Map.of("version", this.version, "objects", changes);
-		}
+		Map<String, Object> page = await(exchange, "objects", () -> {
+			// The version is read first: a change in between is shown again, not lost.
+			long version = this.objects.version();
+			return Map.of("version", version, "objects", this.objects.changes(kind, after));
+		});
 		exchange.respondJson(200, page);
 	}
 
-	private List<Map<String, Object>> changes(String kind, long after) {
-		return this.kinds.getOrDefault(kind, Map.of())
-			.entrySet()
-			.stream()
-			.filter((entry) -> entry.getValue().version() > after)
-			.map((entry) -> Map.<String, Object>of("name", entry.getKey(), "version", entry.getValue().version(),
-					"value", entry.getValue().value(), "deleted", entry.getValue().deleted()))
-			.toList();
+	private void listVms(Exchange exchange) throws IOException, InterruptedException {
+		if (!this.faults.admit(exchange, "vms", false)) {
+			exchange.respondError(429, "read rate exceeded");
+			return;
+		}
+		long after = exchange.queryLong("after", 0);
+		Map<String, Object> page = await(exchange, "vms", () -> {
+			long nowMillis = System.currentTimeMillis();
+			return Map.of("version", this.vms.version(nowMillis), "vms", this.vms.changes(after, nowMillis));
+		});
+		exchange.respondJson(200, page);
 	}
 
-	private void write(Exchange exchange) throws IOException {
-		String[] parts = exchange.path().split("/");
-		JsonNode value = Json.tree(exchange.body(VALUE_LIMIT_BYTES));
-		store(exchange, parts[2], parts[3], value, false);
+	/**
+	 * Waits until a page has content or the time that the client allows has passed.
+	 */
+	private synchronized Map<String, Object> await(Exchange exchange, String content,
+			Supplier<Map<String, Object>> reader) throws InterruptedException {
+		long deadlineNanos = System.nanoTime() + exchange.queryLong("waitMillis", 0) * 1_000_000;
+		Map<String, Object> page = reader.get();
+		while (((List<?>) page.getOrDefault(content, List.of())).isEmpty() && deadlineNanos - System.nanoTime() > 0) {
+			wait(CHECK_MILLIS);
+			this.faults.cutIfDown(exchange);
+			page = reader.get();
+		}
+		return page;
 	}
 
-	private void delete(Exchange exchange) throws IOException {
+	private void write(Exchange exchange) throws IOException, InterruptedException {
 		String[] parts = exchange.path().split("/");
-		store(exchange, parts[2], parts[3], Json.mapper().createObjectNode(), true);
-	}
-
-	private void store(Exchange exchange, String kind, String name, JsonNode value, boolean deleted)
-			throws IOException {
-		long written = 0;
-		synchronized (this) {
-			Map<String, Entry> objects = this.kinds.computeIfAbsent(kind, (key) -> new HashMap<>());
-			Entry entry = objects.get(name);
-			boolean exists = entry != null && !entry.deleted();
-			boolean create = "*".equals(exchange.header("If-None-Match"));
-			String expected = exchange.optionalHeader("If-Match").orElse("").replace("\"", "");
-			boolean holds = create ? !exists : entry != null && exists && expected.equals("" + entry.version());
-			if (holds) {
-				written = ++this.version;
-				objects.put(name, new Entry(written, value, deleted));
-				notifyAll();
-			}
+		boolean delete = exchange.method().equals("DELETE");
+		byte[] body = exchange.body(VALUE_LIMIT_BYTES);
+		if (!this.faults.admit(exchange, (delete ? "delete " : "write ") + parts[2], true)) {
+			exchange.respondError(429, "write rate exceeded");
+			return;
 		}
+		JsonNode value = delete ? Json.mapper().createObjectNode() : Json.tree(body);
+		long written = this.objects.write(parts[2], parts[3], value, delete, expectedVersion(exchange));
 		if (written == 0) {
 			exchange.respondError(412, "condition does not hold");
 			return;
 		}
+		wakeWaiting();
+		this.faults.cutIfLost(exchange, parts[2]);
 		exchange.setHeader("ETag", "\"" + written + "\"");
 		exchange.respondJson(200, Map.of("version", written));
 	}
 
-	private void listVms(Exchange exchange) throws IOException, InterruptedException {
-		long after = exchange.queryLong("after", 0);
-		long deadlineNanos = System.nanoTime() + exchange.queryLong("waitMillis", 0) * 1_000_000;
-		Map<String, Object> page;
-		synchronized (this) {
-			List<JsonNode> changed = changedVms(after);
-			while (changed.isEmpty() && deadlineNanos - System.nanoTime() > 0) {
-				wait(Math.max(1, (deadlineNanos - System.nanoTime()) / 1_000_000));
-				changed = changedVms(after);
-			}
-			page = Map.of("version", this.version, "vms", changed);
+	private static long expectedVersion(Exchange exchange) {
+		if ("*".equals(exchange.header("If-None-Match"))) {
+			return 0;
+		}
+		String expected = exchange.optionalHeader("If-Match").orElse("").replace("\"", "");
+		try {
+			long version = Long.parseLong(expected);
+			return (version > 0) ? version : -1;
+		}
+		catch (NumberFormatException ex) {
+			throw new BadInputException(400, "a write needs If-None-Match: * or If-Match with a version");
 		}
-		exchange.respondJson(200, page);
-	}
-
-	private List<JsonNode> changedVms(long after) {
-		return new ArrayList<>(
-				this.vms.values().stream().filter((entry) -> entry.version() > after).map(VmEntry::value).toList());
 	}
 
 	private void putVm(Exchange exchange) throws IOException {
@@ -151,22 +149,33 @@
 		if (!value.path("vm").asText().equals(exchange.lastSegment())) {
 			throw new BadInputException(400, "name of the VM and of the resource differ");
 		}
-		synchronized (this) {
-			this.vms.put(exchange.lastSegment(), new VmEntry(++this.version, value));
-			notifyAll();
-		}
+		this.vms.put(exchange.lastSegment(), value, System.currentTimeMillis());
+		wakeWaiting();
 		exchange.respondJson(200, Map.of());
 	}
 
-	@Override
-	public void close() {
-		this.port.close();
+	private void control(Exchange exchange) throws IOException {
+		JsonNode control = Json.tree(exchange.body(VALUE_LIMIT_BYTES));
+		this.faults.set(control);
+		if (control.has("vmLagMillis")) {
+			this.vms.setLagMillis(control.path("vmLagMillis").asLong());
+		}
+		JsonNode restore = control.path("restore");
+		if (restore.isObject()) {
+			this.objects.restore(restore.path("kind").asText(), restore.path("name").asText(),
+					restore.path("writesAgo").asInt(1));
+		}
+		wakeWaiting();
+		exchange.respondJson(200, Map.of());
 	}
 
-	private record Entry(long version, JsonNode value, boolean deleted) {
+	private synchronized void wakeWaiting() {
+		notifyAll();
 	}
 
-	private record VmEntry(long version, JsonNode value) {
+	@Override
+	public void close() {
+		this.port.close();
 	}
 
 }
--- /dev/null
+++ b/src/main/java/org/jaywood/standin/VmTable.java
@@ -0,0 +1,52 @@
+package org.jaywood.standin;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * List of VMs of the platform stand-in. An entry is seen a while after it was put, and
+ * entries are seen in the order in which they were put.
+ */
+final class VmTable {
+
+	private final List<Put> puts = new ArrayList<>();
+
+	private long lagMillis;
+
+	synchronized void setLagMillis(long lagMillis) {
+		this.lagMillis = lagMillis;
+	}
+
+	synchronized void put(String vm, JsonNode value, long nowMillis) {
+		long before = this.puts.isEmpty() ? 0 : this.puts.getLast().visibleAtMillis();
+		this.puts.add(new Put(vm, value, Math.max(before, nowMillis + this.lagMillis)));
+	}
+
+	/**
+	 * Version up to which entries are seen: the number of puts.
+	 */
+	synchronized long version(long nowMillis) {
+		return this.puts.stream().takeWhile((put) -> put.visibleAtMillis() <= nowMillis).count();
+	}
+
+	/**
+	 * Latest entries of the VMs that changed after a version and are seen.
+	 */
+	synchronized List<JsonNode> changes(long after, long nowMillis) {
+		long version = version(nowMillis);
+		Map<String, JsonNode> changed = new LinkedHashMap<>();
+		for (long i = Math.max(0, after); i < version; i++) {
+			Put put = this.puts.get((int) i);
+			changed.put(put.vm(), put.value());
+		}
+		return List.copyOf(changed.values());
+	}
+
+	private record Put(String vm, JsonNode value, long visibleAtMillis) {
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/jaywood/config/ConfigurationIT.java
@@ -0,0 +1,231 @@
+package org.jaywood.config;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.bench.Installation;
+import org.jaywood.bench.Installation.Member;
+import org.jaywood.bench.Profile;
+import org.jaywood.platform.Futures;
+import org.jaywood.platform.HttpPlatform;
+import org.jaywood.wire.Json;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards, with real processes, against an apply whose author is told a wrong outcome and
+ * against a configuration that is not in force everywhere within seconds or that reverts.
+ */
+class ConfigurationIT {
+
+	private static final long IN_FORCE_MILLIS = 7_000;
+
+	private static Installation installation;
+
+	private static String manifest;
+
+	@BeforeAll
+	static void start() throws Exception {
+		installation = Installation.start(Profile.KITAMORI, 3);
+		manifest = installation.addWeights("1", 65_536, 32_768);
+	}
+
+	@AfterAll
+	static void close() {
+		installation.close();
+	}
+
+	private static ConfigurationRepository repository() {
+		return new ConfigurationRepository(new HttpPlatform(installation.client(), installation.platform()));
+	}
+
+	/**
+	 * A deployment that differs from others by the share of a workspace.
+	 */
+	private static Deployment deployment(int share) {
+		Deployment deployment = installation.deployment("1", manifest);
+		return new Deployment(deployment.dataCentres(), deployment.services(),
+				Map.of("north", new WorkspaceSpec(share)));
+	}
+
+	private static void control(Map<String, ?> control) throws Exception {
+		installation.client().post(installation.platform().uri("/control"), control, Duration.ofSeconds(5));
+	}
+
+	private static JsonNode record() throws Exception {
+		return Json
+			.tree(installation.client().get(installation.platform().uri("/record"), Duration.ofSeconds(5)).body());
+	}
+
+	private static List<Member> members() {
+		return Stream.concat(installation.routers().stream(), installation.agents().stream()).toList();
+	}
+
+	private static AppliedConfiguration inForceAt(Member member) throws Exception {
+		return Json.read(
+				installation.client().get(member.advertised().uri("/v1/configuration"), Duration.ofSeconds(5)).body(),
+				AppliedConfiguration.class);
+	}
+
+	@Test
+	void isInForceEverywhereWithinSeconds() throws Exception {
+		AppliedConfiguration first = repository().apply(deployment(10), "first", System.currentTimeMillis());
+		installation.awaitGeneration(first.generation(), 20_000);
+		List<Long> times = new ArrayList<>();
+		for (int i = 0; i < 5; i++) {
+			long beginNanos = System.nanoTime();
+			AppliedConfiguration applied = repository().apply(deployment(11 + i), "a", System.currentTimeMillis());
+			installation.awaitGeneration(applied.generation(), IN_FORCE_MILLIS);
+			times.add((System.nanoTime() - beginNanos) / 1_000_000);
+		}
+		System.out.println("in force at " + members().size() + " processes after ms: " + times);
+		assertThat(times.stream().mapToLong(Long::longValue).max().orElseThrow()).isLessThan(IN_FORCE_MILLIS);
+	}
+
+	@Test
+	void tellsLoserOfRaceWhoWon() throws Exception {
+		int operators = 8;
+		List<CompletableFuture<AppliedConfiguration>> applies = new ArrayList<>();
+		long before = repository().current().map(AppliedConfiguration::generation).orElse(0L);
+		for (int i = 0; i < operators; i++) {
+			String author = "operator-" + i;
+			Deployment deployment = deployment(100 + i);
+			applies.add(Futures.run(() -> repository().apply(deployment, author, System.currentTimeMillis())));
+		}
+		Map<Long, AppliedConfiguration> won = new HashMap<>();
+		int lost = 0;
+		for (CompletableFuture<AppliedConfiguration> apply : applies) {
+			try {
+				AppliedConfiguration applied = Futures.await(apply);
+				assertThat(won.put(applied.generation(), applied)).isNull();
+			}
+			catch (ApplyConflictException ex) {
+				lost++;
+				assertThat(ex.generation()).isGreaterThan(before);
+				assertThat(ex.author()).startsWith("operator-");
+			}
+		}
+		assertThat(won.size() + lost).isEqualTo(operators);
+		assertThat(won).isNotEmpty();
+		AppliedConfiguration last = repository().current().orElseThrow();
+		assertThat(won.get(last.generation())).isEqualTo(last);
+		assertThat(last.generation()).isEqualTo(before + won.size());
+		installation.awaitGeneration(last.generation(), IN_FORCE_MILLIS);
+		System.out.println("race of " + operators + " operators: won " + won.size() + ", lost " + lost);
+	}
+
+	@Test
+	void appliesOnceWhenReplyIsLost() throws Exception {
+		long before = repository().current().map(AppliedConfiguration::generation).orElse(0L);
+		control(Map.of("loseReplies", 1, "loseKind", "configuration"));
+		AppliedConfiguration applied = repository().apply(deployment(200), "a", System.currentTimeMillis());
+		assertThat(applied.generation()).isEqualTo(before + 1);
+		assertThat(repository().current()).hasValue(applied);
+		installation.awaitGeneration(applied.generation(), IN_FORCE_MILLIS);
+	}
+
+	@Test
+	void spreadsFromPeerWhilePlatformIsDown() throws Exception {
+		AppliedConfiguration applied = repository().apply(deployment(300), "a", System.currentTimeMillis());
+		installation.awaitGeneration(applied.generation(), IN_FORCE_MILLIS);
+		control(Map.of("down", true));
+		try {
+			// A process that alone knows a newer generation: a router that answers probes
+			// with it, as one does that read the platform right before the outage.
+			AppliedConfiguration newer = new AppliedConfiguration(applied.generation() + 1, "newer", "b",
+					System.currentTimeMillis(), deployment(301).digest(), deployment(301));
+			try (NewerPeer peer = new NewerPeer(installation.fleet().address(9, 1, 9, 7100), newer)) {
+				peer.probe(installation.agents().getFirst().advertised());
+				installation.awaitGeneration(newer.generation(), IN_FORCE_MILLIS);
+			}
+			assertThat(inForceAt(installation.routers().getFirst()).author()).isEqualTo("b");
+		}
+		finally {
+			control(Map.of("down", false));
+		}
+		// The platform still holds the older one; the next apply goes above the highest.
+		AppliedConfiguration next = repository().apply(deployment(302),
+				new ApplyOptions("c", System.currentTimeMillis(), OptionalLong.empty(), applied.generation() + 1));
+		installation.awaitGeneration(next.generation(), 15_000);
+		assertThat(next.generation()).isEqualTo(applied.generation() + 2);
+	}
+
+	@Test
+	void restartedRouterTakesGenerationFromPeersWhilePlatformIsDown() throws Exception {
+		AppliedConfiguration applied = repository().apply(deployment(400), "a", System.currentTimeMillis());
+		installation.awaitGeneration(applied.generation(), IN_FORCE_MILLIS);
+		Member router = installation.routers().getFirst();
+		control(Map.of("down", true));
+		try {
+			Process process = installation.fleet().process(router.vm());
+			assertThat(process).isNotNull();
+			process.destroyForcibly().waitFor();
+			installation.startProcess(router);
+			// The caller port opens only after the configuration was taken.
+			Callable<Boolean> answersCallers = () -> installation.client()
+				.get(router.caller().uri("/nothing"), Duration.ofSeconds(2))
+				.statusCode() == 404;
+			Installation.await("caller port open", 20_000, answersCallers);
+			assertThat(installation.state(router).path("generation").asLong()).isEqualTo(applied.generation());
+			assertThat(installation.state(router).path("peer").path("ready").asBoolean()).isTrue();
+		}
+		finally {
+			control(Map.of("down", false));
+		}
+	}
+
+	@Test
+	void doesNotFollowPlatformBackToOlderGeneration() throws Exception {
+		AppliedConfiguration older = repository().apply(deployment(500), "a", System.currentTimeMillis());
+		AppliedConfiguration newer = repository().apply(deployment(501), "a", System.currentTimeMillis());
+		installation.awaitGeneration(newer.generation(), IN_FORCE_MILLIS);
+		control(Map.of("restore", Map.of("kind", "configuration", "name", "current", "writesAgo", 1)));
+		assertThat(repository().current()).hasValue(older);
+		// A router started now reads the older one from the platform, and must prefer
+		// that of its peers.
+		Member router = installation.routers().getLast();
+		Process process = installation.fleet().process(router.vm());
+		assertThat(process).isNotNull();
+		process.destroyForcibly().waitFor();
+		installation.startProcess(router);
+		Installation.await("router is ready", 20_000,
+				() -> installation.state(router).path("peer").path("ready").asBoolean());
+		Installation.await("router holds the newer generation", IN_FORCE_MILLIS,
+				() -> installation.state(router).path("generation").asLong() == newer.generation());
+		for (Member member : members()) {
+			assertThat(installation.state(member).path("generation").asLong()).isEqualTo(newer.generation());
+		}
+		AppliedConfiguration next = repository().apply(deployment(502), "a", System.currentTimeMillis());
+		assertThat(next.generation()).isGreaterThan(newer.generation());
+		installation.awaitGeneration(next.generation(), IN_FORCE_MILLIS);
+	}
+
+	@Test
+	void holdsAtMostThreeWatchesInEachDataCentre() throws Exception {
+		AppliedConfiguration applied = repository().apply(deployment(600), "a", System.currentTimeMillis());
+		installation.awaitGeneration(applied.generation(), IN_FORCE_MILLIS);
+		Installation.await("three watchers in each data centre", 10_000, () -> {
+			Map<String, Integer> watchers = new HashMap<>();
+			for (Member member : members()) {
+				if (installation.state(member).path("peer").path("watcher").asBoolean()) {
+					watchers.merge(member.dataCentre(), 1, Integer::sum);
+				}
+			}
+			return watchers.values().stream().allMatch((count) -> count <= 3);
+		});
+		assertThat(record().path("watch configuration").asLong()).isGreaterThan(0);
+	}
+
+}
