--- /dev/null
+++ b/src/main/java/org/jaywood/bench/ClassDataArchives.java
@@ -0,0 +1,104 @@
+package org.jaywood.bench;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.jaywood.wire.Digests;
+
+/**
+ * Class-data archives of the programs, one for each build and program, kept in the
+ * directory for temporary files. An archive halves the processor time of a start. The
+ * first process of a program without one records it when it ends on SIGTERM.
+ */
+final class ClassDataArchives {
+
+	/** Each build leaves about 80 MB. */
+	private static final long KEPT_MILLIS = Duration.ofHours(6).toMillis();
+
+	private final Path directory;
+
+	private final Path recordingDirectory;
+
+	private final String build;
+
+	private final Map<String, Path> recording = new ConcurrentHashMap<>();
+
+	private final boolean usable;
+
+	ClassDataArchives(Path jar, String java, Path recordingDirectory) throws IOException {
+		this.usable = Files.isRegularFile(jar);
+		this.directory = Path.of(System.getProperty("java.io.tmpdir"),
+				"jaywood-classes-" + System.getProperty("user.name"));
+		this.build = this.usable
+				? Digests.sha256(java + jar + Files.getLastModifiedTime(jar) + Files.size(jar)).substring(0, 16) : "";
+		this.recordingDirectory = recordingDirectory;
+		if (this.usable) {
+			Files.createDirectories(this.directory);
+		}
+	}
+
+	/**
+	 * JVM options for the next process of a program.
+	 */
+	synchronized List<String> options(String program) {
+		if (!this.usable) {
+			return List.of();
+		}
+		Path archive = archive(program);
+		if (Files.exists(archive)) {
+			return List.of("-Xlog:disable", "-XX:SharedArchiveFile=" + archive);
+		}
+		if (this.recording.containsKey(program)) {
+			return List.of();
+		}
+		Path recorded = this.recordingDirectory.resolve(program + ".jsa");
+		this.recording.put(program, recorded);
+		return List.of("-Xlog:disable", "-XX:ArchiveClassesAtExit=" + recorded);
+	}
+
+	/**
+	 * Whether the options of the next process of the program let it record an archive.
+	 */
+	synchronized boolean recordsNext(String program) {
+		return this.usable && !Files.exists(archive(program)) && !this.recording.containsKey(program);
+	}
+
+	/**
+	 * Takes over the archives that ended processes recorded.
+	 */
+	synchronized void keepRecorded() throws IOException {
+		List<String> kept = new ArrayList<>();
+		for (Map.Entry<String, Path> entry : this.recording.entrySet()) {
+			if (Files.exists(entry.getValue())) {
+				Path near = Files.createTempFile(this.directory, "recorded", ".jsa");
+				Files.move(entry.getValue(), near, StandardCopyOption.REPLACE_EXISTING);
+				Files.move(near, archive(entry.getKey()), StandardCopyOption.ATOMIC_MOVE);
+				kept.add(entry.getKey());
+			}
+		}
+		kept.forEach(this.recording::remove);
+		if (!kept.isEmpty()) {
+			deleteOld();
+		}
+	}
+
+	private void deleteOld() {
+		long oldestMillis = System.currentTimeMillis() - KEPT_MILLIS;
+		File[] old = this.directory.toFile().listFiles((file) -> file.lastModified() < oldestMillis);
+		Arrays.stream((old != null) ? old : new File[0]).forEach(File::delete);
+	}
+
+	private Path archive(String program) {
+		return this.directory.resolve(this.build + "-" + program + ".jsa");
+	}
+
+}
--- a/src/main/java/org/jaywood/cli/Jaywood.java
+++ b/src/main/java/org/jaywood/cli/Jaywood.java
@@ -23,6 +23,9 @@
 	/** Exit status for wrong settings. */
 	public static final int EXIT_USAGE = 2;
 
+	/** Exit status of a process that ends with its parent. */
+	public static final int EXIT_ORPHANED = 3;
+
 	private final Map<String, Command> commands = List
 		.of(new RouterCommand(), new AgentCommand(), new StandinCommand(), new ValidateCommand(), new ApplyCommand(),
 				new DumpCommand(), new BenchCommand())
@@ -34,6 +37,10 @@
 	@Parameter(names = "--help", help = true, description = "Shows this help")
 	private boolean help;
 
+	@Parameter(names = "--exit-with-parent", hidden = true,
+			description = "Ends the process when the one that started it ends")
+	private boolean exitWithParent;
+
 	public Jaywood(Map<String, String> environment) {
 		this.environment = environment;
 	}
@@ -56,6 +63,11 @@
 				parser.getUsageFormatter().usage(name);
 				return 0;
 			}
+			if (this.exitWithParent) {
+				ProcessHandle.current()
+					.parent()
+					.ifPresentOrElse((parent) -> parent.onExit().thenRun(Jaywood::halt), Jaywood::halt);
+			}
 			Command command = this.commands.get(name);
 			return (command != null) ? command.run() : EXIT_USAGE;
 		}
@@ -69,6 +81,10 @@
 		}
 	}
 
+	private static void halt() {
+		Runtime.getRuntime().halt(EXIT_ORPHANED);
+	}
+
 	private JCommander parser() {
 		JCommander.Builder builder = JCommander.newBuilder().addObject(this).programName("jaywood");
 		builder.defaultProvider(this::fromEnvironment);
--- a/src/main/java/org/jaywood/cli/StandinCommand.java
+++ b/src/main/java/org/jaywood/cli/StandinCommand.java
@@ -10,6 +10,7 @@
 import org.jaywood.event.Event;
 import org.jaywood.event.EventLog;
 import org.jaywood.standin.EngineStandin;
+import org.jaywood.standin.NetworkStandin;
 import org.jaywood.standin.PlatformStandin;
 import org.jaywood.standin.ServiceStandin;
 import org.jaywood.standin.StoreStandin;
@@ -18,11 +19,11 @@
 /**
  * Runs a stand-in.
  */
-@Parameters(commandDescription = "Runs a stand-in: platform, store, engine or service")
+@Parameters(commandDescription = "Runs a stand-in: platform, store, engine, service or network")
 @SuppressWarnings("NullAway.Init")
 final class StandinCommand implements Command {
 
-	@Parameter(description = "platform|store|engine|service", required = true)
+	@Parameter(description = "platform|store|engine|service|network", required = true)
 	private List<String> kind = new ArrayList<>();
 
 	@Parameter(names = "--listen", required = true, converter = Converters.AddressConverter.class,
@@ -46,8 +47,9 @@
 			case "store" -> new StoreStandin(this.listen, log);
 			case "engine" -> new EngineStandin(this.listen, this.tokenMillis, log);
 			case "service" -> new ServiceStandin(this.listen, log);
+			case "network" -> new NetworkStandin(this.listen, log);
 			default -> throw new ParameterException(
-					"stand-in '" + name + "' is not allowed: expected platform, store, engine or service");
+					"stand-in '" + name + "' is not allowed: expected platform, store, engine, service or network");
 		};
 		log.log(Event.STANDIN_STARTED, "kind", name, "address", this.listen);
 		return Daemon.runUntilTerminated((nowMillis) -> standin.close());
--- /dev/null
+++ b/src/main/java/org/jaywood/standin/NetworkConnection.java
@@ -0,0 +1,139 @@
+package org.jaywood.standin;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+
+/**
+ * A connection through the network stand-in. A failure on one side resets both, so that
+ * neither takes a part for the whole.
+ */
+final class NetworkConnection {
+
+	private final NetworkVm opener;
+
+	private final NetworkVm acceptor;
+
+	private final Socket inner;
+
+	private final Socket outer;
+
+	private final CountDownLatch endedOutputs = new CountDownLatch(2);
+
+	/**
+	 * Creates a connection.
+	 * @param opener the VM that opened it
+	 * @param acceptor the VM that it goes to
+	 * @param inner socket of the opener
+	 * @param outer socket to the real address
+	 */
+	NetworkConnection(NetworkVm opener, NetworkVm acceptor, Socket inner, Socket outer) throws IOException {
+		this.opener = opener;
+		this.acceptor = acceptor;
+		this.inner = inner;
+		this.outer = outer;
+		inner.setTcpNoDelay(true);
+		outer.setTcpNoDelay(true);
+	}
+
+	NetworkVm opener() {
+		return this.opener;
+	}
+
+	NetworkVm acceptor() {
+		return this.acceptor;
+	}
+
+	InputStream input(boolean reply) throws IOException {
+		return (reply ? this.outer : this.inner).getInputStream();
+	}
+
+	OutputStream output(boolean reply) throws IOException {
+		return (reply ? this.inner : this.outer).getOutputStream();
+	}
+
+	void endOutput(boolean reply) throws IOException {
+		(reply ? this.inner : this.outer).shutdownOutput();
+		this.endedOutputs.countDown();
+	}
+
+	/**
+	 * Forwards in both directions until both have ended or one fails.
+	 */
+	void run(NetworkTopology topology, NetworkFaults faults) throws InterruptedException {
+		NetworkFlow request = new NetworkFlow(this, topology, faults, false);
+		NetworkFlow reply = new NetworkFlow(this, topology, faults, true);
+		List<Thread> threads = List.of(start(request::read), start(request::write), start(reply::read),
+				start(reply::write));
+		try {
+			this.endedOutputs.await();
+		}
+		finally {
+			threads.forEach(Thread::interrupt);
+			closeCleanly();
+		}
+	}
+
+	private Thread start(Step step) {
+		return Thread.startVirtualThread(() -> {
+			try {
+				step.run();
+			}
+			catch (IOException ex) {
+				reset();
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+		});
+	}
+
+	/**
+	 * Closes both sides as after the last byte.
+	 */
+	void closeCleanly() {
+		close(this.inner, false);
+		close(this.outer, false);
+		end();
+	}
+
+	/**
+	 * Resets both sides.
+	 */
+	void reset() {
+		close(this.inner, true);
+		close(this.outer, true);
+		end();
+	}
+
+	private void end() {
+		this.endedOutputs.countDown();
+		this.endedOutputs.countDown();
+	}
+
+	static void close(Socket socket, boolean reset) {
+		try {
+			if (reset && !socket.isClosed()) {
+				socket.setSoLinger(true, 0);
+			}
+			socket.close();
+		}
+		catch (IOException ex) {
+			// The socket is of no further use either way.
+		}
+	}
+
+	/**
+	 * Work of a thread.
+	 */
+	@FunctionalInterface
+	private interface Step {
+
+		void run() throws IOException, InterruptedException;
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/standin/NetworkStandin.java
@@ -0,0 +1,185 @@
+package org.jaywood.standin;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.jaywood.event.EventLog;
+import org.jaywood.standin.NetworkFault.Kind;
+import org.jaywood.standin.NetworkFaults.Active;
+import org.jaywood.wire.Address;
+import org.jaywood.wire.Exchange;
+import org.jaywood.wire.HttpPort;
+
+/**
+ * Stand-in of the network: a TCP proxy in front of each VM that shapes links and injects
+ * faults. The sender is known by its loopback address.
+ */
+public final class NetworkStandin implements AutoCloseable {
+
+	private static final int BODY_LIMIT_BYTES = 1024 * 1024;
+
+	private static final int BACKLOG = 1024;
+
+	/** Bounds what the kernel holds for a receiver that does not read. */
+	private static final int SOCKET_BUFFER_BYTES = 64 * 1024;
+
+	private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
+
+	private final NetworkTopology topology = new NetworkTopology();
+
+	private final NetworkFaults faults = new NetworkFaults();
+
+	private final Map<Address, ServerSocket> listeners = new ConcurrentHashMap<>();
+
+	private final Set<NetworkConnection> open = ConcurrentHashMap.newKeySet();
+
+	private final AtomicLong opened = new AtomicLong();
+
+	private final AtomicLong refused = new AtomicLong();
+
+	private final HttpPort port;
+
+	public NetworkStandin(Address address, EventLog log) {
+		this.port = HttpPort.open(address, log)
+			.route("POST", "/control/topology", this::changeTopology)
+			.route("POST", "/control/faults", this::addFault)
+			.route("DELETE", "/control/faults/", this::removeFault)
+			.route("GET", "/record", (exchange) -> exchange.respondJson(200, record()))
+			.start();
+	}
+
+	public Address address() {
+		return this.port.address();
+	}
+
+	private void changeTopology(Exchange exchange) throws IOException {
+		NetworkTopology.Change change = exchange.json(NetworkTopology.Change.class, BODY_LIMIT_BYTES);
+		if (change.links() != null) {
+			this.topology.use(change.links());
+		}
+		if (change.vms() != null) {
+			for (NetworkVm vm : change.vms()) {
+				this.topology.add(vm);
+				for (NetworkVm.Listener listener : vm.listeners()) {
+					listen(vm, listener);
+				}
+			}
+		}
+		exchange.respondJson(200, Map.of("listeners", this.listeners.size()));
+	}
+
+	private void listen(NetworkVm vm, NetworkVm.Listener listener) throws IOException {
+		if (this.listeners.containsKey(listener.listen())) {
+			return;
+		}
+		ServerSocket server = new ServerSocket();
+		server.setReuseAddress(true);
+		server.setReceiveBufferSize(SOCKET_BUFFER_BYTES);
+		server.bind(listener.listen().socketAddress(), BACKLOG);
+		this.listeners.put(listener.listen(), server);
+		Thread.startVirtualThread(() -> accept(server, vm.host(), listener.target()));
+	}
+
+	private void accept(ServerSocket server, String acceptorHost, Address target) {
+		while (!server.isClosed()) {
+			try {
+				Socket inner = server.accept();
+				Thread.startVirtualThread(() -> forward(inner, acceptorHost, target));
+			}
+			catch (IOException ex) {
+				// The listener was closed, or the connection broke before it was
+				// accepted.
+			}
+		}
+	}
+
+	private void forward(Socket inner, String acceptorHost, Address target) {
+		NetworkVm opener = this.topology.sender(inner.getInetAddress().getHostAddress());
+		NetworkVm acceptor = this.topology.sender(acceptorHost);
+		Socket outer = new Socket();
+		try {
+			if (isCut(opener, acceptor)) {
+				throw new IOException("cut");
+			}
+			inner.setSendBufferSize(SOCKET_BUFFER_BYTES);
+			outer.setSendBufferSize(SOCKET_BUFFER_BYTES);
+			outer.setReceiveBufferSize(SOCKET_BUFFER_BYTES);
+			outer.connect(target.socketAddress(), CONNECT_TIMEOUT_MILLIS);
+			run(new NetworkConnection(opener, acceptor, inner, outer));
+		}
+		catch (IOException ex) {
+			this.refused.incrementAndGet();
+			NetworkConnection.close(inner, true);
+			NetworkConnection.close(outer, true);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private void run(NetworkConnection connection) throws InterruptedException {
+		this.opened.incrementAndGet();
+		this.open.add(connection);
+		try {
+			// A cut that was set since the first check found no connection to reset.
+			if (isCut(connection.opener(), connection.acceptor())) {
+				connection.reset();
+			}
+			connection.run(this.topology, this.faults);
+		}
+		finally {
+			this.open.remove(connection);
+		}
+	}
+
+	private boolean isCut(NetworkVm opener, NetworkVm acceptor) {
+		return this.faults.of(Kind.CUT, opener, acceptor).findAny().isPresent();
+	}
+
+	private void addFault(Exchange exchange) throws IOException {
+		NetworkFault fault = exchange.json(NetworkFault.class, BODY_LIMIT_BYTES);
+		if (fault.kind() == null) {
+			exchange.respondError(400, "a fault needs a kind");
+			return;
+		}
+		Active added = this.faults.add(fault);
+		if (fault.kind() == Kind.CUT) {
+			this.open.stream()
+				.filter((connection) -> fault.appliesTo(connection.opener(), connection.acceptor()))
+				.forEach(NetworkConnection::reset);
+		}
+		exchange.respondJson(200, Map.of("id", added.id()));
+	}
+
+	private void removeFault(Exchange exchange) throws IOException {
+		boolean removed = this.faults.remove(exchange.lastSegment());
+		exchange.respondJson(removed ? 200 : 404, Map.of("removed", removed));
+	}
+
+	private Map<String, Object> record() {
+		return Map.of("traffic", this.topology.record(), "faults", this.faults.record(), "connections",
+				Map.of("opened", this.opened.get(), "open", this.open.size(), "refused", this.refused.get()));
+	}
+
+	@Override
+	public void close() {
+		this.port.close();
+		this.listeners.values().forEach(NetworkStandin::close);
+		this.open.forEach(NetworkConnection::reset);
+	}
+
+	private static void close(ServerSocket server) {
+		try {
+			server.close();
+		}
+		catch (IOException ex) {
+			// The listener is of no further use either way.
+		}
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/standin/NetworkTopology.java
@@ -0,0 +1,103 @@
+package org.jaywood.standin;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Stream;
+
+/**
+ * VMs and links of the network stand-in, with the bytes that passed each of them.
+ */
+final class NetworkTopology {
+
+	private final Map<String, NetworkVm> vmsByHost = new ConcurrentHashMap<>();
+
+	private final Map<String, TokenBucket> buckets = new ConcurrentHashMap<>();
+
+	private final Map<String, AtomicLong> regionBytes = new ConcurrentHashMap<>();
+
+	private final Map<String, AtomicLong> machineBytes = new ConcurrentHashMap<>();
+
+	private volatile NetworkLinks links = NetworkLinks.NONE;
+
+	/**
+	 * Sets delays and rates of the links and starts their buckets anew.
+	 */
+	void use(NetworkLinks changed) {
+		this.links = changed;
+		this.buckets.clear();
+	}
+
+	void add(NetworkVm vm) {
+		this.vmsByHost.put(vm.host(), vm);
+		this.buckets.remove("up " + vm.vm());
+		this.buckets.remove("down " + vm.vm());
+	}
+
+	NetworkVm sender(String host) {
+		NetworkVm known = this.vmsByHost.get(host);
+		return (known != null) ? known : NetworkVm.unknown(host);
+	}
+
+	long delayNanos(NetworkVm from, NetworkVm to) {
+		return this.links.delayNanos(from, to);
+	}
+
+	/**
+	 * Reserves all links between two VMs.
+	 * @return time at which the last of the bytes has passed them
+	 */
+	long reserve(NetworkVm from, NetworkVm to, int bytes, long nowNanos) {
+		count(from, to, bytes);
+		return links(from, to, nowNanos).mapToLong((bucket) -> bucket.reserve(bytes, nowNanos)).max().orElse(nowNanos);
+	}
+
+	private Stream<TokenBucket> links(NetworkVm from, NetworkVm to, long nowNanos) {
+		Stream<TokenBucket> machines = Stream.of(bucket("up " + from.vm(), from.linkBytesPerSecond(), nowNanos),
+				bucket("down " + to.vm(), to.linkBytesPerSecond(), nowNanos));
+		return crossesRegions(from, to)
+				? Stream.concat(machines,
+						Stream.of(bucket("region " + pair(from, to), this.links.regionBytesPerSecond(), nowNanos)))
+				: machines;
+	}
+
+	private TokenBucket bucket(String name, long bytesPerSecond, long nowNanos) {
+		return this.buckets.computeIfAbsent(name, (key) -> new TokenBucket(bytesPerSecond, nowNanos));
+	}
+
+	private void count(NetworkVm from, NetworkVm to, int bytes) {
+		add(this.machineBytes, from.vm() + " sent", bytes);
+		add(this.machineBytes, to.vm() + " received", bytes);
+		if (crossesRegions(from, to)) {
+			add(this.regionBytes, pair(from, to), bytes);
+		}
+	}
+
+	private static void add(Map<String, AtomicLong> counters, String name, int bytes) {
+		counters.computeIfAbsent(name, (key) -> new AtomicLong()).addAndGet(bytes);
+	}
+
+	private static boolean crossesRegions(NetworkVm from, NetworkVm to) {
+		return !from.region().isEmpty() && !to.region().isEmpty() && !from.region().equals(to.region());
+	}
+
+	private static String pair(NetworkVm from, NetworkVm to) {
+		return from.region() + " to " + to.region();
+	}
+
+	Map<String, Object> record() {
+		return Map.of("regionBytes", new TreeMap<>(this.regionBytes), "machineBytes", new TreeMap<>(this.machineBytes));
+	}
+
+	/**
+	 * Body of a request that changes the topology.
+	 *
+	 * @param vms VMs to add or replace
+	 * @param links delays and rates, or null to keep them
+	 */
+	record Change(List<NetworkVm> vms, NetworkLinks links) {
+	}
+
+}
