--- a/src/main/java/org/jaywood/cli/Jaywood.java
+++ b/src/main/java/org/jaywood/cli/Jaywood.java
@@ -31,6 +31,9 @@
 	/** Exit status of an apply of which nobody knows whether it took effect. */
 	public static final int EXIT_UNKNOWN = 4;
 
+	/** Exit status of a process that ends with its parent. */
+	public static final int EXIT_ORPHANED = 5;
+
 	private final Map<String, Command> commands = List
 		.of(new RouterCommand(), new AgentCommand(), new StandinCommand(), new ValidateCommand(), new PlanCommand(),
 				new ApplyCommand(), new RollbackCommand(), new HistoryCommand(), new StatusCommand(), new DumpCommand(),
@@ -43,6 +46,10 @@
 	@Parameter(names = "--help", help = true, description = "Shows this help")
 	private boolean help;
 
+	@Parameter(names = "--exit-with-parent", hidden = true,
+			description = "Ends the process when the one that started it ends")
+	private boolean exitWithParent;
+
 	public Jaywood(Map<String, String> environment) {
 		this.environment = environment;
 	}
@@ -65,6 +72,11 @@
 				parser.usage();
 				return this.help ? 0 : EXIT_USAGE;
 			}
+			if (this.exitWithParent) {
+				ProcessHandle.current()
+					.parent()
+					.ifPresentOrElse((parent) -> parent.onExit().thenRun(Jaywood::halt), Jaywood::halt);
+			}
 			Command command = this.commands.get(name);
 			return (command != null) ? command.run() : EXIT_USAGE;
 		}
@@ -86,6 +98,10 @@
 		}
 	}
 
+	private static void halt() {
+		Runtime.getRuntime().halt(EXIT_ORPHANED);
+	}
+
 	private JCommander parser() {
 		JCommander.Builder builder = JCommander.newBuilder().addObject(this).programName("jaywood");
 		builder.defaultProvider(this::fromEnvironment);
