--- /dev/null
+++ b/src/main/java/org/jaywood/weights/CartesianTree.java
@@ -0,0 +1,49 @@
+package org.jaywood.weights;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+/**
+ * Binary tree that is heap-ordered by rank and in-order by another key, so that its shape
+ * depends on its items alone.
+ *
+ * @param items the items
+ * @param rank order in which a parent precedes its children
+ * @param order order in which a left subtree precedes its parent, and that its right one
+ * @param <T> type of the items
+ */
+record CartesianTree<T>(List<T> items, Comparator<T> rank, Comparator<T> order) {
+
+	/**
+	 * The parent of an item: the lower-ranked of its nearest better-ranked neighbours.
+	 */
+	Optional<T> parent(T item) {
+		Optional<T> before = better(item).filter((other) -> this.order.compare(other, item) < 0).max(this.order);
+		Optional<T> after = better(item).filter((other) -> this.order.compare(other, item) > 0).min(this.order);
+		return Stream.of(before, after).flatMap(Optional::stream).max(this.rank);
+	}
+
+	/**
+	 * The children of an item, at most two.
+	 */
+	List<T> children(T item) {
+		Optional<T> before = better(item).filter((other) -> this.order.compare(other, item) < 0).max(this.order);
+		Optional<T> after = better(item).filter((other) -> this.order.compare(other, item) > 0).min(this.order);
+		Optional<T> left = this.items.stream()
+			.filter((other) -> this.order.compare(other, item) < 0
+					&& before.map((bound) -> this.order.compare(other, bound) > 0).orElse(true))
+			.min(this.rank);
+		Optional<T> right = this.items.stream()
+			.filter((other) -> this.order.compare(other, item) > 0
+					&& after.map((bound) -> this.order.compare(other, bound) < 0).orElse(true))
+			.min(this.rank);
+		return Stream.of(left, right).flatMap(Optional::stream).toList();
+	}
+
+	private Stream<T> better(T item) {
+		return this.items.stream().filter((other) -> this.rank.compare(other, item) < 0);
+	}
+
+}
