Distribute weights among agents and load only verified ones

Cause: engines were ordered to take weights that nobody had transferred.

Uploads, downloads, queues and traffic across regions are bounded. Activation orders a load only of verified weights under a lease and, if the engine serves, a slot. The engine stand-in loads chunk by chunk from its agent and records impure tokens; the store stand-in counts by chunk, limits its rate, stalls and corrupts.

--- a/src/main/java/org/jaywood/agent/Activation.java
+++ b/src/main/java/org/jaywood/agent/Activation.java
@@ -3,6 +3,12 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.UUID;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
+import java.util.function.Supplier;
+
+import org.jspecify.annotations.Nullable;
 
 import org.jaywood.config.AppliedConfiguration;
 import org.jaywood.config.ServiceKind;
@@ -10,14 +16,25 @@
 import org.jaywood.config.WeightsRef;
 import org.jaywood.event.Event;
 import org.jaywood.event.EventLog;
+import org.jaywood.platform.PlatformException;
+import org.jaywood.weights.ChunkExchange;
+import org.jaywood.wire.Address;
 
 /**
- * Brings the engine to the weights that the configuration names: closes admission, waits
- * for running calls, orders the load and opens admission again.
+ * Brings the engine to the weights that the configuration names. It orders a load only of
+ * verified weights, only with admission closed and no call running, only under a valid
+ * lease, and opens admission only when the engine itself reports exactly the wanted set.
  */
 final class Activation {
 
-	private static final Duration ORDER_TIMEOUT = Duration.ofSeconds(30);
+	static final Duration ORDER_TIMEOUT = Duration.ofSeconds(30);
+
+	private static final long POLL_MILLIS = 500;
+
+	/** Spreads the attempts of a large service over the read rate of the platform. */
+	private static final int MILLIS_PER_AGENT = 5;
+
+	private final Supplier<AppliedConfiguration> configuration;
 
 	private final AgentSettings settings;
 
@@ -25,56 +42,264 @@
 
 	private final EngineClient engine;
 
+	private final ChunkExchange exchange;
+
+	private final EngineLease lease;
+
+	private final SlotHolder slot;
+
+	private final Address source;
+
+	private final IntSupplier agentCount;
+
 	private final EventLog log;
 
-	private volatile String servedWeights = "";
+	private volatile ActivationState state = new ActivationState("out", "no configuration", "", "");
+
+	private List<String> servedManifests = List.of();
+
+	/** Set that the engine served complete, until the next order; empty for none. */
+	private String trustedWeights = "";
+
+	private volatile boolean open;
 
-	Activation(AgentSettings settings, Admission admission, EngineClient engine, EventLog log) {
+	private boolean changed;
+
+	Activation(AgentSettings settings, Supplier<AppliedConfiguration> configuration, Parts parts,
+			IntSupplier agentCount, EventLog log) {
 		this.settings = settings;
-		this.admission = admission;
-		this.engine = engine;
+		this.configuration = configuration;
+		this.admission = parts.admission();
+		this.engine = parts.engine();
+		this.exchange = parts.exchange();
+		this.lease = parts.lease();
+		this.slot = parts.slot();
+		this.source = parts.source();
+		this.agentCount = agentCount;
 		this.log = log;
 	}
 
-	String servedWeights() {
-		return this.servedWeights;
+	ActivationState state() {
+		return this.admission.leaving() ? this.state.in("draining", "the agent stops") : this.state;
+	}
+
+	/**
+	 * Wakes {@link #run} after a change of the configuration.
+	 */
+	synchronized void wake() {
+		this.changed = true;
+		notifyAll();
 	}
 
-	synchronized void activate(AppliedConfiguration configuration) {
-		ServiceSpec spec = configuration.deployment().services().get(this.settings.service());
+	/**
+	 * Notes the digest on a reply of the engine. Closes admission at once if it is not
+	 * the one that admission was opened for.
+	 */
+	void observe(String servedDigest) {
+		String served = this.state.servedWeights();
+		if (!served.isEmpty() && !servedDigest.isEmpty() && !served.equals(servedDigest)) {
+			mismatch(servedDigest);
+			wake();
+		}
+	}
+
+	/**
+	 * Follows configuration and engine until interrupted.
+	 */
+	void run() throws InterruptedException {
+		while (true) {
+			long pauseMillis = POLL_MILLIS;
+			try {
+				pauseMillis = step();
+			}
+			catch (EngineException ex) {
+				this.log.log(Event.ORDER_FAILED, "order", "load", "error", ex);
+				out("engine: " + ex.getMessage());
+			}
+			catch (PlatformException ex) {
+				this.log.log(Event.ACTIVATION_WAITING, "reason", ex);
+				this.state = this.state.in("verified", "platform: " + ex.getMessage());
+				pauseMillis = POLL_MILLIS + ThreadLocalRandom.current().nextLong(POLL_MILLIS);
+			}
+			catch (RuntimeException ex) {
+				this.log.log(Event.TASK_FAILED, "task", "activation", "error", ex);
+			}
+			synchronized (this) {
+				if (!this.changed) {
+					TimeUnit.MILLISECONDS.timedWait(this, pauseMillis);
+				}
+				this.changed = false;
+			}
+		}
+	}
+
+	/**
+	 * Does the next step.
+	 * @return time until the step after it
+	 */
+	private long step() throws InterruptedException {
+		ServiceSpec spec = spec();
 		if (spec == null) {
-			return;
+			return POLL_MILLIS;
 		}
 		if (spec.kind() == ServiceKind.PLAIN) {
 			this.admission.open();
-			return;
+			this.state = new ActivationState("warm", "", "", "");
+			return POLL_MILLIS;
 		}
-		if (this.servedWeights.equals(spec.weightsDigest())) {
-			return;
+		List<String> manifests = manifests(spec);
+		this.exchange.want(manifests, this.servedManifests);
+		EngineStatus status = this.engine.status();
+		String wanted = spec.weightsDigest();
+		if (status.weights().equals(wanted) && !status.loading()) {
+			serve(status, manifests, wanted);
+			return POLL_MILLIS;
+		}
+		keepServing(status);
+		if (!this.exchange.complete(manifests)) {
+			String failure = this.exchange.state().failure();
+			this.state = this.state.wanting("fetching", (failure != null) ? failure : "chunks are missing", wanted);
+			return POLL_MILLIS / 10;
+		}
+		return activate(spec, wanted);
+	}
+
+	/**
+	 * Keeps admission open for the set served before, as long as the engine reports it.
+	 */
+	private void keepServing(EngineStatus status) {
+		if (!this.trustedWeights.isEmpty() && status.weights().equals(this.trustedWeights) && !status.loading()) {
+			this.state = this.state.serving(this.trustedWeights);
+			open();
+		}
+		else if (!this.state.servedWeights().isEmpty()) {
+			mismatch(status.weights());
+		}
+	}
+
+	private void serve(EngineStatus status, List<String> manifests, String wanted) {
+		if (!this.trustedWeights.equals(wanted)) {
+			this.log.log(Event.WEIGHTS_ACTIVATED, "manifest", wanted);
+			this.slot.loaded(System.nanoTime());
+		}
+		this.servedManifests = manifests;
+		this.trustedWeights = wanted;
+		this.state = new ActivationState(status.cold() ? "cold" : "warm", "", wanted, wanted);
+		open();
+		this.slot.settle(!status.cold(), System.nanoTime());
+	}
+
+	/**
+	 * Loads verified weights. The lease is obtained before admission closes, so that a
+	 * platform that is down does not interrupt the service.
+	 */
+	private long activate(ServiceSpec spec, String wanted) throws InterruptedException {
+		this.state = this.state.wanting("verified", "waits for the lease of the engine", wanted);
+		if (this.lease.incarnation() == 0) {
+			this.lease.renew(System.nanoTime());
+		}
+		long quietMillis = this.engine.status().checksFencing() ? 0 : this.lease.quietInMillis(System.nanoTime());
+		if (quietMillis > 0) {
+			this.state = this.state.in("verified", "waits until earlier orders are void");
+			return Math.min(quietMillis, POLL_MILLIS);
+		}
+		this.state = this.state.in("verified", "waits for an activation slot");
+		boolean serving = !this.state.servedWeights().isEmpty();
+		if (serving && !this.slot.acquire(spec.limits().surge(), System.nanoTime())) {
+			return 100
+					+ ThreadLocalRandom.current().nextLong(100 + MILLIS_PER_AGENT * (long) this.agentCount.getAsInt());
+		}
+		if (!renewLease()) {
+			return POLL_MILLIS;
+		}
+		this.state = this.state.in("activating", "waits for running calls");
+		close();
+		if (!this.admission.awaitIdle(spec.limits().deadlineMillis())) {
+			return POLL_MILLIS;
+		}
+		return (wanted.equals(wantedNow()) && renewLease()) ? order(spec, wanted) : 0;
+	}
+
+	private boolean renewLease() {
+		if (!this.lease.valid(System.nanoTime())) {
+			this.lease.renew(System.nanoTime());
+		}
+		if (this.lease.superseded()) {
+			out("another agent has taken over the engine");
+		}
+		return !this.lease.superseded();
+	}
+
+	private long order(ServiceSpec spec, String wanted) throws InterruptedException {
+		this.state = this.state.in("activating", "engine loads").serving("");
+		this.trustedWeights = "";
+		LoadOrder order = new LoadOrder("load", manifests(spec), "http://" + this.source + "/v1",
+				this.lease.incarnation(), UUID.randomUUID().toString());
+		if (!this.lease.valid(System.nanoTime())) {
+			return 0;
 		}
 		try {
-			load(spec);
+			this.engine.order(order, ORDER_TIMEOUT);
 		}
 		catch (EngineException ex) {
-			this.log.log(Event.ORDER_FAILED, "order", "load", "error", ex);
+			this.lease.abandonNumber();
+			throw ex;
 		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
+		EngineStatus after = this.engine.status();
+		if (!after.weights().equals(wanted)) {
+			mismatch(after.weights());
 		}
+		return 0;
 	}
 
-	private void load(ServiceSpec spec) throws InterruptedException {
-		List<String> manifests = spec.weights().stream().map(WeightsRef::manifest).toList();
-		this.admission.close();
-		this.admission.awaitIdle(spec.limits().deadlineMillis());
-		LoadOrder order = new LoadOrder("load", manifests, "http://" + this.settings.storeAddress(), 1,
-				UUID.randomUUID().toString());
-		EngineStatus status = this.engine.order(order, ORDER_TIMEOUT);
-		if (status.weights().equals(spec.weightsDigest())) {
-			this.servedWeights = status.weights();
+	private void open() {
+		if (!this.open) {
+			this.open = true;
 			this.admission.open();
-			this.log.log(Event.WEIGHTS_ACTIVATED, "manifest", this.servedWeights);
 		}
 	}
 
+	private void close() {
+		this.open = false;
+		this.admission.close();
+	}
+
+	private void mismatch(String served) {
+		close();
+		this.log.log(Event.WEIGHTS_MISMATCH, "served", served, "wanted", this.state.wantedWeights());
+		this.state = this.state.in("out", "engine serves other weights").serving("");
+	}
+
+	private void out(String reason) {
+		close();
+		this.state = this.state.in("out", reason).serving("");
+	}
+
+	private @Nullable ServiceSpec spec() {
+		return this.configuration.get().deployment().services().get(this.settings.service());
+	}
+
+	private String wantedNow() {
+		ServiceSpec spec = spec();
+		return (spec != null) ? spec.weightsDigest() : "";
+	}
+
+	private static List<String> manifests(ServiceSpec spec) {
+		return spec.weights().stream().map(WeightsRef::manifest).toList();
+	}
+
+	/**
+	 * What an activation works with.
+	 *
+	 * @param admission admission to the engine
+	 * @param engine the engine
+	 * @param exchange source of verified weights
+	 * @param lease right to give orders
+	 * @param slot slot of the surge limit
+	 * @param source address from which the engine loads
+	 */
+	record Parts(Admission admission, EngineClient engine, ChunkExchange exchange, EngineLease lease, SlotHolder slot,
+			Address source) {
+	}
+
 }
--- /dev/null
+++ b/src/main/java/org/jaywood/agent/ActivationSlots.java
@@ -0,0 +1,140 @@
+package org.jaywood.agent;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.jaywood.platform.Futures;
+import org.jaywood.platform.ObjectStore;
+import org.jaywood.platform.PlatformException;
+import org.jaywood.platform.PlatformException.Kind;
+import org.jaywood.platform.StoredObject;
+import org.jaywood.wire.Json;
+
+/**
+ * The surge limit of a service: leased slots in the object {@code activation/<service>}.
+ * Only capacity depends on it. A slot of another VM expires when this process has seen it
+ * unchanged for one and a half leases, so that clocks are never compared.
+ */
+final class ActivationSlots {
+
+	static final String KIND = "activation";
+
+	private final ObjectStore store;
+
+	private final String service;
+
+	private final String holder;
+
+	private final long leaseMillis;
+
+	private final Map<String, Seen> seen = new HashMap<>();
+
+	private long renewals;
+
+	ActivationSlots(ObjectStore store, String service, String holder, long leaseMillis) {
+		this.store = store;
+		this.service = service;
+		this.holder = holder;
+		this.leaseMillis = leaseMillis;
+	}
+
+	/**
+	 * Takes a slot or renews the one held. A slot written by a call whose reply was lost
+	 * is recognised as its own.
+	 * @param surge number of slots
+	 * @param nowNanos present time of the monotonic clock
+	 * @return whether this agent holds a slot
+	 */
+	synchronized boolean acquire(int surge, long nowNanos) {
+		Optional<StoredObject> stored = read();
+		List<Slot> slots = others(stored, nowNanos);
+		if (slots.size() >= surge) {
+			return false;
+		}
+		slots.add(new Slot(this.holder, ++this.renewals));
+		return write(stored, slots);
+	}
+
+	/**
+	 * Gives the slot back.
+	 * @return whether it is free; otherwise to be repeated
+	 */
+	synchronized boolean release(long nowNanos) {
+		Optional<StoredObject> stored = read();
+		return stored.isEmpty() || write(stored, others(stored, nowNanos));
+	}
+
+	private List<Slot> others(Optional<StoredObject> stored, long nowNanos) {
+		List<Slot> slots = stored.map((object) -> Json.read(object.value(), Slots.class).slots()).orElse(List.of());
+		this.seen.keySet().retainAll(slots.stream().map(Slot::holder).toList());
+		return new ArrayList<>(slots.stream()
+			.filter((slot) -> !slot.holder().equals(this.holder) && !expired(slot, nowNanos))
+			.toList());
+	}
+
+	private boolean expired(Slot slot, long nowNanos) {
+		Seen last = this.seen.get(slot.holder());
+		if (last == null || last.renewal() != slot.renewal()) {
+			this.seen.put(slot.holder(), new Seen(slot.renewal(), nowNanos));
+			return false;
+		}
+		return nowNanos - last.sinceNanos() > TimeUnit.MILLISECONDS.toNanos(this.leaseMillis * 3 / 2);
+	}
+
+	private Optional<StoredObject> read() {
+		try {
+			return Optional.of(Futures.await(this.store.get(KIND, this.service)));
+		}
+		catch (PlatformException ex) {
+			if (ex.kind() == Kind.NOT_FOUND) {
+				return Optional.empty();
+			}
+			throw ex;
+		}
+	}
+
+	private boolean write(Optional<StoredObject> stored, List<Slot> slots) {
+		byte[] value = Json.bytes(new Slots(slots));
+		try {
+			Futures.await(stored.map((object) -> this.store.update(KIND, this.service, value, object.version()))
+				.orElseGet(() -> this.store.create(KIND, this.service, value)));
+			return true;
+		}
+		catch (PlatformException ex) {
+			if (ex.kind() == Kind.CONFLICT) {
+				return false;
+			}
+			throw ex;
+		}
+	}
+
+	/**
+	 * Content of the object.
+	 *
+	 * @param slots slots taken
+	 */
+	record Slots(List<Slot> slots) {
+
+		Slots {
+			slots = List.copyOf(slots);
+		}
+
+	}
+
+	/**
+	 * A slot taken.
+	 *
+	 * @param holder incarnation of the holding agent
+	 * @param renewal number that changes with each renewal
+	 */
+	record Slot(String holder, long renewal) {
+	}
+
+	private record Seen(long renewal, long sinceNanos) {
+	}
+
+}
--- a/src/main/java/org/jaywood/agent/AgentSettings.java
+++ b/src/main/java/org/jaywood/agent/AgentSettings.java
@@ -21,8 +21,12 @@
  * @param storeRegion region of the weight store
  * @param credential credential of the processes, or null
  * @param drainMillis longest time of a planned stop
+ * @param stagingBytes bound of the staging area
+ * @param regionLinkBytesPerSecond rate of weight traffic from one region to another
+ * @param leaseMillis length of the lease of the engine and of an activation slot
  */
 public record AgentSettings(String vm, String region, String dataCentre, String service, Address listenAddress,
 		Address advertisedAddress, Address operatorAddress, Address upstreamAddress, Address platformAddress,
-		Address storeAddress, String storeRegion, @Nullable Credential credential, long drainMillis) {
+		Address storeAddress, String storeRegion, @Nullable Credential credential, long drainMillis, long stagingBytes,
+		long regionLinkBytesPerSecond, long leaseMillis) {
 }
--- /dev/null
+++ b/src/main/java/org/jaywood/agent/EngineLease.java
@@ -0,0 +1,142 @@
+package org.jaywood.agent;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import org.jaywood.platform.Futures;
+import org.jaywood.platform.ObjectStore;
+import org.jaywood.platform.PlatformException;
+import org.jaywood.platform.PlatformException.Kind;
+import org.jaywood.platform.StoredObject;
+import org.jaywood.wire.Json;
+
+/**
+ * The right of one agent to give orders to its engine, kept in the object
+ * {@code engines/<vm>}. Each holder has its own incarnation number, which fences orders
+ * of earlier holders. A lease is renewed only when an order is due, so an idle fleet
+ * writes nothing.
+ */
+final class EngineLease {
+
+	static final String KIND = "engines";
+
+	private final ObjectStore store;
+
+	private final String vm;
+
+	private final String holder;
+
+	private final long leaseMillis;
+
+	private final long orderTimeoutMillis;
+
+	private long incarnation;
+
+	private long leaseFromNanos;
+
+	private long quietFromNanos;
+
+	private boolean mayBeFollowed;
+
+	private boolean everHeld;
+
+	private boolean superseded;
+
+	EngineLease(ObjectStore store, String vm, String holder, long leaseMillis, long orderTimeoutMillis) {
+		this.store = store;
+		this.vm = vm;
+		this.holder = holder;
+		this.leaseMillis = leaseMillis;
+		this.orderTimeoutMillis = orderTimeoutMillis;
+	}
+
+	/**
+	 * Obtains or renews the lease.
+	 * @param nowNanos present time of the monotonic clock; the lease runs from here,
+	 * before the write, so this side never believes in it longer than others do
+	 * @throws PlatformException if the platform does not answer; the outcome is then read
+	 * at the next call
+	 */
+	synchronized void renew(long nowNanos) {
+		Optional<StoredObject> object = read();
+		Claim before = object.map((found) -> Json.read(found.value(), Claim.class)).orElse(null);
+		long stored = (before != null) ? before.incarnation() : 0;
+		boolean mine = before != null && before.holder().equals(this.holder);
+		if (this.everHeld && !mine) {
+			this.superseded = true;
+			return;
+		}
+		boolean sameNumber = mine && stored == this.incarnation;
+		long number = sameNumber ? stored : stored + 1;
+		byte[] claim = Json.bytes(new Claim(number, this.holder, this.leaseMillis));
+		Futures.await(object.map((found) -> this.store.update(KIND, this.vm, claim, found.version()))
+			.orElseGet(() -> this.store.create(KIND, this.vm, claim)));
+		if (!sameNumber) {
+			this.mayBeFollowed = before != null;
+			long oldLeaseMillis = (before != null && !mine) ? before.leaseMillis() : 0;
+			this.quietFromNanos = System.nanoTime()
+					+ TimeUnit.MILLISECONDS.toNanos(oldLeaseMillis + this.orderTimeoutMillis);
+		}
+		this.incarnation = number;
+		this.everHeld = true;
+		this.leaseFromNanos = nowNanos;
+	}
+
+	private Optional<StoredObject> read() {
+		try {
+			return Optional.of(Futures.await(this.store.get(KIND, this.vm)));
+		}
+		catch (PlatformException ex) {
+			if (ex.kind() == Kind.NOT_FOUND) {
+				return Optional.empty();
+			}
+			throw ex;
+		}
+	}
+
+	/**
+	 * Gives up the number after an order whose fate is unknown, so that the next order
+	 * carries a higher one.
+	 */
+	synchronized void abandonNumber() {
+		this.incarnation = 0;
+	}
+
+	/**
+	 * Whether an order may be sent now.
+	 */
+	synchronized boolean valid(long nowNanos) {
+		return this.incarnation > 0 && !this.superseded
+				&& nowNanos - this.leaseFromNanos < TimeUnit.MILLISECONDS.toNanos(this.leaseMillis);
+	}
+
+	/**
+	 * Time until no order under an earlier number can arrive any more, for an engine that
+	 * does not check numbers.
+	 */
+	synchronized long quietInMillis(long nowNanos) {
+		return this.mayBeFollowed ? Math.max(0, 1 + TimeUnit.NANOSECONDS.toMillis(this.quietFromNanos - nowNanos)) : 0;
+	}
+
+	/**
+	 * Whether another agent has taken over the engine for good.
+	 */
+	synchronized boolean superseded() {
+		return this.superseded;
+	}
+
+	synchronized long incarnation() {
+		return this.incarnation;
+	}
+
+	/**
+	 * Content of the object.
+	 *
+	 * @param incarnation number of the holder
+	 * @param holder incarnation of the holding agent
+	 * @param leaseMillis length of its lease
+	 */
+	record Claim(long incarnation, String holder, long leaseMillis) {
+	}
+
+}
--- a/src/main/java/org/jaywood/agent/EngineStatus.java
+++ b/src/main/java/org/jaywood/agent/EngineStatus.java
@@ -12,9 +12,14 @@
  * @param memoryLimitBytes memory that its calls may hold
  * @param coldLimit calls that it can take while cold
  * @param maxConcurrency calls that it can take while warm
+ * @param checksFencing whether it refuses orders with an old fencing number
  */
 public record EngineStatus(String instance, String state, String weights, long fencing, int inFlight, long memoryBytes,
-		long memoryLimitBytes, int coldLimit, int maxConcurrency) {
+		long memoryLimitBytes, int coldLimit, int maxConcurrency, boolean checksFencing) {
+
+	public boolean loading() {
+		return this.state.equals("loading");
+	}
 
 	public boolean cold() {
 		return !this.state.equals("warm");
--- a/src/main/java/org/jaywood/cli/AgentCommand.java
+++ b/src/main/java/org/jaywood/cli/AgentCommand.java
@@ -7,6 +7,7 @@
 import org.jaywood.agent.Agent;
 import org.jaywood.agent.AgentSettings;
 import org.jaywood.event.EventLog;
+import org.jaywood.weights.WeightSettings;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Credential;
 
@@ -34,6 +35,17 @@
 	@Parameter(names = "--store-region", description = "Region of the weight store, if known")
 	private String storeRegion = "";
 
+	@Parameter(names = "--staging-bytes", description = "Bound of the weights held in memory, in bytes")
+	private long stagingBytes = WeightSettings.DEFAULT_STAGING_BYTES;
+
+	@Parameter(names = "--region-link-bytes-per-second",
+			description = "Rate that weight traffic from one region to another may take, in bytes per second")
+	private long regionLinkBytesPerSecond = WeightSettings.DEFAULT_REGION_LINK_BYTES_PER_SECOND;
+
+	@Parameter(names = "--lease-millis",
+			description = "Length of the lease of the engine and of an activation slot in milliseconds")
+	private long leaseMillis = 10_000;
+
 	@Override
 	public String name() {
 		return "agent";
@@ -43,7 +55,8 @@
 	public int run() throws InterruptedException {
 		AgentSettings settings = new AgentSettings(this.node.vm, this.node.region, this.node.dataCentre, this.service,
 				this.node.listen, this.node.advertised(), this.node.operator, this.upstream, this.node.platform,
-				this.store, this.storeRegion, Credential.parse(this.node.credential), this.node.drainMillis);
+				this.store, this.storeRegion, Credential.parse(this.node.credential), this.node.drainMillis,
+				this.stagingBytes, this.regionLinkBytesPerSecond, this.leaseMillis);
 		Agent agent = new Agent(settings, new EventLog(this.node.vm));
 		agent.start();
 		return Daemon.runUntilTerminated(agent::drain);
--- a/src/main/java/org/jaywood/event/Event.java
+++ b/src/main/java/org/jaywood/event/Event.java
@@ -48,6 +48,9 @@
 	/** A received chunk does not match its digest. */
 	CHUNK_CORRUPT(1302, Level.WARNING, "chunk {chunk} from {source} does not match its digest"),
 
+	/** A source of a chunk failed, stalled or is gone. */
+	CHUNK_FETCH_FAILED(1303, Level.WARNING, "chunk {chunk} not received from {source}: {error}"),
+
 	/** An engine serves the ordered weights. */
 	WEIGHTS_ACTIVATED(1401, Level.INFO, "engine serves {manifest}"),
 
@@ -57,6 +60,12 @@
 	/** The engine turned cold. */
 	ENGINE_COLD(1403, Level.WARNING, "engine instance {instance} is cold; limit set to {limit}"),
 
+	/** The engine serves other weights than those ordered. */
+	WEIGHTS_MISMATCH(1404, Level.WARNING, "engine serves {served} instead of {wanted}; admission closed"),
+
+	/** A slot or the lease of the engine cannot be obtained. */
+	ACTIVATION_WAITING(1405, Level.WARNING, "activation waits: {reason}"),
+
 	/** A stand-in is ready. */
 	STANDIN_STARTED(1901, Level.INFO, "stand-in {kind} listens on {address}");
 
--- a/src/main/java/org/jaywood/standin/EngineStandin.java
+++ b/src/main/java/org/jaywood/standin/EngineStandin.java
@@ -31,14 +31,16 @@
 
 	private final long tokenMillis;
 
-	private final EngineWeights weights = new EngineWeights(() -> {
-	});
+	private final EngineWeights weights;
 
 	public EngineStandin(Address address, long tokenMillis, EventLog log) {
 		this.tokenMillis = tokenMillis;
 		this.port = HttpPort.open(address, log)
 			.route("GET", "/status", (exchange) -> exchange.respondJson(200, status()))
 			.route("POST", "/v1/completions", this::complete);
+		this.weights = new EngineWeights(address.host(), () -> {
+		});
+		this.port.route("GET", "/record", (exchange) -> exchange.respondJson(200, this.weights.record()));
 		this.weights.register(this.port, this);
 		this.port.start();
 	}
@@ -51,9 +53,10 @@
 	 * Status as the engine reports it.
 	 */
 	Map<String, Object> status() {
-		return Map.of("instance", this.instance, "state", "warm", "weights", this.weights.digest(), "fencing",
-				this.weights.fencing(), "inFlight", this.inFlight.get(), "memoryBytes", 0, "memoryLimitBytes", 1 << 30,
-				"coldLimit", 2, "maxConcurrency", 64);
+		return Map.of("instance", this.instance, "state", this.weights.loading() ? "loading" : "warm", "weights",
+				this.weights.digest(), "fencing", this.weights.fencing(), "inFlight", this.inFlight.get(),
+				"memoryBytes", 0, "memoryLimitBytes", 1 << 30, "coldLimit", 2, "maxConcurrency", 64, "checksFencing",
+				this.weights.checksFencing());
 	}
 
 	private void complete(Exchange exchange) throws IOException, InterruptedException {
@@ -68,6 +71,7 @@
 		try (OutputStream out = exchange.stream(200, "application/x-ndjson")) {
 			for (int index = request.path("resume_from").asInt(0); index < count; index++) {
 				TimeUnit.MILLISECONDS.sleep(this.tokenMillis);
+				this.weights.onTokenServed();
 				writeLine(out, Map.of("index", index, "text", TokenFunction.token(served, prompt, index)));
 			}
 			writeLine(out, Map.of("end", true, "count", count));
--- a/src/main/java/org/jaywood/standin/EngineWeights.java
+++ b/src/main/java/org/jaywood/standin/EngineWeights.java
@@ -1,35 +1,73 @@
 package org.jaywood.standin;
 
 import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 import com.fasterxml.jackson.databind.JsonNode;
 
+import org.jaywood.weights.Manifest;
 import org.jaywood.wire.Digests;
 import org.jaywood.wire.Exchange;
 import org.jaywood.wire.HttpPort;
+import org.jaywood.wire.Json;
+import org.jaywood.wire.WireClient;
 
 /**
- * The weights of an engine stand-in and the orders that change them.
+ * The weights of an engine stand-in and the orders that change them. A load replaces the
+ * weights in place, chunk by chunk; tokens served meanwhile are recorded as impure. The
+ * reported digest is computed from the bytes held, not taken from the order.
  */
 final class EngineWeights {
 
 	private static final int ORDER_LIMIT_BYTES = 65_536;
 
-	private final Runnable reply;
+	private static final Duration FETCH_TIMEOUT = Duration.ofSeconds(10);
+
+	private final Runnable afterLoad;
+
+	private final AtomicLong impureTokens = new AtomicLong();
+
+	private final AtomicLong loads = new AtomicLong();
+
+	private final AtomicLong refusedOrders = new AtomicLong();
+
+	private final WireClient client;
+
+	private volatile boolean pure;
+
+	private volatile boolean loading;
 
 	private volatile String digest = "";
 
 	private volatile long fencing;
 
-	EngineWeights(Runnable afterLoad) {
-		this.reply = afterLoad;
+	private volatile boolean checksFencing = true;
+
+	private volatile long loadMillis;
+
+	private volatile long orderDelayMillis;
+
+	EngineWeights(String host, Runnable afterLoad) {
+		this.client = WireClient.plain(host);
+		this.afterLoad = afterLoad;
 	}
 
 	void register(HttpPort port, EngineStandin engine) {
-		port.route("POST", "/orders", (exchange) -> order(exchange, engine));
+		port.route("POST", "/orders", (exchange) -> order(exchange, engine))
+			.route("POST", "/control/weights", this::control);
 	}
 
+	/**
+	 * Digest of the set of weights held, computed from their content; no digest of any
+	 * set while they are incomplete or mixed.
+	 */
 	String digest() {
 		return this.digest;
 	}
@@ -38,13 +76,119 @@
 		return this.fencing;
 	}
 
-	private void order(Exchange exchange, EngineStandin engine) throws IOException {
+	boolean checksFencing() {
+		return this.checksFencing;
+	}
+
+	boolean loading() {
+		return this.loading;
+	}
+
+	/**
+	 * Called for each token that the engine serves.
+	 */
+	void onTokenServed() {
+		if (!this.pure) {
+			this.impureTokens.incrementAndGet();
+		}
+	}
+
+	/**
+	 * Fields for the record of the engine.
+	 */
+	Map<String, Object> record() {
+		return Map.of("impureTokens", this.impureTokens.get(), "loads", this.loads.get(), "refusedOrders",
+				this.refusedOrders.get());
+	}
+
+	private void control(Exchange exchange) throws IOException {
+		JsonNode request = exchange.json(JsonNode.class, ORDER_LIMIT_BYTES);
+		this.checksFencing = request.path("checksFencing").asBoolean(this.checksFencing);
+		this.loadMillis = request.path("loadMillis").asLong(this.loadMillis);
+		this.orderDelayMillis = request.path("orderDelayMillis").asLong(this.orderDelayMillis);
+		exchange.respondJson(200, Map.of());
+	}
+
+	private void order(Exchange exchange, EngineStandin engine) throws IOException, InterruptedException {
 		JsonNode order = exchange.json(JsonNode.class, ORDER_LIMIT_BYTES);
-		List<String> manifests = order.path("manifests").valueStream().map(JsonNode::asText).toList();
-		this.fencing = order.path("fencing").asLong();
-		this.digest = Digests.ofSet(manifests);
-		this.reply.run();
-		exchange.respondJson(200, engine.status());
+		TimeUnit.MILLISECONDS.sleep(this.orderDelayMillis);
+		if (!take(order.path("fencing").asLong())) {
+			this.refusedOrders.incrementAndGet();
+			exchange.respondError(409, "fencing number is old");
+			return;
+		}
+		if (load(order)) {
+			exchange.respondJson(200, engine.status());
+		}
+		else {
+			exchange.respondError(500, "load failed; weights are incomplete");
+		}
+	}
+
+	private synchronized boolean take(long number) {
+		if (this.checksFencing && number < this.fencing) {
+			return false;
+		}
+		this.fencing = Math.max(this.fencing, number);
+		return true;
+	}
+
+	private synchronized boolean load(JsonNode order) throws InterruptedException {
+		this.loads.incrementAndGet();
+		this.loading = true;
+		this.pure = false;
+		this.digest = "incomplete";
+		try {
+			List<String> manifests = order.path("manifests").valueStream().map(JsonNode::asText).toList();
+			List<Held> loaded = new ArrayList<>();
+			for (String manifest : manifests) {
+				loaded.add(loadManifest(order.path("source").asText(), manifest));
+			}
+			this.digest = Digests.ofSet(loaded.stream().map(Held::digest).toList());
+			this.pure = this.digest.equals(Digests.ofSet(manifests));
+			this.afterLoad.run();
+			return true;
+		}
+		catch (IOException ex) {
+			return false;
+		}
+		finally {
+			this.loading = false;
+		}
+	}
+
+	private Held loadManifest(String source, String digest) throws IOException, InterruptedException {
+		Manifest manifest = Json.read(fetch(source + "/manifests/" + digest), Manifest.class);
+		List<String> digests = new ArrayList<>();
+		long pauseNanos = TimeUnit.MILLISECONDS.toNanos(this.loadMillis) / manifest.chunks().size();
+		for (String chunk : manifest.chunks()) {
+			digests.add(Digests.sha256(fetch(source + "/chunks/" + chunk)));
+			TimeUnit.NANOSECONDS.sleep(pauseNanos);
+		}
+		return new Held(new Manifest(manifest.name(), manifest.version(), manifest.chunkBytes(), manifest.totalBytes(),
+				digests));
+	}
+
+	private byte[] fetch(String uri) throws IOException, InterruptedException {
+		HttpResponse<byte[]> reply = this.client.get(URI.create(uri), FETCH_TIMEOUT);
+		if (reply.statusCode() != 200) {
+			throw new IOException(uri + " answered " + reply.statusCode());
+		}
+		return reply.body();
+	}
+
+	/**
+	 * Weights in the memory of the engine. The bytes themselves are not kept, since
+	 * hundreds of stand-ins share a machine; their digests stand for them.
+	 *
+	 * @param content manifest computed from the bytes received
+	 */
+	private record Held(Manifest content) {
+
+		String digest() {
+			return this.content.digest();
+		}
+
 	}
 
 }
--- a/src/main/java/org/jaywood/standin/StoreStandin.java
+++ b/src/main/java/org/jaywood/standin/StoreStandin.java
@@ -1,12 +1,15 @@
 package org.jaywood.standin;
 
 import java.io.IOException;
+import java.io.OutputStream;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.IntStream;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.jspecify.annotations.Nullable;
 
 import org.jaywood.event.EventLog;
 import org.jaywood.wire.Address;
@@ -14,26 +17,44 @@
 import org.jaywood.wire.HttpPort;
 
 /**
- * Stand-in of the weight store with its origin. It counts the bytes that it sent.
+ * Stand-in of the weight store with its origin. It counts what it sent by chunk, limits
+ * its rate and can corrupt or stall replies.
  */
 public final class StoreStandin implements AutoCloseable {
 
 	private static final int BODY_LIMIT_BYTES = 65_536;
 
+	private static final int PIECE_BYTES = 16 * 1024;
+
 	private final Map<String, byte[]> manifests = new ConcurrentHashMap<>();
 
 	private final Map<String, byte[]> chunks = new ConcurrentHashMap<>();
 
+	private final Map<String, AtomicLong> requestsByChunk = new ConcurrentHashMap<>();
+
 	private final AtomicLong sentBytes = new AtomicLong();
 
+	private final AtomicLong chunkRequests = new AtomicLong();
+
+	private final AtomicLong refused = new AtomicLong();
+
 	private final HttpPort port;
 
+	private volatile Faults faults = new Faults(0, 0, 0, 0);
+
+	private long linkFreeNanos = System.nanoTime();
+
+	private long secondNanos = System.nanoTime();
+
+	private long requestsInSecond;
+
 	public StoreStandin(Address address, EventLog log) {
 		this.port = HttpPort.open(address, log)
-			.route("GET", "/manifests/", (exchange) -> send(exchange, this.manifests))
-			.route("GET", "/chunks/", (exchange) -> send(exchange, this.chunks))
+			.route("GET", "/manifests/", (exchange) -> send(exchange, this.manifests.get(exchange.lastSegment())))
+			.route("GET", "/chunks/", this::sendChunk)
 			.route("POST", "/control/weights", this::addWeights)
-			.route("GET", "/record", (exchange) -> exchange.respondJson(200, Map.of("sentBytes", this.sentBytes.get())))
+			.route("POST", "/control", this::control)
+			.route("GET", "/record", (exchange) -> exchange.respondJson(200, record()))
 			.start();
 	}
 
@@ -53,6 +74,19 @@
 		return digest;
 	}
 
+	private Map<String, Object> record() {
+		Map<String, Map<String, Long>> byChunk = new ConcurrentHashMap<>();
+		this.requestsByChunk.forEach((chunk, count) -> byChunk.put(chunk,
+				Map.of("requests", count.get(), "bytes", count.get() * sizeOf(chunk))));
+		return Map.of("sentBytes", this.sentBytes.get(), "chunkRequests", this.chunkRequests.get(), "refused",
+				this.refused.get(), "chunks", byChunk);
+	}
+
+	private long sizeOf(String chunk) {
+		byte[] content = this.chunks.get(chunk);
+		return (content != null) ? content.length : 0;
+	}
+
 	private void addWeights(Exchange exchange) throws IOException {
 		JsonNode request = exchange.json(JsonNode.class, BODY_LIMIT_BYTES);
 		SyntheticWeights weights = SyntheticWeights.generate(request.path("name").asText(),
@@ -61,14 +95,76 @@
 		exchange.respondJson(200, Map.of("manifest", add(weights)));
 	}
 
-	private void send(Exchange exchange, Map<String, byte[]> source) throws IOException {
-		byte[] content = source.get(exchange.lastSegment());
+	private void control(Exchange exchange) throws IOException {
+		JsonNode request = exchange.json(JsonNode.class, BODY_LIMIT_BYTES);
+		Faults now = this.faults;
+		this.faults = new Faults(request.path("corruptEach").asInt(now.corruptEach()),
+				request.path("stallMillis").asLong(now.stallMillis()),
+				request.path("requestsPerSecond").asLong(now.requestsPerSecond()),
+				request.path("bytesPerSecond").asLong(now.bytesPerSecond()));
+		exchange.respondJson(200, Map.of());
+	}
+
+	private void sendChunk(Exchange exchange) throws IOException, InterruptedException {
+		Faults now = this.faults;
+		if (!withinRate(now.requestsPerSecond(), System.nanoTime())) {
+			this.refused.incrementAndGet();
+			exchange.setHeader("Retry-After", "1");
+			exchange.respondError(429, "rate limit");
+			return;
+		}
+		TimeUnit.MILLISECONDS.sleep(now.stallMillis());
+		byte[] content = this.chunks.get(exchange.lastSegment());
+		if (content != null) {
+			this.requestsByChunk.computeIfAbsent(exchange.lastSegment(), (key) -> new AtomicLong()).incrementAndGet();
+			long number = this.chunkRequests.incrementAndGet();
+			if (now.corruptEach() > 0 && number % now.corruptEach() == 0) {
+				content = content.clone();
+				content[content.length / 2] ^= 1;
+			}
+		}
+		send(exchange, content);
+	}
+
+	private synchronized boolean withinRate(long requestsPerSecond, long nowNanos) {
+		if (nowNanos - this.secondNanos >= TimeUnit.SECONDS.toNanos(1)) {
+			this.secondNanos = nowNanos;
+			this.requestsInSecond = 0;
+		}
+		return requestsPerSecond == 0 || ++this.requestsInSecond <= requestsPerSecond;
+	}
+
+	private void send(Exchange exchange, byte @Nullable [] content) throws IOException, InterruptedException {
 		if (content == null) {
 			exchange.respondError(404, "no such content");
 			return;
 		}
 		this.sentBytes.addAndGet(content.length);
-		exchange.respond(200, "application/octet-stream", content);
+		if (this.faults.bytesPerSecond() == 0) {
+			exchange.respond(200, "application/octet-stream", content);
+			return;
+		}
+		try (OutputStream out = exchange.stream(200, "application/octet-stream")) {
+			for (int offset = 0; offset < content.length; offset += PIECE_BYTES) {
+				int length = Math.min(PIECE_BYTES, content.length - offset);
+				TimeUnit.NANOSECONDS.sleep(reserve(length, this.faults.bytesPerSecond(), System.nanoTime()));
+				out.write(content, offset, length);
+				out.flush();
+			}
+		}
+	}
+
+	/**
+	 * Reserves the link of the origin.
+	 * @return time until the bytes are through
+	 */
+	private synchronized long reserve(int bytes, long bytesPerSecond, long nowNanos) {
+		if (bytesPerSecond == 0) {
+			return 0;
+		}
+		this.linkFreeNanos = Math.max(this.linkFreeNanos, nowNanos)
+				+ TimeUnit.SECONDS.toNanos(1) * bytes / bytesPerSecond;
+		return this.linkFreeNanos - nowNanos;
 	}
 
 	@Override
@@ -76,4 +172,15 @@
 		this.port.close();
 	}
 
+	/**
+	 * Faults and limits; 0 switches each off.
+	 *
+	 * @param corruptEach each reply whose number is a multiple is corrupted
+	 * @param stallMillis time before a chunk is sent
+	 * @param requestsPerSecond chunk requests answered, others are refused with 429
+	 * @param bytesPerSecond rate of the link of the origin
+	 */
+	private record Faults(int corruptEach, long stallMillis, long requestsPerSecond, long bytesPerSecond) {
+	}
+
 }
--- /dev/null
+++ b/src/main/java/org/jaywood/weights/ChunkServer.java
@@ -0,0 +1,147 @@
+package org.jaywood.weights;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.IntStream;
+
+import org.jaywood.platform.VmRecord;
+import org.jaywood.wire.Address;
+import org.jaywood.wire.Exchange;
+import org.jaywood.wire.Headers;
+import org.jaywood.wire.HttpPort;
+
+/**
+ * Serves the staging area to peers and to the engine of this VM. Uploads to peers are
+ * limited in number, and those to other regions also in rate.
+ */
+final class ChunkServer {
+
+	/** Few uploads at once, so that each one finishes early and can be passed on. */
+	private static final int UPLOADS = 4;
+
+	private static final long BUSY_RETRY_MILLIS = 20;
+
+	private final WeightSettings settings;
+
+	private final StagingArea staging;
+
+	private final Swarm swarm;
+
+	private final UploadSlots slots = new UploadSlots(UPLOADS);
+
+	private final Map<String, ByteBudget> budgets = new ConcurrentHashMap<>();
+
+	ChunkServer(WeightSettings settings, StagingArea staging, Swarm swarm) {
+		this.settings = settings;
+		this.staging = staging;
+		this.swarm = swarm;
+	}
+
+	void register(HttpPort port) {
+		port.route("GET", "/v1/chunks/", this::sendChunk)
+			.route("GET", "/v1/manifests/", this::sendManifest)
+			.route("GET", "/v1/chunks/held/", this::sendHeld);
+	}
+
+	/**
+	 * Serves an engine on the same host without a credential. This is a listener of its
+	 * own, because an exception on the peer port would also open its other routes; it
+	 * answers no client but the given host.
+	 */
+	void registerForEngine(HttpPort port, String engineHost) {
+		port.route("GET", "/v1/chunks/", (exchange) -> {
+			if (allowed(exchange, engineHost)) {
+				respond(exchange, this.staging.chunk(exchange.lastSegment()));
+			}
+		}).route("GET", "/v1/manifests/", (exchange) -> {
+			if (allowed(exchange, engineHost)) {
+				sendManifest(exchange);
+			}
+		});
+	}
+
+	private static boolean allowed(Exchange exchange, String engineHost) throws IOException {
+		boolean allowed = exchange.clientHost().equals(engineHost);
+		if (!allowed) {
+			exchange.respondError(403, "only the engine of this VM may read here");
+		}
+		return allowed;
+	}
+
+	private void sendManifest(Exchange exchange) throws IOException {
+		respond(exchange, this.staging.manifest(exchange.lastSegment()).map(Manifest::toBytes));
+	}
+
+	private void sendHeld(Exchange exchange) throws IOException {
+		String digest = exchange.lastSegment();
+		Optional<Manifest> manifest = this.staging.manifest(digest);
+		if (manifest.isEmpty()) {
+			exchange.respondError(404, "manifest is not wanted here");
+			return;
+		}
+		exchange.respondJson(200, new ChunkOffer(digest, this.settings.self().address(), held(manifest.get())));
+	}
+
+	private List<Integer> held(Manifest manifest) {
+		return IntStream.range(0, manifest.chunks().size())
+			.filter((index) -> this.staging.holds(manifest.chunks().get(index)))
+			.boxed()
+			.toList();
+	}
+
+	private void sendChunk(Exchange exchange) throws IOException {
+		Optional<byte[]> chunk = this.staging.chunk(exchange.lastSegment());
+		long ticket = chunk.isPresent() ? this.slots.take(System.nanoTime()) : 0;
+		if (chunk.isPresent() && ticket == 0) {
+			refuse(exchange, BUSY_RETRY_MILLIS);
+			return;
+		}
+		try {
+			long waitMillis = chunk.isPresent() ? linkWaitMillis(exchange, chunk.get().length) : 0;
+			if (waitMillis > 0) {
+				refuse(exchange, waitMillis);
+				return;
+			}
+			respond(exchange, chunk);
+		}
+		finally {
+			this.slots.release(ticket);
+		}
+	}
+
+	/**
+	 * Takes the bytes from this VM's share of the budget of the region link. Chunks are
+	 * spread evenly over the VMs of a region, so equal shares use the whole budget
+	 * without coordination.
+	 */
+	private long linkWaitMillis(Exchange exchange, int bytes) {
+		String region = exchange.optionalHeader(Headers.SENDER)
+			.flatMap((sender) -> this.swarm.anyWhere(Address.parse(sender)))
+			.map(VmRecord::region)
+			.orElse(this.settings.self().region());
+		if (region.equals(this.settings.self().region())) {
+			return 0;
+		}
+		long share = Math.max(1, this.settings.regionLinkBytesPerSecond() / this.swarm.membersInOwnRegion());
+		return this.budgets.computeIfAbsent(region, (key) -> new ByteBudget()).take(bytes, share, System.nanoTime());
+	}
+
+	private static void refuse(Exchange exchange, long retryAfterMillis) throws IOException {
+		exchange.setHeader("Retry-After", Long.toString(1 + retryAfterMillis / 1_000));
+		exchange.setHeader("Retry-After-Millis", Long.toString(retryAfterMillis));
+		exchange.respondJson(503, Map.of("retryAfterMillis", retryAfterMillis));
+	}
+
+	private static void respond(Exchange exchange, Optional<byte[]> content) throws IOException {
+		if (content.isPresent()) {
+			exchange.respond(200, "application/octet-stream", content.get());
+		}
+		else {
+			exchange.respondError(404, "content is not held here");
+		}
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/weights/OfferSender.java
@@ -0,0 +1,103 @@
+package org.jaywood.weights;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+
+import org.jaywood.platform.VmRecord;
+import org.jaywood.wire.Address;
+import org.jaywood.wire.WireClient;
+
+/**
+ * Offers verified chunks to the VMs that receive them from this one, several at once. A
+ * lost offer delays a receiver only until it asks.
+ */
+final class OfferSender {
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+	/** Time in which offers collect; a chunk takes longer than this on the links. */
+	private static final long BATCH_MILLIS = 10;
+
+	private static final int MAX_SENDING = 32;
+
+	private final BlockingQueue<Verified> queue = new ArrayBlockingQueue<>(Manifest.MAX_CHUNKS);
+
+	private final Semaphore sending = new Semaphore(MAX_SENDING);
+
+	private final Swarm swarm;
+
+	private final WireClient client;
+
+	private final ExecutorService tasks;
+
+	OfferSender(Swarm swarm, WireClient client, ExecutorService tasks) {
+		this.swarm = swarm;
+		this.client = client;
+		this.tasks = tasks;
+	}
+
+	/**
+	 * Notes a verified chunk; dropped if the queue is full.
+	 */
+	void verified(String manifest, String chunk, int index) {
+		this.queue.offer(new Verified(manifest, chunk, index));
+	}
+
+	/**
+	 * Sends offers until interrupted.
+	 */
+	void run() throws InterruptedException {
+		while (true) {
+			List<Verified> batch = new ArrayList<>();
+			batch.add(this.queue.take());
+			TimeUnit.MILLISECONDS.sleep(BATCH_MILLIS);
+			this.queue.drainTo(batch);
+			Map<String, Map<Address, List<Integer>>> offers = new HashMap<>();
+			Map<String, Swarm.View> views = new HashMap<>();
+			long nowNanos = System.nanoTime();
+			for (Verified item : batch) {
+				Swarm.View view = views.computeIfAbsent(item.manifest(), (key) -> this.swarm.view(key, nowNanos));
+				for (VmRecord child : view.children(item.chunk())) {
+					offers.computeIfAbsent(item.manifest(), (key) -> new HashMap<>())
+						.computeIfAbsent(child.address(), (key) -> new ArrayList<>())
+						.add(item.index());
+				}
+			}
+			for (Map.Entry<String, Map<Address, List<Integer>>> entry : offers.entrySet()) {
+				for (Map.Entry<Address, List<Integer>> offer : entry.getValue().entrySet()) {
+					this.sending.acquire();
+					this.tasks.execute(() -> send(offer.getKey(),
+							new ChunkOffer(entry.getKey(), this.swarm.self().address(), offer.getValue())));
+				}
+			}
+		}
+	}
+
+	private void send(Address child, ChunkOffer offer) {
+		try {
+			this.client.post(child.uri("/v1/chunks/offers"), offer, TIMEOUT);
+		}
+		catch (IOException ex) {
+			// A receiver that did not get the offer asks for it.
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		finally {
+			this.sending.release();
+		}
+	}
+
+	private record Verified(String manifest, String chunk, int index) {
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/weights/Swarm.java
@@ -0,0 +1,125 @@
+package org.jaywood.weights;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+import org.jaywood.platform.VmRecord;
+import org.jaywood.wire.Address;
+
+/**
+ * The VMs that want a manifest, without those that failed lately. Leaving a failed VM out
+ * of the tree makes the next rank take its place.
+ */
+final class Swarm {
+
+	private static final long SUSPECT_NANOS = TimeUnit.SECONDS.toNanos(30);
+
+	private final VmRecord self;
+
+	private final String storeRegion;
+
+	private final Function<String, List<VmRecord>> members;
+
+	private final Map<Address, Long> suspectedNanos = new ConcurrentHashMap<>();
+
+	Swarm(WeightSettings settings, Function<String, List<VmRecord>> members) {
+		this.self = settings.self();
+		this.storeRegion = settings.storeRegion();
+		this.members = members;
+	}
+
+	VmRecord self() {
+		return this.self;
+	}
+
+	/**
+	 * Notes that a VM stalled, died or sent wrong data.
+	 */
+	void suspect(Address vm, long nowNanos) {
+		this.suspectedNanos.values().removeIf((since) -> nowNanos - since > SUSPECT_NANOS);
+		this.suspectedNanos.put(vm, nowNanos);
+	}
+
+	boolean suspected(Address vm, long nowNanos) {
+		Long since = this.suspectedNanos.get(vm);
+		return since != null && nowNanos - since <= SUSPECT_NANOS;
+	}
+
+	/**
+	 * Other VMs that want a manifest and did not fail lately.
+	 */
+	List<VmRecord> others(String manifest, long nowNanos) {
+		return this.members.apply(manifest)
+			.stream()
+			.filter((vm) -> !vm.vm().equals(this.self.vm()) && !suspected(vm.address(), nowNanos))
+			.toList();
+	}
+
+	Optional<VmRecord> find(String manifest, Address address) {
+		return this.members.apply(manifest).stream().filter((vm) -> vm.address().equals(address)).findFirst();
+	}
+
+	/**
+	 * Looks up a VM among those that want any manifest.
+	 */
+	Optional<VmRecord> anyWhere(Address address) {
+		return find("", address);
+	}
+
+	/**
+	 * Number of VMs of this region that may send weights, at least 1.
+	 */
+	int membersInOwnRegion() {
+		return (int) Math.max(1,
+				this.members.apply("").stream().filter((vm) -> vm.region().equals(this.self.region())).count());
+	}
+
+	/**
+	 * The tree of a manifest as this VM sees it. A VM that the list does not show yet
+	 * still has a place, so that it finds a parent.
+	 */
+	View view(String manifest, long nowNanos) {
+		List<VmRecord> others = others(manifest, nowNanos);
+		boolean listed = this.members.apply(manifest).stream().anyMatch((vm) -> vm.vm().equals(this.self.vm()));
+		List<VmRecord> all = new ArrayList<>(others);
+		all.add(this.self);
+		return new View(this.self, others, listed, new DistributionTree(all, this.storeRegion),
+				new DistributionTree(others, this.storeRegion));
+	}
+
+	/**
+	 * A tree at one time.
+	 *
+	 * @param self this VM
+	 * @param others the other VMs
+	 * @param listed whether the platform's list shows this VM
+	 * @param tree tree with this VM
+	 * @param treeOfOthers tree without this VM
+	 */
+	record View(VmRecord self, List<VmRecord> others, boolean listed, DistributionTree tree,
+			DistributionTree treeOfOthers) {
+
+		/**
+		 * The VM that feeds this one. A VM that others do not know yet must not act as
+		 * the root, or each new VM of a burst would load from the store.
+		 */
+		Optional<VmRecord> parent(String chunk) {
+			Optional<VmRecord> parent = this.tree.parent(chunk, this.self);
+			if (parent.isPresent() || this.listed) {
+				return parent;
+			}
+			return this.others.stream().filter((vm) -> this.treeOfOthers.parent(chunk, vm).isEmpty()).findFirst();
+		}
+
+		List<VmRecord> children(String chunk) {
+			return this.tree.children(chunk, this.self);
+		}
+
+	}
+
+}
