--- /dev/null
+++ b/src/test/java/org/jaywood/agent/FakeObjectStore.java
@@ -0,0 +1,81 @@
+package org.jaywood.agent;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import org.jaywood.platform.ObjectPage;
+import org.jaywood.platform.ObjectStore;
+import org.jaywood.platform.PlatformException;
+import org.jaywood.platform.PlatformException.Kind;
+import org.jaywood.platform.StoredObject;
+
+/**
+ * Objects in memory. It can lose the reply to the next write after the write took effect.
+ */
+final class FakeObjectStore implements ObjectStore {
+
+	private final Map<String, StoredObject> objects = new HashMap<>();
+
+	private long version;
+
+	private boolean loseNextReply;
+
+	private boolean down;
+
+	void loseNextReply() {
+		this.loseNextReply = true;
+	}
+
+	void down(boolean value) {
+		this.down = value;
+	}
+
+	@Override
+	public CompletableFuture<StoredObject> get(String kind, String name) {
+		StoredObject object = this.objects.get(kind + "/" + name);
+		if (this.down) {
+			return CompletableFuture.failedFuture(new PlatformException(Kind.NO_ANSWER, "down"));
+		}
+		return (object != null) ? CompletableFuture.completedFuture(object)
+				: CompletableFuture.failedFuture(new PlatformException(Kind.NOT_FOUND, "no such object"));
+	}
+
+	@Override
+	public CompletableFuture<Long> create(String kind, String name, byte[] value) {
+		return write(kind, name, value, !this.objects.containsKey(kind + "/" + name));
+	}
+
+	@Override
+	public CompletableFuture<Long> update(String kind, String name, byte[] value, long expectedVersion) {
+		StoredObject object = this.objects.get(kind + "/" + name);
+		return write(kind, name, value, object != null && object.version() == expectedVersion);
+	}
+
+	private CompletableFuture<Long> write(String kind, String name, byte[] value, boolean holds) {
+		if (this.down) {
+			return CompletableFuture.failedFuture(new PlatformException(Kind.NO_ANSWER, "down"));
+		}
+		if (!holds) {
+			return CompletableFuture.failedFuture(new PlatformException(Kind.CONFLICT, "condition does not hold"));
+		}
+		this.version++;
+		this.objects.put(kind + "/" + name, new StoredObject(name, this.version, value, false));
+		if (this.loseNextReply) {
+			this.loseNextReply = false;
+			return CompletableFuture.failedFuture(new PlatformException(Kind.NO_ANSWER, "reply lost"));
+		}
+		return CompletableFuture.completedFuture(this.version);
+	}
+
+	@Override
+	public CompletableFuture<Void> delete(String kind, String name, long expectedVersion) {
+		throw new UnsupportedOperationException("no test deletes");
+	}
+
+	@Override
+	public CompletableFuture<ObjectPage> watch(String kind, long afterVersion, long waitMillis) {
+		throw new UnsupportedOperationException("no test watches");
+	}
+
+}
