Make the agent the authority on what its upstream receives

Cause: the agent admitted every call without a limit, kept no record of hand-overs, and sent answers without regard to the reader.

Change: admission counts calls and bytes against the engine's declared limits; ColdStartLimit bounds the load of an engine that turns cold between two replies by the number of calls whose reply head was not read yet; AttemptLedger refuses duplicates and fenced numbers and records refusals; finished plain answers are archived; streams are sent within granted credit and give up the engine while the router does not read. The engine stand-in has a cold start, memory, a prefix cache and crashes; the service stand-in delays, fails and drops replies.

--- a/src/main/java/org/jaywood/agent/Activation.java
+++ b/src/main/java/org/jaywood/agent/Activation.java
@@ -40,6 +40,13 @@
 		return this.servedWeights;
 	}
 
+	/**
+	 * Forgets what the engine served, so that the next activation loads it again.
+	 */
+	void invalidate() {
+		this.servedWeights = "";
+	}
+
 	synchronized void activate(AppliedConfiguration configuration) {
 		ServiceSpec spec = configuration.deployment().services().get(this.settings.service());
 		if (spec == null) {
--- a/src/main/java/org/jaywood/agent/Admission.java
+++ b/src/main/java/org/jaywood/agent/Admission.java
@@ -2,37 +2,134 @@
 
 import java.util.concurrent.TimeUnit;
 
+import org.jaywood.wire.LoadReport;
 import org.jaywood.wire.RefusalReason;
 
 /**
  * Decides what the upstream of this agent may receive. A call reaches the upstream only
- * with an admission, and each admission is released exactly once.
+ * with a {@link Ticket}, which is released exactly once. It counts calls and the bytes
+ * that they hold at the upstream. There is no queue: a call that finds no room is refused
+ * at once, so that its router can try another upstream.
  */
 public final class Admission {
 
+	private static final long FULL_RETRY_MILLIS = 100;
+
+	private static final long COLD_RETRY_MILLIS = 500;
+
+	private static final long NOT_READY_RETRY_MILLIS = 1_000;
+
+	private final ColdStartLimit limit = new ColdStartLimit();
+
 	private boolean open;
 
 	private boolean leaving;
 
+	private boolean engineClear;
+
 	private int inFlight;
 
+	private int unconfirmed;
+
+	private int lingering;
+
+	private long heldBytes;
+
+	private long limitBytes = Long.MAX_VALUE;
+
+	private String weights = "";
+
 	/**
 	 * Admits a call or refuses it.
+	 * @param requiredWeights digest of the weights that must serve it, empty for any
+	 * @param bytes memory that it may hold at the upstream
 	 * @throws AdmissionRefusal with the reason
 	 */
-	public synchronized void admit() {
+	synchronized Ticket admit(String requiredWeights, long bytes) {
 		if (this.leaving) {
 			throw new AdmissionRefusal(RefusalReason.DRAINING, 0);
 		}
-		if (!this.open) {
-			throw new AdmissionRefusal(RefusalReason.NOT_READY, 1_000);
+		return enter(requiredWeights, bytes);
+	}
+
+	/**
+	 * Lets a call in again that was admitted before and gave up its place. Unlike a new
+	 * call it may enter while the agent is leaving.
+	 */
+	synchronized Ticket readmit(String requiredWeights, long bytes, long timeoutMillis) throws InterruptedException {
+		long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
+		while (true) {
+			try {
+				return enter(requiredWeights, bytes);
+			}
+			catch (AdmissionRefusal refusal) {
+				long leftMillis = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
+				if (leftMillis <= 0 || refusal.reason() == RefusalReason.WRONG_WEIGHTS) {
+					throw refusal;
+				}
+				wait(leftMillis);
+			}
+		}
+	}
+
+	private Ticket enter(String requiredWeights, long bytes) {
+		if (!this.open || !this.engineClear) {
+			throw new AdmissionRefusal(RefusalReason.NOT_READY, NOT_READY_RETRY_MILLIS);
+		}
+		if (!requiredWeights.isEmpty() && !requiredWeights.equals(this.weights)) {
+			throw new AdmissionRefusal(RefusalReason.WRONG_WEIGHTS, 0);
+		}
+		if (this.inFlight + this.lingering >= this.limit.limit() || this.unconfirmed >= this.limit.unconfirmedLimit()) {
+			throw this.limit.cold() ? new AdmissionRefusal(RefusalReason.COLD_FULL, COLD_RETRY_MILLIS)
+					: new AdmissionRefusal(RefusalReason.FULL, FULL_RETRY_MILLIS);
+		}
+		if (this.heldBytes + bytes > this.limitBytes) {
+			throw new AdmissionRefusal(RefusalReason.MEMORY_FULL, FULL_RETRY_MILLIS);
 		}
 		this.inFlight++;
+		this.unconfirmed++;
+		this.heldBytes += bytes;
+		return new Ticket(bytes, this.limit.epoch());
+	}
+
+	/**
+	 * Takes fixed limits of an upstream that has no cold start and reports no state.
+	 */
+	synchronized void declarePlain(int maxConcurrency, long memoryBytes) {
+		this.limit.declare(maxConcurrency, maxConcurrency);
+		this.limit.onReply(this.limit.epoch(), "plain", true);
+		this.limit.onReply(this.limit.epoch(), "plain", true);
+		this.limitBytes = memoryBytes;
+		this.engineClear = true;
 	}
 
-	public synchronized void release() {
-		this.inFlight--;
+	/**
+	 * Takes a status of the engine.
+	 * @param askedEpoch epoch in which it was asked for
+	 * @param askedLingering calls that lingered when it was asked for
+	 * @param status the status
+	 * @return whether the limit was reset
+	 */
+	synchronized boolean observeStatus(long askedEpoch, int askedLingering, EngineStatus status) {
+		boolean sameInstance = status.instance().equals(this.limit.instance());
+		this.limit.declare(status.coldLimit(), status.maxConcurrency());
+		this.limitBytes = status.memoryLimitBytes();
+		this.weights = status.weights();
+		// Before the first admission, calls of the engine are those of a predecessor.
+		this.engineClear |= status.inFlight() == 0;
+		// Calls of the engine beyond the confirmed ones are taken for lingering ones.
+		int beyond = sameInstance ? Math.max(0, status.inFlight() - (this.inFlight - this.unconfirmed)) : 0;
+		this.lingering -= Math.max(0, Math.min(this.lingering, askedLingering) - beyond);
+		boolean reset = this.limit.onReply(askedEpoch, status.instance(), !status.cold());
 		notifyAll();
+		return reset;
+	}
+
+	/**
+	 * Takes an unanswered request for the engine's status.
+	 */
+	synchronized void observeNoStatus(long askedEpoch) {
+		this.limit.onConnectionLost(askedEpoch);
 	}
 
 	/**
@@ -40,6 +137,7 @@
 	 */
 	public synchronized void open() {
 		this.open = true;
+		notifyAll();
 	}
 
 	/**
@@ -50,7 +148,8 @@
 	}
 
 	/**
-	 * Refuses all new calls for good.
+	 * Refuses all new calls for good. Running ones may still give up their place and come
+	 * back.
 	 */
 	public synchronized void leave() {
 		this.leaving = true;
@@ -64,6 +163,23 @@
 		return this.inFlight;
 	}
 
+	synchronized int lingering() {
+		return this.lingering;
+	}
+
+	synchronized long epoch() {
+		return this.limit.epoch();
+	}
+
+	synchronized String instance() {
+		return this.limit.instance();
+	}
+
+	synchronized LoadReport load() {
+		return new LoadReport(this.inFlight + this.lingering, this.limit.limit(), this.limit.cold(), this.heldBytes,
+				this.limitBytes, this.open && this.engineClear && !this.leaving, this.weights);
+	}
+
 	/**
 	 * Waits until no call runs.
 	 * @param timeoutMillis longest wait
@@ -81,4 +197,105 @@
 		return true;
 	}
 
+	/**
+	 * Place of one admitted call at the upstream. Released exactly once; later releases
+	 * have no effect.
+	 */
+	final class Ticket {
+
+		private final long bytes;
+
+		private final long epoch;
+
+		private boolean awaitingHead = true;
+
+		private boolean held = true;
+
+		private Ticket(long bytes, long epoch) {
+			this.bytes = bytes;
+			this.epoch = epoch;
+		}
+
+		/**
+		 * Takes the head of the engine's reply.
+		 * @return whether the limit was reset
+		 */
+		boolean head(String instance, boolean warm, String served) {
+			synchronized (Admission.this) {
+				boolean reset = Admission.this.limit.onReply(this.epoch, instance, warm);
+				Admission.this.weights = served;
+				confirm();
+				return reset;
+			}
+		}
+
+		boolean gap(long gapMillis) {
+			synchronized (Admission.this) {
+				return Admission.this.limit.onGap(this.epoch, gapMillis);
+			}
+		}
+
+		/**
+		 * The upstream completed the call.
+		 */
+		void completed(double meanGapMillis) {
+			synchronized (Admission.this) {
+				if (this.held) {
+					Admission.this.limit.onCompleted(this.epoch, meanGapMillis);
+				}
+				release();
+			}
+		}
+
+		/**
+		 * The upstream refused the call.
+		 */
+		void refused(long nowMillis) {
+			synchronized (Admission.this) {
+				Admission.this.limit.onRefused(nowMillis);
+				release();
+			}
+		}
+
+		/**
+		 * The connection to the upstream broke.
+		 */
+		boolean lost() {
+			synchronized (Admission.this) {
+				boolean reset = Admission.this.limit.onConnectionLost(this.epoch);
+				linger();
+				return reset;
+			}
+		}
+
+		/**
+		 * The agent closed the connection to an engine. The engine notices later, so the
+		 * place stays taken until a status shows that it has.
+		 */
+		void linger() {
+			synchronized (Admission.this) {
+				Admission.this.lingering += this.held ? 1 : 0;
+				release();
+			}
+		}
+
+		void release() {
+			synchronized (Admission.this) {
+				if (this.held) {
+					this.held = false;
+					confirm();
+					Admission.this.inFlight--;
+					Admission.this.heldBytes -= this.bytes;
+					Admission.this.notifyAll();
+				}
+			}
+		}
+
+		private void confirm() {
+			Admission.this.unconfirmed -= this.awaitingHead ? 1 : 0;
+			this.awaitingHead = false;
+		}
+
+	}
+
 }
--- /dev/null
+++ b/src/main/java/org/jaywood/agent/AnswerArchive.java
@@ -0,0 +1,80 @@
+package org.jaywood.agent;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import org.jaywood.wire.Frame;
+
+/**
+ * Finished answers of plain services, kept for a while so that a router whose connection
+ * broke can still get them by a fence. Bounded by count, age and bytes; the oldest go
+ * first.
+ */
+final class AnswerArchive {
+
+	private final int maxAnswers;
+
+	private final long maxAgeMillis;
+
+	private final long maxBytes;
+
+	private final LinkedHashMap<Key, Answer> answers = new LinkedHashMap<>();
+
+	private long bytes;
+
+	AnswerArchive(int maxAnswers, long maxAgeMillis, long maxBytes) {
+		this.maxAnswers = maxAnswers;
+		this.maxAgeMillis = maxAgeMillis;
+		this.maxBytes = maxBytes;
+	}
+
+	/**
+	 * Keeps an answer unless it is larger than an eighth of the whole archive.
+	 */
+	synchronized void keep(String router, long attempt, Frame.Head head, byte[] body, long nowMillis) {
+		if (body.length > this.maxBytes / 8) {
+			return;
+		}
+		this.answers.put(new Key(router, attempt), new Answer(head, body, nowMillis));
+		this.bytes += body.length;
+		trim(nowMillis);
+	}
+
+	synchronized Optional<Answer> find(String router, long attempt, long nowMillis) {
+		trim(nowMillis);
+		return Optional.ofNullable(this.answers.get(new Key(router, attempt)));
+	}
+
+	synchronized long bytes() {
+		return this.bytes;
+	}
+
+	synchronized int count() {
+		return this.answers.size();
+	}
+
+	private void trim(long nowMillis) {
+		Iterator<Map.Entry<Key, Answer>> oldest = this.answers.entrySet().iterator();
+		while (oldest.hasNext()) {
+			Answer answer = oldest.next().getValue();
+			boolean tooOld = nowMillis - answer.keptAtMillis() > this.maxAgeMillis;
+			if (!tooOld && this.answers.size() <= this.maxAnswers && this.bytes <= this.maxBytes) {
+				return;
+			}
+			this.bytes -= answer.body().length;
+			oldest.remove();
+		}
+	}
+
+	private record Key(String router, long attempt) {
+	}
+
+	/**
+	 * An answer and the time since when it is kept.
+	 */
+	record Answer(Frame.Head head, byte[] body, long keptAtMillis) {
+	}
+
+}
--- a/src/main/java/org/jaywood/agent/CallHandler.java
+++ b/src/main/java/org/jaywood/agent/CallHandler.java
@@ -1,51 +1,53 @@
 package org.jaywood.agent;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStream;
-import java.io.InputStreamReader;
-import java.io.OutputStream;
-import java.net.http.HttpRequest;
-import java.net.http.HttpRequest.BodyPublishers;
-import java.net.http.HttpResponse;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.time.Duration;
-import java.util.Map;
-
-import com.fasterxml.jackson.databind.JsonNode;
-
-import org.jaywood.config.ConfigurationView;
-import org.jaywood.wire.Digests;
+import java.util.function.LongSupplier;
+
+import org.jaywood.event.Event;
+import org.jaywood.event.EventLog;
+import org.jaywood.wire.AbortedExchangeException;
 import org.jaywood.wire.Exchange;
-import org.jaywood.wire.Frame;
 import org.jaywood.wire.Headers;
 import org.jaywood.wire.HttpPort;
 import org.jaywood.wire.Json;
-import org.jaywood.wire.RefusalReason;
-import org.jaywood.wire.WireClient;
+import org.jaywood.wire.Refusal;
 
 /**
  * Takes calls handed over by routers, runs the admitted ones at the upstream and streams
- * the answers back.
+ * the answers back. A refusal is recorded in the ledger before it is answered, so that a
+ * later copy of the same hand-over cannot run after its router was told "not run".
  */
 final class CallHandler {
 
-	private static final int BODY_LIMIT_BYTES = 4 * 1024 * 1024;
+	private final Gate gate;
+
+	private final Admission admission;
 
-	private final AgentSettings settings;
+	private final AttemptLedger ledger;
 
-	private final ConfigurationView configuration;
+	private final RunningCalls calls;
 
-	private final Admission admission;
+	private final AgentMetrics metrics;
+
+	private final PlainRun plain;
+
+	private final ModelContext model;
+
+	private final EventLog log;
 
-	private final WireClient upstream;
+	private final LongSupplier clock;
 
-	CallHandler(AgentSettings settings, ConfigurationView configuration, Admission admission, WireClient upstream) {
-		this.settings = settings;
-		this.configuration = configuration;
+	CallHandler(Gate gate, Admission admission, AttemptLedger ledger, RunningCalls calls, PlainRun plain,
+			ModelContext model, EventLog log) {
+		this.gate = gate;
 		this.admission = admission;
-		this.upstream = upstream;
+		this.ledger = ledger;
+		this.calls = calls;
+		this.metrics = model.metrics();
+		this.plain = plain;
+		this.model = model;
+		this.log = log;
+		this.clock = model.clock();
 	}
 
 	void register(HttpPort port) {
@@ -53,85 +55,71 @@
 	}
 
 	private void handOver(Exchange exchange) throws IOException, InterruptedException {
-		byte[] body = exchange.body(BODY_LIMIT_BYTES);
+		CallRequest request = CallRequest.read(exchange, this.clock.getAsLong());
+		Admission.Ticket ticket;
 		try {
-			checkService(exchange);
-			this.admission.admit();
+			ticket = admit(request);
 		}
 		catch (AdmissionRefusal refusal) {
-			exchange.respondJson(503,
-					Map.of("refusal", refusal.reason(), "retryAfterMillis", refusal.retryAfterMillis()));
+			refuse(exchange, refusal);
 			return;
 		}
+		this.metrics.admitted();
+		RunningCall call = this.calls.add(request);
 		try {
-			if (exchange.header(Headers.METHOD) != null) {
-				runPlain(exchange, body);
-			}
-			else {
-				runModel(exchange, body);
-			}
+			exchange.setHeader(Headers.LOAD, Json.text(this.admission.load()));
+			run(exchange, call, ticket);
+		}
+		catch (AdmissionRefusal refusal) {
+			this.ledger.revoke(request.router(), request.attempt());
+			refuse(exchange, refusal);
+		}
+		catch (IOException ex) {
+			throw broken(request, ex);
 		}
 		finally {
-			this.admission.release();
+			ticket.release();
+			this.ledger.end(request.router(), request.attempt());
+			this.calls.remove(call);
 		}
 	}
 
-	private void checkService(Exchange exchange) {
-		if (!this.settings.service().equals(exchange.header(Headers.SERVICE))) {
-			throw new AdmissionRefusal(RefusalReason.UNKNOWN_SERVICE, 0);
-		}
-		if (!this.configuration.deployment().serves(this.settings.service(), this.settings.dataCentre())) {
-			throw new AdmissionRefusal(RefusalReason.DATA_CENTRE_OUT, 0);
+	private Admission.Ticket admit(CallRequest request) {
+		this.gate.checkIdentity(request);
+		if (!request.numbered()) {
+			return enter(request);
 		}
+		return this.ledger.handOver(request.router(), request.attempt(), () -> enter(request));
 	}
 
-	private void runPlain(Exchange exchange, byte[] body) throws IOException, InterruptedException {
-		HttpRequest request = this.upstream
-			.request(this.settings.upstreamAddress().uri(exchange.optionalHeader(Headers.PATH).orElse("/")),
-					Duration.ofMillis(exchange.headerLong(Headers.REMAINING_MILLIS, 10_000)))
-			.setHeader("Request-Id", exchange.optionalHeader(Headers.REQUEST_ID).orElse(""))
-			.method(exchange.optionalHeader(Headers.METHOD).orElse("GET"), BodyPublishers.ofByteArray(body))
-			.build();
-		HttpResponse<byte[]> reply = this.upstream.send(request);
-		OutputStream out = exchange.stream(200, "application/x-ndjson");
-		write(out, Frame.head(reply.statusCode(),
-				reply.headers().firstValue("Content-Type").orElse("application/octet-stream"), ""));
-		write(out, Frame.data(reply.body()));
-		write(out, Frame.end(reply.body().length, Digests.sha256(reply.body())));
-		out.close();
+	private Admission.Ticket enter(CallRequest request) {
+		this.gate.check(request, this.clock.getAsLong());
+		return this.admission.admit(request.requiredWeights(), request.heldBytes(this.model.settings().tokenBytes()));
 	}
 
-	private void runModel(Exchange exchange, byte[] body) throws IOException, InterruptedException {
-		HttpRequest request = this.upstream
-			.request(this.settings.upstreamAddress().uri("/v1/completions"),
-					Duration.ofMillis(exchange.headerLong(Headers.REMAINING_MILLIS, 60_000)))
-			.setHeader("Content-Type", "application/json")
-			.POST(BodyPublishers.ofByteArray(body))
-			.build();
-		HttpResponse<InputStream> reply = this.upstream.stream(request);
-		OutputStream out = exchange.stream(200, "application/x-ndjson");
-		write(out, Frame.head(reply.statusCode(), "application/x-ndjson",
-				reply.headers().firstValue("Engine-Weights").orElse("")));
-		MessageDigest digest = Digests.newSha256();
-		try (BufferedReader lines = new BufferedReader(new InputStreamReader(reply.body(), StandardCharsets.UTF_8))) {
-			for (String line = lines.readLine(); line != null; line = lines.readLine()) {
-				JsonNode token = Json.read(line, JsonNode.class);
-				if (token.path("end").asBoolean()) {
-					write(out, Frame.end(token.path("count").asLong(), Digests.hex(digest.digest())));
-					out.close();
-					return;
-				}
-				digest.update(token.path("text").asText().getBytes(StandardCharsets.UTF_8));
-				write(out, Frame.token(token.path("index").asInt(), token.path("text").asText()));
-			}
+	private void run(Exchange exchange, RunningCall call, Admission.Ticket ticket)
+			throws IOException, InterruptedException {
+		if (call.request().plain()) {
+			this.plain.run(exchange, call, ticket, this.clock.getAsLong());
 		}
-		throw exchange.abort("engine stream ended without its end marker");
+		else {
+			new ModelRun(this.model, exchange, call).run(ticket);
+		}
+	}
+
+	private AbortedExchangeException broken(CallRequest request, IOException cause) {
+		// The watchdog ends a blocked write by an interrupt, which has done its work
+		// here.
+		Thread.interrupted();
+		this.metrics.broken();
+		this.log.log(Event.CALL_BROKEN, "request", request.requestId(), "error", cause);
+		return new AbortedExchangeException(String.valueOf(cause.getMessage()));
 	}
 
-	private static void write(OutputStream out, Frame frame) throws IOException {
-		out.write(Json.bytes(frame));
-		out.write('\n');
-		out.flush();
+	private void refuse(Exchange exchange, AdmissionRefusal refusal) throws IOException {
+		this.metrics.refused(refusal.reason());
+		exchange.setHeader(Headers.LOAD, Json.text(this.admission.load()));
+		exchange.respondJson(503, new Refusal(refusal.reason(), refusal.retryAfterMillis()));
 	}
 
 }
--- /dev/null
+++ b/src/main/java/org/jaywood/agent/CallRequest.java
@@ -0,0 +1,91 @@
+package org.jaywood.agent;
+
+import java.io.IOException;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.jspecify.annotations.Nullable;
+
+import org.jaywood.wire.BadInputException;
+import org.jaywood.wire.Exchange;
+import org.jaywood.wire.Headers;
+import org.jaywood.wire.Json;
+
+/**
+ * A hand-over as read from its request.
+ *
+ * @param router incarnation of the router, empty if the call is not numbered
+ * @param attempt number of the hand-over, 0 if the call is not numbered
+ * @param expectedIncarnation incarnation of the agent that is meant, empty if not
+ * numbered
+ * @param requestId id of the call
+ * @param service service that is meant
+ * @param priority 0 (highest) to 9
+ * @param deadlineMillis time at which the call ends
+ * @param requiredWeights digest of the weights that must serve it, empty for any
+ * @param resumeFrom index of the first token wanted
+ * @param method method of a plain call, null for a model call
+ * @param path path of a plain call
+ * @param idempotencyKey key of a plain call, or null
+ * @param body the call's body
+ */
+record CallRequest(String router, long attempt, String expectedIncarnation, String requestId, String service,
+		int priority, long deadlineMillis, String requiredWeights, int resumeFrom, @Nullable String method, String path,
+		@Nullable String idempotencyKey, byte[] body) {
+
+	private static final int BODY_LIMIT_BYTES = 4 * 1024 * 1024;
+
+	private static final int DEFAULT_TOKENS = 16;
+
+	private static final long DEFAULT_MILLIS = 60_000;
+
+	static CallRequest read(Exchange exchange, long nowMillis) throws IOException {
+		long attempt = exchange.headerLong(Headers.ATTEMPT, 0);
+		String router = exchange.optionalHeader(Headers.INCARNATION).orElse("");
+		String expected = exchange.optionalHeader(Headers.EXPECTED_INCARNATION).orElse("");
+		if (attempt < 0 || (attempt > 0 && (router.isEmpty() || expected.isEmpty()))) {
+			throw new BadInputException(400, "a numbered hand-over names both incarnations");
+		}
+		return new CallRequest(router, attempt, expected, exchange.optionalHeader(Headers.REQUEST_ID).orElse(""),
+				exchange.optionalHeader(Headers.SERVICE).orElse(""),
+				(int) Math.clamp(exchange.headerLong(Headers.PRIORITY, 5), 0, 9),
+				nowMillis + Math.clamp(exchange.headerLong(Headers.REMAINING_MILLIS, DEFAULT_MILLIS), 0, 86_400_000),
+				exchange.optionalHeader(Headers.WEIGHTS).orElse(""),
+				(int) Math.clamp(exchange.headerLong(Headers.RESUME_FROM, 0), 0, Integer.MAX_VALUE),
+				exchange.header(Headers.METHOD), exchange.optionalHeader(Headers.PATH).orElse("/"),
+				exchange.header(Headers.IDEMPOTENCY_KEY), exchange.body(BODY_LIMIT_BYTES));
+	}
+
+	boolean numbered() {
+		return this.attempt > 0;
+	}
+
+	boolean plain() {
+		return this.method != null;
+	}
+
+	/**
+	 * Request to the engine from a token on.
+	 */
+	ObjectNode engineRequest(int from) {
+		JsonNode call = Json.tree(this.body);
+		if (!(call instanceof ObjectNode request)) {
+			throw new BadInputException(400, "body of a model call is not a JSON object");
+		}
+		return request.put("request_id", this.requestId).put("priority", this.priority).put("resume_from", from);
+	}
+
+	/**
+	 * Upper bound of the upstream's memory that this call takes.
+	 * @param tokenBytes memory of one token to be generated
+	 */
+	long heldBytes(long tokenBytes) {
+		if (plain()) {
+			return this.body.length;
+		}
+		JsonNode call = Json.tree(this.body);
+		long tokens = Math.max(0, call.path("max_tokens").asInt(DEFAULT_TOKENS));
+		return this.body.length + tokens * tokenBytes;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/agent/EngineMonitor.java
@@ -0,0 +1,92 @@
+package org.jaywood.agent;
+
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import org.jaywood.event.Event;
+import org.jaywood.event.EventLog;
+
+/**
+ * Asks an engine for its status at a steady interval, and at once after a reset of the
+ * limit. Replies to calls decide first; the status confirms that an engine is warm before
+ * its limit rises, and shows a new instance of an engine that has no calls.
+ */
+final class EngineMonitor implements Runnable {
+
+	private static final long INTERVAL_MILLIS = 250;
+
+	private final EngineClient engine;
+
+	private final Admission admission;
+
+	private final Supplier<String> expectedWeights;
+
+	private final Runnable onOtherWeights;
+
+	private final EventLog log;
+
+	private final BlockingQueue<Boolean> wake = new ArrayBlockingQueue<>(1);
+
+	private int mismatches;
+
+	EngineMonitor(EngineClient engine, Admission admission, Supplier<String> expectedWeights, Runnable onOtherWeights,
+			EventLog log) {
+		this.engine = engine;
+		this.admission = admission;
+		this.expectedWeights = expectedWeights;
+		this.onOtherWeights = onOtherWeights;
+		this.log = log;
+	}
+
+	/**
+	 * Notes a reset of the limit and asks for the status soon.
+	 */
+	void limitReset(String instance) {
+		this.log.log(Event.ENGINE_COLD, "instance", instance, "limit", this.admission.load().limit());
+		this.wake.offer(true);
+	}
+
+	@Override
+	public void run() {
+		try {
+			while (true) {
+				poll();
+				this.wake.poll(INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private void poll() throws InterruptedException {
+		long epoch = this.admission.epoch();
+		int lingering = this.admission.lingering();
+		try {
+			EngineStatus status = this.engine.status();
+			if (this.admission.observeStatus(epoch, lingering, status)) {
+				limitReset(status.instance());
+			}
+			compareWeights(status);
+		}
+		catch (RuntimeException ex) {
+			this.admission.observeNoStatus(epoch);
+			this.log.log(Event.TASK_FAILED, "task", "engine status", "error", ex);
+			TimeUnit.MILLISECONDS.sleep(INTERVAL_MILLIS);
+		}
+	}
+
+	// A single mismatch may be a status that was asked for before a load ended.
+	private void compareWeights(EngineStatus status) {
+		String expected = this.expectedWeights.get();
+		boolean differs = !expected.isEmpty() && !expected.equals(status.weights());
+		this.mismatches = differs ? this.mismatches + 1 : 0;
+		if (this.mismatches == 2) {
+			this.onOtherWeights.run();
+			this.mismatches = 0;
+		}
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/agent/Gate.java
@@ -0,0 +1,63 @@
+package org.jaywood.agent;
+
+import java.util.function.BooleanSupplier;
+
+import org.jaywood.config.ConfigurationView;
+import org.jaywood.wire.RefusalReason;
+
+/**
+ * Conditions of a call that do not depend on the load: who is meant, the time left and
+ * the configuration in force.
+ */
+final class Gate {
+
+	private static final long CONFIGURATION_RETRY_MILLIS = 1_000;
+
+	private final String incarnation;
+
+	private final String service;
+
+	private final String dataCentre;
+
+	private final ConfigurationView configuration;
+
+	private final BooleanSupplier isolated;
+
+	Gate(String incarnation, AgentSettings settings, ConfigurationView configuration, BooleanSupplier isolated) {
+		this.incarnation = incarnation;
+		this.service = settings.service();
+		this.dataCentre = settings.dataCentre();
+		this.configuration = configuration;
+		this.isolated = isolated;
+	}
+
+	/**
+	 * Refuses a call meant for another agent. Such a refusal holds forever, so the ledger
+	 * need not know it.
+	 */
+	void checkIdentity(CallRequest request) {
+		if (!this.service.equals(request.service())) {
+			throw new AdmissionRefusal(RefusalReason.UNKNOWN_SERVICE, 0);
+		}
+		String expected = request.expectedIncarnation();
+		if (!expected.isEmpty() && !expected.equals(this.incarnation)) {
+			throw new AdmissionRefusal(RefusalReason.OTHER_INCARNATION, 0);
+		}
+	}
+
+	/**
+	 * Refuses a call that may not run at present.
+	 */
+	void check(CallRequest request, long nowMillis) {
+		if (request.deadlineMillis() <= nowMillis) {
+			throw new AdmissionRefusal(RefusalReason.DEADLINE, 0);
+		}
+		if (!this.configuration.deployment().serves(this.service, this.dataCentre)) {
+			throw new AdmissionRefusal(RefusalReason.DATA_CENTRE_OUT, CONFIGURATION_RETRY_MILLIS);
+		}
+		if (this.isolated.getAsBoolean()) {
+			throw new AdmissionRefusal(RefusalReason.STALE_CONFIGURATION, CONFIGURATION_RETRY_MILLIS);
+		}
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/agent/ModelContext.java
@@ -0,0 +1,24 @@
+package org.jaywood.agent;
+
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+import org.jaywood.wire.Address;
+import org.jaywood.wire.WireClient;
+
+/**
+ * What all calls of one engine share.
+ *
+ * @param settings limits of calls
+ * @param engine address of the engine
+ * @param client client of the engine
+ * @param admission admission to the engine
+ * @param metrics counters
+ * @param expectedWeights digest of the weights that were activated
+ * @param onReset called after a reply reset the limit
+ * @param onWrongWeights called after a reply named other weights than expected
+ * @param clock present time in milliseconds
+ */
+record ModelContext(CallSettings settings, Address engine, WireClient client, Admission admission, AgentMetrics metrics,
+		Supplier<String> expectedWeights, Runnable onReset, Runnable onWrongWeights, LongSupplier clock) {
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/agent/OutgoingStream.java
@@ -0,0 +1,135 @@
+package org.jaywood.agent;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.util.concurrent.TimeUnit;
+
+import org.jaywood.wire.CreditGrant;
+import org.jaywood.wire.Frame;
+import org.jaywood.wire.Json;
+
+/**
+ * Frames of one answer on their way to a router. It never sends more bytes than the
+ * router granted, and a write that blocks for longer than its limit is ended by
+ * interrupting the writer, which cuts the connection.
+ */
+final class OutgoingStream {
+
+	private final OutputStream out;
+
+	private long grantedBytes = CreditGrant.INITIAL_BYTES;
+
+	private long sentBytes;
+
+	private boolean cancelled;
+
+	private long writeStartNanos;
+
+	private Thread writer = Thread.currentThread();
+
+	OutgoingStream(OutputStream out) {
+		this.out = out;
+	}
+
+	/**
+	 * Takes a grant; an older or repeated one has no effect.
+	 */
+	synchronized void grant(long totalBytes) {
+		this.grantedBytes = Math.max(this.grantedBytes, totalBytes);
+		notifyAll();
+	}
+
+	synchronized void cancel() {
+		this.cancelled = true;
+		notifyAll();
+	}
+
+	static byte[] encode(Frame frame) {
+		byte[] json = Json.bytes(frame);
+		byte[] line = new byte[json.length + 1];
+		System.arraycopy(json, 0, line, 0, json.length);
+		line[json.length] = '\n';
+		return line;
+	}
+
+	/**
+	 * Waits until a line may be sent.
+	 * @return whether there is credit for it
+	 * @throws IOException if the call is cancelled or the line exceeds any credit window
+	 */
+	synchronized boolean awaitCredit(int bytes, long timeoutMillis) throws IOException, InterruptedException {
+		if (bytes > CreditGrant.INITIAL_BYTES) {
+			throw new IOException("frame of " + bytes + " bytes exceeds the credit window");
+		}
+		long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
+		while (!this.cancelled && this.sentBytes + bytes > this.grantedBytes) {
+			long leftMillis = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
+			if (leftMillis <= 0) {
+				return false;
+			}
+			wait(leftMillis);
+		}
+		if (this.cancelled) {
+			throw new IOException("call is cancelled");
+		}
+		return true;
+	}
+
+	/**
+	 * Sends a line for which there is credit.
+	 */
+	void send(byte[] line) throws IOException {
+		begin(line.length);
+		try {
+			this.out.write(line);
+			this.out.flush();
+		}
+		finally {
+			end();
+		}
+	}
+
+	/**
+	 * Ends the answer cleanly, after its end marker.
+	 */
+	void finish() throws IOException {
+		begin(0);
+		try {
+			this.out.close();
+		}
+		finally {
+			end();
+		}
+	}
+
+	private synchronized void begin(int bytes) throws IOException {
+		if (this.cancelled) {
+			throw new IOException("call is cancelled");
+		}
+		this.sentBytes += bytes;
+		this.writer = Thread.currentThread();
+		this.writeStartNanos = System.nanoTime();
+	}
+
+	private synchronized void end() {
+		this.writeStartNanos = 0;
+	}
+
+	/**
+	 * Interrupts the writer if its present write lasts too long.
+	 * @return whether it did
+	 */
+	synchronized boolean endBlockedWrite(long nowNanos, long limitMillis) {
+		if (this.writeStartNanos == 0 || nowNanos - this.writeStartNanos < TimeUnit.MILLISECONDS.toNanos(limitMillis)) {
+			return false;
+		}
+		this.writer.interrupt();
+		this.writeStartNanos = 0;
+		return true;
+	}
+
+	synchronized long sentBytes() {
+		return this.sentBytes;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/agent/RunningCall.java
@@ -0,0 +1,80 @@
+package org.jaywood.agent;
+
+import java.io.Closeable;
+import java.io.IOException;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A call in progress, as others reach it: grants, cancellation and the watchdog.
+ */
+final class RunningCall {
+
+	private final CallRequest request;
+
+	private @Nullable OutgoingStream stream;
+
+	private @Nullable Closeable upstream;
+
+	private boolean cancelled;
+
+	RunningCall(CallRequest request) {
+		this.request = request;
+	}
+
+	CallRequest request() {
+		return this.request;
+	}
+
+	synchronized void attach(OutgoingStream outgoing) {
+		this.stream = outgoing;
+		if (this.cancelled) {
+			outgoing.cancel();
+		}
+	}
+
+	/**
+	 * Names what must be closed to cancel the call at its upstream.
+	 */
+	synchronized void attachUpstream(@Nullable Closeable connection) throws IOException {
+		this.upstream = connection;
+		if (this.cancelled) {
+			closeUpstream();
+			throw new IOException("call is cancelled");
+		}
+	}
+
+	synchronized void grant(long totalBytes) {
+		if (this.stream != null) {
+			this.stream.grant(totalBytes);
+		}
+	}
+
+	synchronized void cancel() {
+		this.cancelled = true;
+		if (this.stream != null) {
+			this.stream.cancel();
+		}
+		closeUpstream();
+	}
+
+	synchronized boolean cancelled() {
+		return this.cancelled;
+	}
+
+	synchronized boolean endBlockedWrite(long nowNanos, long limitMillis) {
+		return this.stream != null && this.stream.endBlockedWrite(nowNanos, limitMillis);
+	}
+
+	private void closeUpstream() {
+		try {
+			if (this.upstream != null) {
+				this.upstream.close();
+			}
+		}
+		catch (IOException ex) {
+			// The connection is gone, which is what closing is for.
+		}
+	}
+
+}
--- a/src/main/java/org/jaywood/cli/AgentCommand.java
+++ b/src/main/java/org/jaywood/cli/AgentCommand.java
@@ -6,6 +6,7 @@
 
 import org.jaywood.agent.Agent;
 import org.jaywood.agent.AgentSettings;
+import org.jaywood.agent.CallSettings;
 import org.jaywood.event.EventLog;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Credential;
@@ -34,6 +35,16 @@
 	@Parameter(names = "--store-region", description = "Region of the weight store, if known")
 	private String storeRegion = "";
 
+	@Parameter(names = "--stall-millis",
+			description = "Time without credit after which a stream gives up its engine, in milliseconds")
+	private long stallMillis = CallSettings.DEFAULT.stallMillis();
+
+	@Parameter(names = "--write-timeout-millis", description = "Longest time of one write to a router in milliseconds")
+	private long writeTimeoutMillis = CallSettings.DEFAULT.writeTimeoutMillis();
+
+	@Parameter(names = "--token-bytes", description = "Memory that the engine needs for one token, in bytes")
+	private long tokenBytes = CallSettings.DEFAULT.tokenBytes();
+
 	@Override
 	public String name() {
 		return "agent";
@@ -44,9 +55,15 @@
 		AgentSettings settings = new AgentSettings(this.node.vm, this.node.region, this.node.dataCentre, this.service,
 				this.node.listen, this.node.advertised(), this.node.operator, this.upstream, this.node.platform,
 				this.store, this.storeRegion, Credential.parse(this.node.credential), this.node.drainMillis);
-		Agent agent = new Agent(settings, new EventLog(this.node.vm));
+		Agent agent = new Agent(settings, callSettings(), new EventLog(this.node.vm));
 		agent.start();
 		return Daemon.runUntilTerminated(agent::drain);
 	}
 
+	private CallSettings callSettings() {
+		CallSettings defaults = CallSettings.DEFAULT;
+		return new CallSettings(this.tokenBytes, this.stallMillis, defaults.resumeWaitMillis(), this.writeTimeoutMillis,
+				defaults.plainConcurrency(), defaults.plainMemoryBytes(), defaults.plainBodyBytes());
+	}
+
 }
--- a/src/main/java/org/jaywood/cli/StandinCommand.java
+++ b/src/main/java/org/jaywood/cli/StandinCommand.java
@@ -9,6 +9,7 @@
 
 import org.jaywood.event.Event;
 import org.jaywood.event.EventLog;
+import org.jaywood.standin.EngineOptions;
 import org.jaywood.standin.EngineStandin;
 import org.jaywood.standin.PlatformStandin;
 import org.jaywood.standin.ServiceStandin;
@@ -30,7 +31,19 @@
 	private Address listen;
 
 	@Parameter(names = "--token-millis", description = "Time of an engine for each token in milliseconds")
-	private long tokenMillis = 5;
+	private long tokenMillis = EngineOptions.DEFAULT.tokenMillis();
+
+	@Parameter(names = "--cold-limit", description = "Calls that a cold engine can hold")
+	private int coldLimit = EngineOptions.DEFAULT.coldLimit();
+
+	@Parameter(names = "--max-concurrency", description = "Calls that a warm engine can hold")
+	private int maxConcurrency = EngineOptions.DEFAULT.maxConcurrency();
+
+	@Parameter(names = "--memory-bytes", description = "Memory of an engine for its calls in bytes")
+	private long memoryBytes = EngineOptions.DEFAULT.memoryBytes();
+
+	@Parameter(names = "--warm-after", description = "Calls that a cold engine must complete to become warm")
+	private int warmAfter = EngineOptions.DEFAULT.warmAfter();
 
 	@Override
 	public String name() {
@@ -44,7 +57,8 @@
 		AutoCloseable standin = switch (name) {
 			case "platform" -> new PlatformStandin(this.listen, log);
 			case "store" -> new StoreStandin(this.listen, log);
-			case "engine" -> new EngineStandin(this.listen, this.tokenMillis, log);
+			case "engine" -> new EngineStandin(this.listen, new EngineOptions(this.tokenMillis, this.coldLimit,
+					this.maxConcurrency, this.memoryBytes, this.warmAfter), log);
 			case "service" -> new ServiceStandin(this.listen, log);
 			default -> throw new ParameterException(
 					"stand-in '" + name + "' is not allowed: expected platform, store, engine or service");
--- a/src/main/java/org/jaywood/event/Event.java
+++ b/src/main/java/org/jaywood/event/Event.java
@@ -57,6 +57,15 @@
 	/** The engine turned cold. */
 	ENGINE_COLD(1403, Level.WARNING, "engine instance {instance} is cold; limit set to {limit}"),
 
+	/** An admitted call ended without its whole answer. */
+	CALL_BROKEN(1501, Level.WARNING, "call {request} ended without its whole answer: {error}"),
+
+	/** Calls exceeded their deadline or a write to their router blocked. */
+	CALLS_ENDED_BY_WATCHDOG(1502, Level.WARNING, "watchdog ended {count} calls"),
+
+	/** The engine names other weights than those that were activated. */
+	ENGINE_OTHER_WEIGHTS(1503, Level.WARNING, "engine serves other weights than {expected}; admission closed"),
+
 	/** A stand-in is ready. */
 	STANDIN_STARTED(1901, Level.INFO, "stand-in {kind} listens on {address}");
 
--- a/src/main/java/org/jaywood/standin/EngineStandin.java
+++ b/src/main/java/org/jaywood/standin/EngineStandin.java
@@ -3,9 +3,8 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.util.Map;
-import java.util.UUID;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 
 import com.fasterxml.jackson.databind.JsonNode;
 
@@ -17,27 +16,29 @@
 
 /**
  * Stand-in of a model engine. It records what it served and under which load, so that a
- * test can compare this with what callers were told.
+ * test can compare this with what callers were told. It sends the head of a reply when it
+ * accepts the call. It notices that a connection was closed when it writes a token.
  */
 public final class EngineStandin implements AutoCloseable {
 
 	private static final int BODY_LIMIT_BYTES = 4 * 1024 * 1024;
 
-	private final String instance = UUID.randomUUID().toString();
+	/** Characters of an uncached prompt that are processed in a millisecond. */
+	private static final int PREFILL_CHARS_PER_MILLI = 256;
 
-	private final AtomicInteger inFlight = new AtomicInteger();
+	private final EngineState state;
 
 	private final HttpPort port;
 
-	private final long tokenMillis;
+	private final EngineWeights weights;
 
-	private final EngineWeights weights = new EngineWeights(() -> {
-	});
-
-	public EngineStandin(Address address, long tokenMillis, EventLog log) {
-		this.tokenMillis = tokenMillis;
+	public EngineStandin(Address address, EngineOptions options, EventLog log) {
+		this.state = new EngineState(options);
+		this.weights = new EngineWeights(this.state::turnCold);
 		this.port = HttpPort.open(address, log)
 			.route("GET", "/status", (exchange) -> exchange.respondJson(200, status()))
+			.route("GET", "/record", (exchange) -> exchange.respondJson(200, this.state.record()))
+			.route("POST", "/control", this::control)
 			.route("POST", "/v1/completions", this::complete);
 		this.weights.register(this.port, this);
 		this.port.start();
@@ -51,29 +52,67 @@
 	 * Status as the engine reports it.
 	 */
 	Map<String, Object> status() {
-		return Map.of("instance", this.instance, "state", "warm", "weights", this.weights.digest(), "fencing",
-				this.weights.fencing(), "inFlight", this.inFlight.get(), "memoryBytes", 0, "memoryLimitBytes", 1 << 30,
-				"coldLimit", 2, "maxConcurrency", 64);
+		return this.state.status(this.weights.digest(), this.weights.fencing());
+	}
+
+	private void control(Exchange exchange) throws IOException {
+		JsonNode order = exchange.json(JsonNode.class, BODY_LIMIT_BYTES);
+		if (order.path("newInstance").asBoolean()) {
+			this.state.restart();
+		}
+		else if (order.path("cold").asBoolean()) {
+			this.state.turnCold();
+		}
+		exchange.respondJson(200, status());
 	}
 
 	private void complete(Exchange exchange) throws IOException, InterruptedException {
 		JsonNode request = exchange.json(JsonNode.class, BODY_LIMIT_BYTES);
-		String prompt = request.path("prompt").asText();
-		int count = request.path("max_tokens").asInt(16);
 		String served = this.weights.digest();
-		exchange.setHeader("Engine-Instance", this.instance);
-		exchange.setHeader("Engine-State", "warm");
+		String before = this.state.instance();
+		Optional<EngineState.Call> accepted = this.state.accept(request.path("request_id").asText(),
+				request.path("prompt").asText(), request.path("resume_from").asInt(0), System.currentTimeMillis());
 		exchange.setHeader("Engine-Weights", served);
-		this.inFlight.incrementAndGet();
-		try (OutputStream out = exchange.stream(200, "application/x-ndjson")) {
+		if (accepted.isEmpty()) {
+			if (!before.equals(this.state.instance())) {
+				throw exchange.abort("engine crashed");
+			}
+			exchange.setHeader("Engine-Instance", before);
+			exchange.setHeader("Engine-State", this.state.name());
+			exchange.respondError(503, "engine is full");
+			return;
+		}
+		exchange.setHeader("Engine-Instance", accepted.get().acceptedBy());
+		exchange.setHeader("Engine-State", accepted.get().acceptedState());
+		run(exchange, request, served, accepted.get());
+	}
+
+	private void run(Exchange exchange, JsonNode request, String served, EngineState.Call call)
+			throws IOException, InterruptedException {
+		boolean completed = false;
+		try {
+			OutputStream out = exchange.stream(200, "application/x-ndjson");
+			out.flush();
+			int count = request.path("max_tokens").asInt(16);
+			String prompt = request.path("prompt").asText();
+			TimeUnit.MILLISECONDS.sleep(call.cached() ? 0 : prompt.length() / PREFILL_CHARS_PER_MILLI);
 			for (int index = request.path("resume_from").asInt(0); index < count; index++) {
-				TimeUnit.MILLISECONDS.sleep(this.tokenMillis);
+				TimeUnit.MILLISECONDS.sleep(this.state.tokenMillis(request.path("priority").asInt(5)));
+				if (!call.grow()) {
+					throw exchange.abort("engine crashed");
+				}
 				writeLine(out, Map.of("index", index, "text", TokenFunction.token(served, prompt, index)));
 			}
+			// The place is free before the client can see the end marker.
+			completed = true;
+			call.end(true);
 			writeLine(out, Map.of("end", true, "count", count));
+			out.close();
 		}
 		finally {
-			this.inFlight.decrementAndGet();
+			if (!completed) {
+				call.end(false);
+			}
 		}
 	}
 
--- a/src/main/java/org/jaywood/standin/ServiceStandin.java
+++ b/src/main/java/org/jaywood/standin/ServiceStandin.java
@@ -4,14 +4,21 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
 
 import org.jaywood.event.EventLog;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Exchange;
+import org.jaywood.wire.Headers;
 import org.jaywood.wire.HttpPort;
+import org.jaywood.wire.Json;
 
 /**
- * Stand-in of a plain service. It records each call that it ran.
+ * Stand-in of a plain service. It records each call that it ran. {@code POST /control}
+ * sets a delay, a status to fail with, a size of the answers and whether replies are
+ * dropped after the call ran.
  */
 public final class ServiceStandin implements AutoCloseable {
 
@@ -19,11 +26,18 @@
 
 	private final List<String> runs = new CopyOnWriteArrayList<>();
 
+	private final List<String> keys = new CopyOnWriteArrayList<>();
+
 	private final HttpPort port;
 
+	private volatile Faults faults = new Faults(0, 0, 0, false);
+
+	private volatile long lastArrivalMillis;
+
 	public ServiceStandin(Address address, EventLog log) {
 		this.port = HttpPort.open(address, log)
-			.route("GET", "/record", (exchange) -> exchange.respondJson(200, Map.of("runs", this.runs)))
+			.route("GET", "/record", this::record)
+			.route("POST", "/control", this::control)
 			.route("*", "/", this::run)
 			.start();
 	}
@@ -32,11 +46,38 @@
 		return this.port.address();
 	}
 
-	private void run(Exchange exchange) throws IOException {
+	private void record(Exchange exchange) throws IOException {
+		exchange.respondJson(200,
+				Map.of("runs", this.runs, "keys", this.keys, "lastArrivalMillis", this.lastArrivalMillis));
+	}
+
+	private void control(Exchange exchange) throws IOException {
+		JsonNode order = exchange.json(JsonNode.class, BODY_LIMIT_BYTES);
+		this.faults = new Faults(order.path("delayMillis").asLong(), order.path("failStatus").asInt(),
+				order.path("answerBytes").asInt(), order.path("dropReply").asBoolean());
+		exchange.respondJson(200, Map.of());
+	}
+
+	private void run(Exchange exchange) throws IOException, InterruptedException {
 		byte[] body = exchange.body(BODY_LIMIT_BYTES);
+		Faults present = this.faults;
+		this.lastArrivalMillis = System.currentTimeMillis();
 		this.runs.add(exchange.optionalHeader("Request-Id").orElse(""));
-		exchange.respondJson(200, Map.of("method", exchange.method(), "path", exchange.target(), "bytes", body.length,
-				"run", this.runs.size()));
+		exchange.optionalHeader(Headers.IDEMPOTENCY_KEY).ifPresent(this.keys::add);
+		TimeUnit.MILLISECONDS.sleep(present.delayMillis());
+		if (present.dropReply()) {
+			throw exchange.abort("reply is dropped");
+		}
+		if (present.failStatus() > 0) {
+			exchange.respondError(present.failStatus(), "fails on order");
+			return;
+		}
+		if (present.answerBytes() > 0) {
+			exchange.respond(200, "application/octet-stream", new byte[present.answerBytes()]);
+			return;
+		}
+		exchange.respond(200, "application/json", Json.bytes(Map.of("method", exchange.method(), "path",
+				exchange.target(), "bytes", body.length, "run", this.runs.size())));
 	}
 
 	@Override
@@ -44,4 +85,7 @@
 		this.port.close();
 	}
 
+	private record Faults(long delayMillis, int failStatus, int answerBytes, boolean dropReply) {
+	}
+
 }
--- /dev/null
+++ b/src/test/java/org/jaywood/agent/AttemptLedgerTests.java
@@ -0,0 +1,133 @@
+package org.jaywood.agent;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.Tuple;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.wire.FenceReply;
+import org.jaywood.wire.RefusalReason;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against an attempt that runs twice, or runs after its router was told that it
+ * never will.
+ */
+class AttemptLedgerTests {
+
+	@Property
+	void neverAdmitsTwiceNorAfterNotRun(@ForAll("steps") List<Step> steps) {
+		AttemptLedger ledger = new AttemptLedger(3, 4);
+		Set<String> admitted = new HashSet<>();
+		Set<String> notRun = new HashSet<>();
+		for (Step step : steps) {
+			String key = step.router() + "/" + step.attempt();
+			switch (step.action()) {
+				case HAND_OVER -> handOver(ledger, step, key, admitted, notRun);
+				case FENCE -> {
+					FenceReply.State state = ledger.fence(step.router(), step.attempt());
+					if (state == FenceReply.State.NEVER_ADMITTED) {
+						assertThat(admitted).doesNotContain(key);
+						notRun.add(key);
+					}
+				}
+				case END -> ledger.end(step.router(), step.attempt());
+			}
+		}
+	}
+
+	private static void handOver(AttemptLedger ledger, Step step, String key, Set<String> admitted,
+			Set<String> notRun) {
+		try {
+			ledger.handOver(step.router(), step.attempt(), () -> {
+				if (step.full()) {
+					throw new AdmissionRefusal(RefusalReason.FULL, 0);
+				}
+				return "";
+			});
+			assertThat(admitted.add(key)).isTrue();
+			assertThat(notRun).doesNotContain(key);
+		}
+		catch (AdmissionRefusal refusal) {
+			if (refusal.reason() != RefusalReason.DUPLICATE) {
+				assertThat(admitted).doesNotContain(key);
+				notRun.add(key);
+			}
+		}
+	}
+
+	@Provide
+	Arbitrary<List<Step>> steps() {
+		Arbitrary<Long> attempts = Arbitraries.frequencyOf(Tuple.of(8, Arbitraries.longs().between(1, 12)),
+				Tuple.of(1, Arbitraries.longs().between(4_090, 4_112)),
+				Tuple.of(1, Arbitraries.longs().between(8_190, 8_200)));
+		return Combinators
+			.combine(Arbitraries.of(Action.class), Arbitraries.of("a", "b", "c", "d", "e", "f", "g", "h"), attempts,
+					Arbitraries.of(false, false, false, true))
+			.as(Step::new)
+			.list()
+			.ofMaxSize(200);
+	}
+
+	private enum Action {
+
+		HAND_OVER, FENCE, END
+
+	}
+
+	private record Step(Action action, String router, long attempt, boolean full) {
+	}
+
+	@Nested
+	class Fence {
+
+		private final AttemptLedger ledger = new AttemptLedger();
+
+		@Test
+		void voidsLowerNumbersThatDidNotArrive() {
+			assertThat(this.ledger.fence("r", 5)).isEqualTo(FenceReply.State.NEVER_ADMITTED);
+			assertThat(refusal(3)).isEqualTo(RefusalReason.FENCED);
+			assertThat(this.ledger.handOver("r", 6, () -> "admitted")).isEqualTo("admitted");
+		}
+
+		@Test
+		void tellsRunningFromEnded() {
+			this.ledger.handOver("r", 1, () -> "");
+			assertThat(this.ledger.fence("r", 1)).isEqualTo(FenceReply.State.RUNNING);
+			this.ledger.end("r", 1);
+			assertThat(this.ledger.fence("r", 1)).isEqualTo(FenceReply.State.FORGOTTEN);
+			assertThat(refusal(1)).isEqualTo(RefusalReason.DUPLICATE);
+		}
+
+		@Test
+		void doesNotClaimNotRunForForgottenNumbers() {
+			this.ledger.handOver("r", 1, () -> "");
+			this.ledger.end("r", 1);
+			this.ledger.handOver("r", 1 + AttemptLedger.WINDOW, () -> "");
+			assertThat(this.ledger.fence("r", 1)).isEqualTo(FenceReply.State.FORGOTTEN);
+			assertThat(refusal(1)).isEqualTo(RefusalReason.DUPLICATE);
+		}
+
+		private RefusalReason refusal(long attempt) {
+			try {
+				this.ledger.handOver("r", attempt, () -> "");
+			}
+			catch (AdmissionRefusal refusal) {
+				return refusal.reason();
+			}
+			throw new AssertionError("attempt " + attempt + " was admitted");
+		}
+
+	}
+
+}
