--- a/src/main/java/org/jaywood/agent/Agent.java
+++ b/src/main/java/org/jaywood/agent/Agent.java
@@ -1,14 +1,18 @@
 package org.jaywood.agent;
 
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 
+import org.jaywood.config.AppliedConfiguration;
+import org.jaywood.config.ServiceKind;
 import org.jaywood.event.Event;
 import org.jaywood.event.EventLog;
 import org.jaywood.peer.PeerNode;
@@ -16,7 +20,6 @@
 import org.jaywood.platform.VmRecord;
 import org.jaywood.platform.VmState;
 import org.jaywood.weights.ChunkExchange;
-import org.jaywood.weights.ExchangeState;
 import org.jaywood.weights.WeightSettings;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.HttpPort;
@@ -28,14 +31,32 @@
  */
 public final class Agent implements AutoCloseable {
 
-	private final AgentSettings settings;
+	private static final long WATCH_INTERVAL_MILLIS = 100;
+
+	/** Two rounds of probes, so that peers learn of the leave from the agent itself. */
+	private static final long ANNOUNCE_MILLIS = 2_000;
+
+	/** Time for the last replies after the deadline of the last call. */
+	private static final long DRAIN_MARGIN_MILLIS = 500;
+
+	private static final LongSupplier CLOCK = System::currentTimeMillis;
 
 	private final EventLog log;
 
+	private final AgentSettings settings;
+
+	private final CallSettings callSettings;
+
 	private final PeerNode peer;
 
 	private final Admission admission = new Admission();
 
+	private final AttemptLedger ledger = new AttemptLedger();
+
+	private final AnswerArchive archive = new AnswerArchive(256, 60_000, 8 * 1024 * 1024);
+
+	private final RunningCalls calls = new RunningCalls();
+
 	private final HttpPort enginePort;
 
 	private final ChunkExchange exchange;
@@ -44,26 +65,51 @@
 
 	private final Activation activation;
 
+	private final EngineMonitor monitor;
+
+	private final AtomicBoolean monitoring = new AtomicBoolean();
+
 	private final ExecutorService tasks = Executors.newVirtualThreadPerTaskExecutor();
 
-	public Agent(AgentSettings settings, EventLog log) {
+	public Agent(AgentSettings settings, CallSettings callSettings, EventLog log) {
 		this.settings = settings;
+		this.callSettings = callSettings;
 		this.log = log;
 		ProcessIdentity identity = new ProcessIdentity("agent", settings.vm(), settings.region(), settings.dataCentre(),
 				UUID.randomUUID().toString(), settings.advertisedAddress());
 		this.peer = new PeerNode(identity, settings.listenAddress(), settings.platformAddress(), settings.credential(),
 				log, this.admission::leaving, settings.operatorAddress());
 		WireClient upstream = WireClient.plain(settings.listenAddress().host());
+		EngineClient engine = new EngineClient(upstream, settings.upstreamAddress());
 		this.enginePort = HttpPort.open(new Address(settings.listenAddress().host(), 0), log);
 		this.exchange = exchange();
 		this.exchange.register(this.peer.port(), this.enginePort, settings.upstreamAddress().host());
 		this.slot = new SlotHolder(new ActivationSlots(this.peer.platform(), settings.service(), identity.incarnation(),
 				settings.leaseMillis()), settings.leaseMillis() / 3, log);
-		this.activation = activation(identity, upstream);
-		new CallHandler(settings, this.peer.configuration(), this.admission, upstream).register(this.peer.port());
+		this.activation = activation(identity, engine);
+		this.monitor = new EngineMonitor(engine, this.admission, this.activation::observe, log);
+		registerHandlers(upstream);
+		AgentDump dump = new AgentDump(this.peer, this.admission, this.calls, this.ledger, this.archive,
+				this.activation, this.exchange);
 		this.peer.operatorPort(settings.operatorAddress())
-			.route("GET", "/state", (exchange) -> exchange.respondJson(200, state()));
-		this.peer.configuration().onChange((configuration) -> this.activation.wake());
+			.route("GET", "/state", (request) -> request.respondJson(200, dump.values()));
+		this.peer.configuration().onChange(this::configurationChanged);
+	}
+
+	private void registerHandlers(WireClient upstream) {
+		String incarnation = this.peer.identity().incarnation();
+		AgentMetrics metrics = new AgentMetrics(this.admission, this.peer.metrics());
+		Gate gate = new Gate(incarnation, this.settings, this.peer.configuration(),
+				() -> this.peer.isolated(CLOCK.getAsLong()));
+		ModelContext model = new ModelContext(this.callSettings, this.settings.upstreamAddress(), upstream,
+				this.admission, metrics, () -> this.activation.state().servedWeights(),
+				() -> this.monitor.limitReset(this.admission.instance()), this.activation::observe, CLOCK);
+		PlainRun plain = new PlainRun(this.callSettings, this.settings.upstreamAddress(), upstream, this.archive,
+				this.ledger);
+		new CallHandler(gate, this.admission, this.ledger, this.calls, plain, model, this.log)
+			.register(this.peer.port());
+		new CallControl(incarnation, this.admission, this.ledger, this.archive, this.calls, metrics, CLOCK)
+			.register(this.peer.port());
 	}
 
 	private ChunkExchange exchange() {
@@ -75,10 +121,9 @@
 				WireClient.plain(this.settings.listenAddress().host()), this.log);
 	}
 
-	private Activation activation(ProcessIdentity identity, WireClient upstream) {
+	private Activation activation(ProcessIdentity identity, EngineClient engine) {
 		EngineLease lease = new EngineLease(this.peer.platform(), this.settings.vm(), identity.incarnation(),
 				this.settings.leaseMillis(), Activation.ORDER_TIMEOUT.toMillis());
-		EngineClient engine = new EngineClient(upstream, this.settings.upstreamAddress());
 		return new Activation(this.settings, this.peer.configuration()::current,
 				new Activation.Parts(this.admission, engine, this.exchange, lease, this.slot,
 						this.enginePort.address()),
@@ -106,6 +151,16 @@
 			.toList();
 	}
 
+	public void start() {
+		this.enginePort.start();
+		this.exchange.start();
+		run(this::watchCalls);
+		this.peer.start();
+		run(this.activation::run);
+		run(this.slot::run);
+		this.log.log(Event.PROCESS_STARTED, "role", "agent", "address", this.settings.listenAddress());
+	}
+
 	private void run(Task task) {
 		this.tasks.execute(() -> {
 			try {
@@ -117,46 +172,41 @@
 		});
 	}
 
-	public void start() {
-		this.peer.start();
-		this.enginePort.start();
-		this.exchange.start();
-		run(this.activation::run);
-		run(this.slot::run);
-		this.log.log(Event.PROCESS_STARTED, "role", "agent", "address", this.settings.listenAddress());
+	private void configurationChanged(AppliedConfiguration current) {
+		current.deployment().service(this.settings.service()).ifPresent((spec) -> {
+			if (spec.kind() == ServiceKind.PLAIN) {
+				this.admission.declarePlain(this.callSettings.plainConcurrency(), this.callSettings.plainMemoryBytes());
+			}
+			else if (this.monitoring.compareAndSet(false, true)) {
+				this.tasks.execute(this.monitor);
+			}
+		});
+		this.activation.wake();
+	}
+
+	private void watchCalls() throws InterruptedException {
+		while (true) {
+			int ended = this.calls.watch(CLOCK.getAsLong(), System.nanoTime(), this.callSettings.writeTimeoutMillis());
+			if (ended > 0) {
+				this.log.log(Event.CALLS_ENDED_BY_WATCHDOG, "count", ended);
+			}
+			TimeUnit.MILLISECONDS.sleep(WATCH_INTERVAL_MILLIS);
+		}
 	}
 
 	/**
-	 * Stops after the running calls have ended.
+	 * Refuses new calls and waits until the running ones have ended, at most until the
+	 * last of their deadlines, where the watchdog ends them. Meanwhile the ports go on
+	 * answering fences, grants and probes.
 	 * @param nowMillis present time
 	 */
 	public void drain(long nowMillis) throws InterruptedException {
 		this.admission.leave();
-		this.log.log(Event.PROCESS_DRAINING, "role", "agent", "inFlight", this.admission.inFlight());
-		this.admission.awaitIdle(this.settings.drainMillis());
-		this.log.log(Event.PROCESS_STOPPED, "role", "agent", "seconds",
-				(System.currentTimeMillis() - nowMillis) / 1000.0);
-	}
-
-	private Map<String, Object> state() {
-		Map<String, Object> state = new LinkedHashMap<>();
-		state.put("identity", this.peer.identity());
-		state.put("generation", this.peer.configuration().current().generation());
-		state.put("inFlight", this.admission.inFlight());
-		state.put("leaving", this.admission.leaving());
-		ActivationState weights = this.activation.state();
-		state.put("upstreamState", weights.upstreamState());
-		state.put("behindReason", weights.behindReason());
-		state.put("wantedWeights", weights.wantedWeights());
-		state.put("servedWeights", weights.servedWeights());
-		ExchangeState chunks = this.exchange.state();
-		state.put("chunksVerified", chunks.chunksVerified());
-		state.put("chunksWanted", chunks.chunksWanted());
-		state.put("stagingBytes", chunks.stagingBytes());
-		state.put("stagingLimitBytes", chunks.stagingLimitBytes());
-		state.put("fetchedBytes", chunks.fetchedBytes());
-		state.put("peer", this.peer.state());
-		return state;
+		this.log.log(Event.PROCESS_DRAINING, "role", "agent", "inFlight", this.calls.count());
+		TimeUnit.MILLISECONDS.sleep(ANNOUNCE_MILLIS);
+		long deadlineMillis = this.calls.latestDeadlineMillis() + DRAIN_MARGIN_MILLIS;
+		this.calls.awaitEmpty(Math.max(0, deadlineMillis - CLOCK.getAsLong()));
+		this.log.log(Event.PROCESS_STOPPED, "role", "agent", "seconds", (CLOCK.getAsLong() - nowMillis) / 1000.0);
 	}
 
 	@Override
@@ -167,6 +217,9 @@
 		this.peer.close();
 	}
 
+	/**
+	 * A task that runs until it is interrupted.
+	 */
 	@FunctionalInterface
 	private interface Task {
 
--- a/src/main/java/org/jaywood/cli/AgentCommand.java
+++ b/src/main/java/org/jaywood/cli/AgentCommand.java
@@ -7,6 +7,7 @@
 
 import org.jaywood.agent.Agent;
 import org.jaywood.agent.AgentSettings;
+import org.jaywood.agent.CallSettings;
 import org.jaywood.event.EventLog;
 import org.jaywood.peer.PortPolicy;
 import org.jaywood.weights.WeightSettings;
@@ -49,6 +50,16 @@
 			description = "Length of the lease of the engine and of an activation slot in milliseconds")
 	private long leaseMillis = 10_000;
 
+	@Parameter(names = "--stall-millis",
+			description = "Time without credit after which a stream gives up its engine, in milliseconds")
+	private long stallMillis = CallSettings.DEFAULT.stallMillis();
+
+	@Parameter(names = "--write-timeout-millis", description = "Longest time of one write to a router in milliseconds")
+	private long writeTimeoutMillis = CallSettings.DEFAULT.writeTimeoutMillis();
+
+	@Parameter(names = "--token-bytes", description = "Memory that the engine needs for one token, in bytes")
+	private long tokenBytes = CallSettings.DEFAULT.tokenBytes();
+
 	@Override
 	public String name() {
 		return "agent";
@@ -65,9 +76,15 @@
 				this.node.listen, this.node.advertised(), this.node.operator, this.upstream, this.node.platform,
 				this.store, this.storeRegion, Credential.parse(this.node.credential), this.node.drainMillis,
 				this.stagingBytes, this.regionLinkBytesPerSecond, this.leaseMillis);
-		Agent agent = new Agent(settings, new EventLog(this.node.vm));
+		Agent agent = new Agent(settings, callSettings(), new EventLog(this.node.vm));
 		agent.start();
 		return Daemon.runUntilTerminated(agent::drain);
 	}
 
+	private CallSettings callSettings() {
+		CallSettings defaults = CallSettings.DEFAULT;
+		return new CallSettings(this.tokenBytes, this.stallMillis, defaults.resumeWaitMillis(), this.writeTimeoutMillis,
+				defaults.plainConcurrency(), defaults.plainMemoryBytes(), defaults.plainBodyBytes());
+	}
+
 }
--- a/src/main/java/org/jaywood/event/Event.java
+++ b/src/main/java/org/jaywood/event/Event.java
@@ -76,6 +76,12 @@
 	/** A slot or the lease of the engine cannot be obtained. */
 	ACTIVATION_WAITING(1405, Level.WARNING, "activation waits: {reason}"),
 
+	/** An admitted call ended without its whole answer. */
+	CALL_BROKEN(1501, Level.WARNING, "call {request} ended without its whole answer: {error}"),
+
+	/** Calls exceeded their deadline or a write to their router blocked. */
+	CALLS_ENDED_BY_WATCHDOG(1502, Level.WARNING, "watchdog ended {count} calls"),
+
 	/** A stand-in is ready. */
 	STANDIN_STARTED(1901, Level.INFO, "stand-in {kind} listens on {address}");
 
