--- /dev/null
+++ b/src/test/java/org/jaywood/peer/FleetStatusTests.java
@@ -0,0 +1,86 @@
+package org.jaywood.peer;
+
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.config.AppliedConfiguration;
+import org.jaywood.config.DataCentre;
+import org.jaywood.config.Deployment;
+import org.jaywood.config.ServiceKind;
+import org.jaywood.config.ServiceLimits;
+import org.jaywood.config.ServiceSpec;
+import org.jaywood.platform.VmRecord;
+import org.jaywood.platform.VmState;
+import org.jaywood.wire.Address;
+import org.jaywood.wire.Json;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against a status that says complete while a VM is behind, or that hides why.
+ */
+class FleetStatusTests {
+
+	private static final VmRecord AGENT = new VmRecord("desk-0", "agent", "desk", "doto", "kushiro-a",
+			new Address("127.0.0.1", 7100), VmState.LIVE);
+
+	private static AppliedConfiguration wanted(boolean inService) {
+		Deployment deployment = new Deployment(Map.of("kushiro-a", new DataCentre("doto", inService)),
+				Map.of("desk",
+						new ServiceSpec(ServiceKind.PLAIN, List.of(), List.of("kushiro-a"), ServiceLimits.DEFAULT)),
+				Map.of());
+		return new AppliedConfiguration(5, "id", "a", 0, deployment.digest(), deployment);
+	}
+
+	private static VmStatus status(Map<String, ?> state, boolean inService) {
+		return VmStatus.of(AGENT, Json.tree(Json.bytes(state)), wanted(inService));
+	}
+
+	@Nested
+	class OneVm {
+
+		@Test
+		void showsStateAndReasonThatAgentTells() {
+			VmStatus status = status(
+					Map.of("generation", 5, "upstreamState", "fetching", "behindReason", "chunk 3 of 8"), true);
+			assertThat(status.upstreamState()).isEqualTo("fetching");
+			assertThat(status.behindReason()).isEqualTo("chunk 3 of 8");
+		}
+
+		@Test
+		void derivesStateThatAgentDoesNotTell() {
+			assertThat(status(Map.of("generation", 5), true).upstreamState()).isEqualTo("unknown");
+			assertThat(status(Map.of("generation", 5, "leaving", true), true).upstreamState()).isEqualTo("draining");
+			assertThat(status(Map.of("generation", 5), false).upstreamState()).isEqualTo("out");
+		}
+
+		@Test
+		void isBehindWithOlderGenerationOrWithoutContact() {
+			assertThat(status(Map.of("generation", 4), true).behindReason()).isEqualTo("generation 4 in force");
+			assertThat(status(Map.of("generation", 5, "peer", Map.of("isolated", true)), true).behind()).isTrue();
+			assertThat(status(Map.of("generation", 5), true).behind()).isFalse();
+		}
+
+	}
+
+	@Nested
+	class Fleet {
+
+		@Test
+		void isCompleteOnlyWhenEachVmIs() {
+			VmStatus current = status(Map.of("generation", 5, "upstreamState", "warm"), true);
+			assertThat(FleetStatus.of(List.of(current, current), wanted(true)).complete()).isTrue();
+			FleetStatus behind = FleetStatus.of(List.of(current, VmStatus.unreachable(AGENT, "no answer")),
+					wanted(true));
+			assertThat(behind.complete()).isFalse();
+			assertThat(behind.groups()).hasSize(1);
+			assertThat(behind.groups().getFirst().inForce()).isEqualTo(1);
+			assertThat(behind.groups().getFirst().upstreams()).containsExactly("unknown", 1L, "warm", 1L);
+		}
+
+	}
+
+}
