--- a/src/main/java/org/jaywood/cli/Converters.java
+++ b/src/main/java/org/jaywood/cli/Converters.java
@@ -20,7 +20,9 @@
 	}
 
 	private static ParameterException notAllowed(String option, String value, String expected) {
-		return new ParameterException(option + " value '" + value + "' is not allowed: expected " + expected);
+		// JCommander gives main parameters a name of its own in brackets.
+		String name = option.startsWith("-") ? option : "argument";
+		return new ParameterException(name + " value '" + value + "' is not allowed: expected " + expected);
 	}
 
 	private static Optional<Long> number(String value) {
--- a/src/main/java/org/jaywood/cli/Jaywood.java
+++ b/src/main/java/org/jaywood/cli/Jaywood.java
@@ -14,6 +14,7 @@
 
 import org.jaywood.config.ApplyConflictException;
 import org.jaywood.config.ApplyUnknownException;
+import org.jaywood.config.InvalidDeploymentException;
 import org.jaywood.event.LineFormatter;
 
 /**
@@ -84,6 +85,11 @@
 			System.err.println("jaywood: " + String.valueOf(ex.getMessage()).replaceAll("\\s*\\R\\s*", " "));
 			return EXIT_USAGE;
 		}
+		catch (InvalidDeploymentException ex) {
+			System.err.println("jaywood: the file has " + ex.errors().size() + " error(s)");
+			ex.errors().forEach(System.err::println);
+			return 1;
+		}
 		catch (ApplyConflictException ex) {
 			System.err.println("jaywood: " + ex.getMessage());
 			return EXIT_CONFLICT;
