Bound the wait for a frozen peer and stay out after a takeover

Cause: the time allowed for a manifest followed from its largest size, 43 s, so one agent paused by SIGSTOP kept others from verifying for up to 44.6 s. An agent whose order failed opened admission again when the engine served the wanted set, although a second agent had taken over the engine.

Change: a peer has 2 s and the store 10 s until the headers; the body has a time of its own by size. After a failed order the lease is read again before admission opens, and a superseded agent stays out.

Unit tests pass.

Conclusion: the integration test of a paused agent decides.

--- a/src/main/java/org/jaywood/agent/Activation.java
+++ b/src/main/java/org/jaywood/agent/Activation.java
@@ -149,6 +149,9 @@
 		}
 		List<String> manifests = manifests(spec);
 		this.exchange.want(manifests, this.servedManifests);
+		if (!mayServe()) {
+			return POLL_MILLIS;
+		}
 		EngineStatus status = this.engine.status();
 		String wanted = spec.weightsDigest();
 		if (status.weights().equals(wanted) && !status.loading()) {
@@ -220,8 +223,16 @@
 		return (wanted.equals(wantedNow()) && renewLease()) ? order(spec, wanted) : 0;
 	}
 
+	/**
+	 * Whether the engine is still that of this agent. After an order without a good
+	 * answer another agent may have taken over, and two agents must not both admit calls.
+	 */
+	private boolean mayServe() {
+		return (this.lease.abandoned() || this.lease.superseded()) ? renewLease() : true;
+	}
+
 	private boolean renewLease() {
-		if (!this.lease.valid(System.nanoTime())) {
+		if (!this.lease.superseded() && !this.lease.valid(System.nanoTime())) {
 			this.lease.renew(System.nanoTime());
 		}
 		if (this.lease.superseded()) {
--- a/src/main/java/org/jaywood/agent/EngineLease.java
+++ b/src/main/java/org/jaywood/agent/EngineLease.java
@@ -102,6 +102,13 @@
 		this.incarnation = 0;
 	}
 
+	/**
+	 * Whether this agent gave up its number, so that another may hold the engine.
+	 */
+	synchronized boolean abandoned() {
+		return this.everHeld && this.incarnation == 0;
+	}
+
 	/**
 	 * Whether an order may be sent now.
 	 */
--- a/src/main/java/org/jaywood/weights/ChunkClient.java
+++ b/src/main/java/org/jaywood/weights/ChunkClient.java
@@ -23,6 +23,12 @@
 
 	private static final long BASE_MILLIS = 3_000;
 
+	/** A peer answers from memory, so one without headers by then is frozen or gone. */
+	static final Duration PEER_HEADERS = Duration.ofSeconds(2);
+
+	/** The store may queue requests. */
+	static final Duration STORE_HEADERS = Duration.ofSeconds(10);
+
 	private final ScheduledExecutorService watchdog = Executors
 		.newSingleThreadScheduledExecutor(Thread.ofPlatform().daemon().name("chunk-watchdog").factory());
 
@@ -31,15 +37,13 @@
 	 * @param client client of a peer or of the store
 	 * @param uri location
 	 * @param limitBytes largest size; a longer reply is a failure
+	 * @param headers longest time until the headers
 	 */
-	Fetched get(WireClient client, URI uri, int limitBytes) throws IOException, InterruptedException {
-		Duration timeout = Duration.ofMillis(BASE_MILLIS + limitBytes / MIN_BYTES_PER_MILLI);
-		long startNanos = System.nanoTime();
-		HttpResponse<InputStream> reply = client.stream(client.request(uri, timeout).GET().build());
-		long leftNanos = timeout.toNanos() - (System.nanoTime() - startNanos);
+	Fetched get(WireClient client, URI uri, int limitBytes, Duration headers) throws IOException, InterruptedException {
+		HttpResponse<InputStream> reply = client.stream(client.request(uri, headers).GET().build());
 		InputStream in = reply.body();
-		ScheduledFuture<?> limit = this.watchdog.schedule(() -> closeQuietly(in), Math.max(0, leftNanos),
-				TimeUnit.NANOSECONDS);
+		ScheduledFuture<?> limit = this.watchdog.schedule(() -> closeQuietly(in),
+				BASE_MILLIS + limitBytes / MIN_BYTES_PER_MILLI, TimeUnit.MILLISECONDS);
 		try (in) {
 			byte[] body = in.readNBytes(limitBytes + 1);
 			if (body.length > limitBytes) {
--- a/src/main/java/org/jaywood/weights/ChunkExchange.java
+++ b/src/main/java/org/jaywood/weights/ChunkExchange.java
@@ -226,9 +226,9 @@
 		try {
 			Fetched fetched = (source != null)
 					? this.chunkClient.get(this.peerClient, source.address().uri("/v1/chunks/" + download.chunk()),
-							download.bytes())
+							download.bytes(), ChunkClient.PEER_HEADERS)
 					: this.chunkClient.get(this.storeClient, this.store.uri("/chunks/" + download.chunk()),
-							download.bytes());
+							download.bytes(), ChunkClient.STORE_HEADERS);
 			accept(download, fetched);
 		}
 		catch (IOException ex) {
--- a/src/main/java/org/jaywood/weights/HolderSurvey.java
+++ b/src/main/java/org/jaywood/weights/HolderSurvey.java
@@ -83,7 +83,7 @@
 	private void ask(VmRecord vm, String manifest) throws InterruptedException {
 		try {
 			Fetched fetched = this.client.get(this.peerClient, vm.address().uri("/v1/chunks/held/" + manifest),
-					ANSWER_LIMIT_BYTES);
+					ANSWER_LIMIT_BYTES, ChunkClient.PEER_HEADERS);
 			if (fetched.status() == 200) {
 				note(Json.read(fetched.body(), ChunkOffer.class), vm);
 			}
--- a/src/main/java/org/jaywood/weights/ManifestFetcher.java
+++ b/src/main/java/org/jaywood/weights/ManifestFetcher.java
@@ -71,7 +71,7 @@
 	private Optional<byte[]> fromPeer(String digest, VmRecord peer) throws InterruptedException {
 		try {
 			Fetched fetched = this.client.get(this.peerClient, peer.address().uri("/v1/manifests/" + digest),
-					LIMIT_BYTES);
+					LIMIT_BYTES, ChunkClient.PEER_HEADERS);
 			return checked(digest, fetched);
 		}
 		catch (IOException ex) {
@@ -86,7 +86,8 @@
 		}
 		long retryMillis = 500;
 		try {
-			Fetched fetched = this.client.get(this.storeClient, this.store.uri("/manifests/" + digest), LIMIT_BYTES);
+			Fetched fetched = this.client.get(this.storeClient, this.store.uri("/manifests/" + digest), LIMIT_BYTES,
+					ChunkClient.STORE_HEADERS);
 			retryMillis = Math.max(retryMillis, fetched.retryAfterMillis());
 			Optional<byte[]> content = checked(digest, fetched);
 			if (content.isPresent()) {
