--- a/src/main/java/org/jaywood/agent/Agent.java
+++ b/src/main/java/org/jaywood/agent/Agent.java
@@ -34,8 +34,6 @@
 
 	private final PeerNode peer;
 
-	private final HttpPort operatorPort;
-
 	private final Admission admission = new Admission();
 
 	private final HttpPort enginePort;
@@ -54,7 +52,7 @@
 		ProcessIdentity identity = new ProcessIdentity("agent", settings.vm(), settings.region(), settings.dataCentre(),
 				UUID.randomUUID().toString(), settings.advertisedAddress());
 		this.peer = new PeerNode(identity, settings.listenAddress(), settings.platformAddress(), settings.credential(),
-				log, this.admission::leaving);
+				log, this.admission::leaving, settings.operatorAddress());
 		WireClient upstream = WireClient.plain(settings.listenAddress().host());
 		this.enginePort = HttpPort.open(new Address(settings.listenAddress().host(), 0), log);
 		this.exchange = exchange();
@@ -63,8 +61,8 @@
 				settings.leaseMillis()), settings.leaseMillis() / 3, log);
 		this.activation = activation(identity, upstream);
 		new CallHandler(settings, this.peer.configuration(), this.admission, upstream).register(this.peer.port());
-		this.operatorPort = HttpPort.open(settings.operatorAddress(), log, settings.credential(), (exchange) -> {
-		}).route("GET", "/state", (exchange) -> exchange.respondJson(200, state()));
+		this.peer.operatorPort(settings.operatorAddress())
+			.route("GET", "/state", (exchange) -> exchange.respondJson(200, state()));
 		this.peer.configuration().onChange((configuration) -> this.activation.wake());
 	}
 
@@ -125,8 +123,7 @@
 		this.exchange.start();
 		run(this.activation::run);
 		run(this.slot::run);
-		this.operatorPort.start();
-		this.log.log(Event.PROCESS_STARTED, "role", "agent", "address", this.peer.port().address());
+		this.log.log(Event.PROCESS_STARTED, "role", "agent", "address", this.settings.listenAddress());
 	}
 
 	/**
@@ -158,6 +155,7 @@
 		state.put("stagingBytes", chunks.stagingBytes());
 		state.put("stagingLimitBytes", chunks.stagingLimitBytes());
 		state.put("fetchedBytes", chunks.fetchedBytes());
+		state.put("peer", this.peer.state());
 		return state;
 	}
 
@@ -166,7 +164,6 @@
 		this.tasks.shutdownNow();
 		this.exchange.close();
 		this.enginePort.close();
-		this.operatorPort.close();
 		this.peer.close();
 	}
 
