--- a/src/main/java/org/jaywood/bench/Installation.java
+++ b/src/main/java/org/jaywood/bench/Installation.java
@@ -234,6 +234,13 @@
 	 * Deployment with all services of the profile in all data centres, all in service.
 	 */
 	public Deployment deployment(String version, String manifest) {
+		return deployment(version, manifest, ServiceLimits.DEFAULT);
+	}
+
+	/**
+	 * The same with limits of all services.
+	 */
+	public Deployment deployment(String version, String manifest, ServiceLimits limits) {
 		List<String> names = this.profile.sites().stream().map(Site::dataCentre).toList();
 		Map<String, DataCentre> dataCentres = this.profile.sites()
 			.stream()
@@ -243,7 +250,7 @@
 			.forEach((service) -> services.put(service.name(),
 					new ServiceSpec(service.model() ? ServiceKind.MODEL : ServiceKind.PLAIN,
 							service.model() ? List.of(new WeightsRef("model", version, manifest)) : List.of(), names,
-							ServiceLimits.DEFAULT)));
+							limits)));
 		return new Deployment(dataCentres, services, Map.of());
 	}
 
--- /dev/null
+++ b/src/main/java/org/jaywood/bench/LoadGenerator.java
@@ -0,0 +1,185 @@
+package org.jaywood.bench;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.jaywood.bench.LoadCall.Kind;
+import org.jaywood.bench.LoadResult.Outcome;
+
+/**
+ * Bounded load of several workspaces, a few of them large, on the caller ports. Each
+ * answer is checked, and each call is counted in the phase in which it was due.
+ */
+public final class LoadGenerator implements AutoCloseable {
+
+	private static final int WORKSPACES = 10;
+
+	private final LoadSettings settings;
+
+	private final LoadClient client;
+
+	private final Map<String, PhaseFigures> phases = new LinkedHashMap<>();
+
+	private final Semaphore running;
+
+	private final AtomicLong number = new AtomicLong();
+
+	private volatile PhaseFigures phase = new PhaseFigures();
+
+	private volatile boolean stopping;
+
+	public LoadGenerator(LoadSettings settings) {
+		this.settings = settings;
+		this.client = new LoadClient(settings.timeout());
+		this.running = new Semaphore(settings.concurrency());
+	}
+
+	/**
+	 * Names a set of weights that answers may come from.
+	 */
+	public LoadGenerator allowWeights(String digest) {
+		this.client.allowWeights(digest);
+		return this;
+	}
+
+	/**
+	 * Begins a phase.
+	 */
+	public synchronized void phase(String name) {
+		this.phase = this.phases.computeIfAbsent(name, (key) -> new PhaseFigures());
+	}
+
+	/**
+	 * Starts the load in its first phase.
+	 */
+	public LoadGenerator start(String firstPhase) {
+		phase(firstPhase);
+		if (this.settings.ratePerSecond() > 0) {
+			Thread.startVirtualThread(this::openLoop);
+		}
+		else {
+			for (int i = 0; i < this.settings.concurrency(); i++) {
+				long callerSeed = this.settings.seed() + i;
+				Thread.startVirtualThread(() -> closedLoop(new Random(callerSeed)));
+			}
+		}
+		return this;
+	}
+
+	private void openLoop() {
+		Random random = new Random(this.settings.seed());
+		long dueNanos = System.nanoTime();
+		try {
+			while (!this.stopping) {
+				dueNanos += (long) (-Math.log(1 - random.nextDouble()) / this.settings.ratePerSecond() * 1e9);
+				TimeUnit.NANOSECONDS.sleep(dueNanos - System.nanoTime());
+				arrive(nextCall(random), dueNanos);
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private void arrive(LoadCall call, long dueNanos) {
+		PhaseFigures figures = this.phase;
+		if (this.stopping) {
+			return;
+		}
+		if (!this.running.tryAcquire()) {
+			figures.skip();
+			return;
+		}
+		Thread.startVirtualThread(() -> {
+			try {
+				make(call, figures, dueNanos);
+			}
+			finally {
+				this.running.release();
+			}
+		});
+	}
+
+	private void closedLoop(Random random) {
+		while (!this.stopping && this.running.tryAcquire()) {
+			try {
+				make(nextCall(random), this.phase, System.nanoTime());
+			}
+			finally {
+				this.running.release();
+			}
+		}
+	}
+
+	private void make(LoadCall call, PhaseFigures figures, long dueNanos) {
+		int caller = (int) (this.number.getAndIncrement() % this.settings.callers().size());
+		try {
+			figures.add(this.client.call(this.settings.callers().get(caller), call, dueNanos));
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private LoadCall nextCall(Random random) {
+		Kind kind = (random.nextDouble() < this.settings.streamedShare()) ? Kind.STREAM : Kind.WHOLE;
+		int workspace = largeFirst(random);
+		return new LoadCall(kind, this.settings.service(), "workspace-" + workspace,
+				"workspace " + workspace + " document " + random.nextInt(20) + " question " + random.nextInt(1 << 20),
+				this.settings.tokens());
+	}
+
+	/**
+	 * Workspace 0 makes half of the calls, workspace 1 a quarter, and so on.
+	 */
+	private static int largeFirst(Random random) {
+		return Math.min(WORKSPACES - 1, (int) (-Math.log(1 - random.nextDouble()) / Math.log(2)));
+	}
+
+	/**
+	 * Calls that ended with an outcome, in all phases.
+	 */
+	public synchronized int count(Outcome outcome) {
+		return this.phases.values().stream().mapToInt((figures) -> figures.count(outcome)).sum();
+	}
+
+	/**
+	 * Figures of one phase.
+	 */
+	public synchronized PhaseFigures figures(String name) {
+		PhaseFigures figures = this.phases.get(name);
+		if (figures == null) {
+			throw new IllegalArgumentException("no phase '" + name + "'");
+		}
+		return figures;
+	}
+
+	/**
+	 * Figures by phase, in the order of the phases.
+	 */
+	public synchronized Map<String, PhaseFigures> phases() {
+		return new LinkedHashMap<>(this.phases);
+	}
+
+	/**
+	 * Ends the load and waits for running calls.
+	 */
+	@Override
+	public void close() {
+		this.stopping = true;
+		try {
+			if (!this.running.tryAcquire(this.settings.concurrency(), this.settings.timeout().toMillis() + 5_000,
+					TimeUnit.MILLISECONDS)) {
+				throw new IllegalStateException("calls still run after their time limit");
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/bench/LoadSettings.java
@@ -0,0 +1,45 @@
+package org.jaywood.bench;
+
+import java.time.Duration;
+import java.util.List;
+
+import org.jaywood.wire.Address;
+
+/**
+ * Load that callers make.
+ *
+ * @param callers caller ports, used in turn
+ * @param service model service that is asked
+ * @param ratePerSecond mean rate of calls that arrive whether or not earlier ones have
+ * ended (open loop), or 0 for {@code concurrency} callers that each wait for their answer
+ * (closed loop)
+ * @param concurrency most calls at once
+ * @param tokens tokens of each answer
+ * @param streamedShare share of the calls whose answer is streamed
+ * @param timeout longest time of a call
+ * @param seed seed of arrivals, workspaces and kinds
+ */
+public record LoadSettings(List<Address> callers, String service, double ratePerSecond, int concurrency, int tokens,
+		double streamedShare, Duration timeout, long seed) {
+
+	public LoadSettings {
+		callers = List.copyOf(callers);
+	}
+
+	/**
+	 * Open loop at all routers of an installation, half of the answers streamed.
+	 */
+	public static LoadSettings open(Installation installation, double ratePerSecond, int tokens, long seed) {
+		return new LoadSettings(installation.routers().stream().map(Installation.Member::caller).toList(),
+				installation.profile().model().name(), ratePerSecond, 512, tokens, 0.5, Duration.ofSeconds(20), seed);
+	}
+
+	/**
+	 * Closed loop at all routers of an installation, half of the answers streamed.
+	 */
+	public static LoadSettings closed(Installation installation, int concurrency, int tokens, long seed) {
+		return new LoadSettings(installation.routers().stream().map(Installation.Member::caller).toList(),
+				installation.profile().model().name(), 0, concurrency, tokens, 0.5, Duration.ofSeconds(20), seed);
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/jaywood/bench/LoadClientTests.java
@@ -0,0 +1,156 @@
+package org.jaywood.bench;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.bench.LoadCall.Kind;
+import org.jaywood.bench.LoadResult.Outcome;
+import org.jaywood.event.EventLog;
+import org.jaywood.standin.TokenFunction;
+import org.jaywood.wire.Address;
+import org.jaywood.wire.Digests;
+import org.jaywood.wire.Exchange;
+import org.jaywood.wire.Handler;
+import org.jaywood.wire.Headers;
+import org.jaywood.wire.HttpPort;
+import org.jaywood.wire.Json;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards the count of lost and wrong answers: a client that takes a part or another's
+ * answer for its own would hide the failures that experiments look for.
+ */
+class LoadClientTests {
+
+	private final LoadClient client = new LoadClient(Duration.ofSeconds(2));
+
+	private Handler answer = (exchange) -> exchange.respondError(500, "not set");
+
+	private HttpPort port;
+
+	@BeforeEach
+	void open() {
+		this.port = HttpPort.open(new Address("127.0.0.1", 0), new EventLog("test"))
+			.route("*", "/", (exchange) -> this.answer.handle(exchange))
+			.start();
+		this.client.allowWeights("w");
+	}
+
+	@AfterEach
+	void close() {
+		this.port.close();
+	}
+
+	private Outcome outcome(Kind kind, Handler handler) throws InterruptedException {
+		this.answer = handler;
+		return this.client.call(this.port.address(), new LoadCall(kind, "pool", "ws", "p", 2), System.nanoTime())
+			.outcome();
+	}
+
+	private static String text(String weights) {
+		return TokenFunction.token(weights, "p", 0) + TokenFunction.token(weights, "p", 1);
+	}
+
+	private static void events(Exchange exchange, String firstWeights, String secondWeights, boolean end)
+			throws IOException {
+		String first = TokenFunction.token(firstWeights, "p", 0);
+		String second = TokenFunction.token(secondWeights, "p", 1);
+		OutputStream out = exchange.stream(200, "text/event-stream");
+		event(out, Map.of("index", 0, "text", first));
+		event(out, Map.of("index", 1, "text", second));
+		if (end) {
+			event(out, Map.of("end", true, "count", 2, "digest", Digests.sha256(first + second)));
+		}
+		out.close();
+	}
+
+	private static void event(OutputStream out, Object value) throws IOException {
+		out.write(("data: " + Json.text(value) + "\n\n").getBytes(StandardCharsets.UTF_8));
+	}
+
+	@Nested
+	class Streamed {
+
+		@Test
+		void wholeAnswerIsAnswered() throws Exception {
+			assertThat(outcome(Kind.STREAM, (exchange) -> events(exchange, "w", "w", true)))
+				.isEqualTo(Outcome.ANSWERED);
+		}
+
+		@Test
+		void answerOfMixedWeightsIsWrong() throws Exception {
+			LoadClientTests.this.client.allowWeights("x");
+			assertThat(outcome(Kind.STREAM, (exchange) -> events(exchange, "w", "x", true))).isEqualTo(Outcome.WRONG);
+		}
+
+		@Test
+		void cleanEndWithoutMarkerIsLost() throws Exception {
+			assertThat(outcome(Kind.STREAM, (exchange) -> events(exchange, "w", "w", false))).isEqualTo(Outcome.LOST);
+		}
+
+	}
+
+	@Nested
+	class Unstreamed {
+
+		@Test
+		void wholeAnswerIsAnswered() throws Exception {
+			assertThat(outcome(Kind.WHOLE, (exchange) -> exchange.respondJson(200,
+					Map.of("text", text("w"), "count", 2, "digest", Digests.sha256(text("w")), "weights", "w"))))
+				.isEqualTo(Outcome.ANSWERED);
+		}
+
+		@Test
+		void answerOfAnotherPromptIsWrong() throws Exception {
+			assertThat(outcome(Kind.WHOLE,
+					(exchange) -> exchange.respondJson(200,
+							Map.of("text", "other", "count", 2, "digest", Digests.sha256("other"), "weights", "w"))))
+				.isEqualTo(Outcome.WRONG);
+		}
+
+		@Test
+		void refusalsKeepTheirStatedOutcome() throws Exception {
+			assertThat(outcome(Kind.WHOLE, (exchange) -> {
+				exchange.setHeader(Headers.OUTCOME, "not-run");
+				exchange.respondError(503, "full");
+			})).isEqualTo(Outcome.REFUSED);
+			assertThat(outcome(Kind.WHOLE, (exchange) -> {
+				exchange.setHeader(Headers.OUTCOME, "unknown");
+				exchange.respondError(504, "broke");
+			})).isEqualTo(Outcome.UNKNOWN);
+			assertThat(outcome(Kind.WHOLE, (exchange) -> exchange.respondError(503, "no statement")))
+				.isEqualTo(Outcome.LOST);
+		}
+
+		@Test
+		void cutReplyIsLost() throws Exception {
+			assertThat(outcome(Kind.WHOLE, (exchange) -> {
+				throw exchange.abort("cut");
+			})).isEqualTo(Outcome.LOST);
+		}
+
+	}
+
+	@Nested
+	class Plain {
+
+		@Test
+		void answerOfAnotherPathIsWrong() throws Exception {
+			assertThat(outcome(Kind.READ, (exchange) -> exchange.respondJson(200, Map.of("path", "/items/p"))))
+				.isEqualTo(Outcome.ANSWERED);
+			assertThat(outcome(Kind.READ, (exchange) -> exchange.respondJson(200, Map.of("path", "/items/q"))))
+				.isEqualTo(Outcome.WRONG);
+		}
+
+	}
+
+}
