--- a/src/main/java/org/jaywood/cli/BenchCommand.java
+++ b/src/main/java/org/jaywood/cli/BenchCommand.java
@@ -15,6 +15,7 @@
 import org.jaywood.bench.Experiment;
 import org.jaywood.bench.ExperimentOptions;
 import org.jaywood.bench.Profile;
+import org.jaywood.bench.ReplayExperiment;
 import org.jaywood.bench.ResultPlot;
 
 /**
@@ -24,7 +25,7 @@
 final class BenchCommand implements Command {
 
 	private static final List<Experiment> EXPERIMENTS = List.of(new Demo(), new DataCentreExperiment(),
-			new ResultPlot());
+			new ReplayExperiment(), new ResultPlot());
 
 	@Parameter(description = "EXPERIMENT [ARGUMENT...]", required = true)
 	private List<String> experiments = new ArrayList<>();
--- a/src/main/java/org/jaywood/standin/EngineStandin.java
+++ b/src/main/java/org/jaywood/standin/EngineStandin.java
@@ -33,10 +33,14 @@
 
 	private final EngineWeights weights;
 
+	private volatile long lastArrivalMillis;
+
 	public EngineStandin(Address address, long tokenMillis, EventLog log) {
 		this.tokenMillis = tokenMillis;
 		this.port = HttpPort.open(address, log)
 			.route("GET", "/status", (exchange) -> exchange.respondJson(200, status()))
+			.route("GET", "/record",
+					(exchange) -> exchange.respondJson(200, Map.of("lastArrivalMillis", this.lastArrivalMillis)))
 			.route("POST", "/v1/completions", this::complete);
 		this.weights = new EngineWeights(address.host(), () -> {
 		});
@@ -61,6 +65,7 @@
 
 	private void complete(Exchange exchange) throws IOException, InterruptedException {
 		JsonNode request = exchange.json(JsonNode.class, BODY_LIMIT_BYTES);
+		this.lastArrivalMillis = System.currentTimeMillis();
 		String prompt = request.path("prompt").asText();
 		int count = request.path("max_tokens").asInt(16);
 		String served = this.weights.digest();
