Test cold start, fencing, credit and leaving with real processes

Cause: the decisions of the agent had unit tests only; a model reply whose weights differed from those that one call needs closed admission for all.

Change: integration tests drive an agent as two routers do; only weights other than the activated ones close admission.

--- a/src/main/java/org/jaywood/agent/ModelRun.java
+++ b/src/main/java/org/jaywood/agent/ModelRun.java
@@ -148,11 +148,13 @@
 			place.refused(this.context.clock().getAsLong());
 			throw refuseOrFail(warm ? RefusalReason.FULL : RefusalReason.COLD_FULL, null);
 		}
-		String expected = (this.out != null) ? this.weights : this.context.expectedWeights().get();
-		if (!served.equals(expected)
-				|| !(this.request.requiredWeights().isEmpty() || this.request.requiredWeights().equals(served))) {
+		if (!served.equals(this.context.expectedWeights().get())) {
 			this.context.onWrongWeights().run();
-			throw new IOException("engine serves other weights");
+			throw new IOException("engine serves other weights than were activated");
+		}
+		String required = (this.out != null) ? this.weights : this.request.requiredWeights();
+		if (!required.isEmpty() && !required.equals(served)) {
+			throw new IOException("engine serves other weights than the call needs");
 		}
 		this.weights = served;
 	}
--- /dev/null
+++ b/src/test/java/org/jaywood/agent/AnswerArchiveTests.java
@@ -0,0 +1,37 @@
+package org.jaywood.agent;
+
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.wire.Frame;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against an archive that grows beyond its bounds.
+ */
+class AnswerArchiveTests {
+
+	private static final Frame.Head HEAD = new Frame.Head(200, "text/plain", "");
+
+	@Test
+	void dropsOldestByCountAgeAndBytes() {
+		AnswerArchive archive = new AnswerArchive(3, 1_000, 80);
+		for (int attempt = 1; attempt <= 4; attempt++) {
+			archive.keep("r", attempt, HEAD, new byte[10], attempt);
+		}
+		assertThat(archive.find("r", 1, 5)).isEmpty();
+		assertThat(archive.find("r", 2, 5)).isPresent();
+		assertThat(archive.count()).isEqualTo(3);
+		assertThat(archive.find("r", 2, 1_003)).isEmpty();
+		assertThat(archive.bytes()).isEqualTo(20);
+	}
+
+	@Test
+	void doesNotKeepLargeAnswers() {
+		AnswerArchive archive = new AnswerArchive(3, 1_000, 80);
+		archive.keep("r", 1, HEAD, new byte[11], 0);
+		assertThat(archive.find("r", 1, 0)).isEmpty();
+		assertThat(archive.bytes()).isEqualTo(0);
+	}
+
+}
--- a/src/test/java/org/jaywood/agent/AttemptLedgerTests.java
+++ b/src/test/java/org/jaywood/agent/AttemptLedgerTests.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
+import org.jaywood.Failures;
 import org.jaywood.wire.FenceReply;
 import org.jaywood.wire.RefusalReason;
 
@@ -119,13 +120,8 @@
 		}
 
 		private RefusalReason refusal(long attempt) {
-			try {
-				this.ledger.handOver("r", attempt, () -> "");
-			}
-			catch (AdmissionRefusal refusal) {
-				return refusal.reason();
-			}
-			throw new AssertionError("attempt " + attempt + " was admitted");
+			return Failures.thrownBy(AdmissionRefusal.class, () -> this.ledger.handOver("r", attempt, () -> ""))
+				.reason();
 		}
 
 	}
--- /dev/null
+++ b/src/test/java/org/jaywood/agent/ColdStartIT.java
@@ -0,0 +1,68 @@
+package org.jaywood.agent;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.bench.Installation;
+import org.jaywood.bench.Installation.Member;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against an engine that crashes because it receives more than it can take after
+ * it turned cold without warning.
+ */
+class ColdStartIT {
+
+	private static final int FULL_LOAD = 30;
+
+	private static final int TURNS = 5;
+
+	@Test
+	void coldEngineUnderFullLoadStaysWithinItsLimit() throws Exception {
+		try (Installation installation = SmallInstallation.start()) {
+			Member agent = installation.agentsOf("pool").getFirst();
+			List<TestRouter> routers = List.of(new TestRouter(installation, agent),
+					new TestRouter(installation, agent));
+			try (Load load = new Load(routers, 40, 12)) {
+				for (int turn = 0; turn < TURNS; turn++) {
+					awaitFullLoad(installation, agent);
+					SmallInstallation.control(installation, agent, Map.of("cold", true));
+				}
+				awaitFullLoad(installation, agent);
+				assertThat(load.cut()).isEqualTo(0);
+				checkRecord(installation, agent, "turns cold", load);
+				SmallInstallation.control(installation, agent, Map.of("newInstance", true));
+				awaitFullLoad(installation, agent);
+				checkRecord(installation, agent, "new instance", load);
+				Objects.requireNonNull(installation.fleet().process(agent.vm() + "-upstream")).destroyForcibly();
+				installation.startUpstreamProcess(agent);
+				awaitFullLoad(installation, agent);
+				checkRecord(installation, agent, "restart", load);
+			}
+		}
+	}
+
+	private static void awaitFullLoad(Installation installation, Member agent) throws InterruptedException {
+		Installation.await("engine is warm under full load", 20_000, () -> {
+			JsonNode status = SmallInstallation.status(installation, agent);
+			return status.path("state").asText().equals("warm") && status.path("inFlight").asInt() >= FULL_LOAD;
+		});
+	}
+
+	private static void checkRecord(Installation installation, Member agent, String step, Load load) throws Exception {
+		JsonNode record = SmallInstallation.record(installation, agent);
+		System.out.println(
+				step + ": highestColdLoad " + record.path("highestColdLoad") + " coldLimit " + record.path("coldLimit")
+						+ " highestLoad " + record.path("highestLoad") + " crashes " + record.path("crashes")
+						+ " whole " + load.whole() + " not whole " + load.notWhole() + " cut " + load.cut());
+		assertThat(record.path("crashes").asInt(-1)).isEqualTo(0);
+		assertThat(record.path("highestColdLoad").asInt()).isAtMost(record.path("coldLimit").asInt());
+		assertThat(record.path("highestLoad").asInt()).isAtLeast(FULL_LOAD);
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/jaywood/agent/LeavingIT.java
@@ -0,0 +1,91 @@
+package org.jaywood.agent;
+
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.bench.Installation;
+import org.jaywood.bench.Installation.Member;
+import org.jaywood.wire.FenceReply;
+import org.jaywood.wire.Json;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against requests cut by a planned stop.
+ */
+class LeavingIT {
+
+	private static final int LONG_TOKENS = 400;
+
+	@Test
+	void agentFinishesLongStreamsAndTakesNoNewWork() throws Exception {
+		try (Installation installation = SmallInstallation.start()) {
+			Member agent = installation.agentsOf("pool").getFirst();
+			TestRouter router = new TestRouter(installation, agent);
+			Process process = Objects.requireNonNull(installation.fleet().process(agent.vm()));
+			try (Load load = new Load(List.of(router, new TestRouter(installation, agent)), 10, LONG_TOKENS)) {
+				Installation.await("long streams run", 30_000, () -> load.whole() > 10
+						&& SmallInstallation.status(installation, agent).path("inFlight").asInt() >= 8);
+				long stoppedAtMillis = System.currentTimeMillis();
+				process.destroy();
+				Installation.await("agent is leaving", 2_000,
+						() -> installation.state(agent).path("leaving").asBoolean());
+				assertThat(router.fence(1, 0).state()).isNotEqualTo(FenceReply.State.NEVER_ADMITTED);
+				load.stop();
+				assertThat(process.waitFor(40, TimeUnit.SECONDS)).isTrue();
+				long lastWorkMillis = SmallInstallation.record(installation, agent).path("lastArrivalMillis").asLong()
+						- stoppedAtMillis;
+				System.out.println("agent leaves: cut " + load.cut() + " whole " + load.whole() + " exit "
+						+ process.exitValue() + " last new work after " + lastWorkMillis + " ms, stop took "
+						+ (System.currentTimeMillis() - stoppedAtMillis) + " ms");
+				assertThat(process.exitValue()).isEqualTo(0);
+				assertThat(load.cut()).isEqualTo(0);
+				assertThat(lastWorkMillis).isLessThan(3_000);
+			}
+		}
+	}
+
+	@Test
+	void routerAndAgentLeaveTogetherWithoutCuttingCalls() throws Exception {
+		try (Installation installation = SmallInstallation.start();
+				ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor()) {
+			Member agent = installation.agentsOf("pool").getFirst();
+			Member router = installation.routers().getFirst();
+			List<Future<Boolean>> calls = IntStream.range(0, 2)
+				.mapToObj((number) -> callers.submit(() -> whole(installation, router, number)))
+				.toList();
+			Installation.await("calls run", 10_000,
+					() -> SmallInstallation.status(installation, agent).path("inFlight").asInt() == calls.size());
+			List<Process> processes = List.of(Objects.requireNonNull(installation.fleet().process(agent.vm())),
+					Objects.requireNonNull(installation.fleet().process(router.vm())));
+			processes.forEach(Process::destroy);
+			for (Future<Boolean> call : calls) {
+				assertThat(call.get(30, TimeUnit.SECONDS)).isTrue();
+			}
+			for (Process process : processes) {
+				assertThat(process.waitFor(40, TimeUnit.SECONDS)).isTrue();
+				assertThat(process.exitValue()).isEqualTo(0);
+			}
+		}
+	}
+
+	private static boolean whole(Installation installation, Member router, int number)
+			throws IOException, InterruptedException {
+		HttpResponse<byte[]> reply = installation.client()
+			.post(router.caller().uri("/v1/completions"),
+					Map.of("model", "pool", "prompt", "stop " + number, "max_tokens", 150), Duration.ofSeconds(30));
+		return reply.statusCode() == 200 && Json.tree(reply.body()).path("count").asInt() == 150;
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/jaywood/agent/OutgoingStreamTests.java
@@ -0,0 +1,73 @@
+package org.jaywood.agent;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.Failures;
+import org.jaywood.wire.CreditGrant;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against bytes sent beyond the credit of a router, which both sides would hold in
+ * memory, and against a writer that blocks forever.
+ */
+class OutgoingStreamTests {
+
+	@Test
+	void sendsNoMoreThanGranted() throws Exception {
+		ByteArrayOutputStream sink = new ByteArrayOutputStream();
+		OutgoingStream stream = new OutgoingStream(sink);
+		byte[] line = new byte[1_000];
+		while (stream.awaitCredit(line.length, 1)) {
+			stream.send(line);
+		}
+		assertThat(sink.size()).isEqualTo(8_000);
+		stream.grant(CreditGrant.INITIAL_BYTES + 1_000);
+		stream.grant(10);
+		assertThat(stream.awaitCredit(line.length, 1)).isTrue();
+	}
+
+	@Test
+	void cancelEndsTheWaitForCredit() throws Exception {
+		OutgoingStream stream = new OutgoingStream(new ByteArrayOutputStream());
+		stream.send(new byte[CreditGrant.INITIAL_BYTES]);
+		Thread.ofVirtual().start(stream::cancel);
+		assertThat(Failures.thrownBy(IOException.class, () -> stream.awaitCredit(1, 10_000))).isNotNull();
+	}
+
+	@Test
+	void blockedWriteIsInterrupted() throws Exception {
+		CountDownLatch blocked = new CountDownLatch(1);
+		OutgoingStream stream = new OutgoingStream(new OutputStream() {
+
+			@Override
+			public void write(int value) throws IOException {
+				try {
+					blocked.countDown();
+					TimeUnit.SECONDS.sleep(30);
+				}
+				catch (InterruptedException ex) {
+					throw new IOException("interrupted", ex);
+				}
+			}
+
+		});
+		Thread writer = Thread.ofVirtual().start(() -> Failures.thrownBy(IOException.class, () -> {
+			stream.send(new byte[1]);
+			return null;
+		}));
+		blocked.await();
+		long nowNanos = System.nanoTime();
+		assertThat(stream.endBlockedWrite(nowNanos, 60_000)).isFalse();
+		assertThat(stream.endBlockedWrite(nowNanos + TimeUnit.SECONDS.toNanos(61), 60_000)).isTrue();
+		assertThat(writer.join(Duration.ofSeconds(5))).isTrue();
+	}
+
+}
