Split the router and add choosing, retries, fences and resumed streams

Cause: Router handed a call to a random agent, took any refusal as final and answered a broken hand-over by breaking the caller's connection.

Change: CallRelay numbers each hand-over, retries refusals within the deadline and RetryBudget, fences a broken hand-over of a call that may not be repeated, and resumes model streams on the same weights. A DUPLICATE refusal is fenced and not taken for "not run", because it means that the first copy was admitted. UpstreamChooser prefers near rings, then the prompt prefix, then two random choices by load. CallReader answers bad input with 4xx and the outcome not-run. WireClient no longer lets the JDK client repeat connects. Calls with an idempotency key are refused as not run until claims exist; before, the key was silently ignored.

Conclusion: outcomes are decided at one place.

--- /dev/null
+++ b/src/main/java/org/jaywood/router/AnswerSink.java
@@ -0,0 +1,34 @@
+package org.jaywood.router;
+
+import org.jaywood.wire.Frame;
+
+/**
+ * Takes a checked answer for the caller.
+ */
+interface AnswerSink {
+
+	/**
+	 * Takes the next token of a model's answer.
+	 * @param token the token, in order and without gaps
+	 */
+	void token(Frame.Token token);
+
+	/**
+	 * Ends a model's answer.
+	 * @param count tokens in all
+	 * @param digest digest of all texts, computed here
+	 * @param weights digest of the weights
+	 */
+	void endTokens(long count, String digest, String weights);
+
+	/**
+	 * Takes a whole answer of a plain service.
+	 */
+	void plain(Frame.Head head, byte[] body);
+
+	/**
+	 * Whether the caller already received a part of the answer.
+	 */
+	boolean started();
+
+}
