Bound the memory held for slow callers and abort visibly

Cause: the caller port ran on the JDK's server, which buffers without bound for a caller that never reads, and neither bodies nor answers were counted.

BodyReader limits size, time and memory of bodies before an upstream is chosen.

--- a/src/main/java/org/jaywood/router/AnswerAssembly.java
+++ b/src/main/java/org/jaywood/router/AnswerAssembly.java
@@ -19,8 +19,6 @@
 
 	private final AnswerSink sink;
 
-	private final int limitBytes;
-
 	private final LongAdder droppedFrames;
 
 	private final MessageDigest whole = Digests.newSha256();
@@ -35,9 +33,8 @@
 
 	private int nextIndex;
 
-	AnswerAssembly(AnswerSink sink, int limitBytes, LongAdder droppedFrames) {
+	AnswerAssembly(AnswerSink sink, LongAdder droppedFrames) {
 		this.sink = sink;
-		this.limitBytes = limitBytes;
 		this.droppedFrames = droppedFrames;
 	}
 
@@ -120,6 +117,9 @@
 			throw new IOException("token " + token.index() + " follows " + (this.nextIndex - 1));
 		}
 		byte[] text = token.text().getBytes(StandardCharsets.UTF_8);
+		if (!this.sink.hold(text.length)) {
+			throw new AnswerTooLargeException();
+		}
 		this.whole.update(text);
 		this.part.update(text);
 		this.nextIndex++;
@@ -127,8 +127,8 @@
 	}
 
 	private void takeData(byte[] bytes) throws IOException {
-		if (this.data.size() + bytes.length > this.limitBytes) {
-			throw new AnswerTooLargeException(this.limitBytes);
+		if (!this.sink.hold(bytes.length)) {
+			throw new AnswerTooLargeException();
 		}
 		this.data.writeBytes(bytes);
 		this.part.update(bytes);
@@ -153,8 +153,8 @@
 	 */
 	static final class AnswerTooLargeException extends IOException {
 
-		AnswerTooLargeException(int limitBytes) {
-			super("answer exceeds " + limitBytes + " bytes");
+		AnswerTooLargeException() {
+			super("answer exceeds what is held for one caller");
 		}
 
 	}
--- a/src/main/java/org/jaywood/router/AnswerSink.java
+++ b/src/main/java/org/jaywood/router/AnswerSink.java
@@ -7,6 +7,13 @@
  */
 interface AnswerSink {
 
+	/**
+	 * Makes room for a part of the answer.
+	 * @param bytes size of the part
+	 * @return whether the router may hold it for this caller
+	 */
+	boolean hold(int bytes);
+
 	/**
 	 * Takes the next token of a model's answer.
 	 * @param token the token, in order and without gaps
--- a/src/main/java/org/jaywood/router/CallReader.java
+++ b/src/main/java/org/jaywood/router/CallReader.java
@@ -1,6 +1,5 @@
 package org.jaywood.router;
 
-import java.io.IOException;
 import java.util.Set;
 import java.util.UUID;
 
@@ -36,8 +35,7 @@
 	 * Reads a model call.
 	 * @throws BadInputException if it is not a valid call
 	 */
-	ModelCall model(Exchange exchange, Deployment deployment, long nowMillis) throws IOException {
-		byte[] body = exchange.body(this.limits.bodyBytes());
+	ModelCall model(Exchange exchange, byte[] body, Deployment deployment, long nowMillis) {
 		JsonNode json = Json.tree(body);
 		if (!json.isObject() || !json.path("model").isTextual() || !json.path("prompt").isTextual()) {
 			throw new BadInputException(400, "a completion needs the texts 'model' and 'prompt'");
@@ -57,7 +55,7 @@
 	 * Reads a call of a plain service.
 	 * @throws BadInputException if it is not a valid call
 	 */
-	Call plain(Exchange exchange, Deployment deployment, long nowMillis) throws IOException {
+	Call plain(Exchange exchange, byte[] body, Deployment deployment, long nowMillis) {
 		String[] parts = exchange.target().split("/", 4);
 		if (parts.length < 4) {
 			throw new BadInputException(400, "path must be /services/<service>/<path>");
@@ -65,7 +63,6 @@
 		if (!METHODS.contains(exchange.method())) {
 			throw new BadInputException(405, "method is not supported");
 		}
-		byte[] body = exchange.body(this.limits.bodyBytes());
 		ServiceSpec spec = spec(deployment, parts[2], ServiceKind.PLAIN, body);
 		boolean repeatable = IDEMPOTENT_METHODS.contains(exchange.method())
 				|| exchange.optionalHeader(Headers.IDEMPOTENT).map(Boolean::parseBoolean).orElse(false);
--- a/src/main/java/org/jaywood/router/CallRelay.java
+++ b/src/main/java/org/jaywood/router/CallRelay.java
@@ -77,7 +77,7 @@
 	 */
 	CallResult run(Call call, AnswerSink sink) throws InterruptedException {
 		this.retries.recordCall();
-		AnswerAssembly answer = new AnswerAssembly(sink, this.limits.answerBytes(), this.metrics.droppedFrames());
+		AnswerAssembly answer = new AnswerAssembly(sink, this.metrics.droppedFrames());
 		Set<Address> excluded = new HashSet<>();
 		CallResult last = new CallResult.NotRun("NO_UPSTREAM", DEFAULT_RETRY_AFTER_MILLIS);
 		for (boolean first = true;; first = false) {
--- a/src/main/java/org/jaywood/router/CallerHandler.java
+++ b/src/main/java/org/jaywood/router/CallerHandler.java
@@ -30,17 +30,23 @@
 
 	private final RouterMetrics metrics;
 
+	private final BufferBudget budget;
+
+	private final BodyReader bodies;
+
 	private final BooleanSupplier leaving;
 
 	private final LongSupplier clock;
 
 	private final AtomicInteger inFlight = new AtomicInteger();
 
-	CallerHandler(ConfigurationView configuration, CallRelay relay, RouterLimits limits, RouterMetrics metrics,
-			BooleanSupplier leaving, LongSupplier clock) {
+	CallerHandler(ConfigurationView configuration, CallRelay relay, BufferBudget budget, BodyReader bodies,
+			RouterLimits limits, RouterMetrics metrics, BooleanSupplier leaving, LongSupplier clock) {
 		this.configuration = configuration;
 		this.reader = new CallReader(limits);
 		this.relay = relay;
+		this.budget = budget;
+		this.bodies = bodies;
 		this.limits = limits;
 		this.metrics = metrics;
 		this.leaving = leaving;
@@ -59,12 +65,19 @@
 	private void serve(Exchange exchange, Service service) throws IOException, InterruptedException {
 		// Counted before the check, so that a planned stop never misses a call.
 		this.inFlight.incrementAndGet();
-		try {
+		try (CallerBuffer buffer = this.budget.open(CallerPort.connectionCloser())) {
 			if (this.leaving.getAsBoolean()) {
 				refuse(exchange, new CallResult.NotRun(RefusalReason.DRAINING.name(), 1_000));
 				return;
 			}
-			service.serve(exchange);
+			if (!buffer.hold(this.limits.bufferBytes(), this.clock.getAsLong())) {
+				refuse(exchange, new CallResult.NotRun(RefusalReason.MEMORY_FULL.name(), 1_000));
+				return;
+			}
+			service.serve(exchange, buffer);
+		}
+		catch (BodyReader.NoRoomException ex) {
+			refuse(exchange, new CallResult.NotRun(RefusalReason.MEMORY_FULL.name(), 1_000));
 		}
 		catch (BadInputException ex) {
 			error(exchange, ex.status(), CallOutcome.NOT_RUN, "BAD_INPUT", String.valueOf(ex.getMessage()));
@@ -78,23 +91,26 @@
 		}
 	}
 
-	private void complete(Exchange exchange) throws IOException, InterruptedException {
+	private void complete(Exchange exchange, CallerBuffer buffer) throws IOException, InterruptedException {
 		long nowMillis = this.clock.getAsLong();
-		CallReader.ModelCall model = this.reader.model(exchange, this.configuration.deployment(), nowMillis);
+		CallReader.ModelCall model = this.reader.model(exchange, this.bodies.read(exchange, buffer),
+				this.configuration.deployment(), nowMillis);
 		AnswerSink sink = model.stream()
-				? new StreamSink(exchange, () -> this.metrics.recordFirstToken(this.clock.getAsLong() - nowMillis))
-				: new WholeSink(exchange, this.limits.answerBytes());
+				? new StreamSink(exchange, buffer, this.clock,
+						() -> this.metrics.recordFirstToken(this.clock.getAsLong() - nowMillis))
+				: new WholeSink(exchange, buffer, this.limits.answerBytes(), this.clock);
 		finish(exchange, sink, this.relay.run(model.call(), sink));
 	}
 
-	private void plain(Exchange exchange) throws IOException, InterruptedException {
+	private void plain(Exchange exchange, CallerBuffer buffer) throws IOException, InterruptedException {
 		if (exchange.header(Headers.IDEMPOTENCY_KEY) != null) {
 			// Without a claim a repeated call could run twice, so none is started.
 			error(exchange, 501, CallOutcome.NOT_RUN, "KEYS_NOT_SUPPORTED", "idempotency keys are not supported");
 			return;
 		}
-		Call call = this.reader.plain(exchange, this.configuration.deployment(), this.clock.getAsLong());
-		AnswerSink sink = new WholeSink(exchange, this.limits.answerBytes());
+		Call call = this.reader.plain(exchange, this.bodies.read(exchange, buffer), this.configuration.deployment(),
+				this.clock.getAsLong());
+		AnswerSink sink = new WholeSink(exchange, buffer, this.limits.answerBytes(), this.clock);
 		finish(exchange, sink, this.relay.run(call, sink));
 	}
 
@@ -128,7 +144,7 @@
 	@FunctionalInterface
 	private interface Service {
 
-		void serve(Exchange exchange) throws IOException, InterruptedException;
+		void serve(Exchange exchange, CallerBuffer buffer) throws IOException, InterruptedException;
 
 	}
 
--- a/src/main/java/org/jaywood/router/Router.java
+++ b/src/main/java/org/jaywood/router/Router.java
@@ -23,6 +23,8 @@
 	 */
 	private static final int RETRY_BURST = 50;
 
+	private static final long STALL_CHECK_MILLIS = 250;
+
 	private final RouterSettings settings;
 
 	private final EventLog log;
@@ -33,6 +35,8 @@
 
 	private final Watchdog watchdog = new Watchdog();
 
+	private final BufferBudget budget;
+
 	private final CallerHandler callers;
 
 	private final HttpPort callerPort;
@@ -50,9 +54,12 @@
 				log, () -> this.leaving);
 		// Deadlines must not move with the wall clock.
 		LongSupplier clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-		this.callers = new CallerHandler(this.peer.configuration(), relay(identity, clock), RouterLimits.DEFAULT,
-				this.metrics, () -> this.leaving, clock);
-		this.callerPort = HttpPort.open(settings.callerAddress(), log);
+		RouterLimits limits = RouterLimits.DEFAULT;
+		this.budget = new BufferBudget(limits.budgetBytes(), limits.stallMillis());
+		this.watchdog.every(STALL_CHECK_MILLIS, () -> this.budget.abortStalled(clock.getAsLong()));
+		this.callers = new CallerHandler(this.peer.configuration(), relay(identity, clock), this.budget,
+				new BodyReader(limits, this.watchdog, clock), limits, this.metrics, () -> this.leaving, clock);
+		this.callerPort = CallerPort.open(settings.callerAddress(), log);
 		this.callers.register(this.callerPort);
 		this.operatorPort = HttpPort.open(settings.operatorAddress(), log, settings.credential(), (exchange) -> {
 		}).route("GET", "/state", (exchange) -> exchange.respondJson(200, state()));
@@ -97,7 +104,9 @@
 
 	private Map<String, Object> state() {
 		return Map.of("identity", this.peer.identity(), "generation", this.peer.configuration().current().generation(),
-				"inFlight", this.callers.inFlight(), "leaving", this.leaving, "metrics", this.metrics.state());
+				"inFlight", this.callers.inFlight(), "leaving", this.leaving, "metrics", this.metrics.state(), "held",
+				Map.of("bytes", this.budget.heldBytes(), "callers", this.budget.holders(), "aborted",
+						this.budget.aborted()));
 	}
 
 	@Override
--- a/src/main/java/org/jaywood/router/RouterMetrics.java
+++ b/src/main/java/org/jaywood/router/RouterMetrics.java
@@ -58,6 +58,10 @@
 		this.firstTokenMillis.update(millis);
 	}
 
+	long firstTokens() {
+		return this.firstTokenMillis.getCount();
+	}
+
 	Map<String, Object> state() {
 		Map<String, Object> state = new TreeMap<>();
 		this.registry.getCounters().forEach((name, counter) -> state.put(name, counter.getCount()));
--- a/src/main/java/org/jaywood/router/StreamSink.java
+++ b/src/main/java/org/jaywood/router/StreamSink.java
@@ -4,6 +4,7 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.function.LongSupplier;
 
 import org.jspecify.annotations.Nullable;
 
@@ -19,15 +20,27 @@
 
 	private final Exchange exchange;
 
+	private final CallerBuffer buffer;
+
+	private final LongSupplier clock;
+
 	private final Runnable onFirstToken;
 
 	private @Nullable OutputStream out;
 
-	StreamSink(Exchange exchange, Runnable onFirstToken) {
+	StreamSink(Exchange exchange, CallerBuffer buffer, LongSupplier clock, Runnable onFirstToken) {
 		this.exchange = exchange;
+		this.buffer = buffer;
+		this.clock = clock;
 		this.onFirstToken = onFirstToken;
 	}
 
+	@Override
+	public boolean hold(int bytes) {
+		// The window that the agent may fill is held from the start.
+		return true;
+	}
+
 	@Override
 	public void token(Frame.Token token) {
 		write(Json.text(token));
@@ -37,12 +50,7 @@
 	public void endTokens(long count, String digest, String weights) {
 		write(Json.text(Map.of("end", true, "count", count, "digest", digest)));
 		write("[DONE]");
-		try {
-			open().close();
-		}
-		catch (IOException ex) {
-			throw new CallerGoneException(ex);
-		}
+		guarded(() -> open().close());
 	}
 
 	@Override
@@ -56,14 +64,24 @@
 	}
 
 	private void write(String data) {
-		try {
+		guarded(() -> {
 			OutputStream stream = open();
 			stream.write(("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8));
 			stream.flush();
+		});
+	}
+
+	private void guarded(Write write) {
+		this.buffer.beginWrite(this.clock.getAsLong());
+		try {
+			write.run();
 		}
 		catch (IOException ex) {
 			throw new CallerGoneException(ex);
 		}
+		finally {
+			this.buffer.endWrite();
+		}
 	}
 
 	private OutputStream open() throws IOException {
@@ -76,4 +94,11 @@
 		return stream;
 	}
 
+	@FunctionalInterface
+	private interface Write {
+
+		void run() throws IOException;
+
+	}
+
 }
--- a/src/main/java/org/jaywood/router/WholeSink.java
+++ b/src/main/java/org/jaywood/router/WholeSink.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.Map;
+import java.util.function.LongSupplier;
 
 import org.jaywood.wire.CallOutcome;
 import org.jaywood.wire.Exchange;
@@ -15,22 +16,36 @@
 
 	private final Exchange exchange;
 
-	private final int limitChars;
+	private final CallerBuffer buffer;
+
+	private final int limitBytes;
+
+	private final LongSupplier clock;
 
 	private final StringBuilder text = new StringBuilder();
 
+	private int heldBytes;
+
 	private boolean replied;
 
-	WholeSink(Exchange exchange, int limitChars) {
+	WholeSink(Exchange exchange, CallerBuffer buffer, int limitBytes, LongSupplier clock) {
 		this.exchange = exchange;
-		this.limitChars = limitChars;
+		this.buffer = buffer;
+		this.limitBytes = limitBytes;
+		this.clock = clock;
 	}
 
 	@Override
-	public void token(Frame.Token token) {
-		if (this.text.length() + token.text().length() > this.limitChars) {
-			throw this.exchange.abort("answer exceeds " + this.limitChars + " characters");
+	public boolean hold(int bytes) {
+		if (this.heldBytes + bytes > this.limitBytes || !this.buffer.hold(bytes, this.clock.getAsLong())) {
+			return false;
 		}
+		this.heldBytes += bytes;
+		return true;
+	}
+
+	@Override
+	public void token(Frame.Token token) {
 		this.text.append(token.text());
 	}
 
@@ -54,12 +69,16 @@
 
 	private void reply(Reply reply) {
 		this.replied = true;
+		this.buffer.beginWrite(this.clock.getAsLong());
 		try {
 			reply.send();
 		}
 		catch (IOException ex) {
 			throw new CallerGoneException(ex);
 		}
+		finally {
+			this.buffer.endWrite();
+		}
 	}
 
 	@FunctionalInterface
--- a/src/test/java/org/jaywood/router/FakeAgent.java
+++ b/src/test/java/org/jaywood/router/FakeAgent.java
@@ -171,6 +171,14 @@
 		return this.vm;
 	}
 
+	/**
+	 * The same agent as a member of the model service.
+	 */
+	VmRecord modelVm() {
+		return new VmRecord(this.vm.vm() + "-model", "agent", "model", this.vm.region(), this.vm.dataCentre(),
+				this.vm.address(), VmState.LIVE);
+	}
+
 	int runs() {
 		return this.runs.get();
 	}
--- a/src/test/java/org/jaywood/router/RelayFixture.java
+++ b/src/test/java/org/jaywood/router/RelayFixture.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
 
@@ -23,6 +24,7 @@
 import org.jaywood.platform.VmPage;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Frame;
+import org.jaywood.wire.HttpPort;
 import org.jaywood.wire.WireClient;
 
 /**
@@ -34,12 +36,16 @@
 	static final LongSupplier CLOCK = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
 
 	static final RouterLimits LIMITS = new RouterLimits(32, 256, 1_000_000, 0.2, 2, 64 * 1024, 64 * 1024, 300,
-			8 * 1024);
+			1024 * 1024, 500, 500, 8 * 1024);
 
 	private final Watchdog watchdog = new Watchdog();
 
 	private final RouterMetrics metrics = new RouterMetrics();
 
+	private final BufferBudget budget = new BufferBudget(LIMITS.budgetBytes(), LIMITS.stallMillis());
+
+	private volatile boolean leaving;
+
 	private final CallRelay relay;
 
 	private final ConfigurationView configuration = new ConfigurationView(new EventLog("test"));
@@ -52,12 +58,15 @@
 		Deployment deployment = new Deployment(
 				Map.of("a", new DataCentre("region", true), "b", new DataCentre("region", true)),
 				Map.of("service",
-						new ServiceSpec(ServiceKind.PLAIN, List.of(), List.of("a", "b"), ServiceLimits.DEFAULT)),
+						new ServiceSpec(ServiceKind.PLAIN, List.of(), List.of("a", "b"), ServiceLimits.DEFAULT),
+						"model",
+						new ServiceSpec(ServiceKind.MODEL, List.of(), List.of("a", "b"), ServiceLimits.DEFAULT)),
 				Map.of());
 		this.configuration.offer(new AppliedConfiguration(1, "apply", "test", 0, deployment.digest(), deployment),
 				"test");
 		Membership membership = new Membership();
-		membership.merge(new VmPage(1, Arrays.stream(agents).map(FakeAgent::vm).toList()));
+		membership.merge(new VmPage(1,
+				Arrays.stream(agents).flatMap((agent) -> Stream.of(agent.vm(), agent.modelVm())).toList()));
 		ProcessIdentity identity = new ProcessIdentity("router", "entry", "region", "a", "router-1",
 				new Address("127.0.0.1", 1));
 		UpstreamTable table = new UpstreamTable();
@@ -80,6 +89,26 @@
 		return this.metrics;
 	}
 
+	BufferBudget budget() {
+		return this.budget;
+	}
+
+	/**
+	 * Opens a caller port in front of the relay.
+	 */
+	HttpPort callerPort() {
+		HttpPort port = CallerPort.open(new Address("127.0.0.1", 0), new EventLog("test"));
+		this.watchdog.every(50, () -> this.budget.abortStalled(CLOCK.getAsLong()));
+		new CallerHandler(this.configuration, this.relay, this.budget, new BodyReader(LIMITS, this.watchdog, CLOCK),
+				LIMITS, this.metrics, () -> this.leaving, CLOCK)
+			.register(port);
+		return port.start();
+	}
+
+	void leave() {
+		this.leaving = true;
+	}
+
 	CallResult run(Call call, AnswerSink sink) throws InterruptedException {
 		return this.relay.run(call, sink);
 	}
@@ -117,6 +146,11 @@
 
 		private byte @Nullable [] body;
 
+		@Override
+		public boolean hold(int bytes) {
+			return true;
+		}
+
 		@Override
 		public void token(Frame.Token token) {
 			this.tokens.add(token.index());
