Run calls with an idempotency key at most once

Cause: a repeat through another router ran a booking again; the router refused keys.

Change: ClaimRegistry writes a claim before each hand-over that names it, resolves lost replies by the id of the write, and replaces a claim only after its hand-over was fenced as never admitted. A call with a key is never repeated without a fence, whatever its method. The request id of a keyed call begins with its key.

Deletion of expired claims is missing, since the object API lists a kind only as a whole.

--- a/src/main/java/org/jaywood/router/AgentClient.java
+++ b/src/main/java/org/jaywood/router/AgentClient.java
@@ -23,6 +23,7 @@
 import org.jaywood.wire.Json;
 import org.jaywood.wire.LoadReport;
 import org.jaywood.wire.Refusal;
+import org.jaywood.wire.RefusalReason;
 import org.jaywood.wire.WireClient;
 
 /**
@@ -63,9 +64,11 @@
 	 * @param call the call
 	 * @param progress what was received of the answer so far
 	 * @param timeoutMillis longest wait for the head of the reply
+	 * @param listener called before the first byte is sent
 	 */
-	HandOver.Reply handOver(VmRecord agent, Call call, AnswerAssembly progress, long timeoutMillis)
-			throws InterruptedException {
+	HandOver.Reply handOver(VmRecord agent, Call call, AnswerAssembly progress, long timeoutMillis,
+			HandOvers.Listener listener) throws InterruptedException {
+		long startMillis = this.clock.getAsLong();
 		String incarnation;
 		try {
 			incarnation = incarnationOf(agent, timeoutMillis);
@@ -73,9 +76,15 @@
 		catch (IOException ex) {
 			return new HandOver.Reply.Unreached("incarnation of the agent is not known: " + ex);
 		}
-		HandOver handOver = new HandOver(agent, incarnation, this.attempts.next(incarnation), call.requestId());
+		HandOver handOver = new HandOver(this.routerIncarnation, agent, incarnation, this.attempts.next(incarnation),
+				call.requestId());
+		listener.before(handOver);
+		long leftMillis = startMillis + timeoutMillis - this.clock.getAsLong();
+		if (leftMillis <= 0) {
+			return new HandOver.Reply.Refused(new Refusal(RefusalReason.DEADLINE, 0));
+		}
 		try {
-			return classify(handOver, this.client.stream(request(handOver, call, progress, timeoutMillis)));
+			return classify(handOver, this.client.stream(request(handOver, call, progress, leftMillis)));
 		}
 		catch (ConnectException | HttpConnectTimeoutException ex) {
 			return new HandOver.Reply.Unreached(ex.toString());
@@ -213,7 +222,7 @@
 	 * @throws IOException if there is no usable answer
 	 */
 	FenceReply fence(HandOver handOver, long timeoutMillis) throws IOException, InterruptedException {
-		FenceRequest request = new FenceRequest(this.routerIncarnation, handOver.attempt(), handOver.agentIncarnation(),
+		FenceRequest request = new FenceRequest(handOver.router(), handOver.attempt(), handOver.agentIncarnation(),
 				handOver.requestId());
 		HttpResponse<byte[]> reply = this.client.post(handOver.agent().address().uri("/v1/fences"), request,
 				Duration.ofMillis(Math.max(1, Math.min(timeoutMillis, CONTROL_TIMEOUT.toMillis()))));
--- a/src/main/java/org/jaywood/router/CallReader.java
+++ b/src/main/java/org/jaywood/router/CallReader.java
@@ -64,14 +64,28 @@
 			throw new BadInputException(405, "method is not supported");
 		}
 		ServiceSpec spec = spec(deployment, parts[2], ServiceKind.PLAIN, body);
-		boolean repeatable = IDEMPOTENT_METHODS.contains(exchange.method())
-				|| exchange.optionalHeader(Headers.IDEMPOTENT).map(Boolean::parseBoolean).orElse(false);
-		String requestId = UUID.randomUUID().toString();
+		// A call with a key runs at most once, whatever its method.
+		boolean repeatable = exchange.header(Headers.IDEMPOTENCY_KEY) == null
+				&& (IDEMPOTENT_METHODS.contains(exchange.method())
+						|| exchange.optionalHeader(Headers.IDEMPOTENT).map(Boolean::parseBoolean).orElse(false));
+		String requestId = requestId(exchange);
 		return new Call(requestId, parts[2], workspace(exchange), priority(exchange), body,
 				new Call.Target(exchange.method(), "/" + parts[3]), repeatable, requestId,
 				deadline(exchange, spec, nowMillis));
 	}
 
+	/**
+	 * New id; that of a keyed call begins with its key, so that the runs of a key can be
+	 * found in the records of upstreams.
+	 */
+	private static String requestId(Exchange exchange) {
+		String random = UUID.randomUUID().toString();
+		return exchange.optionalHeader(Headers.IDEMPOTENCY_KEY)
+			.filter((key) -> key.matches("[0-9a-f-]{36}"))
+			.map((key) -> key + "." + random)
+			.orElse(random);
+	}
+
 	private static ServiceSpec spec(Deployment deployment, String service, ServiceKind kind, byte[] body) {
 		ServiceSpec spec = deployment.service(service)
 			.filter((found) -> found.kind() == kind)
--- a/src/main/java/org/jaywood/router/CallRelay.java
+++ b/src/main/java/org/jaywood/router/CallRelay.java
@@ -21,7 +21,7 @@
  * budget and the deadline, and finds out what became of a broken hand-over. It says "not
  * run" only if no upstream ran the call and none will.
  */
-final class CallRelay {
+final class CallRelay implements HandOvers {
 
 	/** Pauses between two fences while the call runs. */
 	private static final long FIRST_POLL_MILLIS = 20;
@@ -72,10 +72,12 @@
 	 * Runs a call.
 	 * @param call the call
 	 * @param sink takes the answer
+	 * @param listener called before each hand-over
 	 * @return what became of it; the sink has the whole answer if it was answered
 	 * @throws CallerGoneException if the sink cannot take the answer
 	 */
-	CallResult run(Call call, AnswerSink sink) throws InterruptedException {
+	@Override
+	public CallResult run(Call call, AnswerSink sink, Listener listener) throws InterruptedException {
 		this.retries.recordCall();
 		AnswerAssembly answer = new AnswerAssembly(sink, this.metrics.droppedFrames());
 		Set<Address> excluded = new HashSet<>();
@@ -95,7 +97,7 @@
 				}
 				this.metrics.retries().mark();
 			}
-			Step step = attempt(agent.get(), call, answer);
+			Step step = attempt(agent.get(), call, answer, listener);
 			if (!step.another()) {
 				return step.result();
 			}
@@ -106,6 +108,12 @@
 		}
 	}
 
+	@Override
+	public FenceReply fence(HandOver handOver, long timeoutMillis) throws IOException, InterruptedException {
+		this.metrics.fences().mark();
+		return this.agents.fence(handOver, timeoutMillis);
+	}
+
 	/**
 	 * A call that may have run stays unknown, whatever later tries say.
 	 */
@@ -117,13 +125,14 @@
 		return (last instanceof CallResult.Unknown) ? last : new CallResult.NotRun(reason, DEFAULT_RETRY_AFTER_MILLIS);
 	}
 
-	private Step attempt(VmRecord agent, Call call, AnswerAssembly answer) throws InterruptedException {
+	private Step attempt(VmRecord agent, Call call, AnswerAssembly answer, Listener listener)
+			throws InterruptedException {
 		long remainingMillis = call.remainingMillis(this.clock.getAsLong());
 		long reserveMillis = call.repeatable() ? 0 : Math.min(FENCE_RESERVE_MILLIS, remainingMillis / 4);
 		this.table.begin(agent.address());
 		try {
 			HandOver.Reply reply = this.agents.handOver(agent, call, answer,
-					Math.max(1, remainingMillis - reserveMillis));
+					Math.max(1, remainingMillis - reserveMillis), listener);
 			return switch (reply) {
 				case HandOver.Reply.Admitted admitted -> relay(admitted, call, answer, reserveMillis);
 				case HandOver.Reply.Refused refused -> refused(refused.refusal());
--- a/src/main/java/org/jaywood/router/CallResult.java
+++ b/src/main/java/org/jaywood/router/CallResult.java
@@ -23,4 +23,22 @@
 	record Unknown(String reason) implements CallResult {
 	}
 
+	/**
+	 * Another request with the same key runs or has run the call.
+	 */
+	record InProgress() implements CallResult {
+	}
+
+	/**
+	 * The key belongs to a call with another payload.
+	 */
+	record KeyReused() implements CallResult {
+	}
+
+	/**
+	 * The call was answered before, but its answer was too large to keep.
+	 */
+	record AnsweredNotKept() implements CallResult {
+	}
+
 }
--- a/src/main/java/org/jaywood/router/CallerHandler.java
+++ b/src/main/java/org/jaywood/router/CallerHandler.java
@@ -30,6 +30,8 @@
 
 	private final RouterMetrics metrics;
 
+	private final ClaimRegistry claims;
+
 	private final BufferBudget budget;
 
 	private final BodyReader bodies;
@@ -40,11 +42,13 @@
 
 	private final AtomicInteger inFlight = new AtomicInteger();
 
-	CallerHandler(ConfigurationView configuration, CallRelay relay, BufferBudget budget, BodyReader bodies,
-			RouterLimits limits, RouterMetrics metrics, BooleanSupplier leaving, LongSupplier clock) {
+	CallerHandler(ConfigurationView configuration, CallRelay relay, ClaimRegistry claims, BufferBudget budget,
+			BodyReader bodies, RouterLimits limits, RouterMetrics metrics, BooleanSupplier leaving,
+			LongSupplier clock) {
 		this.configuration = configuration;
 		this.reader = new CallReader(limits);
 		this.relay = relay;
+		this.claims = claims;
 		this.budget = budget;
 		this.bodies = bodies;
 		this.limits = limits;
@@ -99,19 +103,16 @@
 				? new StreamSink(exchange, buffer, this.clock,
 						() -> this.metrics.recordFirstToken(this.clock.getAsLong() - nowMillis))
 				: new WholeSink(exchange, buffer, this.limits.answerBytes(), this.clock);
-		finish(exchange, sink, this.relay.run(model.call(), sink));
+		finish(exchange, sink, this.relay.run(model.call(), sink, HandOvers.Listener.NONE));
 	}
 
 	private void plain(Exchange exchange, CallerBuffer buffer) throws IOException, InterruptedException {
-		if (exchange.header(Headers.IDEMPOTENCY_KEY) != null) {
-			// Without a claim a repeated call could run twice, so none is started.
-			error(exchange, 501, CallOutcome.NOT_RUN, "KEYS_NOT_SUPPORTED", "idempotency keys are not supported");
-			return;
-		}
 		Call call = this.reader.plain(exchange, this.bodies.read(exchange, buffer), this.configuration.deployment(),
 				this.clock.getAsLong());
 		AnswerSink sink = new WholeSink(exchange, buffer, this.limits.answerBytes(), this.clock);
-		finish(exchange, sink, this.relay.run(call, sink));
+		String key = exchange.header(Headers.IDEMPOTENCY_KEY);
+		finish(exchange, sink, (key != null) ? this.claims.run(call, key, sink, System.currentTimeMillis())
+				: this.relay.run(call, sink, HandOvers.Listener.NONE));
 	}
 
 	private void finish(Exchange exchange, AnswerSink sink, CallResult result) throws IOException {
@@ -124,6 +125,14 @@
 			case CallResult.NotRun notRun -> refuse(exchange, notRun);
 			case CallResult.Unknown unknown ->
 				error(exchange, 504, CallOutcome.UNKNOWN, unknown.reason(), "the call may have run");
+			case CallResult.InProgress running -> {
+				exchange.setHeader("Retry-After", "1");
+				error(exchange, 409, CallOutcome.UNKNOWN, "IN_PROGRESS", "a call with this key is in progress");
+			}
+			case CallResult.KeyReused reused ->
+				error(exchange, 422, CallOutcome.NOT_RUN, "KEY_REUSED", "the key belongs to another payload");
+			case CallResult.AnsweredNotKept answered ->
+				error(exchange, 409, CallOutcome.ANSWERED, "ANSWERED_NOT_KEPT", "the call ran, its answer is not kept");
 		}
 	}
 
--- a/src/main/java/org/jaywood/router/HandOver.java
+++ b/src/main/java/org/jaywood/router/HandOver.java
@@ -6,12 +6,13 @@
 /**
  * One hand-over of a call to an agent.
  *
+ * @param router incarnation of the router
  * @param agent the agent
  * @param agentIncarnation incarnation that the hand-over is meant for
  * @param attempt number of the hand-over
  * @param requestId id of the call
  */
-record HandOver(VmRecord agent, String agentIncarnation, long attempt, String requestId) {
+record HandOver(String router, VmRecord agent, String agentIncarnation, long attempt, String requestId) {
 
 	/**
 	 * How a hand-over began.
--- a/src/main/java/org/jaywood/router/Router.java
+++ b/src/main/java/org/jaywood/router/Router.java
@@ -57,7 +57,9 @@
 		RouterLimits limits = RouterLimits.DEFAULT;
 		this.budget = new BufferBudget(limits.budgetBytes(), limits.stallMillis());
 		this.watchdog.every(STALL_CHECK_MILLIS, () -> this.budget.abortStalled(clock.getAsLong()));
-		this.callers = new CallerHandler(this.peer.configuration(), relay(identity, clock), this.budget,
+		CallRelay relay = relay(identity, clock);
+		ClaimRegistry claims = new ClaimRegistry(this.peer.platform(), relay, clock);
+		this.callers = new CallerHandler(this.peer.configuration(), relay, claims, this.budget,
 				new BodyReader(limits, this.watchdog, clock), limits, this.metrics, () -> this.leaving, clock);
 		this.callerPort = CallerPort.open(settings.callerAddress(), log);
 		this.callers.register(this.callerPort);
--- a/src/test/java/org/jaywood/router/RelayFixture.java
+++ b/src/test/java/org/jaywood/router/RelayFixture.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -99,8 +100,9 @@
 	HttpPort callerPort() {
 		HttpPort port = CallerPort.open(new Address("127.0.0.1", 0), new EventLog("test"));
 		this.watchdog.every(50, () -> this.budget.abortStalled(CLOCK.getAsLong()));
-		new CallerHandler(this.configuration, this.relay, this.budget, new BodyReader(LIMITS, this.watchdog, CLOCK),
-				LIMITS, this.metrics, () -> this.leaving, CLOCK)
+		new CallerHandler(this.configuration, this.relay,
+				new ClaimRegistry(new FaultyObjectStore(new Random(1), 0), this.relay, CLOCK), this.budget,
+				new BodyReader(LIMITS, this.watchdog, CLOCK), LIMITS, this.metrics, () -> this.leaving, CLOCK)
 			.register(port);
 		return port.start();
 	}
@@ -110,7 +112,7 @@
 	}
 
 	CallResult run(Call call, AnswerSink sink) throws InterruptedException {
-		return this.relay.run(call, sink);
+		return this.relay.run(call, sink, HandOvers.Listener.NONE);
 	}
 
 	/**
