--- a/src/main/java/org/jaywood/router/Router.java
+++ b/src/main/java/org/jaywood/router/Router.java
@@ -41,8 +41,6 @@
 
 	private final HttpPort callerPort;
 
-	private final HttpPort operatorPort;
-
 	private volatile boolean leaving;
 
 	public Router(RouterSettings settings, EventLog log) {
@@ -51,7 +49,7 @@
 		ProcessIdentity identity = new ProcessIdentity("router", settings.vm(), settings.region(),
 				settings.dataCentre(), UUID.randomUUID().toString(), settings.advertisedAddress());
 		this.peer = new PeerNode(identity, settings.listenAddress(), settings.platformAddress(), settings.credential(),
-				log, () -> this.leaving);
+				log, () -> this.leaving, settings.operatorAddress(), settings.callerAddress());
 		// Deadlines must not move with the wall clock.
 		LongSupplier clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
 		RouterLimits limits = RouterLimits.DEFAULT;
@@ -63,8 +61,8 @@
 				new BodyReader(limits, this.watchdog, clock), limits, this.metrics, () -> this.leaving, clock);
 		this.callerPort = CallerPort.open(settings.callerAddress(), log);
 		this.callers.register(this.callerPort);
-		this.operatorPort = HttpPort.open(settings.operatorAddress(), log, settings.credential(), (exchange) -> {
-		}).route("GET", "/state", (exchange) -> exchange.respondJson(200, state()));
+		this.peer.operatorPort(settings.operatorAddress())
+			.route("GET", "/state", (exchange) -> exchange.respondJson(200, state()));
 	}
 
 	private CallRelay relay(ProcessIdentity identity, LongSupplier clock) {
@@ -84,7 +82,6 @@
 
 	public void start() {
 		this.peer.start();
-		this.operatorPort.start();
 		this.callerPort.start();
 		this.log.log(Event.PROCESS_STARTED, "role", "router", "address", this.callerPort.address());
 	}
@@ -106,15 +103,14 @@
 
 	private Map<String, Object> state() {
 		return Map.of("identity", this.peer.identity(), "generation", this.peer.configuration().current().generation(),
-				"inFlight", this.callers.inFlight(), "leaving", this.leaving, "metrics", this.metrics.state(), "held",
-				Map.of("bytes", this.budget.heldBytes(), "callers", this.budget.holders(), "aborted",
-						this.budget.aborted()));
+				"inFlight", this.callers.inFlight(), "leaving", this.leaving, "metrics", this.metrics.state(), "peer",
+				this.peer.state(), "held", Map.of("bytes", this.budget.heldBytes(), "callers", this.budget.holders(),
+						"aborted", this.budget.aborted()));
 	}
 
 	@Override
 	public void close() {
 		this.callerPort.close();
-		this.operatorPort.close();
 		this.peer.close();
 		this.watchdog.close();
 	}
--- a/src/main/java/org/jaywood/wire/HttpPort.java
+++ b/src/main/java/org/jaywood/wire/HttpPort.java
@@ -84,6 +84,15 @@
 		});
 	}
 
+	/**
+	 * Opens a port over a server whose connection ends when an exception leaves a
+	 * handler, as that of the JDK.
+	 */
+	public static HttpPort over(HttpServer server, EventLog log) {
+		return over(server, log, () -> {
+		});
+	}
+
 	/**
 	 * Opens a port over another implementation of the JDK's server API.
 	 * @param server the server
