--- a/src/test/java/org/jaywood/agent/AdmissionTests.java
+++ b/src/test/java/org/jaywood/agent/AdmissionTests.java
@@ -25,7 +25,7 @@
 
 	private void status(String instance, String state, int inFlight) {
 		this.admission.observeStatus(this.admission.epoch(), this.admission.lingering(),
-				new EngineStatus(instance, state, "w", 1, inFlight, 0, MEMORY_BYTES, COLD_LIMIT, 8));
+				new EngineStatus(instance, state, "w", 1, inFlight, 0, MEMORY_BYTES, COLD_LIMIT, 8, true));
 	}
 
 	private RefusalReason refusal(String weights, long bytes) {
--- a/src/test/java/org/jaywood/agent/SmallInstallation.java
+++ b/src/test/java/org/jaywood/agent/SmallInstallation.java
@@ -21,7 +21,8 @@
 final class SmallInstallation {
 
 	static final Profile PROFILE = new Profile("small", List.of(new Site("kushiro-a", "doto")),
-			List.of(new ServiceShape("pool", true, 1), new ServiceShape("visit-desk", false, 1)));
+			List.of(new ServiceShape("pool", true, 1), new ServiceShape("visit-desk", false, 1)),
+			Profile.KITAMORI.links());
 
 	private SmallInstallation() {
 	}
