--- a/src/main/java/org/jaywood/agent/Agent.java
+++ b/src/main/java/org/jaywood/agent/Agent.java
@@ -1,19 +1,28 @@
 package org.jaywood.agent;
 
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 
-import org.jaywood.config.AppliedConfiguration;
 import org.jaywood.config.ServiceKind;
 import org.jaywood.event.Event;
 import org.jaywood.event.EventLog;
 import org.jaywood.peer.PeerNode;
 import org.jaywood.peer.ProcessIdentity;
+import org.jaywood.platform.VmRecord;
+import org.jaywood.platform.VmState;
+import org.jaywood.weights.ChunkExchange;
+import org.jaywood.weights.ExchangeState;
+import org.jaywood.weights.WeightSettings;
+import org.jaywood.wire.Address;
 import org.jaywood.wire.HttpPort;
 import org.jaywood.wire.WireClient;
 
@@ -33,12 +42,12 @@
 
 	private static final LongSupplier CLOCK = System::currentTimeMillis;
 
+	private final AgentSettings settings;
+
 	private final EventLog log;
 
 	private final PeerNode peer;
 
-	private final HttpPort operatorPort;
-
 	private final CallSettings callSettings;
 
 	private final Admission admission = new Admission();
@@ -49,47 +58,53 @@
 
 	private final RunningCalls calls = new RunningCalls();
 
-	private final AgentMetrics metrics = new AgentMetrics(this.admission);
-
-	private final Activation activation;
+	private final AgentMetrics metrics;
 
 	private final EngineMonitor monitor;
 
 	private final AtomicBoolean monitoring = new AtomicBoolean();
 
-	private final String service;
-
 	private final ExecutorService tasks = Executors.newVirtualThreadPerTaskExecutor();
 
+	private final HttpPort enginePort;
+
+	private final ChunkExchange exchange;
+
+	private final SlotHolder slot;
+
+	private final Activation activation;
+
 	public Agent(AgentSettings settings, CallSettings callSettings, EventLog log) {
+		this.settings = settings;
 		this.log = log;
 		this.callSettings = callSettings;
-		this.service = settings.service();
 		ProcessIdentity identity = new ProcessIdentity("agent", settings.vm(), settings.region(), settings.dataCentre(),
 				UUID.randomUUID().toString(), settings.advertisedAddress());
 		this.peer = new PeerNode(identity, settings.listenAddress(), settings.platformAddress(), settings.credential(),
-				log, this.admission::leaving);
+				log, this.admission::leaving, settings.operatorAddress());
+		this.metrics = new AgentMetrics(this.peer.metrics(), this.admission);
 		WireClient upstream = WireClient.plain(settings.listenAddress().host());
-		EngineClient engine = new EngineClient(upstream, settings.upstreamAddress());
-		this.activation = new Activation(settings, this.admission, engine, log);
-		this.monitor = new EngineMonitor(engine, this.admission, this.activation::servedWeights, this::otherWeights,
-				log);
-		registerHandlers(settings, upstream);
-		this.operatorPort = HttpPort.open(settings.operatorAddress(), log, settings.credential(), (exchange) -> {
-		})
-			.route("GET", "/state", (exchange) -> exchange.respondJson(200, state()))
-			.route("GET", "/metrics", (exchange) -> exchange.respondJson(200, this.metrics.values()));
-		this.peer.configuration().onChange((configuration) -> this.tasks.execute(this::configurationChanged));
+		this.enginePort = HttpPort.open(new Address(settings.listenAddress().host(), 0), log);
+		this.exchange = exchange();
+		this.exchange.register(this.peer.port(), this.enginePort, settings.upstreamAddress().host());
+		this.slot = new SlotHolder(new ActivationSlots(this.peer.platform(), settings.service(), identity.incarnation(),
+				settings.leaseMillis()), settings.leaseMillis() / 3, log);
+		this.activation = activation(identity, upstream);
+		this.monitor = new EngineMonitor(new EngineClient(upstream, settings.upstreamAddress()), this.admission, log);
+		registerHandlers(upstream);
+		this.peer.operatorPort(settings.operatorAddress())
+			.route("GET", "/state", (exchange) -> exchange.respondJson(200, state()));
+		this.peer.configuration().onChange((configuration) -> configurationChanged());
 	}
 
-	private void registerHandlers(AgentSettings settings, WireClient upstream) {
+	private void registerHandlers(WireClient upstream) {
 		String incarnation = this.peer.identity().incarnation();
-		// The peer node does not tell yet whether it is isolated.
-		Gate gate = new Gate(incarnation, settings, this.peer.configuration(), () -> false);
-		ModelContext model = new ModelContext(this.callSettings, settings.upstreamAddress(), upstream, this.admission,
-				this.metrics, this.activation::servedWeights, () -> this.monitor.limitReset(this.admission.instance()),
-				this::otherWeights, CLOCK);
-		PlainRun plain = new PlainRun(this.callSettings, settings.upstreamAddress(), upstream, this.archive,
+		Gate gate = new Gate(incarnation, this.settings, this.peer.configuration(),
+				() -> this.peer.isolated(CLOCK.getAsLong()), () -> this.admission.reports(servedWeights()));
+		ModelContext model = new ModelContext(this.callSettings, this.settings.upstreamAddress(), upstream,
+				this.admission, this.metrics, this::servedWeights,
+				() -> this.monitor.limitReset(this.admission.instance()), this::otherWeights, CLOCK);
+		PlainRun plain = new PlainRun(this.callSettings, this.settings.upstreamAddress(), upstream, this.archive,
 				this.ledger);
 		new CallHandler(gate, this.admission, this.ledger, this.calls, plain, model, this.log)
 			.register(this.peer.port());
@@ -97,16 +112,78 @@
 			.register(this.peer.port());
 	}
 
+	private String servedWeights() {
+		return this.activation.state().servedWeights();
+	}
+
+	private void otherWeights(String served) {
+		this.activation.observe(served);
+		this.activation.wake();
+	}
+
+	private ChunkExchange exchange() {
+		VmRecord self = new VmRecord(this.settings.vm(), "agent", this.settings.service(), this.settings.region(),
+				this.settings.dataCentre(), this.settings.advertisedAddress(), VmState.LIVE);
+		WeightSettings weights = new WeightSettings(self, this.settings.storeAddress(), this.settings.storeRegion(),
+				this.settings.stagingBytes(), this.settings.regionLinkBytesPerSecond());
+		return new ChunkExchange(weights, this::receivers, this.peer.client(),
+				WireClient.plain(this.settings.listenAddress().host()), this.log);
+	}
+
+	private Activation activation(ProcessIdentity identity, WireClient upstream) {
+		EngineLease lease = new EngineLease(this.peer.platform(), this.settings.vm(), identity.incarnation(),
+				this.settings.leaseMillis(), Activation.ORDER_TIMEOUT.toMillis());
+		EngineClient engine = new EngineClient(upstream, this.settings.upstreamAddress());
+		return new Activation(this.settings, this.peer.configuration()::current,
+				new Activation.Parts(this.admission, engine, this.exchange, lease, this.slot,
+						this.enginePort.address()),
+				() -> (int) this.peer.membership().agentsOf(this.settings.service()).count(), this.log);
+	}
+
+	/**
+	 * Agents whose services need a manifest, or any weights for the empty digest.
+	 */
+	private List<VmRecord> receivers(String manifest) {
+		Set<String> services = this.peer.configuration()
+			.deployment()
+			.services()
+			.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue()
+				.weights()
+				.stream()
+				.anyMatch((weights) -> manifest.isEmpty() || weights.manifest().equals(manifest)))
+			.map(Map.Entry::getKey)
+			.collect(Collectors.toSet());
+		return this.peer.membership()
+			.live()
+			.filter((vm) -> vm.role().equals("agent") && services.contains(vm.service()))
+			.toList();
+	}
+
+	private void run(Task task) {
+		this.tasks.execute(() -> {
+			try {
+				task.run();
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+		});
+	}
+
 	public void start() {
 		this.tasks.execute(this::watchCalls);
 		this.peer.start();
-		this.operatorPort.start();
-		this.log.log(Event.PROCESS_STARTED, "role", "agent", "address", this.peer.port().address());
+		this.enginePort.start();
+		this.exchange.start();
+		run(this.activation::run);
+		run(this.slot::run);
+		this.log.log(Event.PROCESS_STARTED, "role", "agent", "address", this.settings.listenAddress());
 	}
 
 	private void configurationChanged() {
-		AppliedConfiguration current = this.peer.configuration().current();
-		current.deployment().service(this.service).ifPresent((spec) -> {
+		this.peer.configuration().deployment().service(this.settings.service()).ifPresent((spec) -> {
 			if (spec.kind() == ServiceKind.PLAIN) {
 				this.admission.declarePlain(this.callSettings.plainConcurrency(), this.callSettings.plainMemoryBytes());
 			}
@@ -114,14 +191,7 @@
 				this.tasks.execute(this.monitor);
 			}
 		});
-		this.activation.activate(current);
-	}
-
-	private void otherWeights() {
-		this.admission.close();
-		this.log.log(Event.ENGINE_OTHER_WEIGHTS, "expected", this.activation.servedWeights());
-		this.activation.invalidate();
-		this.tasks.execute(() -> this.activation.activate(this.peer.configuration().current()));
+		this.activation.wake();
 	}
 
 	private void watchCalls() {
@@ -156,20 +226,44 @@
 	}
 
 	private Map<String, Object> state() {
-		return Map.of("identity", this.peer.identity(), "generation", this.peer.configuration().current().generation(),
-				"inFlight", this.admission.inFlight(), "calls", this.calls.count(), "servedWeights",
-				this.activation.servedWeights(), "leaving", this.admission.leaving(), "load", this.admission.load(),
-				"ledger",
-				Map.of("routers", this.ledger.routers(), "closedRouters", this.ledger.closedRouters(),
-						"archivedAnswers", this.archive.count(), "archivedBytes", this.archive.bytes()),
-				"metrics", this.metrics.values());
+		Map<String, Object> state = new LinkedHashMap<>();
+		state.put("identity", this.peer.identity());
+		state.put("generation", this.peer.configuration().current().generation());
+		state.put("inFlight", this.admission.inFlight());
+		state.put("leaving", this.admission.leaving());
+		ActivationState weights = this.activation.state();
+		state.put("upstreamState", weights.upstreamState());
+		state.put("behindReason", weights.behindReason());
+		state.put("wantedWeights", weights.wantedWeights());
+		state.put("servedWeights", weights.servedWeights());
+		ExchangeState chunks = this.exchange.state();
+		state.put("chunksVerified", chunks.chunksVerified());
+		state.put("chunksWanted", chunks.chunksWanted());
+		state.put("stagingBytes", chunks.stagingBytes());
+		state.put("stagingLimitBytes", chunks.stagingLimitBytes());
+		state.put("fetchedBytes", chunks.fetchedBytes());
+		state.put("peer", this.peer.state());
+		state.put("load", this.admission.load());
+		state.put("ledger", Map.of("routers", this.ledger.routers(), "closedRouters", this.ledger.closedRouters(),
+				"archivedAnswers", this.archive.count(), "archivedBytes", this.archive.bytes()));
+		state.put("calls", this.calls.count());
+		state.put("counters", this.metrics.values());
+		return state;
 	}
 
 	@Override
 	public void close() {
 		this.tasks.shutdownNow();
-		this.operatorPort.close();
+		this.exchange.close();
+		this.enginePort.close();
 		this.peer.close();
 	}
 
+	@FunctionalInterface
+	private interface Task {
+
+		void run() throws InterruptedException;
+
+	}
+
 }
--- a/src/main/java/org/jaywood/agent/AgentMetrics.java
+++ b/src/main/java/org/jaywood/agent/AgentMetrics.java
@@ -4,6 +4,7 @@
 import java.util.TreeMap;
 
 import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricFilter;
 import com.codahale.metrics.MetricRegistry;
 
 import org.jaywood.wire.RefusalReason;
@@ -13,39 +14,42 @@
  */
 final class AgentMetrics {
 
-	private final MetricRegistry registry = new MetricRegistry();
+	private static final String PREFIX = "agent.";
 
-	AgentMetrics(Admission admission) {
-		this.registry.register("bytesHeld", (Gauge<Long>) () -> admission.load().heldBytes());
-		this.registry.register("inFlight", (Gauge<Integer>) admission::inFlight);
+	private final MetricRegistry registry;
+
+	AgentMetrics(MetricRegistry registry, Admission admission) {
+		this.registry = registry;
+		registry.register(PREFIX + "bytesHeld", (Gauge<Long>) () -> admission.load().heldBytes());
+		registry.register(PREFIX + "inFlight", (Gauge<Integer>) admission::inFlight);
 	}
 
 	void admitted() {
-		this.registry.counter("admissions").inc();
+		this.registry.counter(PREFIX + "admissions").inc();
 	}
 
 	void refused(RefusalReason reason) {
-		this.registry.counter("refusals." + reason).inc();
+		this.registry.counter(PREFIX + "refusals." + reason).inc();
 	}
 
 	void fenced() {
-		this.registry.counter("fences").inc();
+		this.registry.counter(PREFIX + "fences").inc();
 	}
 
 	void cancelled() {
-		this.registry.counter("cancels").inc();
+		this.registry.counter(PREFIX + "cancels").inc();
 	}
 
 	void suspended() {
-		this.registry.counter("suspensions").inc();
+		this.registry.counter(PREFIX + "suspensions").inc();
 	}
 
 	void resumed() {
-		this.registry.counter("resumes").inc();
+		this.registry.counter(PREFIX + "resumes").inc();
 	}
 
 	void broken() {
-		this.registry.counter("broken").inc();
+		this.registry.counter(PREFIX + "broken").inc();
 	}
 
 	/**
@@ -53,8 +57,10 @@
 	 */
 	Map<String, Object> values() {
 		Map<String, Object> values = new TreeMap<>();
-		this.registry.getCounters().forEach((name, counter) -> values.put(name, counter.getCount()));
-		this.registry.getGauges().forEach((name, gauge) -> values.put(name, gauge.getValue()));
+		this.registry.getCounters(MetricFilter.startsWith(PREFIX))
+			.forEach((name, counter) -> values.put(name.substring(PREFIX.length()), counter.getCount()));
+		this.registry.getGauges(MetricFilter.startsWith(PREFIX))
+			.forEach((name, gauge) -> values.put(name.substring(PREFIX.length()), gauge.getValue()));
 		return values;
 	}
 
--- a/src/main/java/org/jaywood/agent/EngineMonitor.java
+++ b/src/main/java/org/jaywood/agent/EngineMonitor.java
@@ -3,7 +3,6 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
 
 import org.jaywood.event.Event;
 import org.jaywood.event.EventLog;
@@ -21,22 +20,13 @@
 
 	private final Admission admission;
 
-	private final Supplier<String> expectedWeights;
-
-	private final Runnable onOtherWeights;
-
 	private final EventLog log;
 
 	private final BlockingQueue<Boolean> wake = new ArrayBlockingQueue<>(1);
 
-	private int mismatches;
-
-	EngineMonitor(EngineClient engine, Admission admission, Supplier<String> expectedWeights, Runnable onOtherWeights,
-			EventLog log) {
+	EngineMonitor(EngineClient engine, Admission admission, EventLog log) {
 		this.engine = engine;
 		this.admission = admission;
-		this.expectedWeights = expectedWeights;
-		this.onOtherWeights = onOtherWeights;
 		this.log = log;
 	}
 
@@ -69,7 +59,6 @@
 			if (this.admission.observeStatus(epoch, lingering, status)) {
 				limitReset(status.instance());
 			}
-			compareWeights(status);
 		}
 		catch (RuntimeException ex) {
 			this.admission.observeNoStatus(epoch);
@@ -78,15 +67,4 @@
 		}
 	}
 
-	// A single mismatch may be a status that was asked for before a load ended.
-	private void compareWeights(EngineStatus status) {
-		String expected = this.expectedWeights.get();
-		boolean differs = !expected.isEmpty() && !expected.equals(status.weights());
-		this.mismatches = differs ? this.mismatches + 1 : 0;
-		if (this.mismatches == 2) {
-			this.onOtherWeights.run();
-			this.mismatches = 0;
-		}
-	}
-
 }
--- a/src/main/java/org/jaywood/agent/Gate.java
+++ b/src/main/java/org/jaywood/agent/Gate.java
@@ -23,12 +23,16 @@
 
 	private final BooleanSupplier isolated;
 
-	Gate(String incarnation, AgentSettings settings, ConfigurationView configuration, BooleanSupplier isolated) {
+	private final BooleanSupplier weightsActivated;
+
+	Gate(String incarnation, AgentSettings settings, ConfigurationView configuration, BooleanSupplier isolated,
+			BooleanSupplier weightsActivated) {
 		this.incarnation = incarnation;
 		this.service = settings.service();
 		this.dataCentre = settings.dataCentre();
 		this.configuration = configuration;
 		this.isolated = isolated;
+		this.weightsActivated = weightsActivated;
 	}
 
 	/**
@@ -58,6 +62,10 @@
 		if (this.isolated.getAsBoolean()) {
 			throw new AdmissionRefusal(RefusalReason.STALE_CONFIGURATION, CONFIGURATION_RETRY_MILLIS);
 		}
+		// A restarted engine has lost its weights before the activation notices.
+		if (!this.weightsActivated.getAsBoolean()) {
+			throw new AdmissionRefusal(RefusalReason.NOT_READY, CONFIGURATION_RETRY_MILLIS);
+		}
 	}
 
 }
--- a/src/main/java/org/jaywood/agent/ModelContext.java
+++ b/src/main/java/org/jaywood/agent/ModelContext.java
@@ -1,5 +1,6 @@
 package org.jaywood.agent;
 
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
@@ -16,9 +17,9 @@
  * @param metrics counters
  * @param expectedWeights digest of the weights that were activated
  * @param onReset called after a reply reset the limit
- * @param onWrongWeights called after a reply named other weights than expected
+ * @param onWrongWeights told the digest of a reply that differs from the expected one
  * @param clock present time in milliseconds
  */
 record ModelContext(CallSettings settings, Address engine, WireClient client, Admission admission, AgentMetrics metrics,
-		Supplier<String> expectedWeights, Runnable onReset, Runnable onWrongWeights, LongSupplier clock) {
+		Supplier<String> expectedWeights, Runnable onReset, Consumer<String> onWrongWeights, LongSupplier clock) {
 }
--- a/src/main/java/org/jaywood/agent/ModelRun.java
+++ b/src/main/java/org/jaywood/agent/ModelRun.java
@@ -149,7 +149,7 @@
 			throw refuseOrFail(warm ? RefusalReason.FULL : RefusalReason.COLD_FULL, null);
 		}
 		if (!served.equals(this.context.expectedWeights().get())) {
-			this.context.onWrongWeights().run();
+			this.context.onWrongWeights().accept(served);
 			throw new IOException("engine serves other weights than were activated");
 		}
 		String required = (this.out != null) ? this.weights : this.request.requiredWeights();
--- a/src/main/java/org/jaywood/cli/AgentCommand.java
+++ b/src/main/java/org/jaywood/cli/AgentCommand.java
@@ -1,6 +1,7 @@
 package org.jaywood.cli;
 
 import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
 
@@ -8,6 +9,8 @@
 import org.jaywood.agent.AgentSettings;
 import org.jaywood.agent.CallSettings;
 import org.jaywood.event.EventLog;
+import org.jaywood.peer.PortPolicy;
+import org.jaywood.weights.WeightSettings;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Credential;
 
@@ -21,7 +24,8 @@
 	@ParametersDelegate
 	private final NodeOptions node = new NodeOptions();
 
-	@Parameter(names = "--service", required = true, description = "Service of the upstream")
+	@Parameter(names = "--service", required = true, validateWith = Converters.NameValidator.class,
+			description = "Service of the upstream")
 	private String service;
 
 	@Parameter(names = "--upstream", required = true, converter = Converters.AddressConverter.class,
@@ -45,6 +49,17 @@
 	@Parameter(names = "--token-bytes", description = "Memory that the engine needs for one token, in bytes")
 	private long tokenBytes = CallSettings.DEFAULT.tokenBytes();
 
+	@Parameter(names = "--staging-bytes", description = "Bound of the weights held in memory, in bytes")
+	private long stagingBytes = WeightSettings.DEFAULT_STAGING_BYTES;
+
+	@Parameter(names = "--region-link-bytes-per-second",
+			description = "Rate that weight traffic from one region to another may take, in bytes per second")
+	private long regionLinkBytesPerSecond = WeightSettings.DEFAULT_REGION_LINK_BYTES_PER_SECOND;
+
+	@Parameter(names = "--lease-millis",
+			description = "Length of the lease of the engine and of an activation slot in milliseconds")
+	private long leaseMillis = 10_000;
+
 	@Override
 	public String name() {
 		return "agent";
@@ -52,9 +67,15 @@
 
 	@Override
 	public int run() throws InterruptedException {
+		PortPolicy.violation(Credential.parse(this.node.credential), this.node.listen, this.node.operator)
+			.ifPresent((address) -> {
+				throw new ParameterException("--credential is not set: an agent that listens on " + address
+						+ " needs one, because others reach this address");
+			});
 		AgentSettings settings = new AgentSettings(this.node.vm, this.node.region, this.node.dataCentre, this.service,
 				this.node.listen, this.node.advertised(), this.node.operator, this.upstream, this.node.platform,
-				this.store, this.storeRegion, Credential.parse(this.node.credential), this.node.drainMillis);
+				this.store, this.storeRegion, Credential.parse(this.node.credential), this.node.drainMillis,
+				this.stagingBytes, this.regionLinkBytesPerSecond, this.leaseMillis);
 		Agent agent = new Agent(settings, callSettings(), new EventLog(this.node.vm));
 		agent.start();
 		return Daemon.runUntilTerminated(agent::drain);
--- a/src/main/java/org/jaywood/standin/EngineStandin.java
+++ b/src/main/java/org/jaywood/standin/EngineStandin.java
@@ -4,6 +4,7 @@
 import java.io.OutputStream;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -34,10 +35,10 @@
 
 	public EngineStandin(Address address, EngineOptions options, EventLog log) {
 		this.state = new EngineState(options);
-		this.weights = new EngineWeights(this.state::turnCold);
+		this.weights = new EngineWeights(address.host(), this.state::turnCold);
 		this.port = HttpPort.open(address, log)
 			.route("GET", "/status", (exchange) -> exchange.respondJson(200, status()))
-			.route("GET", "/record", (exchange) -> exchange.respondJson(200, this.state.record()))
+			.route("GET", "/record", (exchange) -> exchange.respondJson(200, record()))
 			.route("POST", "/control", this::control)
 			.route("POST", "/v1/completions", this::complete);
 		this.weights.register(this.port, this);
@@ -52,7 +53,20 @@
 	 * Status as the engine reports it.
 	 */
 	Map<String, Object> status() {
-		return this.state.status(this.weights.digest(), this.weights.fencing());
+		Map<String, Object> status = new TreeMap<>(this.state.status());
+		status.put("weights", this.weights.digest());
+		status.put("fencing", this.weights.fencing());
+		status.put("checksFencing", this.weights.checksFencing());
+		if (this.weights.loading()) {
+			status.put("state", "loading");
+		}
+		return status;
+	}
+
+	private Map<String, Object> record() {
+		Map<String, Object> record = new TreeMap<>(this.state.record());
+		record.putAll(this.weights.record());
+		return record;
 	}
 
 	private void control(Exchange exchange) throws IOException {
@@ -101,6 +115,7 @@
 				if (!call.grow()) {
 					throw exchange.abort("engine crashed");
 				}
+				this.weights.onTokenServed();
 				writeLine(out, Map.of("index", index, "text", TokenFunction.token(served, prompt, index)));
 			}
 			// The place is free before the client can see the end marker.
