--- a/src/main/java/org/jaywood/agent/Agent.java
+++ b/src/main/java/org/jaywood/agent/Agent.java
@@ -1,6 +1,5 @@
 package org.jaywood.agent;
 
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -12,6 +11,7 @@
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 
+import org.jaywood.config.AppliedConfiguration;
 import org.jaywood.config.ServiceKind;
 import org.jaywood.event.Event;
 import org.jaywood.event.EventLog;
@@ -20,7 +20,6 @@
 import org.jaywood.platform.VmRecord;
 import org.jaywood.platform.VmState;
 import org.jaywood.weights.ChunkExchange;
-import org.jaywood.weights.ExchangeState;
 import org.jaywood.weights.WeightSettings;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.HttpPort;
@@ -42,14 +41,14 @@
 
 	private static final LongSupplier CLOCK = System::currentTimeMillis;
 
-	private final AgentSettings settings;
-
 	private final EventLog log;
 
-	private final PeerNode peer;
+	private final AgentSettings settings;
 
 	private final CallSettings callSettings;
 
+	private final PeerNode peer;
+
 	private final Admission admission = new Admission();
 
 	private final AttemptLedger ledger = new AttemptLedger();
@@ -58,14 +57,6 @@
 
 	private final RunningCalls calls = new RunningCalls();
 
-	private final AgentMetrics metrics;
-
-	private final EngineMonitor monitor;
-
-	private final AtomicBoolean monitoring = new AtomicBoolean();
-
-	private final ExecutorService tasks = Executors.newVirtualThreadPerTaskExecutor();
-
 	private final HttpPort enginePort;
 
 	private final ChunkExchange exchange;
@@ -74,53 +65,54 @@
 
 	private final Activation activation;
 
+	private final EngineMonitor monitor;
+
+	private final AtomicBoolean monitoring = new AtomicBoolean();
+
+	private final ExecutorService tasks = Executors.newVirtualThreadPerTaskExecutor();
+
 	public Agent(AgentSettings settings, CallSettings callSettings, EventLog log) {
 		this.settings = settings;
-		this.log = log;
 		this.callSettings = callSettings;
+		this.log = log;
 		ProcessIdentity identity = new ProcessIdentity("agent", settings.vm(), settings.region(), settings.dataCentre(),
 				UUID.randomUUID().toString(), settings.advertisedAddress());
 		this.peer = new PeerNode(identity, settings.listenAddress(), settings.platformAddress(), settings.credential(),
 				log, this.admission::leaving, settings.operatorAddress());
-		this.metrics = new AgentMetrics(this.peer.metrics(), this.admission);
 		WireClient upstream = WireClient.plain(settings.listenAddress().host());
+		EngineClient engine = new EngineClient(upstream, settings.upstreamAddress());
 		this.enginePort = HttpPort.open(new Address(settings.listenAddress().host(), 0), log);
 		this.exchange = exchange();
 		this.exchange.register(this.peer.port(), this.enginePort, settings.upstreamAddress().host());
 		this.slot = new SlotHolder(new ActivationSlots(this.peer.platform(), settings.service(), identity.incarnation(),
 				settings.leaseMillis()), settings.leaseMillis() / 3, log);
-		this.activation = activation(identity, upstream);
-		this.monitor = new EngineMonitor(new EngineClient(upstream, settings.upstreamAddress()), this.admission, log);
+		this.activation = activation(identity, engine);
+		this.monitor = new EngineMonitor(engine, this.admission, this.activation::observe, log);
 		registerHandlers(upstream);
+		AgentDump dump = new AgentDump(this.peer, this.admission, this.calls, this.ledger, this.archive,
+				this.activation, this.exchange);
 		this.peer.operatorPort(settings.operatorAddress())
-			.route("GET", "/state", (exchange) -> exchange.respondJson(200, state()));
-		this.peer.configuration().onChange((configuration) -> configurationChanged());
+			.route("GET", "/state", (request) -> request.respondJson(200, dump.values()));
+		this.peer.configuration().onChange(this::configurationChanged);
 	}
 
 	private void registerHandlers(WireClient upstream) {
 		String incarnation = this.peer.identity().incarnation();
+		AgentMetrics metrics = new AgentMetrics(this.admission, this.peer.metrics());
 		Gate gate = new Gate(incarnation, this.settings, this.peer.configuration(),
-				() -> this.peer.isolated(CLOCK.getAsLong()), () -> this.admission.reports(servedWeights()));
+				() -> this.peer.isolated(CLOCK.getAsLong()),
+				() -> this.admission.reports(this.activation.state().servedWeights()));
 		ModelContext model = new ModelContext(this.callSettings, this.settings.upstreamAddress(), upstream,
-				this.admission, this.metrics, this::servedWeights,
-				() -> this.monitor.limitReset(this.admission.instance()), this::otherWeights, CLOCK);
+				this.admission, metrics, () -> this.activation.state().servedWeights(),
+				() -> this.monitor.limitReset(this.admission.instance()), this.activation::observe, CLOCK);
 		PlainRun plain = new PlainRun(this.callSettings, this.settings.upstreamAddress(), upstream, this.archive,
 				this.ledger);
 		new CallHandler(gate, this.admission, this.ledger, this.calls, plain, model, this.log)
 			.register(this.peer.port());
-		new CallControl(incarnation, this.admission, this.ledger, this.archive, this.calls, this.metrics, CLOCK)
+		new CallControl(incarnation, this.admission, this.ledger, this.archive, this.calls, metrics, CLOCK)
 			.register(this.peer.port());
 	}
 
-	private String servedWeights() {
-		return this.activation.state().servedWeights();
-	}
-
-	private void otherWeights(String served) {
-		this.activation.observe(served);
-		this.activation.wake();
-	}
-
 	private ChunkExchange exchange() {
 		VmRecord self = new VmRecord(this.settings.vm(), "agent", this.settings.service(), this.settings.region(),
 				this.settings.dataCentre(), this.settings.advertisedAddress(), VmState.LIVE);
@@ -130,10 +122,9 @@
 				WireClient.plain(this.settings.listenAddress().host()), this.log);
 	}
 
-	private Activation activation(ProcessIdentity identity, WireClient upstream) {
+	private Activation activation(ProcessIdentity identity, EngineClient engine) {
 		EngineLease lease = new EngineLease(this.peer.platform(), this.settings.vm(), identity.incarnation(),
 				this.settings.leaseMillis(), Activation.ORDER_TIMEOUT.toMillis());
-		EngineClient engine = new EngineClient(upstream, this.settings.upstreamAddress());
 		return new Activation(this.settings, this.peer.configuration()::current,
 				new Activation.Parts(this.admission, engine, this.exchange, lease, this.slot,
 						this.enginePort.address()),
@@ -161,6 +152,16 @@
 			.toList();
 	}
 
+	public void start() {
+		this.enginePort.start();
+		this.exchange.start();
+		run(this::watchCalls);
+		this.peer.start();
+		run(this.activation::run);
+		run(this.slot::run);
+		this.log.log(Event.PROCESS_STARTED, "role", "agent", "address", this.settings.listenAddress());
+	}
+
 	private void run(Task task) {
 		this.tasks.execute(() -> {
 			try {
@@ -172,18 +173,8 @@
 		});
 	}
 
-	public void start() {
-		this.tasks.execute(this::watchCalls);
-		this.peer.start();
-		this.enginePort.start();
-		this.exchange.start();
-		run(this.activation::run);
-		run(this.slot::run);
-		this.log.log(Event.PROCESS_STARTED, "role", "agent", "address", this.settings.listenAddress());
-	}
-
-	private void configurationChanged() {
-		this.peer.configuration().deployment().service(this.settings.service()).ifPresent((spec) -> {
+	private void configurationChanged(AppliedConfiguration current) {
+		current.deployment().service(this.settings.service()).ifPresent((spec) -> {
 			if (spec.kind() == ServiceKind.PLAIN) {
 				this.admission.declarePlain(this.callSettings.plainConcurrency(), this.callSettings.plainMemoryBytes());
 			}
@@ -194,19 +185,13 @@
 		this.activation.wake();
 	}
 
-	private void watchCalls() {
-		try {
-			while (true) {
-				int ended = this.calls.watch(CLOCK.getAsLong(), System.nanoTime(),
-						this.callSettings.writeTimeoutMillis());
-				if (ended > 0) {
-					this.log.log(Event.CALLS_ENDED_BY_WATCHDOG, "count", ended);
-				}
-				TimeUnit.MILLISECONDS.sleep(WATCH_INTERVAL_MILLIS);
+	private void watchCalls() throws InterruptedException {
+		while (true) {
+			int ended = this.calls.watch(CLOCK.getAsLong(), System.nanoTime(), this.callSettings.writeTimeoutMillis());
+			if (ended > 0) {
+				this.log.log(Event.CALLS_ENDED_BY_WATCHDOG, "count", ended);
 			}
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
+			TimeUnit.MILLISECONDS.sleep(WATCH_INTERVAL_MILLIS);
 		}
 	}
 
@@ -225,32 +210,6 @@
 		this.log.log(Event.PROCESS_STOPPED, "role", "agent", "seconds", (CLOCK.getAsLong() - nowMillis) / 1000.0);
 	}
 
-	private Map<String, Object> state() {
-		Map<String, Object> state = new LinkedHashMap<>();
-		state.put("identity", this.peer.identity());
-		state.put("generation", this.peer.configuration().current().generation());
-		state.put("inFlight", this.admission.inFlight());
-		state.put("leaving", this.admission.leaving());
-		ActivationState weights = this.activation.state();
-		state.put("upstreamState", weights.upstreamState());
-		state.put("behindReason", weights.behindReason());
-		state.put("wantedWeights", weights.wantedWeights());
-		state.put("servedWeights", weights.servedWeights());
-		ExchangeState chunks = this.exchange.state();
-		state.put("chunksVerified", chunks.chunksVerified());
-		state.put("chunksWanted", chunks.chunksWanted());
-		state.put("stagingBytes", chunks.stagingBytes());
-		state.put("stagingLimitBytes", chunks.stagingLimitBytes());
-		state.put("fetchedBytes", chunks.fetchedBytes());
-		state.put("peer", this.peer.state());
-		state.put("load", this.admission.load());
-		state.put("ledger", Map.of("routers", this.ledger.routers(), "closedRouters", this.ledger.closedRouters(),
-				"archivedAnswers", this.archive.count(), "archivedBytes", this.archive.bytes()));
-		state.put("calls", this.calls.count());
-		state.put("counters", this.metrics.values());
-		return state;
-	}
-
 	@Override
 	public void close() {
 		this.tasks.shutdownNow();
@@ -259,6 +218,9 @@
 		this.peer.close();
 	}
 
+	/**
+	 * A task that runs until it is interrupted.
+	 */
 	@FunctionalInterface
 	private interface Task {
 
--- /dev/null
+++ b/src/main/java/org/jaywood/agent/AgentDump.java
@@ -0,0 +1,54 @@
+package org.jaywood.agent;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import org.jaywood.peer.PeerNode;
+import org.jaywood.weights.ChunkExchange;
+import org.jaywood.weights.ExchangeState;
+
+/**
+ * The state of an agent as the operator port shows it. It holds no prompts, bodies or
+ * credentials.
+ *
+ * @param peer the part that talks to peers
+ * @param admission admission to the upstream
+ * @param calls running calls
+ * @param ledger hand-overs seen
+ * @param archive finished answers
+ * @param activation what the engine serves
+ * @param exchange weights held
+ */
+record AgentDump(PeerNode peer, Admission admission, RunningCalls calls, AttemptLedger ledger, AnswerArchive archive,
+		Activation activation, ChunkExchange exchange) {
+
+	Map<String, Object> values() {
+		Map<String, Object> values = new LinkedHashMap<>();
+		values.put("identity", this.peer.identity());
+		values.put("generation", this.peer.configuration().current().generation());
+		values.put("inFlight", this.admission.inFlight());
+		values.put("calls", this.calls.count());
+		values.put("leaving", this.admission.leaving());
+		values.put("load", this.admission.load());
+		putWeights(values);
+		values.put("ledger", Map.of("routers", this.ledger.routers(), "closedRouters", this.ledger.closedRouters(),
+				"archivedAnswers", this.archive.count(), "archivedBytes", this.archive.bytes()));
+		values.put("peer", this.peer.state());
+		return values;
+	}
+
+	private void putWeights(Map<String, Object> values) {
+		ActivationState weights = this.activation.state();
+		values.put("upstreamState", weights.upstreamState());
+		values.put("behindReason", weights.behindReason());
+		values.put("wantedWeights", weights.wantedWeights());
+		values.put("servedWeights", weights.servedWeights());
+		ExchangeState chunks = this.exchange.state();
+		values.put("chunksVerified", chunks.chunksVerified());
+		values.put("chunksWanted", chunks.chunksWanted());
+		values.put("stagingBytes", chunks.stagingBytes());
+		values.put("stagingLimitBytes", chunks.stagingLimitBytes());
+		values.put("fetchedBytes", chunks.fetchedBytes());
+	}
+
+}
--- a/src/main/java/org/jaywood/agent/AgentMetrics.java
+++ b/src/main/java/org/jaywood/agent/AgentMetrics.java
@@ -1,10 +1,6 @@
 package org.jaywood.agent;
 
-import java.util.Map;
-import java.util.TreeMap;
-
 import com.codahale.metrics.Gauge;
-import com.codahale.metrics.MetricFilter;
 import com.codahale.metrics.MetricRegistry;
 
 import org.jaywood.wire.RefusalReason;
@@ -14,54 +10,40 @@
  */
 final class AgentMetrics {
 
-	private static final String PREFIX = "agent.";
-
 	private final MetricRegistry registry;
 
-	AgentMetrics(MetricRegistry registry, Admission admission) {
+	AgentMetrics(Admission admission, MetricRegistry registry) {
 		this.registry = registry;
-		registry.register(PREFIX + "bytesHeld", (Gauge<Long>) () -> admission.load().heldBytes());
-		registry.register(PREFIX + "inFlight", (Gauge<Integer>) admission::inFlight);
+		this.registry.register("bytesHeld", (Gauge<Long>) () -> admission.load().heldBytes());
+		this.registry.register("inFlight", (Gauge<Integer>) admission::inFlight);
 	}
 
 	void admitted() {
-		this.registry.counter(PREFIX + "admissions").inc();
+		this.registry.counter("admissions").inc();
 	}
 
 	void refused(RefusalReason reason) {
-		this.registry.counter(PREFIX + "refusals." + reason).inc();
+		this.registry.counter("refusals." + reason).inc();
 	}
 
 	void fenced() {
-		this.registry.counter(PREFIX + "fences").inc();
+		this.registry.counter("fences").inc();
 	}
 
 	void cancelled() {
-		this.registry.counter(PREFIX + "cancels").inc();
+		this.registry.counter("cancels").inc();
 	}
 
 	void suspended() {
-		this.registry.counter(PREFIX + "suspensions").inc();
+		this.registry.counter("suspensions").inc();
 	}
 
 	void resumed() {
-		this.registry.counter(PREFIX + "resumes").inc();
+		this.registry.counter("resumes").inc();
 	}
 
 	void broken() {
-		this.registry.counter(PREFIX + "broken").inc();
-	}
-
-	/**
-	 * All values by name.
-	 */
-	Map<String, Object> values() {
-		Map<String, Object> values = new TreeMap<>();
-		this.registry.getCounters(MetricFilter.startsWith(PREFIX))
-			.forEach((name, counter) -> values.put(name.substring(PREFIX.length()), counter.getCount()));
-		this.registry.getGauges(MetricFilter.startsWith(PREFIX))
-			.forEach((name, gauge) -> values.put(name.substring(PREFIX.length()), gauge.getValue()));
-		return values;
+		this.registry.counter("broken").inc();
 	}
 
 }
--- a/src/main/java/org/jaywood/agent/EngineMonitor.java
+++ b/src/main/java/org/jaywood/agent/EngineMonitor.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import org.jaywood.event.Event;
 import org.jaywood.event.EventLog;
@@ -20,13 +21,16 @@
 
 	private final Admission admission;
 
+	private final Consumer<String> onWeights;
+
 	private final EventLog log;
 
 	private final BlockingQueue<Boolean> wake = new ArrayBlockingQueue<>(1);
 
-	EngineMonitor(EngineClient engine, Admission admission, EventLog log) {
+	EngineMonitor(EngineClient engine, Admission admission, Consumer<String> onWeights, EventLog log) {
 		this.engine = engine;
 		this.admission = admission;
+		this.onWeights = onWeights;
 		this.log = log;
 	}
 
@@ -59,6 +63,7 @@
 			if (this.admission.observeStatus(epoch, lingering, status)) {
 				limitReset(status.instance());
 			}
+			this.onWeights.accept(status.weights());
 		}
 		catch (RuntimeException ex) {
 			this.admission.observeNoStatus(epoch);
--- a/src/main/java/org/jaywood/agent/ModelContext.java
+++ b/src/main/java/org/jaywood/agent/ModelContext.java
@@ -17,7 +17,7 @@
  * @param metrics counters
  * @param expectedWeights digest of the weights that were activated
  * @param onReset called after a reply reset the limit
- * @param onWrongWeights told the digest of a reply that differs from the expected one
+ * @param onWrongWeights given the weights named by a reply if others were expected
  * @param clock present time in milliseconds
  */
 record ModelContext(CallSettings settings, Address engine, WireClient client, Admission admission, AgentMetrics metrics,
--- a/src/main/java/org/jaywood/cli/AgentCommand.java
+++ b/src/main/java/org/jaywood/cli/AgentCommand.java
@@ -39,16 +39,6 @@
 	@Parameter(names = "--store-region", description = "Region of the weight store, if known")
 	private String storeRegion = "";
 
-	@Parameter(names = "--stall-millis",
-			description = "Time without credit after which a stream gives up its engine, in milliseconds")
-	private long stallMillis = CallSettings.DEFAULT.stallMillis();
-
-	@Parameter(names = "--write-timeout-millis", description = "Longest time of one write to a router in milliseconds")
-	private long writeTimeoutMillis = CallSettings.DEFAULT.writeTimeoutMillis();
-
-	@Parameter(names = "--token-bytes", description = "Memory that the engine needs for one token, in bytes")
-	private long tokenBytes = CallSettings.DEFAULT.tokenBytes();
-
 	@Parameter(names = "--staging-bytes", description = "Bound of the weights held in memory, in bytes")
 	private long stagingBytes = WeightSettings.DEFAULT_STAGING_BYTES;
 
@@ -60,6 +50,16 @@
 			description = "Length of the lease of the engine and of an activation slot in milliseconds")
 	private long leaseMillis = 10_000;
 
+	@Parameter(names = "--stall-millis",
+			description = "Time without credit after which a stream gives up its engine, in milliseconds")
+	private long stallMillis = CallSettings.DEFAULT.stallMillis();
+
+	@Parameter(names = "--write-timeout-millis", description = "Longest time of one write to a router in milliseconds")
+	private long writeTimeoutMillis = CallSettings.DEFAULT.writeTimeoutMillis();
+
+	@Parameter(names = "--token-bytes", description = "Memory that the engine needs for one token, in bytes")
+	private long tokenBytes = CallSettings.DEFAULT.tokenBytes();
+
 	@Override
 	public String name() {
 		return "agent";
--- a/src/main/java/org/jaywood/cli/BenchCommand.java
+++ b/src/main/java/org/jaywood/cli/BenchCommand.java
@@ -10,10 +10,12 @@
 import com.beust.jcommander.Parameters;
 import org.jspecify.annotations.Nullable;
 
+import org.jaywood.bench.DataCentreExperiment;
 import org.jaywood.bench.Demo;
 import org.jaywood.bench.Experiment;
 import org.jaywood.bench.ExperimentOptions;
 import org.jaywood.bench.Profile;
+import org.jaywood.bench.ReplayExperiment;
 import org.jaywood.bench.ResultPlot;
 
 /**
@@ -22,7 +24,8 @@
 @Parameters(commandDescription = "Runs an experiment or the demo with real processes")
 final class BenchCommand implements Command {
 
-	private static final List<Experiment> EXPERIMENTS = List.of(new Demo(), new ResultPlot());
+	private static final List<Experiment> EXPERIMENTS = List.of(new Demo(), new DataCentreExperiment(),
+			new ReplayExperiment(), new ResultPlot());
 
 	@Parameter(description = "EXPERIMENT [ARGUMENT...]", required = true)
 	private List<String> experiments = new ArrayList<>();
--- a/src/main/java/org/jaywood/standin/EngineStandin.java
+++ b/src/main/java/org/jaywood/standin/EngineStandin.java
@@ -38,7 +38,7 @@
 		this.weights = new EngineWeights(address.host(), this.state::turnCold);
 		this.port = HttpPort.open(address, log)
 			.route("GET", "/status", (exchange) -> exchange.respondJson(200, status()))
-			.route("GET", "/record", (exchange) -> exchange.respondJson(200, record()))
+			.route("GET", "/record", (exchange) -> exchange.respondJson(200, recorded()))
 			.route("POST", "/control", this::control)
 			.route("POST", "/v1/completions", this::complete);
 		this.weights.register(this.port, this);
@@ -53,9 +53,7 @@
 	 * Status as the engine reports it.
 	 */
 	Map<String, Object> status() {
-		Map<String, Object> status = new TreeMap<>(this.state.status());
-		status.put("weights", this.weights.digest());
-		status.put("fencing", this.weights.fencing());
+		Map<String, Object> status = new TreeMap<>(this.state.status(this.weights.digest(), this.weights.fencing()));
 		status.put("checksFencing", this.weights.checksFencing());
 		if (this.weights.loading()) {
 			status.put("state", "loading");
@@ -63,10 +61,10 @@
 		return status;
 	}
 
-	private Map<String, Object> record() {
-		Map<String, Object> record = new TreeMap<>(this.state.record());
-		record.putAll(this.weights.record());
-		return record;
+	private Map<String, Object> recorded() {
+		Map<String, Object> recorded = new TreeMap<>(this.state.record());
+		recorded.putAll(this.weights.record());
+		return recorded;
 	}
 
 	private void control(Exchange exchange) throws IOException {
--- a/src/main/java/org/jaywood/standin/EngineState.java
+++ b/src/main/java/org/jaywood/standin/EngineState.java
@@ -133,10 +133,10 @@
 		return this.cold ? "cold" : "warm";
 	}
 
-	synchronized Map<String, Object> status() {
-		return Map.of("instance", this.instance, "state", name(), "inFlight", this.inFlight, "memoryBytes",
-				this.memoryBytes, "memoryLimitBytes", this.options.memoryBytes(), "coldLimit", this.options.coldLimit(),
-				"maxConcurrency", this.options.maxConcurrency());
+	synchronized Map<String, Object> status(String weights, long fencing) {
+		return Map.of("instance", this.instance, "state", name(), "weights", weights, "fencing", fencing, "inFlight",
+				this.inFlight, "memoryBytes", this.memoryBytes, "memoryLimitBytes", this.options.memoryBytes(),
+				"coldLimit", this.options.coldLimit(), "maxConcurrency", this.options.maxConcurrency());
 	}
 
 	synchronized Map<String, Object> record() {
