--- a/src/main/java/org/jaywood/agent/Admission.java
+++ b/src/main/java/org/jaywood/agent/Admission.java
@@ -39,6 +39,9 @@
 
 	private String weights = "";
 
+	// Between an opening and the next report; the activation has just checked the engine.
+	private boolean weightsReportDue;
+
 	/**
 	 * Admits a call or refuses it.
 	 * @param requiredWeights digest of the weights that must serve it, empty for any
@@ -115,6 +118,7 @@
 		this.limit.declare(status.coldLimit(), status.maxConcurrency());
 		this.limitBytes = status.memoryLimitBytes();
 		this.weights = status.weights();
+		this.weightsReportDue = false;
 		// Before the first admission, calls of the engine are those of a predecessor.
 		this.engineClear |= status.inFlight() == 0;
 		// Calls of the engine beyond the confirmed ones are taken for lingering ones.
@@ -136,6 +140,7 @@
 	 * Admits calls again, at the cold limit of a cold engine.
 	 */
 	public synchronized void open() {
+		this.weightsReportDue |= !this.open;
 		this.open = true;
 		notifyAll();
 	}
@@ -171,6 +176,13 @@
 		return this.limit.epoch();
 	}
 
+	/**
+	 * Whether the last report of the engine since the opening names these weights.
+	 */
+	synchronized boolean reports(String expectedWeights) {
+		return this.weightsReportDue || this.weights.equals(expectedWeights);
+	}
+
 	synchronized String instance() {
 		return this.limit.instance();
 	}
@@ -224,6 +236,7 @@
 			synchronized (Admission.this) {
 				boolean reset = Admission.this.limit.onReply(this.epoch, instance, warm);
 				Admission.this.weights = served;
+				Admission.this.weightsReportDue = false;
 				confirm();
 				return reset;
 			}
--- a/src/main/java/org/jaywood/agent/Agent.java
+++ b/src/main/java/org/jaywood/agent/Agent.java
@@ -100,7 +100,8 @@
 		String incarnation = this.peer.identity().incarnation();
 		AgentMetrics metrics = new AgentMetrics(this.admission, this.peer.metrics());
 		Gate gate = new Gate(incarnation, this.settings, this.peer.configuration(),
-				() -> this.peer.isolated(CLOCK.getAsLong()));
+				() -> this.peer.isolated(CLOCK.getAsLong()),
+				() -> this.admission.reports(this.activation.state().servedWeights()));
 		ModelContext model = new ModelContext(this.callSettings, this.settings.upstreamAddress(), upstream,
 				this.admission, metrics, () -> this.activation.state().servedWeights(),
 				() -> this.monitor.limitReset(this.admission.instance()), this.activation::observe, CLOCK);
