--- a/src/main/java/org/jaywood/cli/BenchCommand.java
+++ b/src/main/java/org/jaywood/cli/BenchCommand.java
@@ -10,6 +10,7 @@
 import com.beust.jcommander.Parameters;
 import org.jspecify.annotations.Nullable;
 
+import org.jaywood.bench.BurstExperiment;
 import org.jaywood.bench.Demo;
 import org.jaywood.bench.Experiment;
 import org.jaywood.bench.ExperimentOptions;
@@ -22,7 +23,7 @@
 @Parameters(commandDescription = "Runs an experiment or the demo with real processes")
 final class BenchCommand implements Command {
 
-	private static final List<Experiment> EXPERIMENTS = List.of(new Demo(), new ResultPlot());
+	private static final List<Experiment> EXPERIMENTS = List.of(new Demo(), new BurstExperiment(), new ResultPlot());
 
 	@Parameter(description = "EXPERIMENT [ARGUMENT...]", required = true)
 	private List<String> experiments = new ArrayList<>();
