--- a/src/main/java/org/jaywood/bench/BurstExperiment.java
+++ b/src/main/java/org/jaywood/bench/BurstExperiment.java
@@ -26,6 +26,7 @@
 import org.jaywood.config.WeightsRef;
 import org.jaywood.event.EventLog;
 import org.jaywood.platform.HttpPlatform;
+import org.jaywood.standin.EngineOptions;
 import org.jaywood.standin.EngineStandin;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Json;
@@ -91,7 +92,7 @@
 		Site site = site(profile, index);
 		Address peer = peer(fleet, profile, index);
 		Address operator = new Address(peer.host(), 7101);
-		engines.add(new EngineStandin(new Address(peer.host(), 7200), 1, new EventLog("engine")));
+		engines.add(new EngineStandin(new Address(peer.host(), 7200), EngineOptions.DEFAULT, new EventLog("engine")));
 		fleet.start("agent-" + index, "agent", "--vm", "vm-" + index, "--region", site.region(), "--data-centre",
 				site.dataCentre(), "--listen", peer.toString(), "--operator", operator.toString(), "--platform",
 				fleet.address(0, 0, 1, 7000).toString(), "--service", "pool", "--upstream", peer.host() + ":7200",
