Lower the idle processor time and memory of agents

A flight recording showed timers, not messages: the chunk exchange woke some 90 times a second without missing chunks, the engine was asked for its status six times a second, and the young generation of 26 MB was touched completely.

Ruled out: the size of the VM list (slope 5e-7 of a core for each listed VM, fit 0.01) and the rate of configuration changes (no growth between 0.2 and 1 a second).

Change: the exchange waits for a notification when nothing is missing; a warm engine without calls is asked once a second and a settled activation polls every 2 s; calls are watched every 500 ms when there are none; heaps start at 24 MB with a young generation of 8 MB. bench capacity is the experiment that measures it.

--- a/src/main/java/org/jaywood/agent/Activation.java
+++ b/src/main/java/org/jaywood/agent/Activation.java
@@ -31,6 +31,9 @@
 
 	private static final long POLL_MILLIS = 500;
 
+	/** While the wanted set is served warm, the engine monitor reports other weights. */
+	private static final long SETTLED_POLL_MILLIS = 2_000;
+
 	/** Spreads the attempts of a large service over the read rate of the platform. */
 	private static final int MILLIS_PER_AGENT = 5;
 
@@ -156,7 +159,7 @@
 		String wanted = spec.weightsDigest();
 		if (status.weights().equals(wanted) && !status.loading()) {
 			serve(status, manifests, wanted);
-			return POLL_MILLIS;
+			return status.cold() ? POLL_MILLIS : SETTLED_POLL_MILLIS;
 		}
 		keepServing(status);
 		if (!this.exchange.complete(manifests)) {
--- a/src/main/java/org/jaywood/agent/Agent.java
+++ b/src/main/java/org/jaywood/agent/Agent.java
@@ -33,6 +33,9 @@
 
 	private static final long WATCH_INTERVAL_MILLIS = 100;
 
+	/** Without calls; the first call is then watched at most this time late. */
+	private static final long IDLE_WATCH_MILLIS = 500;
+
 	/** Two rounds of probes, so that peers learn of the leave from the agent itself. */
 	private static final long ANNOUNCE_MILLIS = 2_000;
 
@@ -191,7 +194,7 @@
 			if (ended > 0) {
 				this.log.log(Event.CALLS_ENDED_BY_WATCHDOG, "count", ended);
 			}
-			TimeUnit.MILLISECONDS.sleep(WATCH_INTERVAL_MILLIS);
+			TimeUnit.MILLISECONDS.sleep((this.calls.count() > 0) ? WATCH_INTERVAL_MILLIS : IDLE_WATCH_MILLIS);
 		}
 	}
 
--- a/src/main/java/org/jaywood/agent/EngineMonitor.java
+++ b/src/main/java/org/jaywood/agent/EngineMonitor.java
@@ -17,6 +17,12 @@
 
 	private static final long INTERVAL_MILLIS = 250;
 
+	/**
+	 * Interval for a warm engine without calls. Its next calls are bounded by the cold
+	 * limit until their replies confirm the state, so a late status costs no safety.
+	 */
+	private static final long IDLE_INTERVAL_MILLIS = 1_000;
+
 	private final EngineClient engine;
 
 	private final Admission admission;
@@ -47,7 +53,7 @@
 		try {
 			while (true) {
 				poll();
-				this.wake.poll(INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+				this.wake.poll(intervalMillis(), TimeUnit.MILLISECONDS);
 			}
 		}
 		catch (InterruptedException ex) {
@@ -55,6 +61,12 @@
 		}
 	}
 
+	private long intervalMillis() {
+		boolean idle = this.admission.inFlight() == 0 && this.admission.lingering() == 0
+				&& this.admission.load().open();
+		return idle ? IDLE_INTERVAL_MILLIS : INTERVAL_MILLIS;
+	}
+
 	private void poll() throws InterruptedException {
 		long epoch = this.admission.epoch();
 		int lingering = this.admission.lingering();
--- a/src/main/java/org/jaywood/bench/ProcessFleet.java
+++ b/src/main/java/org/jaywood/bench/ProcessFleet.java
@@ -113,8 +113,8 @@
 		}
 		String program = arguments[0].equals("standin") ? arguments[1] : arguments[0];
 		boolean records = this.archives.recordsNext(program);
-		List<String> command = new ArrayList<>(List.of(this.java, "-XX:+UseSerialGC", "-Xmx96m", "-Xss512k",
-				"-XX:TieredStopAtLevel=1", "-XX:ReservedCodeCacheSize=32m"));
+		List<String> command = new ArrayList<>(List.of(this.java, "-XX:+UseSerialGC", "-Xms24m", "-Xmx96m", "-Xmn8m",
+				"-Xss512k", "-XX:TieredStopAtLevel=1", "-XX:ReservedCodeCacheSize=32m"));
 		command.addAll(this.archives.options(program));
 		command.addAll(List.of("-cp", this.classPath, "org.jaywood.cli.Jaywood", "--exit-with-parent"));
 		command.addAll(List.of(arguments));
--- a/src/main/java/org/jaywood/cli/BenchCommand.java
+++ b/src/main/java/org/jaywood/cli/BenchCommand.java
@@ -11,6 +11,7 @@
 import org.jspecify.annotations.Nullable;
 
 import org.jaywood.bench.BurstExperiment;
+import org.jaywood.bench.CapacityExperiment;
 import org.jaywood.bench.DataCentreExperiment;
 import org.jaywood.bench.Demo;
 import org.jaywood.bench.Experiment;
@@ -26,7 +27,7 @@
 final class BenchCommand implements Command {
 
 	private static final List<Experiment> EXPERIMENTS = List.of(new Demo(), new BurstExperiment(),
-			new DataCentreExperiment(), new ReplayExperiment(), new ResultPlot());
+			new CapacityExperiment(), new DataCentreExperiment(), new ReplayExperiment(), new ResultPlot());
 
 	@Parameter(description = "EXPERIMENT [ARGUMENT...]", required = true)
 	private List<String> experiments = new ArrayList<>();
--- a/src/main/java/org/jaywood/weights/ChunkExchange.java
+++ b/src/main/java/org/jaywood/weights/ChunkExchange.java
@@ -37,8 +37,14 @@
 	/** Few downloads at once, so that each chunk arrives early and can be passed on. */
 	private static final int DOWNLOADS = 4;
 
+	/** A chunk whose time to retry has come is noticed after at most this time. */
 	private static final long WAIT_MILLIS = 100;
 
+	/**
+	 * Without missing chunks only a notification ends the wait: idle agents cost nothing.
+	 */
+	private static final long IDLE_MILLIS = 2_000;
+
 	private static final long PREPARE_MILLIS = 20;
 
 	private static final long STORE_FAILURE_MILLIS = 500;
@@ -140,6 +146,7 @@
 		this.wanted.clear();
 		this.staging.retain(Stream.concat(digests.stream(), this.previous.stream()).toList());
 		this.failure = null;
+		notifyAll();
 	}
 
 	public boolean complete(List<String> digests) {
@@ -174,7 +181,12 @@
 			this.listed = current;
 		}
 		this.survey.run(this.progressNanos, System.nanoTime());
-		TimeUnit.MILLISECONDS.sleep(PREPARE_MILLIS);
+		awaitWork(current);
+	}
+
+	private synchronized void awaitWork(Target current) throws InterruptedException {
+		boolean idle = this.target == current && this.listed == current && this.listedComplete && this.wanted.isEmpty();
+		TimeUnit.MILLISECONDS.timedWait(this, idle ? IDLE_MILLIS : PREPARE_MILLIS);
 	}
 
 	private synchronized void install(Target current, String digest, byte[] content) {
@@ -218,7 +230,7 @@
 	}
 
 	private void download() throws InterruptedException {
-		Download download = this.wanted.take(WAIT_MILLIS).orElse(null);
+		Download download = this.wanted.take(this.wanted.isEmpty() ? IDLE_MILLIS : WAIT_MILLIS).orElse(null);
 		if (download == null) {
 			return;
 		}
--- a/src/main/java/org/jaywood/weights/WantedChunks.java
+++ b/src/main/java/org/jaywood/weights/WantedChunks.java
@@ -80,6 +80,10 @@
 		return found;
 	}
 
+	synchronized boolean isEmpty() {
+		return this.entries.isEmpty();
+	}
+
 	/**
 	 * Waits for a chunk that can be fetched now.
 	 */
