--- /dev/null
+++ b/src/main/java/org/jaywood/router/AttemptNumbers.java
@@ -0,0 +1,19 @@
+package org.jaywood.router;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Numbers the hand-overs of this router to each agent incarnation. A number is never
+ * given twice, so an agent can tell a repeated or late hand-over from a new one.
+ */
+final class AttemptNumbers {
+
+	private final Map<String, AtomicLong> last = new ConcurrentHashMap<>();
+
+	long next(String agentIncarnation) {
+		return this.last.computeIfAbsent(agentIncarnation, (key) -> new AtomicLong()).incrementAndGet();
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/router/BodyReader.java
@@ -0,0 +1,62 @@
+package org.jaywood.router;
+
+import java.io.IOException;
+import java.util.function.LongSupplier;
+
+import org.jaywood.wire.BadInputException;
+import org.jaywood.wire.Exchange;
+import org.jaywood.wire.WireException;
+
+/**
+ * Reads the bodies of calls within limits of size, time and memory, before any upstream
+ * is chosen. A caller that sends slowly so holds nothing but its own connection.
+ */
+final class BodyReader {
+
+	private final RouterLimits limits;
+
+	private final Watchdog watchdog;
+
+	private final LongSupplier clock;
+
+	BodyReader(RouterLimits limits, Watchdog watchdog, LongSupplier clock) {
+		this.limits = limits;
+		this.watchdog = watchdog;
+		this.clock = clock;
+	}
+
+	/**
+	 * Reads a body.
+	 * @throws NoRoomException if the budget does not allow it
+	 * @throws BadInputException if it is too large
+	 */
+	byte[] read(Exchange exchange, CallerBuffer buffer) throws IOException {
+		int limitBytes = this.limits.bodyBytes();
+		boolean chunked = exchange.header("Transfer-Encoding") != null;
+		long expectedBytes = chunked ? limitBytes : exchange.headerLong("Content-Length", 0);
+		if (expectedBytes < 0 || expectedBytes > limitBytes) {
+			throw new BadInputException((expectedBytes < 0) ? 400 : 413,
+					"body of " + expectedBytes + " bytes is not allowed, the limit is " + limitBytes);
+		}
+		if (!buffer.hold(expectedBytes, this.clock.getAsLong())) {
+			throw new NoRoomException();
+		}
+		try (Watchdog.Guard slow = this.watchdog.after(this.limits.bodyMillis(), CallerPort.connectionCloser())) {
+			byte[] body = exchange.body(limitBytes);
+			buffer.release(expectedBytes - body.length);
+			return body;
+		}
+	}
+
+	/**
+	 * The process holds as much for callers as it may.
+	 */
+	static final class NoRoomException extends WireException {
+
+		NoRoomException() {
+			super("no room for the body");
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/router/CallReader.java
@@ -0,0 +1,129 @@
+package org.jaywood.router;
+
+import java.util.Set;
+import java.util.UUID;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import org.jaywood.config.Deployment;
+import org.jaywood.config.ServiceKind;
+import org.jaywood.config.ServiceSpec;
+import org.jaywood.wire.BadInputException;
+import org.jaywood.wire.Exchange;
+import org.jaywood.wire.Headers;
+import org.jaywood.wire.Json;
+
+/**
+ * Reads and checks calls from callers. Everything it rejects has not reached any
+ * upstream.
+ */
+final class CallReader {
+
+	private static final Set<String> IDEMPOTENT_METHODS = Set.of("GET", "HEAD", "PUT", "DELETE", "OPTIONS");
+
+	private static final Set<String> METHODS = Set.of("GET", "HEAD", "PUT", "DELETE", "OPTIONS", "POST", "PATCH");
+
+	private static final int NAME_LIMIT_CHARS = 200;
+
+	private final RouterLimits limits;
+
+	CallReader(RouterLimits limits) {
+		this.limits = limits;
+	}
+
+	/**
+	 * Reads a model call.
+	 * @throws BadInputException if it is not a valid call
+	 */
+	ModelCall model(Exchange exchange, byte[] body, Deployment deployment, long nowMillis) {
+		JsonNode json = Json.tree(body);
+		if (!json.isObject() || !json.path("model").isTextual() || !json.path("prompt").isTextual()) {
+			throw new BadInputException(400, "a completion needs the texts 'model' and 'prompt'");
+		}
+		String service = json.path("model").asText();
+		ServiceSpec spec = spec(deployment, service, ServiceKind.MODEL, body);
+		String prompt = json.path("prompt").asText();
+		String workspace = workspace(exchange);
+		String affinity = workspace + "\n"
+				+ prompt.substring(0, Math.min(prompt.length(), this.limits.affinityChars()));
+		Call call = new Call(UUID.randomUUID().toString(), service, workspace, priority(exchange), body, null, true,
+				affinity, deadline(exchange, spec, nowMillis));
+		return new ModelCall(call, json.path("stream").asBoolean());
+	}
+
+	/**
+	 * Reads a call of a plain service.
+	 * @throws BadInputException if it is not a valid call
+	 */
+	Call plain(Exchange exchange, byte[] body, Deployment deployment, long nowMillis) {
+		String[] parts = exchange.target().split("/", 4);
+		if (parts.length < 4) {
+			throw new BadInputException(400, "path must be /services/<service>/<path>");
+		}
+		if (!METHODS.contains(exchange.method())) {
+			throw new BadInputException(405, "method is not supported");
+		}
+		ServiceSpec spec = spec(deployment, parts[2], ServiceKind.PLAIN, body);
+		// A call with a key runs at most once, whatever its method.
+		boolean repeatable = exchange.header(Headers.IDEMPOTENCY_KEY) == null
+				&& (IDEMPOTENT_METHODS.contains(exchange.method())
+						|| exchange.optionalHeader(Headers.IDEMPOTENT).map(Boolean::parseBoolean).orElse(false));
+		String requestId = requestId(exchange);
+		return new Call(requestId, parts[2], workspace(exchange), priority(exchange), body,
+				new Call.Target(exchange.method(), "/" + parts[3]), repeatable, requestId,
+				deadline(exchange, spec, nowMillis));
+	}
+
+	/**
+	 * New id; that of a keyed call begins with its key, so that the runs of a key can be
+	 * found in the records of upstreams.
+	 */
+	private static String requestId(Exchange exchange) {
+		String random = UUID.randomUUID().toString();
+		return exchange.optionalHeader(Headers.IDEMPOTENCY_KEY)
+			.filter((key) -> key.matches("[0-9a-f-]{36}"))
+			.map((key) -> key + "." + random)
+			.orElse(random);
+	}
+
+	private static ServiceSpec spec(Deployment deployment, String service, ServiceKind kind, byte[] body) {
+		ServiceSpec spec = deployment.service(service)
+			.filter((found) -> found.kind() == kind)
+			.orElseThrow(() -> new BadInputException(404, "no such service"));
+		if (body.length > spec.limits().bodyBytes()) {
+			throw new BadInputException(413, "body exceeds " + spec.limits().bodyBytes() + " bytes");
+		}
+		return spec;
+	}
+
+	private static String workspace(Exchange exchange) {
+		String workspace = exchange.optionalHeader(Headers.WORKSPACE).orElse("");
+		if (workspace.length() > NAME_LIMIT_CHARS) {
+			throw new BadInputException(400, "header " + Headers.WORKSPACE + " is too long");
+		}
+		return workspace;
+	}
+
+	private static int priority(Exchange exchange) {
+		long priority = exchange.headerLong(Headers.PRIORITY, 5);
+		if (priority < 0 || priority > 9) {
+			throw new BadInputException(400, "header " + Headers.PRIORITY + " must be 0 to 9");
+		}
+		return (int) priority;
+	}
+
+	private static long deadline(Exchange exchange, ServiceSpec spec, long nowMillis) {
+		long allowedMillis = exchange.headerLong(Headers.DEADLINE_MILLIS, spec.limits().deadlineMillis());
+		if (allowedMillis <= 0) {
+			throw new BadInputException(400, "header " + Headers.DEADLINE_MILLIS + " must be positive");
+		}
+		return nowMillis + Math.min(allowedMillis, spec.limits().deadlineMillis());
+	}
+
+	/**
+	 * A model call and whether its answer is streamed.
+	 */
+	record ModelCall(Call call, boolean stream) {
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/router/CallRelay.java
@@ -0,0 +1,271 @@
+package org.jaywood.router;
+
+import java.io.IOException;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+import org.jspecify.annotations.Nullable;
+
+import org.jaywood.config.ConfigurationView;
+import org.jaywood.platform.VmRecord;
+import org.jaywood.wire.Address;
+import org.jaywood.wire.FenceReply;
+import org.jaywood.wire.Refusal;
+import org.jaywood.wire.RefusalReason;
+
+/**
+ * Takes a call to its end: hands it over, tries others after refusals within the retry
+ * budget and the deadline, and finds out what became of a broken hand-over. It says "not
+ * run" only if no upstream ran the call and none will.
+ */
+final class CallRelay implements HandOvers {
+
+	/** Pauses between two fences while the call runs. */
+	private static final long FIRST_POLL_MILLIS = 20;
+
+	private static final long MAX_POLL_MILLIS = 500;
+
+	/** Part of the remaining time kept for fencing a hand-over that gets no reply. */
+	private static final long FENCE_RESERVE_MILLIS = 1_000;
+
+	private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
+
+	private final ConfigurationView configuration;
+
+	private final UpstreamChooser chooser;
+
+	private final UpstreamTable table;
+
+	private final AgentClient agents;
+
+	private final RetryBudget retries;
+
+	private final ByteBudget regionBudget;
+
+	private final Watchdog watchdog;
+
+	private final RouterLimits limits;
+
+	private final RouterMetrics metrics;
+
+	private final LongSupplier clock;
+
+	CallRelay(ConfigurationView configuration, UpstreamChooser chooser, UpstreamTable table, AgentClient agents,
+			RetryBudget retries, ByteBudget regionBudget, Watchdog watchdog, RouterLimits limits, RouterMetrics metrics,
+			LongSupplier clock) {
+		this.configuration = configuration;
+		this.chooser = chooser;
+		this.table = table;
+		this.agents = agents;
+		this.retries = retries;
+		this.regionBudget = regionBudget;
+		this.watchdog = watchdog;
+		this.limits = limits;
+		this.metrics = metrics;
+		this.clock = clock;
+	}
+
+	/**
+	 * Runs a call.
+	 * @param call the call
+	 * @param sink takes the answer
+	 * @param listener called before each hand-over
+	 * @return what became of it; the sink has the whole answer if it was answered
+	 * @throws CallerGoneException if the sink cannot take the answer
+	 */
+	@Override
+	public CallResult run(Call call, AnswerSink sink, Listener listener) throws InterruptedException {
+		this.retries.recordCall();
+		AnswerAssembly answer = new AnswerAssembly(sink, this.metrics.droppedFrames());
+		Set<Address> excluded = new HashSet<>();
+		CallResult last = new CallResult.NotRun("NO_UPSTREAM", DEFAULT_RETRY_AFTER_MILLIS);
+		for (boolean first = true;; first = false) {
+			long nowMillis = this.clock.getAsLong();
+			if (call.remainingMillis(nowMillis) <= 0) {
+				return ended(last, RefusalReason.DEADLINE.name());
+			}
+			Optional<VmRecord> agent = this.chooser.choose(call, this.configuration.current(), excluded, nowMillis);
+			if (agent.isEmpty()) {
+				return last;
+			}
+			if (!first) {
+				if (!this.retries.tryTake(nowMillis)) {
+					return last;
+				}
+				this.metrics.retries().mark();
+			}
+			Step step = attempt(agent.get(), call, answer, listener);
+			if (!step.another()) {
+				return step.result();
+			}
+			if (step.exclude()) {
+				excluded.add(agent.get().address());
+			}
+			last = combine(last, step.result());
+		}
+	}
+
+	@Override
+	public FenceReply fence(HandOver handOver, long timeoutMillis) throws IOException, InterruptedException {
+		this.metrics.fences().mark();
+		return this.agents.fence(handOver, timeoutMillis);
+	}
+
+	/**
+	 * A call that may have run stays unknown, whatever later tries say.
+	 */
+	private static CallResult combine(CallResult before, CallResult now) {
+		return (before instanceof CallResult.Unknown) ? before : now;
+	}
+
+	private static CallResult ended(CallResult last, String reason) {
+		return (last instanceof CallResult.Unknown) ? last : new CallResult.NotRun(reason, DEFAULT_RETRY_AFTER_MILLIS);
+	}
+
+	private Step attempt(VmRecord agent, Call call, AnswerAssembly answer, Listener listener)
+			throws InterruptedException {
+		long remainingMillis = call.remainingMillis(this.clock.getAsLong());
+		long reserveMillis = call.repeatable() ? 0 : Math.min(FENCE_RESERVE_MILLIS, remainingMillis / 4);
+		this.table.begin(agent.address());
+		try {
+			HandOver.Reply reply = this.agents.handOver(agent, call, answer,
+					Math.max(1, remainingMillis - reserveMillis), listener);
+			return switch (reply) {
+				case HandOver.Reply.Admitted admitted -> relay(admitted, call, answer, reserveMillis);
+				case HandOver.Reply.Refused refused -> refused(refused.refusal());
+				case HandOver.Reply.Unreached unreached -> {
+					this.table.learnUnreached(agent.address(), this.clock.getAsLong());
+					yield Step.tryAnother(new CallResult.NotRun("UNREACHABLE", DEFAULT_RETRY_AFTER_MILLIS));
+				}
+				case HandOver.Reply.Broken broken -> broken(broken.handOver(), call, answer, broken.reason());
+			};
+		}
+		finally {
+			this.table.end(agent.address());
+		}
+	}
+
+	private static Step refused(Refusal refusal) {
+		CallResult result = new CallResult.NotRun(refusal.refusal().name(), refusal.retryAfterMillis());
+		return switch (refusal.refusal()) {
+			// The same agent may admit a hand-over with its present incarnation and
+			// number.
+			case OTHER_INCARNATION, FENCED -> new Step(result, true, false);
+			case DEADLINE -> Step.end(result);
+			default -> Step.tryAnother(result);
+		};
+	}
+
+	private Step relay(HandOver.Reply.Admitted admitted, Call call, AnswerAssembly answer, long reserveMillis)
+			throws InterruptedException {
+		FrameReader frames = admitted.frames();
+		boolean ended = false;
+		try (Watchdog.Guard deadline = this.watchdog.after(call.remainingMillis(this.clock.getAsLong()) - reserveMillis,
+				frames::close); Watchdog.Guard silence = watchSilence(frames, call)) {
+			answer.read(frames, call.model());
+			ended = true;
+			return Step.end(new CallResult.Answered());
+		}
+		catch (AnswerAssembly.AnswerTooLargeException ex) {
+			return Step.end(new CallResult.Unknown("ANSWER_TOO_LARGE"));
+		}
+		catch (AnswerAssembly.AnswerMismatchException ex) {
+			return call.model() ? Step.end(new CallResult.Unknown("ANSWER_MISMATCH"))
+					: broken(admitted.handOver(), call, answer, ex.toString());
+		}
+		catch (IOException ex) {
+			return broken(admitted.handOver(), call, answer, ex.toString());
+		}
+		finally {
+			frames.close();
+			if (!ended && call.model()) {
+				this.agents.cancel(admitted.handOver());
+			}
+			if (this.chooser.crossesRegions(admitted.handOver().agent())) {
+				this.regionBudget.spend(call.body().length + frames.totalBytes());
+			}
+		}
+	}
+
+	private Watchdog.Guard watchSilence(FrameReader frames, Call call) {
+		// A plain service answers in one piece, so only its deadline counts.
+		long limitMillis = this.limits.frameIdleMillis();
+		return call.model() ? this.watchdog.every(Math.max(1, limitMillis / 4),
+				() -> frames.closeIfSilent(limitMillis, System.nanoTime())) : () -> {
+				};
+	}
+
+	private Step broken(HandOver handOver, Call call, AnswerAssembly answer, String reason)
+			throws InterruptedException {
+		this.table.learnUnreached(handOver.agent().address(), this.clock.getAsLong());
+		if (call.repeatable()) {
+			if (answer.nextIndex() > 0) {
+				this.metrics.resumes().mark();
+			}
+			return Step.tryAnother(new CallResult.Unknown("BROKEN"));
+		}
+		this.metrics.fences().mark();
+		long pauseMillis = FIRST_POLL_MILLIS;
+		while (call.remainingMillis(this.clock.getAsLong()) > 0) {
+			Step step = fence(handOver, call, answer);
+			if (step != null) {
+				return step;
+			}
+			TimeUnit.MILLISECONDS.sleep(Math.clamp(call.remainingMillis(this.clock.getAsLong()), 0, pauseMillis));
+			pauseMillis = Math.min(MAX_POLL_MILLIS, 2 * pauseMillis);
+		}
+		return Step.end(new CallResult.Unknown("BROKEN"));
+	}
+
+	/**
+	 * Fences once.
+	 * @return the next step, or null to ask again
+	 */
+	private @Nullable Step fence(HandOver handOver, Call call, AnswerAssembly answer) throws InterruptedException {
+		try {
+			FenceReply reply = this.agents.fence(handOver, call.remainingMillis(this.clock.getAsLong()));
+			return switch (reply.state()) {
+				case NEVER_ADMITTED ->
+					Step.tryAnother(new CallResult.NotRun("UNREACHABLE", DEFAULT_RETRY_AFTER_MILLIS));
+				case FINISHED -> finished(reply, answer);
+				case RUNNING -> null;
+				case FORGOTTEN, OTHER_INCARNATION -> Step.end(new CallResult.Unknown(reply.state().name()));
+				case null -> Step.end(new CallResult.Unknown("BROKEN"));
+			};
+		}
+		catch (IOException ex) {
+			return null;
+		}
+	}
+
+	private static Step finished(FenceReply reply, AnswerAssembly answer) {
+		if (reply.head() == null) {
+			return Step.end(new CallResult.Unknown("FINISHED_NOT_KEPT"));
+		}
+		answer.deliver(reply.head(), (reply.body() != null) ? reply.body() : new byte[0]);
+		return Step.end(new CallResult.Answered());
+	}
+
+	/**
+	 * What follows an attempt.
+	 *
+	 * @param result what is known of the call now
+	 * @param another whether another agent may be tried
+	 * @param exclude whether the same agent must not be tried again
+	 */
+	private record Step(CallResult result, boolean another, boolean exclude) {
+
+		static Step end(CallResult result) {
+			return new Step(result, false, false);
+		}
+
+		static Step tryAnother(CallResult result) {
+			return new Step(result, true, true);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/router/CallerBuffer.java
@@ -0,0 +1,85 @@
+package org.jaywood.router;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Account of the memory held for one caller: its request body, the window granted to the
+ * agent and answers kept whole. The bytes of a stream wait in the window only, since
+ * credit is granted as the caller takes them.
+ */
+final class CallerBuffer implements AutoCloseable {
+
+	private static final long NOT_BLOCKED = Long.MIN_VALUE;
+
+	private final BufferBudget budget;
+
+	private final Runnable abort;
+
+	private final AtomicLong heldBytes = new AtomicLong();
+
+	private volatile long blockedSinceMillis = NOT_BLOCKED;
+
+	CallerBuffer(BufferBudget budget, Runnable abort) {
+		this.budget = budget;
+		this.abort = abort;
+	}
+
+	/**
+	 * Holds more bytes.
+	 * @param bytes number of bytes
+	 * @param nowMillis present time
+	 * @return whether the budget allows it
+	 */
+	boolean hold(long bytes, long nowMillis) {
+		if (!this.budget.reserve(bytes, this, nowMillis)) {
+			return false;
+		}
+		this.heldBytes.addAndGet(bytes);
+		return true;
+	}
+
+	void release(long bytes) {
+		this.heldBytes.addAndGet(-bytes);
+		this.budget.release(bytes);
+	}
+
+	/**
+	 * Notes that a write to the caller begins, which may block.
+	 */
+	void beginWrite(long nowMillis) {
+		this.blockedSinceMillis = nowMillis;
+	}
+
+	void endWrite() {
+		this.blockedSinceMillis = NOT_BLOCKED;
+	}
+
+	long blockedMillis(long nowMillis) {
+		long since = this.blockedSinceMillis;
+		return (since != NOT_BLOCKED) ? nowMillis - since : 0;
+	}
+
+	long heldBytes() {
+		return this.heldBytes.get();
+	}
+
+	/**
+	 * Closes the caller's connection, which also frees its memory at once: the bytes are
+	 * unreachable as soon as the blocked write fails.
+	 */
+	void abort() {
+		freeAll();
+		this.abort.run();
+	}
+
+	private void freeAll() {
+		this.budget.release(this.heldBytes.getAndSet(0));
+	}
+
+	@Override
+	public void close() {
+		this.budget.remove(this);
+		freeAll();
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/router/CallerPort.java
@@ -0,0 +1,145 @@
+package org.jaywood.router;
+
+import java.io.IOException;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SocketChannel;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import java.util.stream.Stream;
+
+import com.sun.net.httpserver.HttpServer;
+import org.eclipse.jetty.http.spi.DelegatingThreadPool;
+import org.eclipse.jetty.http.spi.JettyHttpServer;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.server.handler.ContextHandlerCollection;
+import org.eclipse.jetty.util.Callback;
+import org.jspecify.annotations.Nullable;
+
+import org.jaywood.event.EventLog;
+import org.jaywood.wire.Address;
+import org.jaywood.wire.HttpPort;
+import org.jaywood.wire.WireException;
+
+/**
+ * Port for callers, on Jetty behind the API of the JDK's server. It bounds what the
+ * system holds for a caller that does not read, and it can close the connection below a
+ * reply, since Jetty would end the chunked body of a failed handler as if it were whole.
+ */
+final class CallerPort {
+
+	/** The JDK's server accepted 2,786,304 bytes for a caller that never reads. */
+	private static final int SEND_BUFFER_BYTES = 4_096;
+
+	private static final int HEADER_LIMIT_BYTES = 16 * 1024;
+
+	private static final int BACKLOG = 1_024;
+
+	/** Longer than any call may take, so that it never ends a running one. */
+	private static final long IDLE_MILLIS = 90_000;
+
+	/** Kept, since the logging system holds loggers weakly and would forget the level. */
+	private static final Logger JETTY_LOGGER = Logger.getLogger("org.eclipse.jetty");
+
+	static {
+		// Jetty logs a stack trace for each aborted reply; these are counted instead.
+		JETTY_LOGGER.setLevel(Level.SEVERE);
+	}
+
+	private static final ThreadLocal<@Nullable EndPoint> CURRENT = new ThreadLocal<>();
+
+	private CallerPort() {
+	}
+
+	static HttpPort open(Address address, EventLog log) {
+		return HttpPort.over(server(address), log, currentConnection());
+	}
+
+	/**
+	 * Action that closes the connection of the request which the running thread serves.
+	 * It may be run by any thread.
+	 */
+	static Runnable connectionCloser() {
+		EndPoint endPoint = CURRENT.get();
+		return () -> {
+			if (endPoint != null) {
+				reset(endPoint);
+			}
+		};
+	}
+
+	private static void reset(EndPoint endPoint) {
+		try {
+			// A body that lasts until the end of the connection would seem whole after
+			// an orderly end, so the connection is reset.
+			if (endPoint.getTransport() instanceof SocketChannel channel) {
+				channel.setOption(StandardSocketOptions.SO_LINGER, 0);
+			}
+		}
+		catch (IOException ex) {
+			// The connection is closed already.
+		}
+		endPoint.close(new IOException("aborted"));
+	}
+
+	private static Runnable currentConnection() {
+		return () -> connectionCloser().run();
+	}
+
+	private static HttpServer server(Address address) {
+		Server server = new Server(new DelegatingThreadPool(Runnable::run));
+		server.setHandler(new EndPointHandler(new ContextHandlerCollection()));
+		JettyHttpServer http = new JettyHttpServer(server, false);
+		try {
+			http.bind(address.socketAddress(), BACKLOG);
+		}
+		catch (IOException ex) {
+			throw new WireException("cannot listen on " + address + ": " + ex.getMessage(), ex);
+		}
+		Stream.of(server.getConnectors())
+			.filter(ServerConnector.class::isInstance)
+			.map(ServerConnector.class::cast)
+			.forEach(CallerPort::configure);
+		return http;
+	}
+
+	private static void configure(ServerConnector connector) {
+		connector.setAcceptedSendBufferSize(SEND_BUFFER_BYTES);
+		connector.setAcceptQueueSize(BACKLOG);
+		connector.setIdleTimeout(IDLE_MILLIS);
+		HttpConfiguration configuration = connector.getConnectionFactory(HttpConnectionFactory.class)
+			.getHttpConfiguration();
+		configuration.setSendServerVersion(false);
+		configuration.setRequestHeaderSize(HEADER_LIMIT_BYTES);
+		configuration.setOutputBufferSize(SEND_BUFFER_BYTES);
+	}
+
+	/**
+	 * Keeps the connection of the request at hand for the thread that serves it.
+	 */
+	private static final class EndPointHandler extends Handler.Wrapper {
+
+		EndPointHandler(Handler next) {
+			super(next);
+		}
+
+		@Override
+		public boolean handle(Request request, Response response, Callback callback) throws Exception {
+			CURRENT.set(request.getConnectionMetaData().getConnection().getEndPoint());
+			try {
+				return super.handle(request, response, callback);
+			}
+			finally {
+				CURRENT.remove();
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/router/ClaimRegistry.java
@@ -0,0 +1,102 @@
+package org.jaywood.router;
+
+import java.time.Duration;
+import java.util.Set;
+import java.util.UUID;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
+
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
+import com.github.f4b6a3.uuid.util.UuidUtil;
+
+import org.jaywood.platform.ObjectStore;
+import org.jaywood.wire.BadInputException;
+import org.jaywood.wire.Digests;
+
+/**
+ * Runs calls with an idempotency key at most once, whichever routers the caller repeats
+ * them through.
+ */
+final class ClaimRegistry {
+
+	/** Claims may be deleted after this time, so older keys are refused. */
+	static final Duration RETENTION = Duration.ofHours(24);
+
+	/** Largest lead of a caller's clock. */
+	static final Duration LEAD = Duration.ofMinutes(5);
+
+	private static final long CACHE_BYTES = 8 * 1024 * 1024;
+
+	private static final int ENTRY_BYTES = 512;
+
+	private final ClaimStore store;
+
+	private final HandOvers handOvers;
+
+	private final LongSupplier clock;
+
+	private final Set<String> running = ConcurrentHashMap.newKeySet();
+
+	private final Cache<String, Claim> finished = Caffeine.newBuilder()
+		.maximumWeight(CACHE_BYTES)
+		.weigher((String name, Claim claim) -> ENTRY_BYTES + ((claim.body() != null) ? claim.body().length : 0))
+		.expireAfterWrite(RETENTION)
+		.build();
+
+	ClaimRegistry(ObjectStore objects, HandOvers handOvers, LongSupplier clock) {
+		this.store = new ClaimStore(objects);
+		this.handOvers = handOvers;
+		this.clock = clock;
+	}
+
+	/**
+	 * Runs a call under its key.
+	 * @param call a call that may not be repeated
+	 * @param key the caller's key
+	 * @param sink takes the answer
+	 * @param wallMillis present time, milliseconds since the epoch
+	 * @throws BadInputException if the key is not a UUIDv7 of the retention time
+	 */
+	CallResult run(Call call, String key, AnswerSink sink, long wallMillis) throws InterruptedException {
+		String name = call.service() + "." + Digests.sha256(call.workspace() + "\n" + parse(key, wallMillis));
+		KeyedCall keyed = new KeyedCall(this.store, this.handOvers, this.clock, call, name, sink);
+		Claim known = this.finished.getIfPresent(name);
+		if (known != null) {
+			return keyed.replay(known);
+		}
+		if (!this.running.add(name)) {
+			return new CallResult.InProgress();
+		}
+		try {
+			CallResult result = keyed.run();
+			Claim claim = keyed.finished();
+			if (claim != null) {
+				this.finished.put(name, claim);
+			}
+			return result;
+		}
+		finally {
+			this.running.remove(name);
+		}
+	}
+
+	private static UUID parse(String key, long wallMillis) {
+		UUID uuid;
+		try {
+			uuid = UUID.fromString(key);
+		}
+		catch (IllegalArgumentException ex) {
+			throw new BadInputException(400, "Idempotency-Key is not a UUIDv7");
+		}
+		if (!UuidUtil.isTimeOrderedEpoch(uuid)) {
+			throw new BadInputException(400, "Idempotency-Key is not a UUIDv7");
+		}
+		long ageMillis = wallMillis - UuidUtil.getInstant(uuid).toEpochMilli();
+		if (ageMillis > RETENTION.toMillis() || ageMillis < -LEAD.toMillis()) {
+			throw new BadInputException(400, "Idempotency-Key is older than 24 h or more than 5 min ahead");
+		}
+		return uuid;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/router/FrameReader.java
@@ -0,0 +1,124 @@
+package org.jaywood.router;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
+
+import org.jspecify.annotations.Nullable;
+
+import org.jaywood.wire.BadInputException;
+import org.jaywood.wire.Frame;
+import org.jaywood.wire.Json;
+
+/**
+ * Reads the frames of an agent's reply and reports each byte taken, from which credit is
+ * granted. It reads ahead by at most one buffer.
+ */
+final class FrameReader implements AutoCloseable {
+
+	/** Frames hold their data in base64, a third more than the largest body. */
+	private static final int LINE_LIMIT_BYTES = 6 * 1024 * 1024;
+
+	private final InputStream in;
+
+	private final LongConsumer taken;
+
+	private final byte[] buffer = new byte[2 * 1024];
+
+	private int position;
+
+	private int limit;
+
+	private long totalBytes;
+
+	private volatile long waitingSinceNanos;
+
+	private volatile boolean waiting;
+
+	FrameReader(InputStream in, LongConsumer taken) {
+		this.in = in;
+		this.taken = taken;
+	}
+
+	/**
+	 * Reads the next frame.
+	 * @return the frame, or null at the end of the stream
+	 * @throws IOException if the stream breaks, within a frame included
+	 */
+	@Nullable Frame next() throws IOException {
+		ByteArrayOutputStream line = new ByteArrayOutputStream(128);
+		while (true) {
+			if (this.position == this.limit && !fill()) {
+				if (line.size() > 0) {
+					throw new IOException("agent stream ended within a frame");
+				}
+				return null;
+			}
+			int start = this.position;
+			while (this.position < this.limit && this.buffer[this.position] != '\n') {
+				this.position++;
+			}
+			line.write(this.buffer, start, this.position - start);
+			if (line.size() > LINE_LIMIT_BYTES) {
+				throw new IOException("frame exceeds " + LINE_LIMIT_BYTES + " bytes");
+			}
+			if (this.position < this.limit) {
+				this.position++;
+				return parse(line.toByteArray());
+			}
+		}
+	}
+
+	private boolean fill() throws IOException {
+		this.waitingSinceNanos = System.nanoTime();
+		this.waiting = true;
+		int count = this.in.read(this.buffer);
+		this.waiting = false;
+		if (count <= 0) {
+			return false;
+		}
+		this.position = 0;
+		this.limit = count;
+		this.totalBytes += count;
+		this.taken.accept(this.totalBytes);
+		return true;
+	}
+
+	private static Frame parse(byte[] line) throws IOException {
+		try {
+			return Json.read(line, Frame.class);
+		}
+		catch (BadInputException ex) {
+			throw new IOException("malformed frame", ex);
+		}
+	}
+
+	/**
+	 * Gives up the stream if it has been silent for too long. A time in which the caller
+	 * does not take the answer does not count.
+	 * @param limitMillis longest silence
+	 * @param nowNanos present time
+	 */
+	void closeIfSilent(long limitMillis, long nowNanos) {
+		if (this.waiting && nowNanos - this.waitingSinceNanos > TimeUnit.MILLISECONDS.toNanos(limitMillis)) {
+			close();
+		}
+	}
+
+	long totalBytes() {
+		return this.totalBytes;
+	}
+
+	@Override
+	public void close() {
+		try {
+			this.in.close();
+		}
+		catch (IOException ex) {
+			// The connection is given up in either case.
+		}
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/router/HandOver.java
@@ -0,0 +1,48 @@
+package org.jaywood.router;
+
+import org.jaywood.platform.VmRecord;
+import org.jaywood.wire.Refusal;
+
+/**
+ * One hand-over of a call to an agent.
+ *
+ * @param router incarnation of the router
+ * @param agent the agent
+ * @param agentIncarnation incarnation that the hand-over is meant for
+ * @param attempt number of the hand-over
+ * @param requestId id of the call
+ */
+record HandOver(String router, VmRecord agent, String agentIncarnation, long attempt, String requestId) {
+
+	/**
+	 * How a hand-over began.
+	 */
+	sealed interface Reply {
+
+		/**
+		 * The agent admitted the call and streams its answer.
+		 */
+		record Admitted(HandOver handOver, FrameReader frames) implements Reply {
+		}
+
+		/**
+		 * The agent refused; the upstream never received the call.
+		 */
+		record Refused(Refusal refusal) implements Reply {
+		}
+
+		/**
+		 * No byte of the call reached the agent.
+		 */
+		record Unreached(String reason) implements Reply {
+		}
+
+		/**
+		 * The call may have reached the agent.
+		 */
+		record Broken(HandOver handOver, String reason) implements Reply {
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/router/HandOvers.java
@@ -0,0 +1,41 @@
+package org.jaywood.router;
+
+import java.io.IOException;
+
+import org.jaywood.wire.FenceReply;
+
+/**
+ * What claims need of the path to the agents.
+ */
+interface HandOvers {
+
+	/**
+	 * Runs a call.
+	 * @param call the call
+	 * @param sink takes the answer
+	 * @param listener called before each hand-over; what it throws leaves this method and
+	 * the hand-over is not made
+	 */
+	CallResult run(Call call, AnswerSink sink, Listener listener) throws InterruptedException;
+
+	/**
+	 * Voids a hand-over of any router if it was not admitted, and asks what became of it
+	 * otherwise.
+	 */
+	FenceReply fence(HandOver handOver, long timeoutMillis) throws IOException, InterruptedException;
+
+	/**
+	 * Sees a hand-over before its first byte is sent.
+	 */
+	@FunctionalInterface
+	interface Listener {
+
+		/** For calls without a claim. */
+		Listener NONE = (handOver) -> {
+		};
+
+		void before(HandOver handOver);
+
+	}
+
+}
--- a/src/main/java/org/jaywood/router/Router.java
+++ b/src/main/java/org/jaywood/router/Router.java
@@ -1,36 +1,16 @@
 package org.jaywood.router;
 
-import java.io.BufferedReader;
-import java.io.IOException;
-import java.io.InputStream;
-import java.io.InputStreamReader;
-import java.io.OutputStream;
-import java.net.http.HttpRequest;
-import java.net.http.HttpRequest.BodyPublishers;
-import java.net.http.HttpResponse;
-import java.nio.charset.StandardCharsets;
-import java.time.Duration;
-import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
-
-import com.fasterxml.jackson.databind.JsonNode;
+import java.util.function.LongSupplier;
 
 import org.jaywood.event.Event;
 import org.jaywood.event.EventLog;
 import org.jaywood.peer.PeerNode;
 import org.jaywood.peer.ProcessIdentity;
-import org.jaywood.platform.VmRecord;
-import org.jaywood.wire.CallOutcome;
-import org.jaywood.wire.Exchange;
-import org.jaywood.wire.Frame;
-import org.jaywood.wire.Headers;
 import org.jaywood.wire.HttpPort;
-import org.jaywood.wire.Json;
 
 /**
  * The process on an entry VM. It owns the calls in progress and chooses an upstream for
@@ -38,9 +18,12 @@
  */
 public final class Router implements AutoCloseable {
 
-	private static final int BODY_LIMIT_BYTES = 1024 * 1024;
+	/**
+	 * Retries saved up at most, so that a failure of many agents is not met by a storm.
+	 */
+	private static final int RETRY_BURST = 50;
 
-	private static final long DEFAULT_DEADLINE_MILLIS = 60_000;
+	private static final long STALL_CHECK_MILLIS = 250;
 
 	private final RouterSettings settings;
 
@@ -48,9 +31,15 @@
 
 	private final PeerNode peer;
 
-	private final HttpPort callerPort;
+	private final RouterMetrics metrics = new RouterMetrics();
+
+	private final Watchdog watchdog = new Watchdog();
 
-	private final AtomicInteger inFlight = new AtomicInteger();
+	private final BufferBudget budget;
+
+	private final CallerHandler callers;
+
+	private final HttpPort callerPort;
 
 	private volatile boolean leaving;
 
@@ -61,13 +50,36 @@
 				settings.dataCentre(), UUID.randomUUID().toString(), settings.advertisedAddress());
 		this.peer = new PeerNode(identity, settings.listenAddress(), settings.platformAddress(), settings.credential(),
 				log, () -> this.leaving, settings.operatorAddress(), settings.callerAddress());
-		this.callerPort = HttpPort.open(settings.callerAddress(), log)
-			.route("POST", "/v1/completions", this::complete)
-			.route("*", "/services/", this::plain);
+		// Deadlines must not move with the wall clock.
+		LongSupplier clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+		RouterLimits limits = RouterLimits.DEFAULT;
+		this.budget = new BufferBudget(limits.budgetBytes(), limits.stallMillis());
+		this.watchdog.every(STALL_CHECK_MILLIS, () -> this.budget.abortStalled(clock.getAsLong()));
+		CallRelay relay = relay(identity, clock);
+		ClaimRegistry claims = new ClaimRegistry(this.peer.platform(), relay, clock);
+		this.callers = new CallerHandler(this.peer.configuration(), relay, claims, this.budget,
+				new BodyReader(limits, this.watchdog, clock), limits, this.metrics, () -> this.leaving, clock);
+		this.callerPort = CallerPort.open(settings.callerAddress(), log);
+		this.callers.register(this.callerPort);
 		this.peer.operatorPort(settings.operatorAddress())
 			.route("GET", "/state", (exchange) -> exchange.respondJson(200, state()));
 	}
 
+	private CallRelay relay(ProcessIdentity identity, LongSupplier clock) {
+		RouterLimits limits = RouterLimits.DEFAULT;
+		long nowMillis = clock.getAsLong();
+		UpstreamTable table = new UpstreamTable();
+		ByteBudget regionBudget = new ByteBudget(limits.regionBytesPerSecond(), nowMillis);
+		UpstreamChooser chooser = new UpstreamChooser(identity, this.peer.membership(), table, regionBudget,
+				limits.subsetSize(), () -> ThreadLocalRandom.current().nextLong());
+		AgentClient agents = new AgentClient(this.peer.client(), identity.incarnation(), table, clock,
+				limits.bufferBytes());
+		RetryBudget retries = new RetryBudget(limits.retryShare(), limits.retryFloorPerSecond(), RETRY_BURST,
+				nowMillis);
+		return new CallRelay(this.peer.configuration(), chooser, table, agents, retries, regionBudget, this.watchdog,
+				limits, this.metrics, clock);
+	}
+
 	public void start() {
 		this.peer.start();
 		this.callerPort.start();
@@ -80,152 +92,27 @@
 	 */
 	public void drain(long nowMillis) throws InterruptedException {
 		this.leaving = true;
-		this.log.log(Event.PROCESS_DRAINING, "role", "router", "inFlight", this.inFlight.get());
+		this.log.log(Event.PROCESS_DRAINING, "role", "router", "inFlight", this.callers.inFlight());
 		long deadlineMillis = nowMillis + this.settings.drainMillis();
-		while (this.inFlight.get() > 0 && System.currentTimeMillis() < deadlineMillis) {
+		while (this.callers.inFlight() > 0 && System.currentTimeMillis() < deadlineMillis) {
 			TimeUnit.MILLISECONDS.sleep(20);
 		}
 		this.log.log(Event.PROCESS_STOPPED, "role", "router", "seconds",
 				(System.currentTimeMillis() - nowMillis) / 1000.0);
 	}
 
-	private Optional<VmRecord> choose(String service) {
-		List<VmRecord> candidates = this.peer.membership()
-			.agentsOf(service)
-			.filter((entry) -> this.peer.configuration().deployment().serves(service, entry.dataCentre()))
-			.toList();
-		return candidates.isEmpty() ? Optional.empty()
-				: Optional.of(candidates.get(ThreadLocalRandom.current().nextInt(candidates.size())));
-	}
-
-	private void complete(Exchange exchange) throws IOException, InterruptedException {
-		byte[] body = exchange.body(BODY_LIMIT_BYTES);
-		JsonNode call = Json.tree(body);
-		String service = call.path("model").asText();
-		boolean stream = call.path("stream").asBoolean();
-		run(exchange, service, body, Map.of(), (lines) -> relayTokens(exchange, lines, stream));
-	}
-
-	private void plain(Exchange exchange) throws IOException, InterruptedException {
-		String[] parts = exchange.target().split("/", 4);
-		if (parts.length < 4) {
-			exchange.respondError(400, "path must be /services/<service>/<path>");
-			return;
-		}
-		byte[] body = exchange.body(BODY_LIMIT_BYTES);
-		run(exchange, parts[2], body, Map.of(Headers.METHOD, exchange.method(), Headers.PATH, "/" + parts[3]),
-				(lines) -> relayBody(exchange, lines));
-	}
-
-	private void run(Exchange exchange, String service, byte[] body, Map<String, String> headers, Relay relay)
-			throws IOException, InterruptedException {
-		if (this.leaving) {
-			refuse(exchange, CallOutcome.NOT_RUN, "DRAINING");
-			return;
-		}
-		this.inFlight.incrementAndGet();
-		try {
-			Optional<VmRecord> agent = choose(service);
-			if (agent.isEmpty()) {
-				refuse(exchange, CallOutcome.NOT_RUN, "NO_UPSTREAM");
-				return;
-			}
-			HttpRequest.Builder request = this.peer.client()
-				.request(agent.get().address().uri("/v1/calls"), Duration.ofMillis(DEFAULT_DEADLINE_MILLIS))
-				.setHeader(Headers.REQUEST_ID, UUID.randomUUID().toString())
-				.setHeader(Headers.SERVICE, service)
-				.setHeader(Headers.REMAINING_MILLIS, Long.toString(DEFAULT_DEADLINE_MILLIS))
-				.POST(BodyPublishers.ofByteArray(body));
-			headers.forEach(request::setHeader);
-			HttpResponse<InputStream> reply = this.peer.client().stream(request.build());
-			try (BufferedReader lines = new BufferedReader(
-					new InputStreamReader(reply.body(), StandardCharsets.UTF_8))) {
-				if (reply.statusCode() == 200) {
-					relay.relay(lines);
-					return;
-				}
-				refuse(exchange, CallOutcome.NOT_RUN,
-						Json.read(lines.readLine(), JsonNode.class).path("refusal").asText());
-			}
-		}
-		finally {
-			this.inFlight.decrementAndGet();
-		}
-	}
-
-	private void relayTokens(Exchange exchange, BufferedReader lines, boolean stream) throws IOException {
-		StringBuilder text = new StringBuilder();
-		String weights = "";
-		OutputStream out = stream ? exchange.stream(200, "text/event-stream") : null;
-		for (String line = lines.readLine(); line != null; line = lines.readLine()) {
-			Frame frame = Json.read(line, Frame.class);
-			if (frame.head() != null) {
-				weights = frame.head().weights();
-			}
-			if (frame.token() != null) {
-				text.append(frame.token().text());
-				if (out != null) {
-					writeEvent(out, Json.text(frame.token()));
-				}
-			}
-			if (frame.end() != null) {
-				if (out == null) {
-					exchange.setHeader(Headers.OUTCOME, CallOutcome.ANSWERED.headerValue());
-					exchange.respondJson(200, Map.of("text", text.toString(), "count", frame.end().count(), "digest",
-							frame.end().digest(), "weights", weights));
-					return;
-				}
-				writeEvent(out,
-						Json.text(Map.of("end", true, "count", frame.end().count(), "digest", frame.end().digest())));
-				writeEvent(out, "[DONE]");
-				out.close();
-				return;
-			}
-		}
-		throw exchange.abort("agent stream ended without its end marker");
-	}
-
-	private static void writeEvent(OutputStream out, String data) throws IOException {
-		out.write(("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8));
-		out.flush();
-	}
-
-	private void relayBody(Exchange exchange, BufferedReader lines) throws IOException {
-		Frame head = Json.read(lines.readLine(), Frame.class);
-		Frame data = Json.read(lines.readLine(), Frame.class);
-		Frame end = Json.read(lines.readLine(), Frame.class);
-		if (head.head() == null || data.data() == null || end.end() == null) {
-			throw exchange.abort("agent stream is not whole");
-		}
-		exchange.setHeader(Headers.OUTCOME, CallOutcome.ANSWERED.headerValue());
-		exchange.respond(head.head().status(), head.head().contentType(), data.data());
-	}
-
-	private static void refuse(Exchange exchange, CallOutcome outcome, String reason) throws IOException {
-		exchange.setHeader(Headers.OUTCOME, outcome.headerValue());
-		exchange.respondJson((outcome == CallOutcome.NOT_RUN) ? 503 : 504,
-				Map.of("error", Map.of("outcome", outcome.headerValue(), "reason", reason)));
-	}
-
 	private Map<String, Object> state() {
 		return Map.of("identity", this.peer.identity(), "generation", this.peer.configuration().current().generation(),
-				"inFlight", this.inFlight.get(), "leaving", this.leaving, "peer", this.peer.state());
+				"inFlight", this.callers.inFlight(), "leaving", this.leaving, "metrics", this.metrics.state(), "peer",
+				this.peer.state(), "held", Map.of("bytes", this.budget.heldBytes(), "callers", this.budget.holders(),
+						"aborted", this.budget.aborted()));
 	}
 
 	@Override
 	public void close() {
 		this.callerPort.close();
 		this.peer.close();
-	}
-
-	/**
-	 * Passes an answer on to the caller.
-	 */
-	@FunctionalInterface
-	private interface Relay {
-
-		void relay(BufferedReader lines) throws IOException;
-
+		this.watchdog.close();
 	}
 
 }
--- /dev/null
+++ b/src/main/java/org/jaywood/router/RouterLimits.java
@@ -0,0 +1,27 @@
+package org.jaywood.router;
+
+/**
+ * Limits of a router.
+ *
+ * @param subsetSize upstreams of a service and ring that this router uses
+ * @param affinityChars length of the prompt prefix that chooses the upstream
+ * @param regionBytesPerSecond bytes of calls that may cross region links
+ * @param retryShare retries allowed for each call
+ * @param retryFloorPerSecond retries allowed without traffic
+ * @param answerBytes largest answer that is held whole
+ * @param bodyBytes largest request body
+ * @param frameIdleMillis longest pause between two frames of a model stream
+ * @param budgetBytes bytes held for all callers
+ * @param stallMillis longest time that a caller may block a write
+ * @param bodyMillis time that a caller has to send a body
+ * @param bufferBytes bytes granted to an agent beyond what the caller took
+ */
+record RouterLimits(int subsetSize, int affinityChars, long regionBytesPerSecond, double retryShare,
+		double retryFloorPerSecond, int answerBytes, int bodyBytes, long frameIdleMillis, long budgetBytes,
+		long stallMillis, long bodyMillis, int bufferBytes) {
+
+	/** Leaves more than 0.7 MB/s of a region link of 14 Mbit/s to other traffic. */
+	static final RouterLimits DEFAULT = new RouterLimits(32, 256, 1_000_000, 0.2, 2, 4 * 1024 * 1024, 1024 * 1024,
+			10_000, 24 * 1024 * 1024, 30_000, 10_000, 8 * 1024);
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/router/StreamSink.java
@@ -0,0 +1,104 @@
+package org.jaywood.router;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.function.LongSupplier;
+
+import org.jspecify.annotations.Nullable;
+
+import org.jaywood.wire.Exchange;
+import org.jaywood.wire.Frame;
+import org.jaywood.wire.Json;
+
+/**
+ * Streams a model's answer to the caller as server-sent events. Each write blocks until
+ * the caller's connection takes it, which stops reading from the agent.
+ */
+final class StreamSink implements AnswerSink {
+
+	private final Exchange exchange;
+
+	private final CallerBuffer buffer;
+
+	private final LongSupplier clock;
+
+	private final Runnable onFirstToken;
+
+	private @Nullable OutputStream out;
+
+	StreamSink(Exchange exchange, CallerBuffer buffer, LongSupplier clock, Runnable onFirstToken) {
+		this.exchange = exchange;
+		this.buffer = buffer;
+		this.clock = clock;
+		this.onFirstToken = onFirstToken;
+	}
+
+	@Override
+	public boolean hold(int bytes) {
+		// The window that the agent may fill is held from the start.
+		return true;
+	}
+
+	@Override
+	public void token(Frame.Token token) {
+		write(Json.text(token));
+	}
+
+	@Override
+	public void endTokens(long count, String digest, String weights) {
+		write(Json.text(Map.of("end", true, "count", count, "digest", digest)));
+		write("[DONE]");
+		guarded(() -> open().close());
+	}
+
+	@Override
+	public void plain(Frame.Head head, byte[] body) {
+		throw new IllegalStateException("a stream carries tokens only");
+	}
+
+	@Override
+	public boolean started() {
+		return this.out != null;
+	}
+
+	private void write(String data) {
+		guarded(() -> {
+			OutputStream stream = open();
+			stream.write(("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8));
+			stream.flush();
+		});
+	}
+
+	private void guarded(Write write) {
+		this.buffer.beginWrite(this.clock.getAsLong());
+		try {
+			write.run();
+		}
+		catch (IOException ex) {
+			throw new CallerGoneException(ex);
+		}
+		finally {
+			this.buffer.endWrite();
+		}
+	}
+
+	private OutputStream open() throws IOException {
+		OutputStream stream = this.out;
+		if (stream == null) {
+			stream = this.exchange.stream(200, "text/event-stream");
+			this.out = stream;
+			this.onFirstToken.run();
+		}
+		return stream;
+	}
+
+	@FunctionalInterface
+	private interface Write {
+
+		void run() throws IOException;
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/router/UpstreamTable.java
@@ -0,0 +1,131 @@
+package org.jaywood.router;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.jspecify.annotations.Nullable;
+
+import org.jaywood.wire.Address;
+import org.jaywood.wire.LoadReport;
+import org.jaywood.wire.Refusal;
+
+/**
+ * What this router learned from agents: their incarnation, their load with its age, and
+ * refusals that make another try pointless for now.
+ */
+final class UpstreamTable {
+
+	/** A report older than this says little about an upstream that batches calls. */
+	private static final long LOAD_AGE_MILLIS = 2_000;
+
+	/**
+	 * An agent that leaves is tried again after this time, since it may have restarted.
+	 */
+	private static final long LEAVING_MILLIS = 10_000;
+
+	private static final long MAX_PAUSE_MILLIS = 2_000;
+
+	private static final long UNREACHED_PAUSE_MILLIS = 500;
+
+	private static final int DEFAULT_LIMIT = 64;
+
+	private final Map<Address, Entry> entries = new ConcurrentHashMap<>();
+
+	private Entry entry(Address agent) {
+		return this.entries.computeIfAbsent(agent, (key) -> new Entry());
+	}
+
+	@Nullable String incarnation(Address agent) {
+		return entry(agent).incarnation;
+	}
+
+	void learnIncarnation(Address agent, String incarnation) {
+		Entry entry = entry(agent);
+		if (!incarnation.equals(entry.incarnation)) {
+			entry.incarnation = incarnation;
+			entry.load = null;
+			entry.pausedUntilMillis = 0;
+			entry.outAtGeneration = -1;
+		}
+	}
+
+	void learnLoad(Address agent, LoadReport load, long nowMillis) {
+		Entry entry = entry(agent);
+		entry.load = load;
+		entry.loadMillis = nowMillis;
+	}
+
+	/**
+	 * Notes a refusal.
+	 * @param agent the agent that refused
+	 * @param refusal its refusal
+	 * @param agentGeneration generation in force at the agent
+	 * @param nowMillis present time
+	 */
+	void learnRefusal(Address agent, Refusal refusal, long agentGeneration, long nowMillis) {
+		Entry entry = entry(agent);
+		switch (refusal.refusal()) {
+			case DATA_CENTRE_OUT -> entry.outAtGeneration = agentGeneration;
+			case DRAINING -> entry.pausedUntilMillis = nowMillis + LEAVING_MILLIS;
+			case COLD_FULL, FULL, MEMORY_FULL, NOT_READY, STALE_CONFIGURATION ->
+				entry.pausedUntilMillis = nowMillis + Math.min(MAX_PAUSE_MILLIS, refusal.retryAfterMillis());
+			default -> {
+			}
+		}
+	}
+
+	void learnUnreached(Address agent, long nowMillis) {
+		entry(agent).pausedUntilMillis = nowMillis + UNREACHED_PAUSE_MILLIS;
+	}
+
+	/**
+	 * Whether an agent may admit a call, as far as known.
+	 * @param agent the agent
+	 * @param generation generation in force at this router
+	 * @param nowMillis present time
+	 */
+	boolean usable(Address agent, long generation, long nowMillis) {
+		Entry entry = entry(agent);
+		return nowMillis >= entry.pausedUntilMillis && generation > entry.outAtGeneration;
+	}
+
+	void begin(Address agent) {
+		entry(agent).inFlight.incrementAndGet();
+	}
+
+	void end(Address agent) {
+		entry(agent).inFlight.decrementAndGet();
+	}
+
+	/**
+	 * Share of the upstream's limit that is taken, from its last report if fresh and the
+	 * calls of this router.
+	 */
+	double utilization(Address agent, long nowMillis) {
+		Entry entry = entry(agent);
+		LoadReport load = entry.load;
+		int own = entry.inFlight.get();
+		if (load == null || nowMillis - entry.loadMillis > LOAD_AGE_MILLIS) {
+			return own / (double) DEFAULT_LIMIT;
+		}
+		return Math.max(own, load.inFlight()) / (double) Math.max(1, load.limit());
+	}
+
+	private static final class Entry {
+
+		private final AtomicInteger inFlight = new AtomicInteger();
+
+		private volatile @Nullable String incarnation;
+
+		private volatile @Nullable LoadReport load;
+
+		private volatile long loadMillis;
+
+		private volatile long pausedUntilMillis;
+
+		private volatile long outAtGeneration = -1;
+
+	}
+
+}
--- a/src/main/java/org/jaywood/wire/Exchange.java
+++ b/src/main/java/org/jaywood/wire/Exchange.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.net.URI;
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
@@ -40,7 +41,9 @@
 	 * Path and query as sent.
 	 */
 	public String target() {
-		return this.http.getRequestURI().toString();
+		// Jetty gives an absolute URI, the JDK's server the target as sent.
+		URI uri = this.http.getRequestURI();
+		return (uri.getRawQuery() != null) ? uri.getRawPath() + "?" + uri.getRawQuery() : uri.getRawPath();
 	}
 
 	/**
--- a/src/main/java/org/jaywood/wire/HttpPort.java
+++ b/src/main/java/org/jaywood/wire/HttpPort.java
@@ -47,11 +47,15 @@
 
 	private final Consumer<Exchange> interceptor;
 
-	private HttpPort(HttpServer server, EventLog log, @Nullable Credential credential, Consumer<Exchange> interceptor) {
+	private final Runnable abort;
+
+	private HttpPort(HttpServer server, EventLog log, @Nullable Credential credential, Consumer<Exchange> interceptor,
+			Runnable abort) {
 		this.server = server;
 		this.log = log;
 		this.credential = credential;
 		this.interceptor = interceptor;
+		this.abort = abort;
 		server.createContext("/", this::dispatch);
 		server.setExecutor(this.executor);
 	}
@@ -67,7 +71,8 @@
 	public static HttpPort open(Address address, EventLog log, @Nullable Credential credential,
 			Consumer<Exchange> interceptor) {
 		try {
-			return new HttpPort(HttpServer.create(address.socketAddress(), 1024), log, credential, interceptor);
+			return new HttpPort(HttpServer.create(address.socketAddress(), 1024), log, credential, interceptor, () -> {
+			});
 		}
 		catch (IOException ex) {
 			throw new WireException("cannot listen on " + address + ": " + ex.getMessage(), ex);
@@ -80,13 +85,26 @@
 	}
 
 	/**
-	 * Opens a port over another implementation of the JDK's server API.
+	 * Opens a port over a server whose connection ends when an exception leaves a
+	 * handler, as that of the JDK.
 	 */
 	public static HttpPort over(HttpServer server, EventLog log) {
-		return new HttpPort(server, log, null, (exchange) -> {
+		return over(server, log, () -> {
 		});
 	}
 
+	/**
+	 * Opens a port over another implementation of the JDK's server API.
+	 * @param server the server
+	 * @param log log for failures of handlers
+	 * @param abort closes the connection of the request that the running thread serves;
+	 * run when an exception leaves a handler, if the server would not cut the connection
+	 */
+	public static HttpPort over(HttpServer server, EventLog log, Runnable abort) {
+		return new HttpPort(server, log, null, (exchange) -> {
+		}, abort);
+	}
+
 	public HttpPort route(String method, String prefix, Handler handler) {
 		this.routes.add(new Route(method, prefix, handler));
 		return this;
@@ -103,6 +121,16 @@
 	}
 
 	private void dispatch(HttpExchange http) throws IOException {
+		try {
+			serve(http);
+		}
+		catch (IOException ex) {
+			this.abort.run();
+			throw ex;
+		}
+	}
+
+	private void serve(HttpExchange http) throws IOException {
 		Exchange exchange = new Exchange(http);
 		try {
 			if (this.credential != null && !this.credential.accepts(exchange.header(Headers.CREDENTIAL))) {
--- a/src/main/java/org/jaywood/wire/WireClient.java
+++ b/src/main/java/org/jaywood/wire/WireClient.java
@@ -30,6 +30,11 @@
 		if (System.getProperty("jdk.httpclient.keepalive.timeout") == null) {
 			System.setProperty("jdk.httpclient.keepalive.timeout", "20");
 		}
+		// A repeat is the router's decision; the client's own would be one more
+		// hand-over.
+		if (System.getProperty("jdk.httpclient.disableRetryConnect") == null) {
+			System.setProperty("jdk.httpclient.disableRetryConnect", "true");
+		}
 	}
 
 	private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
--- /dev/null
+++ b/src/test/java/org/jaywood/bench/AtMostOnceIT.java
@@ -0,0 +1,137 @@
+package org.jaywood.bench;
+
+import java.io.IOException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.github.f4b6a3.uuid.UuidCreator;
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.bench.Installation.Member;
+import org.jaywood.wire.Json;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards bookings against running twice when callers repeat them through another router
+ * while a router dies by SIGKILL.
+ */
+class AtMostOnceIT {
+
+	private static final int KEYS = 300;
+
+	private static final int KILL_AT = 100;
+
+	private static final int TRIES = 6;
+
+	@Test
+	void runsEachKeyAtMostOnce() throws Exception {
+		try (Installation installation = Installation.start(Profile.KITAMORI, 2);
+				ExecutorService tasks = Executors.newFixedThreadPool(8)) {
+			String manifest = installation.addWeights("1", 65_536, 32_768);
+			installation.apply(installation.deployment("1", manifest));
+			installation.awaitGeneration(1, 10_000);
+			Installation.await("plain service answers", 10_000, () -> call(installation, 0, newKey()) == 200);
+			Map<String, Set<Integer>> statuses = new ConcurrentHashMap<>();
+			List<Future<?>> callers = new ArrayList<>();
+			for (int i = 0; i < KEYS; i++) {
+				int number = i;
+				callers.add(tasks.submit(() -> {
+					if (number == KILL_AT) {
+						kill(installation);
+					}
+					String key = newKey();
+					statuses.put(key, repeat(installation, key));
+				}));
+			}
+			for (Future<?> caller : callers) {
+				caller.get(60, TimeUnit.SECONDS);
+			}
+			Map<String, Long> runs = runs(installation);
+			assertThat(runs.values().stream().filter((count) -> count > 1).toList()).isEmpty();
+			long answered = statuses.entrySet().stream().filter((entry) -> entry.getValue().contains(200)).count();
+			statuses.forEach((key, seen) -> {
+				if (seen.contains(200)) {
+					assertThat(runs).containsKey(key);
+				}
+			});
+			System.out.println("at most once: keys " + KEYS + " answered " + answered + " run "
+					+ runs.keySet().stream().filter(statuses::containsKey).count());
+			// Eight callers run at once, so the kill can leave few calls undecided.
+			assertThat(answered).isAtLeast((long) KEYS - 16);
+		}
+	}
+
+	private static String newKey() {
+		return UuidCreator.getTimeOrderedEpoch().toString();
+	}
+
+	private static void kill(Installation installation) {
+		Process router = installation.fleet().process(installation.routers().getFirst().vm());
+		if (router == null) {
+			throw new IllegalStateException("no process of the first router");
+		}
+		router.destroyForcibly();
+	}
+
+	private static Set<Integer> repeat(Installation installation, String key) {
+		Set<Integer> seen = ConcurrentHashMap.newKeySet();
+		for (int i = 0; i < TRIES; i++) {
+			try {
+				seen.add(call(installation, i % 2, key));
+			}
+			catch (IOException ex) {
+				// The router is dead; the next try goes to the other one.
+			}
+			catch (InterruptedException ex) {
+				throw new IllegalStateException(ex);
+			}
+		}
+		return seen;
+	}
+
+	private static int call(Installation installation, int router, String key)
+			throws IOException, InterruptedException {
+		HttpRequest request = installation.client()
+			.request(installation.routers().get(router).caller().uri("/services/visit-desk/bookings"),
+					Duration.ofSeconds(10))
+			.setHeader("Idempotency-Key", key)
+			.POST(BodyPublishers.ofByteArray("{}".getBytes(StandardCharsets.UTF_8)))
+			.build();
+		HttpResponse<byte[]> reply = installation.client().send(request);
+		return reply.statusCode();
+	}
+
+	/**
+	 * Runs at all upstreams by key; the id of a keyed call begins with its key.
+	 */
+	private static Map<String, Long> runs(Installation installation) throws IOException, InterruptedException {
+		List<String> ids = new ArrayList<>();
+		for (Member agent : installation.agentsOf("visit-desk")) {
+			JsonNode record = Json
+				.tree(installation.client().get(agent.upstream().uri("/record"), Duration.ofSeconds(5)).body());
+			record.path("runs").valueStream().map(AtMostOnceIT::runId).forEach(ids::add);
+		}
+		return ids.stream()
+			.collect(Collectors.groupingBy((id) -> id.substring(0, Math.min(36, id.length())), Collectors.counting()));
+	}
+
+	private static String runId(JsonNode run) {
+		return run.isObject() ? run.path("id").asText(run.path("requestId").asText()) : run.asText();
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/jaywood/bench/SlowReadersIT.java
@@ -0,0 +1,151 @@
+package org.jaywood.bench;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.MessageDigest;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.wire.Address;
+import org.jaywood.wire.Digests;
+import org.jaywood.wire.Json;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards memory of the router and the answers of normal callers while 200 others read 1
+ * KB/s or never read.
+ */
+class SlowReadersIT {
+
+	private static final int SLOW = 100;
+
+	private static final int SILENT = 100;
+
+	private static final int NORMAL = 100;
+
+	private static final int BYTES_PER_CALLER = 16 * 1024;
+
+	private static final Pattern TOKEN = Pattern.compile("\\{\"index\":(\\d+),\"text\":\"(\\w+)\"}");
+
+	private static final Pattern END = Pattern.compile("\"digest\":\"(\\w{64})\"");
+
+	@Test
+	void holdsLittleAndTruncatesNothing() throws Exception {
+		try (Installation installation = Installation.start(Profile.KITAMORI, 1);
+				ExecutorService tasks = Executors.newVirtualThreadPerTaskExecutor()) {
+			String manifest = installation.addWeights("1", 262_144, 32_768);
+			installation.apply(installation.deployment("1", manifest));
+			installation.awaitServing(Digests.ofSet(List.of(manifest)), 20_000);
+			installation.awaitGeneration(1, 10_000);
+			Address router = installation.routers().getFirst().caller();
+			answerNormal(installation, router);
+			long before = residentKilobytes(installation);
+			List<Socket> silent = new ArrayList<>();
+			for (int i = 0; i < SILENT; i++) {
+				silent.add(open(router, "silent " + i, 5_000));
+			}
+			List<Future<String>> slow = new ArrayList<>();
+			for (int i = 0; i < SLOW; i++) {
+				Socket socket = open(router, "slow " + i, 500);
+				slow.add(tasks.submit(() -> readSlowly(socket)));
+			}
+			answerNormal(installation, router);
+			long held = held(installation);
+			assertThat(held).isAtMost((long) BYTES_PER_CALLER * (SLOW + SILENT));
+			for (Future<String> reader : slow) {
+				assertWhole(reader.get(60, TimeUnit.SECONDS));
+			}
+			System.out.println("slow readers: held " + held + " bytes, resident " + before + " -> "
+					+ residentKilobytes(installation) + " KB");
+			for (Socket socket : silent) {
+				socket.close();
+			}
+			Installation.await("memory is released", 20_000, () -> held(installation) == 0);
+		}
+	}
+
+	private static void answerNormal(Installation installation, Address router)
+			throws IOException, InterruptedException {
+		for (int i = 0; i < NORMAL; i++) {
+			HttpResponse<byte[]> reply = installation.client()
+				.post(router.uri("/v1/completions"), Map.of("model", "pool", "prompt", "normal " + i, "max_tokens", 2),
+						Duration.ofSeconds(10));
+			assertThat(reply.statusCode()).isEqualTo(200);
+			assertThat(Json.tree(reply.body()).path("count").asInt()).isEqualTo(2);
+		}
+	}
+
+	private static Socket open(Address router, String prompt, int tokens) throws IOException {
+		Socket socket = new Socket();
+		socket.setReceiveBufferSize(4_096);
+		socket.setSoTimeout(30_000);
+		socket.connect(new InetSocketAddress(router.host(), router.port()));
+		byte[] body = Json.bytes(Map.of("model", "pool", "prompt", prompt, "max_tokens", tokens, "stream", true));
+		socket.getOutputStream()
+			.write(("POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: " + body.length + "\r\n\r\n"
+					+ new String(body, StandardCharsets.UTF_8))
+				.getBytes(StandardCharsets.UTF_8));
+		return socket;
+	}
+
+	private static String readSlowly(Socket socket) throws IOException, InterruptedException {
+		StringBuilder text = new StringBuilder();
+		try (socket; InputStream in = socket.getInputStream()) {
+			byte[] buffer = new byte[102];
+			for (int count = in.read(buffer); count > 0; count = in.read(buffer)) {
+				text.append(new String(buffer, 0, count, StandardCharsets.UTF_8));
+				if (text.indexOf("\r\n0\r\n\r\n", Math.max(0, text.length() - 120)) >= 0) {
+					break;
+				}
+				TimeUnit.MILLISECONDS.sleep(100);
+			}
+		}
+		return text.toString();
+	}
+
+	private static void assertWhole(String reply) {
+		MessageDigest digest = Digests.newSha256();
+		int expected = 0;
+		for (Matcher token = TOKEN.matcher(reply); token.find(); expected++) {
+			assertThat(Integer.parseInt(token.group(1))).isEqualTo(expected);
+			digest.update(token.group(2).getBytes(StandardCharsets.UTF_8));
+		}
+		assertThat(expected).isEqualTo(500);
+		Matcher end = END.matcher(reply);
+		assertThat(end.find()).isTrue();
+		assertThat(end.group(1)).isEqualTo(Digests.hex(digest.digest()));
+		assertThat(reply).contains("[DONE]");
+	}
+
+	private static long held(Installation installation) throws IOException, InterruptedException {
+		return installation.state(installation.routers().getFirst()).path("held").path("bytes").asLong();
+	}
+
+	private static long residentKilobytes(Installation installation) throws IOException {
+		Process router = installation.fleet().process(installation.routers().getFirst().vm());
+		return Files.readAllLines(Path.of("/proc/" + router.pid() + "/status"))
+			.stream()
+			.filter((line) -> line.startsWith("VmRSS:"))
+			.mapToLong((line) -> Long.parseLong(line.replaceAll("\\D", "")))
+			.findFirst()
+			.orElseThrow();
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/jaywood/router/CallRelayTests.java
@@ -0,0 +1,247 @@
+package org.jaywood.router;
+
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.router.RelayFixture.RecordingSink;
+import org.jaywood.wire.Digests;
+import org.jaywood.wire.FenceReply;
+import org.jaywood.wire.Frame;
+import org.jaywood.wire.RefusalReason;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.awaitility.Awaitility.await;
+
+/**
+ * Guards the three outcomes of a call against broken, refused and repeated hand-overs.
+ */
+class CallRelayTests {
+
+	private final RecordingSink sink = new RecordingSink();
+
+	/**
+	 * Guards against a frozen agent that holds a stream until the deadline.
+	 */
+	@Test
+	void resumesElsewhereWhenStreamIsSilent() throws Exception {
+		try (FakeAgent frozen = new FakeAgent("one", "a").reply((exchange) -> {
+			exchange.stream(200, "application/x-ndjson").flush();
+			TimeUnit.SECONDS.sleep(4);
+		});
+				FakeAgent second = new FakeAgent("two", "b").stream(Frame.head(200, "", "w"), Frame.token(0, "a"),
+						Frame.end(1, Digests.sha256("a")));
+				RelayFixture fixture = new RelayFixture(frozen, second)) {
+			long start = System.nanoTime();
+			assertThat(fixture.run(RelayFixture.completion(), this.sink)).isEqualTo(new CallResult.Answered());
+			assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start)).isLessThan(2_000L);
+		}
+	}
+
+	/**
+	 * Guards against an agent that gets no credit for a long answer, or credit without
+	 * the bytes having been taken.
+	 */
+	@Test
+	void grantsCreditAsBytesAreTaken() throws Exception {
+		byte[] body = new byte[20_000];
+		try (FakeAgent agent = new FakeAgent("one", "a").stream(Frame.head(200, "text/plain", ""), Frame.data(body),
+				Frame.end(body.length, Digests.sha256(body))); RelayFixture fixture = new RelayFixture(agent)) {
+			assertThat(fixture.run(RelayFixture.query(), this.sink)).isEqualTo(new CallResult.Answered());
+			await().until(() -> agent.grants().size() >= 4);
+			assertThat(agent.grants().stream().mapToLong((grant) -> grant.grantedBytes()).max().orElse(0))
+				.isAtMost(28_000 + 8 * 1024L);
+		}
+	}
+
+	@Test
+	void repeatsQueryElsewhereWithoutFence() throws Exception {
+		try (FakeAgent first = new FakeAgent("one", "a").breakOff();
+				FakeAgent second = new FakeAgent("two", "b").answer("x");
+				RelayFixture fixture = new RelayFixture(first, second)) {
+			assertThat(fixture.run(RelayFixture.query(), this.sink)).isEqualTo(new CallResult.Answered());
+			assertThat(first.fenceRequests()).isEmpty();
+		}
+	}
+
+	/**
+	 * Guards a booking against running twice and against a false "not run".
+	 */
+	@Nested
+	class NotRepeatable {
+
+		private final FakeAgent first = new FakeAgent("one", "a");
+
+		private final FakeAgent second = new FakeAgent("two", "b").answer("second");
+
+		private CallResult run(long deadlineMillis) throws InterruptedException {
+			try (this.first; this.second; RelayFixture fixture = new RelayFixture(this.first, this.second)) {
+				return fixture.run(RelayFixture.booking(deadlineMillis), CallRelayTests.this.sink);
+			}
+		}
+
+		@Test
+		void goesElsewhereAfterRefusal() throws Exception {
+			this.first.refuse(RefusalReason.FULL);
+			assertThat(run(5_000)).isEqualTo(new CallResult.Answered());
+			assertThat(this.second.runs()).isEqualTo(1);
+		}
+
+		@Test
+		void goesElsewhereWhenFenceSaysNeverAdmitted() throws Exception {
+			this.first.breakOff().fenced(FenceReply.State.NEVER_ADMITTED);
+			assertThat(run(5_000)).isEqualTo(new CallResult.Answered());
+			assertThat(CallRelayTests.this.sink.body()).isEqualTo("second");
+			assertThat(this.first.fenceRequests().getFirst().attempt()).isEqualTo(this.first.attempts().getFirst());
+		}
+
+		@Test
+		void deliversAnswerThatAgentKept() throws Exception {
+			this.first.breakOff().fenced(FenceReply.State.RUNNING).finished("kept");
+			assertThat(run(5_000)).isEqualTo(new CallResult.Answered());
+			assertThat(CallRelayTests.this.sink.body()).isEqualTo("kept");
+			assertThat(this.second.runs()).isEqualTo(0);
+		}
+
+		@Test
+		void isUnknownWhenAgentRestarted() throws Exception {
+			this.first.breakOff().fenced(FenceReply.State.OTHER_INCARNATION);
+			assertThat(run(5_000)).isInstanceOf(CallResult.Unknown.class);
+			assertThat(this.second.runs()).isEqualTo(0);
+		}
+
+		@Test
+		void isUnknownWhenItRunsBeyondItsDeadline() throws Exception {
+			this.first.breakOff().fenced(FenceReply.State.RUNNING);
+			assertThat(run(300)).isInstanceOf(CallResult.Unknown.class);
+			assertThat(this.second.runs()).isEqualTo(0);
+		}
+
+		@Test
+		void isUnknownWhenNoFenceAnswers() throws Exception {
+			this.first.reply((exchange) -> {
+				this.first.close();
+				throw exchange.abort("dead");
+			});
+			assertThat(run(300)).isInstanceOf(CallResult.Unknown.class);
+			assertThat(this.second.runs()).isEqualTo(0);
+		}
+
+		@Test
+		void fencesDuplicateSinceTheFirstCopyMayRun() throws Exception {
+			this.first.refuse(RefusalReason.DUPLICATE).finished("first copy");
+			assertThat(run(5_000)).isEqualTo(new CallResult.Answered());
+			assertThat(CallRelayTests.this.sink.body()).isEqualTo("first copy");
+			assertThat(this.second.runs()).isEqualTo(0);
+		}
+
+		@Test
+		void keepsTimeForTheFenceWhenAgentHangs() throws Exception {
+			this.first.reply((exchange) -> TimeUnit.SECONDS.sleep(3)).finished("kept");
+			assertThat(run(1_000)).isEqualTo(new CallResult.Answered());
+			assertThat(this.second.runs()).isEqualTo(0);
+		}
+
+		@Test
+		void fencesTruncatedAnswer() throws Exception {
+			this.first.stream(Frame.head(200, "text/plain", ""), Frame.data(new byte[] { 1 })).finished("kept");
+			assertThat(run(5_000)).isEqualTo(new CallResult.Answered());
+			assertThat(CallRelayTests.this.sink.body()).isEqualTo("kept");
+		}
+
+	}
+
+	@Nested
+	class Refusals {
+
+		@Test
+		void refusedConnectionIsNotRun() throws Exception {
+			FakeAgent gone = new FakeAgent("one", "a");
+			gone.close();
+			try (RelayFixture fixture = new RelayFixture(gone)) {
+				CallResult result = fixture.run(RelayFixture.booking(5_000), CallRelayTests.this.sink);
+				assertThat(result).isInstanceOf(CallResult.NotRun.class);
+			}
+		}
+
+		@Test
+		void lastRefusalIsReportedWhenRetryBudgetIsUsedUp() throws Exception {
+			try (FakeAgent first = new FakeAgent("one", "a").refuse(RefusalReason.COLD_FULL);
+					FakeAgent second = new FakeAgent("two", "b").answer("x");
+					RelayFixture fixture = new RelayFixture(0, first, second)) {
+				assertThat(fixture.run(RelayFixture.booking(5_000), CallRelayTests.this.sink))
+					.isEqualTo(new CallResult.NotRun("COLD_FULL", 100));
+				assertThat(second.runs()).isEqualTo(0);
+			}
+		}
+
+		/**
+		 * Guards against an agent that is lost for this router after its restart.
+		 */
+		@Test
+		void restartedAgentIsUsedWithItsNewIncarnation() throws Exception {
+			try (FakeAgent agent = new FakeAgent("one", "a").answer("x");
+					RelayFixture fixture = new RelayFixture(agent)) {
+				fixture.run(RelayFixture.booking(5_000), CallRelayTests.this.sink);
+				agent.restart("one-2");
+				assertThat(fixture.run(RelayFixture.booking(5_000), CallRelayTests.this.sink))
+					.isEqualTo(new CallResult.Answered());
+				assertThat(agent.attempts()).containsExactly(1L, 2L, 1L).inOrder();
+			}
+		}
+
+	}
+
+	/**
+	 * Guards streams against gaps, repeats and mixed weights when they are resumed.
+	 */
+	@Nested
+	class Resume {
+
+		private final FakeAgent first = new FakeAgent("one", "a")
+			.breakWhen(() -> CallRelayTests.this.sink.tokens().size() == 2)
+			.stream(Frame.head(200, "", "w"), Frame.token(0, "a"), Frame.token(1, "b"));
+
+		private final FakeAgent second = new FakeAgent("two", "b");
+
+		private CallResult run() throws InterruptedException {
+			try (this.first; this.second; RelayFixture fixture = new RelayFixture(this.first, this.second)) {
+				return fixture.run(RelayFixture.completion(), CallRelayTests.this.sink);
+			}
+		}
+
+		@Test
+		void continuesAfterTheLastDeliveredToken() throws Exception {
+			this.second.stream(Frame.head(200, "", "w"), Frame.token(1, "b"), Frame.token(2, "c"),
+					Frame.end(3, Digests.sha256("c")));
+			assertThat(run()).isEqualTo(new CallResult.Answered());
+			assertThat(this.second.resumes()).containsExactly("2");
+			assertThat(CallRelayTests.this.sink.tokens()).containsExactly(0, 1, 2).inOrder();
+			assertThat(CallRelayTests.this.sink.digest()).isEqualTo(Digests.sha256("abc"));
+		}
+
+		@Test
+		void neverMixesWeights() throws Exception {
+			this.second.stream(Frame.head(200, "", "other"), Frame.token(2, "c"), Frame.end(3, Digests.sha256("c")));
+			assertThat(run()).isInstanceOf(CallResult.Unknown.class);
+			assertThat(CallRelayTests.this.sink.tokens()).containsExactly(0, 1).inOrder();
+		}
+
+		@Test
+		void neverEndsWithOtherDigest() throws Exception {
+			this.second.stream(Frame.head(200, "", "w"), Frame.token(2, "c"), Frame.end(3, Digests.sha256("x")));
+			assertThat(run()).isInstanceOf(CallResult.Unknown.class);
+			assertThat(CallRelayTests.this.sink.digest()).isNull();
+		}
+
+		@Test
+		void neverSkipsTokens() throws Exception {
+			this.second.stream(Frame.head(200, "", "w"), Frame.token(3, "d"), Frame.end(4, Digests.sha256("d")));
+			assertThat(run()).isInstanceOf(CallResult.Unknown.class);
+			assertThat(CallRelayTests.this.sink.tokens()).containsExactly(0, 1).inOrder();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/jaywood/router/CallerHandlerTests.java
@@ -0,0 +1,226 @@
+package org.jaywood.router;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.wire.Digests;
+import org.jaywood.wire.Frame;
+import org.jaywood.wire.HttpPort;
+import org.jaywood.wire.Json;
+import org.jaywood.wire.RefusalReason;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.awaitility.Awaitility.await;
+
+/**
+ * Guards what a caller sees on its connection, byte by byte.
+ */
+class CallerHandlerTests {
+
+	private static final String STREAMED = "{\"model\":\"model\",\"prompt\":\"p\",\"stream\":true}";
+
+	private final FakeAgent agent = new FakeAgent("one", "a");
+
+	private final RelayFixture fixture = new RelayFixture(this.agent);
+
+	private final HttpPort port = this.fixture.callerPort();
+
+	@AfterEach
+	void close() {
+		this.port.close();
+		this.fixture.close();
+		this.agent.close();
+	}
+
+	private Socket connect() throws IOException {
+		Socket socket = new Socket();
+		socket.setReceiveBufferSize(4_096);
+		socket.setSoTimeout(10_000);
+		socket.connect(new InetSocketAddress(this.port.address().host(), this.port.address().port()));
+		return socket;
+	}
+
+	private static void send(Socket socket, String head, String body) throws IOException {
+		OutputStream out = socket.getOutputStream();
+		out.write((head + "\r\nHost: x\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+			.getBytes(StandardCharsets.UTF_8));
+		out.flush();
+	}
+
+	private static String readAll(Socket socket) throws IOException {
+		StringBuilder text = new StringBuilder();
+		byte[] buffer = new byte[1_024];
+		try {
+			for (int count = socket.getInputStream().read(buffer); count > 0; count = socket.getInputStream()
+				.read(buffer)) {
+				text.append(new String(buffer, 0, count, StandardCharsets.UTF_8));
+				if (text.toString().endsWith("\r\n0\r\n\r\n")) {
+					return text.toString();
+				}
+			}
+		}
+		catch (SocketException ex) {
+			text.append("<reset>");
+		}
+		return text.toString();
+	}
+
+	private String exchangeAndClose(String head, String body) throws IOException {
+		return exchange(head + "\r\nConnection: close", body);
+	}
+
+	private String exchange(String head, String body) throws IOException {
+		try (Socket socket = connect()) {
+			send(socket, head, body);
+			return readAll(socket);
+		}
+	}
+
+	/**
+	 * Guards against a part of an answer that looks like the whole.
+	 */
+	@Nested
+	class Whole {
+
+		@Test
+		void wholeStreamEndsWithMarkerAndFinalChunk() throws Exception {
+			CallerHandlerTests.this.agent.stream(Frame.head(200, "", "w"), Frame.token(0, "a"),
+					Frame.end(1, Digests.sha256("a")));
+			String reply = exchange("POST /v1/completions HTTP/1.1", STREAMED);
+			assertThat(reply).startsWith("HTTP/1.1 200");
+			assertThat(reply).contains("\"digest\":\"" + Digests.sha256("a") + "\"");
+			assertThat(reply).contains("data: [DONE]");
+			assertThat(reply).endsWith("0\r\n\r\n");
+		}
+
+		@Test
+		void brokenStreamWithoutChunksEndsInReset() throws Exception {
+			CallerHandlerTests.this.agent.stream(Frame.head(200, "", "w"), Frame.token(0, "a"))
+				.breakWhen(() -> CallerHandlerTests.this.fixture.metrics().firstTokens() > 0);
+			String reply = exchangeAndClose("POST /v1/completions HTTP/1.1", STREAMED);
+			assertThat(reply).doesNotContain("[DONE]");
+			assertThat(reply).endsWith("<reset>");
+		}
+
+		@Test
+		void brokenStreamNeverEndsInTheFinalChunk() throws Exception {
+			CallerHandlerTests.this.agent.stream(Frame.head(200, "", "w"), Frame.token(0, "a"))
+				.breakWhen(() -> CallerHandlerTests.this.fixture.metrics().firstTokens() > 0);
+			String reply = exchange("POST /v1/completions HTTP/1.1", STREAMED);
+			assertThat(reply).doesNotContain("[DONE]");
+			assertThat(reply).doesNotContain("\r\n0\r\n\r\n");
+		}
+
+		@Test
+		void wholeAnswerCarriesItsOutcome() throws Exception {
+			CallerHandlerTests.this.agent.answer("booked");
+			String reply = exchangeAndClose("POST /services/service/bookings HTTP/1.1", "{}");
+			assertThat(reply).startsWith("HTTP/1.1 200");
+			assertThat(reply).contains("Jaywood-outcome: answered");
+			assertThat(reply).endsWith("booked");
+		}
+
+	}
+
+	/**
+	 * Guards against memory held for callers that do not read or send.
+	 */
+	@Nested
+	class Slow {
+
+		@Test
+		void callerThatNeverReadsIsFailedAndHoldsNothing() throws Exception {
+			String text = "x".repeat(1_000);
+			Frame[] frames = Stream
+				.concat(Stream.of(Frame.head(200, "", "w")),
+						IntStream.range(0, 5_000).mapToObj((index) -> Frame.token(index, text)))
+				.toArray(Frame[]::new);
+			CallerHandlerTests.this.agent.stream(frames);
+			try (Socket socket = connect()) {
+				send(socket, "POST /v1/completions HTTP/1.1", STREAMED);
+				BufferBudget budget = CallerHandlerTests.this.fixture.budget();
+				await().until(() -> budget.heldBytes() > 0);
+				await().atMost(Duration.ofSeconds(5)).until(() -> budget.aborted() == 1 && budget.holders() == 0);
+				assertThat(budget.heldBytes()).isEqualTo(0);
+				String received = readAll(socket);
+				assertThat(received).doesNotContain("[DONE]");
+				assertThat(received.length()).isLessThan(200_000);
+			}
+		}
+
+		@Test
+		void slowSenderIsCutOffBeforeAnUpstreamIsChosen() throws Exception {
+			CallerHandlerTests.this.agent.answer("x");
+			try (Socket socket = connect()) {
+				socket.getOutputStream()
+					.write("POST /services/service/x HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nab"
+						.getBytes(StandardCharsets.UTF_8));
+				long start = System.nanoTime();
+				assertThat(readAll(socket)).doesNotContain("200 OK");
+				assertThat(Duration.ofNanos(System.nanoTime() - start)).isLessThan(Duration.ofSeconds(5));
+				assertThat(CallerHandlerTests.this.agent.attempts()).isEmpty();
+			}
+		}
+
+	}
+
+	/**
+	 * Guards against refusals without an outcome, and against calls that reach an
+	 * upstream in spite of one.
+	 */
+	@Nested
+	class Refused {
+
+		private void assertNotRun(int status, String head, String body) throws IOException {
+			String reply = exchangeAndClose(head, body);
+			assertThat(reply).startsWith("HTTP/1.1 " + status);
+			assertThat(reply).contains("Jaywood-outcome: not-run");
+			assertThat(CallerHandlerTests.this.agent.attempts()).isEmpty();
+		}
+
+		@Test
+		void badInput() throws Exception {
+			assertNotRun(400, "POST /v1/completions HTTP/1.1", "{\"model\":");
+			assertNotRun(400, "POST /v1/completions HTTP/1.1", "[]");
+			assertNotRun(400, "POST /v1/completions HTTP/1.1", "{\"model\":\"model\",\"prompt\":7}");
+			assertNotRun(404, "POST /v1/completions HTTP/1.1", "{\"model\":\"none\",\"prompt\":\"p\"}");
+			assertNotRun(404, "GET /services/none/x HTTP/1.1", "");
+			assertNotRun(400, "GET /services/service HTTP/1.1", "");
+			assertNotRun(413, "POST /services/service/x HTTP/1.1", "x".repeat(70_000));
+			assertNotRun(400, "GET /services/service/x HTTP/1.1\r\nJaywood-Priority: 10", "");
+			assertNotRun(400, "GET /services/service/x HTTP/1.1\r\nJaywood-Deadline-Millis: soon", "");
+		}
+
+		@Test
+		void whileLeaving() throws Exception {
+			CallerHandlerTests.this.fixture.leave();
+			assertNotRun(503, "POST /services/service/x HTTP/1.1", "{}");
+		}
+
+		@Test
+		void refusalSaysWhenToRetry() throws Exception {
+			CallerHandlerTests.this.agent.refuse(RefusalReason.FULL);
+			String reply = exchangeAndClose("POST /services/service/x HTTP/1.1", "{}");
+			assertThat(reply).startsWith("HTTP/1.1 503");
+			assertThat(reply.toLowerCase(Locale.ROOT)).contains("retry-after: 1");
+			assertThat(Json.tree(reply.substring(reply.indexOf("\r\n\r\n") + 4).getBytes(StandardCharsets.UTF_8))
+				.path("error")
+				.path("reason")
+				.asText()).isEqualTo("FULL");
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/jaywood/router/FakeAgent.java
@@ -0,0 +1,207 @@
+package org.jaywood.router;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+
+import org.jaywood.event.EventLog;
+import org.jaywood.platform.VmRecord;
+import org.jaywood.platform.VmState;
+import org.jaywood.wire.Address;
+import org.jaywood.wire.CreditGrant;
+import org.jaywood.wire.Digests;
+import org.jaywood.wire.Exchange;
+import org.jaywood.wire.FenceReply;
+import org.jaywood.wire.FenceRequest;
+import org.jaywood.wire.Frame;
+import org.jaywood.wire.Handler;
+import org.jaywood.wire.Headers;
+import org.jaywood.wire.HttpPort;
+import org.jaywood.wire.Json;
+import org.jaywood.wire.Refusal;
+import org.jaywood.wire.RefusalReason;
+
+import static org.awaitility.Awaitility.await;
+
+/**
+ * Agent whose replies are scripted: each hand-over takes the next reply, the last one
+ * stays.
+ */
+final class FakeAgent implements AutoCloseable {
+
+	private final HttpPort port;
+
+	private final VmRecord vm;
+
+	private final Queue<Handler> replies = new ConcurrentLinkedQueue<>();
+
+	private final Queue<FenceReply> fences = new ConcurrentLinkedQueue<>();
+
+	private final AtomicInteger runs = new AtomicInteger();
+
+	private final List<Long> attempts = new CopyOnWriteArrayList<>();
+
+	private final List<String> resumes = new CopyOnWriteArrayList<>();
+
+	private final List<FenceRequest> fenceRequests = new CopyOnWriteArrayList<>();
+
+	private final List<CreditGrant> grants = new CopyOnWriteArrayList<>();
+
+	private volatile BooleanSupplier beforeBreak = () -> true;
+
+	private volatile String incarnation;
+
+	FakeAgent(String name, String dataCentre) {
+		this.incarnation = name + "-1";
+		this.port = HttpPort
+			.open(new Address("127.0.0.1", 0), new EventLog("test"), null,
+					(exchange) -> exchange.setHeader(Headers.INCARNATION, this.incarnation))
+			.route("POST", "/v1/calls", this::call)
+			.route("POST", "/v1/fences", this::fence)
+			.route("POST", "/v1/calls/credit", this::credit)
+			.route("GET", "/v1/configuration", (exchange) -> exchange.respondJson(200, List.of()))
+			.start();
+		this.vm = new VmRecord(name, "agent", "service", "region", dataCentre, this.port.address(), VmState.LIVE);
+	}
+
+	FakeAgent reply(Handler handler) {
+		this.replies.add(handler);
+		return this;
+	}
+
+	FakeAgent refuse(RefusalReason reason) {
+		return reply((exchange) -> exchange.respondJson(503, new Refusal(reason, 100)));
+	}
+
+	/**
+	 * Breaks the connection after the call arrived.
+	 */
+	FakeAgent breakOff() {
+		return reply((exchange) -> {
+			throw exchange.abort("scripted");
+		});
+	}
+
+	/**
+	 * Runs a plain call.
+	 */
+	FakeAgent answer(String body) {
+		return reply((exchange) -> {
+			this.runs.incrementAndGet();
+			byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+			frames(exchange, List.of(Frame.head(200, "text/plain", ""), Frame.data(bytes),
+					Frame.end(bytes.length, Digests.sha256(bytes))));
+		});
+	}
+
+	/**
+	 * Sends frames and breaks the connection unless the last one is an end marker.
+	 */
+	FakeAgent stream(Frame... frames) {
+		return reply((exchange) -> frames(exchange, List.of(frames)));
+	}
+
+	FakeAgent fenced(FenceReply.State state) {
+		this.fences.add(new FenceReply(state, null, null));
+		return this;
+	}
+
+	FakeAgent finished(String body) {
+		this.fences.add(new FenceReply(FenceReply.State.FINISHED, new Frame.Head(200, "text/plain", ""),
+				body.getBytes(StandardCharsets.UTF_8)));
+		return this;
+	}
+
+	/**
+	 * Breaks streams only once a condition holds. Without it the client may drop frames
+	 * that it received but did not pass on before the connection broke.
+	 */
+	FakeAgent breakWhen(BooleanSupplier condition) {
+		this.beforeBreak = condition;
+		return this;
+	}
+
+	void restart(String newIncarnation) {
+		this.incarnation = newIncarnation;
+	}
+
+	private void frames(Exchange exchange, List<Frame> frames) throws IOException {
+		OutputStream out = exchange.stream(200, "application/x-ndjson");
+		for (Frame frame : frames) {
+			out.write(Json.bytes(frame));
+			out.write('\n');
+			out.flush();
+		}
+		if (frames.getLast().end() == null) {
+			await().until(this.beforeBreak::getAsBoolean);
+			throw exchange.abort("scripted");
+		}
+		out.close();
+	}
+
+	private void call(Exchange exchange) throws IOException, InterruptedException {
+		exchange.body(1 << 20);
+		this.attempts.add(exchange.headerLong(Headers.ATTEMPT, -1));
+		exchange.optionalHeader(Headers.RESUME_FROM).ifPresent(this.resumes::add);
+		if (!this.incarnation.equals(exchange.header(Headers.EXPECTED_INCARNATION))) {
+			exchange.respondJson(503, new Refusal(RefusalReason.OTHER_INCARNATION, 0));
+			return;
+		}
+		Handler next = (this.replies.size() > 1) ? this.replies.remove() : this.replies.element();
+		next.handle(exchange);
+	}
+
+	private void fence(Exchange exchange) throws IOException {
+		this.fenceRequests.add(exchange.json(FenceRequest.class, 4_096));
+		exchange.respondJson(200, (this.fences.size() > 1) ? this.fences.remove() : this.fences.element());
+	}
+
+	private void credit(Exchange exchange) throws IOException {
+		this.grants.add(exchange.json(CreditGrant.class, 4_096));
+		exchange.respondJson(200, List.of());
+	}
+
+	VmRecord vm() {
+		return this.vm;
+	}
+
+	/**
+	 * The same agent as a member of the model service.
+	 */
+	VmRecord modelVm() {
+		return new VmRecord(this.vm.vm() + "-model", "agent", "model", this.vm.region(), this.vm.dataCentre(),
+				this.vm.address(), VmState.LIVE);
+	}
+
+	int runs() {
+		return this.runs.get();
+	}
+
+	List<Long> attempts() {
+		return this.attempts;
+	}
+
+	List<String> resumes() {
+		return this.resumes;
+	}
+
+	List<FenceRequest> fenceRequests() {
+		return this.fenceRequests;
+	}
+
+	List<CreditGrant> grants() {
+		return this.grants;
+	}
+
+	@Override
+	public void close() {
+		this.port.close();
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/jaywood/router/FaultyObjectStore.java
@@ -0,0 +1,153 @@
+package org.jaywood.router;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+import org.jaywood.platform.ObjectPage;
+import org.jaywood.platform.ObjectStore;
+import org.jaywood.platform.PlatformException;
+import org.jaywood.platform.PlatformException.Kind;
+import org.jaywood.platform.StoredObject;
+
+/**
+ * Object store in memory that refuses calls, loses replies after a write took effect and
+ * applies writes late, at random.
+ */
+final class FaultyObjectStore implements ObjectStore {
+
+	private final Random random;
+
+	private final int faultPercent;
+
+	private final Map<String, StoredObject> objects = new HashMap<>();
+
+	private final List<Runnable> late = new ArrayList<>();
+
+	private long version;
+
+	private boolean down;
+
+	FaultyObjectStore(Random random, int faultPercent) {
+		this.random = random;
+		this.faultPercent = faultPercent;
+	}
+
+	@Override
+	public synchronized CompletableFuture<StoredObject> get(String kind, String name) {
+		return call(false, () -> {
+			StoredObject found = this.objects.get(kind + "/" + name);
+			if (found == null) {
+				throw new PlatformException(Kind.NOT_FOUND, "none");
+			}
+			return found;
+		});
+	}
+
+	@Override
+	public synchronized CompletableFuture<Long> create(String kind, String name, byte[] value) {
+		return call(true, () -> put(kind + "/" + name, value, 0));
+	}
+
+	@Override
+	public synchronized CompletableFuture<Long> update(String kind, String name, byte[] value, long expectedVersion) {
+		return call(true, () -> put(kind + "/" + name, value, expectedVersion));
+	}
+
+	@Override
+	public synchronized CompletableFuture<Void> delete(String kind, String name, long expectedVersion) {
+		return call(true, () -> {
+			check(kind + "/" + name, expectedVersion);
+			this.objects.remove(kind + "/" + name);
+			return null;
+		});
+	}
+
+	@Override
+	public CompletableFuture<ObjectPage> watch(String kind, long afterVersion, long waitMillis) {
+		throw new UnsupportedOperationException();
+	}
+
+	/**
+	 * Applies the writes that were delayed in the network.
+	 */
+	synchronized void applyLate() {
+		List.copyOf(this.late).forEach(Runnable::run);
+		this.late.clear();
+	}
+
+	/**
+	 * Leaves all further calls without an answer.
+	 */
+	synchronized void down() {
+		this.down = true;
+	}
+
+	private long put(String path, byte[] value, long expectedVersion) {
+		check(path, expectedVersion);
+		this.objects.put(path, new StoredObject(path, ++this.version, value, false));
+		return this.version;
+	}
+
+	private void check(String path, long expectedVersion) {
+		StoredObject present = this.objects.get(path);
+		if (((present != null) ? present.version() : 0) != expectedVersion) {
+			throw new PlatformException(Kind.CONFLICT, "version");
+		}
+	}
+
+	private <T> CompletableFuture<T> call(boolean write, Supplier<T> operation) {
+		if (this.down) {
+			return noAnswer();
+		}
+		if (this.random.nextInt(400) < this.faultPercent) {
+			if (this.random.nextBoolean()) {
+				run(operation);
+			}
+			throw new RouterCrash();
+		}
+		if (this.random.nextInt(100) >= this.faultPercent) {
+			return run(operation);
+		}
+		return switch (this.random.nextInt(write ? 3 : 1)) {
+			case 0 -> CompletableFuture.failedFuture(new PlatformException(Kind.REFUSED, "refused"));
+			case 1 -> {
+				run(operation);
+				yield noAnswer();
+			}
+			default -> {
+				this.late.add(() -> run(operation));
+				yield noAnswer();
+			}
+		};
+	}
+
+	private static <T> CompletableFuture<T> noAnswer() {
+		return CompletableFuture.failedFuture(new PlatformException(Kind.NO_ANSWER, "lost"));
+	}
+
+	private static <T> CompletableFuture<T> run(Supplier<T> operation) {
+		try {
+			return CompletableFuture.completedFuture(operation.get());
+		}
+		catch (PlatformException ex) {
+			return CompletableFuture.failedFuture(ex);
+		}
+	}
+
+	/**
+	 * The router dies at this step.
+	 */
+	static final class RouterCrash extends Error {
+
+		RouterCrash() {
+			super("crash", null, false, false);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/jaywood/router/RetryBudgetTests.java
@@ -0,0 +1,26 @@
+package org.jaywood.router;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against retries that multiply the load of a failing installation.
+ */
+class RetryBudgetTests {
+
+	@Property(tries = 200)
+	void retriesStayWithinShareFloorAndBurst(@ForAll @IntRange(min = 0, max = 2_000) int calls,
+			@ForAll @IntRange(min = 0, max = 10_000) int millis) {
+		RetryBudget budget = new RetryBudget(0.2, 2, 10, 0);
+		int taken = 0;
+		for (int i = 0; i < calls; i++) {
+			budget.recordCall();
+			taken += budget.tryTake((long) millis * i / Math.max(1, calls)) ? 1 : 0;
+		}
+		assertThat((double) taken).isAtMost(10 + 0.2 * calls + 2 * millis / 1_000.0);
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/jaywood/router/UpstreamChooserTests.java
@@ -0,0 +1,143 @@
+package org.jaywood.router;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.config.AppliedConfiguration;
+import org.jaywood.config.DataCentre;
+import org.jaywood.config.Deployment;
+import org.jaywood.config.ServiceKind;
+import org.jaywood.config.ServiceLimits;
+import org.jaywood.config.ServiceSpec;
+import org.jaywood.peer.Membership;
+import org.jaywood.peer.ProcessIdentity;
+import org.jaywood.platform.VmPage;
+import org.jaywood.platform.VmRecord;
+import org.jaywood.platform.VmState;
+import org.jaywood.wire.Address;
+import org.jaywood.wire.LoadReport;
+import org.jaywood.wire.Refusal;
+import org.jaywood.wire.RefusalReason;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against calls sent across narrow links, to loaded upstreams or to places out of
+ * service while better ones exist.
+ */
+class UpstreamChooserTests {
+
+	private final UpstreamTable table = new UpstreamTable();
+
+	private final Membership membership = new Membership();
+
+	private final ByteBudget budget = new ByteBudget(1_000, 0);
+
+	private static VmRecord agent(int number, String region, String dataCentre) {
+		return new VmRecord("vm-" + number, "agent", "service", region, dataCentre, new Address("127.0.0.1", number),
+				VmState.LIVE);
+	}
+
+	private static AppliedConfiguration configuration(long generation, boolean ownInService) {
+		Map<String, DataCentre> dataCentres = Map.of("own", new DataCentre("here", ownInService), "near",
+				new DataCentre("here", true), "far", new DataCentre("there", true));
+		ServiceSpec spec = new ServiceSpec(ServiceKind.MODEL, List.of(), List.of("own", "near", "far"),
+				ServiceLimits.DEFAULT);
+		Deployment deployment = new Deployment(dataCentres, Map.of("service", spec), Map.of());
+		return new AppliedConfiguration(generation, "", "", 0, "", deployment);
+	}
+
+	private static Call call(String affinity) {
+		return new Call("id", "service", "", 5, new byte[0], null, true, affinity, 1_000_000);
+	}
+
+	private UpstreamChooser chooser(int subsetSize, VmRecord... agents) {
+		this.membership.merge(new VmPage(1, List.of(agents)));
+		ProcessIdentity identity = new ProcessIdentity("router", "entry", "here", "own", "r",
+				new Address("127.0.0.1", 9_999));
+		return new UpstreamChooser(identity, this.membership, this.table, this.budget, subsetSize, new Random(1));
+	}
+
+	private String chosen(UpstreamChooser chooser, AppliedConfiguration configuration, long nowMillis) {
+		return chooser.choose(call("prompt"), configuration, Set.of(), nowMillis).map(VmRecord::vm).orElse("none");
+	}
+
+	private void load(int number, int inFlight, int limit) {
+		this.table.learnLoad(new Address("127.0.0.1", number), new LoadReport(inFlight, limit, false, 0, 0, true, ""),
+				0);
+	}
+
+	@Test
+	void prefersOwnDataCentreThenRegionThenOthers() {
+		UpstreamChooser chooser = chooser(32, agent(1, "here", "own"), agent(2, "here", "near"),
+				agent(3, "there", "far"));
+		assertThat(chosen(chooser, configuration(1, true), 0)).isEqualTo("vm-1");
+		assertThat(chosen(chooser, configuration(1, false), 0)).isEqualTo("vm-2");
+		load(2, 4, 4);
+		assertThat(chosen(chooser, configuration(1, false), 0)).isEqualTo("vm-3");
+	}
+
+	@Test
+	void crossesRegionsOnlyWithinItsBudget() {
+		UpstreamChooser chooser = chooser(32, agent(3, "there", "far"));
+		this.budget.spend(2_000);
+		assertThat(chosen(chooser, configuration(1, true), 0)).isEqualTo("none");
+		assertThat(chosen(chooser, configuration(1, true), 1_500)).isEqualTo("vm-3");
+	}
+
+	@Test
+	void samePrefixStaysAtOneUpstreamUntilItIsLoaded() {
+		UpstreamChooser chooser = chooser(32,
+				IntStream.rangeClosed(1, 8)
+					.mapToObj((number) -> agent(number, "here", "own"))
+					.toArray(VmRecord[]::new));
+		String preferred = chosen(chooser, configuration(1, true), 0);
+		assertThat(chosen(chooser, configuration(1, true), 0)).isEqualTo(preferred);
+		load(Integer.parseInt(preferred.substring(3)), 95, 100);
+		Set<String> others = IntStream.range(0, 50)
+			.mapToObj((round) -> chosen(chooser, configuration(1, true), 0))
+			.collect(Collectors.toSet());
+		assertThat(others.size()).isGreaterThan(3);
+	}
+
+	@Test
+	void usesOnlyItsSubsetAndAlwaysTheSame() {
+		UpstreamChooser chooser = chooser(4,
+				IntStream.rangeClosed(1, 100)
+					.mapToObj((number) -> agent(number, "here", "own"))
+					.toArray(VmRecord[]::new));
+		Set<String> used = IntStream.range(0, 1_000)
+			.mapToObj((round) -> chooser.choose(call("prompt " + round), configuration(1, true), Set.of(), 0)
+				.orElseThrow()
+				.vm())
+			.collect(Collectors.toSet());
+		assertThat(used).hasSize(4);
+	}
+
+	@Test
+	void agentOutOfServiceIsTriedAgainOnlyUnderNewerConfiguration() {
+		UpstreamChooser chooser = chooser(32, agent(1, "here", "own"));
+		this.table.learnRefusal(new Address("127.0.0.1", 1), new Refusal(RefusalReason.DATA_CENTRE_OUT, 0), 7, 0);
+		assertThat(chosen(chooser, configuration(6, true), 60_000)).isEqualTo("none");
+		assertThat(chosen(chooser, configuration(7, true), 60_000)).isEqualTo("none");
+		assertThat(chosen(chooser, configuration(8, true), 60_000)).isEqualTo("vm-1");
+	}
+
+	@Test
+	void leavingAgentIsTriedAgainAfterItsRestart() {
+		UpstreamChooser chooser = chooser(32, agent(1, "here", "own"));
+		Address address = new Address("127.0.0.1", 1);
+		this.table.learnIncarnation(address, "before");
+		this.table.learnRefusal(address, new Refusal(RefusalReason.DRAINING, 0), 1, 0);
+		assertThat(chosen(chooser, configuration(1, true), 1_000)).isEqualTo("none");
+		this.table.learnIncarnation(address, "after");
+		assertThat(chosen(chooser, configuration(1, true), 1_000)).isEqualTo("vm-1");
+	}
+
+}
