Let calls wait for room and share it between workspaces

Cause: a call was refused with 503 as soon as all upstreams had refused once or the retry budget was used up, although room came free within milliseconds. Nothing kept a large workspace from taking all of it.

Change: FairShare holds a bounded queue for each service. A call that finds all upstreams busy waits there until its deadline, at most 5 s; it gets its turn when a call of the service ends or at a probe each 25 ms. A refusal is FULL with a retry time from the observed service rate. A try after a wait is paced by the queue and takes no retry budget.

--- a/src/main/java/org/jaywood/router/CallRelay.java
+++ b/src/main/java/org/jaywood/router/CallRelay.java
@@ -43,6 +43,8 @@
 
 	private final RetryBudget retries;
 
+	private final FairShare shares;
+
 	private final ByteBudget regionBudget;
 
 	private final Watchdog watchdog;
@@ -54,13 +56,14 @@
 	private final LongSupplier clock;
 
 	CallRelay(ConfigurationView configuration, UpstreamChooser chooser, UpstreamTable table, AgentClient agents,
-			RetryBudget retries, ByteBudget regionBudget, Watchdog watchdog, RouterLimits limits, RouterMetrics metrics,
-			LongSupplier clock) {
+			RetryBudget retries, FairShare shares, ByteBudget regionBudget, Watchdog watchdog, RouterLimits limits,
+			RouterMetrics metrics, LongSupplier clock) {
 		this.configuration = configuration;
 		this.chooser = chooser;
 		this.table = table;
 		this.agents = agents;
 		this.retries = retries;
+		this.shares = shares;
 		this.regionBudget = regionBudget;
 		this.watchdog = watchdog;
 		this.limits = limits;
@@ -79,33 +82,66 @@
 	@Override
 	public CallResult run(Call call, AnswerSink sink, Listener listener) throws InterruptedException {
 		this.retries.recordCall();
-		AnswerAssembly answer = new AnswerAssembly(sink, this.metrics.droppedFrames());
+		try (FairShare.Turn turn = this.shares.open(call, this.configuration.deployment())) {
+			return run(call, new AnswerAssembly(sink, this.metrics.droppedFrames()), listener, turn);
+		}
+	}
+
+	private CallResult run(Call call, AnswerAssembly answer, Listener listener, FairShare.Turn turn)
+			throws InterruptedException {
 		Set<Address> excluded = new HashSet<>();
 		CallResult last = new CallResult.NotRun("NO_UPSTREAM", DEFAULT_RETRY_AFTER_MILLIS);
-		for (boolean first = true;; first = false) {
+		long waitUntilMillis = waitUntilMillis(call);
+		// The first hand-over and one after a wait are paced by the queue.
+		boolean retry = false;
+		boolean busy = !turn.running();
+		while (call.remainingMillis(this.clock.getAsLong()) > 0) {
 			long nowMillis = this.clock.getAsLong();
-			if (call.remainingMillis(nowMillis) <= 0) {
-				return ended(last, RefusalReason.DEADLINE.name());
-			}
 			Optional<VmRecord> agent = this.chooser.choose(call, this.configuration.current(), excluded, nowMillis);
-			if (agent.isEmpty()) {
-				return last;
-			}
-			if (!first) {
-				if (!this.retries.tryTake(nowMillis)) {
+			if (!turn.running() || agent.isEmpty() || (retry && !this.retries.tryTake(nowMillis))) {
+				boolean wait = agent.isEmpty()
+						? this.chooser.mayFree(call, this.configuration.current(), excluded, nowMillis) : busy;
+				if (!wait) {
 					return last;
 				}
+				this.metrics.waits().mark();
+				if (!turn.await(waitUntilMillis)) {
+					return full(last, turn);
+				}
+				retry = false;
+				continue;
+			}
+			if (retry) {
 				this.metrics.retries().mark();
 			}
-			Step step = attempt(agent.get(), call, answer, listener);
+			Step step = attempt(agent.get(), call, answer, listener, turn);
 			if (!step.another()) {
 				return step.result();
 			}
 			if (step.exclude()) {
 				excluded.add(agent.get().address());
 			}
+			busy = step.busy();
+			waitUntilMillis = busy ? waitUntilMillis : waitUntilMillis(call);
+			retry = true;
 			last = combine(last, step.result());
 		}
+		return ended(last, RefusalReason.DEADLINE.name());
+	}
+
+	private long waitUntilMillis(Call call) {
+		return Math.min(call.deadlineMillis(), this.clock.getAsLong() + this.limits.queueMillis());
+	}
+
+	/**
+	 * Result of a call that found no room in time.
+	 */
+	private static CallResult full(CallResult last, FairShare.Turn turn) {
+		return switch (last) {
+			case CallResult.NotRun notRun when notRun.reason().equals(RefusalReason.NOT_READY.name()) -> notRun;
+			case CallResult.NotRun notRun -> new CallResult.NotRun(RefusalReason.FULL.name(), turn.retryAfterMillis());
+			default -> last;
+		};
 	}
 
 	@Override
@@ -125,7 +161,7 @@
 		return (last instanceof CallResult.Unknown) ? last : new CallResult.NotRun(reason, DEFAULT_RETRY_AFTER_MILLIS);
 	}
 
-	private Step attempt(VmRecord agent, Call call, AnswerAssembly answer, Listener listener)
+	private Step attempt(VmRecord agent, Call call, AnswerAssembly answer, Listener listener, FairShare.Turn turn)
 			throws InterruptedException {
 		long remainingMillis = call.remainingMillis(this.clock.getAsLong());
 		long reserveMillis = call.repeatable() ? 0 : Math.min(FENCE_RESERVE_MILLIS, remainingMillis / 4);
@@ -134,7 +170,10 @@
 			HandOver.Reply reply = this.agents.handOver(agent, call, answer,
 					Math.max(1, remainingMillis - reserveMillis), listener);
 			return switch (reply) {
-				case HandOver.Reply.Admitted admitted -> relay(admitted, call, answer, reserveMillis);
+				case HandOver.Reply.Admitted admitted -> {
+					turn.admitted();
+					yield relay(admitted, call, answer, reserveMillis);
+				}
 				case HandOver.Reply.Refused refused -> refused(refused.refusal());
 				case HandOver.Reply.Unreached unreached -> {
 					this.table.learnUnreached(agent.address(), this.clock.getAsLong());
@@ -153,7 +192,8 @@
 		return switch (refusal.refusal()) {
 			// The same agent may admit a hand-over with its present incarnation and
 			// number.
-			case OTHER_INCARNATION, FENCED -> new Step(result, true, false);
+			case OTHER_INCARNATION, FENCED -> new Step(result, true, false, false);
+			case FULL, COLD_FULL, MEMORY_FULL, NOT_READY -> new Step(result, true, false, true);
 			case DEADLINE -> Step.end(result);
 			default -> Step.tryAnother(result);
 		};
@@ -181,6 +221,7 @@
 		}
 		finally {
 			frames.close();
+			this.table.learnFreed(admitted.handOver().agent().address());
 			if (!ended && call.model()) {
 				this.agents.cancel(admitted.handOver());
 			}
@@ -255,15 +296,16 @@
 	 * @param result what is known of the call now
 	 * @param another whether another agent may be tried
 	 * @param exclude whether the same agent must not be tried again
+	 * @param busy whether the agent will admit the call once its upstream has room
 	 */
-	private record Step(CallResult result, boolean another, boolean exclude) {
+	private record Step(CallResult result, boolean another, boolean exclude, boolean busy) {
 
 		static Step end(CallResult result) {
-			return new Step(result, false, false);
+			return new Step(result, false, false, false);
 		}
 
 		static Step tryAnother(CallResult result) {
-			return new Step(result, true, true);
+			return new Step(result, true, true, false);
 		}
 
 	}
--- a/src/main/java/org/jaywood/router/CallerHandler.java
+++ b/src/main/java/org/jaywood/router/CallerHandler.java
@@ -137,6 +137,7 @@
 	}
 
 	private void refuse(Exchange exchange, CallResult.NotRun notRun) throws IOException {
+		this.metrics.recordRefusal(notRun.reason());
 		long seconds = Math.max(1, (notRun.retryAfterMillis() + 999) / 1_000);
 		exchange.setHeader("Retry-After", Long.toString(seconds));
 		error(exchange, 503, CallOutcome.NOT_RUN, notRun.reason(), "the call did not run");
--- a/src/main/java/org/jaywood/router/Router.java
+++ b/src/main/java/org/jaywood/router/Router.java
@@ -25,6 +25,9 @@
 
 	private static final long STALL_CHECK_MILLIS = 250;
 
+	/** Bounds how long room at an upstream stays unseen while calls wait. */
+	private static final long PROBE_MILLIS = 25;
+
 	private final RouterSettings settings;
 
 	private final EventLog log;
@@ -37,6 +40,8 @@
 
 	private final BufferBudget budget;
 
+	private final FairShare shares;
+
 	private final CallerHandler callers;
 
 	private final HttpPort callerPort;
@@ -55,6 +60,8 @@
 		RouterLimits limits = RouterLimits.DEFAULT;
 		this.budget = new BufferBudget(limits.budgetBytes(), limits.stallMillis());
 		this.watchdog.every(STALL_CHECK_MILLIS, () -> this.budget.abortStalled(clock.getAsLong()));
+		this.shares = new FairShare(limits.queueCalls(), clock);
+		this.watchdog.every(PROBE_MILLIS, this.shares::probe);
 		CallRelay relay = relay(identity, clock);
 		ClaimRegistry claims = new ClaimRegistry(this.peer.platform(), relay, clock);
 		this.callers = new CallerHandler(this.peer.configuration(), relay, claims, this.budget,
@@ -76,8 +83,8 @@
 				limits.bufferBytes());
 		RetryBudget retries = new RetryBudget(limits.retryShare(), limits.retryFloorPerSecond(), RETRY_BURST,
 				nowMillis);
-		return new CallRelay(this.peer.configuration(), chooser, table, agents, retries, regionBudget, this.watchdog,
-				limits, this.metrics, clock);
+		return new CallRelay(this.peer.configuration(), chooser, table, agents, retries, this.shares, regionBudget,
+				this.watchdog, limits, this.metrics, clock);
 	}
 
 	public void start() {
@@ -103,9 +110,9 @@
 
 	private Map<String, Object> state() {
 		return Map.of("identity", this.peer.identity(), "generation", this.peer.configuration().current().generation(),
-				"inFlight", this.callers.inFlight(), "leaving", this.leaving, "metrics", this.metrics.state(), "peer",
-				this.peer.state(), "held", Map.of("bytes", this.budget.heldBytes(), "callers", this.budget.holders(),
-						"aborted", this.budget.aborted()));
+				"inFlight", this.callers.inFlight(), "waiting", this.shares.waiting(), "leaving", this.leaving,
+				"metrics", this.metrics.state(), "peer", this.peer.state(), "held", Map.of("bytes",
+						this.budget.heldBytes(), "callers", this.budget.holders(), "aborted", this.budget.aborted()));
 	}
 
 	@Override
--- a/src/main/java/org/jaywood/router/RouterLimits.java
+++ b/src/main/java/org/jaywood/router/RouterLimits.java
@@ -15,13 +15,15 @@
  * @param stallMillis longest time that a caller may block a write
  * @param bodyMillis time that a caller has to send a body
  * @param bufferBytes bytes granted to an agent beyond what the caller took
+ * @param queueCalls calls of a service that may wait for room at an upstream
+ * @param queueMillis longest wait of a call for room
  */
 record RouterLimits(int subsetSize, int affinityChars, long regionBytesPerSecond, double retryShare,
 		double retryFloorPerSecond, int answerBytes, int bodyBytes, long frameIdleMillis, long budgetBytes,
-		long stallMillis, long bodyMillis, int bufferBytes) {
+		long stallMillis, long bodyMillis, int bufferBytes, int queueCalls, long queueMillis) {
 
 	/** Leaves more than 0.7 MB/s of a region link of 14 Mbit/s to other traffic. */
 	static final RouterLimits DEFAULT = new RouterLimits(32, 256, 1_000_000, 0.2, 2, 4 * 1024 * 1024, 1024 * 1024,
-			10_000, 24 * 1024 * 1024, 30_000, 10_000, 8 * 1024);
+			10_000, 24 * 1024 * 1024, 30_000, 10_000, 8 * 1024, 1_024, 5_000);
 
 }
--- a/src/main/java/org/jaywood/router/RouterMetrics.java
+++ b/src/main/java/org/jaywood/router/RouterMetrics.java
@@ -25,6 +25,8 @@
 
 	private final Meter resumes = this.registry.meter("resumes");
 
+	private final Meter waits = this.registry.meter("waits");
+
 	private final LongAdder droppedFrames = new LongAdder();
 
 	private final Histogram firstTokenMillis = this.registry.register("firstTokenMillis",
@@ -42,6 +44,10 @@
 		return this.resumes;
 	}
 
+	Meter waits() {
+		return this.waits;
+	}
+
 	LongAdder droppedFrames() {
 		return this.droppedFrames;
 	}
@@ -50,6 +56,10 @@
 		this.registry.counter("calls." + outcome.headerValue()).inc();
 	}
 
+	void recordRefusal(String reason) {
+		this.registry.counter("refused." + reason).inc();
+	}
+
 	void recordAborted() {
 		this.registry.counter("calls.aborted").inc();
 	}
--- /dev/null
+++ b/src/main/java/org/jaywood/router/ServiceRate.java
@@ -0,0 +1,44 @@
+package org.jaywood.router;
+
+/**
+ * Rate at which the calls of a service end, from which a refused caller learns when to
+ * retry. Not safe for use by several threads.
+ */
+final class ServiceRate {
+
+	/** Long enough for a few calls of a slow service, short enough to follow a fault. */
+	private static final double WINDOW_MILLIS = 10_000;
+
+	private static final long DEFAULT_RETRY_MILLIS = 1_000;
+
+	private static final long MIN_RETRY_MILLIS = 100;
+
+	private static final long MAX_RETRY_MILLIS = 30_000;
+
+	private double ended;
+
+	private long lastMillis;
+
+	void recordEnd(long nowMillis) {
+		this.ended = decayed(nowMillis) + 1;
+		this.lastMillis = nowMillis;
+	}
+
+	/**
+	 * Time until so many calls have ended.
+	 * @param calls calls that go first
+	 * @param nowMillis present time
+	 */
+	long retryAfterMillis(int calls, long nowMillis) {
+		double perMilli = decayed(nowMillis) / WINDOW_MILLIS;
+		if (perMilli < 1 / WINDOW_MILLIS) {
+			return DEFAULT_RETRY_MILLIS;
+		}
+		return Math.clamp(Math.round(calls / perMilli), MIN_RETRY_MILLIS, MAX_RETRY_MILLIS);
+	}
+
+	private double decayed(long nowMillis) {
+		return this.ended * Math.exp(-Math.max(0, nowMillis - this.lastMillis) / WINDOW_MILLIS);
+	}
+
+}
--- a/src/main/java/org/jaywood/router/UpstreamChooser.java
+++ b/src/main/java/org/jaywood/router/UpstreamChooser.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import com.dynatrace.hash4j.hashing.Hashing;
 
@@ -56,9 +57,7 @@
 	 * @return the agent, or empty if none may be tried
 	 */
 	Optional<VmRecord> choose(Call call, AppliedConfiguration configuration, Set<Address> excluded, long nowMillis) {
-		List<VmRecord> usable = this.membership.agentsOf(call.service())
-			.filter((agent) -> configuration.deployment().serves(call.service(), agent.dataCentre()))
-			.filter((agent) -> !excluded.contains(agent.address()))
+		List<VmRecord> usable = candidates(call, configuration, excluded)
 			.filter((agent) -> this.table.usable(agent.address(), configuration.generation(), nowMillis))
 			.toList();
 		List<List<VmRecord>> rings = IntStream.range(0, 3)
@@ -73,6 +72,24 @@
 			.map((ring) -> pick(ring, call.affinity(), nowMillis));
 	}
 
+	/**
+	 * Whether waiting may help a call for which there is no agent now.
+	 * @param call the call
+	 * @param configuration configuration in force
+	 * @param excluded agents that must not be tried for this call
+	 * @param nowMillis present time
+	 */
+	boolean mayFree(Call call, AppliedConfiguration configuration, Set<Address> excluded, long nowMillis) {
+		return candidates(call, configuration, excluded)
+			.anyMatch((agent) -> this.table.mayFree(agent.address(), configuration.generation(), nowMillis));
+	}
+
+	private Stream<VmRecord> candidates(Call call, AppliedConfiguration configuration, Set<Address> excluded) {
+		return this.membership.agentsOf(call.service())
+			.filter((agent) -> configuration.deployment().serves(call.service(), agent.dataCentre()))
+			.filter((agent) -> !excluded.contains(agent.address()));
+	}
+
 	boolean crossesRegions(VmRecord agent) {
 		return !agent.region().equals(this.identity.region());
 	}
--- a/src/main/java/org/jaywood/router/UpstreamTable.java
+++ b/src/main/java/org/jaywood/router/UpstreamTable.java
@@ -26,6 +26,9 @@
 
 	private static final long MAX_PAUSE_MILLIS = 2_000;
 
+	/** Keeps a router from asking a busy agent without pause. */
+	private static final long MIN_BUSY_MILLIS = 20;
+
 	private static final long UNREACHED_PAUSE_MILLIS = 500;
 
 	private static final int DEFAULT_LIMIT = 64;
@@ -46,6 +49,7 @@
 			entry.incarnation = incarnation;
 			entry.load = null;
 			entry.pausedUntilMillis = 0;
+			entry.busyUntilMillis = 0;
 			entry.outAtGeneration = -1;
 		}
 	}
@@ -68,7 +72,9 @@
 		switch (refusal.refusal()) {
 			case DATA_CENTRE_OUT -> entry.outAtGeneration = agentGeneration;
 			case DRAINING -> entry.pausedUntilMillis = nowMillis + LEAVING_MILLIS;
-			case COLD_FULL, FULL, MEMORY_FULL, NOT_READY, STALE_CONFIGURATION ->
+			case COLD_FULL, FULL, MEMORY_FULL, NOT_READY -> entry.busyUntilMillis = nowMillis
+					+ Math.clamp(refusal.retryAfterMillis(), MIN_BUSY_MILLIS, MAX_PAUSE_MILLIS);
+			case STALE_CONFIGURATION ->
 				entry.pausedUntilMillis = nowMillis + Math.min(MAX_PAUSE_MILLIS, refusal.retryAfterMillis());
 			default -> {
 			}
@@ -86,6 +92,16 @@
 	 * @param nowMillis present time
 	 */
 	boolean usable(Address agent, long generation, long nowMillis) {
+		return mayFree(agent, generation, nowMillis) && nowMillis >= entry(agent).busyUntilMillis;
+	}
+
+	/**
+	 * Whether an agent admits calls again as soon as its upstream has room.
+	 * @param agent the agent
+	 * @param generation generation in force at this router
+	 * @param nowMillis present time
+	 */
+	boolean mayFree(Address agent, long generation, long nowMillis) {
 		Entry entry = entry(agent);
 		return nowMillis >= entry.pausedUntilMillis && generation > entry.outAtGeneration;
 	}
@@ -98,6 +114,13 @@
 		entry(agent).inFlight.decrementAndGet();
 	}
 
+	/**
+	 * Notes that an admitted call ended, so that its place at the upstream is free.
+	 */
+	void learnFreed(Address agent) {
+		entry(agent).busyUntilMillis = 0;
+	}
+
 	/**
 	 * Share of the upstream's limit that is taken, from its last report if fresh and the
 	 * calls of this router.
@@ -124,6 +147,8 @@
 
 		private volatile long pausedUntilMillis;
 
+		private volatile long busyUntilMillis;
+
 		private volatile long outAtGeneration = -1;
 
 	}
