Add the slow readers experiment

Slow callers read through raw sockets with small receive buffers beside callers at a steady rate. The experiment reports resident memory of router and agents, memory of the engines, kernel send queues, and cut streams.

--- /dev/null
+++ b/src/main/java/org/jaywood/bench/ChunkedBody.java
@@ -0,0 +1,109 @@
+package org.jaywood.bench;
+
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+/**
+ * Body of an HTTP reply in chunks, read from a raw socket. An end without the final chunk
+ * is an {@link EOFException}, so that a cut reply is never taken for a whole one.
+ */
+final class ChunkedBody extends InputStream {
+
+	private static final int LINE_LIMIT_BYTES = 8_192;
+
+	private final InputStream in;
+
+	private long leftBytes;
+
+	private boolean first = true;
+
+	private boolean ended;
+
+	ChunkedBody(InputStream in) {
+		this.in = in;
+	}
+
+	/**
+	 * Reads the head of the reply.
+	 * @return the HTTP status
+	 */
+	int readHead() throws IOException {
+		String[] status = readLine().split(" ");
+		String line = readLine();
+		while (!line.isEmpty()) {
+			line = readLine();
+		}
+		return Integer.parseInt(status[1]);
+	}
+
+	@Override
+	public int read() throws IOException {
+		if (this.leftBytes == 0 && !nextChunk()) {
+			return -1;
+		}
+		this.leftBytes--;
+		return readByte();
+	}
+
+	private boolean nextChunk() throws IOException {
+		if (this.ended) {
+			return false;
+		}
+		if (!this.first) {
+			readLine();
+		}
+		this.first = false;
+		this.leftBytes = Long.parseLong(readLine().split(";")[0].strip(), 16);
+		this.ended = this.leftBytes == 0;
+		return !this.ended;
+	}
+
+	String readLine() throws IOException {
+		return readLine(this::readByte);
+	}
+
+	/**
+	 * Reads a line of the body.
+	 */
+	String readBodyLine() throws IOException {
+		return readLine(this::read);
+	}
+
+	private static String readLine(ByteSource source) throws IOException {
+		byte[] line = new byte[256];
+		int length = 0;
+		for (int next = source.read(); next != '\n'; next = source.read()) {
+			if (next < 0) {
+				throw new EOFException("reply ended within a line");
+			}
+			if (length == LINE_LIMIT_BYTES) {
+				throw new IOException("line exceeds " + LINE_LIMIT_BYTES + " bytes");
+			}
+			line = (length == line.length) ? Arrays.copyOf(line, 2 * length) : line;
+			line[length++] = (byte) next;
+		}
+		return new String(line, 0, length, StandardCharsets.UTF_8).stripTrailing();
+	}
+
+	private int readByte() throws IOException {
+		int next = this.in.read();
+		if (next < 0) {
+			throw new EOFException("reply was cut");
+		}
+		return next;
+	}
+
+	/**
+	 * Where the bytes of a line come from.
+	 */
+	@FunctionalInterface
+	private interface ByteSource {
+
+		int read() throws IOException;
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/bench/SlowReader.java
@@ -0,0 +1,217 @@
+package org.jaywood.bench;
+
+import java.io.BufferedInputStream;
+import java.io.EOFException;
+import java.io.FilterInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import org.jaywood.wire.Address;
+import org.jaywood.wire.Digests;
+import org.jaywood.wire.Json;
+
+/**
+ * A caller that asks for a long stream and reads it slowly, or not at all, through a raw
+ * socket with a small receive buffer. It checks the order of the tokens and the digest at
+ * the end.
+ */
+final class SlowReader implements Runnable, AutoCloseable {
+
+	/**
+	 * Two reads a second; more would load the machine with the wake-ups of the callers.
+	 */
+	private static final int READ_BYTES = 512;
+
+	private static final int RECEIVE_BUFFER_BYTES = 2_048;
+
+	private static final int TIMEOUT_MILLIS = 120_000;
+
+	private final Address caller;
+
+	private final int number;
+
+	private final int tokens;
+
+	private final long pauseMillis;
+
+	private final Socket socket = new Socket();
+
+	private volatile Outcome outcome = Outcome.CONNECTING;
+
+	private volatile boolean hurried;
+
+	private volatile boolean closing;
+
+	private volatile String failure = "";
+
+	/**
+	 * Creates a reader.
+	 * @param caller caller port
+	 * @param number number of the reader, part of its prompt
+	 * @param tokens length of the answer
+	 * @param bytesPerSecond rate of reading, 0 to read nothing until hurried
+	 */
+	SlowReader(Address caller, int number, int tokens, int bytesPerSecond) {
+		this.caller = caller;
+		this.number = number;
+		this.tokens = tokens;
+		this.pauseMillis = (bytesPerSecond > 0) ? 1_000L * READ_BYTES / bytesPerSecond : Long.MAX_VALUE;
+	}
+
+	void ask(String service) throws IOException {
+		this.socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+		this.socket.setSoTimeout(TIMEOUT_MILLIS);
+		this.socket.connect(this.caller.socketAddress(), TIMEOUT_MILLIS);
+		byte[] body = Json.bytes(Map.of("model", service, "prompt", "slow reader " + this.number, "max_tokens",
+				this.tokens, "stream", true));
+		String head = "POST /v1/completions HTTP/1.1\r\nHost: " + this.caller
+				+ "\r\nContent-Type: application/json\r\nJaywood-Workspace: slow-" + this.number % 10
+				+ "\r\nJaywood-Deadline-Millis: 600000\r\nContent-Length: " + body.length + "\r\n\r\n";
+		this.socket.getOutputStream().write(head.getBytes(StandardCharsets.UTF_8));
+		this.socket.getOutputStream().write(body);
+		this.outcome = Outcome.READING;
+	}
+
+	@Override
+	public void run() {
+		try {
+			ChunkedBody body = new ChunkedBody(
+					new BufferedInputStream(new Paced(this.socket.getInputStream()), READ_BYTES));
+			if (body.readHead() != 200) {
+				this.outcome = Outcome.REFUSED;
+				return;
+			}
+			this.outcome = check(body) ? Outcome.WHOLE : Outcome.WRONG;
+		}
+		catch (EOFException | SocketException ex) {
+			end(Outcome.TRUNCATED, ex);
+		}
+		catch (IOException ex) {
+			end(Outcome.STALLED, ex);
+		}
+	}
+
+	private void end(Outcome ended, IOException cause) {
+		if (!this.closing) {
+			this.failure = String.valueOf(cause.getMessage());
+			this.outcome = ended;
+		}
+	}
+
+	private boolean check(ChunkedBody body) throws IOException {
+		MessageDigest digest = Digests.newSha256();
+		int next = 0;
+		while (true) {
+			String line = body.readBodyLine();
+			if (!line.startsWith("data: ")) {
+				continue;
+			}
+			JsonNode event = Json.read(line.substring("data: ".length()), JsonNode.class);
+			if (event.has("error")) {
+				throw new EOFException("error event " + event.at("/error/reason").asText());
+			}
+			if (event.path("end").asBoolean()) {
+				return next == this.tokens && event.path("count").asInt() == this.tokens
+						&& event.path("digest").asText().equals(Digests.hex(digest.digest()));
+			}
+			if (event.path("index").asInt(-1) != next++) {
+				return false;
+			}
+			digest.update(event.path("text").asText().getBytes(StandardCharsets.UTF_8));
+		}
+	}
+
+	/**
+	 * Reads the rest at full speed.
+	 */
+	void hurry() {
+		this.hurried = true;
+	}
+
+	Outcome outcome() {
+		return this.outcome;
+	}
+
+	String failure() {
+		return this.failure;
+	}
+
+	@Override
+	public void close() {
+		this.closing = true;
+		try {
+			this.socket.close();
+		}
+		catch (IOException ex) {
+			// The socket is given up in any case.
+		}
+	}
+
+	/**
+	 * State of a reader.
+	 */
+	enum Outcome {
+
+		/** Not yet asked. */
+		CONNECTING,
+
+		/** Still reading, in order so far. */
+		READING,
+
+		/** The whole answer arrived. */
+		WHOLE,
+
+		/** The router refused the call. */
+		REFUSED,
+
+		/** The stream was cut before its end. */
+		TRUNCATED,
+
+		/** Nothing arrived for the time limit. */
+		STALLED,
+
+		/** Tokens or digest differ. */
+		WRONG
+
+	}
+
+	/**
+	 * Reads at most {@link #READ_BYTES} at once and pauses in between.
+	 */
+	private final class Paced extends FilterInputStream {
+
+		private Paced(InputStream in) {
+			super(in);
+		}
+
+		@Override
+		public int read(byte[] buffer, int offset, int length) throws IOException {
+			pause();
+			return super.read(buffer, offset, Math.min(length, READ_BYTES));
+		}
+
+		private void pause() throws IOException {
+			long endNanos = System.nanoTime()
+					+ TimeUnit.MILLISECONDS.toNanos(Math.min(SlowReader.this.pauseMillis, TIMEOUT_MILLIS));
+			try {
+				while (!SlowReader.this.hurried && !SlowReader.this.closing && System.nanoTime() < endNanos) {
+					TimeUnit.MILLISECONDS.sleep(Math.min(SlowReader.this.pauseMillis, 500));
+				}
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+				throw new IOException(ex);
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/bench/SlowReadersExperiment.java
@@ -0,0 +1,247 @@
+package org.jaywood.bench;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+import org.jaywood.bench.Installation.Member;
+import org.jaywood.wire.Digests;
+import org.jaywood.wire.Json;
+
+/**
+ * Measures what callers that read slowly, or not at all, cost at the router, the agents,
+ * the engines and in the kernel, and what callers at a steady rate beside them notice.
+ */
+public final class SlowReadersExperiment implements Experiment {
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+	private static final int MODEL_BYTES = 256 * 1024;
+
+	private static final int CHUNK_BYTES = 32 * 1024;
+
+	/** About 70 KB of events, more than the socket buffers of a connection hold. */
+	private static final int SLOW_TOKENS = 1_600;
+
+	private static final int NORMAL_TOKENS = 20;
+
+	private static final double NORMAL_PER_SECOND = 40;
+
+	private static final int BYTES_PER_SECOND = 1_024;
+
+	/** One reader in this number never reads. */
+	private static final int NEVER_READS = 4;
+
+	/** More calls at once would be refused while the engines are cold. */
+	private static final int CONNECTS_PER_SECOND = 500;
+
+	/** Readers that read their rest at full speed at the end. */
+	private static final int CHECKED_WHOLE = 100;
+
+	private static final long WHOLE_MILLIS = 30_000;
+
+	private static final long SERVING_MILLIS = 30_000;
+
+	@Override
+	public String name() {
+		return "slow-readers";
+	}
+
+	@Override
+	public int run(ExperimentOptions options) throws IOException, InterruptedException {
+		Profile profile = (options.replicas() > 0)
+				? options.profile().withUpstreams(options.profile().model().name(), options.replicas())
+				: options.profile();
+		InstallationOptions installationOptions = InstallationOptions.of(profile).withRouters(1).withTokenMillis(2);
+		List<SlowReader> readers = new ArrayList<>();
+		try (Installation installation = Installation.start(installationOptions)) {
+			Map<String, Object> result = measure(installation, options, readers);
+			String line = Json.text(result);
+			System.out.println(line);
+			result.forEach((name, value) -> System.out.printf(Locale.ROOT, "%-24s %s%n", name, value));
+			if (options.output() != null) {
+				Files.writeString(options.output(), line + "\n", StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+			}
+			return Integer.valueOf(0).equals(result.get("truncated")) ? 0 : 1;
+		}
+		finally {
+			readers.forEach(SlowReader::close);
+		}
+	}
+
+	private Map<String, Object> measure(Installation installation, ExperimentOptions options, List<SlowReader> readers)
+			throws IOException, InterruptedException {
+		String manifest = installation.addWeights("1", MODEL_BYTES, CHUNK_BYTES);
+		installation.apply(installation.deployment("1", manifest));
+		String weights = Digests.ofSet(List.of(manifest));
+		installation.awaitServing(weights, SERVING_MILLIS);
+		installation.awaitGeneration(1, SERVING_MILLIS);
+		LoadSettings settings = LoadSettings.open(installation, NORMAL_PER_SECOND, NORMAL_TOKENS, options.seed());
+		try (LoadGenerator load = new LoadGenerator(settings).allowWeights(weights)) {
+			load.start("warm-up");
+			TimeUnit.SECONDS.sleep(options.seconds());
+			load.phase("without");
+			TimeUnit.SECONDS.sleep(options.seconds());
+			Sample without = Sample.of(installation);
+			load.phase("connecting");
+			connect(installation, options.readers(), readers);
+			TimeUnit.SECONDS.sleep(2);
+			load.phase("with");
+			TimeUnit.SECONDS.sleep(options.seconds());
+			Sample with = Sample.of(installation);
+			load.phase("finishing");
+			Map<SlowReader.Outcome, Long> slow = finish(readers);
+			return result(options, without, with, load, slow, failures(readers));
+		}
+	}
+
+	private static void connect(Installation installation, int count, List<SlowReader> readers)
+			throws IOException, InterruptedException {
+		Member router = installation.routers().getFirst();
+		String service = installation.profile().model().name();
+		for (int i = 0; i < count; i++) {
+			SlowReader reader = new SlowReader(router.caller(), i, SLOW_TOKENS,
+					(i % NEVER_READS == 0) ? 0 : BYTES_PER_SECOND);
+			readers.add(reader);
+			reader.ask(service);
+			Thread.startVirtualThread(reader);
+			TimeUnit.MICROSECONDS.sleep(1_000_000 / CONNECTS_PER_SECOND);
+		}
+	}
+
+	/**
+	 * Lets some readers read their rest at full speed; the others must still be reading.
+	 */
+	private static Map<SlowReader.Outcome, Long> finish(List<SlowReader> readers) throws InterruptedException {
+		List<SlowReader> checked = readers.stream().limit(CHECKED_WHOLE).toList();
+		checked.forEach(SlowReader::hurry);
+		long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WHOLE_MILLIS);
+		while (checked.stream().anyMatch((reader) -> reader.outcome() == SlowReader.Outcome.READING)
+				&& System.nanoTime() < deadlineNanos) {
+			TimeUnit.MILLISECONDS.sleep(50);
+		}
+		return readers.stream()
+			.collect(Collectors.groupingBy(SlowReader::outcome, TreeMap::new, Collectors.counting()));
+	}
+
+	private static Map<String, Long> failures(List<SlowReader> readers) {
+		return readers.stream()
+			.map(SlowReader::failure)
+			.filter((failure) -> !failure.isEmpty())
+			.collect(Collectors.groupingBy(Function.identity(), TreeMap::new, Collectors.counting()));
+	}
+
+	private Map<String, Object> result(ExperimentOptions options, Sample without, Sample with, LoadGenerator load,
+			Map<SlowReader.Outcome, Long> slow, Map<String, Long> failures) {
+		int count = Math.max(1, options.readers());
+		PhaseFigures normal = load.figures("with");
+		Map<String, Object> result = new LinkedHashMap<>();
+		result.put("experiment", name());
+		result.put("profile", options.profile().name());
+		result.put("seed", options.seed());
+		result.put("slowReaders", options.readers());
+		result.put("routerBytesPerReader", (with.routerBytes() - without.routerBytes()) / count);
+		result.put("routerAccountedBytes", with.routerAccountedBytes());
+		result.put("agentBytesPerReader", (with.agentBytes() - without.agentBytes()) / count);
+		result.put("engineBytesPerReader", (with.engineBytes() - without.engineBytes()) / count);
+		result.put("kernelBytesPerReader",
+				(with.sockets().sendQueueBytes() - without.sockets().sendQueueBytes()) / count);
+		result.put("residentBytes", with.routerBytes());
+		result.put("residentBytesWithout", without.routerBytes());
+		result.put("normalP99MillisWithout", load.figures("without").wholeMillis(99));
+		result.put("normalP99Millis", normal.wholeMillis(99));
+		result.put("normalP99Ratio", normal.wholeMillis(99) / load.figures("without").wholeMillis(99));
+		result.put("normalAnswered", normal.answeredShare());
+		result.put("normalReasons", normal.reasons());
+		result.put("truncated", slow.getOrDefault(SlowReader.Outcome.TRUNCATED, 0L).intValue()
+				+ slow.getOrDefault(SlowReader.Outcome.WRONG, 0L).intValue());
+		result.put("readers", slow);
+		result.put("readerFailures", failures);
+		result.put("routerConnections", with.sockets().connections());
+		result.put("routerThreads", with.routerThreads());
+		result.put("routerFiles", with.routerFiles());
+		result.put("engineCalls", with.engineCalls());
+		result.put("engineCancelled", with.engineCancelled() - without.engineCancelled());
+		result.put("engineResumed", with.engineResumed() - without.engineResumed());
+		return result;
+	}
+
+	/**
+	 * Figures of all processes at one time.
+	 *
+	 * @param routerBytes resident memory of the router
+	 * @param routerAccountedBytes bytes that the router counts as held for callers, -1 if
+	 * its dump has no such figure
+	 * @param agentBytes resident memory of all agents
+	 * @param engineBytes memory that the engines hold for calls
+	 * @param engineCalls calls at the engines
+	 * @param engineCancelled calls broken off at the engines since their start
+	 * @param engineResumed calls resumed at the engines since their start
+	 * @param routerThreads threads of the router
+	 * @param routerFiles open files of the router
+	 * @param sockets connections of the caller port
+	 */
+	private record Sample(long routerBytes, long routerAccountedBytes, long agentBytes, long engineBytes,
+			int engineCalls, long engineCancelled, long engineResumed, int routerThreads, int routerFiles,
+			ProcessSockets sockets) {
+
+		static Sample of(Installation installation) throws IOException, InterruptedException {
+			Member router = installation.routers().getFirst();
+			Process process = process(installation, router);
+			ProcessUsage usage = ProcessUsage.of(process);
+			long agentBytes = 0;
+			long engineBytes = 0;
+			int calls = 0;
+			long cancelled = 0;
+			long resumed = 0;
+			for (Member agent : installation.agentsOf(installation.profile().model().name())) {
+				agentBytes += ProcessUsage.of(process(installation, agent)).residentBytes();
+				JsonNode status = get(installation, agent, "/status");
+				JsonNode recorded = get(installation, agent, "/record");
+				engineBytes += status.path("memoryBytes").asLong();
+				calls += status.path("inFlight").asInt();
+				cancelled += recorded.path("cancelled").asLong();
+				resumed += recorded.path("resumed").asLong();
+			}
+			JsonNode accounted = installation.state(router).findValue("bufferedBytes");
+			return new Sample(usage.residentBytes(), (accounted != null) ? accounted.asLong() : -1, agentBytes,
+					engineBytes, calls, cancelled, resumed, entries(process, "task"), entries(process, "fd"),
+					ProcessSockets.of(router.caller()));
+		}
+
+		private static Process process(Installation installation, Member member) {
+			Process process = installation.fleet().process(member.vm());
+			if (process == null) {
+				throw new IllegalStateException(member.vm() + " was not started");
+			}
+			return process;
+		}
+
+		private static JsonNode get(Installation installation, Member agent, String path)
+				throws IOException, InterruptedException {
+			return Json.tree(installation.client().get(agent.upstream().uri(path), TIMEOUT).body());
+		}
+
+		private static int entries(Process process, String directory) throws IOException {
+			try (Stream<Path> entries = Files.list(Path.of("/proc", Long.toString(process.pid()), directory))) {
+				return (int) entries.count();
+			}
+		}
+
+	}
+
+}
