Add the routing experiment and keep the log open while a process drains

Cause: the shutdown hook of java.util.logging closes the handlers before router and agent log events 1003 and 1002. Change: a log manager whose reset has no effect once the log is installed. The routing experiment fits processor time by requests and tokens and measures added latency, retries and shares of workspaces. Neither is run yet.

--- /dev/null
+++ b/src/main/java/org/jaywood/bench/RoutingCells.java
@@ -0,0 +1,170 @@
+package org.jaywood.bench;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+
+import org.jaywood.bench.Installation.Member;
+import org.jaywood.bench.LoadCall.Kind;
+import org.jaywood.wire.Address;
+import org.jaywood.wire.Json;
+
+/**
+ * Cells of the routing experiment: a rate and a number of tokens each. Beside the load,
+ * callers in turn make a call through the router and the same directly at an engine, so
+ * that both meet the same load of engines and machine.
+ */
+final class RoutingCells {
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+	private static final int SAMPLERS = 4;
+
+	private static final long HIGHEST_MICROS = TimeUnit.SECONDS.toMicros(60);
+
+	private final Installation installation;
+
+	private final String weights;
+
+	private final int seconds;
+
+	private final long seed;
+
+	RoutingCells(Installation installation, String weights, int seconds, long seed) {
+		this.installation = installation;
+		this.weights = weights;
+		this.seconds = seconds;
+		this.seed = seed;
+	}
+
+	Cell run(int rate, int tokens) throws IOException, InterruptedException {
+		List<Member> agents = this.installation.agentsOf(this.installation.profile().model().name());
+		Member router = this.installation.routers().getFirst();
+		Histogram routed = new ConcurrentHistogram(HIGHEST_MICROS, 3);
+		Histogram direct = new ConcurrentHistogram(HIGHEST_MICROS, 3);
+		LoadSettings settings = LoadSettings.open(this.installation, rate, tokens, this.seed);
+		LoadGenerator load = new LoadGenerator(settings).allowWeights(this.weights);
+		double routerBefore = RoutingExperiment.cpuSeconds(this.installation, router);
+		double agentsBefore = agentCpu(agents);
+		long startNanos = System.nanoTime();
+		try (load) {
+			load.start("load");
+			Thread[] samplers = new Thread[SAMPLERS];
+			for (int i = 0; i < SAMPLERS; i++) {
+				Address engine = agents.get(i % agents.size()).upstream();
+				samplers[i] = Thread.startVirtualThread(() -> sample(router.caller(), engine, tokens, routed, direct));
+			}
+			for (Thread sampler : samplers) {
+				sampler.join();
+			}
+		}
+		double lasted = RoutingExperiment.secondsSince(startNanos);
+		PhaseFigures figures = load.figures("load");
+		double answered = figures.count(LoadResult.Outcome.ANSWERED) + routed.getTotalCount();
+		return new Cell(rate, tokens, answered / lasted, figures.answeredShare(),
+				(RoutingExperiment.cpuSeconds(this.installation, router) - routerBefore) / lasted,
+				(agentCpu(agents) - agentsBefore) / lasted, routed, direct);
+	}
+
+	private double agentCpu(List<Member> agents) throws IOException {
+		double sum = 0;
+		for (Member agent : agents) {
+			sum += RoutingExperiment.cpuSeconds(this.installation, agent);
+		}
+		return sum;
+	}
+
+	private void sample(Address router, Address engine, int tokens, Histogram routed, Histogram direct) {
+		LoadClient client = new LoadClient(TIMEOUT);
+		client.allowWeights(this.weights);
+		String service = this.installation.profile().model().name();
+		long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(this.seconds);
+		try {
+			while (System.nanoTime() < endNanos) {
+				LoadCall call = new LoadCall(Kind.STREAM, service, "sampler", "sample " + UUID.randomUUID(), tokens);
+				LoadResult result = client.call(router, call, System.nanoTime());
+				if (RoutingExperiment.answered(result)) {
+					routed.recordValue(Math.min(result.wholeMicros(), HIGHEST_MICROS));
+				}
+				callDirectly(engine, tokens, direct);
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private void callDirectly(Address engine, int tokens, Histogram direct) throws InterruptedException {
+		long startNanos = System.nanoTime();
+		String id = "direct-" + UUID.randomUUID();
+		HttpRequest request = this.installation.client()
+			.request(engine.uri("/v1/completions"), TIMEOUT)
+			.POST(BodyPublishers
+				.ofByteArray(Json.bytes(Map.of("request_id", id, "prompt", id, "max_tokens", tokens, "priority", 5))))
+			.build();
+		try {
+			HttpResponse<InputStream> reply = this.installation.client().stream(request);
+			try (BufferedReader lines = new BufferedReader(
+					new InputStreamReader(reply.body(), StandardCharsets.UTF_8))) {
+				if (reply.statusCode() == 200 && lines.lines().count() == tokens + 1) {
+					direct.recordValue(
+							Math.min(TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - startNanos), HIGHEST_MICROS));
+				}
+			}
+		}
+		catch (IOException ex) {
+			// An engine that refuses the call gives no sample.
+		}
+	}
+
+	/**
+	 * What was measured in a cell.
+	 *
+	 * @param rate calls a second of the load
+	 * @param tokens tokens of each answer
+	 * @param answeredPerSecond calls answered through the router each second
+	 * @param answeredShare share of the calls of the load that were answered
+	 * @param routerCpu processor seconds of the router each second
+	 * @param agentCpu processor seconds of all agents each second
+	 * @param routed times of whole calls through router and agent
+	 * @param direct times of whole calls made directly at an engine
+	 */
+	record Cell(int rate, int tokens, double answeredPerSecond, double answeredShare, double routerCpu, double agentCpu,
+			Histogram routed, Histogram direct) {
+
+		double addedMillis(double percentile) {
+			return (this.routed.getValueAtPercentile(percentile) - this.direct.getValueAtPercentile(percentile))
+					/ 1_000.0;
+		}
+
+		Map<String, Object> toMap() {
+			Map<String, Object> map = new LinkedHashMap<>();
+			map.put("rate", this.rate);
+			map.put("tokens", this.tokens);
+			map.put("answeredPerSecond", this.answeredPerSecond);
+			map.put("answeredShare", this.answeredShare);
+			map.put("routerCpuPerSecond", this.routerCpu);
+			map.put("agentCpuPerSecond", this.agentCpu);
+			map.put("routedP99Millis", this.routed.getValueAtPercentile(99) / 1_000.0);
+			map.put("directP99Millis", this.direct.getValueAtPercentile(99) / 1_000.0);
+			map.put("samples", this.routed.getTotalCount());
+			return map;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/bench/RoutingExperiment.java
@@ -0,0 +1,150 @@
+package org.jaywood.bench;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.ToDoubleFunction;
+import java.util.stream.Stream;
+
+import org.jaywood.bench.Installation.Member;
+import org.jaywood.bench.LoadResult.Outcome;
+import org.jaywood.bench.RoutingCells.Cell;
+import org.jaywood.bench.Slope.Point;
+import org.jaywood.wire.Digests;
+import org.jaywood.wire.Json;
+
+/**
+ * Measures what router and agent cost for each request and each token, the latency that
+ * they add to a direct call of the engine, retries when a fifth of the calls of a plain
+ * service fail, and what small workspaces get beside a large one at overload.
+ */
+public final class RoutingExperiment implements Experiment {
+
+	private static final int MODEL_BYTES = 256 * 1024;
+
+	private static final int CHUNK_BYTES = 32 * 1024;
+
+	private static final long SERVING_MILLIS = 30_000;
+
+	private static final List<Integer> RATES = List.of(20, 40, 80);
+
+	private static final List<Integer> TOKENS = List.of(8, 32, 96);
+
+	/** Rate at which the token counts are compared, and the other way round. */
+	private static final int MIDDLE = 1;
+
+	private static final int ENGINE_CALLS = 16;
+
+	@Override
+	public String name() {
+		return "routing";
+	}
+
+	@Override
+	public int run(ExperimentOptions options) throws IOException, InterruptedException {
+		InstallationOptions installationOptions = InstallationOptions.of(options.profile())
+			.withRouters(1)
+			.withTokenMillis(2)
+			.withFlags("engine", "--max-concurrency", Integer.toString(ENGINE_CALLS));
+		try (Installation installation = Installation.start(installationOptions)) {
+			String manifest = installation.addWeights("1", MODEL_BYTES, CHUNK_BYTES);
+			installation.apply(installation.deployment("1", manifest));
+			String weights = Digests.ofSet(List.of(manifest));
+			installation.awaitServing(weights, SERVING_MILLIS);
+			installation.awaitGeneration(1, SERVING_MILLIS);
+			return measure(installation, weights, options);
+		}
+	}
+
+	private int measure(Installation installation, String weights, ExperimentOptions options)
+			throws IOException, InterruptedException {
+		RoutingCells cells = new RoutingCells(installation, weights, options.seconds(), options.seed());
+		cells.run(RATES.get(MIDDLE), TOKENS.get(MIDDLE));
+		List<Cell> byRate = new ArrayList<>();
+		for (int rate : RATES) {
+			byRate.add(cells.run(rate, TOKENS.get(MIDDLE)));
+		}
+		List<Cell> byTokens = new ArrayList<>();
+		for (int tokens : TOKENS) {
+			byTokens.add(cells.run(RATES.get(MIDDLE), tokens));
+		}
+		WorkspaceLoad workspaces = new WorkspaceLoad(installation);
+		WorkspaceLoad.Retries retries = workspaces.retries(options.seconds());
+		Map<String, Object> fairness = workspaces.overload(options.seconds());
+		Cell highest = byRate.getLast();
+		Map<String, Object> result = new LinkedHashMap<>();
+		result.put("experiment", name());
+		result.put("profile", options.profile().name());
+		result.put("seed", options.seed());
+		result.put("requestsPerSecond", highest.answeredPerSecond());
+		result.put("addedLatencyP50Millis", highest.addedMillis(50));
+		result.put("addedLatencyP99Millis", highest.addedMillis(99));
+		result.put("cpuSecondsPerThousand",
+				1_000 * (highest.routerCpu() + highest.agentCpu()) / highest.answeredPerSecond());
+		result.put("retryRatio", retries.ratio());
+		result.put("retries", retries);
+		result.put("fairness", fairness);
+		result.put("cells", Stream.concat(byRate.stream(), byTokens.stream()).map(Cell::toMap).toList());
+		putSlopes(result, "router", Cell::routerCpu, byRate, byTokens);
+		putSlopes(result, "agent", Cell::agentCpu, byRate, byTokens);
+		String line = Json.text(result);
+		System.out.println(line);
+		print(result, byRate, byTokens);
+		if (options.output() != null) {
+			Files.writeString(options.output(), line + "\n", StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+		}
+		return 0;
+	}
+
+	private static void putSlopes(Map<String, Object> result, String role, ToDoubleFunction<Cell> cpu,
+			List<Cell> byRate, List<Cell> byTokens) {
+		result.put(role + "CpuByRequestsPerSecond", Slope
+			.fit(byRate.stream().map((cell) -> new Point(cell.answeredPerSecond(), cpu.applyAsDouble(cell))).toList()));
+		result.put(role + "CpuPerRequestByTokens",
+				Slope.fit(byTokens.stream()
+					.map((cell) -> new Point(cell.tokens(), cpu.applyAsDouble(cell) / cell.answeredPerSecond()))
+					.toList()));
+	}
+
+	private static void print(Map<String, Object> result, List<Cell> byRate, List<Cell> byTokens) {
+		System.out.printf(Locale.ROOT, "%8s %7s %11s %9s %12s %12s %11s %11s%n", "rate/s", "tokens", "answered/s",
+				"answered", "added p50 ms", "added p99 ms", "router cpu", "agent cpu");
+		Stream.concat(byRate.stream(), byTokens.stream())
+			.forEach((cell) -> System.out.printf(Locale.ROOT, "%8d %7d %11.1f %8.2f%% %12.2f %12.2f %11.4f %11.4f%n",
+					cell.rate(), cell.tokens(), cell.answeredPerSecond(), 100 * cell.answeredShare(),
+					cell.addedMillis(50), cell.addedMillis(99), cell.routerCpu(), cell.agentCpu()));
+		result.entrySet()
+			.stream()
+			.filter((entry) -> !entry.getKey().equals("cells"))
+			.forEach((entry) -> System.out.printf("%-28s %s%n", entry.getKey(), entry.getValue()));
+	}
+
+	/**
+	 * Processor time of a member since its start.
+	 */
+	static double cpuSeconds(Installation installation, Member member) throws IOException {
+		Process process = installation.fleet().process(member.vm());
+		return (process != null) ? ProcessUsage.of(process).cpuSeconds() : 0;
+	}
+
+	/**
+	 * Seconds since a time of the monotonic clock.
+	 */
+	static double secondsSince(long startNanos) {
+		return (System.nanoTime() - startNanos) / (double) TimeUnit.SECONDS.toNanos(1);
+	}
+
+	/**
+	 * Whether an answer is whole and right.
+	 */
+	static boolean answered(LoadResult result) {
+		return result.outcome() == Outcome.ANSWERED;
+	}
+
+}
--- a/src/main/java/org/jaywood/bench/SlowReadersExperiment.java
+++ b/src/main/java/org/jaywood/bench/SlowReadersExperiment.java
@@ -155,7 +155,8 @@
 		result.put("seed", options.seed());
 		result.put("slowReaders", options.readers());
 		result.put("routerBytesPerReader", (with.routerBytes() - without.routerBytes()) / count);
-		result.put("routerAccountedBytes", with.routerAccountedBytes());
+		result.put("routerAccountedBytesPerReader",
+				(with.routerAccountedBytes() - without.routerAccountedBytes()) / count);
 		result.put("agentBytesPerReader", (with.agentBytes() - without.agentBytes()) / count);
 		result.put("engineBytesPerReader", (with.engineBytes() - without.engineBytes()) / count);
 		result.put("kernelBytesPerReader",
@@ -171,6 +172,7 @@
 				+ slow.getOrDefault(SlowReader.Outcome.WRONG, 0L).intValue());
 		result.put("readers", slow);
 		result.put("readerFailures", failures);
+		result.put("routerAborted", with.routerAborted());
 		result.put("routerConnections", with.sockets().connections());
 		result.put("routerThreads", with.routerThreads());
 		result.put("routerFiles", with.routerFiles());
@@ -184,8 +186,8 @@
 	 * Figures of all processes at one time.
 	 *
 	 * @param routerBytes resident memory of the router
-	 * @param routerAccountedBytes bytes that the router counts as held for callers, -1 if
-	 * its dump has no such figure
+	 * @param routerAccountedBytes bytes that the router counts as held for callers
+	 * @param routerAborted callers that the router cut since its start
 	 * @param agentBytes resident memory of all agents
 	 * @param engineBytes memory that the engines hold for calls
 	 * @param engineCalls calls at the engines
@@ -195,9 +197,9 @@
 	 * @param routerFiles open files of the router
 	 * @param sockets connections of the caller port
 	 */
-	private record Sample(long routerBytes, long routerAccountedBytes, long agentBytes, long engineBytes,
-			int engineCalls, long engineCancelled, long engineResumed, int routerThreads, int routerFiles,
-			ProcessSockets sockets) {
+	private record Sample(long routerBytes, long routerAccountedBytes, int routerAborted, long agentBytes,
+			long engineBytes, int engineCalls, long engineCancelled, long engineResumed, int routerThreads,
+			int routerFiles, ProcessSockets sockets) {
 
 		static Sample of(Installation installation) throws IOException, InterruptedException {
 			Member router = installation.routers().getFirst();
@@ -217,10 +219,10 @@
 				cancelled += recorded.path("cancelled").asLong();
 				resumed += recorded.path("resumed").asLong();
 			}
-			JsonNode accounted = installation.state(router).findValue("bufferedBytes");
-			return new Sample(usage.residentBytes(), (accounted != null) ? accounted.asLong() : -1, agentBytes,
-					engineBytes, calls, cancelled, resumed, entries(process, "task"), entries(process, "fd"),
-					ProcessSockets.of(router.caller()));
+			JsonNode held = installation.state(router).path("held");
+			return new Sample(usage.residentBytes(), held.path("bytes").asLong(), held.path("aborted").asInt(),
+					agentBytes, engineBytes, calls, cancelled, resumed, entries(process, "task"),
+					entries(process, "fd"), ProcessSockets.of(router.caller()));
 		}
 
 		private static Process process(Installation installation, Member member) {
--- a/src/main/java/org/jaywood/cli/BenchCommand.java
+++ b/src/main/java/org/jaywood/cli/BenchCommand.java
@@ -18,6 +18,7 @@
 import org.jaywood.bench.Profile;
 import org.jaywood.bench.ReplayExperiment;
 import org.jaywood.bench.ResultPlot;
+import org.jaywood.bench.RoutingExperiment;
 import org.jaywood.bench.SlowReadersExperiment;
 
 /**
@@ -27,7 +28,8 @@
 final class BenchCommand implements Command {
 
 	private static final List<Experiment> EXPERIMENTS = List.of(new Demo(), new BurstExperiment(),
-			new DataCentreExperiment(), new ReplayExperiment(), new SlowReadersExperiment(), new ResultPlot());
+			new DataCentreExperiment(), new ReplayExperiment(), new SlowReadersExperiment(), new RoutingExperiment(),
+			new ResultPlot());
 
 	@Parameter(description = "EXPERIMENT [ARGUMENT...]", required = true)
 	private List<String> experiments = new ArrayList<>();
--- a/src/main/java/org/jaywood/cli/Jaywood.java
+++ b/src/main/java/org/jaywood/cli/Jaywood.java
@@ -15,6 +15,7 @@
 import org.jaywood.config.ApplyConflictException;
 import org.jaywood.config.ApplyUnknownException;
 import org.jaywood.config.InvalidDeploymentException;
+import org.jaywood.event.DrainLogManager;
 import org.jaywood.event.LineFormatter;
 
 /**
@@ -56,6 +57,7 @@
 	}
 
 	public static void main(String[] args) {
+		DrainLogManager.install();
 		LineFormatter.install(Level.INFO);
 		System.exit(new Jaywood(System.getenv()).run(args));
 	}
--- a/src/main/java/org/jaywood/event/LineFormatter.java
+++ b/src/main/java/org/jaywood/event/LineFormatter.java
@@ -32,6 +32,9 @@
 		root.setLevel(level);
 		root.addHandler(handler);
 		Logger.getLogger("org.eclipse.jetty").setLevel(Level.WARNING);
+		if (LogManager.getLogManager() instanceof DrainLogManager manager) {
+			manager.hold();
+		}
 	}
 
 }
--- a/src/main/java/org/jaywood/standin/ServiceStandin.java
+++ b/src/main/java/org/jaywood/standin/ServiceStandin.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -17,8 +18,8 @@
 
 /**
  * Stand-in of a plain service. It records each call that it ran. {@code POST /control}
- * sets a delay, a status to fail with, a size of the answers and whether replies are
- * dropped after the call ran.
+ * sets a delay, a status to fail with, a size of the answers, whether replies are dropped
+ * after the call ran, and the share of calls that fail in these ways.
  */
 public final class ServiceStandin implements AutoCloseable {
 
@@ -30,7 +31,7 @@
 
 	private final HttpPort port;
 
-	private volatile Faults faults = new Faults(0, 0, 0, false);
+	private volatile Faults faults = new Faults(0, 0, 0, false, 1);
 
 	private volatile long lastArrivalMillis;
 
@@ -54,7 +55,8 @@
 	private void control(Exchange exchange) throws IOException {
 		JsonNode order = exchange.json(JsonNode.class, BODY_LIMIT_BYTES);
 		this.faults = new Faults(order.path("delayMillis").asLong(), order.path("failStatus").asInt(),
-				order.path("answerBytes").asInt(), order.path("dropReply").asBoolean());
+				order.path("answerBytes").asInt(), order.path("dropReply").asBoolean(),
+				order.path("faultShare").asDouble(1));
 		exchange.respondJson(200, Map.of());
 	}
 
@@ -65,10 +67,11 @@
 		this.runs.add(exchange.optionalHeader("Request-Id").orElse(""));
 		exchange.optionalHeader(Headers.IDEMPOTENCY_KEY).ifPresent(this.keys::add);
 		TimeUnit.MILLISECONDS.sleep(present.delayMillis());
-		if (present.dropReply()) {
+		boolean fails = ThreadLocalRandom.current().nextDouble() < present.share();
+		if (present.dropReply() && fails) {
 			throw exchange.abort("reply is dropped");
 		}
-		if (present.failStatus() > 0) {
+		if (present.failStatus() > 0 && fails) {
 			exchange.respondError(present.failStatus(), "fails on order");
 			return;
 		}
@@ -85,7 +88,7 @@
 		this.port.close();
 	}
 
-	private record Faults(long delayMillis, int failStatus, int answerBytes, boolean dropReply) {
+	private record Faults(long delayMillis, int failStatus, int answerBytes, boolean dropReply, double share) {
 	}
 
 }
