--- a/src/main/java/org/jaywood/cli/BenchCommand.java
+++ b/src/main/java/org/jaywood/cli/BenchCommand.java
@@ -19,6 +19,8 @@
 import org.jaywood.bench.Profile;
 import org.jaywood.bench.ReplayExperiment;
 import org.jaywood.bench.ResultPlot;
+import org.jaywood.bench.RoutingExperiment;
+import org.jaywood.bench.SlowReadersExperiment;
 
 /**
  * Runs experiments.
@@ -26,8 +28,7 @@
 @Parameters(commandDescription = "Runs an experiment or the demo with real processes")
 final class BenchCommand implements Command {
 
-	private static final List<Experiment> EXPERIMENTS = List.of(new Demo(), new BurstExperiment(),
-			new CapacityExperiment(), new DataCentreExperiment(), new ReplayExperiment(), new ResultPlot());
+	private static final List<Experiment> EXPERIMENTS = List.of(new Demo(), new BurstExperiment(), new CapacityExperiment(), new DataCentreExperiment(), new SlowReadersExperiment(), new RoutingExperiment(), new ReplayExperiment(), new ResultPlot());
 
 	@Parameter(description = "EXPERIMENT [ARGUMENT...]", required = true)
 	private List<String> experiments = new ArrayList<>();
