Show out, draining and absent upstreams in the status

Cause: the state told by an agent took precedence, so upstreams of a data centre out of service and VMs listed as leaving were shown as warm. A service without any VM in a declared data centre was left out of the table.

Change: out and leaving take precedence; a declared service without VM has a line that says so.

Conclusion: unit tests of the three cases pass; not checked against a running installation yet.

--- a/src/main/java/org/jaywood/cli/StatusCommand.java
+++ b/src/main/java/org/jaywood/cli/StatusCommand.java
@@ -97,7 +97,8 @@
 			.map((entry) -> entry.getKey() + " " + entry.getValue())
 			.collect(Collectors.joining(", "));
 		System.out.printf("%-16s %-16s %-8s %-9s %s%n", group.dataCentre(), group.service(),
-				group.inService() ? "in" : "out", group.inForce() + "/" + group.vms(), upstreams);
+				group.inService() ? "in" : "out", group.inForce() + "/" + group.vms(),
+				(group.vms() > 0) ? upstreams : "no VM");
 		group.behind().stream().limit(SHOWN_BEHIND).forEach(StatusCommand::print);
 		if (group.behind().size() > SHOWN_BEHIND) {
 			System.out.println("    and " + (group.behind().size() - SHOWN_BEHIND) + " more; see --json");
--- a/src/main/java/org/jaywood/peer/FleetStatus.java
+++ b/src/main/java/org/jaywood/peer/FleetStatus.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -72,9 +73,14 @@
 
 	static FleetStatus of(List<VmStatus> statuses, AppliedConfiguration wanted) {
 		Comparator<Group> order = Comparator.comparing(Group::dataCentre).thenComparing(Group::service);
-		List<Group> groups = statuses.stream()
-			.collect(Collectors.groupingBy((status) -> List.of(status.dataCentre(), groupName(status))))
-			.entrySet()
+		Map<List<String>, List<VmStatus>> members = new HashMap<>(statuses.stream()
+			.collect(Collectors.groupingBy((status) -> List.of(status.dataCentre(), groupName(status)))));
+		// A data centre without any VM of a service is shown, not left out.
+		wanted.deployment()
+			.services()
+			.forEach((name, spec) -> spec.dataCentres()
+				.forEach((dataCentre) -> members.putIfAbsent(List.of(dataCentre, name), List.of())));
+		List<Group> groups = members.entrySet()
 			.stream()
 			.map((entry) -> group(entry.getKey().getFirst(), entry.getKey().getLast(), entry.getValue(), wanted))
 			.sorted(order)
--- a/src/main/java/org/jaywood/peer/VmStatus.java
+++ b/src/main/java/org/jaywood/peer/VmStatus.java
@@ -41,14 +41,14 @@
 	}
 
 	private static String upstreamState(VmRecord entry, JsonNode state, Deployment deployment) {
-		String told = state.path("upstreamState").asText();
-		if (!told.isEmpty()) {
-			return told;
-		}
 		if (!deployment.serves(entry.service(), entry.dataCentre())) {
 			return "out";
 		}
-		return (state.path("leaving").asBoolean() || entry.state() == VmState.LEAVING) ? "draining" : "unknown";
+		if (state.path("leaving").asBoolean() || entry.state() == VmState.LEAVING) {
+			return "draining";
+		}
+		String told = state.path("upstreamState").asText();
+		return told.isEmpty() ? "unknown" : told;
 	}
 
 	private static String behindReason(JsonNode state, long generation, long wanted) {
--- a/src/test/java/org/jaywood/peer/FleetStatusTests.java
+++ b/src/test/java/org/jaywood/peer/FleetStatusTests.java
@@ -57,6 +57,16 @@
 			assertThat(status(Map.of("generation", 5), false).upstreamState()).isEqualTo("out");
 		}
 
+		@Test
+		void showsOutAndDrainingAlthoughUpstreamIsWarm() {
+			Map<String, ?> warm = Map.of("generation", 5, "upstreamState", "warm");
+			assertThat(status(warm, false).upstreamState()).isEqualTo("out");
+			VmRecord leaving = new VmRecord(AGENT.vm(), AGENT.role(), AGENT.service(), AGENT.region(),
+					AGENT.dataCentre(), AGENT.address(), VmState.LEAVING);
+			assertThat(VmStatus.of(leaving, Json.tree(Json.bytes(warm)), wanted(true)).upstreamState())
+				.isEqualTo("draining");
+		}
+
 		@Test
 		void isBehindWithOlderGenerationOrWithoutContact() {
 			assertThat(status(Map.of("generation", 4), true).behindReason()).isEqualTo("generation 4 in force");
@@ -81,6 +91,14 @@
 			assertThat(behind.groups().getFirst().upstreams()).containsExactly("unknown", 1L, "warm", 1L);
 		}
 
+		@Test
+		void showsDeclaredServiceWithoutVm() {
+			FleetStatus status = FleetStatus.of(List.of(), wanted(true));
+			assertThat(status.groups()).hasSize(1);
+			assertThat(status.groups().getFirst().service()).isEqualTo("desk");
+			assertThat(status.groups().getFirst().vms()).isEqualTo(0);
+		}
+
 	}
 
 }
