Measure the capacity and faults in the data centre experiment

Cause: the load followed a computed capacity, a last arrival before the apply was reported as 0 s, and engines returned warm.

Change: a closed load measures the capacity first; the last new work may be negative; the engines of the data centre restart before its return; the argument names a fault (router-cut, platform-down, router-cut-and-agent-killed). Callers of a closed loop pause after a refusal.

--- a/src/main/java/org/jaywood/bench/DataCentreExperiment.java
+++ b/src/main/java/org/jaywood/bench/DataCentreExperiment.java
@@ -47,6 +47,11 @@
 
 	private static final long SERVING_MILLIS = 30_000;
 
+	/**
+	 * Time of the load that warms the engines and of that which measures the capacity.
+	 */
+	private static final long CAPACITY_MILLIS = 4_000;
+
 	@Override
 	public String name() {
 		return "datacentre";
@@ -54,12 +59,15 @@
 
 	@Override
 	public int run(ExperimentOptions options) throws IOException, InterruptedException {
+		DataCentreFault fault = options.arguments().isEmpty() ? DataCentreFault.NONE
+				: DataCentreFault.named(options.arguments().getFirst());
 		InstallationOptions installationOptions = installationOptions(options.profile());
 		try (Installation installation = Installation.start(installationOptions)) {
-			Result result = measure(installation, options.seconds(), options.seed());
+			Result result = measure(installation, options.seconds(), options.seed(), fault);
 			Map<String, Object> line = new LinkedHashMap<>();
 			line.put("experiment", name());
 			line.put("profile", options.profile().name());
+			line.put("fault", fault.text());
 			line.put("seed", options.seed());
 			line.putAll(result.toMap());
 			String json = Json.text(line);
@@ -85,41 +93,98 @@
 	 * @param installation an installation to which nothing has been applied
 	 * @param seconds length of each phase
 	 * @param seed seed of the load
+	 * @param fault what fails while the data centre is out
 	 */
-	public static Result measure(Installation installation, int seconds, long seed)
+	public static Result measure(Installation installation, int seconds, long seed, DataCentreFault fault)
 			throws IOException, InterruptedException {
 		Site site = installation.profile().sites().getLast();
 		String manifest = installation.addWeights("1", MODEL_BYTES, CHUNK_BYTES);
 		Deployment all = installation.deployment("1", manifest, limits(installation));
 		installation.apply(all);
-		installation.awaitServing(Digests.ofSet(List.of(manifest)), SERVING_MILLIS);
+		String digest = Digests.ofSet(List.of(manifest));
+		installation.awaitServing(digest, SERVING_MILLIS);
 		installation.awaitGeneration(1, SERVING_MILLIS);
 		List<Member> engines = installation.agentsOf(installation.profile().model().name());
 		List<Member> leaving = engines.stream()
 			.filter((agent) -> agent.dataCentre().equals(site.dataCentre()))
 			.toList();
-		double rate = rate(installation, engines.size() - leaving.size());
+		double capacity = capacity(installation, digest, seed) * (engines.size() - leaving.size()) / engines.size();
+		double rate = LOAD_SHARE * capacity;
 		LoadGenerator load = new LoadGenerator(LoadSettings.open(installation, rate, TOKENS, seed))
-			.allowWeights(Digests.ofSet(List.of(manifest)));
+			.allowWeights(digest);
 		double lastNewWorkSeconds;
 		double returnSeconds;
+		double warmSeconds;
 		try (load) {
 			load.start("before");
 			TimeUnit.SECONDS.sleep(seconds);
 			load.phase("during");
+			fault.beforeApply(installation);
 			installation.apply(without(all, site));
 			long outMillis = System.currentTimeMillis();
+			fault.afterApply(installation);
 			TimeUnit.SECONDS.sleep(seconds);
-			lastNewWorkSeconds = Math.max(0, (lastArrivalMillis(installation, leaving) - outMillis) / 1000.0);
+			lastNewWorkSeconds = (lastArrivalMillis(installation, leaving) - outMillis) / 1000.0;
+			fault.end(installation);
+			restart(installation, leaving);
 			load.phase("after");
 			installation.apply(all);
 			long backMillis = System.currentTimeMillis();
 			Installation.await("every engine of " + site.dataCentre() + " receives work again", SERVING_MILLIS,
 					() -> firstArrivalMillis(installation, leaving) > backMillis);
 			returnSeconds = (System.currentTimeMillis() - backMillis) / 1000.0;
+			Installation.await("every engine of " + site.dataCentre() + " is warm", SERVING_MILLIS,
+					() -> warm(installation, leaving));
+			warmSeconds = (System.currentTimeMillis() - backMillis) / 1000.0;
 			TimeUnit.SECONDS.sleep(seconds);
 		}
-		return new Result(rate, lastNewWorkSeconds, returnSeconds, load.phases());
+		return new Result(capacity, rate, lastNewWorkSeconds, returnSeconds, warmSeconds, load.phases());
+	}
+
+	/**
+	 * Answers a second of all engines together under a closed load that they can hold.
+	 */
+	private static double capacity(Installation installation, String digest, long seed)
+			throws IOException, InterruptedException {
+		List<Member> engines = installation.agentsOf(installation.profile().model().name());
+		int limit = Json.tree(installation.client().get(engines.getFirst().upstream().uri("/status"), TIMEOUT).body())
+			.path("maxConcurrency")
+			.asInt();
+		int callers = engines.size() * Math.min(MOST_CALLS, limit);
+		LoadGenerator load = new LoadGenerator(LoadSettings.closed(installation, callers, TOKENS, seed))
+			.allowWeights(digest);
+		try (load) {
+			load.start("warming");
+			TimeUnit.MILLISECONDS.sleep(CAPACITY_MILLIS);
+			load.phase("capacity");
+			TimeUnit.MILLISECONDS.sleep(CAPACITY_MILLIS);
+		}
+		return load.figures("capacity").count(Outcome.ANSWERED) * 1000.0 / CAPACITY_MILLIS;
+	}
+
+	/**
+	 * Starts the engines of a data centre that is out again, so that they return cold.
+	 */
+	private static void restart(Installation installation, List<Member> agents)
+			throws IOException, InterruptedException {
+		for (Member agent : agents) {
+			installation.fleet().kill(Installation.upstreamName(agent));
+			installation.startUpstreamProcess(agent);
+		}
+		for (Member agent : agents) {
+			Installation.await("engine of " + agent.vm() + " answers", SERVING_MILLIS,
+					() -> installation.client().get(agent.upstream().uri("/status"), TIMEOUT).statusCode() == 200);
+		}
+	}
+
+	private static boolean warm(Installation installation, List<Member> agents)
+			throws IOException, InterruptedException {
+		for (Member agent : agents) {
+			if (!installation.state(agent).path("upstreamState").asText().equals("warm")) {
+				return false;
+			}
+		}
+		return true;
 	}
 
 	private static ServiceLimits limits(Installation installation) {
@@ -127,14 +192,6 @@
 				ServiceLimits.DEFAULT.deadlineMillis(), ServiceLimits.DEFAULT.bodyBytes());
 	}
 
-	private static double rate(Installation installation, int engines) throws IOException, InterruptedException {
-		Member any = installation.agentsOf(installation.profile().model().name()).getFirst();
-		int limit = Json.tree(installation.client().get(any.upstream().uri("/status"), TIMEOUT).body())
-			.path("maxConcurrency")
-			.asInt();
-		return LOAD_SHARE * engines * Math.min(MOST_CALLS, limit) * 1000 / (TOKEN_MILLIS * TOKENS);
-	}
-
 	private static Deployment without(Deployment all, Site site) {
 		Map<String, DataCentre> dataCentres = new LinkedHashMap<>(all.dataCentres());
 		dataCentres.put(site.dataCentre(), new DataCentre(site.region(), false));
@@ -172,15 +229,19 @@
 	/**
 	 * What was measured.
 	 *
+	 * @param restCapacityPerSecond answers a second that the remaining data centres can
+	 * give, from a measurement of all
 	 * @param ratePerSecond calls a second
 	 * @param lastNewWorkSeconds time from the apply to the last call that reached an
-	 * engine of the data centre taken out
+	 * engine of the data centre taken out; negative if none arrived after the apply
 	 * @param returnSeconds time from the second apply until each of its engines had work
 	 * again
+	 * @param warmSeconds time from the second apply until each of its engines, which
+	 * return cold, takes its full load
 	 * @param phases figures before, during and after
 	 */
-	public record Result(double ratePerSecond, double lastNewWorkSeconds, double returnSeconds,
-			Map<String, PhaseFigures> phases) {
+	public record Result(double restCapacityPerSecond, double ratePerSecond, double lastNewWorkSeconds,
+			double returnSeconds, double warmSeconds, Map<String, PhaseFigures> phases) {
 
 		/**
 		 * Calls in all phases to which no whole and right answer came and no statement.
@@ -194,18 +255,26 @@
 
 		Map<String, Object> toMap() {
 			Map<String, Object> map = new LinkedHashMap<>();
+			map.put("restCapacityPerSecond", this.restCapacityPerSecond);
 			map.put("ratePerSecond", this.ratePerSecond);
 			map.put("lastNewWorkSeconds", this.lastNewWorkSeconds);
 			map.put("returnSeconds", this.returnSeconds);
+			map.put("warmSeconds", this.warmSeconds);
 			map.put("lostRequests", lost());
-			this.phases.forEach((name, figures) -> map.put(name, figures.toMap()));
+			this.phases.forEach((name, figures) -> {
+				Map<String, Object> phase = new LinkedHashMap<>(figures.toMap());
+				phase.put("reasons", figures.reasons());
+				map.put(name, phase);
+			});
 			return map;
 		}
 
 		String table() {
 			StringBuilder table = new StringBuilder(String.format(Locale.ROOT,
-					"last new work %.2f s after the apply, full service %.2f s after the return, %.0f calls/s%n",
-					this.lastNewWorkSeconds, this.returnSeconds, this.ratePerSecond));
+					"last new work %.2f s after the apply, work everywhere %.2f s and all warm %.2f s after the return%n",
+					this.lastNewWorkSeconds, this.returnSeconds, this.warmSeconds));
+			table.append(String.format(Locale.ROOT, "%.0f calls/s, capacity of the rest %.0f calls/s%n",
+					this.ratePerSecond, this.restCapacityPerSecond));
 			table.append(String.format(Locale.ROOT, "%-8s %6s %9s %8s %8s %5s %6s %12s%n", "phase", "calls", "answered",
 					"refused", "unknown", "lost", "wrong", "p99 first ms"));
 			this.phases.forEach((name,
--- a/src/main/java/org/jaywood/bench/LoadGenerator.java
+++ b/src/main/java/org/jaywood/bench/LoadGenerator.java
@@ -9,6 +9,7 @@
 
 import org.jaywood.bench.LoadCall.Kind;
 import org.jaywood.bench.LoadResult.Outcome;
+import org.jaywood.platform.Futures;
 
 /**
  * Bounded load of several workspaces, a few of them large, on the caller ports. Each
@@ -18,6 +19,12 @@
 
 	private static final int WORKSPACES = 10;
 
+	/**
+	 * Without a pause, callers of a closed loop repeat refused calls thousands of times a
+	 * second.
+	 */
+	private static final long REFUSED_PAUSE_MILLIS = 50;
+
 	private final LoadSettings settings;
 
 	private final LoadClient client;
@@ -106,22 +113,33 @@
 
 	private void closedLoop(Random random) {
 		while (!this.stopping && this.running.tryAcquire()) {
+			boolean answered;
 			try {
-				make(nextCall(random), this.phase, System.nanoTime());
+				answered = make(nextCall(random), this.phase, System.nanoTime());
 			}
 			finally {
 				this.running.release();
 			}
+			if (!answered) {
+				Futures.pause(REFUSED_PAUSE_MILLIS);
+			}
 		}
 	}
 
-	private void make(LoadCall call, PhaseFigures figures, long dueNanos) {
+	/**
+	 * Makes a call.
+	 * @return whether it was answered
+	 */
+	private boolean make(LoadCall call, PhaseFigures figures, long dueNanos) {
 		int caller = (int) (this.number.getAndIncrement() % this.settings.callers().size());
 		try {
-			figures.add(this.client.call(this.settings.callers().get(caller), call, dueNanos));
+			LoadResult result = this.client.call(this.settings.callers().get(caller), call, dueNanos);
+			figures.add(result);
+			return result.outcome() == Outcome.ANSWERED;
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
+			return false;
 		}
 	}
 
--- a/src/test/java/org/jaywood/bench/DataCentreIT.java
+++ b/src/test/java/org/jaywood/bench/DataCentreIT.java
@@ -18,7 +18,7 @@
 		try (Installation installation = Installation
 			.start(DataCentreExperiment.installationOptions(Profile.KITAMORI))) {
 			installation.network().cut("entry-1", "platform");
-			Result result = DataCentreExperiment.measure(installation, 5, 1);
+			Result result = DataCentreExperiment.measure(installation, 5, 1, DataCentreFault.NONE);
 			assertThat(result.lost()).isEqualTo(0);
 			assertThat(result.lastNewWorkSeconds()).isLessThan(3.0);
 			result.phases().values().forEach((figures) -> assertThat(figures.total()).isGreaterThan(50));
