Refuse new work at an agent whose VM is listed as leaving

Cause: only routers followed the state leaving of the platform's list. A router that cannot reach the platform went on choosing an agent that got no signal.

Change: the agent refuses with DRAINING and says leaving in its probes while the list shows its VM as leaving; it serves again when the list shows it as live.

Conclusion: compiles, unit tests of the package pass; the integration test follows and has not run yet.

--- a/src/main/java/org/jaywood/agent/Agent.java
+++ b/src/main/java/org/jaywood/agent/Agent.java
@@ -78,7 +78,7 @@
 		ProcessIdentity identity = new ProcessIdentity("agent", settings.vm(), settings.region(), settings.dataCentre(),
 				UUID.randomUUID().toString(), settings.advertisedAddress());
 		this.peer = new PeerNode(identity, settings.listenAddress(), settings.platformAddress(), settings.credential(),
-				log, this.admission::leaving, settings.operatorAddress());
+				log, this::leaving, settings.operatorAddress());
 		WireClient upstream = WireClient.plain(settings.listenAddress().host());
 		EngineClient engine = new EngineClient(upstream, settings.upstreamAddress());
 		this.enginePort = HttpPort.open(new Address(settings.listenAddress().host(), 0), log);
@@ -100,7 +100,7 @@
 		String incarnation = this.peer.identity().incarnation();
 		AgentMetrics metrics = new AgentMetrics(this.admission, this.peer.metrics());
 		Gate gate = new Gate(incarnation, this.settings, this.peer.configuration(),
-				() -> this.peer.isolated(CLOCK.getAsLong()),
+				() -> this.peer.isolated(CLOCK.getAsLong()), this::leaving,
 				() -> this.admission.reports(this.activation.state().servedWeights()));
 		ModelContext model = new ModelContext(this.callSettings, this.settings.upstreamAddress(), upstream,
 				this.admission, metrics, () -> this.activation.state().servedWeights(),
@@ -113,6 +113,14 @@
 			.register(this.peer.port());
 	}
 
+	/**
+	 * Whether this agent stops or the platform's list shows its VM as leaving. A router
+	 * that cannot reach the platform learns the latter only here.
+	 */
+	private boolean leaving() {
+		return this.admission.leaving() || this.peer.membership().listedLeaving(this.settings.vm());
+	}
+
 	private ChunkExchange exchange() {
 		VmRecord self = new VmRecord(this.settings.vm(), "agent", this.settings.service(), this.settings.region(),
 				this.settings.dataCentre(), this.settings.advertisedAddress(), VmState.LIVE);
--- a/src/main/java/org/jaywood/agent/Gate.java
+++ b/src/main/java/org/jaywood/agent/Gate.java
@@ -23,15 +23,18 @@
 
 	private final BooleanSupplier isolated;
 
+	private final BooleanSupplier leaving;
+
 	private final BooleanSupplier weightsActivated;
 
 	Gate(String incarnation, AgentSettings settings, ConfigurationView configuration, BooleanSupplier isolated,
-			BooleanSupplier weightsActivated) {
+			BooleanSupplier leaving, BooleanSupplier weightsActivated) {
 		this.incarnation = incarnation;
 		this.service = settings.service();
 		this.dataCentre = settings.dataCentre();
 		this.configuration = configuration;
 		this.isolated = isolated;
+		this.leaving = leaving;
 		this.weightsActivated = weightsActivated;
 	}
 
@@ -56,6 +59,9 @@
 		if (request.deadlineMillis() <= nowMillis) {
 			throw new AdmissionRefusal(RefusalReason.DEADLINE, 0);
 		}
+		if (this.leaving.getAsBoolean()) {
+			throw new AdmissionRefusal(RefusalReason.DRAINING, 0);
+		}
 		if (!this.configuration.deployment().serves(this.service, this.dataCentre)) {
 			throw new AdmissionRefusal(RefusalReason.DATA_CENTRE_OUT, CONFIGURATION_RETRY_MILLIS);
 		}
--- a/src/main/java/org/jaywood/peer/Membership.java
+++ b/src/main/java/org/jaywood/peer/Membership.java
@@ -77,6 +77,14 @@
 		this.observedLeaving.remove(address);
 	}
 
+	/**
+	 * Whether the list shows a VM as leaving.
+	 */
+	public boolean listedLeaving(String vm) {
+		VmRecord entry = this.records.get(vm);
+		return entry != null && entry.state() == VmState.LEAVING;
+	}
+
 	public Collection<VmRecord> all() {
 		return List.copyOf(this.records.values());
 	}
