--- /dev/null
+++ b/src/test/java/org/jaywood/bench/MembershipIT.java
@@ -0,0 +1,73 @@
+package org.jaywood.bench;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.bench.Installation.Member;
+import org.jaywood.bench.LoadResult.Outcome;
+import org.jaywood.wire.Digests;
+import org.jaywood.wire.Json;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards that an upstream gets no new work soon after the platform's lagging list shows
+ * its VM as leaving, although its agent gets no signal and one router cannot reach the
+ * platform.
+ */
+class MembershipIT {
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(10);
+
+	private static final long LAG_MILLIS = 1_000;
+
+	private static final long ALLOWED_MILLIS = 3_000;
+
+	/** Long enough that work after the allowed time would be seen. */
+	private static final long OBSERVED_MILLIS = 6_000;
+
+	@Test
+	void listedAsLeavingWithoutSignal() throws Exception {
+		try (Installation installation = Installation
+			.start(DataCentreExperiment.installationOptions(Profile.KITAMORI))) {
+			String manifest = installation.addWeights("1", 262_144, 32_768);
+			String digest = Digests.ofSet(List.of(manifest));
+			installation.apply(installation.deployment("1", manifest));
+			installation.awaitServing(digest, 30_000);
+			installation.awaitGeneration(1, 30_000);
+			installation.client()
+				.post(installation.platform().uri("/control"), Map.of("vmLagMillis", LAG_MILLIS), TIMEOUT);
+			installation.network().partition("entry-1", "platform");
+			Member leaving = installation.agentsOf("pool").getFirst();
+			LoadGenerator load = new LoadGenerator(LoadSettings.open(installation, 15, 10, 1)).allowWeights(digest);
+			long changedMillis;
+			long lastMillis;
+			try (load) {
+				load.start("before");
+				Installation.await("the upstream gets work", 10_000, () -> arrivalMillis(installation, leaving) > 0);
+				load.phase("leaving");
+				changedMillis = System.currentTimeMillis() + LAG_MILLIS;
+				installation.register(leaving, "LEAVING");
+				TimeUnit.MILLISECONDS.sleep(LAG_MILLIS + OBSERVED_MILLIS);
+				lastMillis = arrivalMillis(installation, leaving);
+			}
+			System.out.println("last new work " + (lastMillis - changedMillis) + " ms after the list's change, "
+					+ load.phases().get("leaving").toMap());
+			assertThat(lastMillis - changedMillis).isLessThan(ALLOWED_MILLIS);
+			assertThat(load.count(Outcome.LOST)).isEqualTo(0);
+			assertThat(load.count(Outcome.WRONG)).isEqualTo(0);
+			assertThat(load.figures("leaving").count(Outcome.ANSWERED)).isGreaterThan(50);
+		}
+	}
+
+	private static long arrivalMillis(Installation installation, Member agent) throws Exception {
+		return Json.tree(installation.client().get(agent.upstream().uri("/record"), TIMEOUT).body())
+			.path("lastArrivalMillis")
+			.asLong();
+	}
+
+}
