Place a router in each data centre in the data centre experiment

Cause: routers prefer upstreams of their own data centre. With two routers the data centre taken out had none, so it got no work while the others had room, and the experiment waited in vain for work there after the return.

--- a/src/main/java/org/jaywood/bench/DataCentreExperiment.java
+++ b/src/main/java/org/jaywood/bench/DataCentreExperiment.java
@@ -81,11 +81,14 @@
 	}
 
 	/**
-	 * Options of an installation for this experiment: one router in each of the first two
-	 * data centres and engines whose calls take half a second.
+	 * Options of an installation for this experiment: one router in each data centre,
+	 * since routers prefer their own, and engines whose calls take half a second.
 	 */
 	public static InstallationOptions installationOptions(Profile profile) {
-		return InstallationOptions.of(profile).withNetwork().withTokenMillis(TOKEN_MILLIS);
+		return InstallationOptions.of(profile)
+			.withRouters(profile.sites().size())
+			.withNetwork()
+			.withTokenMillis(TOKEN_MILLIS);
 	}
 
 	/**
