--- a/src/main/java/org/jaywood/agent/Agent.java
+++ b/src/main/java/org/jaywood/agent/Agent.java
@@ -117,7 +117,7 @@
 		VmRecord self = new VmRecord(this.settings.vm(), "agent", this.settings.service(), this.settings.region(),
 				this.settings.dataCentre(), this.settings.advertisedAddress(), VmState.LIVE);
 		WeightSettings weights = new WeightSettings(self, this.settings.storeAddress(), this.settings.storeRegion(),
-				this.settings.stagingBytes(), this.settings.regionLinkBytesPerSecond());
+				this.settings.stagingBytes(), this.settings.regionLinkBytesPerSecond(), this.settings.weightMode());
 		return new ChunkExchange(weights, this::receivers, this.peer.client(),
 				WireClient.plain(this.settings.listenAddress().host()), this.log);
 	}
--- a/src/main/java/org/jaywood/agent/AgentSettings.java
+++ b/src/main/java/org/jaywood/agent/AgentSettings.java
@@ -2,6 +2,7 @@
 
 import org.jspecify.annotations.Nullable;
 
+import org.jaywood.weights.WeightMode;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Credential;
 
@@ -24,9 +25,10 @@
  * @param stagingBytes bound of the staging area
  * @param regionLinkBytesPerSecond rate of weight traffic from one region to another
  * @param leaseMillis length of the lease of the engine and of an activation slot
+ * @param weightMode how weights spread
  */
 public record AgentSettings(String vm, String region, String dataCentre, String service, Address listenAddress,
 		Address advertisedAddress, Address operatorAddress, Address upstreamAddress, Address platformAddress,
 		Address storeAddress, String storeRegion, @Nullable Credential credential, long drainMillis, long stagingBytes,
-		long regionLinkBytesPerSecond, long leaseMillis) {
+		long regionLinkBytesPerSecond, long leaseMillis, WeightMode weightMode) {
 }
--- a/src/main/java/org/jaywood/bench/BurstExperiment.java
+++ b/src/main/java/org/jaywood/bench/BurstExperiment.java
@@ -1,58 +1,59 @@
 package org.jaywood.bench;
 
 import java.io.IOException;
-import java.net.http.HttpRequest.BodyPublishers;
 import java.nio.file.Files;
 import java.nio.file.StandardOpenOption;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.Random;
 import java.util.TreeMap;
-import java.util.concurrent.Callable;
-import java.util.function.Predicate;
-import java.util.stream.Collectors;
+import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.jspecify.annotations.Nullable;
 
+import org.jaywood.bench.BurstScenario.Fault;
+import org.jaywood.bench.Installation.Member;
+import org.jaywood.bench.Profile.ServiceShape;
 import org.jaywood.bench.Profile.Site;
-import org.jaywood.config.ConfigurationRepository;
-import org.jaywood.config.DataCentre;
 import org.jaywood.config.Deployment;
-import org.jaywood.config.ServiceKind;
 import org.jaywood.config.ServiceLimits;
-import org.jaywood.config.ServiceSpec;
-import org.jaywood.config.WeightsRef;
-import org.jaywood.event.EventLog;
-import org.jaywood.platform.HttpPlatform;
-import org.jaywood.standin.EngineOptions;
-import org.jaywood.standin.EngineStandin;
-import org.jaywood.wire.Address;
+import org.jaywood.weights.WeightMode;
 import org.jaywood.wire.Json;
-import org.jaywood.wire.WireClient;
 
 /**
- * Measures how long one model takes to reach N agents, each its own process. The engines
- * run in this process. The links of the origin and between regions are limited by the
- * store stand-in and the agents; links of machines are not.
+ * Measures how long one model takes to reach N agents, each its own process behind links
+ * of limited rate. The engines run in this process. Arguments: a mode and a fault, see
+ * {@link BurstScenario}.
  */
 public final class BurstExperiment implements Experiment {
 
 	private static final Duration TIMEOUT = Duration.ofSeconds(10);
 
-	private static final long MODEL_BYTES = 8 * 1024 * 1024;
+	private static final int MODEL_BYTES = 4 * 1024 * 1024;
 
-	/** 256 chunks. */
+	/** 128 chunks. */
 	private static final int CHUNK_BYTES = 32 * 1024;
 
-	private static final long ORIGIN_BYTES_PER_SECOND = 1_000_000;
+	/** In a window of 16 s, a machine carries two copies and the origin four. */
+	private static final long MACHINE_BYTES_PER_SECOND = 524_288;
 
-	private static final long REGION_BYTES_PER_SECOND = 1_750_000;
+	private static final long ORIGIN_BYTES_PER_SECOND = 2 * MACHINE_BYTES_PER_SECOND;
 
-	private static final long LIMIT_MILLIS = 180_000;
+	/** Blocks of the network stand-in in a chunk. */
+	private static final int BLOCKS_PER_CHUNK = 4;
 
-	private final WireClient client = WireClient.plain(null);
+	/** A burst that takes longer is given up, so that a run stays below 90 s. */
+	private static final double LIMIT_SECONDS = 60;
+
+	private static final double SERVING_LIMIT_SECONDS = 10;
+
+	private static final long POLL_MILLIS = 50;
 
 	@Override
 	public String name() {
@@ -61,153 +62,211 @@
 
 	@Override
 	public int run(ExperimentOptions options) throws IOException, InterruptedException {
-		int replicas = (options.replicas() > 0) ? options.replicas() : 24;
-		List<EngineStandin> engines = new ArrayList<>();
-		try (ProcessFleet fleet = new ProcessFleet()) {
-			Address platform = fleet.address(0, 0, 1, 7000);
-			Address store = fleet.address(0, 0, 1, 7001);
-			fleet.start("platform", "standin", "platform", "--listen", platform.toString());
-			fleet.start("store", "standin", "store", "--listen", store.toString());
-			await("platform", () -> this.client.get(platform.uri("/vms"), TIMEOUT).statusCode() == 200);
-			await("store", () -> this.client.get(store.uri("/record"), TIMEOUT).statusCode() == 200);
-			List<Address> operators = new ArrayList<>();
-			for (int i = 0; i < replicas; i++) {
-				operators.add(startAgent(fleet, options.profile(), i, engines));
-			}
-			for (Address operator : operators) {
-				await("agent", () -> state(operator).path("inFlight").isNumber());
-			}
-			for (int i = 0; i < replicas; i++) {
-				register(fleet, options.profile(), i);
-			}
-			return measure(options, platform, store, operators);
-		}
-		finally {
-			engines.forEach(EngineStandin::close);
+		BurstScenario scenario = BurstScenario.parse(options.arguments());
+		ServiceShape model = options.profile().model();
+		int replicas = (options.replicas() > 0) ? options.replicas() : model.upstreams();
+		Profile profile = options.profile().only(new ServiceShape(model.name(), true, replicas));
+		InstallationOptions installed = InstallationOptions.of(profile)
+			.withRouters(0)
+			.withEnginesInProcess()
+			.withLinkRates(MACHINE_BYTES_PER_SECOND, ORIGIN_BYTES_PER_SECOND)
+			.withFlags("agent", "--weight-mode", scenario.mode().name());
+		try (Installation installation = Installation.start(installed)) {
+			return measure(options, scenario, installation);
 		}
 	}
 
-	private Address startAgent(ProcessFleet fleet, Profile profile, int index, List<EngineStandin> engines)
-			throws IOException {
-		Site site = site(profile, index);
-		Address peer = peer(fleet, profile, index);
-		Address operator = new Address(peer.host(), 7101);
-		engines.add(new EngineStandin(new Address(peer.host(), 7200), EngineOptions.DEFAULT, new EventLog("engine")));
-		fleet.start("agent-" + index, "agent", "--vm", "vm-" + index, "--region", site.region(), "--data-centre",
-				site.dataCentre(), "--listen", peer.toString(), "--operator", operator.toString(), "--platform",
-				fleet.address(0, 0, 1, 7000).toString(), "--service", "pool", "--upstream", peer.host() + ":7200",
-				"--store", fleet.address(0, 0, 1, 7001).toString(), "--store-region",
-				profile.sites().getFirst().region(), "--region-link-bytes-per-second",
-				Long.toString(REGION_BYTES_PER_SECOND));
-		return operator;
+	private int measure(ExperimentOptions options, BurstScenario scenario, Installation installation)
+			throws IOException, InterruptedException {
+		List<Member> agents = new ArrayList<>(installation.agents());
+		awaitMembership(installation, agents);
+		String manifest = installation.addWeights("1", MODEL_BYTES, CHUNK_BYTES);
+		Deployment deployment = installation.deployment("1", manifest, new ServiceLimits(agents.size(),
+				ServiceLimits.DEFAULT.deadlineMillis(), ServiceLimits.DEFAULT.bodyBytes()));
+		Collections.shuffle(agents, new Random(options.seed()));
+		Map<String, Long> regionBytesBefore = regionBytes(installation);
+		double[] cpuBefore = cpuSeconds(installation);
+		injectBefore(scenario.fault(), installation, agents);
+		int replicas = agents.size();
+		long startNanos = System.nanoTime();
+		installation.apply(deployment);
+		List<Double> verified = awaitVerified(scenario.fault(), installation, agents, startNanos);
+		double elapsedSeconds = seconds(startNanos);
+		double[] cpuAfter = cpuSeconds(installation);
+		Map<String, Object> result = new LinkedHashMap<>();
+		result.put("experiment", name());
+		result.put("mode", scenario.mode().name().toLowerCase(Locale.ROOT));
+		result.put("fault", scenario.fault().name().toLowerCase(Locale.ROOT));
+		result.put("seed", options.seed());
+		result.put("replicas", replicas);
+		putTimes(result, verified, agents.size(), lowerBoundSeconds(scenario, options.profile(), replicas));
+		putTraffic(result, installation, agents, regionBytesBefore);
+		result.put("agentCores", (cpuAfter[0] - cpuBefore[0]) / elapsedSeconds);
+		result.put("networkCores", (cpuAfter[1] - cpuBefore[1]) / elapsedSeconds);
+		result.put("servingSeconds", awaitServing(installation, agents, deployment, startNanos));
+		report(options, result);
+		return (verified.size() == agents.size()) ? 0 : 1;
 	}
 
-	private void register(ProcessFleet fleet, Profile profile, int index) throws IOException, InterruptedException {
-		Site site = site(profile, index);
-		byte[] entry = Json
-			.bytes(Map.of("vm", "vm-" + index, "role", "agent", "service", "pool", "region", site.region(),
-					"dataCentre", site.dataCentre(), "address", peer(fleet, profile, index), "state", "LIVE"));
-		this.client.send(this.client.request(fleet.address(0, 0, 1, 7000).uri("/vms/vm-" + index), TIMEOUT)
-			.PUT(BodyPublishers.ofByteArray(entry))
-			.build());
+	/** Before that, agents would compute their trees from parts of the list. */
+	private static void awaitMembership(Installation installation, List<Member> agents) throws InterruptedException {
+		Installation.await("all agents know each other", 20_000, () -> {
+			for (Member agent : agents) {
+				if (installation.state(agent).path("peer").path("peers").asInt() < agents.size() - 1) {
+					return false;
+				}
+			}
+			return true;
+		});
 	}
 
-	private static Site site(Profile profile, int index) {
-		return profile.sites().get(index % profile.sites().size());
+	private static void injectBefore(Fault fault, Installation installation, List<Member> agents)
+			throws IOException, InterruptedException {
+		if (fault == Fault.STALL1) {
+			installation.network().fault("FREEZE", Map.of("source", "*", "destination", agents.getFirst().vm()));
+		}
+		if (fault == Fault.CORRUPT1) {
+			List<String> destinations = new ArrayList<>(List.of("store"));
+			installation.profile().sites().stream().map(Site::dataCentre).forEach(destinations::add);
+			for (String destination : destinations) {
+				installation.network()
+					.fault("CORRUPT", Map.of("source", "*", "destination", destination, "direction", "REPLY",
+							"probability", 0.01 / BLOCKS_PER_CHUNK));
+			}
+		}
 	}
 
-	private static Address peer(ProcessFleet fleet, Profile profile, int index) {
-		int sites = profile.sites().size();
-		return fleet.address(1 + index % sites, 1, 1 + index / sites, 7100);
+	/**
+	 * Waits until every agent that is not killed has verified all chunks, or the limit is
+	 * reached. Killed agents are removed from the list.
+	 * @return times of those that have, in seconds
+	 */
+	private static List<Double> awaitVerified(Fault fault, Installation installation, List<Member> agents,
+			long startNanos) throws IOException, InterruptedException {
+		List<Double> verified = new ArrayList<>();
+		List<Member> pending = new ArrayList<>(agents);
+		boolean killed = fault != Fault.KILL5;
+		while (!pending.isEmpty() && seconds(startNanos) < LIMIT_SECONDS) {
+			if (!killed && seconds(startNanos) > 2) {
+				killed = true;
+				for (Member agent : agents.subList(0, (agents.size() + 19) / 20).toArray(Member[]::new)) {
+					installation.fleet().kill(agent.vm());
+					agents.remove(agent);
+					pending.remove(agent);
+				}
+			}
+			for (Member agent : List.copyOf(pending)) {
+				JsonNode state = installation.state(agent);
+				int wanted = state.path("chunksWanted").asInt();
+				if (wanted > 0 && state.path("chunksVerified").asInt() == wanted) {
+					pending.remove(agent);
+					verified.add(seconds(startNanos));
+				}
+			}
+			TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+		}
+		return verified;
 	}
 
-	private int measure(ExperimentOptions options, Address platform, Address store, List<Address> operators)
-			throws IOException, InterruptedException {
-		String manifest = Json.tree(
-				this.client
-					.post(store.uri("/control/weights"),
-							Map.of("name", "model", "version", "1", "totalBytes", MODEL_BYTES, "chunkBytes",
-									CHUNK_BYTES),
-							TIMEOUT)
-					.body())
-			.path("manifest")
-			.asText();
-		this.client.post(store.uri("/control"), Map.of("bytesPerSecond", ORIGIN_BYTES_PER_SECOND), TIMEOUT);
-		Deployment deployment = deployment(options.profile(), manifest);
-		long startNanos = System.nanoTime();
-		new ConfigurationRepository(new HttpPlatform(this.client, platform)).apply(deployment, "bench",
-				System.currentTimeMillis());
-		await("all verified", () -> all(operators, (state) -> state.path("chunksWanted").asInt() > 0
-				&& state.path("chunksVerified").asInt() == state.path("chunksWanted").asInt()));
-		double verifiedSeconds = seconds(startNanos);
-		String wanted = deployment.service("pool").orElseThrow().weightsDigest();
-		await("all serve", () -> all(operators, (state) -> state.path("servedWeights").asText().equals(wanted)));
-		report(options, operators, verifiedSeconds, seconds(startNanos),
-				Json.tree(this.client.get(store.uri("/record"), TIMEOUT).body()).path("sentBytes").asLong());
-		return 0;
+	private static @Nullable Double awaitServing(Installation installation, List<Member> agents, Deployment deployment,
+			long startNanos) throws IOException, InterruptedException {
+		String wanted = deployment.services().values().iterator().next().weightsDigest();
+		double limit = seconds(startNanos) + SERVING_LIMIT_SECONDS;
+		List<Member> pending = new ArrayList<>(agents);
+		while (seconds(startNanos) < limit) {
+			for (Member agent : List.copyOf(pending)) {
+				if (installation.state(agent).path("servedWeights").asText().equals(wanted)) {
+					pending.remove(agent);
+				}
+			}
+			if (pending.isEmpty()) {
+				return seconds(startNanos);
+			}
+			TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+		}
+		return null;
 	}
 
-	private static Deployment deployment(Profile profile, String manifest) {
-		Map<String, DataCentre> dataCentres = profile.sites()
-			.stream()
-			.collect(Collectors.toMap(Site::dataCentre, (site) -> new DataCentre(site.region(), true)));
-		ServiceSpec pool = new ServiceSpec(ServiceKind.MODEL, List.of(new WeightsRef("model", "1", manifest)),
-				profile.sites().stream().map(Site::dataCentre).toList(), ServiceLimits.DEFAULT);
-		return new Deployment(dataCentres, Map.of("pool", pool), Map.of());
+	/**
+	 * Each machine receives a copy, the origin sends at least one (with all from the
+	 * store, one for each machine), and each of the other regions receives a copy over at
+	 * most as many links as there are other regions.
+	 */
+	private static double lowerBoundSeconds(BurstScenario scenario, Profile profile, int replicas) {
+		int originCopies = (scenario.mode() == WeightMode.STORE) ? replicas : 1;
+		long regions = profile.sites().stream().map(Site::region).distinct().count();
+		double origin = originCopies * (double) MODEL_BYTES / ORIGIN_BYTES_PER_SECOND;
+		double machine = MODEL_BYTES / (double) MACHINE_BYTES_PER_SECOND;
+		double region = MODEL_BYTES / ((regions - 1.0) * profile.links().regionBytesPerSecond());
+		return Math.max(origin, Math.max(machine, region));
 	}
 
-	private void report(ExperimentOptions options, List<Address> operators, double verifiedSeconds,
-			double servingSeconds, long originBytes) throws IOException, InterruptedException {
+	private static void putTimes(Map<String, Object> result, List<Double> verified, int expected,
+			double lowerBoundSeconds) {
+		boolean complete = verified.size() == expected;
+		result.put("verifiedReplicas", verified.size());
+		result.put("medianVerifiedSeconds", (verified.size() * 2 > expected) ? verified.get(expected / 2) : null);
+		result.put("verifiedSeconds", complete ? verified.getLast() : null);
+		result.put("lowerBoundSeconds", lowerBoundSeconds);
+		result.put("ratio", complete ? verified.getLast() / lowerBoundSeconds : null);
+	}
+
+	private static void putTraffic(Map<String, Object> result, Installation installation, List<Member> agents,
+			Map<String, Long> regionBytesBefore) throws IOException, InterruptedException {
+		JsonNode store = Json.tree(installation.client().get(installation.store().uri("/record"), TIMEOUT).body());
+		long originBytes = store.path("sentBytes").asLong();
+		Map<String, Long> regionBytes = regionBytes(installation);
+		regionBytes.replaceAll((pair, bytes) -> bytes - regionBytesBefore.getOrDefault(pair, 0L));
 		Map<String, Long> bySource = new TreeMap<>();
-		for (Address operator : operators) {
-			state(operator).path("fetchedBytes")
+		for (Member agent : agents) {
+			installation.state(agent)
+				.path("fetchedBytes")
 				.properties()
 				.forEach((entry) -> bySource.merge(entry.getKey(), entry.getValue().asLong(), Long::sum));
 		}
-		// Each of the other regions needs a copy, over at most two links.
-		double lowerBoundSeconds = Math.max(MODEL_BYTES / (double) ORIGIN_BYTES_PER_SECOND,
-				MODEL_BYTES / (2.0 * REGION_BYTES_PER_SECOND));
-		Map<String, Object> result = new LinkedHashMap<>();
-		result.put("experiment", name());
-		result.put("replicas", operators.size());
-		result.put("verifiedSeconds", verifiedSeconds);
-		result.put("servingSeconds", servingSeconds);
-		result.put("lowerBoundSeconds", lowerBoundSeconds);
 		result.put("originCopies", originBytes / (double) MODEL_BYTES);
 		result.put("originBytes", originBytes);
-		result.put("bytesBySource", bySource);
-		String line = Json.text(result);
-		System.out.println(line);
-		System.out.printf("%-10s %10s %10s %10s %14s%n", "replicas", "verified s", "serving s", "bound s",
-				"origin copies");
-		System.out.printf("%-10d %10.2f %10.2f %10.2f %14.3f%n", operators.size(), verifiedSeconds, servingSeconds,
-				lowerBoundSeconds, originBytes / (double) MODEL_BYTES);
-		bySource.forEach((source, bytes) -> System.out.printf("%-20s %,15d bytes%n", source, bytes));
-		if (options.output() != null) {
-			Files.writeString(options.output(), line + "\n", StandardOpenOption.CREATE, StandardOpenOption.APPEND);
-		}
+		result.put("regionBytes", regionBytes);
+		result.put("fetchedBytesBySource", bySource);
 	}
 
-	private boolean all(List<Address> operators, Predicate<JsonNode> condition)
-			throws IOException, InterruptedException {
-		for (Address operator : operators) {
-			if (!condition.test(state(operator))) {
-				return false;
-			}
+	private static Map<String, Long> regionBytes(Installation installation) throws IOException, InterruptedException {
+		Map<String, Long> bytes = new TreeMap<>();
+		installation.network()
+			.record()
+			.path("traffic")
+			.path("regionBytes")
+			.properties()
+			.forEach((entry) -> bytes.put(entry.getKey(), entry.getValue().asLong()));
+		return bytes;
+	}
+
+	/**
+	 * Processor time of all running agents and of the network stand-in.
+	 */
+	private static double[] cpuSeconds(Installation installation) throws IOException {
+		double agents = 0;
+		for (Member agent : installation.agents()) {
+			Process process = installation.fleet().process(agent.vm());
+			agents += (process != null && process.isAlive()) ? ProcessUsage.of(process).cpuSeconds() : 0;
 		}
-		return true;
+		Process network = installation.fleet().process("network");
+		return new double[] { agents, (network != null) ? ProcessUsage.of(network).cpuSeconds() : 0 };
 	}
 
-	private JsonNode state(Address operator) throws IOException, InterruptedException {
-		return Json.tree(this.client.get(operator.uri("/state"), TIMEOUT).body());
+	private static void report(ExperimentOptions options, Map<String, Object> result) throws IOException {
+		String line = Json.text(result);
+		System.out.println(line);
+		List.of("mode", "fault", "replicas", "verifiedReplicas", "medianVerifiedSeconds", "verifiedSeconds",
+				"servingSeconds", "lowerBoundSeconds", "ratio", "originCopies", "agentCores", "networkCores")
+			.forEach((field) -> System.out.printf("%-22s %s%n", field, result.get(field)));
+		if (options.output() != null) {
+			Files.writeString(options.output(), line + "\n", StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+		}
 	}
 
 	private static double seconds(long startNanos) {
 		return (System.nanoTime() - startNanos) / 1e9;
 	}
 
-	private static void await(String condition, Callable<Boolean> check) throws InterruptedException {
-		Installation.await(condition, LIMIT_MILLIS, check);
-	}
-
 }
--- a/src/main/java/org/jaywood/bench/Installation.java
+++ b/src/main/java/org/jaywood/bench/Installation.java
@@ -23,7 +23,10 @@
 import org.jaywood.config.ServiceLimits;
 import org.jaywood.config.ServiceSpec;
 import org.jaywood.config.WeightsRef;
+import org.jaywood.event.EventLog;
 import org.jaywood.platform.HttpPlatform;
+import org.jaywood.standin.EngineOptions;
+import org.jaywood.standin.EngineStandin;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Credential;
 import org.jaywood.wire.Json;
@@ -52,6 +55,8 @@
 
 	private final NetworkControl network;
 
+	private final List<EngineStandin> engines = new ArrayList<>();
+
 	private Installation(InstallationOptions options, ProcessFleet fleet) {
 		this.options = options;
 		this.profile = options.profile();
@@ -182,6 +187,11 @@
 	 * Starts (again) the upstream of an agent.
 	 */
 	public void startUpstreamProcess(Member agent) throws IOException {
+		if (this.options.enginesInProcess() && isModel(agent.service())) {
+			this.engines
+				.add(new EngineStandin(agent.upstream(), EngineOptions.DEFAULT, new EventLog(upstreamName(agent))));
+			return;
+		}
 		startStandin(upstreamName(agent), isModel(agent.service()) ? "engine" : "service", agent.upstream());
 	}
 
@@ -332,6 +342,7 @@
 
 	@Override
 	public void close() {
+		this.engines.forEach(EngineStandin::close);
 		this.fleet.close();
 	}
 
--- a/src/main/java/org/jaywood/bench/Profile.java
+++ b/src/main/java/org/jaywood/bench/Profile.java
@@ -45,6 +45,13 @@
 			.toList(), this.links);
 	}
 
+	/**
+	 * The same with a single service.
+	 */
+	public Profile only(ServiceShape service) {
+		return new Profile(this.name, this.sites, List.of(service), this.links);
+	}
+
 	/**
 	 * The first model service.
 	 */
--- a/src/main/java/org/jaywood/cli/AgentCommand.java
+++ b/src/main/java/org/jaywood/cli/AgentCommand.java
@@ -10,6 +10,7 @@
 import org.jaywood.agent.CallSettings;
 import org.jaywood.event.EventLog;
 import org.jaywood.peer.PortPolicy;
+import org.jaywood.weights.WeightMode;
 import org.jaywood.weights.WeightSettings;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Credential;
@@ -50,6 +51,10 @@
 			description = "Length of the lease of the engine and of an activation slot in milliseconds")
 	private long leaseMillis = 10_000;
 
+	@Parameter(names = "--weight-mode", hidden = true,
+			description = "How weights spread: TREE, or STORE and PLAIN as baselines of the burst experiment")
+	private WeightMode weightMode = WeightMode.TREE;
+
 	@Parameter(names = "--stall-millis",
 			description = "Time without credit after which a stream gives up its engine, in milliseconds")
 	private long stallMillis = CallSettings.DEFAULT.stallMillis();
@@ -75,7 +80,7 @@
 		AgentSettings settings = new AgentSettings(this.node.vm, this.node.region, this.node.dataCentre, this.service,
 				this.node.listen, this.node.advertised(), this.node.operator, this.upstream, this.node.platform,
 				this.store, this.storeRegion, Credential.parse(this.node.credential), this.node.drainMillis,
-				this.stagingBytes, this.regionLinkBytesPerSecond, this.leaseMillis);
+				this.stagingBytes, this.regionLinkBytesPerSecond, this.leaseMillis, this.weightMode);
 		Agent agent = new Agent(settings, callSettings(), new EventLog(this.node.vm));
 		agent.start();
 		return Daemon.runUntilTerminated(agent::drain);
--- a/src/main/java/org/jaywood/weights/ChunkExchange.java
+++ b/src/main/java/org/jaywood/weights/ChunkExchange.java
@@ -97,7 +97,7 @@
 			WireClient storeClient, EventLog log) {
 		this.staging = new StagingArea(settings.stagingBytes());
 		this.swarm = new Swarm(settings, members);
-		this.wanted = new WantedChunks(settings.self(), System.nanoTime());
+		this.wanted = new WantedChunks(settings.self(), settings.mode(), System.nanoTime());
 		this.server = new ChunkServer(settings, this.staging, this.swarm);
 		this.peerClient = peerClient;
 		this.storeClient = storeClient;
--- a/src/main/java/org/jaywood/weights/Swarm.java
+++ b/src/main/java/org/jaywood/weights/Swarm.java
@@ -23,6 +23,8 @@
 
 	private final String storeRegion;
 
+	private final WeightMode mode;
+
 	private final Function<String, List<VmRecord>> members;
 
 	private final Map<Address, Long> suspectedNanos = new ConcurrentHashMap<>();
@@ -30,6 +32,7 @@
 	Swarm(WeightSettings settings, Function<String, List<VmRecord>> members) {
 		this.self = settings.self();
 		this.storeRegion = settings.storeRegion();
+		this.mode = settings.mode();
 		this.members = members;
 	}
 
@@ -88,20 +91,21 @@
 		boolean listed = this.members.apply(manifest).stream().anyMatch((vm) -> vm.vm().equals(this.self.vm()));
 		List<VmRecord> all = new ArrayList<>(others);
 		all.add(this.self);
-		return new View(this.self, others, listed, new DistributionTree(all, this.storeRegion),
+		return new View(this.mode, this.self, others, listed, new DistributionTree(all, this.storeRegion),
 				new DistributionTree(others, this.storeRegion));
 	}
 
 	/**
 	 * A tree at one time.
 	 *
+	 * @param mode how weights spread
 	 * @param self this VM
 	 * @param others the other VMs
 	 * @param listed whether the platform's list shows this VM
 	 * @param tree tree with this VM
 	 * @param treeOfOthers tree without this VM
 	 */
-	record View(VmRecord self, List<VmRecord> others, boolean listed, DistributionTree tree,
+	record View(WeightMode mode, VmRecord self, List<VmRecord> others, boolean listed, DistributionTree tree,
 			DistributionTree treeOfOthers) {
 
 		/**
@@ -109,15 +113,23 @@
 		 * the root, or each new VM of a burst would load from the store.
 		 */
 		Optional<VmRecord> parent(String chunk) {
-			Optional<VmRecord> parent = this.tree.parent(chunk, this.self);
+			if (this.mode == WeightMode.STORE) {
+				return Optional.empty();
+			}
+			String key = treeKey(chunk);
+			Optional<VmRecord> parent = this.tree.parent(key, this.self);
 			if (parent.isPresent() || this.listed) {
 				return parent;
 			}
-			return this.others.stream().filter((vm) -> this.treeOfOthers.parent(chunk, vm).isEmpty()).findFirst();
+			return this.others.stream().filter((vm) -> this.treeOfOthers.parent(key, vm).isEmpty()).findFirst();
 		}
 
 		List<VmRecord> children(String chunk) {
-			return this.tree.children(chunk, this.self);
+			return (this.mode == WeightMode.STORE) ? List.of() : this.tree.children(treeKey(chunk), this.self);
+		}
+
+		private String treeKey(String chunk) {
+			return (this.mode == WeightMode.PLAIN) ? "" : chunk;
 		}
 
 	}
--- a/src/main/java/org/jaywood/weights/WantedChunks.java
+++ b/src/main/java/org/jaywood/weights/WantedChunks.java
@@ -26,12 +26,15 @@
 
 	private final VmRecord self;
 
+	private final WeightMode mode;
+
 	private final Map<String, Entry> entries = new LinkedHashMap<>();
 
 	private long storeNotBeforeNanos;
 
-	WantedChunks(VmRecord self, long nowNanos) {
+	WantedChunks(VmRecord self, WeightMode mode, long nowNanos) {
 		this.self = self;
+		this.mode = mode;
 		this.storeNotBeforeNanos = nowNanos;
 	}
 
@@ -104,7 +107,8 @@
 		if (ready.isEmpty()) {
 			return Optional.empty();
 		}
-		Map.Entry<String, Entry> chosen = ready.get(ThreadLocalRandom.current().nextInt(ready.size()));
+		Map.Entry<String, Entry> chosen = ready
+			.get((this.mode == WeightMode.PLAIN) ? 0 : ThreadLocalRandom.current().nextInt(ready.size()));
 		Entry entry = chosen.getValue();
 		entry.running = true;
 		return Optional.of(new Download(chosen.getKey(), entry.manifest, entry.bytes, nearest(entry)));
--- a/src/main/java/org/jaywood/weights/WeightSettings.java
+++ b/src/main/java/org/jaywood/weights/WeightSettings.java
@@ -12,9 +12,10 @@
  * @param stagingBytes bound of the staging area
  * @param regionLinkBytesPerSecond rate that all weight traffic from one region to another
  * may take together
+ * @param mode how weights spread
  */
 public record WeightSettings(VmRecord self, Address storeAddress, String storeRegion, long stagingBytes,
-		long regionLinkBytesPerSecond) {
+		long regionLinkBytesPerSecond, WeightMode mode) {
 
 	/** Default bound of the staging area. */
 	public static final long DEFAULT_STAGING_BYTES = 64L * 1024 * 1024;
--- a/src/test/java/org/jaywood/weights/WantedChunksTests.java
+++ b/src/test/java/org/jaywood/weights/WantedChunksTests.java
@@ -28,7 +28,7 @@
 
 	private final String chunk = this.manifest.chunks().getFirst();
 
-	private final WantedChunks wanted = new WantedChunks(this.self, System.nanoTime());
+	private final WantedChunks wanted = new WantedChunks(this.self, WeightMode.TREE, System.nanoTime());
 
 	@Test
 	void waitsForAnOffer() throws InterruptedException {
