--- a/src/main/java/org/jaywood/peer/VmStatus.java
+++ b/src/main/java/org/jaywood/peer/VmStatus.java
@@ -47,19 +47,19 @@
 		if (state.path("leaving").asBoolean() || entry.state() == VmState.LEAVING) {
 			return "draining";
 		}
-		String told = state.path("upstreamState").asText();
-		return told.isEmpty() ? "unknown" : told;
+		String reported = state.path("upstreamState").asText();
+		return reported.isEmpty() ? "unknown" : reported;
 	}
 
 	private static String behindReason(JsonNode state, long generation, long wanted) {
-		String told = state.path("behindReason").asText();
+		String reported = state.path("behindReason").asText();
 		if (state.path("peer").path("isolated").asBoolean()) {
 			return "no contact to platform or peers";
 		}
 		if (generation < wanted) {
-			return "generation " + generation + " in force" + (told.isEmpty() ? "" : "; " + told);
+			return "generation " + generation + " in force" + (reported.isEmpty() ? "" : "; " + reported);
 		}
-		return told;
+		return reported;
 	}
 
 	public boolean behind() {
