Let the cold start test wait for the end of a killed engine

Cause: ProcessFleet.start refuses a name whose process still runs. ColdStartIT killed its engine without waiting for the end; WeightsIT starts a second agent for a VM whose first agent is paused, under the same process name. Both are test set-up, not faults of the agent.

Change: ColdStartIT uses ProcessFleet.kill. Installation.startProcess takes a process name, for a second process beside one of the same VM. ColdStartIT also runs with the platform down.

--- a/src/main/java/org/jaywood/bench/Installation.java
+++ b/src/main/java/org/jaywood/bench/Installation.java
@@ -159,6 +159,14 @@
 	 * Starts (again) the router or agent of a member.
 	 */
 	public void startProcess(Member member) throws IOException {
+		startProcess(member, member.vm());
+	}
+
+	/**
+	 * Starts the router or agent of a member under a process name of its own, beside an
+	 * earlier process of the same VM that still runs.
+	 */
+	public void startProcess(Member member, String processName) throws IOException {
 		List<String> arguments = new ArrayList<>(List.of(member.role(), "--vm", member.vm(), "--region",
 				member.region(), "--data-centre", member.dataCentre(), "--listen", member.listen().toString(),
 				"--advertise", member.advertised().toString(), "--operator", member.operator().toString(), "--platform",
@@ -175,7 +183,7 @@
 			arguments.addAll(List.of("--credential", this.options.credential()));
 		}
 		arguments.addAll(this.options.flagsOf(member.role()));
-		this.fleet.start(member.vm(), arguments.toArray(String[]::new));
+		this.fleet.start(processName, arguments.toArray(String[]::new));
 	}
 
 	/**
--- a/src/test/java/org/jaywood/agent/ColdStartIT.java
+++ b/src/test/java/org/jaywood/agent/ColdStartIT.java
@@ -1,8 +1,8 @@
 package org.jaywood.agent;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.junit.jupiter.api.Test;
@@ -39,7 +39,7 @@
 				SmallInstallation.control(installation, agent, Map.of("newInstance", true));
 				awaitFullLoad(installation, agent);
 				checkRecord(installation, agent, "new instance", load);
-				Objects.requireNonNull(installation.fleet().process(agent.vm() + "-upstream")).destroyForcibly();
+				installation.fleet().kill(Installation.upstreamName(agent));
 				installation.startUpstreamProcess(agent);
 				awaitFullLoad(installation, agent);
 				checkRecord(installation, agent, "restart", load);
@@ -47,6 +47,28 @@
 		}
 	}
 
+	@Test
+	void coldEngineStaysWithinItsLimitWhileThePlatformIsDown() throws Exception {
+		try (Installation installation = SmallInstallation.start()) {
+			Member agent = installation.agentsOf("pool").getFirst();
+			List<TestRouter> routers = List.of(new TestRouter(installation, agent),
+					new TestRouter(installation, agent));
+			try (Load load = new Load(routers, 40, 12)) {
+				awaitFullLoad(installation, agent);
+				installation.client()
+					.post(installation.platform().uri("/control"), Map.of("down", true), Duration.ofSeconds(5));
+				for (int turn = 0; turn < TURNS; turn++) {
+					SmallInstallation.control(installation, agent, Map.of("cold", true));
+					awaitFullLoad(installation, agent);
+				}
+				assertThat(load.cut()).isEqualTo(0);
+				SmallInstallation.control(installation, agent, Map.of("newInstance", true));
+				awaitFullLoad(installation, agent);
+				checkRecord(installation, agent, "platform down", load);
+			}
+		}
+	}
+
 	private static void awaitFullLoad(Installation installation, Member agent) throws InterruptedException {
 		Installation.await("engine is warm under full load", 20_000, () -> {
 			JsonNode status = SmallInstallation.status(installation, agent);
