Require the number and incarnation of each hand-over

Cause: the agent admitted hand-overs without Jaywood-Attempt, which no fence can reach. The comment of RefusalReason said of DUPLICATE that the upstream never saw the call, although an earlier copy of the attempt may run.

Change: a hand-over without a positive Jaywood-Attempt, Jaywood-Expected-Incarnation or the sender's incarnation gets 400. The ledger property test uses provesNotRun.

FencingIT has a new case for the 400; it was not run at the time of this commit.

--- a/src/main/java/org/jaywood/agent/CallHandler.java
+++ b/src/main/java/org/jaywood/agent/CallHandler.java
@@ -86,9 +86,6 @@
 
 	private Admission.Ticket admit(CallRequest request) {
 		this.gate.checkIdentity(request);
-		if (!request.numbered()) {
-			return enter(request);
-		}
 		return this.ledger.handOver(request.router(), request.attempt(), () -> enter(request));
 	}
 
--- a/src/main/java/org/jaywood/agent/CallRequest.java
+++ b/src/main/java/org/jaywood/agent/CallRequest.java
@@ -14,10 +14,9 @@
 /**
  * A hand-over as read from its request.
  *
- * @param router incarnation of the router, empty if the call is not numbered
- * @param attempt number of the hand-over, 0 if the call is not numbered
- * @param expectedIncarnation incarnation of the agent that is meant, empty if not
- * numbered
+ * @param router incarnation of the router
+ * @param attempt number of the hand-over, from 1 on
+ * @param expectedIncarnation incarnation of the agent that is meant
  * @param requestId id of the call
  * @param service service that is meant
  * @param priority 0 (highest) to 9
@@ -43,8 +42,9 @@
 		long attempt = exchange.headerLong(Headers.ATTEMPT, 0);
 		String router = exchange.optionalHeader(Headers.INCARNATION).orElse("");
 		String expected = exchange.optionalHeader(Headers.EXPECTED_INCARNATION).orElse("");
-		if (attempt < 0 || (attempt > 0 && (router.isEmpty() || expected.isEmpty()))) {
-			throw new BadInputException(400, "a numbered hand-over names both incarnations");
+		if (attempt <= 0 || router.isEmpty() || expected.isEmpty()) {
+			throw new BadInputException(400, "a hand-over needs " + Headers.ATTEMPT + ", " + Headers.INCARNATION
+					+ " and " + Headers.EXPECTED_INCARNATION);
 		}
 		return new CallRequest(router, attempt, expected, exchange.optionalHeader(Headers.REQUEST_ID).orElse(""),
 				exchange.optionalHeader(Headers.SERVICE).orElse(""),
@@ -56,10 +56,6 @@
 				exchange.header(Headers.IDEMPOTENCY_KEY), exchange.body(BODY_LIMIT_BYTES));
 	}
 
-	boolean numbered() {
-		return this.attempt > 0;
-	}
-
 	boolean plain() {
 		return this.method != null;
 	}
--- a/src/main/java/org/jaywood/agent/Gate.java
+++ b/src/main/java/org/jaywood/agent/Gate.java
@@ -43,8 +43,7 @@
 		if (!this.service.equals(request.service())) {
 			throw new AdmissionRefusal(RefusalReason.UNKNOWN_SERVICE, 0);
 		}
-		String expected = request.expectedIncarnation();
-		if (!expected.isEmpty() && !expected.equals(this.incarnation)) {
+		if (!request.expectedIncarnation().equals(this.incarnation)) {
 			throw new AdmissionRefusal(RefusalReason.OTHER_INCARNATION, 0);
 		}
 	}
--- a/src/main/java/org/jaywood/agent/PlainRun.java
+++ b/src/main/java/org/jaywood/agent/PlainRun.java
@@ -72,12 +72,9 @@
 		if (body.length > this.settings.plainBodyBytes()) {
 			throw exchange.abort("answer of the service exceeds " + this.settings.plainBodyBytes() + " bytes");
 		}
-		if (request.numbered()) {
-			this.archive.keep(request.router(), request.attempt(), head, body, nowMillis);
-			// A fence can get the answer from here on, even while the router does not
-			// read.
-			this.ledger.end(request.router(), request.attempt());
-		}
+		this.archive.keep(request.router(), request.attempt(), head, body, nowMillis);
+		// A fence can get the answer from here on, even while the router does not read.
+		this.ledger.end(request.router(), request.attempt());
 		relay(exchange, call, head, body, request.deadlineMillis() - nowMillis);
 	}
 
--- a/src/main/java/org/jaywood/wire/Refusal.java
+++ b/src/main/java/org/jaywood/wire/Refusal.java
@@ -1,7 +1,8 @@
 package org.jaywood.wire;
 
 /**
- * Body of an agent's refusal of a call. The upstream never received the call.
+ * Body of an agent's refusal of a hand-over. Whether the upstream can have received the
+ * same attempt earlier is told by {@link RefusalReason#provesNotRun}.
  *
  * @param refusal the reason
  * @param retryAfterMillis time after which a retry may succeed, 0 if unknown
--- a/src/main/java/org/jaywood/wire/RefusalReason.java
+++ b/src/main/java/org/jaywood/wire/RefusalReason.java
@@ -1,7 +1,8 @@
 package org.jaywood.wire;
 
 /**
- * Why an agent refused a call. Each of them means that the upstream never saw the call.
+ * Why an agent refused a hand-over. This hand-over did not reach the upstream. For all
+ * reasons but {@link #DUPLICATE} the attempt never did.
  */
 public enum RefusalReason {
 
@@ -23,7 +24,10 @@
 	/** The upstream does not serve the weights that the call needs. */
 	WRONG_WEIGHTS,
 
-	/** The attempt was admitted before. */
+	/**
+	 * The attempt was admitted before, or its record is too old to tell. The upstream may
+	 * have run it, so only a fence tells its outcome.
+	 */
 	DUPLICATE,
 
 	/** The attempt was voided by a fence. */
@@ -42,6 +46,13 @@
 	DEADLINE,
 
 	/** The upstream belongs to another service. */
-	UNKNOWN_SERVICE
+	UNKNOWN_SERVICE;
+
+	/**
+	 * Whether the upstream certainly never received the attempt.
+	 */
+	public boolean provesNotRun() {
+		return this != DUPLICATE;
+	}
 
 }
--- a/src/test/java/org/jaywood/agent/AttemptLedgerTests.java
+++ b/src/test/java/org/jaywood/agent/AttemptLedgerTests.java
@@ -60,7 +60,7 @@
 			assertThat(notRun).doesNotContain(key);
 		}
 		catch (AdmissionRefusal refusal) {
-			if (refusal.reason() != RefusalReason.DUPLICATE) {
+			if (refusal.reason().provesNotRun()) {
 				assertThat(admitted).doesNotContain(key);
 				notRun.add(key);
 			}
--- a/src/test/java/org/jaywood/agent/FencingIT.java
+++ b/src/test/java/org/jaywood/agent/FencingIT.java
@@ -5,6 +5,8 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 
@@ -73,6 +75,23 @@
 			.doesNotContain("frozen");
 	}
 
+	/**
+	 * Guards against a call that no fence can reach because it carries no number.
+	 */
+	@Test
+	void handOverWithoutNumberOrIncarnationIsNotAdmitted() throws Exception {
+		TestRouter router = new TestRouter(this.installation, this.agent);
+		for (Map<String, String> headers : List.of(Map.of(Headers.ATTEMPT, "0"), Map.of(Headers.ATTEMPT, "-1"),
+				Map.of(Headers.EXPECTED_INCARNATION, ""), Map.of(Headers.INCARNATION, ""))) {
+			Map<String, String> all = new HashMap<>(POST);
+			all.putAll(headers);
+			Handed handed = router.handOver(router.nextAttempt(), "unnumbered", new byte[2], all);
+			assertThat(Objects.requireNonNull(handed.reply()).statusCode()).isEqualTo(400);
+		}
+		assertThat(SmallInstallation.record(this.installation, this.agent).path("runs").toString())
+			.doesNotContain("unnumbered");
+	}
+
 	@Test
 	void finishedAnswerIsGivenToFence() throws Exception {
 		TestRouter router = new TestRouter(this.installation, this.agent);
