Wait out earlier orders before opening beside an engine without fencing

Cause: an agent that finds its engine on the wanted weights opened admission without a lease. An engine that ignores fencing numbers could then still take an order of the agent's predecessor and load under open admission.

Change: beside such an engine an agent opens only after it took the lease and quietInMillis is over; the status is read after that. WeightsIT judges the surge limit by the load intervals of the engines and by the slot object, waits for the delayed order instead of 200 ms, requires answers in each test, and gains a corrupt peer with the store down, the VM with most chunks killed during a change of version, and the object API down for 10 s. The old check allowed two closed agents for its reading skew; the intervals have none.

Not run: oldOrderIsWaitedOutForAnEngineThatIgnoresFencing, the mutations, and the gap test without the change.

--- a/src/main/java/org/jaywood/agent/Activation.java
+++ b/src/main/java/org/jaywood/agent/Activation.java
@@ -155,9 +155,15 @@
 		if (!mayServe()) {
 			return POLL_MILLIS;
 		}
+		// Before the status, so that an order that arrives between the two is seen in it.
+		boolean quiet = earlierOrdersVoid();
 		EngineStatus status = this.engine.status();
 		String wanted = spec.weightsDigest();
 		if (status.weights().equals(wanted) && !status.loading()) {
+			if (!this.open && !quiet && !status.checksFencing()) {
+				awaitQuiet(wanted);
+				return POLL_MILLIS;
+			}
 			serve(status, manifests, wanted);
 			return status.cold() ? POLL_MILLIS : SETTLED_POLL_MILLIS;
 		}
@@ -170,6 +176,25 @@
 		return activate(spec, wanted);
 	}
 
+	/**
+	 * Whether no order under an earlier number can reach the engine any more.
+	 */
+	private boolean earlierOrdersVoid() {
+		return this.lease.incarnation() > 0 && this.lease.quietInMillis(System.nanoTime()) == 0;
+	}
+
+	/**
+	 * Ends the lease of an earlier agent and keeps admission closed. An engine that
+	 * ignores fencing numbers may still take an order of that agent and would load under
+	 * open admission, although it serves the wanted set now.
+	 */
+	private void awaitQuiet(String wanted) {
+		this.state = this.state.wanting("verified", "waits until earlier orders are void", wanted);
+		if (this.lease.incarnation() == 0) {
+			renewLease();
+		}
+	}
+
 	/**
 	 * Keeps admission open for the set served before, as long as the engine reports it.
 	 */
--- a/src/main/java/org/jaywood/standin/EngineWeights.java
+++ b/src/main/java/org/jaywood/standin/EngineWeights.java
@@ -7,7 +7,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -36,6 +38,10 @@
 
 	private final AtomicLong loads = new AtomicLong();
 
+	private final List<Load> finishedLoads = new CopyOnWriteArrayList<>();
+
+	private final AtomicInteger delayedOrders = new AtomicInteger();
+
 	private final AtomicLong refusedOrders = new AtomicLong();
 
 	private final WireClient client;
@@ -98,7 +104,8 @@
 	 */
 	Map<String, Object> record() {
 		return Map.of("impureTokens", this.impureTokens.get(), "loads", this.loads.get(), "refusedOrders",
-				this.refusedOrders.get());
+				this.refusedOrders.get(), "delayedOrders", this.delayedOrders.get(), "finishedLoads",
+				this.finishedLoads);
 	}
 
 	private void control(Exchange exchange) throws IOException {
@@ -111,7 +118,7 @@
 
 	private void order(Exchange exchange, EngineStandin engine) throws IOException, InterruptedException {
 		JsonNode order = exchange.json(JsonNode.class, ORDER_LIMIT_BYTES);
-		TimeUnit.MILLISECONDS.sleep(this.orderDelayMillis);
+		delay();
 		if (!take(order.path("fencing").asLong())) {
 			this.refusedOrders.incrementAndGet();
 			exchange.respondError(409, "fencing number is old");
@@ -125,6 +132,16 @@
 		}
 	}
 
+	private void delay() throws InterruptedException {
+		this.delayedOrders.incrementAndGet();
+		try {
+			TimeUnit.MILLISECONDS.sleep(this.orderDelayMillis);
+		}
+		finally {
+			this.delayedOrders.decrementAndGet();
+		}
+	}
+
 	private synchronized boolean take(long number) {
 		if (this.checksFencing && number < this.fencing) {
 			return false;
@@ -134,6 +151,7 @@
 	}
 
 	private synchronized boolean load(JsonNode order) throws InterruptedException {
+		long startedMillis = System.currentTimeMillis();
 		this.loads.incrementAndGet();
 		this.loading = true;
 		this.pure = false;
@@ -154,6 +172,7 @@
 		}
 		finally {
 			this.loading = false;
+			this.finishedLoads.add(new Load(startedMillis, System.currentTimeMillis()));
 		}
 	}
 
@@ -177,6 +196,15 @@
 		return reply.body();
 	}
 
+	/**
+	 * Time in which the engine loaded.
+	 *
+	 * @param startedMillis time of the start
+	 * @param endedMillis time of the end
+	 */
+	private record Load(long startedMillis, long endedMillis) {
+	}
+
 	/**
 	 * Weights in the memory of the engine. The bytes themselves are not kept, since
 	 * hundreds of stand-ins share a machine; their digests stand for them.
--- a/src/main/java/org/jaywood/standin/StoreStandin.java
+++ b/src/main/java/org/jaywood/standin/StoreStandin.java
@@ -40,7 +40,7 @@
 
 	private final HttpPort port;
 
-	private volatile Faults faults = new Faults(0, 0, 0, 0);
+	private volatile Faults faults = new Faults(0, 0, 0, 0, false);
 
 	private long linkFreeNanos = System.nanoTime();
 
@@ -50,7 +50,7 @@
 
 	public StoreStandin(Address address, EventLog log) {
 		this.port = HttpPort.open(address, log)
-			.route("GET", "/manifests/", (exchange) -> send(exchange, this.manifests.get(exchange.lastSegment())))
+			.route("GET", "/manifests/", this::sendManifest)
 			.route("GET", "/chunks/", this::sendChunk)
 			.route("POST", "/control/weights", this::addWeights)
 			.route("POST", "/control", this::control)
@@ -101,11 +101,24 @@
 		this.faults = new Faults(request.path("corruptEach").asInt(now.corruptEach()),
 				request.path("stallMillis").asLong(now.stallMillis()),
 				request.path("requestsPerSecond").asLong(now.requestsPerSecond()),
-				request.path("bytesPerSecond").asLong(now.bytesPerSecond()));
+				request.path("bytesPerSecond").asLong(now.bytesPerSecond()),
+				request.path("down").asBoolean(now.down()));
 		exchange.respondJson(200, Map.of());
 	}
 
+	private void sendManifest(Exchange exchange) throws IOException, InterruptedException {
+		cutIfDown(exchange);
+		send(exchange, this.manifests.get(exchange.lastSegment()));
+	}
+
+	private void cutIfDown(Exchange exchange) {
+		if (this.faults.down()) {
+			throw exchange.abort("store is down");
+		}
+	}
+
 	private void sendChunk(Exchange exchange) throws IOException, InterruptedException {
+		cutIfDown(exchange);
 		Faults now = this.faults;
 		if (!withinRate(now.requestsPerSecond(), System.nanoTime())) {
 			this.refused.incrementAndGet();
@@ -179,8 +192,10 @@
 	 * @param stallMillis time before a chunk is sent
 	 * @param requestsPerSecond chunk requests answered, others are refused with 429
 	 * @param bytesPerSecond rate of the link of the origin
+	 * @param down whether requests for manifests and chunks are cut
 	 */
-	private record Faults(int corruptEach, long stallMillis, long requestsPerSecond, long bytesPerSecond) {
+	private record Faults(int corruptEach, long stallMillis, long requestsPerSecond, long bytesPerSecond,
+			boolean down) {
 	}
 
 }
--- a/src/test/java/org/jaywood/weights/WeightsIT.java
+++ b/src/test/java/org/jaywood/weights/WeightsIT.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -12,13 +13,16 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 import org.jaywood.bench.Installation;
 import org.jaywood.bench.Installation.Member;
 import org.jaywood.bench.Profile;
+import org.jaywood.config.ServiceLimits;
 import org.jaywood.event.EventLog;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Digests;
@@ -43,12 +47,16 @@
 	private static final Profile PROFILE = new Profile("weights", Profile.KITAMORI.sites(),
 			List.of(Profile.KITAMORI.services().getFirst()), Profile.KITAMORI.links());
 
+	private static final int SURGE = ServiceLimits.DEFAULT.surge();
+
 	private static final AtomicInteger VERSIONS = new AtomicInteger();
 
 	private static Installation installation;
 
 	private static Requests requests;
 
+	private int answeredBefore;
+
 	@BeforeAll
 	static void start() throws Exception {
 		installation = Installation.start(PROFILE, 1);
@@ -56,6 +64,16 @@
 		requests = new Requests();
 	}
 
+	@BeforeEach
+	void countAnswers() {
+		this.answeredBefore = requests.answered();
+	}
+
+	@AfterEach
+	void requestsWentOn() {
+		assertThat(requests.answered()).isGreaterThan(this.answeredBefore);
+	}
+
 	@AfterAll
 	static void stop() throws Exception {
 		requests.close();
@@ -65,27 +83,50 @@
 
 	@Test
 	void loadsFewCopiesFromTheOriginAndClosesOneUpstreamAtATime() throws Exception {
+		long sinceMillis = System.currentTimeMillis();
 		long before = json(installation.store(), "/record").path("sentBytes").asLong();
 		String digest = apply();
-		List<Integer> closed = new ArrayList<>();
+		List<Integer> slots = new ArrayList<>();
 		Installation.await("all engines serve", 60_000, () -> {
-			List<JsonNode> states = new ArrayList<>();
+			slots.add(json(installation.platform(), "/objects/activation/pool").path("slots").size());
 			for (Member agent : installation.agents()) {
-				states.add(installation.state(agent));
+				if (!installation.state(agent).path("servedWeights").asText().equals(digest)) {
+					return false;
+				}
 			}
-			closed.add((int) states.stream().filter((state) -> state.path("servedWeights").asText().isEmpty()).count());
-			return states.stream().allMatch((state) -> state.path("servedWeights").asText().equals(digest));
+			return true;
 		});
 		double copies = (json(installation.store(), "/record").path("sentBytes").asLong() - before)
 				/ (double) TOTAL_BYTES;
 		System.out.println("origin copies without faults " + copies);
 		assertThat(copies).isAtMost(1.3);
-		// The states are read one after the other, so two adjacent holders of the one
-		// slot may both be seen closed.
-		assertThat(closed.stream().mapToInt(Integer::intValue).max().orElse(0)).isAtMost(2);
+		assertThat(slots).contains(SURGE);
+		assertThat(slots.stream().mapToInt(Integer::intValue).max().orElse(0)).isEqualTo(SURGE);
+		assertThat(mostLoadsAtOnce(sinceMillis)).isEqualTo(SURGE);
 		assertNoImpureTokens();
 	}
 
+	/**
+	 * Highest number of engines that loaded at the same time, by their own records.
+	 */
+	private static long mostLoadsAtOnce(long sinceMillis) throws Exception {
+		List<JsonNode> loads = new ArrayList<>();
+		for (Member agent : installation.agents()) {
+			json(agent.upstream(), "/record").path("finishedLoads")
+				.valueStream()
+				.filter((load) -> load.path("startedMillis").asLong() >= sinceMillis)
+				.forEach(loads::add);
+		}
+		assertThat(loads.size()).isAtLeast(installation.agents().size());
+		return loads.stream().mapToLong((load) -> {
+			long atMillis = load.path("startedMillis").asLong();
+			return loads.stream()
+				.filter((other) -> other.path("startedMillis").asLong() <= atMillis
+						&& (other == load || atMillis < other.path("endedMillis").asLong()))
+				.count();
+		}).max().orElse(0);
+	}
+
 	private static String add() throws Exception {
 		return installation.addWeights("v" + VERSIONS.incrementAndGet(), TOTAL_BYTES, CHUNK_BYTES);
 	}
@@ -96,6 +137,10 @@
 		return Digests.ofSet(List.of(manifest));
 	}
 
+	private static void applyAgain(String manifest) {
+		installation.apply(installation.deployment("v", manifest));
+	}
+
 	private static void applyAndAwait() throws Exception {
 		installation.awaitServing(apply(), 60_000);
 	}
@@ -184,6 +229,94 @@
 
 	}
 
+	@Nested
+	class TwoFaults {
+
+		/**
+		 * A VM that missed the new version has only its peers to fetch from, and one of
+		 * them sends wrong bytes.
+		 */
+		@Test
+		void corruptPeerWhileTheStoreIsDown() throws Exception {
+			Member late = installation.agents().getFirst();
+			installation.fleet().kill(late.vm());
+			String digest = apply();
+			for (Member agent : installation.agents().subList(1, installation.agents().size())) {
+				awaitServing(agent, digest);
+			}
+			control(installation.store(), "/control", Map.of("down", true));
+			try (RoguePeer rogue = new RoguePeer(false)) {
+				installation.startProcess(late);
+				awaitServing(late, digest);
+				System.out.println("requests to the corrupt peer while the store was down: " + rogue.chunkRequests());
+				assertThat(rogue.chunkRequests()).isGreaterThan(0);
+			}
+			finally {
+				control(installation.store(), "/control", Map.of("down", false));
+			}
+			assertNoImpureTokens();
+		}
+
+		@Test
+		void vmHoldingMostChunksIsKilledWhileTheVersionChanges() throws Exception {
+			control(installation.store(), "/control", Map.of("bytesPerSecond", 500_000));
+			String first = apply();
+			Member killed = holderOfMost(first);
+			String last = apply();
+			installation.fleet().kill(killed.vm());
+			for (Member agent : installation.agents()) {
+				if (agent != killed) {
+					awaitServing(agent, last);
+				}
+			}
+			control(installation.store(), "/control", Map.of("bytesPerSecond", 0));
+			installation.startProcess(killed);
+			installation.awaitServing(last, 60_000);
+			assertNoImpureTokens();
+		}
+
+		private static Member holderOfMost(String digest) throws Exception {
+			Map<Integer, Member> holders = new TreeMap<>();
+			Installation.await("a VM holds a part of the chunks", 60_000, () -> {
+				holders.clear();
+				for (Member agent : installation.agents()) {
+					JsonNode state = installation.state(agent);
+					if (state.path("wantedWeights").asText().equals(digest)) {
+						holders.put(state.path("chunksVerified").asInt(), agent);
+					}
+				}
+				return holders.keySet().stream().anyMatch((count) -> count >= 8);
+			});
+			return holders.values().stream().reduce((fewer, more) -> more).orElseThrow();
+		}
+
+		@Test
+		void objectApiIsDownForTenSecondsDuringActivation() throws Exception {
+			String digest = apply();
+			Installation.await("an engine has been loaded", 60_000, () -> serving(digest) > 0);
+			int before = serving(digest);
+			control(installation.platform(), "/control", Map.of("down", true));
+			int answered = requests.answered();
+			TimeUnit.SECONDS.sleep(10);
+			System.out.println("engines with the new weights: " + before + " before the outage, " + serving(digest)
+					+ " at its end; answers meanwhile: " + (requests.answered() - answered));
+			assertThat(requests.answered()).isGreaterThan(answered);
+			assertThat(serving(digest)).isLessThan(installation.agents().size());
+			control(installation.platform(), "/control", Map.of("down", false));
+			installation.awaitServing(digest, 90_000);
+			assertNoImpureTokens();
+		}
+
+		private static int serving(String digest) throws Exception {
+			int count = 0;
+			for (Member agent : installation.agents()) {
+				count += installation.state(agent).path("servedWeights").asText().equals(digest) ? 1 : 0;
+			}
+			return count;
+		}
+
+	}
+
 	@Nested
 	class Versions {
 
@@ -220,45 +353,61 @@
 
 		@Test
 		void oldOrderIsRefusedByAnEngineThatChecksFencing() throws Exception {
-			pauseDuringOrder(true, installation.agents().get(1));
+			pauseDuringOrder(true, 15_000, add(), installation.agents().get(1));
 		}
 
 		@Test
 		void oldOrderIsWaitedOutForAnEngineThatIgnoresFencing() throws Exception {
-			pauseDuringOrder(false, installation.agents().get(2));
+			pauseDuringOrder(false, 5_000, add(), installation.agents().get(2));
+		}
+
+		/**
+		 * Guards against an agent that opens admission at once because the engine serves
+		 * the wanted set, while an order of its predecessor for another set is on the
+		 * way.
+		 */
+		@Test
+		void agentThatFindsTheWantedSetWaitsOutAnOldOrder() throws Exception {
+			String manifest = add();
+			applyAgain(manifest);
+			installation.awaitServing(Digests.ofSet(List.of(manifest)), 60_000);
+			pauseDuringOrder(false, 20_000, manifest, installation.agents().get(3));
 		}
 
 		/**
 		 * Pauses an agent whose order is on the way to its engine, lets a second agent
-		 * take over with a later version and wakes the first.
+		 * take over with another manifest and wakes the first.
 		 */
-		private void pauseDuringOrder(boolean checksFencing, Member agent) throws Exception {
+		private void pauseDuringOrder(boolean checksFencing, long orderDelayMillis, String manifest, Member agent)
+				throws Exception {
 			control(agent.upstream(), "/control/weights",
-					Map.of("checksFencing", checksFencing, "orderDelayMillis", 5_000));
+					Map.of("checksFencing", checksFencing, "orderDelayMillis", orderDelayMillis));
 			apply();
-			awaitState(agent, "activating");
-			TimeUnit.MILLISECONDS.sleep(200);
-			Process paused = installation.fleet().process(agent.vm());
-			signal(paused, "STOP");
+			awaitDelayedOrder(agent);
+			installation.fleet().pause(agent.vm());
 			control(agent.upstream(), "/control/weights", Map.of("orderDelayMillis", 0));
-			String digest = apply();
+			applyAgain(manifest);
+			String digest = Digests.ofSet(List.of(manifest));
 			Member second = replacement(agent);
+			String secondName = agent.vm() + "-second";
 			try {
-				installation.startProcess(second);
+				installation.startProcess(second, secondName);
 				installation.register(second, "LIVE");
 				awaitServing(second, digest);
-				signal(paused, "CONT");
+				awaitNoDelayedOrder(agent);
+				installation.fleet().resume(agent.vm());
 				awaitState(agent, "out");
 				Installation.await("the first agent knows that it is superseded", 60_000,
 						() -> installation.state(agent).path("behindReason").asText().contains("another agent"));
+				awaitServing(second, digest);
 				assertThat(json(agent.upstream(), "/status").path("weights").asText()).isEqualTo(digest);
 				assertThat(json(agent.upstream(), "/record").path("refusedOrders").asLong())
 					.isEqualTo(checksFencing ? 1 : 0);
 				assertNoImpureTokens();
 			}
 			finally {
-				installation.fleet().process(second.vm()).destroyForcibly().waitFor();
-				paused.destroyForcibly().waitFor();
+				installation.fleet().kill(secondName);
+				installation.fleet().kill(agent.vm());
 				installation.startProcess(agent);
 				installation.register(agent, "LIVE");
 				control(agent.upstream(), "/control/weights", Map.of("checksFencing", true));
@@ -275,9 +424,14 @@
 					new Address(other, agent.operator().port()), agent.caller(), agent.upstream());
 		}
 
-		private static void signal(Process process, String name) throws Exception {
-			assertThat(new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor())
-				.isEqualTo(0);
+		private static void awaitDelayedOrder(Member agent) throws InterruptedException {
+			Installation.await("an order waits at the engine of " + agent.vm(), 60_000,
+					() -> json(agent.upstream(), "/record").path("delayedOrders").asInt() == 1);
+		}
+
+		private static void awaitNoDelayedOrder(Member agent) throws InterruptedException {
+			Installation.await("no order waits at the engine of " + agent.vm(), 60_000,
+					() -> json(agent.upstream(), "/record").path("delayedOrders").asInt(-1) == 0);
 		}
 
 	}
