Take holders in other regions from a survey only for own chunks

Cause: the answer of a parent in another region lists all its chunks. A VM that asked for one chunk took the parent as holder of all of them and loaded over the region link what a neighbour was about to have. Change: answers from other regions count only for chunks that this VM receives from there, unless it starves.

--- a/src/main/java/org/jaywood/weights/HolderSurvey.java
+++ b/src/main/java/org/jaywood/weights/HolderSurvey.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 import org.jaywood.platform.VmRecord;
 import org.jaywood.weights.ChunkClient.Fetched;
@@ -40,6 +41,9 @@
 
 	private final WireClient peerClient;
 
+	/** Whether chunks are missing and none arrived for a long time. */
+	private boolean starving;
+
 	private long lastNanos = System.nanoTime() - INTERVAL_NANOS;
 
 	HolderSurvey(Swarm swarm, WantedChunks wanted, StagingArea staging, ChunkClient client, WireClient peerClient) {
@@ -69,7 +73,8 @@
 			this.wanted.allowStore(chunk, parent.isEmpty());
 			parent.ifPresent((vm) -> questions.put(vm, manifest));
 		});
-		if (!missing.isEmpty() && nowNanos - progressNanos > NO_PROGRESS_NANOS) {
+		this.starving = !missing.isEmpty() && nowNanos - progressNanos > NO_PROGRESS_NANOS;
+		if (this.starving) {
 			missing.keySet().stream().findAny().ifPresent((chunk) -> this.wanted.allowStore(chunk, true));
 			views.forEach((manifest, view) -> view.others().forEach((vm) -> questions.put(vm, manifest)));
 		}
@@ -85,7 +90,7 @@
 			Fetched fetched = this.client.get(this.peerClient, vm.address().uri("/v1/chunks/held/" + manifest),
 					ANSWER_LIMIT_BYTES, ChunkClient.PEER_HEADERS);
 			if (fetched.status() == 200) {
-				note(Json.read(fetched.body(), ChunkOffer.class), vm);
+				noteAnswer(Json.read(fetched.body(), ChunkOffer.class), vm);
 			}
 		}
 		catch (IOException ex) {
@@ -93,15 +98,34 @@
 		}
 	}
 
+	/**
+	 * Notes what a VM of another region holds only as far as it feeds this VM, or each VM
+	 * that asks would load over the region link what a neighbour is about to have.
+	 */
+	private void noteAnswer(ChunkOffer answer, VmRecord holder) {
+		if (this.starving || holder.region().equals(this.swarm.self().region())) {
+			note(answer, holder);
+			return;
+		}
+		Swarm.View view = this.swarm.view(answer.manifest(), System.nanoTime());
+		note(answer, holder, (chunk) -> view.parent(chunk).filter(holder::equals).isPresent());
+	}
+
 	/**
 	 * Notes what a VM holds; indexes outside the manifest are ignored.
 	 */
 	void note(ChunkOffer offer, VmRecord holder) {
+		note(offer, holder, (chunk) -> true);
+	}
+
+	private void note(ChunkOffer offer, VmRecord holder, Predicate<String> accepted) {
 		this.staging.manifest(offer.manifest())
 			.ifPresent((manifest) -> offer.chunks()
 				.stream()
 				.filter((index) -> index >= 0 && index < manifest.chunks().size())
-				.forEach((index) -> this.wanted.offer(manifest.chunks().get(index), holder)));
+				.map((index) -> manifest.chunks().get(index))
+				.filter(accepted)
+				.forEach((chunk) -> this.wanted.offer(chunk, holder)));
 	}
 
 }
