Wake download slots at the retry time of a refused chunk

Cause: a slot without work slept 100 ms, although a refused chunk may be asked for again after 20 ms. Change: a slot sleeps at most until the next retry time.

--- a/src/main/java/org/jaywood/weights/WantedChunks.java
+++ b/src/main/java/org/jaywood/weights/WantedChunks.java
@@ -24,6 +24,8 @@
 
 	private static final int MAX_HOLDERS = 4;
 
+	private static final long MIN_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+
 	private final VmRecord self;
 
 	private final WeightMode mode;
@@ -89,12 +91,24 @@
 	synchronized Optional<Download> take(long waitMillis) throws InterruptedException {
 		Optional<Download> found = find(System.nanoTime());
 		if (found.isEmpty()) {
-			TimeUnit.MILLISECONDS.timedWait(this, waitMillis);
+			TimeUnit.NANOSECONDS.timedWait(this, waitNanos(waitMillis, System.nanoTime()));
 			found = find(System.nanoTime());
 		}
 		return found;
 	}
 
+	/**
+	 * Time until a refused chunk may be asked for again, at most the given wait. A
+	 * download slot that slept longer would leave the link idle.
+	 */
+	private long waitNanos(long waitMillis, long nowNanos) {
+		return this.entries.values()
+			.stream()
+			.filter((entry) -> !entry.running && !entry.holders.isEmpty())
+			.mapToLong((entry) -> Math.max(MIN_WAIT_NANOS, entry.notBeforeNanos - nowNanos))
+			.reduce(TimeUnit.MILLISECONDS.toNanos(waitMillis), Math::min);
+	}
+
 	/**
 	 * Chooses at random, so that VMs of a data centre do not all ask for the same chunks.
 	 */
--- a/src/test/java/org/jaywood/weights/DistributionTreeTests.java
+++ b/src/test/java/org/jaywood/weights/DistributionTreeTests.java
@@ -74,12 +74,15 @@
 		vms.forEach((vm) -> tree.children(chunk, vm)
 			.stream()
 			.filter((child) -> !child.region().equals(vm.region()))
-			.forEach((child) -> assertThat(tree.sender(chunk, vm.region(), child.region()))
-				.isEqualTo(Optional.of(vm))));
+			.forEach(
+					(child) -> assertThat(tree.sender(chunk, vm.region(), child.region())).isEqualTo(Optional.of(vm))));
 		long senders = vms.stream()
 			.map(VmRecord::region)
 			.distinct()
-			.flatMap((from) -> vms.stream().map(VmRecord::region).distinct().flatMap((to) -> tree.sender(chunk, from, to).stream()))
+			.flatMap((from) -> vms.stream()
+				.map(VmRecord::region)
+				.distinct()
+				.flatMap((to) -> tree.sender(chunk, from, to).stream()))
 			.count();
 		assertThat(senders).isEqualTo(Math.min(count, regions) - 1);
 	}
--- a/src/test/java/org/jaywood/weights/WantedChunksTests.java
+++ b/src/test/java/org/jaywood/weights/WantedChunksTests.java
@@ -67,6 +67,20 @@
 		assertThat(this.wanted.take(1)).isEqualTo(Optional.empty());
 	}
 
+	/**
+	 * Guards against download slots that sleep although a refused chunk may be asked for
+	 * again.
+	 */
+	@Test
+	void handsOutARefusedChunkAtItsRetryTime() throws InterruptedException {
+		add();
+		this.wanted.offer(this.chunk, this.near);
+		long startNanos = System.nanoTime();
+		this.wanted.retry(take(), startNanos + 20_000_000);
+		assertThat(this.wanted.take(30_000).isPresent()).isTrue();
+		assertThat(System.nanoTime() - startNanos).isLessThan(10_000_000_000L);
+	}
+
 	@Test
 	void obeysTheRetryTimeOfTheStore() throws InterruptedException {
 		add();
