Keep finished answers by recency instead of by frequency

Cause: on a stream of ten workspaces with repeats mostly within seconds, the cache of Caffeine (W-TinyLFU) knew half of the repeated keys: a key that was seen once loses against older ones.

Change: AnswerCache gives up the least recently used claim within 8 MB.

--- a/src/main/java/org/jaywood/router/ClaimRegistry.java
+++ b/src/main/java/org/jaywood/router/ClaimRegistry.java
@@ -6,8 +6,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
 
-import com.github.benmanes.caffeine.cache.Cache;
-import com.github.benmanes.caffeine.cache.Caffeine;
 import com.github.f4b6a3.uuid.util.UuidUtil;
 
 import org.jaywood.platform.ObjectStore;
@@ -27,8 +25,6 @@
 
 	private static final long CACHE_BYTES = 8 * 1024 * 1024;
 
-	private static final int ENTRY_BYTES = 512;
-
 	private final ClaimStore store;
 
 	private final HandOvers handOvers;
@@ -37,11 +33,7 @@
 
 	private final Set<ClaimName> running = ConcurrentHashMap.newKeySet();
 
-	private final Cache<ClaimName, Claim> finished = Caffeine.newBuilder()
-		.maximumWeight(CACHE_BYTES)
-		.weigher((ClaimName name, Claim claim) -> ENTRY_BYTES + ((claim.body() != null) ? claim.body().length : 0))
-		.expireAfterWrite(RETENTION)
-		.build();
+	private final AnswerCache finished = new AnswerCache(CACHE_BYTES);
 
 	ClaimRegistry(ObjectStore objects, HandOvers handOvers, LongSupplier clock) {
 		this.store = new ClaimStore(objects);
@@ -60,7 +52,7 @@
 	CallResult run(Call call, String key, AnswerSink sink, long wallMillis) throws InterruptedException {
 		ClaimName name = ClaimName.of(call, parse(key, wallMillis));
 		KeyedCall keyed = new KeyedCall(this.store, this.handOvers, this.clock, call, name, sink);
-		Claim known = this.finished.getIfPresent(name);
+		Claim known = this.finished.get(name);
 		if (known != null) {
 			return keyed.replay(known);
 		}
