--- a/src/main/java/org/jaywood/router/ClaimRegistry.java
+++ b/src/main/java/org/jaywood/router/ClaimRegistry.java
@@ -6,13 +6,10 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
 
-import com.github.benmanes.caffeine.cache.Cache;
-import com.github.benmanes.caffeine.cache.Caffeine;
 import com.github.f4b6a3.uuid.util.UuidUtil;
 
 import org.jaywood.platform.ObjectStore;
 import org.jaywood.wire.BadInputException;
-import org.jaywood.wire.Digests;
 
 /**
  * Runs calls with an idempotency key at most once, whichever routers the caller repeats
@@ -28,21 +25,15 @@
 
 	private static final long CACHE_BYTES = 8 * 1024 * 1024;
 
-	private static final int ENTRY_BYTES = 512;
-
 	private final ClaimStore store;
 
 	private final HandOvers handOvers;
 
 	private final LongSupplier clock;
 
-	private final Set<String> running = ConcurrentHashMap.newKeySet();
+	private final Set<ClaimName> running = ConcurrentHashMap.newKeySet();
 
-	private final Cache<String, Claim> finished = Caffeine.newBuilder()
-		.maximumWeight(CACHE_BYTES)
-		.weigher((String name, Claim claim) -> ENTRY_BYTES + ((claim.body() != null) ? claim.body().length : 0))
-		.expireAfterWrite(RETENTION)
-		.build();
+	private final AnswerCache finished = new AnswerCache(CACHE_BYTES);
 
 	ClaimRegistry(ObjectStore objects, HandOvers handOvers, LongSupplier clock) {
 		this.store = new ClaimStore(objects);
@@ -59,9 +50,9 @@
 	 * @throws BadInputException if the key is not a UUIDv7 of the retention time
 	 */
 	CallResult run(Call call, String key, AnswerSink sink, long wallMillis) throws InterruptedException {
-		String name = call.service() + "." + Digests.sha256(call.workspace() + "\n" + parse(key, wallMillis));
+		ClaimName name = ClaimName.of(call, parse(key, wallMillis));
 		KeyedCall keyed = new KeyedCall(this.store, this.handOvers, this.clock, call, name, sink);
-		Claim known = this.finished.getIfPresent(name);
+		Claim known = this.finished.get(name);
 		if (known != null) {
 			return keyed.replay(known);
 		}
