Set the log manager before its class is initialized

Cause: calling a method of the log manager initializes LogManager, which reads the property before it is set, so events 1003 and 1002 were still missing. Change: the entry class sets the property by name. Before: a router that gets SIGTERM logs 1001 only; after: 1001, 1003, 1002, exit status 0 (one router and one platform stand-in, started by hand). DaemonIT is not run yet.

--- a/src/main/java/org/jaywood/cli/Jaywood.java
+++ b/src/main/java/org/jaywood/cli/Jaywood.java
@@ -57,7 +57,8 @@
 	}
 
 	public static void main(String[] args) {
-		DrainLogManager.install();
+		// A call of the class would initialize its superclass, which reads the property.
+		System.setProperty("java.util.logging.manager", DrainLogManager.class.getName());
 		LineFormatter.install(Level.INFO);
 		System.exit(new Jaywood(System.getenv()).run(args));
 	}
--- a/src/main/java/org/jaywood/event/DrainLogManager.java
+++ b/src/main/java/org/jaywood/event/DrainLogManager.java
@@ -10,17 +10,8 @@
  */
 public final class DrainLogManager extends LogManager {
 
-	private static final String PROPERTY = "java.util.logging.manager";
-
 	private volatile boolean held;
 
-	/**
-	 * Makes this the log manager of the process. It must run before anything is logged.
-	 */
-	public static void install() {
-		System.setProperty(PROPERTY, DrainLogManager.class.getName());
-	}
-
 	/**
 	 * Keeps the handlers from here on.
 	 */
