Open the caller port only after the configuration is known

Jetty's server starts and accepts as soon as HttpServer.setExecutor is called, not at start(); a trial showed started=false after bind and createContext, true after setExecutor. Ruled out: the order in Router.start and the wait for peers, which took the generation 0.2 s later.

Change: HttpPort sets the executor in start(). CallerPortTests fails without it.

--- a/src/main/java/org/jaywood/wire/HttpPort.java
+++ b/src/main/java/org/jaywood/wire/HttpPort.java
@@ -57,7 +57,6 @@
 		this.interceptor = interceptor;
 		this.abort = abort;
 		server.createContext("/", this::dispatch);
-		server.setExecutor(this.executor);
 	}
 
 	/**
@@ -111,6 +110,8 @@
 	}
 
 	public HttpPort start() {
+		// Jetty's server starts and accepts as soon as it gets its executor.
+		this.server.setExecutor(this.executor);
 		this.server.start();
 		return this;
 	}
