--- a/src/main/java/org/jaywood/bench/BurstExperiment.java
+++ b/src/main/java/org/jaywood/bench/BurstExperiment.java
@@ -1,8 +1,6 @@
 package org.jaywood.bench;
 
 import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.StandardOpenOption;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -255,14 +253,10 @@
 	}
 
 	private static void report(ExperimentOptions options, Map<String, Object> result) throws IOException {
-		String line = Json.text(result);
-		System.out.println(line);
+		ResultLine.write(result, options.output());
 		List.of("mode", "fault", "replicas", "verifiedReplicas", "medianVerifiedSeconds", "verifiedSeconds",
 				"servingSeconds", "lowerBoundSeconds", "ratio", "originCopies", "agentCores", "networkCores")
 			.forEach((field) -> System.out.printf("%-22s %s%n", field, result.get(field)));
-		if (options.output() != null) {
-			Files.writeString(options.output(), line + "\n", StandardOpenOption.CREATE, StandardOpenOption.APPEND);
-		}
 	}
 
 	private static double seconds(long startNanos) {
--- a/src/main/java/org/jaywood/bench/DataCentreExperiment.java
+++ b/src/main/java/org/jaywood/bench/DataCentreExperiment.java
@@ -1,8 +1,6 @@
 package org.jaywood.bench;
 
 import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.StandardOpenOption;
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -70,12 +68,8 @@
 			line.put("fault", fault.text());
 			line.put("seed", options.seed());
 			line.putAll(result.toMap());
-			String json = Json.text(line);
-			System.out.println(json);
+			ResultLine.write(line, options.output());
 			System.out.print(result.table());
-			if (options.output() != null) {
-				Files.writeString(options.output(), json + "\n", StandardOpenOption.CREATE, StandardOpenOption.APPEND);
-			}
 			return (result.lost() == 0) ? 0 : 1;
 		}
 	}
--- a/src/main/java/org/jaywood/bench/RoutingExperiment.java
+++ b/src/main/java/org/jaywood/bench/RoutingExperiment.java
@@ -1,8 +1,6 @@
 package org.jaywood.bench;
 
 import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -17,7 +15,6 @@
 import org.jaywood.bench.RoutingCells.Cell;
 import org.jaywood.bench.Slope.Point;
 import org.jaywood.wire.Digests;
-import org.jaywood.wire.Json;
 
 /**
  * Measures what router and agent cost for each request and each token, the latency that
@@ -93,12 +90,8 @@
 		result.put("cells", Stream.concat(byRate.stream(), byTokens.stream()).map(Cell::toMap).toList());
 		putSlopes(result, "router", Cell::routerCpu, byRate, byTokens);
 		putSlopes(result, "agent", Cell::agentCpu, byRate, byTokens);
-		String line = Json.text(result);
-		System.out.println(line);
+		ResultLine.write(result, options.output());
 		print(result, byRate, byTokens);
-		if (options.output() != null) {
-			Files.writeString(options.output(), line + "\n", StandardOpenOption.CREATE, StandardOpenOption.APPEND);
-		}
 		return 0;
 	}
 
--- a/src/main/java/org/jaywood/bench/SlowReadersExperiment.java
+++ b/src/main/java/org/jaywood/bench/SlowReadersExperiment.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardOpenOption;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -70,12 +69,8 @@
 		List<SlowReader> readers = new ArrayList<>();
 		try (Installation installation = Installation.start(installationOptions)) {
 			Map<String, Object> result = measure(installation, options, readers);
-			String line = Json.text(result);
-			System.out.println(line);
+			ResultLine.write(result, options.output());
 			result.forEach((name, value) -> System.out.printf(Locale.ROOT, "%-24s %s%n", name, value));
-			if (options.output() != null) {
-				Files.writeString(options.output(), line + "\n", StandardOpenOption.CREATE, StandardOpenOption.APPEND);
-			}
 			return Integer.valueOf(0).equals(result.get("truncated")) ? 0 : 1;
 		}
 		finally {
