Treat SIGTERM during the start as a planned stop

Cause: DaemonIT, run for the first time, saw exit status 143: the operator port answers before the start has taken the configuration, and the handler of SIGTERM was installed only after the start, up to 6 s later during an outage.

Change: Daemon installs the handler first and then starts; a failed start still exits with 1.

--- a/src/main/java/org/jaywood/cli/AgentCommand.java
+++ b/src/main/java/org/jaywood/cli/AgentCommand.java
@@ -82,8 +82,7 @@
 				this.store, this.storeRegion, Credential.parse(this.node.credential), this.node.drainMillis,
 				this.stagingBytes, this.regionLinkBytesPerSecond, this.leaseMillis, this.weightMode);
 		Agent agent = new Agent(settings, callSettings(), new EventLog(this.node.vm));
-		agent.start();
-		return Daemon.runUntilTerminated(agent::drain);
+		return Daemon.run(agent::start, agent::drain);
 	}
 
 	private CallSettings callSettings() {
--- a/src/main/java/org/jaywood/cli/Daemon.java
+++ b/src/main/java/org/jaywood/cli/Daemon.java
@@ -1,6 +1,7 @@
 package org.jaywood.cli;
 
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
  * Keeps a process running until SIGTERM and then drains it. The exit status is 0 when
@@ -11,24 +12,42 @@
 	private Daemon() {
 	}
 
-	static int runUntilTerminated(Drain drain) throws InterruptedException {
-		CountDownLatch stopped = new CountDownLatch(1);
+	/**
+	 * Starts a process and keeps it running. SIGTERM is a planned stop also while it
+	 * starts, which may take seconds during an outage of the platform.
+	 * @param start opens the ports
+	 * @param drain finishes the work
+	 * @return never normally; the status is set when the process has drained
+	 */
+	static int run(Runnable start, Drain drain) throws InterruptedException {
+		AtomicBoolean failed = new AtomicBoolean();
 		Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-			int status = 0;
-			try {
-				drain.drain(System.currentTimeMillis());
-			}
-			catch (Exception ex) {
-				status = 1;
+			if (!failed.get()) {
+				// The default status after SIGTERM is 143; a planned stop ends with 0.
+				Runtime.getRuntime().halt(status(drain));
 			}
-			stopped.countDown();
-			// The default status after SIGTERM is 143; a planned stop ends with 0.
-			Runtime.getRuntime().halt(status);
 		}, "drain"));
-		stopped.await();
+		try {
+			start.run();
+		}
+		catch (RuntimeException ex) {
+			failed.set(true);
+			throw ex;
+		}
+		new CountDownLatch(1).await();
 		return 0;
 	}
 
+	private static int status(Drain drain) {
+		try {
+			drain.drain(System.currentTimeMillis());
+			return 0;
+		}
+		catch (Exception ex) {
+			return 1;
+		}
+	}
+
 	/**
 	 * Finishes the work of a process.
 	 */
--- a/src/main/java/org/jaywood/cli/RouterCommand.java
+++ b/src/main/java/org/jaywood/cli/RouterCommand.java
@@ -35,8 +35,7 @@
 				this.node.listen, this.node.advertised(), this.node.operator, this.node.platform,
 				Credential.parse(this.node.credential), this.node.drainMillis);
 		Router router = new Router(settings, new EventLog(this.node.vm));
-		router.start();
-		return Daemon.runUntilTerminated(router::drain);
+		return Daemon.run(router::start, router::drain);
 	}
 
 }
--- a/src/main/java/org/jaywood/cli/StandinCommand.java
+++ b/src/main/java/org/jaywood/cli/StandinCommand.java
@@ -65,8 +65,8 @@
 			default -> throw new ParameterException(
 					"stand-in '" + name + "' is not allowed: expected platform, store, engine, service or network");
 		};
-		log.log(Event.STANDIN_STARTED, "kind", name, "address", this.listen);
-		return Daemon.runUntilTerminated((nowMillis) -> standin.close());
+		return Daemon.run(() -> log.log(Event.STANDIN_STARTED, "kind", name, "address", this.listen),
+				(nowMillis) -> standin.close());
 	}
 
 }
