Ask an engine for as many tokens as the router has credit for

Cause: each call reserved engine memory for its whole answer (2,048 bytes a token) and kept its place while it waited for credit: 0.5 s for the stall, then up to 0.25 s until a status showed that the engine had noticed the closed connection.

Change: an answer is asked of the engine in segments that fit the credit at hand (16 to 256 tokens); memory is reserved for the present segment only. A stream that waits for credit holds neither place nor memory. A stream that comes back goes before new calls, and while it waits for room the agent sends an empty line every 2 s, so that the router's 10 s silence rule does not cut it. A call whose whole answer exceeds the engine's memory is still refused at once. Admission gets drain(): no new calls, but admitted ones may come back.

--- a/src/main/java/org/jaywood/agent/Admission.java
+++ b/src/main/java/org/jaywood/agent/Admission.java
@@ -23,8 +23,13 @@
 
 	private boolean open;
 
+	private boolean draining;
+
 	private boolean leaving;
 
+	/** Calls that gave up their place and wait to come back. */
+	private int resuming;
+
 	private boolean engineClear;
 
 	private int inFlight;
@@ -45,44 +50,65 @@
 	/**
 	 * Admits a call or refuses it.
 	 * @param requiredWeights digest of the weights that must serve it, empty for any
-	 * @param bytes memory that it may hold at the upstream
+	 * @param bytes memory that it may hold at the upstream until it asks again
+	 * @param mostBytes memory that it may hold at the upstream in the end
 	 * @throws AdmissionRefusal with the reason
 	 */
-	synchronized Ticket admit(String requiredWeights, long bytes) {
+	synchronized Ticket admit(String requiredWeights, long bytes, long mostBytes) {
 		if (this.leaving) {
 			throw new AdmissionRefusal(RefusalReason.DRAINING, 0);
 		}
-		return enter(requiredWeights, bytes);
+		if (!this.open || !this.engineClear) {
+			throw new AdmissionRefusal(RefusalReason.NOT_READY, NOT_READY_RETRY_MILLIS);
+		}
+		// Would break later, when its own tokens fill the upstream's memory.
+		if (mostBytes > this.limitBytes) {
+			throw new AdmissionRefusal(RefusalReason.MEMORY_FULL, FULL_RETRY_MILLIS);
+		}
+		return enter(requiredWeights, bytes, this.resuming);
 	}
 
 	/**
 	 * Lets a call in again that was admitted before and gave up its place. Unlike a new
-	 * call it may enter while the agent is leaving.
+	 * call it may enter while the agent is leaving or draining, and new calls leave it
+	 * room: under a steady load of new calls it would otherwise find no place before its
+	 * deadline, and its answer would be cut.
 	 */
 	synchronized Ticket readmit(String requiredWeights, long bytes, long timeoutMillis) throws InterruptedException {
 		long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
-		while (true) {
-			try {
-				return enter(requiredWeights, bytes);
-			}
-			catch (AdmissionRefusal refusal) {
-				long leftMillis = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
-				if (leftMillis <= 0 || refusal.reason() == RefusalReason.WRONG_WEIGHTS) {
-					throw refusal;
+		this.resuming++;
+		try {
+			while (true) {
+				try {
+					return reenter(requiredWeights, bytes);
+				}
+				catch (AdmissionRefusal refusal) {
+					long leftMillis = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
+					if (leftMillis <= 0 || refusal.reason() == RefusalReason.WRONG_WEIGHTS) {
+						throw refusal;
+					}
+					wait(leftMillis);
 				}
-				wait(leftMillis);
 			}
 		}
+		finally {
+			this.resuming--;
+		}
 	}
 
-	private Ticket enter(String requiredWeights, long bytes) {
-		if (!this.open || !this.engineClear) {
+	private Ticket reenter(String requiredWeights, long bytes) {
+		if (!(this.open || this.draining) || !this.engineClear) {
 			throw new AdmissionRefusal(RefusalReason.NOT_READY, NOT_READY_RETRY_MILLIS);
 		}
+		return enter(requiredWeights, bytes, 0);
+	}
+
+	private Ticket enter(String requiredWeights, long bytes, int reserved) {
 		if (!requiredWeights.isEmpty() && !requiredWeights.equals(this.weights)) {
 			throw new AdmissionRefusal(RefusalReason.WRONG_WEIGHTS, 0);
 		}
-		if (this.inFlight + this.lingering >= this.limit.limit() || this.unconfirmed >= this.limit.unconfirmedLimit()) {
+		if (this.inFlight + this.lingering + reserved >= this.limit.limit()
+				|| this.unconfirmed >= this.limit.unconfirmedLimit()) {
 			throw this.limit.cold() ? new AdmissionRefusal(RefusalReason.COLD_FULL, COLD_RETRY_MILLIS)
 					: new AdmissionRefusal(RefusalReason.FULL, FULL_RETRY_MILLIS);
 		}
@@ -142,14 +168,25 @@
 	public synchronized void open() {
 		this.weightsReportDue |= !this.open;
 		this.open = true;
+		this.draining = false;
 		notifyAll();
 	}
 
 	/**
-	 * Refuses all new calls until {@link #open}.
+	 * Refuses all new calls until {@link #open}. Calls admitted before may give up their
+	 * place and come back, so that a planned load cuts none of them.
+	 */
+	public synchronized void drain() {
+		this.open = false;
+		this.draining = true;
+	}
+
+	/**
+	 * Refuses all calls until {@link #open}.
 	 */
 	public synchronized void close() {
 		this.open = false;
+		this.draining = false;
 	}
 
 	/**
@@ -168,6 +205,10 @@
 		return this.inFlight;
 	}
 
+	synchronized int resuming() {
+		return this.resuming;
+	}
+
 	synchronized int lingering() {
 		return this.lingering;
 	}
--- a/src/main/java/org/jaywood/agent/CallHandler.java
+++ b/src/main/java/org/jaywood/agent/CallHandler.java
@@ -91,7 +91,11 @@
 
 	private Admission.Ticket enter(CallRequest request) {
 		this.gate.check(request, this.clock.getAsLong());
-		return this.admission.admit(request.requiredWeights(), request.heldBytes(this.model.settings().tokenBytes()));
+		long tokenBytes = this.model.settings().tokenBytes();
+		int maxTokens = request.plain() ? 0 : request.maxTokens();
+		return this.admission.admit(request.requiredWeights(),
+				request.heldBytes(TokenSegment.firstEnd(request.resumeFrom(), maxTokens), tokenBytes),
+				request.heldBytes(maxTokens, tokenBytes));
 	}
 
 	private void run(Exchange exchange, RunningCall call, Admission.Ticket ticket)
--- a/src/main/java/org/jaywood/agent/CallRequest.java
+++ b/src/main/java/org/jaywood/agent/CallRequest.java
@@ -1,6 +1,7 @@
 package org.jaywood.agent;
 
 import java.io.IOException;
+import java.util.Map;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -36,6 +37,8 @@
 
 	private static final int DEFAULT_TOKENS = 16;
 
+	private static final int LOWEST_PRIORITY = 9;
+
 	private static final long DEFAULT_MILLIS = 60_000;
 
 	static CallRequest read(Exchange exchange, long nowMillis) throws IOException {
@@ -48,7 +51,7 @@
 		}
 		return new CallRequest(router, attempt, expected, exchange.optionalHeader(Headers.REQUEST_ID).orElse(""),
 				exchange.optionalHeader(Headers.SERVICE).orElse(""),
-				(int) Math.clamp(exchange.headerLong(Headers.PRIORITY, 5), 0, 9),
+				(int) Math.clamp(exchange.headerLong(Headers.PRIORITY, 5), 0, LOWEST_PRIORITY),
 				nowMillis + Math.clamp(exchange.headerLong(Headers.REMAINING_MILLIS, DEFAULT_MILLIS), 0, 86_400_000),
 				exchange.optionalHeader(Headers.WEIGHTS).orElse(""),
 				(int) Math.clamp(exchange.headerLong(Headers.RESUME_FROM, 0), 0, Integer.MAX_VALUE),
@@ -56,32 +59,50 @@
 				exchange.header(Headers.IDEMPOTENCY_KEY), exchange.body(BODY_LIMIT_BYTES));
 	}
 
+	/**
+	 * Request for one token that warms an engine.
+	 */
+	static CallRequest warmUp(String requestId, String weights, long deadlineMillis) {
+		byte[] body = Json.bytes(Map.of("prompt", "warm-up", "max_tokens", 1));
+		return new CallRequest("warm-up", 0, "", requestId, "", LOWEST_PRIORITY, deadlineMillis, weights, 0, null, "/",
+				null, body);
+	}
+
 	boolean plain() {
 		return this.method != null;
 	}
 
 	/**
-	 * Request to the engine from a token on.
+	 * Request to the engine for a part of the answer.
+	 * @param from index of the first token
+	 * @param to index after the last token
 	 */
-	ObjectNode engineRequest(int from) {
+	ObjectNode engineRequest(int from, int to) {
 		JsonNode call = Json.tree(this.body);
 		if (!(call instanceof ObjectNode request)) {
 			throw new BadInputException(400, "body of a model call is not a JSON object");
 		}
-		return request.put("request_id", this.requestId).put("priority", this.priority).put("resume_from", from);
+		return request.put("request_id", this.requestId)
+			.put("priority", this.priority)
+			.put("resume_from", from)
+			.put("max_tokens", to);
 	}
 
 	/**
-	 * Upper bound of the upstream's memory that this call takes.
-	 * @param tokenBytes memory of one token to be generated
+	 * Tokens of the whole answer at most.
 	 */
-	long heldBytes(long tokenBytes) {
-		if (plain()) {
-			return this.body.length;
-		}
-		JsonNode call = Json.tree(this.body);
-		long tokens = Math.max(0, call.path("max_tokens").asInt(DEFAULT_TOKENS));
-		return this.body.length + tokens * tokenBytes;
+	int maxTokens() {
+		return Math.max(0, Json.tree(this.body).path("max_tokens").asInt(DEFAULT_TOKENS));
+	}
+
+	/**
+	 * Upper bound of the upstream's memory that this call takes until a token of its
+	 * answer.
+	 * @param to index after the last token
+	 * @param tokenBytes memory of one token
+	 */
+	long heldBytes(int to, long tokenBytes) {
+		return this.body.length + (plain() ? 0 : to * tokenBytes);
 	}
 
 }
--- a/src/main/java/org/jaywood/agent/ModelRun.java
+++ b/src/main/java/org/jaywood/agent/ModelRun.java
@@ -24,14 +24,19 @@
 import org.jaywood.wire.WireException;
 
 /**
- * Streams one call of an engine to its router. Each index must follow the one before. A
- * router that grants no credit for a while makes the call give up its place at the
- * engine; it is resumed from the next token once credit returns. The end marker is sent
- * only after the engine's own; anything else aborts the connection. Its count is that of
- * the whole answer, its digest covers the texts of this stream.
+ * Streams one call of an engine to its router, in segments that the router's credit
+ * covers. Each index must follow the one before. A router that grants no credit makes the
+ * call give up its place at the engine; it is resumed from the next token once credit
+ * returns. The end marker is sent only after the engine's own; anything else aborts the
+ * connection. Its count is that of the whole answer, its digest covers the texts of this
+ * stream.
  */
 final class ModelRun {
 
+	private static final long KEEP_ALIVE_MILLIS = 2_000;
+
+	private static final byte[] NOTHING = {};
+
 	private final ModelContext context;
 
 	private final Exchange exchange;
@@ -42,6 +47,8 @@
 
 	private final MessageDigest digest = Digests.newSha256();
 
+	private final TokenSegment segment;
+
 	private int nextIndex;
 
 	private String weights = "";
@@ -54,6 +61,7 @@
 		this.call = call;
 		this.request = call.request();
 		this.nextIndex = this.request.resumeFrom();
+		this.segment = new TokenSegment(this.nextIndex, this.request.maxTokens());
 	}
 
 	/**
@@ -68,32 +76,64 @@
 			if (pending == null) {
 				return;
 			}
-			this.context.metrics().suspended();
-			OutgoingStream stream = stream();
-			if (!stream.awaitCredit(pending.length, leftMillis())) {
-				throw new IOException("no credit before the deadline");
+			awaitCredit(pending.length + this.segment.neededBytes());
+			if (pending.length > 0) {
+				stream().send(pending);
 			}
-			stream.send(pending);
+			this.segment.next(this.nextIndex, stream().creditBytes());
 			place = resume();
 		}
 	}
 
+	private void awaitCredit(int bytes) throws IOException, InterruptedException {
+		if (stream().awaitCredit(bytes, 0)) {
+			return;
+		}
+		this.context.metrics().suspended();
+		if (!stream().awaitCredit(bytes, leftMillis())) {
+			throw new IOException("no credit before the deadline");
+		}
+		this.context.metrics().resumed();
+	}
+
+	/**
+	 * Waits for a place at the engine: until the deadline for room, for a shorter time
+	 * while the engine does not serve, since the router may find another that does.
+	 */
 	private Admission.Ticket resume() throws IOException, InterruptedException {
-		try {
-			Admission.Ticket place = this.context.admission()
-				.readmit(this.weights, this.request.heldBytes(this.context.settings().tokenBytes()),
-						Math.min(leftMillis(), this.context.settings().resumeWaitMillis()));
-			this.context.metrics().resumed();
-			return place;
+		long bytes = this.request.heldBytes(this.segment.end(), this.context.settings().tokenBytes());
+		long waitedMillis = 0;
+		while (true) {
+			long turnMillis = Math.min(leftMillis(), KEEP_ALIVE_MILLIS);
+			try {
+				return this.context.admission().readmit(this.weights, bytes, turnMillis);
+			}
+			catch (AdmissionRefusal refusal) {
+				waitedMillis += KEEP_ALIVE_MILLIS;
+				boolean serving = refusal.reason() != RefusalReason.NOT_READY
+						|| waitedMillis < this.context.settings().resumeWaitMillis();
+				if (leftMillis() <= 0 || !serving || refusal.reason() == RefusalReason.WRONG_WEIGHTS) {
+					throw new IOException("cannot resume at the engine: " + refusal.reason(), refusal);
+				}
+				keepAlive();
+			}
 		}
-		catch (AdmissionRefusal refusal) {
-			throw new IOException("cannot resume at the engine: " + refusal.reason(), refusal);
+	}
+
+	/**
+	 * Sends an empty line, which the router skips. It takes a stream that is silent for
+	 * 10 s for broken.
+	 */
+	private void keepAlive() throws IOException, InterruptedException {
+		if (stream().awaitCredit(1, 0)) {
+			stream().send(new byte[] { '\n' });
 		}
 	}
 
 	/**
-	 * Runs the call at the engine until its end or a stall.
-	 * @return null at the end, otherwise the line that waits for credit
+	 * Runs a segment of the call at the engine until its end or a stall.
+	 * @return null at the end of the answer, otherwise the line that waits for credit,
+	 * empty for none
 	 */
 	private byte @Nullable [] runOnce(Admission.Ticket place) throws IOException, InterruptedException {
 		try {
@@ -115,7 +155,8 @@
 		HttpRequest engineRequest = this.context.client()
 			.request(this.context.engine().uri("/v1/completions"), Duration.ofMillis(Math.max(1, leftMillis())))
 			.setHeader("Content-Type", "application/json")
-			.POST(BodyPublishers.ofByteArray(Json.bytes(this.request.engineRequest(this.nextIndex))))
+			.POST(BodyPublishers
+				.ofByteArray(Json.bytes(this.request.engineRequest(this.nextIndex, this.segment.end()))))
 			.build();
 		try {
 			return this.context.client().stream(engineRequest);
@@ -173,14 +214,14 @@
 			if (token.path("end").asBoolean()) {
 				double millis = (System.nanoTime() - startNanos) / 1e6;
 				place.completed(millis / Math.max(1, this.nextIndex - startIndex));
-				finish(token.path("count").asInt());
-				return null;
+				return end(token.path("count").asInt());
 			}
 			byte[] line = OutgoingStream.encode(next(token));
 			if (!stream().awaitCredit(line.length, this.context.settings().stallMillis())) {
 				return line;
 			}
 			stream().send(line);
+			this.segment.sent(line.length);
 		}
 	}
 
@@ -215,12 +256,16 @@
 		return Frame.token(index, text);
 	}
 
-	private void finish(int engineCount) throws IOException, InterruptedException {
+	private byte @Nullable [] end(int engineCount) throws IOException, InterruptedException {
 		if (engineCount != this.nextIndex) {
 			throw new IOException("engine counts " + engineCount + " tokens, " + this.nextIndex + " arrived");
 		}
+		if (this.segment.endsWithin(engineCount)) {
+			return NOTHING;
+		}
 		send(Frame.end(this.nextIndex, Digests.hex(this.digest.digest())));
 		stream().finish();
+		return null;
 	}
 
 	private void send(Frame frame) throws IOException, InterruptedException {
--- a/src/main/java/org/jaywood/agent/OutgoingStream.java
+++ b/src/main/java/org/jaywood/agent/OutgoingStream.java
@@ -75,6 +75,13 @@
 		return true;
 	}
 
+	/**
+	 * Bytes that may be sent without a further grant.
+	 */
+	synchronized long creditBytes() {
+		return this.grantedBytes - this.sentBytes;
+	}
+
 	/**
 	 * Sends a line for which there is credit.
 	 */
--- a/src/main/java/org/jaywood/router/FrameReader.java
+++ b/src/main/java/org/jaywood/router/FrameReader.java
@@ -43,7 +43,7 @@
 	}
 
 	/**
-	 * Reads the next frame.
+	 * Reads the next frame. Empty lines, which keep a waiting stream alive, are skipped.
 	 * @return the frame, or null at the end of the stream
 	 * @throws IOException if the stream breaks, within a frame included
 	 */
@@ -66,7 +66,9 @@
 			}
 			if (this.position < this.limit) {
 				this.position++;
-				return parse(line.toByteArray());
+				if (line.size() > 0) {
+					return parse(line.toByteArray());
+				}
 			}
 		}
 	}
--- a/src/test/java/org/jaywood/agent/AdmissionTests.java
+++ b/src/test/java/org/jaywood/agent/AdmissionTests.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -29,7 +31,7 @@
 	}
 
 	private RefusalReason refusal(String weights, long bytes) {
-		return Failures.thrownBy(AdmissionRefusal.class, () -> this.admission.admit(weights, bytes)).reason();
+		return Failures.thrownBy(AdmissionRefusal.class, () -> this.admission.admit(weights, bytes, bytes)).reason();
 	}
 
 	@Nested
@@ -42,7 +44,7 @@
 			status("a", "warm", 3);
 			assertThat(refusal("", 1)).isEqualTo(RefusalReason.NOT_READY);
 			status("a", "warm", 0);
-			assertThat(AdmissionTests.this.admission.admit("", 1)).isNotNull();
+			assertThat(AdmissionTests.this.admission.admit("", 1, 1)).isNotNull();
 		}
 
 	}
@@ -62,7 +64,7 @@
 		private List<Admission.Ticket> fill(int count) {
 			List<Admission.Ticket> tickets = new ArrayList<>();
 			for (int i = 0; i < count; i++) {
-				Admission.Ticket ticket = this.admission.admit("w", 1);
+				Admission.Ticket ticket = this.admission.admit("w", 1, 1);
 				ticket.head("a", true, "w");
 				tickets.add(ticket);
 			}
@@ -71,7 +73,7 @@
 
 		private void rise() {
 			for (int i = 0; i < 20; i++) {
-				Admission.Ticket ticket = this.admission.admit("", 1);
+				Admission.Ticket ticket = this.admission.admit("", 1, 1);
 				ticket.head("a", true, "w");
 				ticket.completed(5);
 			}
@@ -91,8 +93,8 @@
 		void sendsNoMoreThanColdLimitWithoutHeads() {
 			rise();
 			fill(3);
-			this.admission.admit("", 1);
-			this.admission.admit("", 1);
+			this.admission.admit("", 1, 1);
+			this.admission.admit("", 1, 1);
 			assertThat(refusal("", 1)).isEqualTo(RefusalReason.FULL);
 		}
 
@@ -100,12 +102,12 @@
 		void callsInFlightCountAgainstColdLimitAfterReset() {
 			rise();
 			List<Admission.Ticket> old = fill(6);
-			Admission.Ticket cold = this.admission.admit("", 1);
+			Admission.Ticket cold = this.admission.admit("", 1, 1);
 			assertThat(cold.head("a", false, "w")).isTrue();
 			assertThat(refusal("", 1)).isEqualTo(RefusalReason.COLD_FULL);
 			old.forEach((ticket) -> ticket.completed(5));
 			assertThat(this.admission.load().limit()).isEqualTo(COLD_LIMIT);
-			assertThat(this.admission.admit("", 1)).isNotNull();
+			assertThat(this.admission.admit("", 1, 1)).isNotNull();
 			assertThat(refusal("", 1)).isEqualTo(RefusalReason.COLD_FULL);
 		}
 
@@ -117,7 +119,45 @@
 			status("a", "warm", COLD_LIMIT);
 			assertThat(refusal("", 1)).isEqualTo(RefusalReason.FULL);
 			status("a", "warm", COLD_LIMIT - 1);
-			assertThat(this.admission.admit("", 1)).isNotNull();
+			assertThat(this.admission.admit("", 1, 1)).isNotNull();
+		}
+
+		@Test
+		void refusesACallThatOutgrowsTheMemoryOfTheEngine() {
+			assertThat(Failures.thrownBy(AdmissionRefusal.class, () -> this.admission.admit("", 1, MEMORY_BYTES + 1))
+				.reason()).isEqualTo(RefusalReason.MEMORY_FULL);
+		}
+
+		@Test
+		void drainingLetsAdmittedCallsComeBackButNoNewOnes() throws Exception {
+			this.admission.drain();
+			assertThat(refusal("", 1)).isEqualTo(RefusalReason.NOT_READY);
+			assertThat(this.admission.readmit("w", 1, 0)).isNotNull();
+			this.admission.close();
+			assertThat(Failures.thrownBy(AdmissionRefusal.class, () -> this.admission.readmit("w", 1, 0)).reason())
+				.isEqualTo(RefusalReason.NOT_READY);
+		}
+
+		@Test
+		void newCallsLeaveRoomForOneThatComesBack() throws Exception {
+			List<Admission.Ticket> tickets = fill(COLD_LIMIT);
+			CompletableFuture<Admission.Ticket> resumed = new CompletableFuture<>();
+			Thread.startVirtualThread(() -> {
+				try {
+					resumed.complete(this.admission.readmit("w", 1, 10_000));
+				}
+				catch (InterruptedException | RuntimeException ex) {
+					resumed.completeExceptionally(ex);
+				}
+			});
+			while (this.admission.resuming() == 0) {
+				Thread.onSpinWait();
+			}
+			synchronized (this.admission) {
+				tickets.getFirst().completed(5);
+				assertThat(refusal("", 1)).isEqualTo(RefusalReason.FULL);
+			}
+			assertThat(resumed.get(10, TimeUnit.SECONDS)).isNotNull();
 		}
 
 		@Test
--- /dev/null
+++ b/src/test/java/org/jaywood/agent/TokenSegmentTests.java
@@ -0,0 +1,62 @@
+package org.jaywood.agent;
+
+import com.google.common.collect.Range;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.wire.CreditGrant;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against segments that ask an engine for more than the router has credit for,
+ * that end an answer early or that never reach its end.
+ */
+class TokenSegmentTests {
+
+	@Test
+	void firstSegmentFitsTheInitialCredit() {
+		assertThat(TokenSegment.firstEnd(0, 5_000)).isEqualTo(128);
+		assertThat(TokenSegment.firstEnd(100, 5_000)).isEqualTo(228);
+		assertThat(TokenSegment.firstEnd(0, 5)).isEqualTo(5);
+		assertThat(TokenSegment.firstEnd(Integer.MAX_VALUE, 5)).isEqualTo(5);
+	}
+
+	@Test
+	void segmentFollowsCreditAndFrameSize() {
+		TokenSegment segment = new TokenSegment(0, 5_000);
+		for (int i = 0; i < 200; i++) {
+			segment.sent(32);
+		}
+		segment.next(128, CreditGrant.INITIAL_BYTES / 2);
+		assertThat(segment.end() - 128).isIn(Range.closed(127, 128));
+	}
+
+	@Test
+	void engineThatStopsBeforeTheSegmentEndsTheAnswer() {
+		TokenSegment segment = new TokenSegment(0, 5_000);
+		assertThat(segment.endsWithin(100)).isFalse();
+		assertThat(segment.endsWithin(128)).isTrue();
+		assertThat(new TokenSegment(0, 128).endsWithin(128)).isFalse();
+	}
+
+	@Property(seed = "1")
+	void segmentsReachTheEndOfTheAnswer(@ForAll @IntRange(min = 0, max = 10_000) int maxTokens,
+			@ForAll @IntRange(min = 1, max = 8_192) int frameBytes,
+			@ForAll @IntRange(min = 0, max = 1 << 20) int creditBytes) {
+		TokenSegment segment = new TokenSegment(0, maxTokens);
+		int from = 0;
+		while (segment.endsWithin(segment.end())) {
+			from = segment.end();
+			segment.sent(frameBytes);
+			assertThat(segment.neededBytes()).isAtMost(CreditGrant.INITIAL_BYTES / 2);
+			segment.next(from, creditBytes);
+			assertThat(segment.end()).isGreaterThan(from);
+			assertThat(segment.end()).isAtMost(Math.min(maxTokens, from + 256));
+		}
+		assertThat(segment.end()).isEqualTo(maxTokens);
+	}
+
+}
