Warm an idle cold engine and load it only after its last stream

A cold engine turns warm by the calls that it completes, but the routers send calls to their own data centre first, so four of the six engines got none. Each kept the only activation slot of its service until the limit of 10 s: about 30 s for a rollout on a quiet machine, 47 s beside other work.

Change: the agent sends one-token calls of the lowest priority to a cold engine that has no other calls, through admission, so that the cold limit holds, at most 64 for a cold start and 5 s each. An activation also waits for streams that wait for credit, since their answers need the weights served now; they were cut before.

An engine out of service or of a leaving agent gets no such call and gives its slot back at once.

--- a/src/main/java/org/jaywood/agent/Activation.java
+++ b/src/main/java/org/jaywood/agent/Activation.java
@@ -51,6 +51,10 @@
 
 	private final SlotHolder slot;
 
+	private final RunningCalls calls;
+
+	private final WarmUp warmUp;
+
 	private final Address source;
 
 	private final IntSupplier agentCount;
@@ -77,6 +81,8 @@
 		this.exchange = parts.exchange();
 		this.lease = parts.lease();
 		this.slot = parts.slot();
+		this.calls = parts.calls();
+		this.warmUp = parts.warmUp();
 		this.source = parts.source();
 		this.agentCount = agentCount;
 		this.log = log;
@@ -165,7 +171,11 @@
 				return POLL_MILLIS;
 			}
 			serve(status, manifests, wanted);
-			return status.cold() ? POLL_MILLIS : SETTLED_POLL_MILLIS;
+			if (status.cold()) {
+				return this.warmUp.step(wanted, POLL_MILLIS);
+			}
+			this.warmUp.done();
+			return SETTLED_POLL_MILLIS;
 		}
 		keepServing(status);
 		if (!this.exchange.complete(manifests)) {
@@ -217,7 +227,7 @@
 		this.trustedWeights = wanted;
 		this.state = new ActivationState(status.cold() ? "cold" : "warm", "", wanted, wanted);
 		open();
-		this.slot.settle(!status.cold(), System.nanoTime());
+		this.slot.settle(!status.cold() || this.warmUp.pointless(), System.nanoTime());
 	}
 
 	/**
@@ -244,13 +254,23 @@
 			return POLL_MILLIS;
 		}
 		this.state = this.state.in("activating", "waits for running calls");
-		close();
-		if (!this.admission.awaitIdle(spec.limits().deadlineMillis())) {
+		this.open = false;
+		this.admission.drain();
+		if (!awaitNoCalls(spec.limits().deadlineMillis())) {
 			return POLL_MILLIS;
 		}
+		close();
 		return (wanted.equals(wantedNow()) && renewLease()) ? order(spec, wanted) : 0;
 	}
 
+	/**
+	 * Waits until no admitted call is left, those included that wait for credit without a
+	 * place at the engine: their answers need the weights that are served now.
+	 */
+	private boolean awaitNoCalls(long timeoutMillis) throws InterruptedException {
+		return this.admission.awaitIdle(timeoutMillis) && this.calls.awaitEmpty(timeoutMillis);
+	}
+
 	/**
 	 * Whether the engine is still that of this agent. After an order without a good
 	 * answer another agent may have taken over, and two agents must not both admit calls.
@@ -335,10 +355,12 @@
 	 * @param exchange source of verified weights
 	 * @param lease right to give orders
 	 * @param slot slot of the surge limit
+	 * @param calls admitted calls
+	 * @param warmUp calls to a cold engine
 	 * @param source address from which the engine loads
 	 */
 	record Parts(Admission admission, EngineClient engine, ChunkExchange exchange, EngineLease lease, SlotHolder slot,
-			Address source) {
+			RunningCalls calls, WarmUp warmUp, Address source) {
 	}
 
 }
--- a/src/main/java/org/jaywood/agent/Agent.java
+++ b/src/main/java/org/jaywood/agent/Agent.java
@@ -89,9 +89,11 @@
 		this.exchange.register(this.peer.port(), this.enginePort, settings.upstreamAddress().host());
 		this.slot = new SlotHolder(new ActivationSlots(this.peer.platform(), settings.service(), identity.incarnation(),
 				settings.leaseMillis()), settings.leaseMillis() / 3, log);
-		this.activation = activation(identity, engine);
+		ModelContext model = modelContext(upstream);
+		Gate gate = gate(identity.incarnation());
+		this.activation = activation(identity, engine, new WarmUp(model, this.calls, gate));
 		this.monitor = new EngineMonitor(engine, this.admission, this.activation::observe, log);
-		registerHandlers(upstream);
+		registerHandlers(upstream, model, gate);
 		AgentDump dump = new AgentDump(this.peer, this.admission, this.calls, this.ledger, this.archive,
 				this.activation, this.exchange);
 		this.peer.operatorPort(settings.operatorAddress())
@@ -99,20 +101,26 @@
 		this.peer.configuration().onChange(this::configurationChanged);
 	}
 
-	private void registerHandlers(WireClient upstream) {
-		String incarnation = this.peer.identity().incarnation();
-		AgentMetrics metrics = new AgentMetrics(this.admission, this.peer.metrics());
-		Gate gate = new Gate(incarnation, this.settings, this.peer.configuration(),
+	private ModelContext modelContext(WireClient upstream) {
+		return new ModelContext(this.callSettings, this.settings.upstreamAddress(), upstream, this.admission,
+				new AgentMetrics(this.admission, this.peer.metrics()), () -> this.activation.state().servedWeights(),
+				() -> this.monitor.limitReset(this.admission.instance()), (served) -> this.activation.observe(served),
+				CLOCK);
+	}
+
+	private Gate gate(String incarnation) {
+		return new Gate(incarnation, this.settings, this.peer.configuration(),
 				() -> this.peer.isolated(CLOCK.getAsLong()), this::leaving,
 				() -> this.admission.reports(this.activation.state().servedWeights()));
-		ModelContext model = new ModelContext(this.callSettings, this.settings.upstreamAddress(), upstream,
-				this.admission, metrics, () -> this.activation.state().servedWeights(),
-				() -> this.monitor.limitReset(this.admission.instance()), this.activation::observe, CLOCK);
+	}
+
+	private void registerHandlers(WireClient upstream, ModelContext model, Gate gate) {
+		String incarnation = this.peer.identity().incarnation();
 		PlainRun plain = new PlainRun(this.callSettings, this.settings.upstreamAddress(), upstream, this.archive,
 				this.ledger);
 		new CallHandler(gate, this.admission, this.ledger, this.calls, plain, model, this.log)
 			.register(this.peer.port());
-		new CallControl(incarnation, this.admission, this.ledger, this.archive, this.calls, metrics, CLOCK)
+		new CallControl(incarnation, this.admission, this.ledger, this.archive, this.calls, model.metrics(), CLOCK)
 			.register(this.peer.port());
 	}
 
@@ -133,11 +141,11 @@
 				WireClient.plain(this.settings.listenAddress().host()), this.log);
 	}
 
-	private Activation activation(ProcessIdentity identity, EngineClient engine) {
+	private Activation activation(ProcessIdentity identity, EngineClient engine, WarmUp warmUp) {
 		EngineLease lease = new EngineLease(this.peer.platform(), this.settings.vm(), identity.incarnation(),
 				this.settings.leaseMillis(), Activation.ORDER_TIMEOUT.toMillis());
 		return new Activation(this.settings, this.peer.configuration()::current,
-				new Activation.Parts(this.admission, engine, this.exchange, lease, this.slot,
+				new Activation.Parts(this.admission, engine, this.exchange, lease, this.slot, this.calls, warmUp,
 						this.enginePort.address()),
 				() -> (int) this.peer.membership().agentsOf(this.settings.service()).count(), this.log);
 	}
--- a/src/main/java/org/jaywood/agent/ColdStartLimit.java
+++ b/src/main/java/org/jaywood/agent/ColdStartLimit.java
@@ -1,7 +1,7 @@
 package org.jaywood.agent;
 
 /**
- * Number of calls that an engine may hold at once, learned from the engine's own words.
+ * Number of calls that an engine may hold at once, taken from what the engine reports.
  * <p>
  * An engine turns cold without warning, possibly between two of its replies and under
  * full load. Two rules bound what a cold engine then receives. First, at most
--- a/src/main/java/org/jaywood/agent/Gate.java
+++ b/src/main/java/org/jaywood/agent/Gate.java
@@ -51,6 +51,14 @@
 		}
 	}
 
+	/**
+	 * Whether the upstream may get work at all: neither leaves its agent nor is its data
+	 * centre out of service.
+	 */
+	boolean inService() {
+		return !this.leaving.getAsBoolean() && this.configuration.deployment().serves(this.service, this.dataCentre);
+	}
+
 	/**
 	 * Refuses a call that may not run at present.
 	 */
--- /dev/null
+++ b/src/main/java/org/jaywood/agent/WarmUp.java
@@ -0,0 +1,124 @@
+package org.jaywood.agent;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+
+import org.jaywood.wire.Json;
+
+/**
+ * Short calls to a cold engine that has no others, so that it is warm before routers need
+ * it and gives its activation slot to the next. Engines far from the callers got no calls
+ * and kept their slot for 10 s each, which was most of the time of a rollout. Each call
+ * passes the gate and admission as any other, so no engine out of service gets one and
+ * the cold limit holds, and ends at a deadline by the watchdog.
+ */
+final class WarmUp {
+
+	/** Pause between two calls, in which a real call finds the place free. */
+	private static final long PAUSE_MILLIS = 20;
+
+	/** An engine that is still cold then is warmed by its real calls. */
+	private static final int MAX_CALLS = 64;
+
+	private static final long CALL_MILLIS = 5_000;
+
+	private static final int ANSWER_LIMIT_BYTES = 64 * 1024;
+
+	private final ModelContext context;
+
+	private final RunningCalls calls;
+
+	private final Gate gate;
+
+	private int made;
+
+	WarmUp(ModelContext context, RunningCalls calls, Gate gate) {
+		this.context = context;
+		this.calls = calls;
+		this.gate = gate;
+	}
+
+	/**
+	 * Whether the engine needs no warming because it gets no work.
+	 */
+	boolean pointless() {
+		return !this.gate.inService();
+	}
+
+	/**
+	 * The engine is warm; a later cold start begins anew.
+	 */
+	void done() {
+		this.made = 0;
+	}
+
+	/**
+	 * Sends one call if the engine has none.
+	 * @param weights digest of the weights that it serves
+	 * @param otherwiseMillis pause when no call is due
+	 * @return pause until the next call
+	 */
+	long step(String weights, long otherwiseMillis) throws InterruptedException {
+		if (this.made >= MAX_CALLS || this.context.admission().inFlight() > 0) {
+			return otherwiseMillis;
+		}
+		long nowMillis = this.context.clock().getAsLong();
+		CallRequest request = CallRequest.warmUp("warm-up-" + UUID.randomUUID(), weights, nowMillis + CALL_MILLIS);
+		try {
+			this.gate.check(request, nowMillis);
+			this.made++;
+			long bytes = request.heldBytes(1, this.context.settings().tokenBytes());
+			run(request, this.context.admission().admit(weights, bytes, bytes));
+			return PAUSE_MILLIS;
+		}
+		catch (AdmissionRefusal refusal) {
+			return otherwiseMillis;
+		}
+	}
+
+	private void run(CallRequest request, Admission.Ticket ticket) throws InterruptedException {
+		RunningCall call = this.calls.add(request);
+		long startNanos = System.nanoTime();
+		try {
+			HttpResponse<InputStream> reply = this.context.client().stream(engineRequest(request));
+			try (InputStream in = reply.body()) {
+				call.attachUpstream(in);
+				if (ticket.head(reply.headers().firstValue("Engine-Instance").orElse(""),
+						reply.headers().firstValue("Engine-State").orElse("").equals("warm"),
+						reply.headers().firstValue("Engine-Weights").orElse(""))) {
+					this.context.onReset().run();
+				}
+				if (reply.statusCode() != 200) {
+					ticket.refused(this.context.clock().getAsLong());
+					return;
+				}
+				in.readNBytes(ANSWER_LIMIT_BYTES);
+				ticket.completed(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos));
+			}
+		}
+		catch (IOException ex) {
+			if (ticket.lost()) {
+				this.context.onReset().run();
+			}
+		}
+		finally {
+			ticket.linger();
+			this.calls.remove(call);
+		}
+	}
+
+	private HttpRequest engineRequest(CallRequest request) {
+		return this.context.client()
+			.request(this.context.engine().uri("/v1/completions"), Duration.ofMillis(CALL_MILLIS))
+			.setHeader("Content-Type", "application/json")
+			.POST(BodyPublishers.ofByteArray(Json.bytes(request.engineRequest(0, 1))))
+			.build();
+	}
+
+}
--- a/src/test/java/org/jaywood/agent/StreamCreditIT.java
+++ b/src/test/java/org/jaywood/agent/StreamCreditIT.java
@@ -1,5 +1,6 @@
 package org.jaywood.agent;
 
+import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -12,6 +13,7 @@
 import org.jaywood.bench.Installation.Member;
 import org.jaywood.standin.TokenFunction;
 import org.jaywood.wire.CreditGrant;
+import org.jaywood.wire.Digests;
 import org.jaywood.wire.Json;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -32,19 +34,55 @@
 			Handed handed = router.handOver(router.nextAttempt(), "slow",
 					Json.bytes(Map.of("prompt", "slow", "max_tokens", TOKENS)), Map.of());
 			Installation.await("stalled stream frees its engine", 15_000,
-					() -> SmallInstallation.record(installation, agent).path("cancelled").asInt() == 1
-							&& SmallInstallation.status(installation, agent).path("memoryBytes").asLong() == 0);
+					() -> ran(installation, agent, handed)
+							&& SmallInstallation.status(installation, agent).path("memoryBytes").asLong() == 0
+							&& SmallInstallation.status(installation, agent).path("inFlight").asInt() == 0);
 			assertThat(installation.state(agent).path("calls").asInt()).isEqualTo(1);
 			assertThat(installation.state(agent).path("inFlight").asInt()).isEqualTo(0);
 			router.grant(handed, 2 * CreditGrant.INITIAL_BYTES);
 			Result result = router.read(handed, 0);
 			String weights = installation.state(agent).path("servedWeights").asText();
 			assertThat(result.whole()).isTrue();
-			assertThat(result.text()).isEqualTo(IntStream.range(0, TOKENS)
-				.mapToObj((index) -> TokenFunction.token(weights, "slow", index))
-				.collect(Collectors.joining()));
+			assertThat(result.text()).isEqualTo(text(weights));
 			assertThat(SmallInstallation.record(installation, agent).path("resumed").asInt()).isAtLeast(1);
 		}
 	}
 
+	/**
+	 * Guards against an answer that a planned change of the weights cuts because its
+	 * stream waits for credit at that moment and so has no place at the engine.
+	 */
+	@Test
+	void newWeightsWaitForAStreamWithoutCredit() throws Exception {
+		try (Installation installation = SmallInstallation.start()) {
+			Member agent = installation.agentsOf("pool").getFirst();
+			String before = installation.state(agent).path("servedWeights").asText();
+			TestRouter router = new TestRouter(installation, agent);
+			Handed handed = router.handOver(router.nextAttempt(), "slow",
+					Json.bytes(Map.of("prompt", "slow", "max_tokens", TOKENS)), Map.of());
+			Installation.await("stream has no place at the engine", 15_000,
+					() -> ran(installation, agent, handed) && installation.state(agent).path("inFlight").asInt() == 0);
+			String manifest = installation.addWeights("2", 262_144, 32_768);
+			installation.apply(installation.deployment("2", manifest));
+			Installation.await("activation waits for the stream", 20_000,
+					() -> installation.state(agent).path("behindReason").asText().equals("waits for running calls"));
+			router.grant(handed, 2 * CreditGrant.INITIAL_BYTES);
+			Result result = router.read(handed, 0);
+			assertThat(result.whole()).isTrue();
+			assertThat(result.text()).isEqualTo(text(before));
+			installation.awaitServing(Digests.ofSet(List.of(manifest)), 20_000);
+			assertThat(SmallInstallation.record(installation, agent).path("impureTokens").asInt(-1)).isEqualTo(0);
+		}
+	}
+
+	private static boolean ran(Installation installation, Member agent, Handed handed) throws Exception {
+		return SmallInstallation.record(installation, agent).path("runs").path(handed.requestId()).asInt() > 0;
+	}
+
+	private static String text(String weights) {
+		return IntStream.range(0, TOKENS)
+			.mapToObj((index) -> TokenFunction.token(weights, "slow", index))
+			.collect(Collectors.joining());
+	}
+
 }
