Prove two faults at once for at most once and planned stops, and a long outage

Change: AtMostOnceIT also kills a router while the agent of its claims is frozen, and cuts one router off from the platform while the other loses its replies. MembershipIT stops an agent while the platform is down and a router is cut off from it. ConfigurationIT keeps the platform down for a minute, restarts a router meanwhile and checks that no process changes its generation or takes itself for isolated.

--- a/src/main/java/org/jaywood/cli/Jaywood.java
+++ b/src/main/java/org/jaywood/cli/Jaywood.java
@@ -30,7 +30,7 @@
 	/** Exit status of an apply that changed nothing because another one came first. */
 	public static final int EXIT_CONFLICT = 3;
 
-	/** Exit status of an apply of which nobody knows whether it took effect. */
+	/** Exit status of an apply whose outcome is not known. */
 	public static final int EXIT_UNKNOWN = 4;
 
 	/** Exit status of a process that ends with its parent. */
--- a/src/main/java/org/jaywood/config/ApplyUnknownException.java
+++ b/src/main/java/org/jaywood/config/ApplyUnknownException.java
@@ -1,8 +1,8 @@
 package org.jaywood.config;
 
 /**
- * An apply of which the platform gave no answer for so long that nobody knows whether it
- * took effect.
+ * An apply of which the platform gave no answer for so long that it is not known whether
+ * it took effect.
  */
 public class ApplyUnknownException extends ConfigurationException {
 
--- a/src/main/java/org/jaywood/weights/HolderSurvey.java
+++ b/src/main/java/org/jaywood/weights/HolderSurvey.java
@@ -16,8 +16,8 @@
 import org.jaywood.wire.WireClient;
 
 /**
- * Finds sources of chunks that nobody offered: asks their parents what they hold, which
- * also shows dead parents, and decides which chunks come from the store.
+ * Finds sources of chunks without an offer: asks their parents what they hold, which also
+ * shows dead parents, and decides which chunks come from the store.
  */
 final class HolderSurvey {
 
--- a/src/main/java/org/jaywood/weights/WantedChunks.java
+++ b/src/main/java/org/jaywood/weights/WantedChunks.java
@@ -73,7 +73,7 @@
 	}
 
 	/**
-	 * Chunks that nobody offered and no download is running for.
+	 * Missing chunks without an offer and without a running download.
 	 */
 	synchronized Map<String, String> withoutHolder() {
 		Map<String, String> found = new HashMap<>();
--- a/src/test/java/org/jaywood/bench/AtMostOnceIT.java
+++ b/src/test/java/org/jaywood/bench/AtMostOnceIT.java
@@ -96,6 +96,8 @@
 			freezeAgent(installation, tasks, keys);
 			killRouter(installation, tasks, keys, true);
 			killRouter(installation, tasks, keys, false);
+			killRouterWhileAgentIsFrozen(installation, tasks, keys);
+			cutRouterOffWhileRepliesAreLost(installation, tasks, keys);
 			Map<String, Integer> settled = settle(installation, tasks, keys);
 			Map<String, Long> runs = runs(installation);
 			long known = settled.values().stream().filter((status) -> status == 200).count();
@@ -153,10 +155,7 @@
 		List<Future<?>> calls = start(installation, tasks, keys, 20);
 		TimeUnit.MILLISECONDS.sleep(400);
 		installation.fleet().kill(router.vm());
-		List<Future<?>> repeats = keys.subList(keys.size() - 20, keys.size())
-			.stream()
-			.<Future<?>>map((key) -> tasks.submit(() -> call(installation, 1, key)))
-			.toList();
+		List<Future<?>> repeats = repeatElsewhere(installation, tasks, keys.subList(keys.size() - 20, keys.size()));
 		awaitAll(calls);
 		awaitAll(repeats);
 		for (String fault : faults) {
@@ -176,6 +175,38 @@
 		});
 	}
 
+	/**
+	 * The claim names an agent that answers no fence until it wakes, and the router that
+	 * wrote it is dead.
+	 */
+	private static void killRouterWhileAgentIsFrozen(Installation installation, ExecutorService tasks,
+			List<String> keys) throws Exception {
+		String frozen = installation.agentsOf("visit-desk").getFirst().vm();
+		installation.fleet().pause(frozen);
+		killRouter(installation, tasks, keys, false);
+		installation.fleet().resume(frozen);
+	}
+
+	/**
+	 * One router cannot reach the platform, the other loses its replies.
+	 */
+	private static void cutRouterOffWhileRepliesAreLost(Installation installation, ExecutorService tasks,
+			List<String> keys) throws Exception {
+		String fault = installation.network().partition(installation.routers().getFirst().vm(), "platform");
+		installation.client()
+			.post(installation.platform().uri("/control"), Map.of("loseReplies", 10), Duration.ofSeconds(5));
+		List<Future<?>> calls = start(installation, tasks, keys, 20);
+		List<Future<?>> repeats = repeatElsewhere(installation, tasks, keys.subList(keys.size() - 20, keys.size()));
+		awaitAll(calls);
+		awaitAll(repeats);
+		installation.network().remove(fault);
+	}
+
+	private static List<Future<?>> repeatElsewhere(Installation installation, ExecutorService tasks,
+			List<String> keys) {
+		return keys.stream().<Future<?>>map((key) -> tasks.submit(() -> call(installation, 1, key))).toList();
+	}
+
 	private static void delay(Installation installation, Member agent, long millis)
 			throws IOException, InterruptedException {
 		installation.client()
--- a/src/test/java/org/jaywood/bench/MembershipIT.java
+++ b/src/test/java/org/jaywood/bench/MembershipIT.java
@@ -64,6 +64,45 @@
 		}
 	}
 
+	/**
+	 * Guards a planned stop that happens while the platform is down and one router is cut
+	 * off from the agent that stops.
+	 */
+	@Test
+	void stopsWhileThePlatformIsDownAndARouterIsCutOff() throws Exception {
+		try (Installation installation = Installation
+			.start(DataCentreExperiment.installationOptions(Profile.KITAMORI))) {
+			String manifest = installation.addWeights("1", 262_144, 32_768);
+			String digest = Digests.ofSet(List.of(manifest));
+			installation.apply(installation.deployment("1", manifest));
+			installation.awaitServing(digest, 30_000);
+			installation.awaitGeneration(1, 30_000);
+			Member leaving = installation.agentsOf("pool").getFirst();
+			LoadGenerator load = new LoadGenerator(LoadSettings.open(installation, 15, 10, 1)).allowWeights(digest);
+			long stoppedMillis;
+			int exit;
+			try (load) {
+				load.start("before");
+				Installation.await("the upstream gets work", 10_000, () -> arrivalMillis(installation, leaving) > 0);
+				installation.client().post(installation.platform().uri("/control"), Map.of("down", true), TIMEOUT);
+				installation.network().partition(installation.routers().getLast().vm(), leaving.vm());
+				load.phase("leaving");
+				stoppedMillis = System.currentTimeMillis();
+				installation.fleet().terminate(leaving.vm());
+				exit = installation.fleet().awaitExit(leaving.vm(), 40_000);
+				TimeUnit.MILLISECONDS.sleep(OBSERVED_MILLIS);
+			}
+			long lastMillis = arrivalMillis(installation, leaving);
+			System.out.println("last new work " + (lastMillis - stoppedMillis) + " ms after SIGTERM, exit " + exit
+					+ ", " + load.phases().get("leaving").toMap());
+			assertThat(exit).isEqualTo(0);
+			assertThat(lastMillis - stoppedMillis).isLessThan(ALLOWED_MILLIS);
+			assertThat(load.count(Outcome.LOST)).isEqualTo(0);
+			assertThat(load.count(Outcome.WRONG)).isEqualTo(0);
+			assertThat(load.figures("leaving").count(Outcome.ANSWERED)).isGreaterThan(50);
+		}
+	}
+
 	private static long arrivalMillis(Installation installation, Member agent) throws Exception {
 		return Json.tree(installation.client().get(agent.upstream().uri("/record"), TIMEOUT).body())
 			.path("lastArrivalMillis")
--- a/src/test/java/org/jaywood/config/ConfigurationIT.java
+++ b/src/test/java/org/jaywood/config/ConfigurationIT.java
@@ -186,6 +186,41 @@
 		}
 	}
 
+	/**
+	 * Guards against processes that take a long outage of the platform alone for
+	 * isolation, which refuses work after 30 s, and against a generation that changes
+	 * meanwhile.
+	 */
+	@Test
+	void staysInForceWhilePlatformIsDownForAMinute() throws Exception {
+		AppliedConfiguration applied = repository().apply(deployment(450), "a", System.currentTimeMillis());
+		installation.awaitGeneration(applied.generation(), IN_FORCE_MILLIS);
+		Member router = installation.routers().getLast();
+		long endNanos = System.nanoTime() + Duration.ofMinutes(1).toNanos();
+		control(Map.of("down", true));
+		try {
+			installation.fleet().kill(router.vm());
+			installation.startProcess(router);
+			Installation.await("router is ready", 20_000,
+					() -> installation.state(router).path("peer").path("ready").asBoolean());
+			while (System.nanoTime() < endNanos) {
+				for (Member member : members()) {
+					JsonNode state = installation.state(member);
+					assertThat(state.path("generation").asLong()).isEqualTo(applied.generation());
+					assertThat(state.path("peer").path("isolated").asBoolean(true)).isFalse();
+				}
+			}
+		}
+		finally {
+			control(Map.of("down", false));
+		}
+		long beginNanos = System.nanoTime();
+		AppliedConfiguration next = repository().apply(deployment(451), "a", System.currentTimeMillis());
+		installation.awaitGeneration(next.generation(), IN_FORCE_MILLIS);
+		System.out.println("in force after an outage of a minute: " + (System.nanoTime() - beginNanos) / 1_000_000
+				+ " ms at " + members().size() + " processes");
+	}
+
 	@Test
 	void doesNotFollowPlatformBackToOlderGeneration() throws Exception {
 		AppliedConfiguration older = repository().apply(deployment(500), "a", System.currentTimeMillis());
--- a/src/test/java/org/jaywood/weights/WeightsIT.java
+++ b/src/test/java/org/jaywood/weights/WeightsIT.java
@@ -6,10 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.stream.IntStream;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.junit.jupiter.api.AfterAll;
@@ -23,10 +21,8 @@
 import org.jaywood.bench.Installation.Member;
 import org.jaywood.bench.Profile;
 import org.jaywood.config.ServiceLimits;
-import org.jaywood.event.EventLog;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Digests;
-import org.jaywood.wire.HttpPort;
 import org.jaywood.wire.Json;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -53,7 +49,7 @@
 
 	private static Installation installation;
 
-	private static Requests requests;
+	private static SteadyRequests requests;
 
 	private int answeredBefore;
 
@@ -61,7 +57,7 @@
 	static void start() throws Exception {
 		installation = Installation.start(PROFILE, 1);
 		applyAndAwait();
-		requests = new Requests();
+		requests = new SteadyRequests(installation);
 	}
 
 	@BeforeEach
@@ -145,6 +141,10 @@
 		installation.awaitServing(apply(), 60_000);
 	}
 
+	private static RoguePeer roguePeer(boolean stalls) throws Exception {
+		return new RoguePeer(installation, (int) (TOTAL_BYTES / CHUNK_BYTES), CHUNK_BYTES, stalls);
+	}
+
 	private static void assertNoImpureTokens() throws Exception {
 		for (Member agent : installation.agents()) {
 			assertThat(json(agent.upstream(), "/record").path("impureTokens").asLong()).isEqualTo(0);
@@ -195,7 +195,7 @@
 
 		@Test
 		void corruptChunksAreNotStored() throws Exception {
-			try (RoguePeer rogue = new RoguePeer(false)) {
+			try (RoguePeer rogue = roguePeer(false)) {
 				applyAndAwait();
 				assertThat(rogue.chunkRequests()).isGreaterThan(0);
 			}
@@ -204,7 +204,7 @@
 
 		@Test
 		void stalledPeerIsSkipped() throws Exception {
-			try (RoguePeer rogue = new RoguePeer(true)) {
+			try (RoguePeer rogue = roguePeer(true)) {
 				applyAndAwait();
 				assertThat(rogue.chunkRequests()).isGreaterThan(0);
 			}
@@ -245,7 +245,7 @@
 				awaitServing(agent, digest);
 			}
 			control(installation.store(), "/control", Map.of("down", true));
-			try (RoguePeer rogue = new RoguePeer(false)) {
+			try (RoguePeer rogue = roguePeer(false)) {
 				installation.startProcess(late);
 				awaitServing(late, digest);
 				System.out.println("requests to the corrupt peer while the store was down: " + rogue.chunkRequests());
@@ -436,106 +436,4 @@
 
 	}
 
-	/**
-	 * Requests through a router until closed. Refusals are allowed, since six engines
-	 * change their weights one after the other.
-	 */
-	private static final class Requests implements AutoCloseable {
-
-		private final AtomicInteger answered = new AtomicInteger();
-
-		private final CountDownLatch stop = new CountDownLatch(1);
-
-		private final List<Thread> threads = IntStream.range(0, 4)
-			.mapToObj((index) -> Thread.startVirtualThread(this::run))
-			.toList();
-
-		int answered() {
-			return this.answered.get();
-		}
-
-		private void run() {
-			try {
-				while (!this.stop.await(20, TimeUnit.MILLISECONDS)) {
-					send();
-				}
-			}
-			catch (InterruptedException ex) {
-				Thread.currentThread().interrupt();
-			}
-		}
-
-		private void send() throws InterruptedException {
-			try {
-				int status = installation.client()
-					.post(installation.routers().getFirst().caller().uri("/v1/completions"),
-							Map.of("model", "pool", "prompt", "hello", "max_tokens", 8), TIMEOUT)
-					.statusCode();
-				this.answered.addAndGet((status == 200) ? 1 : 0);
-			}
-			catch (IOException ex) {
-				// An agent killed by a test may cut an answer.
-			}
-		}
-
-		@Override
-		public void close() throws InterruptedException {
-			this.stop.countDown();
-			for (Thread thread : this.threads) {
-				thread.join();
-			}
-		}
-
-	}
-
-	/**
-	 * A VM of the store's region that claims to hold all chunks and sends wrong bytes or
-	 * nothing.
-	 */
-	private static final class RoguePeer implements AutoCloseable {
-
-		private final AtomicInteger chunkRequests = new AtomicInteger();
-
-		private final CountDownLatch closed = new CountDownLatch(1);
-
-		private final HttpPort port;
-
-		private final Member member;
-
-		RoguePeer(boolean stalls) throws Exception {
-			Member sibling = installation.agents().getFirst();
-			Address address = new Address(
-					sibling.listen().host().substring(0, sibling.listen().host().lastIndexOf('.')) + ".240",
-					sibling.listen().port());
-			this.member = new Member("rogue-" + stalls, "agent", "pool", sibling.region(), sibling.dataCentre(),
-					address, address, address, address, address);
-			List<Integer> all = IntStream.range(0, (int) (TOTAL_BYTES / CHUNK_BYTES)).boxed().toList();
-			this.port = HttpPort.open(address, new EventLog("rogue"))
-				.route("GET", "/v1/chunks/held/",
-						(exchange) -> exchange.respondJson(200,
-								Map.of("manifest", exchange.lastSegment(), "holder", address, "chunks", all)))
-				.route("GET", "/v1/chunks/", (exchange) -> {
-					this.chunkRequests.incrementAndGet();
-					if (stalls) {
-						this.closed.await();
-					}
-					exchange.respond(200, "application/octet-stream", new byte[CHUNK_BYTES]);
-				})
-				.start();
-			installation.register(this.member, "LIVE");
-		}
-
-		int chunkRequests() {
-			return this.chunkRequests.get();
-		}
-
-		@Override
-		public void close() throws Exception {
-			this.closed.countDown();
-			installation.register(this.member, "GONE");
-			this.port.close();
-		}
-
-	}
-
 }
