Count retries of the router against first attempts

Cause: bench routing took the runs at the plain service less the calls as retries.

Change: RetryFigures takes the retries that the router counts and the calls that ended there from its state dump (its /metrics shows the process only), leaves out calls refused as NO_UPSTREAM, which no agent got, and compares the retries with the budget of the same period: burst of 50, 0.2 of the calls, 2 a second. The hand-overs that the agents counted are printed beside it as a check. The values of the budget repeat those of RouterLimits and Router, which no port of a router shows.

Conclusion: the ratio no longer depends on calls that were not handed over.

--- a/src/main/java/org/jaywood/bench/RoutingExperiment.java
+++ b/src/main/java/org/jaywood/bench/RoutingExperiment.java
@@ -72,7 +72,7 @@
 			byTokens.add(cells.run(RATES.get(MIDDLE), tokens));
 		}
 		WorkspaceLoad workspaces = new WorkspaceLoad(installation);
-		WorkspaceLoad.Retries retries = workspaces.retries(options.seconds());
+		Map<String, Object> retries = workspaces.retries(options.seconds());
 		Map<String, Object> fairness = workspaces.overload(options.seconds());
 		Cell highest = byRate.getLast();
 		Map<String, Object> result = new LinkedHashMap<>();
@@ -84,7 +84,7 @@
 		result.put("addedLatencyP99Millis", highest.addedMillis(99));
 		result.put("cpuSecondsPerThousand",
 				1_000 * (highest.routerCpu() + highest.agentCpu()) / highest.answeredPerSecond());
-		result.put("retryRatio", retries.ratio());
+		result.put("retryRatio", retries.get("ratio"));
 		result.put("retries", retries);
 		result.put("fairness", fairness);
 		result.put("cells", Stream.concat(byRate.stream(), byTokens.stream()).map(Cell::toMap).toList());
--- a/src/main/java/org/jaywood/bench/WorkspaceLoad.java
+++ b/src/main/java/org/jaywood/bench/WorkspaceLoad.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 
+import com.fasterxml.jackson.databind.JsonNode;
+
 import org.jaywood.bench.Installation.Member;
 import org.jaywood.bench.LoadCall.Kind;
 import org.jaywood.bench.LoadResult.Outcome;
@@ -53,7 +55,7 @@
 	/**
 	 * Reads from the first plain service while it drops a share of its replies.
 	 */
-	Retries retries(int seconds) throws IOException, InterruptedException {
+	Map<String, Object> retries(int seconds) throws IOException, InterruptedException {
 		String service = this.installation.profile()
 			.services()
 			.stream()
@@ -62,32 +64,56 @@
 			.orElseThrow()
 			.name();
 		List<Member> agents = this.installation.agentsOf(service);
-		int before = runs(agents);
+		long handOversBefore = handOvers(agents);
+		JsonNode before = idleRouterMetrics();
+		long startNanos = System.nanoTime();
 		fail(agents, FAILED_SHARE);
 		Counts counts = new Counts();
 		loop(IntStream.range(0, READERS).mapToObj((caller) -> counts).toList(), seconds,
 				(number) -> new LoadCall(Kind.READ, service, "reader", "page-" + number, 0));
 		fail(agents, 0);
-		int calls = counts.total();
-		int answered = counts.answered.get();
-		return new Retries(calls, answered, runs(agents) - before, (double) (runs(agents) - before - calls) / calls);
+		JsonNode after = idleRouterMetrics();
+		RetryFigures figures = RetryFigures.between(before, after, RoutingExperiment.secondsSince(startNanos));
+		Map<String, Object> result = new LinkedHashMap<>(figures.toMap());
+		result.put("answeredShare", counts.share());
+		// Equals first attempts and retries unless calls waited for room in between.
+		result.put("handOversAtAgents", handOvers(agents) - handOversBefore);
+		return result;
 	}
 
-	private void fail(List<Member> agents, double share) throws IOException, InterruptedException {
+	/**
+	 * Metrics of the router once all its calls are counted, which may be shortly after
+	 * their callers got the answers.
+	 */
+	private JsonNode idleRouterMetrics() throws IOException, InterruptedException {
+		Member member = this.installation.routers().getFirst();
+		Installation.await("the router has no calls", TIMEOUT.toMillis(),
+				() -> this.installation.state(member).path("inFlight").asInt() == 0);
+		return this.installation.state(member).path("metrics");
+	}
+
+	/**
+	 * Hand-overs that the agents admitted or refused.
+	 */
+	private long handOvers(List<Member> agents) throws IOException, InterruptedException {
+		long sum = 0;
 		for (Member agent : agents) {
-			this.installation.client()
-				.post(agent.upstream().uri("/control"), Map.of("dropReply", share > 0, "faultShare", share), TIMEOUT);
+			JsonNode metrics = Json
+				.tree(this.installation.client().get(agent.operator().uri("/metrics"), TIMEOUT).body());
+			sum += metrics.properties()
+				.stream()
+				.filter((field) -> field.getKey().equals("admissions") || field.getKey().startsWith("refusals."))
+				.mapToLong((field) -> field.getValue().asLong())
+				.sum();
 		}
+		return sum;
 	}
 
-	private int runs(List<Member> agents) throws IOException, InterruptedException {
-		int runs = 0;
+	private void fail(List<Member> agents, double share) throws IOException, InterruptedException {
 		for (Member agent : agents) {
-			runs += Json.tree(this.installation.client().get(agent.upstream().uri("/record"), TIMEOUT).body())
-				.path("runs")
-				.size();
+			this.installation.client()
+				.post(agent.upstream().uri("/control"), Map.of("dropReply", share > 0, "faultShare", share), TIMEOUT);
 		}
-		return runs;
 	}
 
 	/**
@@ -183,15 +209,4 @@
 
 	}
 
-	/**
-	 * Reads while a fifth of them fail at the service.
-	 *
-	 * @param calls calls made
-	 * @param answered calls answered
-	 * @param runs calls that the service received, retries included
-	 * @param ratio retries for each call
-	 */
-	record Retries(int calls, int answered, int runs, double ratio) {
-	}
-
 }
