Overload the engines in the fairness part of bench routing

Cause: 300 callers of a closed loop met engines that hold 96 calls of 100 ms each, more than this machine drives, so no workspace was ever refused. The workspaces were not declared either, and undeclared ones share one place in the queue of a router.

Change: WorkspaceLoad starts an installation of its own with small and slow engines (4 calls each, 10 ms a token), declares ten workspaces of equal share, warms the engines, measures their capacity (EngineWarmUp) and offers twice that in an open loop: each of nine small workspaces half of its fair share, the large one the rest. After a lead-in longer than the wait in the router's queue it reports for each kind the share answered and the p99 of the first token, and Jain's index of the shares of the small ones. The retry part moves to RetryLoad unchanged.

Conclusion: the load is derived from a measured capacity, so that overload does not depend on the machine.

--- a/src/main/java/org/jaywood/bench/RoutingExperiment.java
+++ b/src/main/java/org/jaywood/bench/RoutingExperiment.java
@@ -49,18 +49,33 @@
 			.withRouters(1)
 			.withTokenMillis(2)
 			.withFlags("engine", "--max-concurrency", Integer.toString(ENGINE_CALLS));
+		Map<String, Object> result = new LinkedHashMap<>();
+		result.put("experiment", name());
+		result.put("profile", options.profile().name());
+		result.put("seed", options.seed());
 		try (Installation installation = Installation.start(installationOptions)) {
 			String manifest = installation.addWeights("1", MODEL_BYTES, CHUNK_BYTES);
 			installation.apply(installation.deployment("1", manifest));
 			String weights = Digests.ofSet(List.of(manifest));
 			installation.awaitServing(weights, SERVING_MILLIS);
 			installation.awaitGeneration(1, SERVING_MILLIS);
-			return measure(installation, weights, options);
+			measure(installation, weights, options, result);
 		}
+		// The engines must be slow and small there, so that they are full before this
+		// machine is.
+		WorkspaceLoad.Result fairness = WorkspaceLoad.overload(options.profile(), options.seconds(), options.seed());
+		result.put("fairness", fairness.toMap());
+		ResultLine.write(result, options.output());
+		result.entrySet()
+			.stream()
+			.filter((entry) -> !entry.getKey().equals("cells") && !entry.getKey().equals("fairness"))
+			.forEach((entry) -> System.out.printf("%-28s %s%n", entry.getKey(), entry.getValue()));
+		System.out.print(fairness.table());
+		return 0;
 	}
 
-	private int measure(Installation installation, String weights, ExperimentOptions options)
-			throws IOException, InterruptedException {
+	private static void measure(Installation installation, String weights, ExperimentOptions options,
+			Map<String, Object> result) throws IOException, InterruptedException {
 		RoutingCells cells = new RoutingCells(installation, weights, options.seconds(), options.seed());
 		cells.run(RATES.get(MIDDLE), TOKENS.get(MIDDLE));
 		List<Cell> byRate = new ArrayList<>();
@@ -71,14 +86,8 @@
 		for (int tokens : TOKENS) {
 			byTokens.add(cells.run(RATES.get(MIDDLE), tokens));
 		}
-		WorkspaceLoad workspaces = new WorkspaceLoad(installation);
-		Map<String, Object> retries = workspaces.retries(options.seconds());
-		Map<String, Object> fairness = workspaces.overload(options.seconds());
+		Map<String, Object> retries = new RetryLoad(installation).retries(options.seconds());
 		Cell highest = byRate.getLast();
-		Map<String, Object> result = new LinkedHashMap<>();
-		result.put("experiment", name());
-		result.put("profile", options.profile().name());
-		result.put("seed", options.seed());
 		result.put("requestsPerSecond", highest.answeredPerSecond());
 		result.put("addedLatencyP50Millis", highest.addedMillis(50));
 		result.put("addedLatencyP99Millis", highest.addedMillis(99));
@@ -86,13 +95,10 @@
 				1_000 * (highest.routerCpu() + highest.agentCpu()) / highest.answeredPerSecond());
 		result.put("retryRatio", retries.get("ratio"));
 		result.put("retries", retries);
-		result.put("fairness", fairness);
 		result.put("cells", Stream.concat(byRate.stream(), byTokens.stream()).map(Cell::toMap).toList());
 		putSlopes(result, "router", Cell::routerCpu, byRate, byTokens);
 		putSlopes(result, "agent", Cell::agentCpu, byRate, byTokens);
-		ResultLine.write(result, options.output());
-		print(result, byRate, byTokens);
-		return 0;
+		print(byRate, byTokens);
 	}
 
 	private static void putSlopes(Map<String, Object> result, String role, ToDoubleFunction<Cell> cpu,
@@ -105,17 +111,13 @@
 					.toList()));
 	}
 
-	private static void print(Map<String, Object> result, List<Cell> byRate, List<Cell> byTokens) {
+	private static void print(List<Cell> byRate, List<Cell> byTokens) {
 		System.out.printf(Locale.ROOT, "%8s %7s %11s %9s %12s %12s %11s %11s%n", "rate/s", "tokens", "answered/s",
 				"answered", "added p50 ms", "added p99 ms", "router cpu", "agent cpu");
 		Stream.concat(byRate.stream(), byTokens.stream())
 			.forEach((cell) -> System.out.printf(Locale.ROOT, "%8d %7d %11.1f %8.2f%% %12.2f %12.2f %11.4f %11.4f%n",
 					cell.rate(), cell.tokens(), cell.answeredPerSecond(), 100 * cell.answeredShare(),
 					cell.addedMillis(50), cell.addedMillis(99), cell.routerCpu(), cell.agentCpu()));
-		result.entrySet()
-			.stream()
-			.filter((entry) -> !entry.getKey().equals("cells"))
-			.forEach((entry) -> System.out.printf("%-28s %s%n", entry.getKey(), entry.getValue()));
 	}
 
 	/**
--- a/src/main/java/org/jaywood/bench/WorkspaceLoad.java
+++ b/src/main/java/org/jaywood/bench/WorkspaceLoad.java
@@ -5,41 +5,59 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
-import com.fasterxml.jackson.databind.JsonNode;
-
-import org.jaywood.bench.Installation.Member;
 import org.jaywood.bench.LoadCall.Kind;
 import org.jaywood.bench.LoadResult.Outcome;
+import org.jaywood.config.Deployment;
+import org.jaywood.config.WorkspaceSpec;
 import org.jaywood.wire.Address;
-import org.jaywood.wire.Json;
+import org.jaywood.wire.Digests;
 
 /**
- * Closed loops of callers by workspace, for retries under failures and for the share of
- * each workspace at overload.
+ * Offers one large and nine small workspaces with equal shares more than the engines
+ * take, and compares what each kind gets. Each small workspace asks for half of its fair
+ * share, so that all its calls could be answered.
  */
 final class WorkspaceLoad {
 
 	private static final Duration TIMEOUT = Duration.ofSeconds(10);
 
+	private static final int MODEL_BYTES = 256 * 1024;
+
+	private static final int CHUNK_BYTES = 32 * 1024;
+
+	private static final long SERVING_MILLIS = 30_000;
+
 	private static final int SMALL_WORKSPACES = 9;
 
-	private static final int SMALL_CALLERS = 2;
+	/** Load offered for each answer that the engines can give. */
+	private static final double OVERLOAD = 2;
 
-	/** Enough to fill every engine of either profile on its own. */
-	private static final int LARGE_CALLERS = 300;
+	/** Part of its fair share that a small workspace asks for. */
+	private static final double SMALL_DEMAND = 0.5;
 
-	private static final int TOKENS = 50;
+	/**
+	 * Few and slow calls for each engine, so that the engines are full before this
+	 * machine is.
+	 */
+	private static final int ENGINE_CALLS = 4;
 
-	private static final int READERS = 8;
+	private static final int TOKEN_MILLIS = 10;
 
-	private static final double FAILED_SHARE = 0.2;
+	private static final int TOKENS = 25;
 
-	private static final long REFUSED_PAUSE_MILLIS = 100;
+	/** Longer than a call waits at the router, so that its queue is steady afterwards. */
+	private static final int LEAD_IN_SECONDS = 7;
+
+	/** Calls at once, well above those that wait at the router or run. */
+	private static final int MOST_CALLS = 2_000;
 
 	private final Installation installation;
 
@@ -47,165 +65,208 @@
 
 	private final LoadClient client = new LoadClient(TIMEOUT);
 
-	WorkspaceLoad(Installation installation) {
+	private final long seed;
+
+	private WorkspaceLoad(Installation installation, String weights, long seed) {
 		this.installation = installation;
 		this.router = installation.routers().getFirst().caller();
+		this.seed = seed;
+		this.client.allowWeights(weights);
 	}
 
 	/**
-	 * Reads from the first plain service while it drops a share of its replies.
+	 * Measures the capacity of the engines of an installation of its own and overloads
+	 * them.
+	 * @param profile shape of the installation
+	 * @param seconds length of the measured overload
+	 * @param seed seed of the load
 	 */
-	Map<String, Object> retries(int seconds) throws IOException, InterruptedException {
-		String service = this.installation.profile()
-			.services()
-			.stream()
-			.filter((shape) -> !shape.model())
-			.findFirst()
-			.orElseThrow()
-			.name();
-		List<Member> agents = this.installation.agentsOf(service);
-		long handOversBefore = handOvers(agents);
-		JsonNode before = idleRouterMetrics();
-		long startNanos = System.nanoTime();
-		fail(agents, FAILED_SHARE);
-		Counts counts = new Counts();
-		loop(IntStream.range(0, READERS).mapToObj((caller) -> counts).toList(), seconds,
-				(number) -> new LoadCall(Kind.READ, service, "reader", "page-" + number, 0));
-		fail(agents, 0);
-		JsonNode after = idleRouterMetrics();
-		RetryFigures figures = RetryFigures.between(before, after, RoutingExperiment.secondsSince(startNanos));
-		Map<String, Object> result = new LinkedHashMap<>(figures.toMap());
-		result.put("answeredShare", counts.share());
-		// Equals first attempts and retries unless calls waited for room in between.
-		result.put("handOversAtAgents", handOvers(agents) - handOversBefore);
-		return result;
+	static Result overload(Profile profile, int seconds, long seed) throws IOException, InterruptedException {
+		InstallationOptions options = InstallationOptions.of(profile)
+			.withRouters(1)
+			.withTokenMillis(TOKEN_MILLIS)
+			.withFlags("engine", "--max-concurrency", Integer.toString(ENGINE_CALLS));
+		try (Installation installation = Installation.start(options)) {
+			String manifest = installation.addWeights("1", MODEL_BYTES, CHUNK_BYTES);
+			installation.apply(withWorkspaces(installation.deployment("1", manifest)));
+			String weights = Digests.ofSet(List.of(manifest));
+			installation.awaitServing(weights, SERVING_MILLIS);
+			installation.awaitGeneration(1, SERVING_MILLIS);
+			double capacity = new EngineWarmUp(installation, weights, ENGINE_CALLS, TOKENS, seed).capacityPerSecond();
+			return new WorkspaceLoad(installation, weights, seed).overload(capacity, seconds);
+		}
 	}
 
 	/**
-	 * Metrics of the router once all its calls are counted, which may be shortly after
-	 * their callers got the answers.
+	 * Declares the workspaces. Those that are not declared share one place in the queue
+	 * of a router.
 	 */
-	private JsonNode idleRouterMetrics() throws IOException, InterruptedException {
-		Member member = this.installation.routers().getFirst();
-		Installation.await("the router has no calls", TIMEOUT.toMillis(),
-				() -> this.installation.state(member).path("inFlight").asInt() == 0);
-		return this.installation.state(member).path("metrics");
+	private static Deployment withWorkspaces(Deployment deployment) {
+		Map<String, WorkspaceSpec> workspaces = IntStream.rangeClosed(0, SMALL_WORKSPACES)
+			.boxed()
+			.collect(Collectors.toMap(WorkspaceLoad::workspace, (number) -> new WorkspaceSpec(1)));
+		return new Deployment(deployment.dataCentres(), deployment.services(), workspaces);
 	}
 
-	/**
-	 * Hand-overs that the agents admitted or refused.
-	 */
-	private long handOvers(List<Member> agents) throws IOException, InterruptedException {
-		long sum = 0;
-		for (Member agent : agents) {
-			JsonNode metrics = Json
-				.tree(this.installation.client().get(agent.operator().uri("/metrics"), TIMEOUT).body());
-			sum += metrics.properties()
-				.stream()
-				.filter((field) -> field.getKey().equals("admissions") || field.getKey().startsWith("refusals."))
-				.mapToLong((field) -> field.getValue().asLong())
-				.sum();
-		}
-		return sum;
+	private static String workspace(int number) {
+		return "workspace-" + number;
 	}
 
-	private void fail(List<Member> agents, double share) throws IOException, InterruptedException {
-		for (Member agent : agents) {
-			this.installation.client()
-				.post(agent.upstream().uri("/control"), Map.of("dropReply", share > 0, "faultShare", share), TIMEOUT);
+	private Result overload(double capacity, int seconds) throws InterruptedException {
+		double smallRate = SMALL_DEMAND * capacity / (SMALL_WORKSPACES + 1);
+		double largeRate = OVERLOAD * capacity - SMALL_WORKSPACES * smallRate;
+		PhaseFigures large = new PhaseFigures();
+		PhaseFigures allSmall = new PhaseFigures();
+		List<PhaseFigures> eachSmall = new ArrayList<>();
+		Semaphore running = new Semaphore(MOST_CALLS);
+		long fromNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(LEAD_IN_SECONDS);
+		long endNanos = fromNanos + TimeUnit.SECONDS.toNanos(seconds);
+		List<Thread> workspaces = new ArrayList<>();
+		workspaces.add(Thread
+			.startVirtualThread(() -> offer(new Offer(0, largeRate, fromNanos, endNanos, List.of(large)), running)));
+		for (int i = 1; i <= SMALL_WORKSPACES; i++) {
+			PhaseFigures figures = new PhaseFigures();
+			eachSmall.add(figures);
+			Offer offer = new Offer(i, smallRate, fromNanos, endNanos, List.of(figures, allSmall));
+			workspaces.add(Thread.startVirtualThread(() -> offer(offer, running)));
+		}
+		for (Thread workspace : workspaces) {
+			workspace.join();
+		}
+		if (!running.tryAcquire(MOST_CALLS, 2 * TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)) {
+			throw new IllegalStateException("calls still run after their time limit");
 		}
+		return new Result(capacity, seconds, large, allSmall, eachSmall);
 	}
 
 	/**
-	 * Lets one large workspace overload the engines beside nine small ones.
+	 * Jain's fairness index of what each got: 1 if all got the same, 1/n if one of n got
+	 * everything.
 	 */
-	Map<String, Object> overload(int seconds) throws InterruptedException {
-		List<Counts> workspaces = new ArrayList<>();
-		List<Counts> callers = new ArrayList<>();
-		for (int i = 0; i <= SMALL_WORKSPACES; i++) {
-			Counts counts = new Counts();
-			workspaces.add(counts);
-			int count = (i == 0) ? LARGE_CALLERS : SMALL_CALLERS;
-			IntStream.range(0, count).forEach((caller) -> callers.add(counts));
-		}
-		String service = this.installation.profile().model().name();
-		loop(callers, seconds, (number) -> new LoadCall(Kind.WHOLE, service, "", "overload " + number, TOKENS),
-				workspaces);
-		List<Counts> small = workspaces.subList(1, workspaces.size());
-		Map<String, Object> result = new LinkedHashMap<>();
-		result.put("largeAnsweredPerSecond", workspaces.getFirst().answered.get() / (double) seconds);
-		result.put("largeAnsweredShare", workspaces.getFirst().share());
-		result.put("smallAnsweredPerSecond",
-				small.stream().mapToInt((counts) -> counts.answered.get()).sum() / (double) seconds);
-		result.put("smallAnsweredShareLowest", small.stream().mapToDouble(Counts::share).min().orElse(0));
-		result.put("smallAnsweredShareHighest", small.stream().mapToDouble(Counts::share).max().orElse(0));
-		return result;
-	}
-
-	private void loop(List<Counts> callers, int seconds, CallSource source) throws InterruptedException {
-		loop(callers, seconds, source, List.of());
-	}
-
-	private void loop(List<Counts> callers, int seconds, CallSource source, List<Counts> workspaces)
-			throws InterruptedException {
-		long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
-		AtomicInteger number = new AtomicInteger();
-		List<Thread> threads = new ArrayList<>();
-		for (Counts counts : callers) {
-			String workspace = "workspace-" + Math.max(0, workspaces.indexOf(counts));
-			threads.add(Thread.startVirtualThread(() -> {
-				while (System.nanoTime() < endNanos) {
-					LoadCall call = source.next(number.getAndIncrement());
-					make(new LoadCall(call.kind(), call.service(), workspace, call.prompt(), call.tokens()), counts);
-				}
-			}));
-		}
-		for (Thread thread : threads) {
-			thread.join();
-		}
+	static double jainIndex(List<Double> shares) {
+		double sum = shares.stream().mapToDouble(Double::doubleValue).sum();
+		double squares = shares.stream().mapToDouble((share) -> share * share).sum();
+		return (squares > 0) ? sum * sum / (shares.size() * squares) : 1;
 	}
 
-	private void make(LoadCall call, Counts counts) {
+	private void offer(Offer offer, Semaphore running) {
+		Random random = new Random(this.seed + offer.workspace());
+		long dueNanos = System.nanoTime();
 		try {
-			LoadResult result = this.client.call(this.router, call, System.nanoTime());
-			if (result.outcome() == Outcome.ANSWERED) {
-				counts.answered.incrementAndGet();
-				return;
+			while (true) {
+				dueNanos += (long) (-Math.log(1 - random.nextDouble()) / offer.ratePerSecond() * 1e9);
+				if (dueNanos >= offer.endNanos()) {
+					return;
+				}
+				TimeUnit.NANOSECONDS.sleep(dueNanos - System.nanoTime());
+				arrive(offer, dueNanos, running, "workspace " + offer.workspace() + " question " + random.nextInt());
 			}
-			counts.failed.incrementAndGet();
-			TimeUnit.MILLISECONDS.sleep(REFUSED_PAUSE_MILLIS);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
 		}
 	}
 
+	private void arrive(Offer offer, long dueNanos, Semaphore running, String prompt) {
+		List<PhaseFigures> figures = (dueNanos >= offer.fromNanos()) ? offer.figures() : List.of();
+		if (!running.tryAcquire()) {
+			figures.forEach(PhaseFigures::skip);
+			return;
+		}
+		LoadCall call = new LoadCall(Kind.STREAM, this.installation.profile().model().name(),
+				workspace(offer.workspace()), prompt, TOKENS);
+		Thread.startVirtualThread(() -> {
+			try {
+				LoadResult result = this.client.call(this.router, call, dueNanos);
+				figures.forEach((each) -> each.add(result));
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+			finally {
+				running.release();
+			}
+		});
+	}
+
 	/**
-	 * Calls of a workspace.
+	 * Load of one workspace.
+	 *
+	 * @param workspace number of the workspace
+	 * @param ratePerSecond mean rate of its calls, whether or not earlier ones have ended
+	 * @param fromNanos time from which calls count
+	 * @param endNanos time of the last call
+	 * @param figures take the results of the calls that count
 	 */
-	private static final class Counts {
+	private record Offer(int workspace, double ratePerSecond, long fromNanos, long endNanos,
+			List<PhaseFigures> figures) {
+	}
 
-		private final AtomicInteger answered = new AtomicInteger();
+	/**
+	 * What each kind of workspace got.
+	 *
+	 * @param capacityPerSecond answers a second that the engines can give
+	 * @param seconds length of the measurement
+	 * @param large figures of the large workspace
+	 * @param allSmall figures of the small workspaces together
+	 * @param eachSmall figures of each small workspace
+	 */
+	record Result(double capacityPerSecond, int seconds, PhaseFigures large, PhaseFigures allSmall,
+			List<PhaseFigures> eachSmall) {
+
+		Map<String, Object> toMap() {
+			Map<String, Object> result = new LinkedHashMap<>();
+			result.put("capacityPerSecond", this.capacityPerSecond);
+			result.put("large", kind(this.large));
+			result.put("small", kind(this.allSmall));
+			result.put("smallAnsweredOfOffered", shares());
+			result.put("smallJainIndex", jainIndex(shares()));
+			return result;
+		}
 
-		private final AtomicInteger failed = new AtomicInteger();
+		private Map<String, Object> kind(PhaseFigures figures) {
+			Map<String, Object> kind = new LinkedHashMap<>(figures.toMap());
+			kind.put("offeredPerSecond", offeredPerSecond(figures));
+			kind.put("answeredOfOffered", answeredOfOffered(figures));
+			kind.put("reasons", figures.reasons());
+			return kind;
+		}
 
-		int total() {
-			return this.answered.get() + this.failed.get();
+		private List<Double> shares() {
+			return this.eachSmall.stream().map(Result::answeredOfOffered).toList();
 		}
 
-		double share() {
-			return (double) this.answered.get() / Math.max(1, total());
+		private double offeredPerSecond(PhaseFigures figures) {
+			return (double) offered(figures) / this.seconds;
 		}
 
-	}
+		private static double answeredOfOffered(PhaseFigures figures) {
+			return (double) figures.count(Outcome.ANSWERED) / Math.max(1, offered(figures));
+		}
 
-	/**
-	 * Next call of a caller.
-	 */
-	@FunctionalInterface
-	private interface CallSource {
+		/**
+		 * Calls that were due, with those that this process could not make in time.
+		 */
+		private static int offered(PhaseFigures figures) {
+			return figures.total() + figures.skipped();
+		}
 
-		LoadCall next(int number);
+		String table() {
+			StringBuilder table = new StringBuilder(
+					String.format(Locale.ROOT, "capacity %.1f calls/s; Jain's index of the small workspaces %.3f%n",
+							this.capacityPerSecond, jainIndex(shares())));
+			table.append(String.format("%-10s %10s %9s %8s %8s %5s %8s %12s%n", "workspaces", "offered/s", "answered",
+					"refused", "unknown", "lost", "skipped", "p99 first ms"));
+			table.append(row("large", this.large)).append(row("small", this.allSmall));
+			return table.toString();
+		}
+
+		private String row(String name, PhaseFigures figures) {
+			return String.format(Locale.ROOT, "%-10s %10.1f %8.2f%% %8d %8d %5d %8d %12.0f%n", name,
+					offeredPerSecond(figures), 100 * answeredOfOffered(figures), figures.count(Outcome.REFUSED),
+					figures.count(Outcome.UNKNOWN), figures.count(Outcome.LOST), figures.skipped(),
+					figures.firstTokenMillis(99));
+		}
 
 	}
 
