Load the data centre experiment near the capacity of warm engines

Cause: bench datacentre measured capacity during the first seconds of its load, when engines were partly cold, and engines held 64 calls each while the measurement offered 8. Its load, 80 % of the result, was therefore far below what the remaining data centres take.

Change: engines hold 8 calls each, and EngineWarmUp loads them until every agent reports "warm" and its full limit (30 s at most) before it measures. The load is 85 % of the remaining data centres' part of that. The phases are called before, out and after. The time to full service on return counts until each returned engine is warm and its agent admits the full 8 calls; so far it ended at "warm", when an agent may still admit 2. The faults existed already as an argument: none, router-cut, platform-down, router-cut-and-agent-killed.

--- a/src/main/java/org/jaywood/bench/DataCentreExperiment.java
+++ b/src/main/java/org/jaywood/bench/DataCentreExperiment.java
@@ -35,21 +35,16 @@
 	private static final int TOKENS = 25;
 
 	/**
-	 * Calls that an engine is taken to hold when its own limit is higher. More would load
-	 * this machine instead of the installation.
+	 * Calls that an engine holds: few and slow ones, so that the engines are full before
+	 * this machine is.
 	 */
-	private static final int MOST_CALLS = 8;
+	private static final int ENGINE_CALLS = 8;
 
 	/** Share of the capacity of the remaining data centres that the load takes. */
-	private static final double LOAD_SHARE = 0.8;
+	private static final double LOAD_SHARE = 0.85;
 
 	private static final long SERVING_MILLIS = 30_000;
 
-	/**
-	 * Time of the load that warms the engines and of that which measures the capacity.
-	 */
-	private static final long CAPACITY_MILLIS = 4_000;
-
 	@Override
 	public String name() {
 		return "datacentre";
@@ -76,13 +71,15 @@
 
 	/**
 	 * Options of an installation for this experiment: one router in each data centre,
-	 * since routers prefer their own, and engines whose calls take half a second.
+	 * since routers prefer their own, and engines whose calls take half a second to a
+	 * second.
 	 */
 	public static InstallationOptions installationOptions(Profile profile) {
 		return InstallationOptions.of(profile)
 			.withRouters(profile.sites().size())
 			.withNetwork()
-			.withTokenMillis(TOKEN_MILLIS);
+			.withTokenMillis(TOKEN_MILLIS)
+			.withFlags("engine", "--max-concurrency", Integer.toString(ENGINE_CALLS));
 	}
 
 	/**
@@ -105,17 +102,18 @@
 		List<Member> leaving = engines.stream()
 			.filter((agent) -> agent.dataCentre().equals(site.dataCentre()))
 			.toList();
-		double capacity = capacity(installation, digest, seed) * (engines.size() - leaving.size()) / engines.size();
+		EngineWarmUp warmUp = new EngineWarmUp(installation, digest, ENGINE_CALLS, TOKENS, seed);
+		double capacity = warmUp.capacityPerSecond() * (engines.size() - leaving.size()) / engines.size();
 		double rate = LOAD_SHARE * capacity;
 		LoadGenerator load = new LoadGenerator(LoadSettings.open(installation, rate, TOKENS, seed))
 			.allowWeights(digest);
 		double lastNewWorkSeconds;
 		double returnSeconds;
-		double warmSeconds;
+		double fullServiceSeconds;
 		try (load) {
 			load.start("before");
 			TimeUnit.SECONDS.sleep(seconds);
-			load.phase("during");
+			load.phase("out");
 			fault.beforeApply(installation);
 			installation.apply(without(all, site));
 			long outMillis = System.currentTimeMillis();
@@ -130,33 +128,12 @@
 			Installation.await("every engine of " + site.dataCentre() + " receives work again", SERVING_MILLIS,
 					() -> firstArrivalMillis(installation, leaving) > backMillis);
 			returnSeconds = (System.currentTimeMillis() - backMillis) / 1000.0;
-			Installation.await("every engine of " + site.dataCentre() + " is warm", SERVING_MILLIS,
-					() -> warm(installation, leaving));
-			warmSeconds = (System.currentTimeMillis() - backMillis) / 1000.0;
+			Installation.await("every engine of " + site.dataCentre() + " is in full service", SERVING_MILLIS,
+					() -> warmUp.inFullService(leaving));
+			fullServiceSeconds = (System.currentTimeMillis() - backMillis) / 1000.0;
 			TimeUnit.SECONDS.sleep(seconds);
 		}
-		return new Result(capacity, rate, lastNewWorkSeconds, returnSeconds, warmSeconds, load.phases());
-	}
-
-	/**
-	 * Answers a second of all engines together under a closed load that they can hold.
-	 */
-	private static double capacity(Installation installation, String digest, long seed)
-			throws IOException, InterruptedException {
-		List<Member> engines = installation.agentsOf(installation.profile().model().name());
-		int limit = Json.tree(installation.client().get(engines.getFirst().upstream().uri("/status"), TIMEOUT).body())
-			.path("maxConcurrency")
-			.asInt();
-		int callers = engines.size() * Math.min(MOST_CALLS, limit);
-		LoadGenerator load = new LoadGenerator(LoadSettings.closed(installation, callers, TOKENS, seed))
-			.allowWeights(digest);
-		try (load) {
-			load.start("warming");
-			TimeUnit.MILLISECONDS.sleep(CAPACITY_MILLIS);
-			load.phase("capacity");
-			TimeUnit.MILLISECONDS.sleep(CAPACITY_MILLIS);
-		}
-		return load.figures("capacity").count(Outcome.ANSWERED) * 1000.0 / CAPACITY_MILLIS;
+		return new Result(capacity, rate, lastNewWorkSeconds, returnSeconds, fullServiceSeconds, load.phases());
 	}
 
 	/**
@@ -174,16 +151,6 @@
 		}
 	}
 
-	private static boolean warm(Installation installation, List<Member> agents)
-			throws IOException, InterruptedException {
-		for (Member agent : agents) {
-			if (!installation.state(agent).path("upstreamState").asText().equals("warm")) {
-				return false;
-			}
-		}
-		return true;
-	}
-
 	private static ServiceLimits limits(Installation installation) {
 		return new ServiceLimits(Math.max(1, installation.profile().model().upstreams() / 3),
 				ServiceLimits.DEFAULT.deadlineMillis(), ServiceLimits.DEFAULT.bodyBytes());
@@ -233,12 +200,12 @@
 	 * engine of the data centre taken out; negative if none arrived after the apply
 	 * @param returnSeconds time from the second apply until each of its engines had work
 	 * again
-	 * @param warmSeconds time from the second apply until each of its engines, which
-	 * return cold, takes its full load
-	 * @param phases figures before, during and after
+	 * @param fullServiceSeconds time from the second apply until each of its engines,
+	 * which return cold, is warm and takes its full load
+	 * @param phases figures before, while the data centre is out, and after its return
 	 */
 	public record Result(double restCapacityPerSecond, double ratePerSecond, double lastNewWorkSeconds,
-			double returnSeconds, double warmSeconds, Map<String, PhaseFigures> phases) {
+			double returnSeconds, double fullServiceSeconds, Map<String, PhaseFigures> phases) {
 
 		/**
 		 * Calls in all phases to which no whole and right answer came and no statement.
@@ -256,7 +223,7 @@
 			map.put("ratePerSecond", this.ratePerSecond);
 			map.put("lastNewWorkSeconds", this.lastNewWorkSeconds);
 			map.put("returnSeconds", this.returnSeconds);
-			map.put("warmSeconds", this.warmSeconds);
+			map.put("fullServiceSeconds", this.fullServiceSeconds);
 			map.put("lostRequests", lost());
 			this.phases.forEach((name, figures) -> {
 				Map<String, Object> phase = new LinkedHashMap<>(figures.toMap());
@@ -268,8 +235,8 @@
 
 		String table() {
 			StringBuilder table = new StringBuilder(String.format(Locale.ROOT,
-					"last new work %.2f s after the apply, work everywhere %.2f s and all warm %.2f s after the return%n",
-					this.lastNewWorkSeconds, this.returnSeconds, this.warmSeconds));
+					"last new work %.2f s after the apply, work everywhere %.2f s and full service %.2f s after the return%n",
+					this.lastNewWorkSeconds, this.returnSeconds, this.fullServiceSeconds));
 			table.append(String.format(Locale.ROOT, "%.0f calls/s, capacity of the rest %.0f calls/s%n",
 					this.ratePerSecond, this.restCapacityPerSecond));
 			table.append(String.format(Locale.ROOT, "%-8s %6s %9s %8s %8s %5s %6s %12s%n", "phase", "calls", "answered",
