Probe one peer a second while nothing changes

Control took 2 to 3 % of a core of an idle daemon, and what costs is the number of exchanges and timers. Each process probed two random peers a second, shuffled the whole list of VMs for that, ranked the watchers of its data centre twice a second, and each router woke 40 times a second to look for room for calls that were not there.

An idle process now probes one peer a second. After a change of the configuration or the VM list it probes two at once and two every 500 ms for 3 s. It probes two a second while it leaves and when no peer was heard for 3 s, so a process with few reachable peers is not isolated sooner than before. The live list is kept until it changes, and with it the result of the election. Room is probed for only while calls wait.

--- a/src/main/java/org/jaywood/peer/Membership.java
+++ b/src/main/java/org/jaywood/peer/Membership.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Stream;
 
 import org.jaywood.platform.VmPage;
@@ -36,6 +37,11 @@
 	private volatile Runnable changeListener = () -> {
 	};
 
+	/** Counts changes of what {@link #live} returns. */
+	private final AtomicLong revision = new AtomicLong();
+
+	private volatile Snapshot liveSnapshot = new Snapshot(0, List.of());
+
 	private volatile long version;
 
 	public long version() {
@@ -74,6 +80,7 @@
 	private void take(VmPage page) {
 		page.vms().forEach((entry) -> merge(entry, page.version()));
 		this.version = page.version();
+		this.revision.incrementAndGet();
 	}
 
 	private void merge(VmRecord entry, long pageVersion) {
@@ -97,6 +104,7 @@
 	public synchronized void adopt(VmPage page) {
 		if (this.version == 0) {
 			page.vms().forEach((entry) -> merge(entry, 0));
+			this.revision.incrementAndGet();
 		}
 	}
 
@@ -152,13 +160,16 @@
 	 * Notes that a process said itself that it leaves.
 	 */
 	public void observeLeaving(Address address) {
-		if (this.records.values().stream().anyMatch((entry) -> entry.address().equals(address))) {
-			this.observedLeaving.add(address);
+		if (this.records.values().stream().anyMatch((entry) -> entry.address().equals(address))
+				&& this.observedLeaving.add(address)) {
+			this.revision.incrementAndGet();
 		}
 	}
 
 	public void observeServing(Address address) {
-		this.observedLeaving.remove(address);
+		if (this.observedLeaving.remove(address)) {
+			this.revision.incrementAndGet();
+		}
 	}
 
 	/**
@@ -177,9 +188,27 @@
 	 * VMs that take new work, as far as known.
 	 */
 	public Stream<VmRecord> live() {
-		return this.records.values()
+		return liveList().stream();
+	}
+
+	/**
+	 * The same as a list, which stays the same object until it changes. Some 2,000 VMs
+	 * are listed at the planned size and the list is read several times a second.
+	 */
+	List<VmRecord> liveList() {
+		// The revision is read before the records and raised after each change, so a list
+		// that misses a change is not taken for current after it.
+		long current = this.revision.get();
+		Snapshot known = this.liveSnapshot;
+		if (known.revision() == current) {
+			return known.vms();
+		}
+		List<VmRecord> vms = this.records.values()
 			.stream()
-			.filter((entry) -> entry.state() == VmState.LIVE && !this.observedLeaving.contains(entry.address()));
+			.filter((entry) -> entry.state() == VmState.LIVE && !this.observedLeaving.contains(entry.address()))
+			.toList();
+		this.liveSnapshot = new Snapshot(current, vms);
+		return vms;
 	}
 
 	/**
@@ -195,4 +224,10 @@
 	private record Change(long version, VmRecord entry) {
 	}
 
+	/**
+	 * Live VMs at a revision.
+	 */
+	private record Snapshot(long revision, List<VmRecord> vms) {
+	}
+
 }
--- a/src/main/java/org/jaywood/peer/PeerNode.java
+++ b/src/main/java/org/jaywood/peer/PeerNode.java
@@ -39,10 +39,6 @@
  */
 public final class PeerNode implements AutoCloseable {
 
-	private static final long PROBE_INTERVAL_MILLIS = 1_000;
-
-	private static final int PROBES_PER_INTERVAL = 2;
-
 	private static final int PROBE_LIMIT_BYTES = 4_096;
 
 	private static final long ISOLATION_MILLIS = 30_000;
@@ -85,6 +81,10 @@
 
 	private final StartSync startSync;
 
+	private final ProbePace pace = new ProbePace(System.currentTimeMillis());
+
+	private final WatcherElection election = new WatcherElection();
+
 	private final Semaphore probeNow = new Semaphore(0);
 
 	/**
@@ -117,11 +117,16 @@
 		this.peers = new PeerProbe(this.client, this.configuration, this.membership, identity.address(), this::ownProbe,
 				this::observeProbe, this.tasks);
 		this.startSync = new StartSync(this.watch, this.peers, () -> this.configuration.current().generation());
-		this.configuration.onChange((changed) -> this.probeNow.release());
+		this.configuration.onChange((current) -> changed());
 		this.port = openPort(listenAddress).route("POST", "/v1/probe", this::answerProbe)
 			.route("GET", "/v1/configuration", (exchange) -> answer(exchange, this.configuration.current()))
 			.route("GET", "/v1/vms", this::answerVms);
-		this.membership.onChange(this.probeNow::release);
+		this.membership.onChange(this::changed);
+	}
+
+	private void changed() {
+		this.pace.changed(System.currentTimeMillis());
+		this.probeNow.release();
 	}
 
 	private HttpPort openPort(Address address) {
@@ -214,7 +219,7 @@
 	}
 
 	private boolean watcher() {
-		return WatcherElection.elects(this.membership.live(), this.identity.dataCentre(), this.identity.vm());
+		return this.election.elects(this.membership.liveList(), this.identity.dataCentre(), this.identity.vm());
 	}
 
 	/**
@@ -240,11 +245,13 @@
 
 	private void probePeers() {
 		while (!Thread.currentThread().isInterrupted()) {
-			this.peers.probeRandom(PROBES_PER_INTERVAL);
-			this.isolation.report(System.currentTimeMillis());
+			long nowMillis = System.currentTimeMillis();
+			this.peers
+				.probeRandom(this.pace.probes(nowMillis, this.isolation.lastPeerMillis(), this.leaving.getAsBoolean()));
+			this.isolation.report(nowMillis);
 			try {
 				// A changed configuration is shown to peers at once.
-				this.probeNow.tryAcquire(PROBE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+				this.probeNow.tryAcquire(this.pace.intervalMillis(nowMillis), TimeUnit.MILLISECONDS);
 				this.probeNow.drainPermits();
 			}
 			catch (InterruptedException ex) {
--- a/src/main/java/org/jaywood/peer/PeerProbe.java
+++ b/src/main/java/org/jaywood/peer/PeerProbe.java
@@ -33,6 +33,11 @@
 	/** Spreads the fetches of a fleet that sees a new generation at one moment. */
 	private static final long FETCH_JITTER_MILLIS = 200;
 
+	private static final int SMALL_LIST = 32;
+
+	/** Own address and repetitions are drawn in vain. */
+	private static final int DRAWS_PER_PEER = 8;
+
 	private final WireClient client;
 
 	private final ConfigurationView configuration;
@@ -66,10 +71,26 @@
 	 * Random live peers.
 	 */
 	List<Address> peers(int count) {
-		List<Address> peers = new ArrayList<>(
-				this.membership.live().map(VmRecord::address).filter((address) -> !address.equals(this.self)).toList());
-		Collections.shuffle(peers, ThreadLocalRandom.current());
-		return peers.stream().limit(count).toList();
+		List<VmRecord> live = this.membership.liveList();
+		if (live.size() <= SMALL_LIST) {
+			List<Address> peers = new ArrayList<>(live.stream().map(VmRecord::address).filter(this::other).toList());
+			Collections.shuffle(peers, ThreadLocalRandom.current());
+			return peers.stream().limit(count).toList();
+		}
+		// Of so many, a few draws almost never repeat; shuffling all costs more than a
+		// probe.
+		return ThreadLocalRandom.current()
+			.ints(0, live.size())
+			.limit(DRAWS_PER_PEER * (long) count)
+			.mapToObj((index) -> live.get(index).address())
+			.filter(this::other)
+			.distinct()
+			.limit(count)
+			.toList();
+	}
+
+	private boolean other(Address address) {
+		return !address.equals(this.self);
 	}
 
 	void probeRandom(int count) {
--- a/src/main/java/org/jaywood/peer/WatcherElection.java
+++ b/src/main/java/org/jaywood/peer/WatcherElection.java
@@ -18,7 +18,20 @@
 	/** Two may fail at once without delay to the configuration. */
 	static final int WATCHERS = 3;
 
-	private WatcherElection() {
+	private volatile Result last = new Result(List.of(), true);
+
+	/**
+	 * Whether a VM is a watcher of its data centre, by a list that is the same object as
+	 * long as it does not change. Each election sorts the VMs of the data centre, so one
+	 * process keeps the last result.
+	 */
+	boolean elects(List<VmRecord> live, String dataCentre, String vm) {
+		Result known = this.last;
+		if (known.live() != live) {
+			known = new Result(live, elects(live.stream(), dataCentre, vm));
+			this.last = known;
+		}
+		return known.elected();
 	}
 
 	/**
@@ -37,4 +50,10 @@
 		return Hashing.komihash5_0().hashCharsToLong("configuration-watch " + vm);
 	}
 
+	/**
+	 * Result for one list.
+	 */
+	private record Result(List<VmRecord> live, boolean elected) {
+	}
+
 }
--- a/src/main/java/org/jaywood/router/FairShare.java
+++ b/src/main/java/org/jaywood/router/FairShare.java
@@ -31,6 +31,9 @@
 
 	private final AtomicLong sequence = new AtomicLong();
 
+	private volatile Runnable waitListener = () -> {
+	};
+
 	/**
 	 * Creates an empty queue for each service.
 	 * @param limit calls of a service that may wait
@@ -41,6 +44,13 @@
 		this.clock = clock;
 	}
 
+	/**
+	 * Sets what is called after each call that begins to wait.
+	 */
+	void onWait(Runnable listener) {
+		this.waitListener = listener;
+	}
+
 	/**
 	 * Registers a call. It may run at once if no other call of its service waits.
 	 */
@@ -146,6 +156,7 @@
 				Optional<Waiter> displaced = this.service.queue.add(this.waiter);
 				displaced.ifPresent(Waiter::reject);
 			}
+			FairShare.this.waitListener.run();
 			try {
 				return turn.get(Math.max(0, untilMillis - FairShare.this.clock.getAsLong()), TimeUnit.MILLISECONDS);
 			}
--- /dev/null
+++ b/src/main/java/org/jaywood/router/RoomProbe.java
@@ -0,0 +1,59 @@
+package org.jaywood.router;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
+
+/**
+ * Looks for room at upstreams at a short interval, but only while calls wait. A timer of
+ * 25 ms that always runs wakes an idle router 40 times a second.
+ */
+final class RoomProbe {
+
+	private final Watchdog timer;
+
+	private final long intervalMillis;
+
+	private final Runnable probe;
+
+	private final BooleanSupplier waiting;
+
+	private final AtomicBoolean active = new AtomicBoolean();
+
+	/**
+	 * Creates a probe that is idle until {@link #start}.
+	 * @param timer runs the probe
+	 * @param intervalMillis interval
+	 * @param probe must not block
+	 * @param waiting whether calls wait
+	 */
+	RoomProbe(Watchdog timer, long intervalMillis, Runnable probe, BooleanSupplier waiting) {
+		this.timer = timer;
+		this.intervalMillis = intervalMillis;
+		this.probe = probe;
+		this.waiting = waiting;
+	}
+
+	/**
+	 * Runs the probe from now on until no call waits. To be called after a call has begun
+	 * to wait.
+	 */
+	void start() {
+		if (this.active.compareAndSet(false, true)) {
+			this.timer.after(this.intervalMillis, this::run);
+		}
+	}
+
+	private void run() {
+		try {
+			this.probe.run();
+		}
+		finally {
+			this.active.set(false);
+			// A call that began to wait before the line above found the probe active.
+			if (this.waiting.getAsBoolean()) {
+				start();
+			}
+		}
+	}
+
+}
--- a/src/main/java/org/jaywood/router/Router.java
+++ b/src/main/java/org/jaywood/router/Router.java
@@ -73,7 +73,8 @@
 		this.budget = new BufferBudget(limits.budgetBytes(), limits.stallMillis());
 		this.watchdog.every(STALL_CHECK_MILLIS, () -> this.budget.abortStalled(clock.getAsLong()));
 		this.shares = new FairShare(limits.queueCalls(), clock);
-		this.watchdog.every(PROBE_MILLIS, this.shares::probe);
+		this.shares.onWait(
+				new RoomProbe(this.watchdog, PROBE_MILLIS, this.shares::probe, () -> this.shares.waiting() > 0)::start);
 		CallRelay relay = relay(identity, clock);
 		this.sweeper = new ClaimSweeper(this.peer.platform(), SWEEP_DELETIONS);
 		ClaimRegistry claims = new ClaimRegistry(this.peer.platform(), relay, clock);
--- a/src/test/java/org/jaywood/peer/MembershipTests.java
+++ b/src/test/java/org/jaywood/peer/MembershipTests.java
@@ -117,9 +117,72 @@
 
 	}
 
+	/**
+	 * Guards against a list of live VMs that misses a change, and against a new one for
+	 * each reader.
+	 */
+	@Nested
+	class LiveList {
+
+		private final Membership membership = MembershipTests.this.membership;
+
+		private List<String> live() {
+			return this.membership.liveList().stream().map(VmRecord::vm).toList();
+		}
+
+		@Test
+		void staysTheSameObjectUntilItChanges() {
+			this.membership.merge(new VmPage(1, List.of(vm(1, VmState.LIVE), vm(2, VmState.LIVE))));
+			List<VmRecord> before = this.membership.liveList();
+			this.membership.observeServing(vm(1, VmState.LIVE).address());
+			assertThat(this.membership.liveList()).isSameInstanceAs(before);
+			this.membership.merge(new VmPage(2, List.of(vm(2, VmState.GONE))));
+			assertThat(this.membership.liveList()).isNotSameInstanceAs(before);
+		}
+
+		@Test
+		void followsEachKindOfChange() {
+			assertThat(live()).isEmpty();
+			this.membership.adopt(new VmPage(1, List.of(vm(1, VmState.LIVE))));
+			assertThat(live()).containsExactly("vm-1");
+			this.membership.merge(new VmPage(1, List.of(vm(1, VmState.LIVE), vm(2, VmState.LIVE))));
+			assertThat(live()).containsExactly("vm-1", "vm-2");
+			this.membership.observeLeaving(vm(1, VmState.LIVE).address());
+			assertThat(live()).containsExactly("vm-2");
+			this.membership.observeServing(vm(1, VmState.LIVE).address());
+			assertThat(live()).containsExactly("vm-1", "vm-2");
+			this.membership.mergeFromPeer(new VmPage(2, List.of(vm(2, VmState.LEAVING))));
+			assertThat(live()).containsExactly("vm-1");
+		}
+
+	}
+
 	@Nested
 	class Watchers {
 
+		/**
+		 * Guards against a kept result that outlives the list it was made from.
+		 */
+		@Test
+		void areElectedAgainAfterAChange() {
+			WatcherElection election = new WatcherElection();
+			List<VmRecord> first = IntStream.rangeClosed(1, 20).mapToObj((i) -> vm(i, VmState.LIVE)).toList();
+			List<String> elected = elected(first);
+			String vm = elected.getFirst();
+			assertThat(election.elects(first, "kushiro-a", vm)).isTrue();
+			assertThat(election.elects(first, "kushiro-a", vm)).isTrue();
+			List<VmRecord> without = first.stream().filter((entry) -> !entry.vm().equals(vm)).toList();
+			assertThat(election.elects(without, "kushiro-a", vm)).isFalse();
+			assertThat(election.elects(first, "kushiro-a", vm)).isTrue();
+		}
+
+		private List<String> elected(List<VmRecord> live) {
+			return live.stream()
+				.map(VmRecord::vm)
+				.filter((vm) -> WatcherElection.elects(live.stream(), "kushiro-a", vm))
+				.toList();
+		}
+
 		@Test
 		void areThreeOfADataCentre() {
 			List<VmRecord> live = IntStream.rangeClosed(1, 100).mapToObj((i) -> vm(i, VmState.LIVE)).toList();
--- /dev/null
+++ b/src/test/java/org/jaywood/peer/PeerProbeTests.java
@@ -0,0 +1,76 @@
+package org.jaywood.peer;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.config.ConfigurationView;
+import org.jaywood.event.EventLog;
+import org.jaywood.platform.VmPage;
+import org.jaywood.platform.VmRecord;
+import org.jaywood.platform.VmState;
+import org.jaywood.wire.Address;
+import org.jaywood.wire.WireClient;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against peers that are never probed, against probes of the process itself, and
+ * against fewer peers than asked for.
+ */
+class PeerProbeTests {
+
+	private final Membership membership = new Membership();
+
+	private final PeerProbe peers = new PeerProbe(new WireClient(null, null, Map::of, (reply) -> {
+	}), new ConfigurationView(new EventLog("test")), this.membership, address(1), () -> {
+		throw new IllegalStateException("no probe is sent");
+	}, (probe) -> {
+	}, Runnable::run);
+
+	private static Address address(int number) {
+		return new Address("127.0." + number / 200 + "." + (1 + number % 200), 7100);
+	}
+
+	private void list(int count) {
+		this.membership.merge(new VmPage(1, IntStream.rangeClosed(1, count)
+			.mapToObj((i) -> new VmRecord("vm-" + i, "agent", "pool", "doto", "kushiro-a", address(i), VmState.LIVE))
+			.toList()));
+	}
+
+	private Set<Address> draw(int rounds, int count) {
+		Set<Address> seen = new HashSet<>();
+		IntStream.range(0, rounds).forEach((round) -> {
+			List<Address> drawn = this.peers.peers(count);
+			assertThat(drawn).containsNoDuplicates();
+			assertThat(drawn.size()).isEqualTo(count);
+			seen.addAll(drawn);
+		});
+		return seen;
+	}
+
+	@Test
+	void reachesEachOfAFewPeersButNotItself() {
+		list(3);
+		assertThat(draw(100, 2)).containsExactly(address(2), address(3));
+	}
+
+	@Test
+	void hasNoPeersAlone() {
+		list(1);
+		assertThat(this.peers.peers(2)).isEmpty();
+	}
+
+	@Test
+	void reachesEachOfManyPeersButNotItself() {
+		list(300);
+		Set<Address> seen = draw(10_000, 2);
+		assertThat(seen).hasSize(299);
+		assertThat(seen).doesNotContain(address(1));
+	}
+
+}
