Keep two bits for each attempt that no longer runs

Calls in flight are not what the window must cover: numbers are also used up by hand-overs that find no room, and thousands of callers may arrive at one router at once.

The window stays at 4,096 numbers. Those that ended and those that were refused are kept as two rings of bits, 1 KiB for each router; running ones are kept as before, however old they are. Answers do not change, and the property test of the ledger is untouched.

--- a/src/main/java/org/jaywood/agent/AttemptLedger.java
+++ b/src/main/java/org/jaywood/agent/AttemptLedger.java
@@ -1,12 +1,13 @@
 package org.jaywood.agent;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.NavigableMap;
 import java.util.Optional;
-import java.util.TreeMap;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
 import org.jspecify.annotations.Nullable;
@@ -30,6 +31,12 @@
  */
 final class AttemptLedger {
 
+	/**
+	 * Numbers that a router may give while one of its hand-overs is on its way. Thousands
+	 * of callers may arrive at one router at once, and all that find no room use up
+	 * numbers; a hand-over that falls out of the window before it arrives ends as
+	 * unknown.
+	 */
 	static final int WINDOW = 4_096;
 
 	/** Several times the routers of the planned size, which is below 370. */
@@ -70,11 +77,11 @@
 		book.check(attempt);
 		try {
 			T admitted = admission.get();
-			book.record(attempt, State.RUNNING);
+			book.run(attempt);
 			return admitted;
 		}
 		catch (AdmissionRefusal refusal) {
-			book.record(attempt, State.REFUSED);
+			book.refuse(attempt);
 			throw refusal;
 		}
 	}
@@ -87,20 +94,20 @@
 	 * Notes that an admitted attempt has ended.
 	 */
 	synchronized void end(String router, long attempt) {
-		settle(router, attempt, State.ENDED);
+		settle(router, attempt, (book) -> book.ended);
 	}
 
 	/**
 	 * Notes that the upstream did not take an admitted attempt.
 	 */
 	synchronized void revoke(String router, long attempt) {
-		settle(router, attempt, State.REFUSED);
+		settle(router, attempt, (book) -> book.refused);
 	}
 
-	private void settle(String router, long attempt, State state) {
+	private void settle(String router, long attempt, Function<Book, AttemptWindow> settled) {
 		Book book = this.books.get(router);
 		if (book != null) {
-			book.settle(attempt, state);
+			book.settle(attempt, settled.apply(book));
 		}
 		notifyAll();
 	}
@@ -180,27 +187,23 @@
 		return true;
 	}
 
-	private enum State {
-
-		RUNNING, ENDED, REFUSED
-
-	}
-
 	/**
-	 * The attempts of one router.
+	 * The attempts of one router. Those that no longer run take two bits each.
 	 */
 	private static final class Book {
 
-		private final NavigableMap<Long, State> seen = new TreeMap<>();
+		private final Set<Long> running = new HashSet<>();
+
+		private final AttemptWindow ended = new AttemptWindow(WINDOW);
+
+		private final AttemptWindow refused = new AttemptWindow(WINDOW);
 
 		private long floor;
 
 		private long highest;
 
-		private long running;
-
 		private boolean idle() {
-			return this.running == 0;
+			return this.running.isEmpty();
 		}
 
 		private boolean forgotten(long attempt) {
@@ -208,40 +211,39 @@
 		}
 
 		private void check(long attempt) {
-			State state = this.seen.get(attempt);
-			if (state == State.REFUSED) {
-				throw new AdmissionRefusal(RefusalReason.FENCED, 0);
-			}
-			if (state != null || forgotten(attempt)) {
+			if (this.running.contains(attempt) || forgotten(attempt) || this.ended.contains(attempt)) {
 				throw new AdmissionRefusal(RefusalReason.DUPLICATE, 0);
 			}
-			if (attempt <= this.floor) {
+			if (attempt <= this.floor || this.refused.contains(attempt)) {
 				throw new AdmissionRefusal(RefusalReason.FENCED, 0);
 			}
 		}
 
-		private void record(long attempt, State state) {
-			this.seen.put(attempt, state);
-			this.running += (state == State.RUNNING) ? 1 : 0;
+		private void run(long attempt) {
+			this.running.add(attempt);
+			raise(attempt);
+		}
+
+		private void refuse(long attempt) {
 			raise(attempt);
+			this.refused.add(attempt);
 		}
 
-		private void settle(long attempt, State state) {
-			if (this.seen.replace(attempt, State.RUNNING, state)) {
-				this.running--;
-				trim();
+		// An attempt older than the window was still known while it ran.
+		private void settle(long attempt, AttemptWindow settled) {
+			if (this.running.remove(attempt) && !forgotten(attempt)) {
+				settled.add(attempt);
 			}
 		}
 
 		private FenceReply.State fence(long attempt) {
-			State state = this.seen.get(attempt);
-			if (state == State.RUNNING) {
+			if (this.running.contains(attempt)) {
 				return FenceReply.State.RUNNING;
 			}
-			if (state == State.ENDED || (state == null && forgotten(attempt))) {
+			if (forgotten(attempt) || this.ended.contains(attempt)) {
 				return FenceReply.State.FORGOTTEN;
 			}
-			if (state == null) {
+			if (!this.refused.contains(attempt)) {
 				this.floor = Math.max(this.floor, attempt);
 				raise(attempt);
 			}
@@ -249,13 +251,11 @@
 		}
 
 		private void raise(long attempt) {
-			this.highest = Math.max(this.highest, attempt);
-			trim();
-		}
-
-		// A running attempt stays however old it is; admission bounds their number.
-		private void trim() {
-			this.seen.headMap(this.highest - WINDOW, true).values().removeIf((state) -> state != State.RUNNING);
+			if (attempt > this.highest) {
+				this.ended.moveTo(attempt);
+				this.refused.moveTo(attempt);
+				this.highest = attempt;
+			}
 		}
 
 	}
--- a/src/test/java/org/jaywood/agent/AttemptLedgerTests.java
+++ b/src/test/java/org/jaywood/agent/AttemptLedgerTests.java
@@ -119,6 +119,36 @@
 			assertThat(refusal(1)).isEqualTo(RefusalReason.DUPLICATE);
 		}
 
+		/**
+		 * Guards against "unknown" for a call of a burst that never ran: the first of
+		 * many hand-overs of one router arrives last.
+		 */
+		@Test
+		void keepsTheOutcomeOfAnAttemptThatABurstOvertakes() {
+			for (long attempt = 2; attempt <= 2_000; attempt++) {
+				this.ledger.handOver("r", attempt, () -> "");
+				this.ledger.end("r", attempt);
+			}
+			assertThat(this.ledger.handOver("r", 1, () -> "admitted")).isEqualTo("admitted");
+			assertThat(refusal(1)).isEqualTo(RefusalReason.DUPLICATE);
+		}
+
+		/**
+		 * Guards against a running attempt that is forgotten because of its age.
+		 */
+		@Test
+		void knowsARunningAttemptOlderThanTheWindow() {
+			this.ledger.handOver("r", 1, () -> "");
+			this.ledger.handOver("r", 2, () -> "");
+			this.ledger.handOver("r", 3L * AttemptLedger.WINDOW, () -> "");
+			assertThat(this.ledger.fence("r", 1)).isEqualTo(FenceReply.State.RUNNING);
+			this.ledger.end("r", 1);
+			this.ledger.revoke("r", 2);
+			assertThat(this.ledger.fence("r", 1)).isEqualTo(FenceReply.State.FORGOTTEN);
+			assertThat(this.ledger.fence("r", 2)).isEqualTo(FenceReply.State.FORGOTTEN);
+			assertThat(refusal(1)).isEqualTo(RefusalReason.DUPLICATE);
+		}
+
 		private RefusalReason refusal(long attempt) {
 			return Failures.thrownBy(AdmissionRefusal.class, () -> this.ledger.handOver("r", attempt, () -> ""))
 				.reason();
