--- a/src/main/java/org/jaywood/router/ClaimSweeper.java
+++ b/src/main/java/org/jaywood/router/ClaimSweeper.java
@@ -13,7 +13,7 @@
 /**
  * Deletes claims whose keys are past their retention. Such keys are refused before any
  * claim is read, so a deletion never lets a call run again. Routers share one cursor and
- * may sweep at once; a deletion that another one made first does no harm.
+ * take turns. Two may sweep at once; a deletion that another one made first does no harm.
  */
 final class ClaimSweeper {
 
@@ -28,6 +28,11 @@
 
 	private static final int PERIODS_PER_PASS = 60;
 
+	private static final long PAUSE_MILLIS = 10_000;
+
+	/** One router sweeps for all, so it must keep up with the claims of all. */
+	private static final long BACKLOG_PAUSE_MILLIS = 1_000;
+
 	private final ObjectStore objects;
 
 	private final int deletionsPerPass;
@@ -72,6 +77,14 @@
 		return deleted;
 	}
 
+	/**
+	 * Time until the next pass. It is short after a pass that stopped at its bound.
+	 * @param deleted claims that the last pass deleted
+	 */
+	long pauseMillis(int deleted) {
+		return (deleted < this.deletionsPerPass) ? PAUSE_MILLIS : BACKLOG_PAUSE_MILLIS;
+	}
+
 	private StoredObject cursor(long lastPeriod) {
 		try {
 			return Futures.await(this.objects.get(CURSOR_KIND, CURSOR_NAME));
--- a/src/main/java/org/jaywood/router/Router.java
+++ b/src/main/java/org/jaywood/router/Router.java
@@ -27,9 +27,7 @@
 
 	private static final long STALL_CHECK_MILLIS = 250;
 
-	/** With the deletions of a pass, each router deletes at most 20 claims a second. */
-	private static final long SWEEP_MILLIS = 10_000;
-
+	/** Passes are a second apart or more, so a sweep adds at most 200 writes a second. */
 	private static final int SWEEP_DELETIONS = 200;
 
 	/** Bounds how long room at an upstream stays unseen while calls wait. */
@@ -104,9 +102,8 @@
 	public void start() {
 		this.peer.start();
 		this.callerPort.start();
-		// Routers that start together must not sweep together.
-		this.sweeps.scheduleWithFixedDelay(this::sweep, ThreadLocalRandom.current().nextLong(SWEEP_MILLIS),
-				SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+		// Routers that start together know of few others and must not sweep together.
+		scheduleSweep(ThreadLocalRandom.current().nextLong(this.sweeper.pauseMillis(0)));
 		this.log.log(Event.PROCESS_STARTED, "role", "router", "address", this.callerPort.address());
 	}
 
@@ -125,9 +122,17 @@
 				(System.currentTimeMillis() - nowMillis) / 1000.0);
 	}
 
+	private void scheduleSweep(long delayMillis) {
+		this.sweeps.schedule(this::sweep, delayMillis, TimeUnit.MILLISECONDS);
+	}
+
 	private void sweep() {
+		int deleted = 0;
 		try {
-			int deleted = this.sweeper.sweep(System.currentTimeMillis());
+			long wallMillis = System.currentTimeMillis();
+			if (SweeperElection.elects(this.peer.membership().live(), this.settings.vm(), wallMillis)) {
+				deleted = this.sweeper.sweep(wallMillis);
+			}
 			if (deleted > 0) {
 				this.log.log(Event.CLAIMS_DELETED, "count", deleted);
 			}
@@ -135,6 +140,7 @@
 		catch (RuntimeException ex) {
 			this.log.log(Event.TASK_FAILED, "task", "claim sweep", "error", ex);
 		}
+		scheduleSweep(this.sweeper.pauseMillis(deleted));
 	}
 
 	private Map<String, Object> state() {
--- a/src/test/java/org/jaywood/router/ClaimSweeperTests.java
+++ b/src/test/java/org/jaywood/router/ClaimSweeperTests.java
@@ -63,6 +63,16 @@
 		assertThat(claims()).isEqualTo(0);
 	}
 
+	/**
+	 * Guards against a backlog that grows because one router sweeps for all.
+	 */
+	@Test
+	void goesOnSoonAfterAPassThatStoppedAtItsBound() {
+		assertThat(this.sweeper.pauseMillis(0)).isEqualTo(10_000);
+		assertThat(this.sweeper.pauseMillis(9)).isEqualTo(10_000);
+		assertThat(this.sweeper.pauseMillis(10)).isEqualTo(1_000);
+	}
+
 	/**
 	 * Guards the claims of a time in which no router ran.
 	 */
