Let the changes of the capacity bench reach the processes

The listed VMs without a process stood in the data centres of the real ones. With 600 or 1,970 listed they were elected as the watchers of the configuration, no process watched it (0 waiting reads a second), and the windows with changes measured idle processes: control traffic at 1 change a second was 2.7 KB/s as without changes.

They now stand in a data centre of their own, and a window with changes fails unless its last generation is in force everywhere within 7 s of the end.

--- a/src/main/java/org/jaywood/bench/CapacityExperiment.java
+++ b/src/main/java/org/jaywood/bench/CapacityExperiment.java
@@ -32,6 +32,15 @@
 
 	private static final double[] CHANGES_PER_SECOND = { 0.2, 0.5, 1 };
 
+	/**
+	 * Data centre of the listed VMs without a process. In a data centre of real processes
+	 * they would be elected as watchers, and no change would reach a process.
+	 */
+	private static final String LISTED_DATA_CENTRE = "listed-only";
+
+	/** Time in which a change must be in force everywhere. */
+	private static final long IN_FORCE_MILLIS = 7_000;
+
 	/** Time after which start-up work no longer shows in the processor time. */
 	private static final long SETTLE_MILLIS = 6_000;
 
@@ -70,7 +79,7 @@
 			Member real = agents.get(i % agents.size());
 			String vm = String.format(Locale.ROOT, "listed-%04d", i);
 			byte[] entry = Json.bytes(Map.of("vm", vm, "role", "agent", "service", "listed-only", "region",
-					real.region(), "dataCentre", real.dataCentre(), "address", real.advertised(), "state", "LIVE"));
+					real.region(), "dataCentre", LISTED_DATA_CENTRE, "address", real.advertised(), "state", "LIVE"));
 			installation.client()
 				.send(installation.client()
 					.request(installation.platform().uri("/vms/" + vm), TIMEOUT)
@@ -84,13 +93,17 @@
 		Reading before = Reading.of(installation);
 		long startNanos = System.nanoTime();
 		int changes = (int) Math.round(changesPerSecond * seconds);
+		long generation = 0;
 		for (int i = 0; i < changes; i++) {
-			installation.apply(installation.deployment("1", manifest));
+			generation = installation.apply(installation.deployment("1", manifest)).generation();
 			sleepUntil(startNanos + (long) ((i + 1) / changesPerSecond * 1e9));
 		}
 		sleepUntil(startNanos + TimeUnit.SECONDS.toNanos(seconds));
 		double elapsedSeconds = (System.nanoTime() - startNanos) / 1e9;
-		return Sample.between(before, Reading.of(installation), elapsedSeconds, size);
+		Sample sample = Sample.between(before, Reading.of(installation), elapsedSeconds, size);
+		// A window counts only if its changes reached all processes.
+		installation.awaitGeneration(generation, IN_FORCE_MILLIS);
+		return sample;
 	}
 
 	private static void sleepUntil(long nanos) throws InterruptedException {
