--- a/src/main/java/org/jaywood/router/CallRelay.java
+++ b/src/main/java/org/jaywood/router/CallRelay.java
@@ -116,7 +116,7 @@
 			}
 			Step step = attempt(agent.get(), call, answer, listener, turn);
 			if (!step.another()) {
-				return step.result();
+				return (busy && late(step.result())) ? full(last, turn) : step.result();
 			}
 			if (step.exclude()) {
 				excluded.add(agent.get().address());
@@ -126,7 +126,14 @@
 			retry = true;
 			last = combine(last, step.result());
 		}
-		return ended(last, RefusalReason.DEADLINE.name());
+		return busy ? full(last, turn) : ended(last, RefusalReason.DEADLINE.name());
+	}
+
+	/**
+	 * Whether the agent refused a call because its deadline had passed on the way.
+	 */
+	private static boolean late(CallResult result) {
+		return result instanceof CallResult.NotRun notRun && notRun.reason().equals(RefusalReason.DEADLINE.name());
 	}
 
 	private long waitUntilMillis(Call call) {
--- a/src/test/java/org/jaywood/router/CallRelayTests.java
+++ b/src/test/java/org/jaywood/router/CallRelayTests.java
@@ -229,6 +229,19 @@
 			}
 		}
 
+		/**
+		 * Guards against the reason DEADLINE, without a time to retry, for a call that
+		 * found full upstreams until its deadline passed on the way to the last one.
+		 */
+		@Test
+		void refusesAsFullWhenTheDeadlinePassesOnTheWay() throws Exception {
+			try (FakeAgent agent = new FakeAgent("one", "a").refuse(RefusalReason.FULL).refuse(RefusalReason.DEADLINE);
+					RelayFixture fixture = new RelayFixture(agent)) {
+				assertThat(fixture.run(RelayFixture.booking(5_000), CallRelayTests.this.sink))
+					.isEqualTo(new CallResult.NotRun("FULL", 1_000));
+			}
+		}
+
 		/**
 		 * Guards against an agent that is lost for this router after its restart.
 		 */
