Scale the links of bench burst with the number of agents

Change: beyond 10 agents the links of machines and origin are slower in proportion, and dumps are taken 160 times in a lower bound. The limit of a run is six lower bounds, and the VMs of kill5 die after a quarter of one.

--- a/src/main/java/org/jaywood/bench/BurstExperiment.java
+++ b/src/main/java/org/jaywood/bench/BurstExperiment.java
@@ -38,20 +38,30 @@
 	/** 128 chunks. */
 	private static final int CHUNK_BYTES = 32 * 1024;
 
-	/** In a window of 16 s, a machine carries two copies and the origin four. */
-	private static final long MACHINE_BYTES_PER_SECOND = 524_288;
+	/**
+	 * Rate of a machine's link for up to {@link #FULL_RATE_REPLICAS} agents: in a window
+	 * of 16 s, a machine carries two copies and the origin four.
+	 */
+	private static final long FULL_BYTES_PER_SECOND = 524_288;
 
-	private static final long ORIGIN_BYTES_PER_SECOND = 2 * MACHINE_BYTES_PER_SECOND;
+	/**
+	 * More agents get slower links in proportion, since all share the processors of one
+	 * machine: at full rate, 40 agents were bound by them and not by their links.
+	 */
+	private static final int FULL_RATE_REPLICAS = 10;
 
 	/** Blocks of the network stand-in in a chunk. */
 	private static final int BLOCKS_PER_CHUNK = 4;
 
-	/** A burst that takes longer is given up, so that a run stays below 90 s. */
-	private static final double LIMIT_SECONDS = 60;
+	/** A burst that takes longer than this many times the lower bound is given up. */
+	private static final double LIMIT_FACTOR = 6;
 
 	private static final double SERVING_LIMIT_SECONDS = 10;
 
-	private static final long POLL_MILLIS = 50;
+	private static final long SERVING_POLL_MILLIS = 100;
+
+	/** Interval of the state dumps of each agent, in lower bounds. */
+	private static final double POLL_SHARE = 1 / 160.0;
 
 	@Override
 	public String name() {
@@ -67,13 +77,21 @@
 		InstallationOptions installed = InstallationOptions.of(profile)
 			.withRouters(0)
 			.withEnginesInProcess()
-			.withLinkRates(MACHINE_BYTES_PER_SECOND, ORIGIN_BYTES_PER_SECOND)
+			.withLinkRates(machineBytesPerSecond(replicas), originBytesPerSecond(replicas))
 			.withFlags("agent", "--weight-mode", scenario.mode().name());
 		try (Installation installation = Installation.start(installed)) {
 			return measure(options, scenario, installation);
 		}
 	}
 
+	private static long machineBytesPerSecond(int replicas) {
+		return FULL_BYTES_PER_SECOND * FULL_RATE_REPLICAS / Math.max(FULL_RATE_REPLICAS, replicas);
+	}
+
+	private static long originBytesPerSecond(int replicas) {
+		return 2 * machineBytesPerSecond(replicas);
+	}
+
 	private int measure(ExperimentOptions options, BurstScenario scenario, Installation installation)
 			throws IOException, InterruptedException {
 		List<Member> agents = new ArrayList<>(installation.agents());
@@ -86,9 +104,10 @@
 		double[] cpuBefore = cpuSeconds(installation);
 		injectBefore(scenario.fault(), installation, agents);
 		int replicas = agents.size();
+		double lowerBoundSeconds = lowerBoundSeconds(scenario, options.profile(), replicas);
 		long startNanos = System.nanoTime();
 		installation.apply(deployment);
-		List<Double> verified = awaitVerified(scenario.fault(), installation, agents, startNanos);
+		List<Double> verified = awaitVerified(scenario.fault(), installation, agents, startNanos, lowerBoundSeconds);
 		double elapsedSeconds = seconds(startNanos);
 		double[] cpuAfter = cpuSeconds(installation);
 		Map<String, Object> result = new LinkedHashMap<>();
@@ -97,7 +116,8 @@
 		result.put("fault", scenario.fault().name().toLowerCase(Locale.ROOT));
 		result.put("seed", options.seed());
 		result.put("replicas", replicas);
-		putTimes(result, verified, agents.size(), lowerBoundSeconds(scenario, options.profile(), replicas));
+		result.put("machineBytesPerSecond", machineBytesPerSecond(replicas));
+		putTimes(result, verified, agents.size(), lowerBoundSeconds);
 		putTraffic(result, installation, agents, regionBytesBefore);
 		result.put("agentCores", (cpuAfter[0] - cpuBefore[0]) / elapsedSeconds);
 		result.put("networkCores", (cpuAfter[1] - cpuBefore[1]) / elapsedSeconds);
@@ -140,12 +160,12 @@
 	 * @return times of those that have, in seconds
 	 */
 	private static List<Double> awaitVerified(Fault fault, Installation installation, List<Member> agents,
-			long startNanos) throws IOException, InterruptedException {
+			long startNanos, double lowerBoundSeconds) throws IOException, InterruptedException {
 		List<Double> verified = new ArrayList<>();
 		List<Member> pending = new ArrayList<>(agents);
 		boolean killed = fault != Fault.KILL5;
-		while (!pending.isEmpty() && seconds(startNanos) < LIMIT_SECONDS) {
-			if (!killed && seconds(startNanos) > 2) {
+		while (!pending.isEmpty() && seconds(startNanos) < LIMIT_FACTOR * lowerBoundSeconds) {
+			if (!killed && seconds(startNanos) > lowerBoundSeconds / 4) {
 				killed = true;
 				for (Member agent : agents.subList(0, (agents.size() + 19) / 20).toArray(Member[]::new)) {
 					installation.fleet().kill(agent.vm());
@@ -161,7 +181,7 @@
 					verified.add(seconds(startNanos));
 				}
 			}
-			TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+			TimeUnit.MILLISECONDS.sleep((long) (1_000 * POLL_SHARE * lowerBoundSeconds));
 		}
 		return verified;
 	}
@@ -180,7 +200,7 @@
 			if (pending.isEmpty()) {
 				return seconds(startNanos);
 			}
-			TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+			TimeUnit.MILLISECONDS.sleep(SERVING_POLL_MILLIS);
 		}
 		return null;
 	}
@@ -193,8 +213,8 @@
 	private static double lowerBoundSeconds(BurstScenario scenario, Profile profile, int replicas) {
 		int originCopies = (scenario.mode() == WeightMode.STORE) ? replicas : 1;
 		long regions = profile.sites().stream().map(Site::region).distinct().count();
-		double origin = originCopies * (double) MODEL_BYTES / ORIGIN_BYTES_PER_SECOND;
-		double machine = MODEL_BYTES / (double) MACHINE_BYTES_PER_SECOND;
+		double origin = originCopies * (double) MODEL_BYTES / originBytesPerSecond(replicas);
+		double machine = MODEL_BYTES / (double) machineBytesPerSecond(replicas);
 		double region = MODEL_BYTES / ((regions - 1.0) * profile.links().regionBytesPerSecond());
 		return Math.max(origin, Math.max(machine, region));
 	}
