Read the head of an engine's reply in one place and log the progress of a burst

Cause: two classes read the same three headers, two tests began with the same lines, and bench burst did not show where a burst loses its time.

Change: record EngineHead; MembershipIT.serve; the line of bench burst has the mean share of verified chunks of each data centre over time.

--- a/src/main/java/org/jaywood/agent/Admission.java
+++ b/src/main/java/org/jaywood/agent/Admission.java
@@ -273,10 +273,10 @@
 		 * Takes the head of the engine's reply.
 		 * @return whether the limit was reset
 		 */
-		boolean head(String instance, boolean warm, String served) {
+		boolean head(EngineHead head) {
 			synchronized (Admission.this) {
-				boolean reset = Admission.this.limit.onReply(this.epoch, instance, warm);
-				Admission.this.weights = served;
+				boolean reset = Admission.this.limit.onReply(this.epoch, head.instance(), head.warm());
+				Admission.this.weights = head.weights();
 				Admission.this.weightsReportDue = false;
 				confirm();
 				return reset;
--- /dev/null
+++ b/src/main/java/org/jaywood/agent/EngineHead.java
@@ -0,0 +1,23 @@
+package org.jaywood.agent;
+
+import java.net.http.HttpResponse;
+
+/**
+ * What an engine reports in the head of each reply to a call.
+ *
+ * @param instance instance that took the call, empty if not named
+ * @param warm whether it was warm then
+ * @param weights digest of the weights that it serves, empty if not named
+ */
+record EngineHead(String instance, boolean warm, String weights) {
+
+	static EngineHead of(HttpResponse<?> reply) {
+		return new EngineHead(header(reply, "Engine-Instance"), header(reply, "Engine-State").equals("warm"),
+				header(reply, "Engine-Weights"));
+	}
+
+	private static String header(HttpResponse<?> reply, String name) {
+		return reply.headers().firstValue(name).orElse("");
+	}
+
+}
--- a/src/main/java/org/jaywood/agent/ModelRun.java
+++ b/src/main/java/org/jaywood/agent/ModelRun.java
@@ -179,15 +179,14 @@
 	}
 
 	private void acceptHead(HttpResponse<InputStream> reply, Admission.Ticket place) throws IOException {
-		String served = reply.headers().firstValue("Engine-Weights").orElse("");
-		boolean warm = reply.headers().firstValue("Engine-State").orElse("").equals("warm");
-		boolean reset = place.head(reply.headers().firstValue("Engine-Instance").orElse(""), warm, served);
-		if (reset) {
+		EngineHead head = EngineHead.of(reply);
+		String served = head.weights();
+		if (place.head(head)) {
 			this.context.onReset().run();
 		}
 		if (reply.statusCode() != 200) {
 			place.refused(this.context.clock().getAsLong());
-			throw refuseOrFail(warm ? RefusalReason.FULL : RefusalReason.COLD_FULL, null);
+			throw refuseOrFail(head.warm() ? RefusalReason.FULL : RefusalReason.COLD_FULL, null);
 		}
 		if (!served.equals(this.context.expectedWeights().get())) {
 			this.context.onWrongWeights().accept(served);
--- a/src/main/java/org/jaywood/agent/WarmUp.java
+++ b/src/main/java/org/jaywood/agent/WarmUp.java
@@ -89,9 +89,7 @@
 			HttpResponse<InputStream> reply = this.context.client().stream(engineRequest(request));
 			try (InputStream in = reply.body()) {
 				call.attachUpstream(in);
-				if (ticket.head(reply.headers().firstValue("Engine-Instance").orElse(""),
-						reply.headers().firstValue("Engine-State").orElse("").equals("warm"),
-						reply.headers().firstValue("Engine-Weights").orElse(""))) {
+				if (ticket.head(EngineHead.of(reply))) {
 					this.context.onReset().run();
 				}
 				if (reply.statusCode() != 200) {
--- a/src/main/java/org/jaywood/bench/BurstExperiment.java
+++ b/src/main/java/org/jaywood/bench/BurstExperiment.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -11,6 +12,7 @@
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.jspecify.annotations.Nullable;
@@ -107,7 +109,9 @@
 		double lowerBoundSeconds = lowerBoundSeconds(scenario, options.profile(), replicas);
 		long startNanos = System.nanoTime();
 		installation.apply(deployment);
-		List<Double> verified = awaitVerified(scenario.fault(), installation, agents, startNanos, lowerBoundSeconds);
+		Map<Double, Map<String, Double>> progress = new LinkedHashMap<>();
+		List<Double> verified = awaitVerified(scenario.fault(), installation, agents, startNanos, lowerBoundSeconds,
+				progress);
 		double elapsedSeconds = seconds(startNanos);
 		double[] cpuAfter = cpuSeconds(installation);
 		Map<String, Object> result = new LinkedHashMap<>();
@@ -118,6 +122,7 @@
 		result.put("replicas", replicas);
 		result.put("machineBytesPerSecond", machineBytesPerSecond(replicas));
 		putTimes(result, verified, agents.size(), lowerBoundSeconds);
+		result.put("progress", progress);
 		putTraffic(result, installation, agents, regionBytesBefore);
 		result.put("agentCores", (cpuAfter[0] - cpuBefore[0]) / elapsedSeconds);
 		result.put("networkCores", (cpuAfter[1] - cpuBefore[1]) / elapsedSeconds);
@@ -157,12 +162,17 @@
 	/**
 	 * Waits until every agent that is not killed has verified all chunks, or the limit is
 	 * reached. Killed agents are removed from the list.
+	 * @param progress takes the mean share of verified chunks in each data centre, by
+	 * seconds, some ten times in a lower bound
 	 * @return times of those that have, in seconds
 	 */
 	private static List<Double> awaitVerified(Fault fault, Installation installation, List<Member> agents,
-			long startNanos, double lowerBoundSeconds) throws IOException, InterruptedException {
+			long startNanos, double lowerBoundSeconds, Map<Double, Map<String, Double>> progress)
+			throws IOException, InterruptedException {
 		List<Double> verified = new ArrayList<>();
 		List<Member> pending = new ArrayList<>(agents);
+		Map<Member, Double> shares = new HashMap<>();
+		double nextProgress = 0;
 		boolean killed = fault != Fault.KILL5;
 		while (!pending.isEmpty() && seconds(startNanos) < LIMIT_FACTOR * lowerBoundSeconds) {
 			if (!killed && seconds(startNanos) > lowerBoundSeconds / 4) {
@@ -176,11 +186,21 @@
 			for (Member agent : List.copyOf(pending)) {
 				JsonNode state = installation.state(agent);
 				int wanted = state.path("chunksWanted").asInt();
-				if (wanted > 0 && state.path("chunksVerified").asInt() == wanted) {
+				int held = state.path("chunksVerified").asInt();
+				shares.put(agent, (wanted > 0) ? held / (double) wanted : 0);
+				if (wanted > 0 && held == wanted) {
 					pending.remove(agent);
 					verified.add(seconds(startNanos));
 				}
 			}
+			if (seconds(startNanos) >= nextProgress) {
+				nextProgress = seconds(startNanos) + lowerBoundSeconds / 10;
+				progress.put(seconds(startNanos),
+						shares.entrySet()
+							.stream()
+							.collect(Collectors.groupingBy((share) -> share.getKey().dataCentre(), TreeMap::new,
+									Collectors.averagingDouble(Map.Entry::getValue))));
+			}
 			TimeUnit.MILLISECONDS.sleep((long) (1_000 * POLL_SHARE * lowerBoundSeconds));
 		}
 		return verified;
--- a/src/test/java/org/jaywood/agent/AdmissionTests.java
+++ b/src/test/java/org/jaywood/agent/AdmissionTests.java
@@ -65,7 +65,7 @@
 			List<Admission.Ticket> tickets = new ArrayList<>();
 			for (int i = 0; i < count; i++) {
 				Admission.Ticket ticket = this.admission.admit("w", 1, 1);
-				ticket.head("a", true, "w");
+				ticket.head(new EngineHead("a", true, "w"));
 				tickets.add(ticket);
 			}
 			return tickets;
@@ -74,7 +74,7 @@
 		private void rise() {
 			for (int i = 0; i < 20; i++) {
 				Admission.Ticket ticket = this.admission.admit("", 1, 1);
-				ticket.head("a", true, "w");
+				ticket.head(new EngineHead("a", true, "w"));
 				ticket.completed(5);
 			}
 		}
@@ -103,7 +103,7 @@
 			rise();
 			List<Admission.Ticket> old = fill(6);
 			Admission.Ticket cold = this.admission.admit("", 1, 1);
-			assertThat(cold.head("a", false, "w")).isTrue();
+			assertThat(cold.head(new EngineHead("a", false, "w"))).isTrue();
 			assertThat(refusal("", 1)).isEqualTo(RefusalReason.COLD_FULL);
 			old.forEach((ticket) -> ticket.completed(5));
 			assertThat(this.admission.load().limit()).isEqualTo(COLD_LIMIT);
--- a/src/test/java/org/jaywood/bench/MembershipIT.java
+++ b/src/test/java/org/jaywood/bench/MembershipIT.java
@@ -34,11 +34,7 @@
 	void listedAsLeavingWithoutSignal() throws Exception {
 		try (Installation installation = Installation
 			.start(DataCentreExperiment.installationOptions(Profile.KITAMORI))) {
-			String manifest = installation.addWeights("1", 262_144, 32_768);
-			String digest = Digests.ofSet(List.of(manifest));
-			installation.apply(installation.deployment("1", manifest));
-			installation.awaitServing(digest, 30_000);
-			installation.awaitGeneration(1, 30_000);
+			String digest = serve(installation);
 			installation.client()
 				.post(installation.platform().uri("/control"), Map.of("vmLagMillis", LAG_MILLIS), TIMEOUT);
 			installation.network().partition("entry-1", "platform");
@@ -72,11 +68,7 @@
 	void stopsWhileThePlatformIsDownAndARouterIsCutOff() throws Exception {
 		try (Installation installation = Installation
 			.start(DataCentreExperiment.installationOptions(Profile.KITAMORI))) {
-			String manifest = installation.addWeights("1", 262_144, 32_768);
-			String digest = Digests.ofSet(List.of(manifest));
-			installation.apply(installation.deployment("1", manifest));
-			installation.awaitServing(digest, 30_000);
-			installation.awaitGeneration(1, 30_000);
+			String digest = serve(installation);
 			Member leaving = installation.agentsOf("pool").getFirst();
 			LoadGenerator load = new LoadGenerator(LoadSettings.open(installation, 15, 10, 1)).allowWeights(digest);
 			long stoppedMillis;
@@ -103,6 +95,19 @@
 		}
 	}
 
+	/**
+	 * Applies a deployment and waits until it is in force and served everywhere.
+	 * @return digest of the weights served
+	 */
+	private static String serve(Installation installation) throws Exception {
+		String manifest = installation.addWeights("1", 262_144, 32_768);
+		String digest = Digests.ofSet(List.of(manifest));
+		installation.apply(installation.deployment("1", manifest));
+		installation.awaitServing(digest, 30_000);
+		installation.awaitGeneration(1, 30_000);
+		return digest;
+	}
+
 	private static long arrivalMillis(Installation installation, Member agent) throws Exception {
 		return Json.tree(installation.client().get(agent.upstream().uri("/record"), TIMEOUT).body())
 			.path("lastArrivalMillis")
