--- a/src/main/java/org/jaywood/agent/TokenSegment.java
+++ b/src/main/java/org/jaywood/agent/TokenSegment.java
@@ -6,8 +6,8 @@
  * Part of an answer that is asked of the engine at once. Its length follows the credit of
  * the router, so that a stream that must wait for credit holds neither a place nor memory
  * of the engine meanwhile, and memory is reserved only for the tokens of the segment.
- * Before, each call reserved memory for its whole answer: 200 slow readers kept normal
- * calls out of engines that were almost idle.
+ * With memory reserved for whole answers, slow readers that came back found none at
+ * engines that were almost idle, and their answers were cut.
  */
 final class TokenSegment {
 
