Name the work of two classes and wait on a condition in a test

Cause: read-through.

Change: EngineCapacity, WarmUp.inService; the test compares two polls 200 ms apart; the two sleeps that stay say why (length of a measured window, pace of a slow reader).

--- a/src/main/java/org/jaywood/agent/Activation.java
+++ b/src/main/java/org/jaywood/agent/Activation.java
@@ -230,7 +230,7 @@
 		this.trustedWeights = wanted;
 		this.state = new ActivationState(status.cold() ? "cold" : "warm", "", wanted, wanted);
 		open();
-		this.slot.settle(!status.cold() || this.warmUp.pointless(), System.nanoTime());
+		this.slot.settle(!status.cold() || !this.warmUp.inService(), System.nanoTime());
 	}
 
 	/**
--- a/src/main/java/org/jaywood/agent/WarmUp.java
+++ b/src/main/java/org/jaywood/agent/WarmUp.java
@@ -45,10 +45,10 @@
 	}
 
 	/**
-	 * Whether the engine needs no warming because it gets no work.
+	 * Whether the engine may get work, so that warming it is of use.
 	 */
-	boolean pointless() {
-		return !this.gate.inService();
+	boolean inService() {
+		return this.gate.inService();
 	}
 
 	/**
--- a/src/main/java/org/jaywood/bench/DataCentreExperiment.java
+++ b/src/main/java/org/jaywood/bench/DataCentreExperiment.java
@@ -102,7 +102,7 @@
 		List<Member> leaving = engines.stream()
 			.filter((agent) -> agent.dataCentre().equals(site.dataCentre()))
 			.toList();
-		EngineWarmUp warmUp = new EngineWarmUp(installation, digest, ENGINE_CALLS, TOKENS, seed);
+		EngineCapacity warmUp = new EngineCapacity(installation, digest, ENGINE_CALLS, TOKENS, seed);
 		double capacity = warmUp.capacityPerSecond() * (engines.size() - leaving.size()) / engines.size();
 		double rate = LOAD_SHARE * capacity;
 		LoadGenerator load = new LoadGenerator(LoadSettings.open(installation, rate, TOKENS, seed))
--- a/src/main/java/org/jaywood/bench/EngineWarmUp.java
+++ b/src/main/java/org/jaywood/bench/EngineCapacity.java
@@ -9,14 +9,15 @@
 import org.jaywood.bench.LoadResult.Outcome;
 
 /**
- * Brings the engines of the first model service out of cold start and measures what they
- * answer at most. A measurement of cold engines shows a fraction of their capacity, so
- * that a load derived from it is far from full.
+ * Measures what the engines of the first model service answer at most, once all of them
+ * are warm. A measurement of cold engines shows a fraction of their capacity, so that a
+ * load derived from it is far from full.
  */
-final class EngineWarmUp {
+final class EngineCapacity {
 
 	private static final long WARM_MILLIS = 30_000;
 
+	/** Length of the window in which answers are counted. */
 	private static final long CAPACITY_MILLIS = 4_000;
 
 	/**
@@ -36,14 +37,14 @@
 	private final long seed;
 
 	/**
-	 * Creates a warm-up.
+	 * Creates a measurement.
 	 * @param installation an installation whose engines serve
 	 * @param weights digest of the set of weights served
 	 * @param callsPerEngine calls that each engine can hold while warm
 	 * @param tokens tokens of each answer
 	 * @param seed seed of the load
 	 */
-	EngineWarmUp(Installation installation, String weights, int callsPerEngine, int tokens, long seed) {
+	EngineCapacity(Installation installation, String weights, int callsPerEngine, int tokens, long seed) {
 		this.installation = installation;
 		this.weights = weights;
 		this.callsPerEngine = callsPerEngine;
--- a/src/main/java/org/jaywood/bench/WorkspaceLoad.java
+++ b/src/main/java/org/jaywood/bench/WorkspaceLoad.java
@@ -96,7 +96,7 @@
 			String weights = Digests.ofSet(List.of(manifest));
 			installation.awaitServing(weights, SERVING_MILLIS);
 			installation.awaitGeneration(1, SERVING_MILLIS);
-			double capacity = new EngineWarmUp(installation, weights, ENGINE_CALLS, TOKENS, seed).capacityPerSecond();
+			double capacity = new EngineCapacity(installation, weights, ENGINE_CALLS, TOKENS, seed).capacityPerSecond();
 			return new WorkspaceLoad(installation, weights, seed).overload(capacity, seconds);
 		}
 	}
--- a/src/test/java/org/jaywood/agent/TestRouter.java
+++ b/src/test/java/org/jaywood/agent/TestRouter.java
@@ -137,6 +137,7 @@
 				return new Result(null, whole, tokens, text.toString());
 			}
 			if (takenBytes - grantedAt > GRANT_STEP_BYTES) {
+				// The pace of a slow reader; no check depends on it.
 				Thread.sleep(pauseMillis);
 				grantedAt = takenBytes;
 				grant(handed, takenBytes + CreditGrant.INITIAL_BYTES);
--- a/src/test/java/org/jaywood/standin/NetworkStandinTests.java
+++ b/src/test/java/org/jaywood/standin/NetworkStandinTests.java
@@ -240,10 +240,10 @@
 					// The test has ended.
 				}
 			});
-			Awaitility.await().atMost(TIMEOUT).until(() -> {
-				long before = sent.get();
-				Thread.sleep(200);
-				return before > 0 && sent.get() == before;
+			AtomicLong seen = new AtomicLong();
+			Awaitility.await().atMost(TIMEOUT).pollInterval(Duration.ofMillis(200)).until(() -> {
+				long now = sent.get();
+				return now > 0 && seen.getAndSet(now) == now;
 			});
 			assertThat(sent.get()).isLessThan(100_000_000);
 		}
