--- a/src/main/java/org/jaywood/agent/Activation.java
+++ b/src/main/java/org/jaywood/agent/Activation.java
@@ -16,7 +16,7 @@
 import org.jaywood.config.WeightsRef;
 import org.jaywood.event.Event;
 import org.jaywood.event.EventLog;
-import org.jaywood.platform.PlatformException;
+import org.jaywood.store.PlatformException;
 import org.jaywood.weights.ChunkExchange;
 import org.jaywood.wire.Address;
 
--- a/src/main/java/org/jaywood/agent/EngineLease.java
+++ b/src/main/java/org/jaywood/agent/EngineLease.java
@@ -3,11 +3,11 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
-import org.jaywood.platform.Futures;
-import org.jaywood.platform.ObjectStore;
-import org.jaywood.platform.PlatformException;
-import org.jaywood.platform.PlatformException.Kind;
-import org.jaywood.platform.StoredObject;
+import org.jaywood.store.Futures;
+import org.jaywood.store.ObjectStore;
+import org.jaywood.store.PlatformException;
+import org.jaywood.store.PlatformException.Kind;
+import org.jaywood.store.StoredObject;
 import org.jaywood.wire.Json;
 
 /**
--- a/src/main/java/org/jaywood/agent/SlotHolder.java
+++ b/src/main/java/org/jaywood/agent/SlotHolder.java
@@ -4,7 +4,7 @@
 
 import org.jaywood.event.Event;
 import org.jaywood.event.EventLog;
-import org.jaywood.platform.PlatformException;
+import org.jaywood.store.PlatformException;
 
 /**
  * Holds a slot of this agent: renews it while it is needed and gives it back. A failure
--- a/src/main/java/org/jaywood/bench/LoadGenerator.java
+++ b/src/main/java/org/jaywood/bench/LoadGenerator.java
@@ -9,7 +9,7 @@
 
 import org.jaywood.bench.LoadCall.Kind;
 import org.jaywood.bench.LoadResult.Outcome;
-import org.jaywood.platform.Futures;
+import org.jaywood.store.Futures;
 
 /**
  * Bounded load of several workspaces, a few of them large, on the caller ports. Each
--- /dev/null
+++ b/src/main/java/org/jaywood/cli/GatewayCommand.java
@@ -0,0 +1,35 @@
+package org.jaywood.cli;
+
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+
+import org.jaywood.event.EventLog;
+import org.jaywood.gateway.Gateway;
+import org.jaywood.platform.PlatformCalls;
+import org.jaywood.platform.PlatformSettings;
+
+/**
+ * Runs a gateway on the operators' platform.
+ */
+@Parameters(commandDescription = "Runs a gateway, which reaches upstreams directly, from a settings file")
+final class GatewayCommand implements Command {
+
+	@ParametersDelegate
+	private final SettingsFileOptions file = new SettingsFileOptions();
+
+	@Override
+	public String name() {
+		return "gateway";
+	}
+
+	@Override
+	public int run() throws Exception {
+		PlatformSettings settings = this.file.read();
+		EventLog log = this.file.log(settings);
+		Gateway gateway = new Gateway(settings.gateway(), new PlatformCalls(), this.file.feeds(settings, log).gateway(),
+				log);
+		this.file.watch(log);
+		return Daemon.run(gateway::start, gateway::drain);
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/cli/ReplicaCommand.java
@@ -0,0 +1,36 @@
+package org.jaywood.cli;
+
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+
+import org.jaywood.event.EventLog;
+import org.jaywood.platform.PlatformEngine;
+import org.jaywood.platform.PlatformSettings;
+import org.jaywood.replica.Replica;
+
+/**
+ * Runs the agent of an engine on the operators' platform.
+ */
+@Parameters(commandDescription = "Keeps the engine of this VM on the named weights, from a settings file")
+final class ReplicaCommand implements Command {
+
+	@ParametersDelegate
+	private final SettingsFileOptions file = new SettingsFileOptions();
+
+	@Override
+	public String name() {
+		return "replica";
+	}
+
+	@Override
+	public int run() throws Exception {
+		PlatformSettings settings = this.file.read();
+		EventLog log = this.file.log(settings);
+		PlatformEngine engine = new PlatformEngine(settings.replica().engine());
+		Replica replica = new Replica(settings.replica(), engine, engine, this.file.feeds(settings, log).replica(),
+				log);
+		this.file.watch(log);
+		return Daemon.run(replica::start, replica::drain);
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/cli/SettingsFileOptions.java
@@ -0,0 +1,72 @@
+package org.jaywood.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import org.jspecify.annotations.Nullable;
+import sun.misc.Signal;
+
+import org.jaywood.event.BoundedOutput;
+import org.jaywood.event.Event;
+import org.jaywood.event.EventLog;
+import org.jaywood.platform.MetadataStore;
+import org.jaywood.platform.PlatformFeeds;
+import org.jaywood.platform.PlatformSettings;
+
+/**
+ * Settings file of a process on the operators' platform.
+ */
+final class SettingsFileOptions {
+
+	@Parameter(names = "--node-file", description = "Settings file of the platform")
+	private @Nullable String nodeFile;
+
+	private String text = "";
+
+	/**
+	 * Reads the file that the option or the platform's environment variable names.
+	 */
+	PlatformSettings read() throws IOException {
+		this.text = Files.readString(path());
+		return PlatformSettings.read(path());
+	}
+
+	EventLog log(PlatformSettings settings) {
+		BoundedOutput.install();
+		return new EventLog(settings.vm());
+	}
+
+	PlatformFeeds feeds(PlatformSettings settings, EventLog log) {
+		return new PlatformFeeds(new MetadataStore(settings.store()), settings.regions(), log);
+	}
+
+	/**
+	 * Notes changes of the file. Without a handler the signal would end the process.
+	 */
+	void watch(EventLog log) {
+		Signal.handle(new Signal("HUP"), (signal) -> reload(log));
+	}
+
+	private synchronized void reload(EventLog log) {
+		try {
+			String latest = Files.readString(path());
+			log.log(Event.SETTINGS_RELOADED, "change", latest.equals(this.text) ? "nothing changed" : "file changed");
+			this.text = latest;
+		}
+		catch (IOException ex) {
+			log.log(Event.SETTINGS_RELOADED, "change", "the file cannot be read: " + ex.getMessage());
+		}
+	}
+
+	private Path path() {
+		String name = (this.nodeFile != null) ? this.nodeFile : System.getenv(PlatformSettings.FILE_VARIABLE);
+		if (name == null) {
+			throw new ParameterException("no settings file: give --node-file or set " + PlatformSettings.FILE_VARIABLE);
+		}
+		return Path.of(name);
+	}
+
+}
--- a/src/main/java/org/jaywood/cli/StatusCommand.java
+++ b/src/main/java/org/jaywood/cli/StatusCommand.java
@@ -12,10 +12,10 @@
 import org.jaywood.peer.FleetStatus;
 import org.jaywood.peer.FleetStatus.Group;
 import org.jaywood.peer.VmStatus;
-import org.jaywood.platform.Futures;
-import org.jaywood.platform.PlatformException;
-import org.jaywood.platform.VmRecord;
-import org.jaywood.platform.VmState;
+import org.jaywood.store.Futures;
+import org.jaywood.store.PlatformException;
+import org.jaywood.store.VmRecord;
+import org.jaywood.store.VmState;
 import org.jaywood.wire.Json;
 
 /**
--- a/src/main/java/org/jaywood/config/ConfigurationHistory.java
+++ b/src/main/java/org/jaywood/config/ConfigurationHistory.java
@@ -4,10 +4,10 @@
 import java.util.List;
 import java.util.Optional;
 
-import org.jaywood.platform.Futures;
-import org.jaywood.platform.ObjectStore;
-import org.jaywood.platform.PlatformException;
-import org.jaywood.platform.PlatformException.Kind;
+import org.jaywood.store.Futures;
+import org.jaywood.store.ObjectStore;
+import org.jaywood.store.PlatformException;
+import org.jaywood.store.PlatformException.Kind;
 import org.jaywood.wire.Json;
 
 /**
--- a/src/main/java/org/jaywood/event/Event.java
+++ b/src/main/java/org/jaywood/event/Event.java
@@ -52,6 +52,33 @@
 	CONTROL_PORTS_CLOSED(1206, Level.WARNING,
 			"no credential set and {address} is not a loopback address: peer and operator ports stay closed"),
 
+	/** A store does not answer the reads of one kind of object. */
+	FEED_LOST(1207, Level.WARNING, "no answer for {feed} at revision {revision}: {error}"),
+
+	/** A store answers the reads of one kind of object again. */
+	FEED_REGAINED(1208, Level.INFO, "{feed} answered again after {millis} ms"),
+
+	/** The store dropped the history behind a revision; the objects are listed anew. */
+	FEED_HISTORY_LOST(1209, Level.INFO, "history of {feed} behind revision {revision} is gone; listing anew"),
+
+	/** The list of upstreams changed. */
+	UPSTREAMS_CHANGED(1210, Level.INFO, "{count} upstreams at revision {revision}, {leaving} of them leaving"),
+
+	/** The set of data centres out of service changed. */
+	DATA_CENTRES_CLOSED(1211, Level.INFO, "data centres out of service at revision {revision}: {dataCentres}"),
+
+	/** The agent of an engine does not send its reports. */
+	AGENT_LOST(1212, Level.WARNING, "no reports from agent {agent}: {error}"),
+
+	/** The agent of an engine sends its reports. */
+	AGENT_FOUND(1213, Level.INFO, "receiving reports from agent {agent}"),
+
+	/** An object of the store cannot be decoded and is passed over. */
+	OBJECT_MALFORMED(1215, Level.WARNING, "object {object} of kind {kind} is malformed: {error}"),
+
+	/** The settings file changed. */
+	SETTINGS_RELOADED(1214, Level.INFO, "settings read again: {change}"),
+
 	/** All chunks of a manifest are verified. */
 	WEIGHTS_VERIFIED(1301, Level.INFO, "manifest {manifest} verified, {chunks} chunks in {seconds} s"),
 
@@ -61,6 +88,12 @@
 	/** A source of a chunk failed, stalled or is gone. */
 	CHUNK_FETCH_FAILED(1303, Level.WARNING, "chunk {chunk} not received from {source}: {error}"),
 
+	/** A new version of a model is named. */
+	WEIGHTS_NAMED(1304, Level.INFO, "version {version} of {model} named at revision {revision}"),
+
+	/** Pieces that lay at the engine were not those of the version and were replaced. */
+	STAGED_PIECES_REPLACED(1305, Level.WARNING, "{count} staged pieces of {model} {version} replaced"),
+
 	/** An engine serves the ordered weights. */
 	WEIGHTS_ACTIVATED(1401, Level.INFO, "engine serves {manifest}"),
 
@@ -76,12 +109,43 @@
 	/** A slot or the lease of the engine cannot be obtained. */
 	ACTIVATION_WAITING(1405, Level.WARNING, "activation waits: {reason}"),
 
+	/** The engine does not answer its agent. */
+	ENGINE_LOST(1406, Level.WARNING, "engine {address} does not answer: {error}"),
+
+	/** The engine answers its agent. */
+	ENGINE_FOUND(1407, Level.INFO, "engine {address} answers with {weights}"),
+
+	/** The engine accepted an order to load weights. */
+	ORDER_ACCEPTED(1408, Level.INFO, "order to load {model} {version} accepted after sequence {sequence}"),
+
 	/** An admitted call ended without its whole answer. */
 	CALL_BROKEN(1501, Level.WARNING, "call {request} ended without its whole answer: {error}"),
 
 	/** Calls exceeded their deadline or a write to their router blocked. */
 	CALLS_ENDED_BY_WATCHDOG(1502, Level.WARNING, "watchdog ended {count} calls"),
 
+	/** A call has a place at an upstream and is sent there. */
+	CALL_PLACED(1601, Level.INFO,
+			"call {request} of {route} goes to {upstream}, load {load} of {capacity}, waited {waited} ms"),
+
+	/** A call has its whole answer. */
+	CALL_ANSWERED(1602, Level.INFO, "call {request} answered with {status} after {millis} ms"),
+
+	/** A call was refused, or its result is not known. */
+	CALL_REFUSED(1603, Level.INFO, "call {request} ended with {status}: {reason}, {millis} ms after it arrived"),
+
+	/** A hand-over of a call did not bring an answer. */
+	HAND_OVER_FAILED(1604, Level.INFO, "call {request} not answered by {upstream}: {reason}"),
+
+	/** A caller left before its answer. */
+	CALLER_GONE(1605, Level.INFO, "caller of {request} left after {millis} ms"),
+
+	/** An answer that had begun could not be completed. */
+	CALL_CUT(1606, Level.WARNING, "answer to {request} cut behind event {lastEvent}: {reason}"),
+
+	/** Log lines were dropped because too many were written at once. */
+	LOG_LINES_DROPPED(1006, Level.WARNING, "{count} log lines dropped"),
+
 	/** Expired claims of idempotency keys were deleted. */
 	CLAIMS_DELETED(1701, Level.INFO, "deleted {count} expired claims"),
 
--- a/src/main/java/org/jaywood/event/EventLog.java
+++ b/src/main/java/org/jaywood/event/EventLog.java
@@ -6,6 +6,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Structured log of one process. Each record is one JSON line with the event number, the
@@ -30,7 +31,7 @@
 	 * @param event the event
 	 * @param fields alternating field names and values for the template
 	 */
-	public void log(Event event, Object... fields) {
+	public void log(Event event, @Nullable Object... fields) {
 		if (!this.logger.isLoggable(event.level())) {
 			return;
 		}
--- /dev/null
+++ b/src/main/java/org/jaywood/feed/FeedFollower.java
@@ -0,0 +1,191 @@
+package org.jaywood.feed;
+
+import java.util.Collection;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
+
+import org.jspecify.annotations.Nullable;
+
+import org.jaywood.event.Event;
+import org.jaywood.event.EventLog;
+
+/**
+ * Keeps the view of one feed current by waiting for changes, one task for each feed. A
+ * watch that nobody answers proves nothing, so the follower asks for an answer at short
+ * intervals and notes up to which time its view is known to be current.
+ *
+ * @param <T> type of the values
+ */
+public final class FeedFollower<T> implements AutoCloseable {
+
+	private static final long FIRST_BACKOFF_MILLIS = 50;
+
+	private static final long MAX_BACKOFF_MILLIS = 400;
+
+	/** A shorter gap in answers is an ordinary retry. */
+	private static final long OUTAGE_MILLIS = 600;
+
+	private final Feed<T> feed;
+
+	private final long waitMillis;
+
+	private final Consumer<FeedView<T>> listener;
+
+	private final EventLog log;
+
+	private final Thread task;
+
+	private final Map<String, T> entries = new TreeMap<>();
+
+	private long revision = -1;
+
+	private long confirmedMillis = Long.MIN_VALUE;
+
+	private long answeredMillis;
+
+	private long regainedMillis = Long.MIN_VALUE;
+
+	private boolean reachable = true;
+
+	private volatile boolean closed;
+
+	private volatile @Nullable FeedView<T> view;
+
+	/**
+	 * Creates a follower.
+	 * @param feed what to follow
+	 * @param waitMillis interval at which the store confirms that nothing changed
+	 * @param listener receives each new view, on the task of the follower
+	 * @param log log for lost and regained contact
+	 */
+	public FeedFollower(Feed<T> feed, long waitMillis, Consumer<FeedView<T>> listener, EventLog log) {
+		this.feed = feed;
+		this.waitMillis = waitMillis;
+		this.listener = listener;
+		this.log = log;
+		this.task = Thread.ofVirtual().name("follow-" + feed.name()).unstarted(this::run);
+	}
+
+	public FeedFollower<T> start() {
+		this.answeredMillis = BootClock.nowMillis();
+		this.task.start();
+		return this;
+	}
+
+	/**
+	 * The latest view, or null before the first answer of the store.
+	 */
+	public @Nullable FeedView<T> view() {
+		return this.view;
+	}
+
+	@Override
+	public void close() {
+		this.closed = true;
+		this.task.interrupt();
+	}
+
+	private void run() {
+		long backoffMillis = FIRST_BACKOFF_MILLIS;
+		while (!this.closed) {
+			try {
+				step();
+				backoffMillis = FIRST_BACKOFF_MILLIS;
+			}
+			catch (HistoryLostException ex) {
+				this.log.log(Event.FEED_HISTORY_LOST, "feed", this.feed.name(), "revision", this.revision);
+				this.revision = -1;
+			}
+			catch (FeedException ex) {
+				noteFailure(ex);
+				pause(backoffMillis);
+				backoffMillis = Math.min(MAX_BACKOFF_MILLIS, backoffMillis * 2);
+			}
+			catch (RuntimeException ex) {
+				this.log.log(Event.TASK_FAILED, "task", "follow-" + this.feed.name(), "error", ex);
+				pause(MAX_BACKOFF_MILLIS);
+			}
+		}
+	}
+
+	private void step() throws FeedException {
+		long askedMillis = BootClock.nowMillis();
+		if (this.revision < 0) {
+			FeedPage<T> page = this.feed.list();
+			this.entries.clear();
+			accept(page, askedMillis);
+			return;
+		}
+		FeedPage<T> page = this.feed.watch(this.revision, this.waitMillis);
+		// An empty answer is given at the end of the wait, not at its beginning.
+		boolean waited = page.entries().isEmpty();
+		long nowMillis = BootClock.nowMillis();
+		accept(page, waited ? Math.min(nowMillis, askedMillis + this.waitMillis) : askedMillis);
+	}
+
+	private void accept(FeedPage<T> page, long currentMillis) {
+		long nowMillis = BootClock.nowMillis();
+		noteAnswer(nowMillis);
+		page.entries().forEach(this::apply);
+		this.revision = page.revision();
+		this.confirmedMillis = Math.max(this.confirmedMillis, currentMillis);
+		FeedView<T> next = new FeedView<>(Map.copyOf(this.entries), this.revision, this.confirmedMillis,
+				this.regainedMillis);
+		this.view = next;
+		this.listener.accept(next);
+	}
+
+	private void apply(FeedEntry<T> entry) {
+		if (entry.value() == null) {
+			this.entries.remove(entry.name());
+		}
+		else {
+			this.entries.put(entry.name(), entry.value());
+		}
+	}
+
+	private void noteAnswer(long nowMillis) {
+		if (nowMillis - this.answeredMillis > OUTAGE_MILLIS + this.waitMillis || !this.reachable) {
+			this.regainedMillis = nowMillis;
+		}
+		if (!this.reachable) {
+			this.reachable = true;
+			this.log.log(Event.FEED_REGAINED, "feed", this.feed.name(), "millis", nowMillis - this.answeredMillis);
+		}
+		this.answeredMillis = nowMillis;
+	}
+
+	private void noteFailure(FeedException failure) {
+		if (this.reachable) {
+			this.reachable = false;
+			this.log.log(Event.FEED_LOST, "feed", this.feed.name(), "revision", this.revision, "error",
+					failure.getMessage());
+		}
+	}
+
+	private void pause(long millis) {
+		try {
+			Thread.sleep(millis / 2 + ThreadLocalRandom.current().nextLong(millis / 2 + 1));
+		}
+		catch (InterruptedException ex) {
+			if (!this.closed) {
+				this.log.log(Event.TASK_FAILED, "task", "follow-" + this.feed.name(), "error", ex);
+			}
+		}
+	}
+
+	/**
+	 * Age of the oldest of some views.
+	 * @param nowMillis present boot time
+	 * @return age in milliseconds, {@link Long#MAX_VALUE} if one of them is not known
+	 */
+	public static long ageMillis(Collection<? extends FeedFollower<?>> followers, long nowMillis) {
+		return followers.stream().mapToLong((follower) -> {
+			FeedView<?> view = follower.view();
+			return (view != null) ? nowMillis - view.confirmedMillis() : Long.MAX_VALUE;
+		}).max().orElse(Long.MAX_VALUE);
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/feed/FeedView.java
@@ -0,0 +1,16 @@
+package org.jaywood.feed;
+
+import java.util.Map;
+
+/**
+ * What is known of a feed.
+ *
+ * @param entries readable objects by name
+ * @param revision revision of the store to which they belong
+ * @param confirmedMillis boot time up to which it is known that nothing else changed
+ * @param regainedMillis boot time at which the store answered again after an outage, or
+ * {@link Long#MIN_VALUE} if there was none
+ * @param <T> type of the values
+ */
+public record FeedView<T>(Map<String, T> entries, long revision, long confirmedMillis, long regainedMillis) {
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/gateway/BufferedAnswer.java
@@ -0,0 +1,12 @@
+package org.jaywood.gateway;
+
+import org.apache.hc.core5.http.ClassicHttpResponse;
+
+/**
+ * Answer that was read whole.
+ *
+ * @param head status and headers
+ * @param body the body
+ */
+record BufferedAnswer(ClassicHttpResponse head, byte[] body) {
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/gateway/Call.java
@@ -0,0 +1,72 @@
+package org.jaywood.gateway;
+
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import org.jspecify.annotations.Nullable;
+
+import org.jaywood.http.CallerRequest;
+import org.jaywood.routing.Route;
+import org.jaywood.routing.Workspace;
+
+/**
+ * Call that the configuration allows.
+ *
+ * @param id id of the caller's attempt
+ * @param request the request as received
+ * @param route its route
+ * @param service service that runs it
+ * @param workspace workspace of the caller, or null if the route needs no key
+ * @param keysRequired whether keys are in use
+ * @param arrivedMillis boot time at which it was read
+ * @param targetMillis boot time up to which it is on time
+ * @param endMillis boot time of its final answer at the latest
+ * @param late whether its target had passed before it arrived
+ * @param tableVersion version of the configuration that allowed it
+ */
+record Call(String id, CallerRequest request, Route route, String service, @Nullable Workspace workspace,
+		boolean keysRequired, long arrivedMillis, long targetMillis, long endMillis, boolean late, long tableVersion) {
+
+	private static final int URGENCY_STEP = 2;
+
+	private static final int LATE_STEP = 3;
+
+	private static final int LAST_URGENCY = 9;
+
+	/**
+	 * Regions in which the call may run: those that both the route and the workspace
+	 * allow, or empty for all.
+	 */
+	Set<String> regions() {
+		Set<String> ofWorkspace = (this.workspace != null) ? this.workspace.regions() : Set.of();
+		if (ofWorkspace.isEmpty() || this.route.regions().isEmpty()) {
+			return ofWorkspace.isEmpty() ? this.route.regions() : ofWorkspace;
+		}
+		Set<String> both = ofWorkspace.stream().filter(this.route.regions()::contains).collect(Collectors.toSet());
+		return both.isEmpty() ? Set.of("") : both;
+	}
+
+	/**
+	 * Rank of the call: that of its workspace, or else that of its route.
+	 */
+	int priority() {
+		return Optional.ofNullable(this.workspace)
+			.map(Workspace::priority)
+			.filter((priority) -> priority.isPresent())
+			.map((priority) -> priority.getAsInt())
+			.orElse(this.route.priority());
+	}
+
+	/**
+	 * Rank in the queue of an upstream, 0 first.
+	 */
+	int urgency() {
+		return Math.clamp((long) priority() * URGENCY_STEP + (this.late ? LATE_STEP : 0), 0, LAST_URGENCY);
+	}
+
+	long remainingMillis(long nowMillis) {
+		return this.endMillis - nowMillis;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/gateway/CallerConnection.java
@@ -0,0 +1,221 @@
+package org.jaywood.gateway;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import org.jspecify.annotations.Nullable;
+
+import org.jaywood.event.Event;
+import org.jaywood.feed.BootClock;
+import org.jaywood.http.CallerRequest;
+import org.jaywood.http.RequestLimits;
+import org.jaywood.http.RequestReader;
+import org.jaywood.http.ResponseWriter;
+import org.jaywood.routing.RouteTable;
+import org.jaywood.wire.BadInputException;
+
+/**
+ * Connection of one caller. Its task reads requests and goes on reading while a call is
+ * under way, so that it sees at once when the caller leaves; the call runs on a task of
+ * its own.
+ */
+final class CallerConnection implements Runnable {
+
+	/** Limits until a configuration is known. */
+	private static final RequestLimits DEFAULT_LIMITS = new RequestLimits(16 * 1024, 4 * 1024 * 1024, 3_000, 15_000);
+
+	/** Time for which a connection is read on after its last answer. */
+	private static final long LINGER_MILLIS = 1_000;
+
+	private final GatewayContext context;
+
+	private final ActiveCalls active;
+
+	private final Socket socket;
+
+	private final AtomicBoolean busy = new AtomicBoolean();
+
+	private volatile long closeAtMillis = Long.MAX_VALUE;
+
+	CallerConnection(GatewayContext context, ActiveCalls active, Socket socket) {
+		this.context = context;
+		this.active = active;
+		this.socket = socket;
+	}
+
+	@Override
+	public void run() {
+		this.active.add(this);
+		try (Socket open = this.socket) {
+			RequestReader reader = new RequestReader(open, limits().maxHeaderBytes());
+			ResponseWriter writer = new ResponseWriter(open.getOutputStream());
+			boolean more = true;
+			while (more) {
+				more = next(reader, writer);
+			}
+		}
+		catch (IOException ex) {
+			this.context.metrics().counter("connection.broken").inc();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		finally {
+			this.active.remove(this);
+		}
+	}
+
+	private boolean next(RequestReader reader, ResponseWriter writer) throws IOException, InterruptedException {
+		if (reader.await(limits().idleTimeoutMillis()) != RequestReader.Arrival.BYTES) {
+			return false;
+		}
+		this.busy.set(true);
+		try {
+			CallerRequest request = reader.read(limits());
+			return request != null && serve(request, reader, writer);
+		}
+		catch (BadInputException ex) {
+			reject(writer, ex);
+			return false;
+		}
+		finally {
+			this.busy.set(false);
+		}
+	}
+
+	private boolean serve(CallerRequest request, RequestReader reader, ResponseWriter writer)
+			throws InterruptedException {
+		Cancellation cancellation = new Cancellation();
+		CallerReply reply = new CallerReply(writer, this.active.draining() || wantsClose(request));
+		Thread call = Thread.ofVirtual().start(() -> handle(request, reply, cancellation));
+		RequestReader.Arrival arrival = RequestReader.Arrival.NOTHING;
+		while (arrival == RequestReader.Arrival.NOTHING && (call.isAlive() || reply.reusable())) {
+			arrival = reader.await(limits().idleTimeoutMillis());
+			if (arrival == RequestReader.Arrival.NOTHING && !call.isAlive()) {
+				break;
+			}
+		}
+		if (arrival == RequestReader.Arrival.CLOSED) {
+			cancellation.cancel();
+		}
+		call.join();
+		return arrival == RequestReader.Arrival.BYTES && reply.reusable();
+	}
+
+	private void handle(CallerRequest request, CallerReply reply, Cancellation cancellation) {
+		try {
+			admit(request, reply, cancellation);
+		}
+		catch (CallerGoneException ex) {
+			this.context.metrics().counter("call.caller_gone").inc();
+		}
+		catch (RuntimeException ex) {
+			this.context.log()
+				.log(Event.HANDLER_FAILED, "method", request.head().getMethod(), "path", request.head().getRequestUri(),
+						"error", ex);
+		}
+		finally {
+			if (!reply.reusable()) {
+				endOutput(reply.complete());
+			}
+			else {
+				this.busy.set(false);
+			}
+		}
+	}
+
+	private void admit(CallerRequest request, CallerReply reply, Cancellation cancellation) throws CallerGoneException {
+		long nowMillis = BootClock.nowMillis();
+		Knowledge knowledge = this.context.knowledge();
+		CallAdmission.Decision decision = this.active.admission()
+			.decide(request, knowledge.table(), knowledge.confirmedMillis(), nowMillis);
+		Call call = decision.call();
+		CallFailure failure = decision.failure();
+		if (call != null) {
+			this.closeAtMillis = call.endMillis() + LINGER_MILLIS;
+			new CallTask(this.context, call, reply, cancellation).run();
+			this.closeAtMillis = Long.MAX_VALUE;
+		}
+		else if (failure != null) {
+			this.context.refusals()
+				.refuse(reply, this.context.protocol().read(request.head()).callId(), nowMillis, failure);
+		}
+	}
+
+	/**
+	 * Ends the reply side. A complete answer is followed by an orderly close, so that the
+	 * caller receives all of it; a partial one is cut.
+	 */
+	private void endOutput(boolean complete) {
+		try {
+			if (complete) {
+				this.socket.shutdownOutput();
+				this.closeAtMillis = BootClock.nowMillis() + LINGER_MILLIS;
+			}
+			else {
+				this.socket.close();
+			}
+		}
+		catch (IOException ex) {
+			this.context.metrics().counter("connection.broken").inc();
+		}
+	}
+
+	private void reject(ResponseWriter writer, BadInputException failure) throws IOException {
+		CallerReply reply = new CallerReply(writer, true);
+		this.context.refusals()
+			.refuse(reply, "", BootClock.nowMillis(),
+					new CallFailure.Forbidden(failure.status(), String.valueOf(failure.getMessage())));
+		this.socket.shutdownOutput();
+		this.socket.setSoTimeout((int) LINGER_MILLIS);
+		this.socket.getInputStream().skip(limits().maxBodyBytes());
+	}
+
+	/**
+	 * Closes the connection if its answer is overdue, which is so only while the caller
+	 * does not read, or after its last answer.
+	 */
+	void closeIfOverdue(long nowMillis) {
+		if (nowMillis >= this.closeAtMillis) {
+			close();
+		}
+	}
+
+	/**
+	 * Closes the connection unless a request is under way.
+	 */
+	void closeIfIdle() {
+		if (!this.busy.get()) {
+			close();
+		}
+	}
+
+	boolean busy() {
+		return this.busy.get();
+	}
+
+	void close() {
+		try {
+			this.socket.close();
+		}
+		catch (IOException ex) {
+			this.context.metrics().counter("connection.broken").inc();
+		}
+	}
+
+	private RequestLimits limits() {
+		RouteTable table = this.context.knowledge().table();
+		return (table != null) ? table.limits() : DEFAULT_LIMITS;
+	}
+
+	private static boolean wantsClose(CallerRequest request) {
+		@Nullable String value = headerValue(request, "Connection");
+		return value != null && value.equalsIgnoreCase("close");
+	}
+
+	private static @Nullable String headerValue(CallerRequest request, String name) {
+		return (request.head().getFirstHeader(name) != null) ? request.head().getFirstHeader(name).getValue() : null;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/gateway/CallerReply.java
@@ -0,0 +1,144 @@
+package org.jaywood.gateway;
+
+import java.io.IOException;
+import java.util.Locale;
+import java.util.Set;
+
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.message.BasicClassicHttpResponse;
+
+import org.jaywood.http.ResponseWriter;
+
+/**
+ * Reply to one call. It knows whether its head is out, after which nothing but the rest
+ * of that answer may follow. Used by the task of the call.
+ */
+final class CallerReply {
+
+	/** Headers that concern one connection only. */
+	private static final Set<String> HOP_HEADERS = Set.of("connection", "keep-alive", "transfer-encoding", "te",
+			"trailer", "upgrade", "proxy-connection", "proxy-authenticate", "proxy-authorization", "content-length");
+
+	private final ResponseWriter writer;
+
+	private boolean closing;
+
+	private boolean begun;
+
+	private boolean complete;
+
+	CallerReply(ResponseWriter writer, boolean closing) {
+		this.writer = writer;
+		this.closing = closing;
+	}
+
+	static boolean concernsConnection(String name) {
+		return HOP_HEADERS.contains(name.toLowerCase(Locale.ROOT));
+	}
+
+	/**
+	 * Whether the head is out.
+	 */
+	boolean begun() {
+		return this.begun;
+	}
+
+	/**
+	 * Whether the connection can carry another call.
+	 */
+	boolean reusable() {
+		return this.complete && !this.closing;
+	}
+
+	boolean complete() {
+		return this.complete;
+	}
+
+	/**
+	 * Closes the connection after this reply.
+	 */
+	void closeAfter() {
+		this.closing = true;
+	}
+
+	/**
+	 * Passes on a whole answer of an upstream.
+	 */
+	void pass(BufferedAnswer answer) throws CallerGoneException {
+		send(copy(answer.head()), answer.body());
+	}
+
+	/**
+	 * Sends an answer of the gateway itself.
+	 */
+	void send(ClassicHttpResponse head, byte[] body) throws CallerGoneException {
+		markConnection(head);
+		this.begun = true;
+		try {
+			this.writer.write(head, body);
+		}
+		catch (IOException ex) {
+			throw new CallerGoneException(ex);
+		}
+		this.complete = true;
+	}
+
+	/**
+	 * Begins to pass on an answer whose body follows.
+	 */
+	void begin(ClassicHttpResponse upstreamHead) throws CallerGoneException {
+		ClassicHttpResponse head = copy(upstreamHead);
+		markConnection(head);
+		this.begun = true;
+		try {
+			this.writer.begin(head);
+		}
+		catch (IOException ex) {
+			throw new CallerGoneException(ex);
+		}
+	}
+
+	void write(byte[] bytes, int length) throws CallerGoneException {
+		if (length == 0) {
+			return;
+		}
+		try {
+			this.writer.write(bytes, 0, length);
+		}
+		catch (IOException ex) {
+			throw new CallerGoneException(ex);
+		}
+	}
+
+	/**
+	 * Ends the answer as complete.
+	 */
+	void finish() throws CallerGoneException {
+		try {
+			this.writer.finish();
+		}
+		catch (IOException ex) {
+			throw new CallerGoneException(ex);
+		}
+		this.complete = true;
+	}
+
+	private void markConnection(ClassicHttpResponse head) {
+		if (this.closing) {
+			head.setHeader(HttpHeaders.CONNECTION, "close");
+		}
+	}
+
+	private static ClassicHttpResponse copy(ClassicHttpResponse upstreamHead) {
+		ClassicHttpResponse head = new BasicClassicHttpResponse(upstreamHead.getCode(), upstreamHead.getReasonPhrase());
+		for (Header header : upstreamHead.getHeaders()) {
+			if (!concernsConnection(header.getName())) {
+				head.addHeader(header);
+			}
+		}
+		return head;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/gateway/Gateway.java
@@ -0,0 +1,169 @@
+package org.jaywood.gateway;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import org.jspecify.annotations.Nullable;
+
+import org.jaywood.event.Event;
+import org.jaywood.event.EventLog;
+import org.jaywood.feed.BootClock;
+import org.jaywood.feed.FeedFollower;
+import org.jaywood.peer.MetricsText;
+import org.jaywood.wire.HttpPort;
+
+/**
+ * The process on entry VMs that reaches upstreams directly: it takes calls, finds a place
+ * for each, passes the answers on, and ends without cutting a call.
+ */
+public final class Gateway {
+
+	/** Interval at which the store confirms the configuration, on which keys depend. */
+	private static final long CONFIGURATION_WAIT_MILLIS = 1_200;
+
+	/** Interval for the upstreams; leaving ones get no calls two seconds later. */
+	private static final long UPSTREAMS_WAIT_MILLIS = 2_000;
+
+	private static final long DATA_CENTRES_WAIT_MILLIS = 3_000;
+
+	private static final long WEIGHTS_WAIT_MILLIS = 4_000;
+
+	private static final long TICK_MILLIS = 40;
+
+	private static final int SWEEP_TICKS = 8;
+
+	/** Time in which the balancer notices that no new callers are wanted. */
+	private static final long UNREADY_MILLIS = 2_600;
+
+	/** Time before the forced end at which the process ends by itself. */
+	private static final long END_MARGIN_MILLIS = 500;
+
+	private static final long DRAIN_POLL_MILLIS = 50;
+
+	private final GatewaySettings settings;
+
+	private final GatewayContext context;
+
+	private final ActiveCalls active;
+
+	private final LoadSubscriptions subscriptions;
+
+	private final List<FeedFollower<?>> followers;
+
+	private final ScheduledExecutorService timer = Executors
+		.newSingleThreadScheduledExecutor(Thread.ofPlatform().daemon().name("tick").factory());
+
+	private @Nullable CallerListener listener;
+
+	private @Nullable HttpPort readyPort;
+
+	private @Nullable HttpPort operatorPort;
+
+	private volatile boolean draining;
+
+	private int ticks;
+
+	public Gateway(GatewaySettings settings, CallProtocol protocol, GatewayFeeds feeds, EventLog log) {
+		this.settings = settings;
+		this.context = GatewayContext.create(settings, protocol, log);
+		this.active = new ActiveCalls(
+				new CallAdmission(protocol, settings.keyLifetimeMillis(), settings.routeLifetimeMillis()));
+		this.subscriptions = new LoadSubscriptions(this.context);
+		Knowledge knowledge = this.context.knowledge();
+		this.followers = List.of(
+				new FeedFollower<>(feeds.configuration(), CONFIGURATION_WAIT_MILLIS, knowledge::onConfiguration, log),
+				new FeedFollower<>(feeds.upstreams(), UPSTREAMS_WAIT_MILLIS, (view) -> {
+					knowledge.onUpstreams(view);
+					this.subscriptions.onUpstreams(view);
+				}, log), new FeedFollower<>(feeds.closedDataCentres(), DATA_CENTRES_WAIT_MILLIS,
+						knowledge::onClosedDataCentres, log),
+				new FeedFollower<>(feeds.weights(), WEIGHTS_WAIT_MILLIS, knowledge::onWeights, log));
+	}
+
+	/**
+	 * Opens the ports. Callers are answered at once, with a refusal while the
+	 * configuration is not known.
+	 */
+	public void start() {
+		EventLog log = this.context.log();
+		this.followers.forEach(FeedFollower::start);
+		this.listener = new CallerListener(this.settings.caller(), this.context, this.active).start();
+		this.readyPort = HttpPort.open(this.settings.ready(), log)
+			.route("GET", this.settings.readyPath(),
+					(exchange) -> exchange.respond(ready() ? 200 : 503, "text/plain",
+							(ready() ? "ready\n" : "not ready\n").getBytes(StandardCharsets.US_ASCII)))
+			.start();
+		this.operatorPort = HttpPort.open(this.settings.operator(), log)
+			.route("GET", "/metrics", (exchange) -> MetricsText.respond(exchange, this.context.metrics().registry()))
+			.route("GET", "/dump", (exchange) -> exchange.respondJson(200, dump()))
+			.start();
+		this.timer.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+		log.log(Event.PROCESS_STARTED, "role", "gateway", "address", this.settings.caller());
+	}
+
+	/**
+	 * Whether new callers may connect.
+	 */
+	boolean ready() {
+		return !this.draining && this.context.knowledge().complete();
+	}
+
+	/**
+	 * Ends the process without cutting a call: new callers go elsewhere first, then idle
+	 * connections close, and each call gets its answer.
+	 */
+	public void drain(long nowMillis) throws InterruptedException {
+		long endMillis = BootClock.nowMillis() + this.settings.graceMillis() - END_MARGIN_MILLIS;
+		this.context.log().log(Event.PROCESS_DRAINING, "role", "gateway", "inFlight", this.active.busy());
+		this.draining = true;
+		this.active.drain();
+		Thread.sleep(UNREADY_MILLIS);
+		if (this.listener != null) {
+			this.listener.close();
+		}
+		while (this.active.busy() > 0 && BootClock.nowMillis() < endMillis) {
+			Thread.sleep(DRAIN_POLL_MILLIS);
+		}
+		this.active.closeIdle();
+		this.context.log()
+			.log(Event.PROCESS_STOPPED, "role", "gateway", "seconds",
+					(BootClock.nowMillis() - endMillis + this.settings.graceMillis() - END_MARGIN_MILLIS) / 1000.0);
+	}
+
+	private void tick() {
+		long nowMillis = BootClock.nowMillis();
+		this.context.dispatcher().tick(nowMillis);
+		this.ticks++;
+		if (this.ticks % SWEEP_TICKS == 0) {
+			this.active.closeOverdue(nowMillis);
+		}
+	}
+
+	private Object dump() {
+		long nowMillis = BootClock.nowMillis();
+		Knowledge knowledge = this.context.knowledge();
+		var table = knowledge.table();
+		return new Dump((table != null) ? table.version() : -1, nowMillis - knowledge.confirmedMillis(), ready(),
+				this.active.open(), this.active.busy(), this.context.dispatcher().gateways(nowMillis),
+				this.context.dispatcher().describe(nowMillis));
+	}
+
+	/**
+	 * State of the process, for the operator.
+	 *
+	 * @param configuration version in force, or -1
+	 * @param configurationAgeMillis time since it was last confirmed
+	 * @param ready whether new callers may connect
+	 * @param connections open connections of callers
+	 * @param calls calls under way
+	 * @param gateways gateways that share the upstreams
+	 * @param upstreams one line for each upstream
+	 */
+	record Dump(long configuration, long configurationAgeMillis, boolean ready, int connections, long calls,
+			int gateways, List<String> upstreams) {
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/gateway/GatewayFeeds.java
@@ -0,0 +1,18 @@
+package org.jaywood.gateway;
+
+import org.jaywood.feed.Feed;
+import org.jaywood.routing.NamedWeights;
+import org.jaywood.routing.RouteTable;
+import org.jaywood.routing.Upstream;
+
+/**
+ * Where a gateway learns what it has to know.
+ *
+ * @param configuration the configuration, one object
+ * @param upstreams upstreams by id
+ * @param closedDataCentres names of data centres that are out of service
+ * @param weights named weights by model
+ */
+public record GatewayFeeds(Feed<RouteTable> configuration, Feed<Upstream> upstreams, Feed<String> closedDataCentres,
+		Feed<NamedWeights> weights) {
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/gateway/GatewayMetrics.java
@@ -0,0 +1,48 @@
+package org.jaywood.gateway;
+
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.SlidingTimeWindowArrayReservoir;
+
+/**
+ * Counters and latency histograms of a gateway. Names and meaning stand in
+ * {@code docs/OPERATIONS.md}.
+ */
+final class GatewayMetrics {
+
+	private final MetricRegistry registry = new MetricRegistry();
+
+	private final Histogram firstByteMillis = histogram("call.first_byte_millis");
+
+	private final Histogram answerMillis = histogram("call.answer_millis");
+
+	private final Histogram waitMillis = histogram("call.wait_millis");
+
+	MetricRegistry registry() {
+		return this.registry;
+	}
+
+	Counter counter(String name) {
+		return this.registry.counter(name);
+	}
+
+	void firstByte(long millis) {
+		this.firstByteMillis.update(millis);
+	}
+
+	void answered(long millis) {
+		this.answerMillis.update(millis);
+	}
+
+	void waited(long millis) {
+		this.waitMillis.update(millis);
+	}
+
+	private Histogram histogram(String name) {
+		return this.registry.register(name, new Histogram(new SlidingTimeWindowArrayReservoir(1, TimeUnit.MINUTES)));
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/gateway/HandOver.java
@@ -0,0 +1,258 @@
+package org.jaywood.gateway;
+
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.OptionalLong;
+
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
+import org.jspecify.annotations.Nullable;
+
+import org.jaywood.feed.BootClock;
+import org.jaywood.http.ClientConnection;
+import org.jaywood.http.ConnectionException;
+import org.jaywood.http.ConnectionPool;
+import org.jaywood.http.UpstreamAnswer;
+import org.jaywood.routing.Outcome;
+import org.jaywood.routing.Upstream;
+
+/**
+ * Sends a call to one upstream and passes its answer on. It tells apart whether the
+ * upstream has not run the call, answered it, or may have run it. It never sends the call
+ * a second time.
+ */
+final class HandOver {
+
+	private static final long CONNECT_MILLIS = 300;
+
+	/** Silence before the head after which a repeatable call is tried elsewhere. */
+	private static final long REPEATABLE_HEAD_MILLIS = 1_200;
+
+	/** Silence within a resumable stream after which it is resumed elsewhere. */
+	private static final long RESUMABLE_GAP_MILLIS = 1_300;
+
+	/** Largest body that is read whole before its head is passed on. */
+	private static final int BUFFERED_BYTES = 256 * 1024;
+
+	/** Answers to earlier calls that are skipped on one connection. */
+	private static final int MAX_STRAY_ANSWERS = 2;
+
+	private static final int CHUNK_BYTES = 8 * 1024;
+
+	private final ConnectionPool pool;
+
+	private final CallProtocol protocol;
+
+	private final Call call;
+
+	private final CallerReply reply;
+
+	private final Cancellation cancellation;
+
+	private final EventCutter cutter;
+
+	private final GatewayMetrics metrics;
+
+	HandOver(ConnectionPool pool, CallProtocol protocol, Call call, CallerReply reply, Cancellation cancellation,
+			EventCutter cutter, GatewayMetrics metrics) {
+		this.pool = pool;
+		this.protocol = protocol;
+		this.call = call;
+		this.reply = reply;
+		this.cancellation = cancellation;
+		this.cutter = cutter;
+		this.metrics = metrics;
+	}
+
+	/**
+	 * Runs the hand-over.
+	 * @param upstream the upstream
+	 * @param weights the only version that may run the call, if that matters
+	 */
+	HandOverResult run(Upstream upstream, OptionalLong weights) {
+		ClientConnection connection;
+		try {
+			connection = this.pool.acquire(upstream.address(), Math.min(CONNECT_MILLIS, remainingMillis()));
+		}
+		catch (ConnectionException ex) {
+			return new HandOverResult.NotRun(Outcome.UNREACHABLE, false, String.valueOf(ex.getMessage()));
+		}
+		this.cancellation.attach(connection);
+		boolean reusable = false;
+		try {
+			HandOverResult result = exchange(connection, upstream, weights);
+			reusable = result instanceof HandOverResult.Delivered || result instanceof HandOverResult.Failed
+					|| result instanceof HandOverResult.NotRun;
+			return result;
+		}
+		catch (CallerGoneException ex) {
+			return new HandOverResult.CallerGone();
+		}
+		catch (IOException ex) {
+			if (this.cancellation.cancelled()) {
+				return new HandOverResult.CallerGone();
+			}
+			return new HandOverResult.Broken(String.valueOf(ex.getMessage()), Outcome.BROKEN);
+		}
+		finally {
+			this.cancellation.detach();
+			if (reusable && !this.cancellation.cancelled()) {
+				this.pool.release(connection);
+			}
+			else {
+				connection.close();
+			}
+		}
+	}
+
+	private HandOverResult exchange(ClientConnection connection, Upstream upstream, OptionalLong weights)
+			throws IOException {
+		if (this.cancellation.cancelled()) {
+			return new HandOverResult.CallerGone();
+		}
+		connection.send(request(upstream, weights), this.call.request().body());
+		UpstreamAnswer answer = receiveOwn(connection);
+		AnswerHead head = this.protocol.read(answer.head());
+		if (head.misdirected() || head.notRun()) {
+			Outcome outcome = head.misdirected() ? Outcome.MISDIRECTED : Outcome.REJECTED;
+			readWhole(answer);
+			return new HandOverResult.NotRun(outcome, true, "status " + answer.status());
+		}
+		if (this.reply.begun()) {
+			return resume(connection, answer);
+		}
+		if (answer.status() >= HttpStatus.SC_SERVER_ERROR) {
+			return new HandOverResult.Failed(new BufferedAnswer(answer.head(), readWhole(answer)));
+		}
+		return deliver(connection, answer);
+	}
+
+	private UpstreamAnswer receiveOwn(ClientConnection connection) throws IOException {
+		for (int stray = 0; stray <= MAX_STRAY_ANSWERS; stray++) {
+			UpstreamAnswer answer = connection.receive(headTimeoutMillis());
+			String id = this.protocol.read(answer.head()).callId();
+			if (id == null || id.equals(this.call.id())) {
+				return answer;
+			}
+			readWhole(answer);
+		}
+		throw new IOException("only answers to other calls");
+	}
+
+	private HandOverResult deliver(ClientConnection connection, UpstreamAnswer answer) throws IOException {
+		if (this.call.route().policy().streaming() && answer.status() == HttpStatus.SC_OK) {
+			this.metrics.firstByte(BootClock.nowMillis() - this.call.arrivedMillis());
+			this.reply.begin(answer.head());
+			return copyEvents(connection, answer);
+		}
+		byte[] body = readUpTo(answer, BUFFERED_BYTES);
+		if (body.length <= BUFFERED_BYTES) {
+			this.metrics.firstByte(BootClock.nowMillis() - this.call.arrivedMillis());
+			this.reply.pass(new BufferedAnswer(answer.head(), body));
+			return new HandOverResult.Delivered(answer.status());
+		}
+		this.reply.begin(answer.head());
+		this.reply.write(body, body.length);
+		copyRest(connection, answer);
+		this.reply.finish();
+		return new HandOverResult.Delivered(answer.status());
+	}
+
+	/**
+	 * Passes on whole events only, so that another engine can go on behind the last one.
+	 */
+	private HandOverResult copyEvents(ClientConnection connection, UpstreamAnswer answer) throws IOException {
+		byte[] chunk = new byte[CHUNK_BYTES];
+		while (true) {
+			connection.limitSilence(gapTimeoutMillis());
+			int length = answer.body().read(chunk);
+			if (length < 0) {
+				break;
+			}
+			byte[] whole = this.cutter.append(chunk, length);
+			this.reply.write(whole, whole.length);
+		}
+		byte[] rest = this.cutter.rest();
+		this.reply.write(rest, rest.length);
+		this.reply.finish();
+		return new HandOverResult.Delivered(answer.status());
+	}
+
+	private HandOverResult resume(ClientConnection connection, UpstreamAnswer answer) throws IOException {
+		if (answer.status() != HttpStatus.SC_OK) {
+			readWhole(answer);
+			return new HandOverResult.Broken("status " + answer.status() + " to a resumed stream", Outcome.FAILED);
+		}
+		return copyEvents(connection, answer);
+	}
+
+	private void copyRest(ClientConnection connection, UpstreamAnswer answer) throws IOException {
+		byte[] chunk = new byte[CHUNK_BYTES];
+		while (true) {
+			connection.limitSilence(remainingMillis());
+			int length = answer.body().read(chunk);
+			if (length < 0) {
+				return;
+			}
+			this.reply.write(chunk, length);
+		}
+	}
+
+	private byte[] readWhole(UpstreamAnswer answer) throws IOException {
+		byte[] body = readUpTo(answer, BUFFERED_BYTES);
+		if (body.length > BUFFERED_BYTES) {
+			throw new IOException("body of status " + answer.status() + " exceeds " + BUFFERED_BYTES + " bytes");
+		}
+		return body;
+	}
+
+	private static byte[] readUpTo(UpstreamAnswer answer, int limitBytes) throws IOException {
+		return answer.body().readNBytes(limitBytes + 1);
+	}
+
+	private ClassicHttpRequest request(Upstream upstream, OptionalLong weights) {
+		ClassicHttpRequest original = this.call.request().head();
+		ClassicHttpRequest request = new BasicClassicHttpRequest(original.getMethod(), original.getRequestUri());
+		Header connection = original.getFirstHeader(HttpHeaders.CONNECTION);
+		String named = (connection != null) ? connection.getValue().toLowerCase(Locale.ROOT) : "";
+		for (Header header : original.getHeaders()) {
+			String name = header.getName();
+			boolean hop = CallerReply.concernsConnection(name)
+					|| (!named.isEmpty() && isListed(named, name.toLowerCase(Locale.ROOT)));
+			if (!hop && !name.equalsIgnoreCase(HttpHeaders.EXPECT)
+					&& this.protocol.forwards(name, this.call.keysRequired())) {
+				request.addHeader(header);
+			}
+		}
+		this.protocol.write(request, new HandOverHead(upstream.id(), weights, remainingMillis(), workspaceName(),
+				this.call.urgency(), this.reply.begun() ? this.cutter.lastId() : null));
+		return request;
+	}
+
+	private static boolean isListed(String list, String name) {
+		return Arrays.stream(list.split(",")).map(String::strip).anyMatch(name::equals);
+	}
+
+	private @Nullable String workspaceName() {
+		return (this.call.workspace() != null) ? this.call.workspace().name() : null;
+	}
+
+	private long remainingMillis() {
+		return Math.max(1, this.call.remainingMillis(BootClock.nowMillis()));
+	}
+
+	private long headTimeoutMillis() {
+		return this.call.route().policy().repeatable() ? Math.min(REPEATABLE_HEAD_MILLIS, remainingMillis())
+				: remainingMillis();
+	}
+
+	private long gapTimeoutMillis() {
+		return this.call.route().policy().repeatable() ? Math.min(RESUMABLE_GAP_MILLIS, remainingMillis())
+				: remainingMillis();
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/gateway/HandOverResult.java
@@ -0,0 +1,51 @@
+package org.jaywood.gateway;
+
+import org.jaywood.routing.Outcome;
+
+/**
+ * How one hand-over of a call to an upstream ended.
+ */
+sealed interface HandOverResult {
+
+	/**
+	 * The caller has the whole answer, or all of it that it took.
+	 *
+	 * @param status status of the answer
+	 */
+	record Delivered(int status) implements HandOverResult {
+	}
+
+	/**
+	 * The upstream answered that it failed. The answer is kept for the caller.
+	 *
+	 * @param answer the answer
+	 */
+	record Failed(BufferedAnswer answer) implements HandOverResult {
+	}
+
+	/**
+	 * The upstream has not run the call and never will.
+	 *
+	 * @param outcome what that tells about the upstream
+	 * @param sent whether the upstream received the call
+	 * @param reason why
+	 */
+	record NotRun(Outcome outcome, boolean sent, String reason) implements HandOverResult {
+	}
+
+	/**
+	 * The hand-over broke after the upstream may have begun.
+	 *
+	 * @param reason what broke
+	 * @param outcome what that tells about the upstream
+	 */
+	record Broken(String reason, Outcome outcome) implements HandOverResult {
+	}
+
+	/**
+	 * The caller is gone.
+	 */
+	record CallerGone() implements HandOverResult {
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/gateway/Knowledge.java
@@ -0,0 +1,119 @@
+package org.jaywood.gateway;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+
+import org.jspecify.annotations.Nullable;
+
+import org.jaywood.event.Event;
+import org.jaywood.event.EventLog;
+import org.jaywood.feed.BootClock;
+import org.jaywood.feed.FeedView;
+import org.jaywood.routing.Dispatcher;
+import org.jaywood.routing.Fleet;
+import org.jaywood.routing.NamedWeights;
+import org.jaywood.routing.RouteTable;
+import org.jaywood.routing.Upstream;
+
+/**
+ * What this gateway knows of the store's objects, and up to which time. A configuration
+ * never goes back to a lower version. Each change is passed to the dispatcher and logged.
+ */
+final class Knowledge {
+
+	private final Dispatcher dispatcher;
+
+	private final EventLog log;
+
+	private final Map<String, Fleet.NamedSince> named = new HashMap<>();
+
+	private @Nullable FeedView<Upstream> upstreams;
+
+	private Set<String> closedDataCentres = Set.of();
+
+	private volatile @Nullable RouteTable table;
+
+	private volatile long confirmedMillis = Long.MIN_VALUE / 2;
+
+	Knowledge(Dispatcher dispatcher, EventLog log) {
+		this.dispatcher = dispatcher;
+		this.log = log;
+	}
+
+	/**
+	 * The configuration in force, or null if none is known yet.
+	 */
+	@Nullable RouteTable table() {
+		return this.table;
+	}
+
+	/**
+	 * Boot time up to which the configuration is known to be the newest.
+	 */
+	long confirmedMillis() {
+		return this.confirmedMillis;
+	}
+
+	synchronized boolean complete() {
+		return this.table != null && this.upstreams != null;
+	}
+
+	synchronized void onConfiguration(FeedView<RouteTable> view) {
+		RouteTable present = this.table;
+		view.entries().values().stream().findFirst().ifPresent((latest) -> {
+			if (present != null && latest.version() < present.version()) {
+				this.log.log(Event.CONFIGURATION_OLDER_IGNORED, "source", "store", "offered", latest.version(),
+						"generation", present.version());
+				return;
+			}
+			if (present == null || latest.version() > present.version()) {
+				this.table = latest;
+				this.log.log(Event.CONFIGURATION_IN_FORCE, "generation", latest.version(), "source", "store");
+				this.dispatcher.onTable(latest, BootClock.nowMillis());
+			}
+			this.confirmedMillis = view.confirmedMillis();
+		});
+	}
+
+	synchronized void onUpstreams(FeedView<Upstream> view) {
+		FeedView<Upstream> present = this.upstreams;
+		this.upstreams = view;
+		if (present == null || !present.entries().equals(view.entries())
+				|| present.regainedMillis() != view.regainedMillis()) {
+			this.log.log(Event.UPSTREAMS_CHANGED, "revision", view.revision(), "count", view.entries().size(),
+					"leaving", view.entries().values().stream().filter(Upstream::leaving).count());
+			publish();
+		}
+	}
+
+	synchronized void onClosedDataCentres(FeedView<String> view) {
+		Set<String> closed = Set.copyOf(view.entries().values());
+		if (!closed.equals(this.closedDataCentres)) {
+			this.closedDataCentres = closed;
+			this.log.log(Event.DATA_CENTRES_CLOSED, "revision", view.revision(), "dataCentres", closed);
+			publish();
+		}
+	}
+
+	synchronized void onWeights(FeedView<NamedWeights> view) {
+		long nowMillis = BootClock.nowMillis();
+		view.entries().values().forEach((weights) -> {
+			Fleet.NamedSince present = this.named.get(weights.model());
+			if (present == null || weights.version() > present.version()) {
+				this.named.put(weights.model(), new Fleet.NamedSince(weights.version(), nowMillis));
+				this.log.log(Event.WEIGHTS_NAMED, "model", weights.model(), "version", weights.version(), "revision",
+						view.revision());
+				publish();
+			}
+		});
+	}
+
+	private void publish() {
+		if (this.upstreams != null) {
+			this.dispatcher.onFleet(new Fleet(this.upstreams, this.closedDataCentres, Map.copyOf(this.named)),
+					BootClock.nowMillis());
+		}
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/gateway/LoadSubscriptions.java
@@ -0,0 +1,121 @@
+package org.jaywood.gateway;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.stream.Collectors;
+
+import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
+
+import org.jaywood.event.Event;
+import org.jaywood.feed.BootClock;
+import org.jaywood.feed.FeedView;
+import org.jaywood.http.ClientConnection;
+import org.jaywood.http.UpstreamAnswer;
+import org.jaywood.routing.Upstream;
+import org.jaywood.routing.UpstreamReport;
+import org.jaywood.wire.Address;
+import org.jaywood.wire.Json;
+
+/**
+ * Receives the reports of all agents, one task and one connection for each. An agent runs
+ * on the VM of its engine, so its address follows from the list of upstreams.
+ */
+final class LoadSubscriptions implements AutoCloseable {
+
+	/** Path of the stream of reports at an agent. */
+	static final String PATH = "/v1/load";
+
+	private static final long CONNECT_MILLIS = 500;
+
+	/** Agents send a report at least three times in this time. */
+	private static final long SILENCE_MILLIS = 1_500;
+
+	private static final long FIRST_BACKOFF_MILLIS = 200;
+
+	private static final long MAX_BACKOFF_MILLIS = 1_500;
+
+	private final GatewayContext context;
+
+	private final Map<Address, Thread> tasks = new ConcurrentHashMap<>();
+
+	private volatile Map<Address, String> idsByAddress = Map.of();
+
+	LoadSubscriptions(GatewayContext context) {
+		this.context = context;
+	}
+
+	/**
+	 * Follows the agents of all engines of the list.
+	 */
+	void onUpstreams(FeedView<Upstream> view) {
+		this.idsByAddress = view.entries()
+			.values()
+			.stream()
+			.filter((upstream) -> upstream.weights() != null || hasEngine(upstream))
+			.collect(Collectors.toMap(Upstream::address, Upstream::id, (first, second) -> second));
+		this.idsByAddress.keySet()
+			.forEach((address) -> this.tasks.computeIfAbsent(address,
+					(key) -> Thread.ofVirtual().start(() -> follow(key))));
+	}
+
+	private boolean hasEngine(Upstream upstream) {
+		var table = this.context.knowledge().table();
+		return table != null && table.engines().anyMatch((engines) -> engines.name().equals(upstream.service()));
+	}
+
+	private void follow(Address engine) {
+		Address agent = new Address(engine.host(), this.context.settings().agentPort());
+		long backoffMillis = FIRST_BACKOFF_MILLIS;
+		boolean lost = false;
+		while (this.idsByAddress.containsKey(engine)) {
+			try {
+				receive(engine, agent);
+			}
+			catch (IOException | RuntimeException ex) {
+				if (!lost) {
+					this.context.log().log(Event.AGENT_LOST, "agent", agent, "error", ex.getMessage());
+				}
+				lost = true;
+			}
+			try {
+				Thread.sleep(backoffMillis / 2 + ThreadLocalRandom.current().nextLong(backoffMillis));
+			}
+			catch (InterruptedException ex) {
+				return;
+			}
+			backoffMillis = Math.min(MAX_BACKOFF_MILLIS, backoffMillis * 2);
+		}
+		this.tasks.remove(engine);
+	}
+
+	private void receive(Address engine, Address agent) throws IOException {
+		try (ClientConnection connection = ClientConnection.open(agent, CONNECT_MILLIS)) {
+			BasicClassicHttpRequest request = new BasicClassicHttpRequest("GET", PATH);
+			request.setHeader("Host", agent.toString());
+			connection.send(request, new byte[0]);
+			UpstreamAnswer answer = connection.receive(SILENCE_MILLIS);
+			BufferedReader lines = new BufferedReader(new InputStreamReader(answer.body(), StandardCharsets.UTF_8));
+			this.context.log().log(Event.AGENT_FOUND, "agent", agent);
+			for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+				UpstreamReport report = Json.read(line, UpstreamReport.class);
+				String id = this.idsByAddress.get(engine);
+				if (id == null) {
+					return;
+				}
+				this.context.dispatcher().onReport(id, report, BootClock.nowMillis());
+			}
+		}
+	}
+
+	@Override
+	public void close() {
+		this.idsByAddress = Map.of();
+		this.tasks.values().forEach(Thread::interrupt);
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/http/CallerRequest.java
@@ -0,0 +1,12 @@
+package org.jaywood.http;
+
+import org.apache.hc.core5.http.ClassicHttpRequest;
+
+/**
+ * Request that was read whole.
+ *
+ * @param head request line and headers
+ * @param body the body without its transfer coding
+ */
+public record CallerRequest(ClassicHttpRequest head, byte[] body) {
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/http/ClientConnection.java
@@ -0,0 +1,250 @@
+package org.jaywood.http;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.HttpVersion;
+import org.apache.hc.core5.http.ProtocolVersion;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.io.DefaultHttpRequestWriter;
+import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParser;
+import org.apache.hc.core5.http.impl.io.SessionInputBufferImpl;
+import org.apache.hc.core5.http.impl.io.SessionOutputBufferImpl;
+
+import org.jaywood.wire.Address;
+
+/**
+ * Connection to another process that carries one exchange at a time. Closing it from any
+ * thread ends a read or write that blocks. It never repeats a request by itself.
+ */
+public final class ClientConnection implements AutoCloseable {
+
+	private static final int BUFFER_BYTES = 8 * 1024;
+
+	private static final int MAX_LINE_BYTES = 16 * 1024;
+
+	private static final int MAX_HEADERS = 100;
+
+	/** Wait that shows whether the other side has sent or closed already. */
+	private static final int STALE_CHECK_MILLIS = 1;
+
+	/** Taken off the announced idle limit, so that no request meets the close. */
+	private static final long KEEP_ALIVE_MARGIN_MILLIS = 1_000;
+
+	/** Idle limit towards a process that announces none. */
+	private static final long DEFAULT_KEEP_ALIVE_MILLIS = 4_000;
+
+	private static final Http1Config CONFIG = Http1Config.custom()
+		.setMaxLineLength(MAX_LINE_BYTES)
+		.setMaxHeaderCount(MAX_HEADERS)
+		.setMaxEmptyLineCount(1)
+		.build();
+
+	private final Address address;
+
+	private final Socket socket;
+
+	private final InputStream in;
+
+	private final OutputStream out;
+
+	private final SessionInputBufferImpl inputBuffer = new SessionInputBufferImpl(BUFFER_BYTES, MAX_LINE_BYTES);
+
+	private final SessionOutputBufferImpl outputBuffer = new SessionOutputBufferImpl(BUFFER_BYTES);
+
+	private long keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
+
+	private boolean persistent = true;
+
+	private boolean requestSent;
+
+	private long idleSinceNanos;
+
+	private boolean used;
+
+	private ClientConnection(Address address, Socket socket) throws IOException {
+		this.address = address;
+		this.socket = socket;
+		this.in = socket.getInputStream();
+		this.out = socket.getOutputStream();
+	}
+
+	/**
+	 * Opens a connection.
+	 * @throws ConnectionException if the address cannot be reached within the time
+	 */
+	public static ClientConnection open(Address address, long timeoutMillis) throws ConnectionException {
+		Socket socket = new Socket();
+		try {
+			SocketTuning.apply(socket);
+			socket.connect(address.socketAddress(), Math.toIntExact(Math.max(1, timeoutMillis)));
+			return new ClientConnection(address, socket);
+		}
+		catch (IOException ex) {
+			closeQuietly(socket);
+			throw new ConnectionException("cannot connect to " + address + ": " + ex.getMessage(), false, ex);
+		}
+	}
+
+	public Address address() {
+		return this.address;
+	}
+
+	/**
+	 * Whether an earlier exchange used this connection.
+	 */
+	public boolean used() {
+		return this.used;
+	}
+
+	/**
+	 * Sends a request, head and body in one write where they fit.
+	 * @throws ConnectionException if not all of it could be written
+	 */
+	public void send(ClassicHttpRequest request, byte[] body) throws ConnectionException {
+		this.requestSent = false;
+		try {
+			if (body.length > 0 || !request.getMethod().equals("GET")) {
+				request.setHeader(HttpHeaders.CONTENT_LENGTH, Integer.toString(body.length));
+			}
+			DefaultHttpRequestWriter writer = new DefaultHttpRequestWriter();
+			this.requestSent = true;
+			writer.write(request, this.outputBuffer, this.out);
+			this.outputBuffer.write(body, 0, body.length, this.out);
+			this.outputBuffer.flush(this.out);
+		}
+		catch (IOException | HttpException ex) {
+			throw failure("cannot send to ", ex);
+		}
+	}
+
+	/**
+	 * Reads the head of the answer to the request that was sent last. Interim answers are
+	 * skipped.
+	 * @param timeoutMillis longest silence of the other side, here and in the body
+	 * @throws ConnectionException if no well-formed head arrives in time
+	 */
+	public UpstreamAnswer receive(long timeoutMillis) throws ConnectionException {
+		try {
+			limitSilence(timeoutMillis);
+			DefaultHttpResponseParser parser = new DefaultHttpResponseParser(CONFIG);
+			ClassicHttpResponse head = parser.parse(this.inputBuffer, this.in);
+			while (head != null && head.getCode() < HttpStatus.SC_OK) {
+				head = parser.parse(this.inputBuffer, this.in);
+			}
+			if (head == null) {
+				throw new IOException("closed without an answer");
+			}
+			long length = hasNoBody(head) ? 0 : Framing.lengthOf(head);
+			noteKeepAlive(head, length);
+			return new UpstreamAnswer(head, length, Framing.body(length, this.inputBuffer, this.in, CONFIG));
+		}
+		catch (IOException | HttpException | IllegalArgumentException ex) {
+			throw failure("no answer from ", ex);
+		}
+	}
+
+	/**
+	 * Bounds how long a read may wait for the next byte.
+	 */
+	public void limitSilence(long millis) throws IOException {
+		this.socket.setSoTimeout(Math.toIntExact(Math.clamp(millis, 1, Integer.MAX_VALUE)));
+	}
+
+	/**
+	 * Ends the exchange after its whole answer has been read.
+	 * @return whether the connection can carry another one
+	 */
+	boolean finish(long nowNanos) {
+		this.used = true;
+		this.idleSinceNanos = nowNanos;
+		return this.persistent && !this.inputBuffer.hasBufferedData() && !this.socket.isClosed();
+	}
+
+	/**
+	 * Whether the other side keeps the idle connection open for certain.
+	 */
+	boolean alive(long nowNanos) {
+		return TimeUnit.NANOSECONDS.toMillis(nowNanos - this.idleSinceNanos) < this.keepAliveMillis
+				- Math.min(KEEP_ALIVE_MARGIN_MILLIS, this.keepAliveMillis / 2);
+	}
+
+	/**
+	 * Time since the last exchange in nanoseconds.
+	 */
+	long idleFor(long nowNanos) {
+		return nowNanos - this.idleSinceNanos;
+	}
+
+	/**
+	 * Whether the idle connection has neither been closed nor received bytes that belong
+	 * to no request.
+	 */
+	boolean quiet() {
+		try {
+			this.socket.setSoTimeout(STALE_CHECK_MILLIS);
+			this.inputBuffer.fillBuffer(this.in);
+			return false;
+		}
+		catch (SocketTimeoutException ex) {
+			return true;
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
+	@Override
+	public void close() {
+		closeQuietly(this.socket);
+	}
+
+	private ConnectionException failure(String text, Exception cause) {
+		return new ConnectionException(text + this.address + ": " + cause.getMessage(), this.requestSent, cause);
+	}
+
+	private void noteKeepAlive(ClassicHttpResponse head, long length) {
+		Header connection = head.getFirstHeader(HttpHeaders.CONNECTION);
+		boolean close = connection != null && connection.getValue().toLowerCase(Locale.ROOT).contains("close");
+		ProtocolVersion version = head.getVersion();
+		boolean old = version != null && version.lessEquals(HttpVersion.HTTP_1_0);
+		this.persistent = !close && !old && length != Framing.UNTIL_CLOSE;
+		Header keepAlive = head.getFirstHeader(HttpHeaders.KEEP_ALIVE);
+		this.keepAliveMillis = (keepAlive != null) ? keepAliveMillis(keepAlive.getValue()) : this.keepAliveMillis;
+	}
+
+	private static long keepAliveMillis(String value) {
+		for (String part : value.split(",")) {
+			String text = part.strip();
+			if (text.matches("timeout=\\d{1,6}")) {
+				return TimeUnit.SECONDS.toMillis(Long.parseLong(text.substring("timeout=".length())));
+			}
+		}
+		return DEFAULT_KEEP_ALIVE_MILLIS;
+	}
+
+	private static boolean hasNoBody(ClassicHttpResponse head) {
+		return head.getCode() == HttpStatus.SC_NO_CONTENT || head.getCode() == HttpStatus.SC_NOT_MODIFIED;
+	}
+
+	private static void closeQuietly(Socket socket) {
+		try {
+			socket.close();
+		}
+		catch (IOException ex) {
+			// Nothing follows from a failed close: the descriptor is released either way.
+		}
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/http/ConnectionPool.java
@@ -0,0 +1,117 @@
+package org.jaywood.http;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.jspecify.annotations.Nullable;
+
+import org.jaywood.wire.Address;
+
+/**
+ * Idle connections by address, the one that was used last first.
+ */
+public final class ConnectionPool implements AutoCloseable {
+
+	/** Idle connections kept for an address. */
+	private static final int MAX_IDLE = 64;
+
+	/** A connection that was used a moment ago is not examined before its next use. */
+	private static final long TRUSTED_IDLE_MILLIS = 20;
+
+	private final Map<Address, Deque<ClientConnection>> idle = new ConcurrentHashMap<>();
+
+	private final AtomicLong opened = new AtomicLong();
+
+	/**
+	 * Takes an idle connection or opens one.
+	 * @param address the other process
+	 * @param connectMillis time for opening
+	 * @return a connection without bytes that belong to an earlier exchange
+	 * @throws ConnectionException if none can be opened
+	 */
+	public ClientConnection acquire(Address address, long connectMillis) throws ConnectionException {
+		ClientConnection kept = takeIdle(address);
+		if (kept != null) {
+			return kept;
+		}
+		this.opened.incrementAndGet();
+		return ClientConnection.open(address, connectMillis);
+	}
+
+	/**
+	 * Takes back a connection whose answer has been read to its end.
+	 */
+	public void release(ClientConnection connection) {
+		if (!connection.finish(System.nanoTime())) {
+			connection.close();
+			return;
+		}
+		Deque<ClientConnection> stack = this.idle.computeIfAbsent(connection.address(), (key) -> new ArrayDeque<>());
+		ClientConnection surplus = null;
+		synchronized (stack) {
+			stack.push(connection);
+			surplus = (stack.size() > MAX_IDLE) ? stack.pollLast() : null;
+		}
+		if (surplus != null) {
+			surplus.close();
+		}
+	}
+
+	/**
+	 * Closes the idle connections to an address.
+	 */
+	public void forget(Address address) {
+		Deque<ClientConnection> stack = this.idle.remove(address);
+		if (stack != null) {
+			synchronized (stack) {
+				stack.forEach(ClientConnection::close);
+				stack.clear();
+			}
+		}
+	}
+
+	/**
+	 * Number of connections opened so far.
+	 */
+	public long opened() {
+		return this.opened.get();
+	}
+
+	@Override
+	public void close() {
+		this.idle.keySet().forEach(this::forget);
+	}
+
+	private @Nullable ClientConnection takeIdle(Address address) {
+		Deque<ClientConnection> stack = this.idle.get(address);
+		if (stack == null) {
+			return null;
+		}
+		while (true) {
+			ClientConnection connection;
+			synchronized (stack) {
+				connection = stack.poll();
+			}
+			if (connection == null) {
+				return null;
+			}
+			if (usable(connection)) {
+				return connection;
+			}
+			connection.close();
+		}
+	}
+
+	private static boolean usable(ClientConnection connection) {
+		long nowNanos = System.nanoTime();
+		if (!connection.alive(nowNanos)) {
+			return false;
+		}
+		return connection.idleFor(nowNanos) < TimeUnit.MILLISECONDS.toNanos(TRUSTED_IDLE_MILLIS) || connection.quiet();
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/http/Framing.java
@@ -0,0 +1,66 @@
+package org.jaywood.http;
+
+import java.io.IOException;
+import java.io.InputStream;
+
+import org.apache.hc.core5.http.ContentLengthStrategy;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.HttpMessage;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.DefaultContentLengthStrategy;
+import org.apache.hc.core5.http.impl.io.ChunkedInputStream;
+import org.apache.hc.core5.http.impl.io.ContentLengthInputStream;
+import org.apache.hc.core5.http.impl.io.IdentityInputStream;
+import org.apache.hc.core5.http.io.SessionInputBuffer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * How the end of a body is known. A body of length {@link #CHUNKED} ends with its last
+ * chunk, one of length {@link #UNTIL_CLOSE} with its connection.
+ */
+public final class Framing {
+
+	/** The body is sent in chunks. */
+	public static final long CHUNKED = ContentLengthStrategy.CHUNKED;
+
+	/** The body ends with its connection. */
+	public static final long UNTIL_CLOSE = ContentLengthStrategy.UNDEFINED;
+
+	private Framing() {
+	}
+
+	/**
+	 * Length of the body of a message in bytes, or one of the constants.
+	 * @throws HttpException if the message states its length twice, in two ways or in a
+	 * form that recipients may read differently
+	 */
+	static long lengthOf(HttpMessage message) throws HttpException {
+		int lengths = message.countHeaders(HttpHeaders.CONTENT_LENGTH);
+		int codings = message.countHeaders(HttpHeaders.TRANSFER_ENCODING);
+		if (lengths + codings > 1) {
+			throw new HttpException("the length of the body is stated more than once");
+		}
+		return DefaultContentLengthStrategy.INSTANCE.determineLength(message);
+	}
+
+	static InputStream body(long length, SessionInputBuffer buffer, InputStream in, Http1Config config) {
+		if (length == CHUNKED) {
+			return new ChunkedInputStream(buffer, in, config);
+		}
+		if (length == UNTIL_CLOSE) {
+			return new IdentityInputStream(buffer, in);
+		}
+		return new ContentLengthInputStream(buffer, in, length);
+	}
+
+	/**
+	 * Reads a whole body of bounded size.
+	 * @return the body, or null if it exceeds the limit
+	 */
+	static byte @Nullable [] readBounded(InputStream body, int limitBytes) throws IOException {
+		byte[] bytes = body.readNBytes(limitBytes + 1);
+		return (bytes.length > limitBytes) ? null : bytes;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/http/RequestReader.java
@@ -0,0 +1,162 @@
+package org.jaywood.http;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpException;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.MessageConstraintException;
+import org.apache.hc.core5.http.config.Http1Config;
+import org.apache.hc.core5.http.impl.io.DefaultHttpRequestParser;
+import org.apache.hc.core5.http.impl.io.SessionInputBufferImpl;
+import org.jspecify.annotations.Nullable;
+
+import org.jaywood.wire.BadInputException;
+
+/**
+ * Reads the requests of one connection, one after the other, within bounds on size and
+ * time. Used by one thread.
+ */
+public final class RequestReader {
+
+	private static final int BUFFER_BYTES = 4 * 1024;
+
+	private static final int MAX_HEADERS = 100;
+
+	private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+
+	private final Socket socket;
+
+	private final InputStream in;
+
+	private final Http1Config config;
+
+	private final SessionInputBufferImpl buffer;
+
+	private final DefaultHttpRequestParser parser;
+
+	/**
+	 * Creates a reader.
+	 * @param socket connection of the caller
+	 * @param maxHeaderBytes longest header line
+	 */
+	public RequestReader(Socket socket, int maxHeaderBytes) throws IOException {
+		SocketTuning.apply(socket);
+		this.socket = socket;
+		this.in = socket.getInputStream();
+		this.config = Http1Config.custom()
+			.setMaxLineLength(maxHeaderBytes)
+			.setMaxHeaderCount(MAX_HEADERS)
+			.setMaxEmptyLineCount(1)
+			.build();
+		this.buffer = new SessionInputBufferImpl(BUFFER_BYTES, maxHeaderBytes);
+		this.parser = new DefaultHttpRequestParser(this.config);
+	}
+
+	/**
+	 * Waits for bytes of the next request.
+	 * @param timeoutMillis longest wait
+	 * @return what has arrived
+	 */
+	public Arrival await(long timeoutMillis) {
+		if (this.buffer.hasBufferedData()) {
+			return Arrival.BYTES;
+		}
+		try {
+			this.socket.setSoTimeout(Math.toIntExact(timeoutMillis));
+			return (this.buffer.fillBuffer(this.in) < 0) ? Arrival.CLOSED : Arrival.BYTES;
+		}
+		catch (SocketTimeoutException ex) {
+			return Arrival.NOTHING;
+		}
+		catch (IOException ex) {
+			return Arrival.CLOSED;
+		}
+	}
+
+	/**
+	 * Reads a request whose first bytes have arrived.
+	 * @param limits bounds on size and time
+	 * @return the request, or null if the connection ended before its head
+	 * @throws BadInputException if the request is malformed, too large or too slow, with
+	 * the status for the caller
+	 * @throws IOException if the connection breaks
+	 */
+	public @Nullable CallerRequest read(RequestLimits limits) throws IOException {
+		try {
+			this.socket.setSoTimeout(Math.toIntExact(limits.headTimeoutMillis()));
+			ClassicHttpRequest head = this.parser.parse(this.buffer, this.in);
+			if (head == null) {
+				return null;
+			}
+			checkHead(head, limits);
+			return new CallerRequest(head, readBody(head, limits));
+		}
+		catch (SocketTimeoutException ex) {
+			throw new BadInputException(HttpStatus.SC_REQUEST_TIMEOUT, "the request did not arrive in time");
+		}
+		catch (MessageConstraintException ex) {
+			throw new BadInputException(HttpStatus.SC_REQUEST_HEADER_FIELDS_TOO_LARGE, "the header is too large");
+		}
+		catch (HttpException ex) {
+			throw new BadInputException(HttpStatus.SC_BAD_REQUEST, "malformed request: " + ex.getMessage());
+		}
+	}
+
+	private byte[] readBody(ClassicHttpRequest head, RequestLimits limits) throws IOException, HttpException {
+		boolean framed = head.containsHeader(HttpHeaders.CONTENT_LENGTH)
+				|| head.containsHeader(HttpHeaders.TRANSFER_ENCODING);
+		if (!framed) {
+			return new byte[0];
+		}
+		long length = Framing.lengthOf(head);
+		if (length > limits.maxBodyBytes()) {
+			throw new BadInputException(HttpStatus.SC_REQUEST_TOO_LONG, "the body is too large");
+		}
+		if (head.containsHeader(HttpHeaders.EXPECT)) {
+			this.socket.getOutputStream().write(CONTINUE);
+		}
+		byte[] body = Framing.readBounded(Framing.body(length, this.buffer, this.in, this.config),
+				limits.maxBodyBytes());
+		if (body == null) {
+			throw new BadInputException(HttpStatus.SC_REQUEST_TOO_LONG, "the body is too large");
+		}
+		return body;
+	}
+
+	private static void checkHead(ClassicHttpRequest head, RequestLimits limits) {
+		int bytes = head.getRequestUri().length();
+		for (Header header : head.getHeaders()) {
+			bytes += header.getName().length() + String.valueOf(header.getValue()).length() + 4;
+		}
+		if (bytes > limits.maxHeaderBytes()) {
+			throw new BadInputException(HttpStatus.SC_REQUEST_HEADER_FIELDS_TOO_LARGE, "the header is too large");
+		}
+		if (head.countHeaders(HttpHeaders.HOST) != 1) {
+			throw new BadInputException(HttpStatus.SC_BAD_REQUEST, "exactly one Host is required");
+		}
+	}
+
+	/**
+	 * What a wait for the next request has shown.
+	 */
+	public enum Arrival {
+
+		/** The next request begins. */
+		BYTES,
+
+		/** The caller closed or broke the connection. */
+		CLOSED,
+
+		/** Nothing within the time. */
+		NOTHING
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/http/UpstreamAnswer.java
@@ -0,0 +1,20 @@
+package org.jaywood.http;
+
+import java.io.InputStream;
+
+import org.apache.hc.core5.http.ClassicHttpResponse;
+
+/**
+ * Answer whose head has been read.
+ *
+ * @param head status and headers
+ * @param length length of the body in bytes, or a constant of {@link Framing}
+ * @param body the body, read from the connection as it is consumed
+ */
+public record UpstreamAnswer(ClassicHttpResponse head, long length, InputStream body) {
+
+	public int status() {
+		return this.head.getCode();
+	}
+
+}
--- a/src/main/java/org/jaywood/peer/FleetStatus.java
+++ b/src/main/java/org/jaywood/peer/FleetStatus.java
@@ -13,8 +13,8 @@
 import java.util.stream.Collectors;
 
 import org.jaywood.config.AppliedConfiguration;
-import org.jaywood.platform.Futures;
-import org.jaywood.platform.VmRecord;
+import org.jaywood.store.Futures;
+import org.jaywood.store.VmRecord;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Json;
 import org.jaywood.wire.WireClient;
--- a/src/main/java/org/jaywood/peer/HighestGeneration.java
+++ b/src/main/java/org/jaywood/peer/HighestGeneration.java
@@ -7,8 +7,8 @@
 import java.util.Optional;
 
 import org.jaywood.config.AppliedConfiguration;
-import org.jaywood.platform.Futures;
-import org.jaywood.platform.VmPage;
+import org.jaywood.store.Futures;
+import org.jaywood.store.VmPage;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Json;
 import org.jaywood.wire.WireClient;
--- a/src/main/java/org/jaywood/peer/Membership.java
+++ b/src/main/java/org/jaywood/peer/Membership.java
@@ -10,9 +10,9 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Stream;
 
-import org.jaywood.platform.VmPage;
-import org.jaywood.platform.VmRecord;
-import org.jaywood.platform.VmState;
+import org.jaywood.store.VmPage;
+import org.jaywood.store.VmRecord;
+import org.jaywood.store.VmState;
 import org.jaywood.wire.Address;
 
 /**
--- a/src/main/java/org/jaywood/peer/PeerProbe.java
+++ b/src/main/java/org/jaywood/peer/PeerProbe.java
@@ -14,9 +14,9 @@
 
 import org.jaywood.config.AppliedConfiguration;
 import org.jaywood.config.ConfigurationView;
-import org.jaywood.platform.Futures;
-import org.jaywood.platform.VmPage;
-import org.jaywood.platform.VmRecord;
+import org.jaywood.store.Futures;
+import org.jaywood.store.VmPage;
+import org.jaywood.store.VmRecord;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Json;
 import org.jaywood.wire.WireClient;
--- a/src/main/java/org/jaywood/peer/PlatformWatch.java
+++ b/src/main/java/org/jaywood/peer/PlatformWatch.java
@@ -6,12 +6,12 @@
 import org.jaywood.config.AppliedConfiguration;
 import org.jaywood.config.ConfigurationRepository;
 import org.jaywood.config.ConfigurationView;
-import org.jaywood.platform.Backoff;
-import org.jaywood.platform.Futures;
-import org.jaywood.platform.HttpPlatform;
-import org.jaywood.platform.ObjectPage;
-import org.jaywood.platform.PlatformException;
-import org.jaywood.platform.VmPage;
+import org.jaywood.store.Backoff;
+import org.jaywood.store.Futures;
+import org.jaywood.store.HttpPlatform;
+import org.jaywood.store.ObjectPage;
+import org.jaywood.store.PlatformException;
+import org.jaywood.store.VmPage;
 import org.jaywood.wire.Json;
 import org.jaywood.wire.WireException;
 
--- a/src/main/java/org/jaywood/peer/StartSync.java
+++ b/src/main/java/org/jaywood/peer/StartSync.java
@@ -10,7 +10,7 @@
 
 import org.jspecify.annotations.Nullable;
 
-import org.jaywood.platform.Futures;
+import org.jaywood.store.Futures;
 import org.jaywood.wire.Address;
 
 /**
--- a/src/main/java/org/jaywood/peer/VmStatus.java
+++ b/src/main/java/org/jaywood/peer/VmStatus.java
@@ -4,8 +4,8 @@
 
 import org.jaywood.config.AppliedConfiguration;
 import org.jaywood.config.Deployment;
-import org.jaywood.platform.VmRecord;
-import org.jaywood.platform.VmState;
+import org.jaywood.store.VmRecord;
+import org.jaywood.store.VmState;
 
 /**
  * What an operator sees of one VM.
--- a/src/main/java/org/jaywood/peer/WatcherElection.java
+++ b/src/main/java/org/jaywood/peer/WatcherElection.java
@@ -6,7 +6,7 @@
 
 import com.dynatrace.hash4j.hashing.Hashing;
 
-import org.jaywood.platform.VmRecord;
+import org.jaywood.store.VmRecord;
 
 /**
  * Chooses the few processes of a data centre that watch the configuration at the
--- /dev/null
+++ b/src/main/java/org/jaywood/platform/MetadataStore.java
@@ -0,0 +1,97 @@
+package org.jaywood.platform;
+
+import java.io.IOException;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
+
+import org.jaywood.feed.FeedException;
+import org.jaywood.feed.HistoryLostException;
+import org.jaywood.http.ClientConnection;
+import org.jaywood.http.ConnectionPool;
+import org.jaywood.http.UpstreamAnswer;
+import org.jaywood.wire.Address;
+import org.jaywood.wire.Json;
+
+/**
+ * Client of the platform's store. It only reads; a read that fails is the caller's to
+ * repeat.
+ */
+public final class MetadataStore {
+
+	private static final long CONNECT_MILLIS = 400;
+
+	/** Time for an answer beyond the wait that a call asks for. */
+	private static final long ANSWER_MILLIS = 900;
+
+	private static final int MAX_BYTES = 8 * 1024 * 1024;
+
+	private final Address address;
+
+	private final ConnectionPool pool = new ConnectionPool();
+
+	public MetadataStore(Address address) {
+		this.address = address;
+	}
+
+	/**
+	 * Lists a page of the objects of a kind.
+	 * @param kind kind of the objects
+	 * @param after name behind which the page begins, or empty
+	 */
+	JsonNode list(String kind, String after) throws FeedException {
+		return get("/objects/" + kind + (after.isEmpty() ? "" : "?StartAfter=" + encode(after)), 0);
+	}
+
+	/**
+	 * Waits for changes of the objects of a kind.
+	 */
+	JsonNode watch(String kind, long revision, long waitMillis) throws FeedException {
+		return get("/objects/" + kind + "?Watch=" + revision + "&WaitMs=" + waitMillis, waitMillis);
+	}
+
+	private JsonNode get(String path, long waitMillis) throws FeedException {
+		try {
+			return exchange(path, waitMillis);
+		}
+		catch (IOException | RuntimeException ex) {
+			throw new FeedException("GET " + path + ": " + ex.getMessage(), ex);
+		}
+	}
+
+	private JsonNode exchange(String path, long waitMillis) throws IOException, FeedException {
+		ClientConnection connection = this.pool.acquire(this.address, CONNECT_MILLIS);
+		boolean whole = false;
+		try {
+			BasicClassicHttpRequest request = new BasicClassicHttpRequest("GET", path);
+			request.setHeader("Host", this.address.toString());
+			connection.send(request, new byte[0]);
+			UpstreamAnswer answer = connection.receive(waitMillis + ANSWER_MILLIS);
+			byte[] body = answer.body().readNBytes(MAX_BYTES);
+			whole = true;
+			if (answer.status() == HttpStatus.SC_GONE) {
+				throw new HistoryLostException("GET " + path + ": history is gone");
+			}
+			if (answer.status() != HttpStatus.SC_OK) {
+				throw new FeedException("GET " + path + ": status " + answer.status(), null);
+			}
+			return Json.tree(body);
+		}
+		finally {
+			if (whole) {
+				this.pool.release(connection);
+			}
+			else {
+				connection.close();
+			}
+		}
+	}
+
+	private static String encode(String text) {
+		return URLEncoder.encode(text, StandardCharsets.UTF_8);
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/platform/PlatformCalls.java
@@ -0,0 +1,107 @@
+package org.jaywood.platform;
+
+import java.util.Locale;
+import java.util.OptionalLong;
+import java.util.Set;
+
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.HttpMessage;
+import org.apache.hc.core5.http.HttpStatus;
+import org.jspecify.annotations.Nullable;
+
+import org.jaywood.gateway.AnswerHead;
+import org.jaywood.gateway.CallHead;
+import org.jaywood.gateway.CallProtocol;
+import org.jaywood.gateway.HandOverHead;
+
+/**
+ * Headers by which the platform's callers and back ends say what a gateway has to know.
+ */
+public final class PlatformCalls implements CallProtocol {
+
+	/** Id of one attempt of a caller, not of its request. */
+	private static final String ATTEMPT_ID = "X-Attempt-Id";
+
+	/** Time that is left, counted from the moment of sending. */
+	private static final String DEADLINE = "X-Deadline-Ms";
+
+	private static final String EXPECT_INSTANCE = "X-Expect-Instance";
+
+	private static final String EXPECT_VERSION = "X-Expect-Version";
+
+	private static final String TENANT = "X-Tenant";
+
+	private static final String PRIORITY = "X-Request-Priority";
+
+	private static final String LAST_EVENT_ID = "Last-Event-Id";
+
+	private static final String NOT_EXECUTED = "X-Not-Executed";
+
+	private static final String BEARER = "Bearer ";
+
+	private static final Set<String> OWN_HEADERS = Set.of(DEADLINE.toLowerCase(Locale.ROOT),
+			EXPECT_INSTANCE.toLowerCase(Locale.ROOT), EXPECT_VERSION.toLowerCase(Locale.ROOT),
+			TENANT.toLowerCase(Locale.ROOT), PRIORITY.toLowerCase(Locale.ROOT));
+
+	private static final double MILLIS_PER_SECOND = 1_000;
+
+	@Override
+	public CallHead read(ClassicHttpRequest request) {
+		String id = value(request, ATTEMPT_ID);
+		return new CallHead((id != null) ? id : "", key(request), number(value(request, DEADLINE)));
+	}
+
+	@Override
+	public boolean forwards(String name, boolean keysRequired) {
+		if (name.equalsIgnoreCase(HttpHeaders.AUTHORIZATION)) {
+			return !keysRequired;
+		}
+		return !OWN_HEADERS.contains(name.toLowerCase(Locale.ROOT));
+	}
+
+	@Override
+	public void write(ClassicHttpRequest request, HandOverHead head) {
+		request.setHeader(DEADLINE, Long.toString(head.remainingMillis()));
+		request.setHeader(EXPECT_INSTANCE, head.upstreamId());
+		request.setHeader(PRIORITY, Integer.toString(head.urgency()));
+		head.weights().ifPresent((version) -> request.setHeader(EXPECT_VERSION, Long.toString(version)));
+		if (head.workspace() != null) {
+			request.setHeader(TENANT, head.workspace());
+		}
+		if (head.lastEventId() != null) {
+			request.setHeader(LAST_EVENT_ID, head.lastEventId());
+		}
+	}
+
+	@Override
+	public AnswerHead read(ClassicHttpResponse response) {
+		boolean misdirected = response.getCode() == HttpStatus.SC_MISDIRECTED_REQUEST;
+		return new AnswerHead(value(response, ATTEMPT_ID), misdirected || response.containsHeader(NOT_EXECUTED),
+				misdirected);
+	}
+
+	@Override
+	public void writeRetryAfter(ClassicHttpResponse response, long millis) {
+		response.setHeader(HttpHeaders.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", millis / MILLIS_PER_SECOND));
+	}
+
+	private static @Nullable String key(ClassicHttpRequest request) {
+		String authorization = value(request, HttpHeaders.AUTHORIZATION);
+		boolean bearer = authorization != null && authorization.regionMatches(true, 0, BEARER, 0, BEARER.length());
+		return (authorization != null && bearer) ? authorization.substring(BEARER.length()).strip() : null;
+	}
+
+	private static @Nullable String value(HttpMessage message, String name) {
+		Header header = message.getFirstHeader(name);
+		return (header != null) ? header.getValue() : null;
+	}
+
+	private static OptionalLong number(@Nullable String text) {
+		boolean valid = text != null && text.matches("\\d{1,9}");
+		return (text != null && valid) ? OptionalLong.of(Long.parseLong(text)) : OptionalLong.empty();
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/platform/PlatformEngine.java
@@ -0,0 +1,165 @@
+package org.jaywood.platform;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.databind.JsonNode;
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
+import org.jspecify.annotations.Nullable;
+
+import org.jaywood.http.ClientConnection;
+import org.jaywood.http.ConnectionPool;
+import org.jaywood.http.UpstreamAnswer;
+import org.jaywood.replica.EngineControl;
+import org.jaywood.replica.EngineReport;
+import org.jaywood.replica.EngineUnavailableException;
+import org.jaywood.replica.PieceList;
+import org.jaywood.replica.WeightOrigin;
+import org.jaywood.wire.Address;
+import org.jaywood.wire.Json;
+
+/**
+ * Calls of the platform's engines that concern weights and state, and of its origin of
+ * weights.
+ */
+public final class PlatformEngine implements EngineControl, WeightOrigin {
+
+	private static final long CONNECT_MILLIS = 400;
+
+	private static final long ANSWER_MILLIS = 1_500;
+
+	private static final int MAX_BYTES = 16 * 1024 * 1024;
+
+	/** Field for the number of a piece; it holds no count of samples here. */
+	private static final String PIECE = "SampleCount";
+
+	private final Address engine;
+
+	private final ConnectionPool pool = new ConnectionPool();
+
+	public PlatformEngine(Address engine) {
+		this.engine = engine;
+	}
+
+	@Override
+	public EngineReport report() throws EngineUnavailableException {
+		Reply reply = askEngine("GET", "/report", new byte[0]);
+		requireOk(reply, "report");
+		try {
+			JsonNode node = Json.tree(reply.body());
+			return new EngineReport(node.path("born").asLong(), node.path("Running").asInt(),
+					node.path("Queued").asInt(), node.path("Busy").asBoolean(), node.path("Sequence").asLong(),
+					ObjectDecoders.weights(node));
+		}
+		catch (RuntimeException ex) {
+			throw new EngineUnavailableException("malformed report: " + ex.getMessage(), ex);
+		}
+	}
+
+	@Override
+	public void stage(String model, int index, byte[] piece) throws EngineUnavailableException {
+		Reply reply = askEngine("PUT", "/stage-put/" + model + "?" + PIECE + "=" + index, piece);
+		if (reply.status() >= HttpStatus.SC_REDIRECTION) {
+			throw new EngineUnavailableException("staging piece " + index + ": status " + reply.status(), null);
+		}
+	}
+
+	@Override
+	public byte @Nullable [] staged(String model, int index) throws EngineUnavailableException {
+		Reply reply = askEngine("GET", "/stage-get/" + model + "?" + PIECE + "=" + index, new byte[0]);
+		if (reply.status() == HttpStatus.SC_NOT_FOUND) {
+			return null;
+		}
+		requireOk(reply, "staged piece " + index);
+		return reply.body();
+	}
+
+	@Override
+	public boolean load(String model, long version, long sequence) throws EngineUnavailableException {
+		byte[] order = Json.bytes(new Order("start", model, version, "wait", sequence));
+		Reply reply = askEngine("POST", "/order", order);
+		return reply.status() == HttpStatus.SC_OK || reply.status() == HttpStatus.SC_ACCEPTED;
+	}
+
+	@Override
+	public PieceList pieces(Address origin, String model, long version) throws IOException {
+		Reply reply = exchange(origin, "GET", "/manifest/" + model + "?Version=" + version, new byte[0]);
+		if (reply.status() != HttpStatus.SC_OK) {
+			throw new IOException("manifest of " + model + " " + version + ": status " + reply.status());
+		}
+		JsonNode node = Json.tree(reply.body());
+		List<String> digests = new ArrayList<>();
+		node.path("Digests").forEach((digest) -> digests.add(digest.asText()));
+		if (digests.isEmpty() || node.path("Version").asLong() != version) {
+			throw new IOException("malformed manifest of " + model + " " + version);
+		}
+		return new PieceList(model, version, digests);
+	}
+
+	@Override
+	public byte[] piece(Address origin, String model, long version, int index) throws IOException {
+		Reply reply = exchange(origin, "GET", "/piece/" + model + "?" + PIECE + "=" + index + "&Version=" + version,
+				new byte[0]);
+		if (reply.status() != HttpStatus.SC_OK) {
+			throw new IOException("piece " + index + ": status " + reply.status());
+		}
+		return reply.body();
+	}
+
+	private Reply askEngine(String method, String path, byte[] body) throws EngineUnavailableException {
+		try {
+			return exchange(this.engine, method, path, body);
+		}
+		catch (IOException | RuntimeException ex) {
+			throw new EngineUnavailableException(method + " " + path + ": " + ex.getMessage(), ex);
+		}
+	}
+
+	private static void requireOk(Reply reply, String what) throws EngineUnavailableException {
+		if (reply.status() != HttpStatus.SC_OK) {
+			throw new EngineUnavailableException(what + ": status " + reply.status() + " "
+					+ new String(reply.body(), StandardCharsets.UTF_8).strip(), null);
+		}
+	}
+
+	private Reply exchange(Address address, String method, String path, byte[] body) throws IOException {
+		ClientConnection connection = this.pool.acquire(address, CONNECT_MILLIS);
+		boolean whole = false;
+		try {
+			BasicClassicHttpRequest request = new BasicClassicHttpRequest(method, path);
+			request.setHeader("Host", address.toString());
+			if (method.equals("POST")) {
+				request.setHeader("Content-Type", "application/json");
+			}
+			connection.send(request, body);
+			UpstreamAnswer answer = connection.receive(ANSWER_MILLIS);
+			byte[] bytes = answer.body().readNBytes(MAX_BYTES);
+			whole = true;
+			return new Reply(answer.status(), bytes);
+		}
+		finally {
+			if (whole) {
+				this.pool.release(connection);
+			}
+			else {
+				connection.close();
+			}
+		}
+	}
+
+	/**
+	 * Order to load what is staged.
+	 */
+	private record Order(@JsonProperty("Op") String op, @JsonProperty("Model") String model,
+			@JsonProperty("Version") long version, @JsonProperty("StartMode") String mode,
+			@JsonProperty("Precondition") long sequence) {
+	}
+
+	private record Reply(int status, byte[] body) {
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/platform/PlatformFeeds.java
@@ -0,0 +1,43 @@
+package org.jaywood.platform;
+
+import java.util.Map;
+
+import org.jaywood.event.EventLog;
+import org.jaywood.gateway.GatewayFeeds;
+import org.jaywood.replica.ReplicaFeeds;
+
+/**
+ * The kinds of objects in the platform's store that jaywood follows.
+ */
+public final class PlatformFeeds {
+
+	private final MetadataStore store;
+
+	private final ObjectDecoders decoders;
+
+	private final EventLog log;
+
+	/**
+	 * Creates the feeds.
+	 * @param regions region of each data centre
+	 */
+	public PlatformFeeds(MetadataStore store, Map<String, String> regions, EventLog log) {
+		this.store = store;
+		this.decoders = new ObjectDecoders(regions);
+		this.log = log;
+	}
+
+	public GatewayFeeds gateway() {
+		return new GatewayFeeds(new ObjectFeed<>(this.store, "config", this.decoders::configuration, this.log),
+				new ObjectFeed<>(this.store, "servers", this.decoders::upstream, this.log),
+				new ObjectFeed<>(this.store, "evacuations", this.decoders::closedDataCentre, this.log),
+				new ObjectFeed<>(this.store, "versions", this.decoders::namedWeights, this.log));
+	}
+
+	public ReplicaFeeds replica() {
+		return new ReplicaFeeds(new ObjectFeed<>(this.store, "config", this.decoders::configuration, this.log),
+				new ObjectFeed<>(this.store, "servers", this.decoders::upstream, this.log),
+				new ObjectFeed<>(this.store, "versions", this.decoders::namedWeights, this.log));
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/platform/PlatformSettings.java
@@ -0,0 +1,135 @@
+package org.jaywood.platform;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+
+import org.jaywood.gateway.GatewaySettings;
+import org.jaywood.replica.ReplicaSettings;
+import org.jaywood.routing.DispatchSettings;
+import org.jaywood.wire.Address;
+
+/**
+ * The settings file that the platform writes for a process, in its own format. Fields
+ * that are not known are ignored.
+ */
+public final class PlatformSettings {
+
+	/** Environment variable that holds the path of the file. */
+	public static final String FILE_VARIABLE = "JAYWOOD_NODE_FILE";
+
+	private static final long MILLIS_PER_SECOND = 1_000;
+
+	private static final double BYTES_PER_MEGABIT = 125_000;
+
+	/**
+	 * Part of the limit on revoked keys up to which a configuration counts as current.
+	 */
+	private static final double KEY_LIFETIME_SHARE = 0.68;
+
+	/** Part of the limit on configurations up to which one counts as current. */
+	private static final double ROUTE_LIFETIME_SHARE = 0.9;
+
+	/** Time for which entries may be missing after the store was away, and a margin. */
+	private static final long LAPSE_MILLIS = 2_200;
+
+	/** Time that a call may spend on its way and in the queue of an engine. */
+	private static final long VERSION_MARGIN_MILLIS = 1_500;
+
+	/** Gateways that share the retry budget at the most. */
+	private static final int MAX_GATEWAYS = 12;
+
+	private final JsonNode tree;
+
+	private PlatformSettings(JsonNode tree) {
+		this.tree = tree;
+	}
+
+	/**
+	 * Reads the file.
+	 * @throws IOException if it cannot be read or is not TOML
+	 */
+	public static PlatformSettings read(Path file) throws IOException {
+		return parse(Files.readString(file));
+	}
+
+	static PlatformSettings parse(String text) throws IOException {
+		return new PlatformSettings(new TomlMapper().readTree(text));
+	}
+
+	/**
+	 * Name of the VM.
+	 */
+	public String vm() {
+		return this.tree.path("Node").asText();
+	}
+
+	/**
+	 * Address of the store.
+	 */
+	public Address store() {
+		return Address.parse(this.tree.path("Platform").path("Address").asText());
+	}
+
+	/**
+	 * Region of each data centre.
+	 */
+	public Map<String, String> regions() {
+		Map<String, String> regions = new HashMap<>();
+		this.tree.path("Zones").properties().forEach((entry) -> regions.put(entry.getKey(), entry.getValue().asText()));
+		return regions;
+	}
+
+	/**
+	 * Settings of a gateway.
+	 */
+	public GatewaySettings gateway() {
+		JsonNode listen = this.tree.path("Listen");
+		JsonNode bounds = this.tree.path("Bounds");
+		boolean strict = bounds.path("StrictRevoke").asBoolean();
+		long keyLifetimeMillis = strict ? Math.round(bounds.path("RevokeMs").asLong() * KEY_LIFETIME_SHARE)
+				: Long.MAX_VALUE;
+		return new GatewaySettings(vm(), Address.parse(listen.path("Front").asText()),
+				Address.parse(listen.path("ReadyAddress").asText()), "/ready", new Address(ip(), lastPort()),
+				firstPort(), dispatch(bounds), MAX_GATEWAYS, bounds.path("RetryBudgetRatio").asDouble(),
+				bounds.path("BudgetExtra").asDouble(), bounds.path("BudgetWindowS").asLong() * MILLIS_PER_SECOND,
+				keyLifetimeMillis, Math.round(bounds.path("ConfigMs").asLong() * ROUTE_LIFETIME_SHARE), graceMillis());
+	}
+
+	/**
+	 * Settings of the agent of an engine.
+	 */
+	public ReplicaSettings replica() {
+		return new ReplicaSettings(vm(), Address.parse(this.tree.path("app").asText()), new Address(ip(), firstPort()),
+				this.tree.path("Service").asText(), this.tree.path("Region").asText(), this.tree.path("Zone").asText(),
+				Math.round(this.tree.path("Limits").path("LinkMbps").asDouble() * BYTES_PER_MEGABIT), graceMillis());
+	}
+
+	private DispatchSettings dispatch(JsonNode bounds) {
+		return new DispatchSettings(this.tree.path("Region").asText(), this.tree.path("Zone").asText(),
+				bounds.path("ColdOverage").asDouble(), bounds.path("ColdSlack").asDouble(), LAPSE_MILLIS,
+				bounds.path("version_ms").asLong() - VERSION_MARGIN_MILLIS);
+	}
+
+	private long graceMillis() {
+		return this.tree.path("Bounds").path("GraceS").asLong() * MILLIS_PER_SECOND;
+	}
+
+	private String ip() {
+		return this.tree.path("Ip").asText();
+	}
+
+	private int firstPort() {
+		return this.tree.path("PortRange").path(0).asInt();
+	}
+
+	private int lastPort() {
+		return this.tree.path("PortRange").path(1).asInt();
+	}
+
+}
--- a/src/main/java/org/jaywood/platform/package-info.java
+++ b/src/main/java/org/jaywood/platform/package-info.java
@@ -1,6 +1,6 @@
 /**
- * Ports to the platform services (object API, VM list, weight store) and their HTTP
- * adapters.
+ * Adapter to the platform of the operators: its names, formats and calls. It translates
+ * and decides nothing.
  */
 @NullMarked
 package org.jaywood.platform;
--- /dev/null
+++ b/src/main/java/org/jaywood/replica/EngineKeeper.java
@@ -0,0 +1,216 @@
+package org.jaywood.replica;
+
+import java.util.Arrays;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.IntStream;
+
+import org.jspecify.annotations.Nullable;
+
+import org.jaywood.event.Event;
+import org.jaywood.event.EventLog;
+import org.jaywood.feed.BootClock;
+import org.jaywood.routing.LoadedWeights;
+import org.jaywood.routing.NamedWeights;
+import org.jaywood.routing.ServiceProfile;
+import org.jaywood.routing.Upstream;
+
+/**
+ * Brings the engine to the named version, again and again: after a new version is named,
+ * after a restart, and when it is empty. What lies beside the engine is compared with the
+ * verified pieces right before each order, since it may turn bad there.
+ */
+final class EngineKeeper {
+
+	private static final long PAUSE_MILLIS = 100;
+
+	private final FleetKnowledge fleet;
+
+	private final EngineControl engine;
+
+	private final PieceFetcher fetcher;
+
+	private final EngineMonitor monitor;
+
+	private final EventLog log;
+
+	private final ConcurrentHashMap<NamedWeights, WeightCopy> copies = new ConcurrentHashMap<>();
+
+	private @Nullable NamedWeights activated;
+
+	private volatile boolean closed;
+
+	EngineKeeper(FleetKnowledge fleet, EngineControl engine, PieceFetcher fetcher, EngineMonitor monitor,
+			EventLog log) {
+		this.fleet = fleet;
+		this.engine = engine;
+		this.fetcher = fetcher;
+		this.monitor = monitor;
+		this.log = log;
+	}
+
+	EngineKeeper start() {
+		Thread.ofVirtual().name("keep-engine").start(this::run);
+		return this;
+	}
+
+	void close() {
+		this.closed = true;
+	}
+
+	/**
+	 * The copy of a version, or null if this agent does not have one.
+	 */
+	@Nullable WeightCopy copy(NamedWeights weights) {
+		return this.copies.get(weights);
+	}
+
+	/**
+	 * Waits until this agent has begun to fetch a version.
+	 * @return the copy, or null if it does not begin in time
+	 */
+	@Nullable WeightCopy awaitCopy(NamedWeights weights, long waitMillis) throws InterruptedException {
+		long untilMillis = BootClock.nowMillis() + waitMillis;
+		WeightCopy copy = copy(weights);
+		while (copy == null && BootClock.nowMillis() < untilMillis) {
+			Thread.sleep(PAUSE_MILLIS);
+			copy = copy(weights);
+		}
+		return copy;
+	}
+
+	private void run() {
+		while (!this.closed) {
+			try {
+				step();
+				Thread.sleep(PAUSE_MILLIS);
+			}
+			catch (EngineUnavailableException ex) {
+				this.log.log(Event.ORDER_FAILED, "order", "load", "error", ex.getMessage());
+				pauseAfterFailure();
+			}
+			catch (InterruptedException ex) {
+				return;
+			}
+			catch (RuntimeException ex) {
+				this.log.log(Event.TASK_FAILED, "task", "keep-engine", "error", ex);
+				pauseAfterFailure();
+			}
+		}
+	}
+
+	private void step() throws EngineUnavailableException, InterruptedException {
+		Optional<NamedWeights> wanted = this.fleet.target();
+		Optional<Upstream> own = this.fleet.own();
+		EngineReport report = this.monitor.latest();
+		if (wanted.isEmpty() || own.isEmpty() || report == null) {
+			return;
+		}
+		NamedWeights target = wanted.get();
+		if (serves(report, target)) {
+			noteActivated(target);
+			return;
+		}
+		this.activated = null;
+		if (report.busy()) {
+			return;
+		}
+		WeightCopy copy = obtain(target, own.get());
+		if (copy != null && copy.complete() && isWanted(target)) {
+			order(copy, target);
+		}
+	}
+
+	private boolean serves(EngineReport report, NamedWeights target) {
+		LoadedWeights weights = report.weights();
+		int layers = this.fleet.profile().map(ServiceProfile.Engines::layers).orElse(Integer.MAX_VALUE);
+		return weights != null && weights.model().equals(target.model()) && weights.version() == target.version()
+				&& weights.complete(layers);
+	}
+
+	private void noteActivated(NamedWeights target) {
+		if (!target.equals(this.activated)) {
+			this.activated = target;
+			this.log.log(Event.WEIGHTS_ACTIVATED, "manifest", target.model() + "/" + target.version());
+		}
+	}
+
+	private boolean isWanted(NamedWeights target) {
+		return !this.closed && this.fleet.target().filter(target::equals).isPresent();
+	}
+
+	private @Nullable WeightCopy obtain(NamedWeights target, Upstream own)
+			throws EngineUnavailableException, InterruptedException {
+		WeightCopy present = this.copies.get(target);
+		if (present != null && present.complete()) {
+			return present;
+		}
+		if (present == null) {
+			PieceList list = this.fetcher.list(target, own);
+			if (list == null) {
+				return null;
+			}
+			present = new WeightCopy(list);
+			this.copies.keySet().removeIf((other) -> other.version() < target.version() - 1);
+			this.copies.put(target, present);
+			takeStaged(present);
+		}
+		long sinceMillis = BootClock.nowMillis();
+		this.fetcher.fetch(present, own, () -> isWanted(target));
+		if (present.complete()) {
+			this.log.log(Event.WEIGHTS_VERIFIED, "manifest", target.model() + "/" + target.version(), "chunks",
+					present.list().size(), "seconds", (BootClock.nowMillis() - sinceMillis) / 1000.0);
+		}
+		return present;
+	}
+
+	/**
+	 * Takes over pieces that lie beside the engine since before a restart.
+	 */
+	private void takeStaged(WeightCopy copy) throws EngineUnavailableException {
+		for (int index = 0; index < copy.list().size(); index++) {
+			byte[] piece = this.engine.staged(copy.list().model(), index);
+			if (piece == null || !copy.offer(index, piece)) {
+				// Pieces of another version lie there, or none at all.
+				return;
+			}
+		}
+	}
+
+	private void order(WeightCopy copy, NamedWeights target) throws EngineUnavailableException {
+		int replaced = 0;
+		for (int index : IntStream.range(0, copy.list().size()).toArray()) {
+			byte[] staged = this.engine.staged(target.model(), index);
+			if (!Arrays.equals(staged, copy.piece(index))) {
+				this.engine.stage(target.model(), index, copy.piece(index));
+				replaced++;
+			}
+		}
+		this.log.log(Event.STAGED_PIECES_REPLACED, "count", replaced, "model", target.model(), "version",
+				target.version());
+		EngineReport report = this.engine.report();
+		if (report.busy() || serves(report, target)) {
+			return;
+		}
+		boolean accepted = this.engine.load(target.model(), target.version(), report.sequence());
+		if (accepted) {
+			this.log.log(Event.ORDER_ACCEPTED, "model", target.model(), "version", target.version(), "sequence",
+					report.sequence());
+			this.monitor.refresh();
+		}
+		else {
+			this.log.log(Event.ORDER_FAILED, "order", "load " + target, "error",
+					"refused at sequence " + report.sequence());
+		}
+	}
+
+	private void pauseAfterFailure() {
+		try {
+			Thread.sleep(PAUSE_MILLIS * 2);
+		}
+		catch (InterruptedException ex) {
+			this.closed = true;
+		}
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/replica/EngineMonitor.java
@@ -0,0 +1,147 @@
+package org.jaywood.replica;
+
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.jspecify.annotations.Nullable;
+
+import org.jaywood.event.Event;
+import org.jaywood.event.EventLog;
+import org.jaywood.feed.BootClock;
+import org.jaywood.routing.Upstream;
+import org.jaywood.routing.UpstreamReport;
+
+/**
+ * Asks the engine for its state at short intervals, which is free on its own VM, and lets
+ * gateways wait for the next change.
+ */
+final class EngineMonitor {
+
+	private static final long INTERVAL_MILLIS = 60;
+
+	private final FleetKnowledge fleet;
+
+	private final EngineControl engine;
+
+	private final String address;
+
+	private final EventLog log;
+
+	private final AtomicInteger gateways = new AtomicInteger();
+
+	private @Nullable EngineReport latest;
+
+	private UpstreamReport published = new UpstreamReport("", 0, 0, false, 0, null);
+
+	private long changes;
+
+	private boolean lost = true;
+
+	private volatile boolean closed;
+
+	EngineMonitor(FleetKnowledge fleet, EngineControl engine, String address, EventLog log) {
+		this.fleet = fleet;
+		this.engine = engine;
+		this.address = address;
+		this.log = log;
+	}
+
+	EngineMonitor start() {
+		Thread.ofVirtual().name("monitor-engine").start(this::run);
+		return this;
+	}
+
+	void close() {
+		this.closed = true;
+	}
+
+	/**
+	 * The latest state, or null while the engine does not answer.
+	 */
+	synchronized @Nullable EngineReport latest() {
+		return this.latest;
+	}
+
+	/**
+	 * Counts the gateways that receive reports.
+	 */
+	AtomicInteger gateways() {
+		return this.gateways;
+	}
+
+	/**
+	 * Waits for a report that differs from those seen before.
+	 * @param seen number of the change seen last
+	 * @param waitMillis longest wait
+	 */
+	synchronized Change await(long seen, long waitMillis) throws InterruptedException {
+		long untilMillis = BootClock.nowMillis() + waitMillis;
+		long leftMillis = waitMillis;
+		while (this.changes == seen && leftMillis > 0) {
+			wait(leftMillis);
+			leftMillis = untilMillis - BootClock.nowMillis();
+		}
+		return new Change(this.changes, this.published);
+	}
+
+	private void run() {
+		while (!this.closed) {
+			refresh();
+			try {
+				Thread.sleep(INTERVAL_MILLIS);
+			}
+			catch (InterruptedException ex) {
+				return;
+			}
+		}
+	}
+
+	/**
+	 * Asks the engine now.
+	 */
+	void refresh() {
+		try {
+			publish(this.engine.report());
+		}
+		catch (EngineUnavailableException ex) {
+			if (!this.lost) {
+				this.log.log(Event.ENGINE_LOST, "address", this.address, "error", ex.getMessage());
+			}
+			this.lost = true;
+			publish(null);
+		}
+	}
+
+	private synchronized void publish(@Nullable EngineReport report) {
+		this.latest = report;
+		if (report != null && this.lost) {
+			this.lost = false;
+			this.log.log(Event.ENGINE_FOUND, "address", this.address, "weights", String.valueOf(report.weights()));
+		}
+		UpstreamReport next = describe(report);
+		if (!next.equals(this.published)) {
+			this.published = next;
+			this.changes++;
+			notifyAll();
+		}
+	}
+
+	private UpstreamReport describe(@Nullable EngineReport report) {
+		Optional<Upstream> entry = this.fleet.own();
+		if (report == null || entry.isEmpty() || entry.get().bornMillis() != report.bornMillis()) {
+			return new UpstreamReport("", 0, 0, false, this.gateways.get(), null);
+		}
+		return new UpstreamReport(entry.get().id(), report.running(), report.queued(), report.busy(),
+				this.gateways.get(), report.weights());
+	}
+
+	/**
+	 * A report and the number of changes up to it.
+	 *
+	 * @param number number of changes
+	 * @param report the report
+	 */
+	record Change(long number, UpstreamReport report) {
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/replica/EngineUnavailableException.java
@@ -0,0 +1,16 @@
+package org.jaywood.replica;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The engine beside this agent did not answer, or refused.
+ */
+public final class EngineUnavailableException extends Exception {
+
+	private static final long serialVersionUID = 1L;
+
+	public EngineUnavailableException(String message, @Nullable Throwable cause) {
+		super(message, cause);
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/replica/PeerPieces.java
@@ -0,0 +1,78 @@
+package org.jaywood.replica;
+
+import java.io.IOException;
+
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
+
+import org.jaywood.http.ClientConnection;
+import org.jaywood.http.ConnectionPool;
+import org.jaywood.http.UpstreamAnswer;
+import org.jaywood.routing.NamedWeights;
+import org.jaywood.wire.Address;
+import org.jaywood.wire.Json;
+
+/**
+ * Reads manifests and pieces from the agents of other engines.
+ */
+final class PeerPieces {
+
+	/** Prefix of the paths of weights at an agent. */
+	static final String PREFIX = "/v1/weights/";
+
+	/** Last segment of the path of a list of digests. */
+	static final String LIST = "list";
+
+	private static final long CONNECT_MILLIS = 400;
+
+	private static final long ANSWER_MARGIN_MILLIS = 1_000;
+
+	private static final int MAX_BYTES = 16 * 1024 * 1024;
+
+	private final ConnectionPool pool;
+
+	PeerPieces(ConnectionPool pool) {
+		this.pool = pool;
+	}
+
+	PieceList list(Address agent, NamedWeights weights) throws IOException {
+		return Json.read(get(agent, path(weights) + LIST, 0), PieceList.class);
+	}
+
+	/**
+	 * Asks for a piece, for which the peer may wait itself.
+	 */
+	byte[] piece(Address agent, NamedWeights weights, int index, long waitMillis) throws IOException {
+		return get(agent, path(weights) + index + "?wait=" + waitMillis, waitMillis);
+	}
+
+	private static String path(NamedWeights weights) {
+		return PREFIX + weights.model() + "/" + weights.version() + "/";
+	}
+
+	private byte[] get(Address agent, String path, long waitMillis) throws IOException {
+		ClientConnection connection = this.pool.acquire(agent, CONNECT_MILLIS);
+		boolean whole = false;
+		try {
+			BasicClassicHttpRequest request = new BasicClassicHttpRequest("GET", path);
+			request.setHeader("Host", agent.toString());
+			connection.send(request, new byte[0]);
+			UpstreamAnswer answer = connection.receive(waitMillis + ANSWER_MARGIN_MILLIS);
+			byte[] body = answer.body().readNBytes(MAX_BYTES);
+			whole = true;
+			if (answer.status() != HttpStatus.SC_OK) {
+				throw new IOException(agent + " answered " + answer.status() + " to " + path);
+			}
+			return body;
+		}
+		finally {
+			if (whole) {
+				this.pool.release(connection);
+			}
+			else {
+				connection.close();
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/replica/PieceFetcher.java
@@ -0,0 +1,196 @@
+package org.jaywood.replica;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Queue;
+import java.util.Random;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
+
+import org.jspecify.annotations.Nullable;
+
+import org.jaywood.event.Event;
+import org.jaywood.event.EventLog;
+import org.jaywood.feed.BootClock;
+import org.jaywood.routing.NamedWeights;
+import org.jaywood.routing.ServiceProfile;
+import org.jaywood.routing.Upstream;
+import org.jaywood.wire.Address;
+
+/**
+ * Brings all pieces of a version to this agent: from the peers of the plan, and from the
+ * origin where the plan or a failure of the peers says so.
+ */
+final class PieceFetcher {
+
+	/** Pieces asked of peers at once; most of these requests wait at the peer. */
+	private static final int PEER_WORKERS = 12;
+
+	/** Pieces asked of the origin at once, which fill its link. */
+	private static final int ORIGIN_WORKERS = 2;
+
+	/** Wait at a peer for a piece that it does not have yet. */
+	private static final long PEER_WAIT_MILLIS = 2_500;
+
+	private static final long RETRY_PAUSE_MILLIS = 150;
+
+	/** Failures of all peers of a piece after which the origin is asked. */
+	private static final int PEER_ROUNDS = 2;
+
+	private final FleetKnowledge fleet;
+
+	private final PeerPieces peers;
+
+	private final WeightOrigin origin;
+
+	private final int agentPort;
+
+	private final EventLog log;
+
+	PieceFetcher(FleetKnowledge fleet, PeerPieces peers, WeightOrigin origin, int agentPort, EventLog log) {
+		this.fleet = fleet;
+		this.peers = peers;
+		this.origin = origin;
+		this.agentPort = agentPort;
+		this.log = log;
+	}
+
+	/**
+	 * Fetches the list of digests, from a peer that has it or from the origin.
+	 * @return the list, or null if nobody has it now
+	 */
+	@Nullable PieceList list(NamedWeights target, Upstream own) {
+		List<Upstream> holders = new SourcePlan(own, this.fleet.engines(), target, originRegion()).sources(0);
+		for (Upstream holder : holders) {
+			try {
+				return this.peers.list(agent(holder), target);
+			}
+			catch (IOException | RuntimeException ex) {
+				logFailure("list", holder.id(), ex);
+			}
+		}
+		try {
+			return this.origin.pieces(originAddress(), target.model(), target.version());
+		}
+		catch (IOException | RuntimeException ex) {
+			logFailure("list", "origin", ex);
+			return null;
+		}
+	}
+
+	/**
+	 * Fetches all pieces that a copy lacks.
+	 * @param wanted whether the copy is still wanted
+	 */
+	void fetch(WeightCopy copy, Upstream own, BooleanSupplier wanted) throws InterruptedException {
+		NamedWeights target = new NamedWeights(copy.list().model(), copy.list().version());
+		SourcePlan plan = new SourcePlan(own, this.fleet.engines(), target, originRegion());
+		List<Integer> missing = new ArrayList<>(
+				IntStream.range(0, copy.list().size()).filter((index) -> !copy.has(index)).boxed().toList());
+		Collections.shuffle(missing, new Random(own.id().hashCode()));
+		Queue<Integer> fromOrigin = new ConcurrentLinkedQueue<>(missing.stream().filter(plan::fromOrigin).toList());
+		Queue<Integer> fromPeers = new ConcurrentLinkedQueue<>(
+				missing.stream().filter((index) -> !plan.fromOrigin(index)).toList());
+		List<Thread> workers = new ArrayList<>();
+		IntStream.range(0, ORIGIN_WORKERS)
+			.forEach((worker) -> workers.add(start(() -> drainOrigin(fromOrigin, copy, target, wanted))));
+		IntStream.range(0, PEER_WORKERS)
+			.forEach((worker) -> workers.add(start(() -> drainPeers(fromPeers, copy, plan, target, wanted))));
+		for (Thread worker : workers) {
+			worker.join();
+		}
+	}
+
+	private static Thread start(Runnable work) {
+		return Thread.ofVirtual().start(work);
+	}
+
+	private void drainOrigin(Queue<Integer> indexes, WeightCopy copy, NamedWeights target, BooleanSupplier wanted) {
+		for (Integer index = indexes.poll(); index != null && wanted.getAsBoolean(); index = indexes.poll()) {
+			while (!copy.has(index) && wanted.getAsBoolean() && !askOrigin(index, copy, target)) {
+				pause();
+			}
+		}
+	}
+
+	private void drainPeers(Queue<Integer> indexes, WeightCopy copy, SourcePlan plan, NamedWeights target,
+			BooleanSupplier wanted) {
+		for (Integer index = indexes.poll(); index != null && wanted.getAsBoolean(); index = indexes.poll()) {
+			fromPeers(index, copy, plan, target, wanted);
+		}
+	}
+
+	private void fromPeers(int index, WeightCopy copy, SourcePlan plan, NamedWeights target, BooleanSupplier wanted) {
+		for (int round = 0; !copy.has(index) && wanted.getAsBoolean(); round++) {
+			boolean found = plan.sources(index).stream().anyMatch((source) -> askPeer(source, index, copy, target));
+			if (!found && round + 1 >= PEER_ROUNDS) {
+				found = askOrigin(index, copy, target);
+			}
+			if (!found) {
+				pause();
+			}
+		}
+	}
+
+	private boolean askPeer(Upstream source, int index, WeightCopy copy, NamedWeights target) {
+		try {
+			byte[] piece = this.peers.piece(agent(source), target, index, PEER_WAIT_MILLIS);
+			return accept(copy, index, piece, source.id());
+		}
+		catch (IOException | RuntimeException ex) {
+			logFailure(Integer.toString(index), source.id(), ex);
+			return false;
+		}
+	}
+
+	private boolean askOrigin(int index, WeightCopy copy, NamedWeights target) {
+		try {
+			return accept(copy, index, this.origin.piece(originAddress(), target.model(), target.version(), index),
+					"origin");
+		}
+		catch (IOException | RuntimeException ex) {
+			logFailure(Integer.toString(index), "origin", ex);
+			return false;
+		}
+	}
+
+	private boolean accept(WeightCopy copy, int index, byte[] piece, String source) {
+		boolean right = copy.offer(index, piece);
+		if (!right) {
+			this.log.log(Event.CHUNK_CORRUPT, "chunk", index, "source", source);
+		}
+		return right;
+	}
+
+	private Address agent(Upstream engine) {
+		return new Address(engine.address().host(), this.agentPort);
+	}
+
+	private Address originAddress() throws IOException {
+		return this.fleet.origin()
+			.map(ServiceProfile.Origin::address)
+			.orElseThrow(() -> new IOException("no origin is configured"));
+	}
+
+	private String originRegion() {
+		return this.fleet.origin().map(ServiceProfile.Origin::region).orElse("");
+	}
+
+	private void logFailure(String chunk, String source, Exception failure) {
+		this.log.log(Event.CHUNK_FETCH_FAILED, "chunk", chunk, "source", source, "error", failure.getMessage(), "boot",
+				BootClock.nowMillis());
+	}
+
+	private static void pause() {
+		try {
+			Thread.sleep(RETRY_PAUSE_MILLIS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/replica/PieceList.java
@@ -0,0 +1,18 @@
+package org.jaywood.replica;
+
+import java.util.List;
+
+/**
+ * Digests of the pieces of one version of a model.
+ *
+ * @param model name of the model
+ * @param version number of the version
+ * @param digests SHA-256 of each piece in hexadecimal
+ */
+public record PieceList(String model, long version, List<String> digests) {
+
+	public int size() {
+		return this.digests.size();
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/replica/Replica.java
@@ -0,0 +1,174 @@
+package org.jaywood.replica;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+import org.jspecify.annotations.Nullable;
+
+import org.jaywood.event.Event;
+import org.jaywood.event.EventLog;
+import org.jaywood.feed.FeedFollower;
+import org.jaywood.http.ConnectionPool;
+import org.jaywood.routing.LoadedWeights;
+import org.jaywood.routing.NamedWeights;
+import org.jaywood.wire.BadInputException;
+import org.jaywood.wire.Exchange;
+import org.jaywood.wire.HttpPort;
+import org.jaywood.wire.Json;
+
+/**
+ * The process beside an engine: it keeps the engine on the named weights, passes pieces
+ * of weights on to its peers and reports the state of the engine to the gateways.
+ */
+public final class Replica {
+
+	private static final long CONFIGURATION_WAIT_MILLIS = 20_000;
+
+	private static final long UPSTREAMS_WAIT_MILLIS = 8_000;
+
+	private static final long WEIGHTS_WAIT_MILLIS = 4_000;
+
+	/** Interval of reports while nothing changes. */
+	private static final long REPORT_MILLIS = 450;
+
+	private static final long MAX_WAIT_MILLIS = 5_000;
+
+	private final ReplicaSettings settings;
+
+	private final EngineControl engine;
+
+	private final EngineMonitor monitor;
+
+	private final EngineKeeper keeper;
+
+	private final List<FeedFollower<?>> followers;
+
+	private final UploadPacer pacer;
+
+	private final EventLog log;
+
+	private @Nullable HttpPort port;
+
+	private volatile boolean draining;
+
+	public Replica(ReplicaSettings settings, EngineControl engine, WeightOrigin origin, ReplicaFeeds feeds,
+			EventLog log) {
+		this.settings = settings;
+		this.engine = engine;
+		this.pacer = new UploadPacer(settings.linkBytesPerSecond());
+		this.log = log;
+		FleetKnowledge fleet = new FleetKnowledge(settings);
+		this.monitor = new EngineMonitor(fleet, engine, settings.engine().toString(), log);
+		PieceFetcher fetcher = new PieceFetcher(fleet, new PeerPieces(new ConnectionPool()), origin,
+				settings.listen().port(), log);
+		this.keeper = new EngineKeeper(fleet, engine, fetcher, this.monitor, log);
+		this.followers = List.of(
+				new FeedFollower<>(feeds.configuration(), CONFIGURATION_WAIT_MILLIS, fleet::onConfiguration, log),
+				new FeedFollower<>(feeds.upstreams(), UPSTREAMS_WAIT_MILLIS, fleet::onUpstreams, log),
+				new FeedFollower<>(feeds.weights(), WEIGHTS_WAIT_MILLIS, fleet::onWeights, log));
+	}
+
+	public void start() {
+		this.followers.forEach(FeedFollower::start);
+		this.port = HttpPort.open(this.settings.listen(), this.log)
+			.route("GET", "/v1/load", this::sendReports)
+			.route("GET", PeerPieces.PREFIX, this::sendWeights)
+			.start();
+		this.monitor.start();
+		this.keeper.start();
+		this.log.log(Event.PROCESS_STARTED, "role", "replica", "address", this.settings.listen());
+	}
+
+	/**
+	 * Ends the process. The engine goes on by itself.
+	 */
+	public void drain(long nowMillis) {
+		this.draining = true;
+		this.keeper.close();
+		this.monitor.close();
+		this.log.log(Event.PROCESS_STOPPED, "role", "replica", "seconds", 0);
+	}
+
+	private void sendReports(Exchange exchange) throws IOException, InterruptedException {
+		this.monitor.gateways().incrementAndGet();
+		try (OutputStream out = exchange.stream(200, "application/x-ndjson")) {
+			long seen = -1;
+			while (!this.draining) {
+				EngineMonitor.Change change = this.monitor.await(seen, REPORT_MILLIS);
+				seen = change.number();
+				out.write((Json.text(change.report()) + "\n").getBytes(StandardCharsets.UTF_8));
+				out.flush();
+			}
+		}
+		catch (IOException ex) {
+			throw exchange.abort("gateway " + exchange.clientHost() + " left: " + ex.getMessage());
+		}
+		finally {
+			this.monitor.gateways().decrementAndGet();
+		}
+	}
+
+	private void sendWeights(Exchange exchange) throws IOException, InterruptedException {
+		String[] parts = exchange.path().substring(PeerPieces.PREFIX.length()).split("/");
+		if (parts.length != 3) {
+			throw new BadInputException(404, "no such weights: " + exchange.path());
+		}
+		NamedWeights weights = new NamedWeights(parts[0], number(parts[1]));
+		long waitMillis = Math.clamp(exchange.queryLong("wait", 0), 0, MAX_WAIT_MILLIS);
+		WeightCopy copy = serving(weights) ? this.keeper.copy(weights) : this.keeper.awaitCopy(weights, waitMillis);
+		if (parts[2].equals(PeerPieces.LIST)) {
+			sendList(exchange, copy);
+			return;
+		}
+		int index = Math.toIntExact(number(parts[2]));
+		byte[] piece = (copy != null) ? copy.await(index, waitMillis) : staged(weights, index);
+		if (piece == null) {
+			exchange.respondError(404, "piece " + index + " is not here");
+		}
+		else {
+			try (OutputStream out = exchange.stream(200, "application/octet-stream")) {
+				this.pacer.send(out, piece);
+			}
+		}
+	}
+
+	private boolean serving(NamedWeights weights) {
+		EngineReport report = this.monitor.latest();
+		LoadedWeights loaded = (report != null) ? report.weights() : null;
+		return loaded != null && loaded.version() == weights.version();
+	}
+
+	private void sendList(Exchange exchange, @Nullable WeightCopy copy) throws IOException {
+		if (copy == null) {
+			exchange.respondError(404, "no list of these weights");
+		}
+		else {
+			exchange.respondJson(200, copy.list());
+		}
+	}
+
+	/**
+	 * Reads a piece beside the engine. It is not verified here: the receiver does so.
+	 */
+	private byte @Nullable [] staged(NamedWeights weights, int index) {
+		try {
+			return this.engine.staged(weights.model(), index);
+		}
+		catch (EngineUnavailableException ex) {
+			this.log.log(Event.CHUNK_FETCH_FAILED, "chunk", index, "source", "engine", "error", ex.getMessage());
+			return null;
+		}
+	}
+
+	private static long number(String text) {
+		try {
+			return Long.parseLong(text);
+		}
+		catch (NumberFormatException ex) {
+			throw new BadInputException(400, "not a number: " + text);
+		}
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/replica/ReplicaSettings.java
@@ -0,0 +1,19 @@
+package org.jaywood.replica;
+
+import org.jaywood.wire.Address;
+
+/**
+ * Settings of the agent of an engine.
+ *
+ * @param vm name of the VM
+ * @param engine where the engine takes calls
+ * @param listen where peers and gateways reach this process
+ * @param service service of the engine
+ * @param region region of the VM
+ * @param dataCentre data centre of the VM
+ * @param linkBytesPerSecond speed of the link of the VM, which its engine shares
+ * @param graceMillis time between the signal to stop and the forced end
+ */
+public record ReplicaSettings(String vm, Address engine, Address listen, String service, String region,
+		String dataCentre, long linkBytesPerSecond, long graceMillis) {
+}
--- a/src/main/java/org/jaywood/router/AgentClient.java
+++ b/src/main/java/org/jaywood/router/AgentClient.java
@@ -13,7 +13,7 @@
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 
-import org.jaywood.platform.VmRecord;
+import org.jaywood.store.VmRecord;
 import org.jaywood.wire.BadInputException;
 import org.jaywood.wire.CancelRequest;
 import org.jaywood.wire.CreditGrant;
--- a/src/main/java/org/jaywood/router/CallRelay.java
+++ b/src/main/java/org/jaywood/router/CallRelay.java
@@ -10,7 +10,8 @@
 import org.jspecify.annotations.Nullable;
 
 import org.jaywood.config.ConfigurationView;
-import org.jaywood.platform.VmRecord;
+import org.jaywood.routing.RetryBudget;
+import org.jaywood.store.VmRecord;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.FenceReply;
 import org.jaywood.wire.Refusal;
--- a/src/main/java/org/jaywood/router/ClaimRegistry.java
+++ b/src/main/java/org/jaywood/router/ClaimRegistry.java
@@ -8,7 +8,7 @@
 
 import com.github.f4b6a3.uuid.util.UuidUtil;
 
-import org.jaywood.platform.ObjectStore;
+import org.jaywood.store.ObjectStore;
 import org.jaywood.wire.BadInputException;
 
 /**
--- a/src/main/java/org/jaywood/router/ClaimSweeper.java
+++ b/src/main/java/org/jaywood/router/ClaimSweeper.java
@@ -4,11 +4,11 @@
 import java.time.Duration;
 import java.util.List;
 
-import org.jaywood.platform.Futures;
-import org.jaywood.platform.ObjectStore;
-import org.jaywood.platform.PlatformException;
-import org.jaywood.platform.PlatformException.Kind;
-import org.jaywood.platform.StoredObject;
+import org.jaywood.store.Futures;
+import org.jaywood.store.ObjectStore;
+import org.jaywood.store.PlatformException;
+import org.jaywood.store.PlatformException.Kind;
+import org.jaywood.store.StoredObject;
 
 /**
  * Deletes claims whose keys are past their retention. Such keys are refused before any
--- a/src/main/java/org/jaywood/router/FairShare.java
+++ b/src/main/java/org/jaywood/router/FairShare.java
@@ -12,6 +12,7 @@
 
 import org.jaywood.config.Deployment;
 import org.jaywood.config.WorkspaceSpec;
+import org.jaywood.routing.ServiceRate;
 
 /**
  * Shares short capacity between workspaces. Calls that find all upstreams of their
--- a/src/main/java/org/jaywood/router/HandOver.java
+++ b/src/main/java/org/jaywood/router/HandOver.java
@@ -1,6 +1,6 @@
 package org.jaywood.router;
 
-import org.jaywood.platform.VmRecord;
+import org.jaywood.store.VmRecord;
 import org.jaywood.wire.Refusal;
 
 /**
--- a/src/main/java/org/jaywood/router/KeyedCall.java
+++ b/src/main/java/org/jaywood/router/KeyedCall.java
@@ -6,7 +6,7 @@
 
 import org.jspecify.annotations.Nullable;
 
-import org.jaywood.platform.PlatformException;
+import org.jaywood.store.PlatformException;
 import org.jaywood.wire.Digests;
 import org.jaywood.wire.FenceReply;
 import org.jaywood.wire.Frame;
--- a/src/main/java/org/jaywood/router/Router.java
+++ b/src/main/java/org/jaywood/router/Router.java
@@ -12,6 +12,7 @@
 import org.jaywood.event.EventLog;
 import org.jaywood.peer.PeerNode;
 import org.jaywood.peer.ProcessIdentity;
+import org.jaywood.routing.RetryBudget;
 import org.jaywood.wire.HttpPort;
 
 /**
--- a/src/main/java/org/jaywood/router/SweeperElection.java
+++ b/src/main/java/org/jaywood/router/SweeperElection.java
@@ -5,7 +5,7 @@
 
 import com.dynatrace.hash4j.hashing.Hashing;
 
-import org.jaywood.platform.VmRecord;
+import org.jaywood.store.VmRecord;
 
 /**
  * Chooses the router that sweeps expired claims, so that the calls to the platform do not
--- a/src/main/java/org/jaywood/router/UpstreamChooser.java
+++ b/src/main/java/org/jaywood/router/UpstreamChooser.java
@@ -13,7 +13,7 @@
 import org.jaywood.config.AppliedConfiguration;
 import org.jaywood.peer.Membership;
 import org.jaywood.peer.ProcessIdentity;
-import org.jaywood.platform.VmRecord;
+import org.jaywood.store.VmRecord;
 import org.jaywood.wire.Address;
 
 /**
--- /dev/null
+++ b/src/main/java/org/jaywood/routing/Demand.java
@@ -0,0 +1,20 @@
+package org.jaywood.routing;
+
+import java.util.OptionalLong;
+import java.util.Set;
+
+/**
+ * What a call needs of an upstream.
+ *
+ * @param callId id of the call
+ * @param service service that runs it
+ * @param regions regions in which it may run, or empty for all
+ * @param priority its rank, 0 first
+ * @param late whether its time target has passed already
+ * @param streaming whether it runs in an engine
+ * @param weights the only version of the weights that may run it, if that matters
+ * @param tried ids of upstreams that shall not get it again
+ */
+public record Demand(String callId, String service, Set<String> regions, int priority, boolean late, boolean streaming,
+		OptionalLong weights, Set<String> tried) {
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/routing/PlacementPolicy.java
@@ -0,0 +1,161 @@
+package org.jaywood.routing;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.stream.Stream;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Chooses the upstream of a call: the least loaded one that may run it and has room. Near
+ * ones go before far ones of about the same load, since the links between regions are
+ * narrow, and an upstream that fails more of its calls than the others gets few.
+ */
+final class PlacementPolicy {
+
+	/**
+	 * Calls beyond its slots that an engine may hold, so that a free slot never idles.
+	 */
+	private static final double ENGINE_QUEUE = 1;
+
+	/** Calls that a plain upstream may hold for each of its slots. */
+	private static final double PLAIN_OVERCOMMIT = 2;
+
+	/** Load, as a share of the slots, that a call accepts to stay in its region. */
+	private static final double OTHER_REGION_PENALTY = 0.12;
+
+	private static final double OTHER_DATA_CENTRE_PENALTY = 0.04;
+
+	/** Weight of the share of failed calls against the load. */
+	private static final double FAILURE_PENALTY = 3;
+
+	/**
+	 * Share of failed calls, beyond that of the best, from which an upstream is suspect.
+	 */
+	private static final double SUSPECT_SHARE = 0.2;
+
+	/** Calls of one gateway that a suspect upstream may hold. */
+	private static final int SUSPECT_CALLS = 1;
+
+	/**
+	 * Share of the limit of a cold engine that the gateways use, which differ in speed.
+	 */
+	private static final double COLD_USE = 0.9;
+
+	private final DispatchSettings settings;
+
+	PlacementPolicy(DispatchSettings settings) {
+		this.settings = settings;
+	}
+
+	/**
+	 * Chooses an upstream with room.
+	 * @param candidates upstreams that may run the call
+	 */
+	Optional<Candidate> choose(Collection<UpstreamState> candidates, @Nullable ServiceProfile profile, int gateways,
+			long nowMillis) {
+		double bestShare = candidates.stream().mapToDouble((state) -> state.health().failureShare()).min().orElse(0);
+		return candidates.stream()
+			.filter((state) -> withinColdLimit(state, profile, gateways, nowMillis))
+			.map((state) -> rate(state, profile, bestShare, gateways, nowMillis))
+			.filter(Candidate::hasRoom)
+			.min(Comparator.comparingDouble(Candidate::rating));
+	}
+
+	/**
+	 * The upstreams that may run a call, with room or without.
+	 */
+	Stream<UpstreamState> eligible(Stream<UpstreamState> states, Demand demand, Fleet fleet,
+			@Nullable ServiceProfile profile, long nowMillis) {
+		Set<String> closed = fleet.closedDataCentres();
+		return states.filter((state) -> state.upstream().service().equals(demand.service()))
+			.filter((state) -> !state.upstream().leaving() && state.present(nowMillis))
+			.filter((state) -> !closed.contains(state.upstream().dataCentre()))
+			.filter((state) -> demand.regions().isEmpty() || demand.regions().contains(state.upstream().region()))
+			.filter((state) -> !demand.tried().contains(state.upstream().id()))
+			.filter((state) -> !(profile instanceof ServiceProfile.Engines engines)
+					|| servesWeights(state, engines, demand, fleet.named(), nowMillis));
+	}
+
+	/**
+	 * The oldest version that may still begin a call, if one is named.
+	 */
+	OptionalLong requiredVersion(String model, Map<String, Fleet.NamedSince> named, long nowMillis) {
+		Fleet.NamedSince newest = named.get(model);
+		if (newest == null || nowMillis - newest.learnedMillis() < this.settings.versionMillis()) {
+			return OptionalLong.empty();
+		}
+		return OptionalLong.of(newest.version());
+	}
+
+	private boolean servesWeights(UpstreamState state, ServiceProfile.Engines engines, Demand demand,
+			Map<String, Fleet.NamedSince> named, long nowMillis) {
+		LoadedWeights weights = state.weights(nowMillis);
+		if (weights == null || !weights.complete(engines.layers())) {
+			return false;
+		}
+		UpstreamReport report = state.freshReport(nowMillis);
+		if (report != null && report.busy()) {
+			return false;
+		}
+		OptionalLong required = requiredVersion(engines.model(), named, nowMillis);
+		boolean current = required.isEmpty() || weights.version() >= required.getAsLong();
+		boolean same = demand.weights().isEmpty() || demand.weights().getAsLong() == weights.version();
+		return current && same;
+	}
+
+	private Candidate rate(UpstreamState state, @Nullable ServiceProfile profile, double bestShare, int gateways,
+			long nowMillis) {
+		Upstream upstream = state.upstream();
+		double load = state.load(gateways, nowMillis);
+		double excess = Math.max(0, state.health().failureShare() - bestShare);
+		double capacity = (profile instanceof ServiceProfile.Engines) ? upstream.slots() + ENGINE_QUEUE
+				: upstream.slots() * PLAIN_OVERCOMMIT;
+		if (excess > SUSPECT_SHARE) {
+			capacity = (state.inFlight() < SUSPECT_CALLS) ? capacity : 0;
+		}
+		double rating = load / Math.max(1, upstream.slots()) + distance(upstream) + FAILURE_PENALTY * excess;
+		return new Candidate(state, load, capacity, rating);
+	}
+
+	private double distance(Upstream upstream) {
+		if (!upstream.region().equals(this.settings.region())) {
+			return OTHER_REGION_PENALTY;
+		}
+		return upstream.dataCentre().equals(this.settings.dataCentre()) ? 0 : OTHER_DATA_CENTRE_PENALTY;
+	}
+
+	/**
+	 * Engines turn cold without notice, so each gateway always keeps to its part of the
+	 * calls that a cold engine bears.
+	 */
+	private boolean withinColdLimit(UpstreamState state, @Nullable ServiceProfile profile, int gateways,
+			long nowMillis) {
+		if (!(profile instanceof ServiceProfile.Engines engines) || engines.coldPerSecond() <= 0) {
+			return true;
+		}
+		double total = engines.coldPerSecond() * this.settings.coldOverage() + this.settings.coldSlack();
+		return state.sentWithinSecond(nowMillis) < Math.max(1, Math.floor(COLD_USE * total / gateways));
+	}
+
+	/**
+	 * An upstream that may run a call, with its rating.
+	 *
+	 * @param state the upstream
+	 * @param load calls that it holds
+	 * @param capacity calls that it may hold
+	 * @param rating lower is better
+	 */
+	record Candidate(UpstreamState state, double load, double capacity, double rating) {
+
+		boolean hasRoom() {
+			return this.load < this.capacity;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/routing/RepeatPolicy.java
@@ -0,0 +1,31 @@
+package org.jaywood.routing;
+
+/**
+ * Whether a call may run more than once.
+ */
+public enum RepeatPolicy {
+
+	/** Running it again changes nothing. */
+	IDEMPOTENT,
+
+	/** It may run once at most. */
+	AT_MOST_ONCE,
+
+	/** A stream of events that may be resumed behind the last event received. */
+	RESUMABLE_STREAM,
+
+	/** A stream of events that may run once at most. */
+	STREAM;
+
+	/**
+	 * Whether another upstream may run a call that one may have run already.
+	 */
+	public boolean repeatable() {
+		return this == IDEMPOTENT || this == RESUMABLE_STREAM;
+	}
+
+	public boolean streaming() {
+		return this == STREAM || this == RESUMABLE_STREAM;
+	}
+
+}
--- a/src/main/java/org/jaywood/router/RetryBudget.java
+++ b/src/main/java/org/jaywood/routing/RetryBudget.java
@@ -1,10 +1,10 @@
-package org.jaywood.router;
+package org.jaywood.routing;
 
 /**
  * Bounds retries to a share of the traffic, so that a failing installation does not
  * receive several times its load. A small floor lets a quiet router retry at all.
  */
-final class RetryBudget {
+public final class RetryBudget {
 
 	private final double share;
 
@@ -16,7 +16,7 @@
 
 	private long refilledMillis;
 
-	RetryBudget(double share, double floorPerSecond, double capacity, long nowMillis) {
+	public RetryBudget(double share, double floorPerSecond, double capacity, long nowMillis) {
 		this.share = share;
 		this.floorPerSecond = floorPerSecond;
 		this.capacity = capacity;
@@ -27,7 +27,7 @@
 	/**
 	 * Notes a call, which earns a share of a retry.
 	 */
-	synchronized void recordCall() {
+	public synchronized void recordCall() {
 		this.tokens = Math.min(this.capacity, this.tokens + this.share);
 	}
 
@@ -36,7 +36,7 @@
 	 * @param nowMillis present time
 	 * @return whether a retry is allowed
 	 */
-	synchronized boolean tryTake(long nowMillis) {
+	public synchronized boolean tryTake(long nowMillis) {
 		double earned = Math.max(0, nowMillis - this.refilledMillis) * this.floorPerSecond / 1_000;
 		this.tokens = Math.min(this.capacity, this.tokens + earned);
 		this.refilledMillis = nowMillis;
--- /dev/null
+++ b/src/main/java/org/jaywood/routing/RouteTable.java
@@ -0,0 +1,105 @@
+package org.jaywood.routing;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+import org.jaywood.http.RequestLimits;
+
+/**
+ * The configuration in force: routes, services, keys and limits of one version.
+ */
+public final class RouteTable {
+
+	private final long version;
+
+	private final Map<String, List<Route>> routesByHost;
+
+	private final Map<String, ServiceProfile> services;
+
+	private final Map<String, Workspace> workspacesByKey;
+
+	private final RequestLimits limits;
+
+	/**
+	 * Creates a table.
+	 * @param version version of the configuration
+	 * @param routes all routes
+	 * @param services services by name
+	 * @param workspacesByKey holders of keys; without any, calls need no key
+	 * @param limits bounds on what callers may send
+	 */
+	public RouteTable(long version, List<Route> routes, Map<String, ServiceProfile> services,
+			Map<String, Workspace> workspacesByKey, RequestLimits limits) {
+		this.version = version;
+		Comparator<Route> longestFirst = Comparator.comparingInt((route) -> -route.pathPrefix().length());
+		this.routesByHost = routes.stream()
+			.sorted(longestFirst)
+			.collect(Collectors.groupingBy(Route::host, Collectors.toUnmodifiableList()));
+		this.services = Map.copyOf(services);
+		this.workspacesByKey = Map.copyOf(workspacesByKey);
+		this.limits = limits;
+	}
+
+	public long version() {
+		return this.version;
+	}
+
+	public RequestLimits limits() {
+		return this.limits;
+	}
+
+	/**
+	 * Whether calls of routes that are not open need a key.
+	 */
+	public boolean keysRequired() {
+		return !this.workspacesByKey.isEmpty();
+	}
+
+	/**
+	 * Finds the route of the longest matching prefix.
+	 * @param host host that the caller names
+	 * @param path path with its query
+	 */
+	public Optional<Route> route(String host, String path) {
+		int query = path.indexOf('?');
+		String plainPath = (query >= 0) ? path.substring(0, query) : path;
+		return this.routesByHost.getOrDefault(host, List.of())
+			.stream()
+			.filter((route) -> plainPath.startsWith(route.pathPrefix()))
+			.findFirst();
+	}
+
+	public Optional<Workspace> workspace(String key) {
+		return Optional.ofNullable(this.workspacesByKey.get(key));
+	}
+
+	public Optional<ServiceProfile> service(String name) {
+		return Optional.ofNullable(this.services.get(name));
+	}
+
+	/**
+	 * All services of model engines.
+	 */
+	public Stream<ServiceProfile.Engines> engines() {
+		return this.services.values()
+			.stream()
+			.filter(ServiceProfile.Engines.class::isInstance)
+			.map(ServiceProfile.Engines.class::cast);
+	}
+
+	/**
+	 * The origin of weights, if there is one.
+	 */
+	public Optional<ServiceProfile.Origin> origin() {
+		return this.services.values()
+			.stream()
+			.filter(ServiceProfile.Origin.class::isInstance)
+			.map(ServiceProfile.Origin.class::cast)
+			.findFirst();
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/routing/ServiceProfile.java
@@ -0,0 +1,47 @@
+package org.jaywood.routing;
+
+import org.jaywood.wire.Address;
+
+/**
+ * What the configuration says of a service.
+ */
+public sealed interface ServiceProfile {
+
+	/**
+	 * Name of the service.
+	 */
+	String name();
+
+	/**
+	 * Service whose upstreams run plain calls.
+	 *
+	 * @param name name of the service
+	 */
+	record Plain(String name) implements ServiceProfile {
+	}
+
+	/**
+	 * Service whose upstreams are model engines.
+	 *
+	 * @param name name of the service
+	 * @param coldPerSecond calls a second that a cold engine tolerates, 0 if it is not
+	 * limited
+	 * @param model model that its engines serve
+	 * @param layers layers of the model
+	 * @param loadMillis time in which an engine loads staged weights
+	 */
+	record Engines(String name, double coldPerSecond, String model, int layers,
+			long loadMillis) implements ServiceProfile {
+	}
+
+	/**
+	 * Origin of weights.
+	 *
+	 * @param name name of the service
+	 * @param address where it answers
+	 * @param region region in which it lies
+	 */
+	record Origin(String name, Address address, String region) implements ServiceProfile {
+	}
+
+}
--- a/src/main/java/org/jaywood/router/ServiceRate.java
+++ b/src/main/java/org/jaywood/routing/ServiceRate.java
@@ -1,10 +1,10 @@
-package org.jaywood.router;
+package org.jaywood.routing;
 
 /**
  * Rate at which the calls of a service end, from which a refused caller learns when to
  * retry. Not safe for use by several threads.
  */
-final class ServiceRate {
+public final class ServiceRate {
 
 	/** Long enough for a few calls of a slow service, short enough to follow a fault. */
 	private static final double WINDOW_MILLIS = 10_000;
@@ -19,7 +19,7 @@
 
 	private long lastMillis;
 
-	void recordEnd(long nowMillis) {
+	public void recordEnd(long nowMillis) {
 		this.ended = decayed(nowMillis) + 1;
 		this.lastMillis = nowMillis;
 	}
@@ -29,7 +29,7 @@
 	 * @param calls calls that go first
 	 * @param nowMillis present time
 	 */
-	long retryAfterMillis(int calls, long nowMillis) {
+	public long retryAfterMillis(int calls, long nowMillis) {
 		double perMilli = decayed(nowMillis) / WINDOW_MILLIS;
 		if (perMilli < 1 / WINDOW_MILLIS) {
 			return DEFAULT_RETRY_MILLIS;
--- /dev/null
+++ b/src/main/java/org/jaywood/routing/Upstream.java
@@ -0,0 +1,30 @@
+package org.jaywood.routing;
+
+import java.util.Optional;
+
+import org.jspecify.annotations.Nullable;
+
+import org.jaywood.wire.Address;
+
+/**
+ * One incarnation of a back end.
+ *
+ * @param id id of the incarnation
+ * @param service service that it belongs to
+ * @param address where it takes calls
+ * @param dataCentre its data centre
+ * @param region its region
+ * @param slots calls that it runs at once
+ * @param leaving whether it takes no new calls
+ * @param coldMillis how much longer it is cold, as of the report
+ * @param bornMillis time of its start, which tells apart two starts under one id
+ * @param weights weights that it serves, or null for a plain service or an empty engine
+ */
+public record Upstream(String id, String service, Address address, String dataCentre, String region, int slots,
+		boolean leaving, long coldMillis, long bornMillis, @Nullable LoadedWeights weights) {
+
+	public Optional<LoadedWeights> loaded() {
+		return Optional.ofNullable(this.weights);
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/routing/UpstreamState.java
@@ -0,0 +1,126 @@
+package org.jaywood.routing;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What one gateway knows of one incarnation of an upstream: its entry, its latest report,
+ * the calls of this gateway that it holds and what they met. Guarded by the lock of its
+ * {@link Dispatcher}.
+ */
+final class UpstreamState {
+
+	/** A report is used for this long; without one, the own calls are extrapolated. */
+	private static final long REPORT_LIFETIME_MILLIS = 700;
+
+	private final UpstreamHealth health = new UpstreamHealth();
+
+	private final SendRate sendRate = new SendRate();
+
+	private Upstream upstream;
+
+	private long coldUntilMillis;
+
+	private long missingUntilMillis = Long.MAX_VALUE;
+
+	private int inFlight;
+
+	private @Nullable UpstreamReport report;
+
+	private long reportedMillis;
+
+	private int inFlightAtReport;
+
+	UpstreamState(Upstream upstream, long nowMillis) {
+		this.upstream = upstream;
+		this.coldUntilMillis = nowMillis + upstream.coldMillis();
+	}
+
+	Upstream upstream() {
+		return this.upstream;
+	}
+
+	UpstreamHealth health() {
+		return this.health;
+	}
+
+	void update(Upstream entry, long nowMillis) {
+		if (!entry.equals(this.upstream)) {
+			this.coldUntilMillis = nowMillis + entry.coldMillis();
+		}
+		this.upstream = entry;
+		this.missingUntilMillis = Long.MAX_VALUE;
+	}
+
+	/**
+	 * Keeps an entry that may have lapsed only because the store was away.
+	 */
+	void keepMissingUntil(long untilMillis) {
+		this.missingUntilMillis = Math.min(this.missingUntilMillis, untilMillis);
+	}
+
+	boolean present(long nowMillis) {
+		return nowMillis < this.missingUntilMillis;
+	}
+
+	boolean cold(long nowMillis) {
+		return nowMillis < this.coldUntilMillis;
+	}
+
+	void onReport(UpstreamReport latest, long nowMillis) {
+		this.report = latest;
+		this.reportedMillis = nowMillis;
+		this.inFlightAtReport = this.inFlight;
+	}
+
+	/**
+	 * The latest report, or null if there is none or it is too old to be used.
+	 */
+	@Nullable UpstreamReport freshReport(long nowMillis) {
+		return (nowMillis - this.reportedMillis < REPORT_LIFETIME_MILLIS) ? this.report : null;
+	}
+
+	/**
+	 * Age of the report in use, or -1 if there is none.
+	 */
+	long reportAgeMillis(long nowMillis) {
+		return (freshReport(nowMillis) != null) ? nowMillis - this.reportedMillis : -1;
+	}
+
+	/**
+	 * Weights that the upstream serves by the fresher of its report and its entry.
+	 */
+	@Nullable LoadedWeights weights(long nowMillis) {
+		UpstreamReport fresh = freshReport(nowMillis);
+		return (fresh != null && fresh.reachable()) ? fresh.weights() : this.upstream.weights();
+	}
+
+	/**
+	 * Calls that the upstream holds, of all gateways together.
+	 * @param gateways number of gateways, for an upstream without a fresh report
+	 */
+	double load(int gateways, long nowMillis) {
+		UpstreamReport fresh = freshReport(nowMillis);
+		if (fresh == null) {
+			return (double) this.inFlight * gateways;
+		}
+		return Math.max(this.inFlight, fresh.load() + this.inFlight - this.inFlightAtReport);
+	}
+
+	int inFlight() {
+		return this.inFlight;
+	}
+
+	void onSend(long nowMillis) {
+		this.inFlight++;
+		this.sendRate.record(nowMillis);
+	}
+
+	void onEnd() {
+		this.inFlight--;
+	}
+
+	int sentWithinSecond(long nowMillis) {
+		return this.sendRate.within(nowMillis);
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/routing/package-info.java
@@ -0,0 +1,8 @@
+/**
+ * What a gateway knows about routes and upstreams, and the decisions that follow from it:
+ * routing, placement, queueing, refusal, retries. No class here uses the network.
+ */
+@NullMarked
+package org.jaywood.routing;
+
+import org.jspecify.annotations.NullMarked;
--- a/src/main/java/org/jaywood/platform/HttpPlatform.java
+++ b/src/main/java/org/jaywood/store/HttpPlatform.java
@@ -1,4 +1,4 @@
-package org.jaywood.platform;
+package org.jaywood.store;
 
 import java.io.IOException;
 import java.net.URI;
@@ -11,7 +11,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 
-import org.jaywood.platform.PlatformException.Kind;
+import org.jaywood.store.PlatformException.Kind;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Json;
 import org.jaywood.wire.WireClient;
--- a/src/main/java/org/jaywood/platform/HttpWeightStore.java
+++ b/src/main/java/org/jaywood/store/HttpWeightStore.java
@@ -1,11 +1,11 @@
-package org.jaywood.platform;
+package org.jaywood.store;
 
 import java.io.IOException;
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 
-import org.jaywood.platform.PlatformException.Kind;
+import org.jaywood.store.PlatformException.Kind;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.WireClient;
 
--- a/src/main/java/org/jaywood/platform/ObjectStore.java
+++ b/src/main/java/org/jaywood/store/ObjectStore.java
@@ -1,4 +1,4 @@
-package org.jaywood.platform;
+package org.jaywood.store;
 
 import java.util.concurrent.CompletableFuture;
 
--- a/src/main/java/org/jaywood/platform/VmState.java
+++ b/src/main/java/org/jaywood/store/VmState.java
@@ -1,4 +1,4 @@
-package org.jaywood.platform;
+package org.jaywood.store;
 
 /**
  * State of a VM in the platform's list.
--- a/src/main/java/org/jaywood/weights/ChunkExchange.java
+++ b/src/main/java/org/jaywood/weights/ChunkExchange.java
@@ -20,7 +20,7 @@
 
 import org.jaywood.event.Event;
 import org.jaywood.event.EventLog;
-import org.jaywood.platform.VmRecord;
+import org.jaywood.store.VmRecord;
 import org.jaywood.weights.ChunkClient.Fetched;
 import org.jaywood.weights.WantedChunks.Download;
 import org.jaywood.wire.Address;
--- a/src/main/java/org/jaywood/weights/ChunkServer.java
+++ b/src/main/java/org/jaywood/weights/ChunkServer.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.IntStream;
 
-import org.jaywood.platform.VmRecord;
+import org.jaywood.store.VmRecord;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Exchange;
 import org.jaywood.wire.Headers;
--- a/src/main/java/org/jaywood/weights/Distance.java
+++ b/src/main/java/org/jaywood/weights/Distance.java
@@ -2,7 +2,7 @@
 
 import org.jspecify.annotations.Nullable;
 
-import org.jaywood.platform.VmRecord;
+import org.jaywood.store.VmRecord;
 
 /**
  * Where content comes from, nearest first.
--- a/src/main/java/org/jaywood/weights/DistributionTree.java
+++ b/src/main/java/org/jaywood/weights/DistributionTree.java
@@ -12,7 +12,7 @@
 import com.dynatrace.hash4j.hashing.Hasher64;
 import com.dynatrace.hash4j.hashing.Hashing;
 
-import org.jaywood.platform.VmRecord;
+import org.jaywood.store.VmRecord;
 
 /**
  * Computes from whom each VM receives a chunk, without shared state: the ranking is a
--- a/src/main/java/org/jaywood/weights/HolderSurvey.java
+++ b/src/main/java/org/jaywood/weights/HolderSurvey.java
@@ -10,7 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
-import org.jaywood.platform.VmRecord;
+import org.jaywood.store.VmRecord;
 import org.jaywood.weights.ChunkClient.Fetched;
 import org.jaywood.wire.Json;
 import org.jaywood.wire.WireClient;
--- a/src/main/java/org/jaywood/weights/ManifestFetcher.java
+++ b/src/main/java/org/jaywood/weights/ManifestFetcher.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
-import org.jaywood.platform.VmRecord;
+import org.jaywood.store.VmRecord;
 import org.jaywood.weights.ChunkClient.Fetched;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Digests;
--- a/src/main/java/org/jaywood/weights/OfferSender.java
+++ b/src/main/java/org/jaywood/weights/OfferSender.java
@@ -12,7 +12,7 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 
-import org.jaywood.platform.VmRecord;
+import org.jaywood.store.VmRecord;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.WireClient;
 
--- a/src/main/java/org/jaywood/weights/RegionShares.java
+++ b/src/main/java/org/jaywood/weights/RegionShares.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
-import org.jaywood.platform.VmRecord;
+import org.jaywood.store.VmRecord;
 
 /**
  * The share of this VM in the budget of a region link. It is the share of the chunks that
--- a/src/main/java/org/jaywood/weights/Swarm.java
+++ b/src/main/java/org/jaywood/weights/Swarm.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
-import org.jaywood.platform.VmRecord;
+import org.jaywood.store.VmRecord;
 import org.jaywood.wire.Address;
 
 /**
--- a/src/main/java/org/jaywood/weights/WantedChunks.java
+++ b/src/main/java/org/jaywood/weights/WantedChunks.java
@@ -13,7 +13,7 @@
 
 import org.jspecify.annotations.Nullable;
 
-import org.jaywood.platform.VmRecord;
+import org.jaywood.store.VmRecord;
 
 /**
  * The chunks that this VM still needs, and who offered them. It hands out each chunk to
--- a/src/main/java/org/jaywood/weights/WeightSettings.java
+++ b/src/main/java/org/jaywood/weights/WeightSettings.java
@@ -1,6 +1,6 @@
 package org.jaywood.weights;
 
-import org.jaywood.platform.VmRecord;
+import org.jaywood.store.VmRecord;
 import org.jaywood.wire.Address;
 
 /**
--- a/src/test/java/org/jaywood/ArchitectureTests.java
+++ b/src/test/java/org/jaywood/ArchitectureTests.java
@@ -44,8 +44,8 @@
 				.definedBy("org.jaywood.peer..")
 				.layer("config")
 				.definedBy("org.jaywood.config..")
-				.layer("platform")
-				.definedBy("org.jaywood.platform..")
+				.layer("store")
+				.definedBy("org.jaywood.store..")
 				.layer("wire")
 				.definedBy("org.jaywood.wire..")
 				.layer("event")
@@ -66,7 +66,7 @@
 				.mayOnlyBeAccessedByLayers("cli", "bench", "router", "agent", "weights")
 				.whereLayer("config")
 				.mayOnlyBeAccessedByLayers("cli", "bench", "router", "agent", "weights", "peer")
-				.whereLayer("platform")
+				.whereLayer("store")
 				.mayOnlyBeAccessedByLayers("cli", "bench", "router", "agent", "weights", "peer", "config");
 			rule.check(CLASSES);
 		}
--- a/src/test/java/org/jaywood/agent/ActivationSlotsTests.java
+++ b/src/test/java/org/jaywood/agent/ActivationSlotsTests.java
@@ -5,7 +5,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-import org.jaywood.platform.PlatformException;
+import org.jaywood.store.PlatformException;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/src/test/java/org/jaywood/agent/EngineLeaseTests.java
+++ b/src/test/java/org/jaywood/agent/EngineLeaseTests.java
@@ -4,7 +4,7 @@
 
 import org.junit.jupiter.api.Test;
 
-import org.jaywood.platform.PlatformException;
+import org.jaywood.store.PlatformException;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/src/test/java/org/jaywood/agent/FakeObjectStore.java
+++ b/src/test/java/org/jaywood/agent/FakeObjectStore.java
@@ -4,11 +4,11 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
-import org.jaywood.platform.ObjectPage;
-import org.jaywood.platform.ObjectStore;
-import org.jaywood.platform.PlatformException;
-import org.jaywood.platform.PlatformException.Kind;
-import org.jaywood.platform.StoredObject;
+import org.jaywood.store.ObjectPage;
+import org.jaywood.store.ObjectStore;
+import org.jaywood.store.PlatformException;
+import org.jaywood.store.PlatformException.Kind;
+import org.jaywood.store.StoredObject;
 
 /**
  * Objects in memory. It can lose the reply to the next write after the write took effect.
--- a/src/test/java/org/jaywood/config/ConfigurationIT.java
+++ b/src/test/java/org/jaywood/config/ConfigurationIT.java
@@ -18,8 +18,8 @@
 import org.jaywood.bench.Installation;
 import org.jaywood.bench.Installation.Member;
 import org.jaywood.bench.Profile;
-import org.jaywood.platform.Futures;
-import org.jaywood.platform.HttpPlatform;
+import org.jaywood.store.Futures;
+import org.jaywood.store.HttpPlatform;
 import org.jaywood.wire.Json;
 
 import static com.google.common.truth.Truth.assertThat;
--- a/src/test/java/org/jaywood/config/ConfigurationRepositoryTests.java
+++ b/src/test/java/org/jaywood/config/ConfigurationRepositoryTests.java
@@ -6,8 +6,8 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-import org.jaywood.platform.PlatformException;
-import org.jaywood.platform.StoredObject;
+import org.jaywood.store.PlatformException;
+import org.jaywood.store.StoredObject;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/src/test/java/org/jaywood/config/FakeObjectStore.java
+++ b/src/test/java/org/jaywood/config/FakeObjectStore.java
@@ -9,11 +9,11 @@
 
 import org.jspecify.annotations.Nullable;
 
-import org.jaywood.platform.ObjectPage;
-import org.jaywood.platform.ObjectStore;
-import org.jaywood.platform.PlatformException;
-import org.jaywood.platform.PlatformException.Kind;
-import org.jaywood.platform.StoredObject;
+import org.jaywood.store.ObjectPage;
+import org.jaywood.store.ObjectStore;
+import org.jaywood.store.PlatformException;
+import org.jaywood.store.PlatformException.Kind;
+import org.jaywood.store.StoredObject;
 
 /**
  * Object store in memory whose next writes of the configuration can meet a fault.
--- a/src/test/java/org/jaywood/peer/FleetStatusTests.java
+++ b/src/test/java/org/jaywood/peer/FleetStatusTests.java
@@ -12,8 +12,8 @@
 import org.jaywood.config.ServiceKind;
 import org.jaywood.config.ServiceLimits;
 import org.jaywood.config.ServiceSpec;
-import org.jaywood.platform.VmRecord;
-import org.jaywood.platform.VmState;
+import org.jaywood.store.VmRecord;
+import org.jaywood.store.VmState;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Json;
 
--- a/src/test/java/org/jaywood/peer/MembershipTests.java
+++ b/src/test/java/org/jaywood/peer/MembershipTests.java
@@ -9,9 +9,9 @@
 import org.junit.jupiter.api.Test;
 
 import org.jaywood.event.EventLog;
-import org.jaywood.platform.VmPage;
-import org.jaywood.platform.VmRecord;
-import org.jaywood.platform.VmState;
+import org.jaywood.store.VmPage;
+import org.jaywood.store.VmRecord;
+import org.jaywood.store.VmState;
 import org.jaywood.wire.Address;
 
 import static com.google.common.truth.Truth.assertThat;
--- a/src/test/java/org/jaywood/peer/PeerProbeTests.java
+++ b/src/test/java/org/jaywood/peer/PeerProbeTests.java
@@ -10,9 +10,9 @@
 
 import org.jaywood.config.ConfigurationView;
 import org.jaywood.event.EventLog;
-import org.jaywood.platform.VmPage;
-import org.jaywood.platform.VmRecord;
-import org.jaywood.platform.VmState;
+import org.jaywood.store.VmPage;
+import org.jaywood.store.VmRecord;
+import org.jaywood.store.VmState;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.WireClient;
 
--- a/src/test/java/org/jaywood/router/AnswerCacheTests.java
+++ b/src/test/java/org/jaywood/router/AnswerCacheTests.java
@@ -8,8 +8,8 @@
 import com.github.benmanes.caffeine.cache.Caffeine;
 import org.junit.jupiter.api.Test;
 
-import org.jaywood.platform.VmRecord;
-import org.jaywood.platform.VmState;
+import org.jaywood.store.VmRecord;
+import org.jaywood.store.VmState;
 import org.jaywood.wire.Address;
 
 import static com.google.common.truth.Truth.assertThat;
--- a/src/test/java/org/jaywood/router/ClaimSweeperTests.java
+++ b/src/test/java/org/jaywood/router/ClaimSweeperTests.java
@@ -8,7 +8,7 @@
 import com.github.f4b6a3.uuid.UuidCreator;
 import org.junit.jupiter.api.Test;
 
-import org.jaywood.platform.Futures;
+import org.jaywood.store.Futures;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/src/test/java/org/jaywood/router/FakeAgent.java
+++ b/src/test/java/org/jaywood/router/FakeAgent.java
@@ -11,8 +11,8 @@
 import java.util.function.BooleanSupplier;
 
 import org.jaywood.event.EventLog;
-import org.jaywood.platform.VmRecord;
-import org.jaywood.platform.VmState;
+import org.jaywood.store.VmRecord;
+import org.jaywood.store.VmState;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.CreditGrant;
 import org.jaywood.wire.Digests;
--- a/src/test/java/org/jaywood/router/FakeInstallation.java
+++ b/src/test/java/org/jaywood/router/FakeInstallation.java
@@ -8,8 +8,8 @@
 import java.util.Random;
 import java.util.Set;
 
-import org.jaywood.platform.VmRecord;
-import org.jaywood.platform.VmState;
+import org.jaywood.store.VmRecord;
+import org.jaywood.store.VmState;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.FenceReply;
 import org.jaywood.wire.Frame;
--- a/src/test/java/org/jaywood/router/RetryBudgetTests.java
+++ b/src/test/java/org/jaywood/routing/RetryBudgetTests.java
@@ -1,4 +1,4 @@
-package org.jaywood.router;
+package org.jaywood.routing;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
--- a/src/test/java/org/jaywood/standin/PlatformStandinTests.java
+++ b/src/test/java/org/jaywood/standin/PlatformStandinTests.java
@@ -10,11 +10,11 @@
 import org.junit.jupiter.api.Test;
 
 import org.jaywood.event.EventLog;
-import org.jaywood.platform.Futures;
-import org.jaywood.platform.HttpPlatform;
-import org.jaywood.platform.ObjectPage;
-import org.jaywood.platform.PlatformException;
-import org.jaywood.platform.PlatformException.Kind;
+import org.jaywood.store.Futures;
+import org.jaywood.store.HttpPlatform;
+import org.jaywood.store.ObjectPage;
+import org.jaywood.store.PlatformException;
+import org.jaywood.store.PlatformException.Kind;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Json;
 import org.jaywood.wire.WireClient;
--- a/src/test/java/org/jaywood/weights/DistributionTreeTests.java
+++ b/src/test/java/org/jaywood/weights/DistributionTreeTests.java
@@ -13,8 +13,8 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 
-import org.jaywood.platform.VmRecord;
-import org.jaywood.platform.VmState;
+import org.jaywood.store.VmRecord;
+import org.jaywood.store.VmState;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Digests;
 
--- a/src/test/java/org/jaywood/weights/WantedChunksTests.java
+++ b/src/test/java/org/jaywood/weights/WantedChunksTests.java
@@ -4,9 +4,9 @@
 
 import org.junit.jupiter.api.Test;
 
-import org.jaywood.platform.VmRecord;
-import org.jaywood.platform.VmState;
 import org.jaywood.standin.SyntheticWeights;
+import org.jaywood.store.VmRecord;
+import org.jaywood.store.VmState;
 import org.jaywood.weights.WantedChunks.Download;
 import org.jaywood.wire.Address;
 
