--- a/src/main/java/org/jaywood/gateway/Gateway.java
+++ b/src/main/java/org/jaywood/gateway/Gateway.java
@@ -1,5 +1,6 @@
 package org.jaywood.gateway;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.Executors;
@@ -13,6 +14,8 @@
 import org.jaywood.feed.BootClock;
 import org.jaywood.feed.FeedFollower;
 import org.jaywood.peer.MetricsText;
+import org.jaywood.routing.FleetDigest;
+import org.jaywood.wire.Exchange;
 import org.jaywood.wire.HttpPort;
 
 /**
@@ -22,14 +25,19 @@
 public final class Gateway {
 
 	/** Interval at which the store confirms the configuration, on which keys depend. */
-	private static final long CONFIGURATION_WAIT_MILLIS = 1_200;
+	private static final long CONFIGURATION_WAIT_MILLIS = 1_900;
 
 	/** Interval for the upstreams; leaving ones get no calls two seconds later. */
 	private static final long UPSTREAMS_WAIT_MILLIS = 2_000;
 
-	private static final long DATA_CENTRES_WAIT_MILLIS = 3_000;
+	private static final long DATA_CENTRES_WAIT_MILLIS = 3_900;
 
-	private static final long WEIGHTS_WAIT_MILLIS = 4_000;
+	private static final long WEIGHTS_WAIT_MILLIS = 6_500;
+
+	/** Path at which agents ask for what they have to know. */
+	private static final String FLEET_PATH = "/v1/fleet";
+
+	private static final long MAX_DIGEST_WAIT_MILLIS = 20_000;
 
 	private static final long TICK_MILLIS = 40;
 
@@ -98,6 +106,7 @@
 			.start();
 		this.operatorPort = HttpPort.open(this.settings.operator(), log)
 			.route("GET", "/metrics", (exchange) -> MetricsText.respond(exchange, this.context.metrics().registry()))
+			.route("GET", FLEET_PATH, this::sendDigest)
 			.route("GET", "/dump", (exchange) -> exchange.respondJson(200, dump()))
 			.start();
 		this.timer.scheduleWithFixedDelay(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
@@ -133,6 +142,21 @@
 					(BootClock.nowMillis() - endMillis + this.settings.graceMillis() - END_MARGIN_MILLIS) / 1000.0);
 	}
 
+	/**
+	 * Tells an agent what it has to know, once that differs from what it has.
+	 */
+	private void sendDigest(Exchange exchange) throws IOException, InterruptedException {
+		String service = exchange.query().getOrDefault("service", "");
+		long known = exchange.queryLong("content", 0);
+		long waitMillis = Math.clamp(exchange.queryLong("wait", 0), 0, MAX_DIGEST_WAIT_MILLIS);
+		FleetDigest digest = this.context.knowledge().awaitDigest(service, known, waitMillis);
+		if (digest == null) {
+			exchange.respondError(503, "service " + service + " is not known");
+			return;
+		}
+		exchange.respondJson(200, digest);
+	}
+
 	private void tick() {
 		long nowMillis = BootClock.nowMillis();
 		this.context.dispatcher().tick(nowMillis);
--- a/src/main/java/org/jaywood/gateway/Knowledge.java
+++ b/src/main/java/org/jaywood/gateway/Knowledge.java
@@ -1,6 +1,7 @@
 package org.jaywood.gateway;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -12,8 +13,10 @@
 import org.jaywood.feed.FeedView;
 import org.jaywood.routing.Dispatcher;
 import org.jaywood.routing.Fleet;
+import org.jaywood.routing.FleetDigest;
 import org.jaywood.routing.NamedWeights;
 import org.jaywood.routing.RouteTable;
+import org.jaywood.routing.ServiceProfile;
 import org.jaywood.routing.Upstream;
 
 /**
@@ -32,6 +35,10 @@
 
 	private Set<String> closedDataCentres = Set.of();
 
+	private boolean weightsKnown;
+
+	private long weightsRevision;
+
 	private volatile @Nullable RouteTable table;
 
 	private volatile long confirmedMillis = Long.MIN_VALUE / 2;
@@ -97,6 +104,11 @@
 	}
 
 	synchronized void onWeights(FeedView<NamedWeights> view) {
+		if (!this.weightsKnown) {
+			this.weightsKnown = true;
+			publish();
+		}
+		this.weightsRevision = view.revision();
 		long nowMillis = BootClock.nowMillis();
 		view.entries().values().forEach((weights) -> {
 			Fleet.NamedSince present = this.named.get(weights.model());
@@ -109,7 +121,50 @@
 		});
 	}
 
+	/**
+	 * Waits for a digest for the agents of a service that differs from one they have.
+	 * @param service name of the service
+	 * @param known {@link FleetDigest#content} of the one they have, or 0
+	 * @param waitMillis longest wait
+	 * @return the present digest, or null if the service is not known
+	 */
+	synchronized @Nullable FleetDigest awaitDigest(String service, long known, long waitMillis)
+			throws InterruptedException {
+		long untilMillis = BootClock.nowMillis() + waitMillis;
+		FleetDigest present = digest(service);
+		long leftMillis = waitMillis;
+		while ((present == null || present.content() == known) && leftMillis > 0) {
+			wait(leftMillis);
+			present = digest(service);
+			leftMillis = untilMillis - BootClock.nowMillis();
+		}
+		return present;
+	}
+
+	/**
+	 * The digest of a service as of now, or null if the service is not known.
+	 */
+	synchronized @Nullable FleetDigest digest(String service) {
+		RouteTable known = this.table;
+		FeedView<Upstream> view = this.upstreams;
+		if (known == null || view == null || !this.weightsKnown) {
+			return null;
+		}
+		return known.service(service)
+			.filter(ServiceProfile.Engines.class::isInstance)
+			.map(ServiceProfile.Engines.class::cast)
+			.map((profile) -> FleetDigest.of(Math.max(view.revision(), this.weightsRevision), profile,
+					known.origin().orElse(null), version(profile.model()), List.copyOf(view.entries().values())))
+			.orElse(null);
+	}
+
+	private long version(String model) {
+		Fleet.NamedSince newest = this.named.get(model);
+		return (newest != null) ? newest.version() : FleetDigest.FIRST_VERSION;
+	}
+
 	private void publish() {
+		notifyAll();
 		if (this.upstreams != null) {
 			this.dispatcher.onFleet(new Fleet(this.upstreams, this.closedDataCentres, Map.copyOf(this.named)),
 					BootClock.nowMillis());
--- a/src/main/java/org/jaywood/gateway/LoadSubscriptions.java
+++ b/src/main/java/org/jaywood/gateway/LoadSubscriptions.java
@@ -95,7 +95,9 @@
 
 	private void receive(Address engine, Address agent) throws IOException {
 		try (ClientConnection connection = ClientConnection.open(agent, CONNECT_MILLIS)) {
-			BasicClassicHttpRequest request = new BasicClassicHttpRequest("GET", PATH);
+			BasicClassicHttpRequest request = new BasicClassicHttpRequest("GET",
+					PATH + "?gateway=" + this.context.settings().operator() + "&dataCentre="
+							+ this.context.settings().dispatch().dataCentre());
 			request.setHeader("Host", agent.toString());
 			connection.send(request, new byte[0]);
 			UpstreamAnswer answer = connection.receive(SILENCE_MILLIS);
--- a/src/main/java/org/jaywood/replica/EngineMonitor.java
+++ b/src/main/java/org/jaywood/replica/EngineMonitor.java
@@ -17,7 +17,7 @@
  */
 final class EngineMonitor {
 
-	private static final long INTERVAL_MILLIS = 60;
+	private static final long INTERVAL_MILLIS = 100;
 
 	private final FleetKnowledge fleet;
 
--- a/src/main/java/org/jaywood/replica/FleetKnowledge.java
+++ b/src/main/java/org/jaywood/replica/FleetKnowledge.java
@@ -2,92 +2,94 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.ConcurrentHashMap;
 
 import org.jspecify.annotations.Nullable;
 
-import org.jaywood.feed.FeedView;
+import org.jaywood.event.Event;
+import org.jaywood.event.EventLog;
+import org.jaywood.routing.FleetDigest;
 import org.jaywood.routing.NamedWeights;
-import org.jaywood.routing.RouteTable;
 import org.jaywood.routing.ServiceProfile;
 import org.jaywood.routing.Upstream;
 
 /**
  * What an agent knows of its service: the version that its engine is to serve, its peers
- * and the origin of weights.
+ * and the origin of weights. The version never goes back.
  */
 final class FleetKnowledge {
 
-	/** Version that engines serve before another one is named. */
-	private static final long FIRST_VERSION = 1;
-
 	private final ReplicaSettings settings;
 
-	private final ConcurrentHashMap<String, Long> named = new ConcurrentHashMap<>();
-
-	private volatile @Nullable RouteTable table;
-
-	private volatile List<Upstream> upstreams = List.of();
+	private final EventLog log;
 
-	private volatile boolean weightsKnown;
+	private volatile @Nullable FleetDigest digest;
 
-	FleetKnowledge(ReplicaSettings settings) {
+	FleetKnowledge(ReplicaSettings settings, EventLog log) {
 		this.settings = settings;
+		this.log = log;
 	}
 
-	void onConfiguration(FeedView<RouteTable> view) {
-		view.entries().values().stream().findFirst().ifPresent((latest) -> this.table = latest);
+	synchronized void onDigest(FleetDigest latest) {
+		FleetDigest present = this.digest;
+		if (present != null && goesBack(present.target(), latest.target())) {
+			this.log.log(Event.CONFIGURATION_OLDER_IGNORED, "source", "gateway", "offered", latest.target(),
+					"generation", present.target());
+			return;
+		}
+		this.digest = latest;
+		if (present == null || !present.target().equals(latest.target())) {
+			this.log.log(Event.WEIGHTS_NAMED, "model", latest.target().model(), "version", latest.target().version(),
+					"revision", latest.revision());
+		}
 	}
 
-	void onUpstreams(FeedView<Upstream> view) {
-		this.upstreams = List.copyOf(view.entries().values());
+	private static boolean goesBack(NamedWeights present, NamedWeights latest) {
+		return present.model().equals(latest.model()) && present.version() > latest.version();
 	}
 
-	void onWeights(FeedView<NamedWeights> view) {
-		view.entries().values().forEach((weights) -> this.named.merge(weights.model(), weights.version(), Math::max));
-		this.weightsKnown = true;
+	/**
+	 * Hash of what is known, 0 for nothing.
+	 */
+	long content() {
+		FleetDigest known = this.digest;
+		return (known != null) ? known.content() : 0;
 	}
 
 	/**
 	 * The engines of this service by the configuration, if it is known.
 	 */
 	Optional<ServiceProfile.Engines> profile() {
-		RouteTable known = this.table;
-		return (known != null) ? known.service(this.settings.service())
-			.filter(ServiceProfile.Engines.class::isInstance)
-			.map(ServiceProfile.Engines.class::cast) : Optional.empty();
+		return Optional.ofNullable(this.digest).map(FleetDigest::profile);
 	}
 
 	/**
 	 * The version that the engine is to serve, if it is known.
 	 */
 	Optional<NamedWeights> target() {
-		return profile().filter((profile) -> this.weightsKnown)
-			.map((profile) -> new NamedWeights(profile.model(),
-					this.named.getOrDefault(profile.model(), FIRST_VERSION)));
+		return Optional.ofNullable(this.digest).map(FleetDigest::target);
 	}
 
 	Optional<ServiceProfile.Origin> origin() {
-		RouteTable known = this.table;
-		return (known != null) ? known.origin() : Optional.empty();
+		return Optional.ofNullable(this.digest).map(FleetDigest::origin);
 	}
 
 	/**
 	 * Engines of this service that stay, that of this agent included.
 	 */
 	List<Upstream> engines() {
-		return this.upstreams.stream()
-			.filter((upstream) -> upstream.service().equals(this.settings.service()) && !upstream.leaving())
-			.toList();
+		FleetDigest known = this.digest;
+		return (known != null) ? known.engines().stream().filter((engine) -> !engine.leaving()).toList() : List.of();
 	}
 
 	/**
 	 * The entry of the engine of this agent, if the list has it.
 	 */
 	Optional<Upstream> own() {
-		return this.upstreams.stream()
-			.filter((upstream) -> upstream.address().equals(this.settings.engine()))
-			.findFirst();
+		FleetDigest known = this.digest;
+		return (known != null) ? known.engines()
+			.stream()
+			.filter((engine) -> engine.address().equals(this.settings.engine()))
+			.findFirst() : Optional.empty();
 	}
 
 }
--- a/src/main/java/org/jaywood/replica/PeerPieces.java
+++ b/src/main/java/org/jaywood/replica/PeerPieces.java
@@ -8,12 +8,13 @@
 import org.jaywood.http.ClientConnection;
 import org.jaywood.http.ConnectionPool;
 import org.jaywood.http.UpstreamAnswer;
+import org.jaywood.routing.FleetDigest;
 import org.jaywood.routing.NamedWeights;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Json;
 
 /**
- * Reads manifests and pieces from the agents of other engines.
+ * Reads manifests and pieces from the agents of other engines, and digests from gateways.
  */
 final class PeerPieces {
 
@@ -35,8 +36,8 @@
 		this.pool = pool;
 	}
 
-	PieceList list(Address agent, NamedWeights weights) throws IOException {
-		return Json.read(get(agent, path(weights) + LIST, 0), PieceList.class);
+	PieceList list(Address agent, NamedWeights weights, long waitMillis) throws IOException {
+		return Json.read(get(agent, path(weights) + LIST + "?wait=" + waitMillis, waitMillis), PieceList.class);
 	}
 
 	/**
@@ -46,6 +47,16 @@
 		return get(agent, path(weights) + index + "?wait=" + waitMillis, waitMillis);
 	}
 
+	/**
+	 * Asks a gateway for the digest of a service.
+	 * @param content hash of the digest that is known
+	 * @param waitMillis wait of the gateway for another one
+	 */
+	FleetDigest digest(Address gateway, String service, long content, long waitMillis) throws IOException {
+		return Json.read(get(gateway, "/v1/fleet?service=" + service + "&content=" + content + "&wait=" + waitMillis,
+				waitMillis), FleetDigest.class);
+	}
+
 	private static String path(NamedWeights weights) {
 		return PREFIX + weights.model() + "/" + weights.version() + "/";
 	}
--- a/src/main/java/org/jaywood/replica/PieceFetcher.java
+++ b/src/main/java/org/jaywood/replica/PieceFetcher.java
@@ -2,10 +2,10 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.Queue;
-import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.BooleanSupplier;
 import java.util.stream.IntStream;
@@ -15,6 +15,7 @@
 import org.jaywood.event.Event;
 import org.jaywood.event.EventLog;
 import org.jaywood.feed.BootClock;
+import org.jaywood.http.ConnectionException;
 import org.jaywood.routing.NamedWeights;
 import org.jaywood.routing.ServiceProfile;
 import org.jaywood.routing.Upstream;
@@ -27,7 +28,7 @@
 final class PieceFetcher {
 
 	/** Pieces asked of peers at once; most of these requests wait at the peer. */
-	private static final int PEER_WORKERS = 12;
+	private static final int PEER_WORKERS = 16;
 
 	/** Pieces asked of the origin at once, which fill its link. */
 	private static final int ORIGIN_WORKERS = 2;
@@ -35,6 +36,12 @@
 	/** Wait at a peer for a piece that it does not have yet. */
 	private static final long PEER_WAIT_MILLIS = 2_500;
 
+	/** Wait at a peer for a list of digests. */
+	private static final long LIST_WAIT_MILLIS = 700;
+
+	/** A peer that cannot be reached is not asked again for this long. */
+	private static final long UNREACHABLE_MILLIS = 2_000;
+
 	private static final long RETRY_PAUSE_MILLIS = 150;
 
 	/** Failures of all peers of a piece after which the origin is asked. */
@@ -50,6 +57,8 @@
 
 	private final EventLog log;
 
+	private final Map<String, Long> unreachableSinceMillis = new ConcurrentHashMap<>();
+
 	PieceFetcher(FleetKnowledge fleet, PeerPieces peers, WeightOrigin origin, int agentPort, EventLog log) {
 		this.fleet = fleet;
 		this.peers = peers;
@@ -66,7 +75,7 @@
 		List<Upstream> holders = new SourcePlan(own, this.fleet.engines(), target, originRegion()).sources(0);
 		for (Upstream holder : holders) {
 			try {
-				return this.peers.list(agent(holder), target);
+				return this.peers.list(agent(holder), target, LIST_WAIT_MILLIS);
 			}
 			catch (IOException | RuntimeException ex) {
 				logFailure("list", holder.id(), ex);
@@ -88,9 +97,10 @@
 	void fetch(WeightCopy copy, Upstream own, BooleanSupplier wanted) throws InterruptedException {
 		NamedWeights target = new NamedWeights(copy.list().model(), copy.list().version());
 		SourcePlan plan = new SourcePlan(own, this.fleet.engines(), target, originRegion());
-		List<Integer> missing = new ArrayList<>(
-				IntStream.range(0, copy.list().size()).filter((index) -> !copy.has(index)).boxed().toList());
-		Collections.shuffle(missing, new Random(own.id().hashCode()));
+		List<Integer> missing = IntStream.range(0, copy.list().size())
+			.filter((index) -> !copy.has(index))
+			.boxed()
+			.toList();
 		Queue<Integer> fromOrigin = new ConcurrentLinkedQueue<>(missing.stream().filter(plan::fromOrigin).toList());
 		Queue<Integer> fromPeers = new ConcurrentLinkedQueue<>(
 				missing.stream().filter((index) -> !plan.fromOrigin(index)).toList());
@@ -136,10 +146,19 @@
 	}
 
 	private boolean askPeer(Upstream source, int index, WeightCopy copy, NamedWeights target) {
+		Long failedMillis = this.unreachableSinceMillis.get(source.id());
+		if (failedMillis != null && BootClock.nowMillis() - failedMillis < UNREACHABLE_MILLIS) {
+			return false;
+		}
 		try {
 			byte[] piece = this.peers.piece(agent(source), target, index, PEER_WAIT_MILLIS);
 			return accept(copy, index, piece, source.id());
 		}
+		catch (ConnectionException ex) {
+			this.unreachableSinceMillis.put(source.id(), BootClock.nowMillis());
+			logFailure(Integer.toString(index), source.id(), ex);
+			return false;
+		}
 		catch (IOException | RuntimeException ex) {
 			logFailure(Integer.toString(index), source.id(), ex);
 			return false;
--- a/src/main/java/org/jaywood/replica/Replica.java
+++ b/src/main/java/org/jaywood/replica/Replica.java
@@ -3,16 +3,15 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
 
 import org.jspecify.annotations.Nullable;
 
 import org.jaywood.event.Event;
 import org.jaywood.event.EventLog;
-import org.jaywood.feed.FeedFollower;
 import org.jaywood.http.ConnectionPool;
 import org.jaywood.routing.LoadedWeights;
 import org.jaywood.routing.NamedWeights;
+import org.jaywood.wire.Address;
 import org.jaywood.wire.BadInputException;
 import org.jaywood.wire.Exchange;
 import org.jaywood.wire.HttpPort;
@@ -24,12 +23,6 @@
  */
 public final class Replica {
 
-	private static final long CONFIGURATION_WAIT_MILLIS = 20_000;
-
-	private static final long UPSTREAMS_WAIT_MILLIS = 8_000;
-
-	private static final long WEIGHTS_WAIT_MILLIS = 4_000;
-
 	/** Interval of reports while nothing changes. */
 	private static final long REPORT_MILLIS = 450;
 
@@ -43,7 +36,7 @@
 
 	private final EngineKeeper keeper;
 
-	private final List<FeedFollower<?>> followers;
+	private final FleetSync sync;
 
 	private final UploadPacer pacer;
 
@@ -59,24 +52,21 @@
 		this.engine = engine;
 		this.pacer = new UploadPacer(settings.linkBytesPerSecond());
 		this.log = log;
-		FleetKnowledge fleet = new FleetKnowledge(settings);
+		FleetKnowledge fleet = new FleetKnowledge(settings, log);
+		PeerPieces peers = new PeerPieces(new ConnectionPool());
 		this.monitor = new EngineMonitor(fleet, engine, settings.engine().toString(), log);
-		PieceFetcher fetcher = new PieceFetcher(fleet, new PeerPieces(new ConnectionPool()), origin,
-				settings.listen().port(), log);
+		this.sync = new FleetSync(settings, fleet, feeds, peers, log);
+		PieceFetcher fetcher = new PieceFetcher(fleet, peers, origin, settings.listen().port(), log);
 		this.keeper = new EngineKeeper(fleet, engine, fetcher, this.monitor, log);
-		this.followers = List.of(
-				new FeedFollower<>(feeds.configuration(), CONFIGURATION_WAIT_MILLIS, fleet::onConfiguration, log),
-				new FeedFollower<>(feeds.upstreams(), UPSTREAMS_WAIT_MILLIS, fleet::onUpstreams, log),
-				new FeedFollower<>(feeds.weights(), WEIGHTS_WAIT_MILLIS, fleet::onWeights, log));
 	}
 
 	public void start() {
-		this.followers.forEach(FeedFollower::start);
 		this.port = HttpPort.open(this.settings.listen(), this.log)
 			.route("GET", "/v1/load", this::sendReports)
 			.route("GET", PeerPieces.PREFIX, this::sendWeights)
 			.start();
 		this.monitor.start();
+		this.sync.start();
 		this.keeper.start();
 		this.log.log(Event.PROCESS_STARTED, "role", "replica", "address", this.settings.listen());
 	}
@@ -88,10 +78,13 @@
 		this.draining = true;
 		this.keeper.close();
 		this.monitor.close();
+		this.sync.close();
 		this.log.log(Event.PROCESS_STOPPED, "role", "replica", "seconds", 0);
 	}
 
 	private void sendReports(Exchange exchange) throws IOException, InterruptedException {
+		Address gateway = Address.parse(exchange.query().getOrDefault("gateway", ""));
+		this.sync.onGateway(gateway, exchange.query().getOrDefault("dataCentre", ""));
 		this.monitor.gateways().incrementAndGet();
 		try (OutputStream out = exchange.stream(200, "application/x-ndjson")) {
 			long seen = -1;
@@ -107,6 +100,7 @@
 		}
 		finally {
 			this.monitor.gateways().decrementAndGet();
+			this.sync.onGatewayGone(gateway);
 		}
 	}
 
--- a/src/main/java/org/jaywood/replica/SourcePlan.java
+++ b/src/main/java/org/jaywood/replica/SourcePlan.java
@@ -1,8 +1,12 @@
 package org.jaywood.replica;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Optional;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 import com.dynatrace.hash4j.hashing.Hasher64;
@@ -11,15 +15,14 @@
 import org.jaywood.routing.LoadedWeights;
 import org.jaywood.routing.NamedWeights;
 import org.jaywood.routing.Upstream;
-import org.jaywood.store.VmRecord;
-import org.jaywood.store.VmState;
-import org.jaywood.weights.DistributionTree;
-import org.jaywood.wire.Address;
 
 /**
  * Decides from whom an agent asks for a piece. While engines serve the version already,
- * the near ones among them share the work. A new version spreads by a tree for each
- * piece, so that one copy leaves the origin and one crosses into each region.
+ * the near ones among them share the work. A new version spreads along a chain for each
+ * piece: through all agents of the region of the origin, and from the first of each
+ * region to the next region. So one copy leaves the origin, one crosses into each other
+ * region, and each agent sends about one copy, which takes the time in which its link
+ * receives one.
  */
 final class SourcePlan {
 
@@ -31,9 +34,9 @@
 
 	private final NamedWeights target;
 
-	private final String originRegion;
+	private final Map<String, List<Upstream>> byRegion;
 
-	private final DistributionTree tree;
+	private final String originRegion;
 
 	/**
 	 * Creates a plan.
@@ -46,9 +49,12 @@
 		this.own = own;
 		this.engines = engines;
 		this.target = target;
-		this.originRegion = originRegion;
-		this.tree = new DistributionTree(
-				Stream.concat(Stream.of(own), engines.stream()).distinct().map(SourcePlan::vm).toList(), originRegion);
+		this.byRegion = Stream.concat(Stream.of(own), engines.stream())
+			.distinct()
+			.sorted(Comparator.comparing(Upstream::dataCentre).thenComparing(Upstream::id))
+			.collect(Collectors.groupingBy(Upstream::region, TreeMap::new, Collectors.toList()));
+		this.originRegion = this.byRegion.containsKey(originRegion) ? originRegion
+				: this.byRegion.keySet().iterator().next();
 	}
 
 	/**
@@ -61,13 +67,56 @@
 			.sorted(nearest(index))
 			.toList();
 		if (holders.isEmpty()) {
-			return parent(index).stream().toList();
+			return predecessors(index);
 		}
 		Upstream collector = collector(index);
 		return collector.id().equals(this.own.id()) ? holders
 				: Stream.concat(Stream.of(collector), holders.stream()).toList();
 	}
 
+	/**
+	 * Whether this agent is the one that fetches a piece from the origin.
+	 */
+	boolean fromOrigin(int index) {
+		return sources(index).isEmpty();
+	}
+
+	/**
+	 * Agents before this one on the chain of a piece, the nearest first.
+	 */
+	private List<Upstream> predecessors(int index) {
+		List<String> regions = regionOrder(index);
+		int position = regions.indexOf(this.own.region());
+		List<Upstream> ownRegion = rotated(this.own.region(), index);
+		List<Upstream> before = new ArrayList<>(ownRegion.subList(0, ownRegion.indexOf(this.own)).reversed());
+		for (int i = position - 1; i >= 0; i--) {
+			before.add(rotated(regions.get(i), index).getFirst());
+		}
+		return before;
+	}
+
+	/**
+	 * Regions in the order in which a piece crosses into them. The others take turns to
+	 * be the last one, which sends least.
+	 */
+	private List<String> regionOrder(int index) {
+		List<String> others = new ArrayList<>(this.byRegion.keySet());
+		others.remove(this.originRegion);
+		Collections.rotate(others, index);
+		others.addFirst(this.originRegion);
+		return others;
+	}
+
+	/**
+	 * Agents of a region in the order in which they pass a piece on. They take turns to
+	 * be the first one, which sends twice, and the last one, which sends nothing.
+	 */
+	private List<Upstream> rotated(String region, int index) {
+		List<Upstream> members = new ArrayList<>(this.byRegion.getOrDefault(region, List.of()));
+		Collections.rotate(members, index);
+		return members;
+	}
+
 	/**
 	 * The engine of this data centre that gets a piece from a holder and passes it on to
 	 * the others that lack it. These run no calls yet, so their links are free, whereas
@@ -81,18 +130,6 @@
 			.orElse(this.own);
 	}
 
-	/**
-	 * Whether this agent is the one that fetches a piece from the origin.
-	 */
-	boolean fromOrigin(int index) {
-		return sources(index).isEmpty();
-	}
-
-	private Optional<Upstream> parent(int index) {
-		return this.tree.parent(chunk(index), vm(this.own))
-			.flatMap((vm) -> this.engines.stream().filter((engine) -> engine.id().equals(vm.vm())).findFirst());
-	}
-
 	private boolean holds(Upstream engine) {
 		return engine.loaded()
 			.filter((weights) -> weights.model().equals(this.target.model()))
@@ -102,7 +139,7 @@
 	}
 
 	private Comparator<Upstream> nearest(int index) {
-		return Comparator.<Upstream>comparingInt((engine) -> distance(engine))
+		return Comparator.<Upstream>comparingInt(this::distance)
 			.thenComparingLong((engine) -> HASH.hashCharsToLong(chunk(index) + engine.id()));
 	}
 
@@ -117,14 +154,4 @@
 		return this.target.model() + "/" + this.target.version() + "/" + index;
 	}
 
-	private static VmRecord vm(Upstream engine) {
-		return new VmRecord(engine.id(), "agent", engine.service(), engine.region(), engine.dataCentre(),
-				new Address(engine.address().host(), engine.address().port()), VmState.LIVE);
-	}
-
-	@Override
-	public String toString() {
-		return this.target + " from " + this.originRegion;
-	}
-
 }
--- /dev/null
+++ b/src/main/java/org/jaywood/routing/FleetDigest.java
@@ -0,0 +1,46 @@
+package org.jaywood.routing;
+
+import java.util.Comparator;
+import java.util.List;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What the agents of one service have to know, as a gateway passes it on.
+ *
+ * @param revision revision of the store up to which it holds
+ * @param profile the service
+ * @param origin origin of weights, or null
+ * @param target version that its engines are to serve
+ * @param engines its engines
+ */
+public record FleetDigest(long revision, ServiceProfile.Engines profile, ServiceProfile.@Nullable Origin origin,
+		NamedWeights target, List<Upstream> engines) {
+
+	/** Version that engines serve before another one is named. */
+	public static final long FIRST_VERSION = 1;
+
+	/**
+	 * Hash of all that agents act upon, which is the same at all gateways that know the
+	 * same.
+	 */
+	public long content() {
+		return Hashing.xxh3_64()
+			.hashCharsToLong(this.target + "|" + this.engines + "|" + this.profile + "|" + this.origin);
+	}
+
+	/**
+	 * Makes the digest of one service. Times that pass by themselves are left out.
+	 */
+	public static FleetDigest of(long revision, ServiceProfile.Engines profile, ServiceProfile.@Nullable Origin origin,
+			long version, List<Upstream> upstreams) {
+		List<Upstream> engines = upstreams.stream()
+			.filter((upstream) -> upstream.service().equals(profile.name()))
+			.map(Upstream::withoutColdTime)
+			.sorted(Comparator.comparing(Upstream::id))
+			.toList();
+		return new FleetDigest(revision, profile, origin, new NamedWeights(profile.model(), version), engines);
+	}
+
+}
--- a/src/main/java/org/jaywood/routing/Upstream.java
+++ b/src/main/java/org/jaywood/routing/Upstream.java
@@ -23,6 +23,14 @@
 public record Upstream(String id, String service, Address address, String dataCentre, String region, int slots,
 		boolean leaving, long coldMillis, long bornMillis, @Nullable LoadedWeights weights) {
 
+	/**
+	 * The same entry without the time for which it is cold.
+	 */
+	Upstream withoutColdTime() {
+		return new Upstream(this.id, this.service, this.address, this.dataCentre, this.region, this.slots, this.leaving,
+				0, this.bornMillis, this.weights);
+	}
+
 	public Optional<LoadedWeights> loaded() {
 		return Optional.ofNullable(this.weights);
 	}
