Finish a version that is half there, load engines in two halves

Change: each naming keeps its own time; Rollout finishes a transfer older than 2 s; halves take turns; three uploads at once; a failed watch is followed by a list.

--- a/src/main/java/org/jaywood/feed/FeedFollower.java
+++ b/src/main/java/org/jaywood/feed/FeedFollower.java
@@ -100,6 +100,9 @@
 			}
 			catch (FeedException ex) {
 				noteFailure(ex);
+				// A watch that was cut may go on over a gap in the history; a list
+				// cannot.
+				this.revision = -1;
 				pause(backoffMillis);
 				backoffMillis = Math.min(MAX_BACKOFF_MILLIS, backoffMillis * 2);
 			}
--- a/src/main/java/org/jaywood/gateway/Knowledge.java
+++ b/src/main/java/org/jaywood/gateway/Knowledge.java
@@ -1,5 +1,6 @@
 package org.jaywood.gateway;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -29,7 +30,7 @@
 
 	private final EventLog log;
 
-	private final Map<String, Fleet.NamedSince> named = new HashMap<>();
+	private final Map<String, List<Fleet.NamedSince>> named = new HashMap<>();
 
 	private @Nullable FeedView<Upstream> upstreams;
 
@@ -111,9 +112,10 @@
 		this.weightsRevision = view.revision();
 		long nowMillis = BootClock.nowMillis();
 		view.entries().values().forEach((weights) -> {
-			Fleet.NamedSince present = this.named.get(weights.model());
-			if (present == null || weights.version() > present.version()) {
-				this.named.put(weights.model(), new Fleet.NamedSince(weights.version(), nowMillis));
+			if (weights.version() > version(weights.model())) {
+				List<Fleet.NamedSince> namings = new ArrayList<>(this.named.getOrDefault(weights.model(), List.of()));
+				namings.add(new Fleet.NamedSince(weights.version(), nowMillis));
+				this.named.put(weights.model(), List.copyOf(namings));
 				this.log.log(Event.WEIGHTS_NAMED, "model", weights.model(), "version", weights.version(), "revision",
 						view.revision());
 				publish();
@@ -159,8 +161,11 @@
 	}
 
 	private long version(String model) {
-		Fleet.NamedSince newest = this.named.get(model);
-		return (newest != null) ? newest.version() : FleetDigest.FIRST_VERSION;
+		return this.named.getOrDefault(model, List.of())
+			.stream()
+			.mapToLong(Fleet.NamedSince::version)
+			.max()
+			.orElse(FleetDigest.FIRST_VERSION);
 	}
 
 	private void publish() {
--- a/src/main/java/org/jaywood/platform/PlatformSettings.java
+++ b/src/main/java/org/jaywood/platform/PlatformSettings.java
@@ -39,7 +39,7 @@
 	private static final long LAPSE_MILLIS = 2_200;
 
 	/** Time that a call may spend on its way and in the queue of an engine. */
-	private static final long VERSION_MARGIN_MILLIS = 1_500;
+	private static final long VERSION_MARGIN_MILLIS = 1_000;
 
 	/** Gateways that share the retry budget at the most. */
 	private static final int MAX_GATEWAYS = 12;
--- a/src/main/java/org/jaywood/replica/EngineKeeper.java
+++ b/src/main/java/org/jaywood/replica/EngineKeeper.java
@@ -34,6 +34,8 @@
 
 	private final EventLog log;
 
+	private final Rollout rollout = new Rollout();
+
 	private final ConcurrentHashMap<NamedWeights, WeightCopy> copies = new ConcurrentHashMap<>();
 
 	private @Nullable NamedWeights activated;
@@ -100,15 +102,17 @@
 	}
 
 	private void step() throws EngineUnavailableException, InterruptedException {
-		Optional<NamedWeights> wanted = this.fleet.target();
+		Optional<NamedWeights> named = this.fleet.target();
 		Optional<Upstream> own = this.fleet.own();
 		EngineReport report = this.monitor.latest();
-		if (wanted.isEmpty() || own.isEmpty() || report == null) {
+		if (named.isEmpty() || own.isEmpty() || report == null) {
 			return;
 		}
-		NamedWeights target = wanted.get();
+		this.rollout.onNamed(named.get(), BootClock.nowMillis());
+		NamedWeights target = this.rollout.target();
 		if (serves(report, target)) {
 			noteActivated(target);
+			this.rollout.onActivated(target);
 			return;
 		}
 		this.activated = null;
@@ -116,11 +120,19 @@
 			return;
 		}
 		WeightCopy copy = obtain(target, own.get());
-		if (copy != null && copy.complete() && isWanted(target)) {
+		if (copy != null && copy.complete() && isWanted(target) && isTurn(target, own.get(), report)) {
 			order(copy, target);
 		}
 	}
 
+	/**
+	 * Whether the engine may load now. Engines that run calls take turns.
+	 */
+	private boolean isTurn(NamedWeights target, Upstream own, EngineReport report) {
+		return report.weights() == null
+				|| this.rollout.mayLoad(target, own, this.fleet.engines(), BootClock.nowMillis());
+	}
+
 	private boolean serves(EngineReport report, NamedWeights target) {
 		LoadedWeights weights = report.weights();
 		int layers = this.fleet.profile().map(ServiceProfile.Engines::layers).orElse(Integer.MAX_VALUE);
@@ -136,7 +148,8 @@
 	}
 
 	private boolean isWanted(NamedWeights target) {
-		return !this.closed && this.fleet.target().filter(target::equals).isPresent();
+		this.fleet.target().ifPresent((named) -> this.rollout.onNamed(named, BootClock.nowMillis()));
+		return !this.closed && target.equals(this.rollout.target());
 	}
 
 	private @Nullable WeightCopy obtain(NamedWeights target, Upstream own)
--- a/src/main/java/org/jaywood/replica/PieceFetcher.java
+++ b/src/main/java/org/jaywood/replica/PieceFetcher.java
@@ -1,6 +1,7 @@
 package org.jaywood.replica;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -28,7 +29,7 @@
 final class PieceFetcher {
 
 	/** Pieces asked of peers at once; most of these requests wait at the peer. */
-	private static final int PEER_WORKERS = 16;
+	private static final int PEER_WORKERS = 8;
 
 	/** Pieces asked of the origin at once, which fill its link. */
 	private static final int ORIGIN_WORKERS = 2;
@@ -42,6 +43,8 @@
 	/** A peer that cannot be reached is not asked again for this long. */
 	private static final long UNREACHABLE_MILLIS = 2_000;
 
+	private static final Duration WANTED_CHECK = Duration.ofMillis(50);
+
 	private static final long RETRY_PAUSE_MILLIS = 150;
 
 	/** Failures of all peers of a piece after which the origin is asked. */
@@ -109,8 +112,20 @@
 			.forEach((worker) -> workers.add(start(() -> drainOrigin(fromOrigin, copy, target, wanted))));
 		IntStream.range(0, PEER_WORKERS)
 			.forEach((worker) -> workers.add(start(() -> drainPeers(fromPeers, copy, plan, target, wanted))));
+		awaitAll(workers, wanted);
+	}
+
+	/**
+	 * Waits for all workers, and ends them early when the version is not wanted any more:
+	 * the next one needs the link.
+	 */
+	private static void awaitAll(List<Thread> workers, BooleanSupplier wanted) throws InterruptedException {
 		for (Thread worker : workers) {
-			worker.join();
+			while (!worker.join(WANTED_CHECK)) {
+				if (!wanted.getAsBoolean()) {
+					workers.forEach(Thread::interrupt);
+				}
+			}
 		}
 	}
 
@@ -135,7 +150,9 @@
 
 	private void fromPeers(int index, WeightCopy copy, SourcePlan plan, NamedWeights target, BooleanSupplier wanted) {
 		for (int round = 0; !copy.has(index) && wanted.getAsBoolean(); round++) {
-			boolean found = plan.sources(index).stream().anyMatch((source) -> askPeer(source, index, copy, target));
+			boolean found = plan.sources(index)
+				.stream()
+				.anyMatch((source) -> wanted.getAsBoolean() && askPeer(source, index, copy, target));
 			if (!found && round + 1 >= PEER_ROUNDS) {
 				found = askOrigin(index, copy, target);
 			}
--- /dev/null
+++ b/src/main/java/org/jaywood/replica/Rollout.java
@@ -0,0 +1,98 @@
+package org.jaywood.replica;
+
+import java.util.Comparator;
+import java.util.List;
+
+import org.jspecify.annotations.Nullable;
+
+import org.jaywood.routing.NamedWeights;
+import org.jaywood.routing.Upstream;
+
+/**
+ * Decides which version an agent works on while versions follow each other, and when its
+ * engine loads. It answers the load of a version that is named while the one before is
+ * still spreading: a transfer that has gone on for a while is finished and loaded, since
+ * the engines would otherwise have no version that may run calls until the newest one has
+ * arrived. Safe for use by several threads.
+ */
+final class Rollout {
+
+	/** Age of a naming up to which a newer version takes its place at once. */
+	private static final long REPLACE_MILLIS = 2_000;
+
+	/** Time after a naming at which the second half of the engines loads. */
+	private static final long SECOND_HALF_MILLIS = 6_100;
+
+	private @Nullable NamedWeights current;
+
+	private long currentSinceMillis;
+
+	private @Nullable NamedWeights next;
+
+	private long nextSinceMillis;
+
+	/**
+	 * Takes the newest named version.
+	 */
+	synchronized void onNamed(NamedWeights named, long nowMillis) {
+		NamedWeights present = this.current;
+		if (present == null || !present.model().equals(named.model())) {
+			this.current = named;
+			this.currentSinceMillis = nowMillis;
+			this.next = null;
+			return;
+		}
+		if (named.version() <= newest(present).version()) {
+			return;
+		}
+		this.next = named;
+		this.nextSinceMillis = nowMillis;
+		if (nowMillis - this.currentSinceMillis <= REPLACE_MILLIS) {
+			advance();
+		}
+	}
+
+	/**
+	 * Notes that the engine serves a version.
+	 */
+	synchronized void onActivated(NamedWeights weights) {
+		if (weights.equals(this.current)) {
+			advance();
+		}
+	}
+
+	/**
+	 * The version to work on.
+	 */
+	synchronized NamedWeights target() {
+		if (this.current == null) {
+			throw new IllegalStateException("no version is named");
+		}
+		return this.current;
+	}
+
+	/**
+	 * Whether an engine that runs calls may load a version now. The first half loads at
+	 * once, the second one a little later, so that capacity never drops all at once.
+	 */
+	synchronized boolean mayLoad(NamedWeights target, Upstream own, List<Upstream> engines, long nowMillis) {
+		List<String> ids = engines.stream().sorted(Comparator.comparing(Upstream::id)).map(Upstream::id).toList();
+		boolean firstHalf = ids.indexOf(own.id()) % 2 == 0;
+		boolean overtaken = this.next != null;
+		return firstHalf || overtaken || !target.equals(this.current)
+				|| nowMillis - this.currentSinceMillis >= SECOND_HALF_MILLIS;
+	}
+
+	private NamedWeights newest(NamedWeights present) {
+		return (this.next != null) ? this.next : present;
+	}
+
+	private void advance() {
+		if (this.next != null) {
+			this.current = this.next;
+			this.currentSinceMillis = this.nextSinceMillis;
+			this.next = null;
+		}
+	}
+
+}
--- a/src/main/java/org/jaywood/replica/UploadPacer.java
+++ b/src/main/java/org/jaywood/replica/UploadPacer.java
@@ -2,24 +2,27 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.ReentrantLock;
 
 /**
- * Sends pieces of weights one after the other, in slices at a little less than the speed
- * of the link. The engine of the VM sends its answers over the same link, and a full
- * queue there would delay each of them by the time of all pieces in it.
+ * Sends pieces of weights in slices at less than the speed of the link. The engine of the
+ * VM sends its answers over the same link, and a full queue there would delay each of
+ * them by the time of all slices in it. A few pieces are sent at once, so that a receiver
+ * whose link is busy does not hold up the others.
  */
 final class UploadPacer {
 
-	/** Part of the link that pieces may take. */
-	private static final double LINK_SHARE = 0.85;
+	/** Part of the link that pieces may take; answers and headers need the rest. */
+	private static final double LINK_SHARE = 0.82;
 
 	private static final int SLICE_BYTES = 8 * 1024;
 
+	private static final int PIECES_AT_ONCE = 3;
+
 	private final double bytesPerNano;
 
-	private final ReentrantLock turn = new ReentrantLock(true);
+	private final Semaphore turns = new Semaphore(PIECES_AT_ONCE, true);
 
 	private long freeAtNanos = System.nanoTime();
 
@@ -35,30 +38,31 @@
 	 * Sends a piece in its turn.
 	 */
 	void send(OutputStream out, byte[] piece) throws IOException, InterruptedException {
-		this.turn.lockInterruptibly();
+		this.turns.acquire();
 		try {
 			for (int offset = 0; offset < piece.length; offset += SLICE_BYTES) {
 				int length = Math.min(SLICE_BYTES, piece.length - offset);
-				awaitLink(length);
+				TimeUnit.NANOSECONDS.sleep(reserve(length, System.nanoTime()));
 				out.write(piece, offset, length);
 				out.flush();
 			}
 		}
 		finally {
-			this.turn.unlock();
+			this.turns.release();
 		}
 	}
 
-	private void awaitLink(int length) throws InterruptedException {
+	/**
+	 * Takes the link for a slice.
+	 * @return time until the slice may be sent, in nanoseconds
+	 */
+	private synchronized long reserve(int length, long nowNanos) {
 		if (this.bytesPerNano <= 0) {
-			return;
-		}
-		long nowNanos = System.nanoTime();
-		long waitNanos = this.freeAtNanos - nowNanos;
-		if (waitNanos > 0) {
-			TimeUnit.NANOSECONDS.sleep(waitNanos);
+			return 0;
 		}
-		this.freeAtNanos = Math.max(this.freeAtNanos, nowNanos) + Math.round(length / this.bytesPerNano);
+		long startNanos = Math.max(this.freeAtNanos, nowNanos);
+		this.freeAtNanos = startNanos + Math.round(length / this.bytesPerNano);
+		return startNanos - nowNanos;
 	}
 
 }
--- a/src/main/java/org/jaywood/routing/Fleet.java
+++ b/src/main/java/org/jaywood/routing/Fleet.java
@@ -1,5 +1,6 @@
 package org.jaywood.routing;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -10,9 +11,9 @@
  *
  * @param upstreams view of the upstreams
  * @param closedDataCentres data centres whose upstreams get no calls
- * @param named newest named version by model, with the time at which it was learned
+ * @param named named versions by model, with the time at which each was learned
  */
-public record Fleet(FeedView<Upstream> upstreams, Set<String> closedDataCentres, Map<String, NamedSince> named) {
+public record Fleet(FeedView<Upstream> upstreams, Set<String> closedDataCentres, Map<String, List<NamedSince>> named) {
 
 	/**
 	 * A named version.
--- a/src/main/java/org/jaywood/routing/PlacementPolicy.java
+++ b/src/main/java/org/jaywood/routing/PlacementPolicy.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -82,18 +83,19 @@
 	}
 
 	/**
-	 * The oldest version that may still begin a call, if one is named.
+	 * The oldest version that may still begin a call, if one is named. Each naming has
+	 * its own time: a newer one does not prolong that of the one before.
 	 */
-	OptionalLong requiredVersion(String model, Map<String, Fleet.NamedSince> named, long nowMillis) {
-		Fleet.NamedSince newest = named.get(model);
-		if (newest == null || nowMillis - newest.learnedMillis() < this.settings.versionMillis()) {
-			return OptionalLong.empty();
-		}
-		return OptionalLong.of(newest.version());
+	OptionalLong requiredVersion(String model, Map<String, List<Fleet.NamedSince>> named, long nowMillis) {
+		return named.getOrDefault(model, List.of())
+			.stream()
+			.filter((naming) -> nowMillis - naming.learnedMillis() >= this.settings.versionMillis())
+			.mapToLong(Fleet.NamedSince::version)
+			.max();
 	}
 
 	private boolean servesWeights(UpstreamState state, ServiceProfile.Engines engines, Demand demand,
-			Map<String, Fleet.NamedSince> named, long nowMillis) {
+			Map<String, List<Fleet.NamedSince>> named, long nowMillis) {
 		LoadedWeights weights = state.weights(nowMillis);
 		if (weights == null || !weights.complete(engines.layers())) {
 			return false;
