Fetch the next version while the present one loads

Change: CopyKeeper fetches beside EngineKeeper, pieces for other regions go first, the own entry counts once.

--- /dev/null
+++ b/src/main/java/org/jaywood/replica/CopyKeeper.java
@@ -0,0 +1,169 @@
+package org.jaywood.replica;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.jspecify.annotations.Nullable;
+
+import org.jaywood.event.Event;
+import org.jaywood.event.EventLog;
+import org.jaywood.feed.BootClock;
+import org.jaywood.routing.NamedWeights;
+import org.jaywood.routing.ServiceProfile;
+import org.jaywood.routing.Upstream;
+
+/**
+ * Fetches the versions that the engine is to load, one after the other: the link carries
+ * the next version already while the engine still finishes calls before it loads the
+ * present one.
+ */
+final class CopyKeeper {
+
+	private static final long PAUSE_MILLIS = 50;
+
+	private static final long FAILURE_PAUSE_MILLIS = 200;
+
+	private final FleetKnowledge fleet;
+
+	private final EngineControl engine;
+
+	private final EngineMonitor monitor;
+
+	private final Rollout rollout;
+
+	private final PieceFetcher fetcher;
+
+	private final EventLog log;
+
+	private final Map<NamedWeights, WeightCopy> copies = new ConcurrentHashMap<>();
+
+	private volatile boolean closed;
+
+	CopyKeeper(FleetKnowledge fleet, EngineControl engine, EngineMonitor monitor, Rollout rollout, PieceFetcher fetcher,
+			EventLog log) {
+		this.fleet = fleet;
+		this.engine = engine;
+		this.monitor = monitor;
+		this.rollout = rollout;
+		this.fetcher = fetcher;
+		this.log = log;
+	}
+
+	CopyKeeper start() {
+		Thread.ofVirtual().name("keep-copies").start(this::run);
+		return this;
+	}
+
+	void close() {
+		this.closed = true;
+	}
+
+	/**
+	 * The copy of a version, or null if this agent has not begun to fetch it.
+	 */
+	@Nullable WeightCopy copy(NamedWeights weights) {
+		return this.copies.get(weights);
+	}
+
+	/**
+	 * Waits until this agent has begun to fetch a version.
+	 * @return the copy, or null if it does not begin in time
+	 */
+	@Nullable WeightCopy awaitCopy(NamedWeights weights, long waitMillis) throws InterruptedException {
+		long untilMillis = BootClock.nowMillis() + waitMillis;
+		WeightCopy copy = copy(weights);
+		while (copy == null && BootClock.nowMillis() < untilMillis) {
+			Thread.sleep(PAUSE_MILLIS);
+			copy = copy(weights);
+		}
+		return copy;
+	}
+
+	private void run() {
+		while (!this.closed) {
+			try {
+				step();
+				Thread.sleep(PAUSE_MILLIS);
+			}
+			catch (EngineUnavailableException | RuntimeException ex) {
+				this.log.log(Event.TASK_FAILED, "task", "keep-copies", "error", ex);
+				this.closed = this.closed || interruptedWhilePausing();
+			}
+			catch (InterruptedException ex) {
+				return;
+			}
+		}
+	}
+
+	private void step() throws EngineUnavailableException, InterruptedException {
+		Optional<Upstream> own = this.fleet.own();
+		Optional<ServiceProfile.Engines> profile = this.fleet.profile();
+		EngineReport report = this.monitor.latest();
+		if (own.isEmpty() || profile.isEmpty() || report == null) {
+			return;
+		}
+		this.fleet.target().ifPresent((named) -> this.rollout.onNamed(named, BootClock.nowMillis()));
+		Optional<NamedWeights> missing = this.rollout.versions()
+			.stream()
+			.filter((version) -> !report.serves(version, profile.get().layers()) && !isComplete(version))
+			.findFirst();
+		if (missing.isPresent()) {
+			obtain(missing.get(), own.get());
+		}
+	}
+
+	private boolean isComplete(NamedWeights version) {
+		WeightCopy copy = this.copies.get(version);
+		return copy != null && copy.complete();
+	}
+
+	private boolean isWanted(NamedWeights version) {
+		this.fleet.target().ifPresent((named) -> this.rollout.onNamed(named, BootClock.nowMillis()));
+		return !this.closed && this.rollout.versions().contains(version);
+	}
+
+	private void obtain(NamedWeights version, Upstream own) throws EngineUnavailableException, InterruptedException {
+		WeightCopy copy = this.copies.get(version);
+		if (copy == null) {
+			PieceList list = this.fetcher.list(version, own);
+			if (list == null) {
+				return;
+			}
+			copy = new WeightCopy(list);
+			takeStaged(copy);
+			this.copies.keySet().removeIf((other) -> other.version() < version.version() - 1);
+			this.copies.put(version, copy);
+		}
+		long sinceMillis = BootClock.nowMillis();
+		this.fetcher.fetch(copy, own, () -> isWanted(version));
+		if (copy.complete()) {
+			this.log.log(Event.WEIGHTS_VERIFIED, "manifest", version.model() + "/" + version.version(), "chunks",
+					copy.list().size(), "seconds", (BootClock.nowMillis() - sinceMillis) / 1000.0);
+		}
+	}
+
+	/**
+	 * Takes over pieces that lie beside the engine since before a restart.
+	 */
+	private void takeStaged(WeightCopy copy) throws EngineUnavailableException {
+		for (int index = 0; index < copy.list().size(); index++) {
+			byte[] piece = this.engine.staged(copy.list().model(), index);
+			if (piece == null || !copy.offer(index, piece)) {
+				// Pieces of another version lie there, or none at all.
+				return;
+			}
+		}
+	}
+
+	private static boolean interruptedWhilePausing() {
+		try {
+			Thread.sleep(FAILURE_PAUSE_MILLIS);
+			return false;
+		}
+		catch (InterruptedException ex) {
+			return true;
+		}
+	}
+
+}
--- a/src/main/java/org/jaywood/replica/EngineKeeper.java
+++ b/src/main/java/org/jaywood/replica/EngineKeeper.java
@@ -2,7 +2,6 @@
 
 import java.util.Arrays;
 import java.util.Optional;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.IntStream;
 
 import org.jspecify.annotations.Nullable;
@@ -10,7 +9,6 @@
 import org.jaywood.event.Event;
 import org.jaywood.event.EventLog;
 import org.jaywood.feed.BootClock;
-import org.jaywood.routing.LoadedWeights;
 import org.jaywood.routing.NamedWeights;
 import org.jaywood.routing.ServiceProfile;
 import org.jaywood.routing.Upstream;
@@ -28,25 +26,24 @@
 
 	private final EngineControl engine;
 
-	private final PieceFetcher fetcher;
+	private final CopyKeeper copies;
 
 	private final EngineMonitor monitor;
 
 	private final EventLog log;
 
-	private final Rollout rollout = new Rollout();
-
-	private final ConcurrentHashMap<NamedWeights, WeightCopy> copies = new ConcurrentHashMap<>();
+	private final Rollout rollout;
 
 	private @Nullable NamedWeights activated;
 
 	private volatile boolean closed;
 
-	EngineKeeper(FleetKnowledge fleet, EngineControl engine, PieceFetcher fetcher, EngineMonitor monitor,
+	EngineKeeper(FleetKnowledge fleet, EngineControl engine, Rollout rollout, CopyKeeper copies, EngineMonitor monitor,
 			EventLog log) {
 		this.fleet = fleet;
 		this.engine = engine;
-		this.fetcher = fetcher;
+		this.rollout = rollout;
+		this.copies = copies;
 		this.monitor = monitor;
 		this.log = log;
 	}
@@ -60,27 +57,6 @@
 		this.closed = true;
 	}
 
-	/**
-	 * The copy of a version, or null if this agent does not have one.
-	 */
-	@Nullable WeightCopy copy(NamedWeights weights) {
-		return this.copies.get(weights);
-	}
-
-	/**
-	 * Waits until this agent has begun to fetch a version.
-	 * @return the copy, or null if it does not begin in time
-	 */
-	@Nullable WeightCopy awaitCopy(NamedWeights weights, long waitMillis) throws InterruptedException {
-		long untilMillis = BootClock.nowMillis() + waitMillis;
-		WeightCopy copy = copy(weights);
-		while (copy == null && BootClock.nowMillis() < untilMillis) {
-			Thread.sleep(PAUSE_MILLIS);
-			copy = copy(weights);
-		}
-		return copy;
-	}
-
 	private void run() {
 		while (!this.closed) {
 			try {
@@ -119,8 +95,8 @@
 		if (report.busy()) {
 			return;
 		}
-		WeightCopy copy = obtain(target, own.get());
-		if (copy != null && copy.complete() && isWanted(target) && isTurn(target, own.get(), report)) {
+		WeightCopy copy = this.copies.copy(target);
+		if (copy != null && copy.complete() && isTurn(target, own.get(), report)) {
 			order(copy, target);
 		}
 	}
@@ -134,10 +110,8 @@
 	}
 
 	private boolean serves(EngineReport report, NamedWeights target) {
-		LoadedWeights weights = report.weights();
 		int layers = this.fleet.profile().map(ServiceProfile.Engines::layers).orElse(Integer.MAX_VALUE);
-		return weights != null && weights.model().equals(target.model()) && weights.version() == target.version()
-				&& weights.complete(layers);
+		return report.serves(target, layers);
 	}
 
 	private void noteActivated(NamedWeights target) {
@@ -147,49 +121,6 @@
 		}
 	}
 
-	private boolean isWanted(NamedWeights target) {
-		this.fleet.target().ifPresent((named) -> this.rollout.onNamed(named, BootClock.nowMillis()));
-		return !this.closed && target.equals(this.rollout.target());
-	}
-
-	private @Nullable WeightCopy obtain(NamedWeights target, Upstream own)
-			throws EngineUnavailableException, InterruptedException {
-		WeightCopy present = this.copies.get(target);
-		if (present != null && present.complete()) {
-			return present;
-		}
-		if (present == null) {
-			PieceList list = this.fetcher.list(target, own);
-			if (list == null) {
-				return null;
-			}
-			present = new WeightCopy(list);
-			this.copies.keySet().removeIf((other) -> other.version() < target.version() - 1);
-			this.copies.put(target, present);
-			takeStaged(present);
-		}
-		long sinceMillis = BootClock.nowMillis();
-		this.fetcher.fetch(present, own, () -> isWanted(target));
-		if (present.complete()) {
-			this.log.log(Event.WEIGHTS_VERIFIED, "manifest", target.model() + "/" + target.version(), "chunks",
-					present.list().size(), "seconds", (BootClock.nowMillis() - sinceMillis) / 1000.0);
-		}
-		return present;
-	}
-
-	/**
-	 * Takes over pieces that lie beside the engine since before a restart.
-	 */
-	private void takeStaged(WeightCopy copy) throws EngineUnavailableException {
-		for (int index = 0; index < copy.list().size(); index++) {
-			byte[] piece = this.engine.staged(copy.list().model(), index);
-			if (piece == null || !copy.offer(index, piece)) {
-				// Pieces of another version lie there, or none at all.
-				return;
-			}
-		}
-	}
-
 	private void order(WeightCopy copy, NamedWeights target) throws EngineUnavailableException {
 		int replaced = 0;
 		for (int index : IntStream.range(0, copy.list().size()).toArray()) {
--- a/src/main/java/org/jaywood/replica/EngineReport.java
+++ b/src/main/java/org/jaywood/replica/EngineReport.java
@@ -3,6 +3,7 @@
 import org.jspecify.annotations.Nullable;
 
 import org.jaywood.routing.LoadedWeights;
+import org.jaywood.routing.NamedWeights;
 
 /**
  * State of the engine, as it tells its own VM.
@@ -16,4 +17,14 @@
  */
 public record EngineReport(long bornMillis, int running, int queued, boolean busy, long sequence,
 		@Nullable LoadedWeights weights) {
+
+	/**
+	 * Whether the engine serves a version.
+	 * @param layers layers of the model
+	 */
+	boolean serves(NamedWeights target, int layers) {
+		return this.weights != null && this.weights.model().equals(target.model())
+				&& this.weights.version() == target.version() && this.weights.complete(layers);
+	}
+
 }
--- a/src/main/java/org/jaywood/replica/PeerPieces.java
+++ b/src/main/java/org/jaywood/replica/PeerPieces.java
@@ -42,9 +42,10 @@
 
 	/**
 	 * Asks for a piece, for which the peer may wait itself.
+	 * @param far whether the peer lies in another region
 	 */
-	byte[] piece(Address agent, NamedWeights weights, int index, long waitMillis) throws IOException {
-		return get(agent, path(weights) + index + "?wait=" + waitMillis, waitMillis);
+	byte[] piece(Address agent, NamedWeights weights, int index, boolean far, long waitMillis) throws IOException {
+		return get(agent, path(weights) + index + "?wait=" + waitMillis + (far ? "&far=1" : ""), waitMillis);
 	}
 
 	/**
--- a/src/main/java/org/jaywood/replica/PieceFetcher.java
+++ b/src/main/java/org/jaywood/replica/PieceFetcher.java
@@ -35,7 +35,7 @@
 	private static final int ORIGIN_WORKERS = 2;
 
 	/** Wait at a peer for a piece that it does not have yet. */
-	private static final long PEER_WAIT_MILLIS = 2_500;
+	private static final long PEER_WAIT_MILLIS = 1_500;
 
 	/** Wait at a peer for a list of digests. */
 	private static final long LIST_WAIT_MILLIS = 700;
@@ -168,7 +168,7 @@
 			return false;
 		}
 		try {
-			byte[] piece = this.peers.piece(agent(source), target, index, PEER_WAIT_MILLIS);
+			byte[] piece = this.peers.piece(agent(source), target, index, isFar(source), PEER_WAIT_MILLIS);
 			return accept(copy, index, piece, source.id());
 		}
 		catch (ConnectionException ex) {
@@ -182,6 +182,10 @@
 		}
 	}
 
+	private boolean isFar(Upstream source) {
+		return this.fleet.own().filter((own) -> !own.region().equals(source.region())).isPresent();
+	}
+
 	private boolean askOrigin(int index, WeightCopy copy, NamedWeights target) {
 		try {
 			return accept(copy, index, this.origin.piece(originAddress(), target.model(), target.version(), index),
--- a/src/main/java/org/jaywood/replica/Replica.java
+++ b/src/main/java/org/jaywood/replica/Replica.java
@@ -36,6 +36,8 @@
 
 	private final EngineKeeper keeper;
 
+	private final CopyKeeper copies;
+
 	private final FleetSync sync;
 
 	private final UploadPacer pacer;
@@ -57,7 +59,9 @@
 		this.monitor = new EngineMonitor(fleet, engine, settings.engine().toString(), log);
 		this.sync = new FleetSync(settings, fleet, feeds, peers, log);
 		PieceFetcher fetcher = new PieceFetcher(fleet, peers, origin, settings.listen().port(), log);
-		this.keeper = new EngineKeeper(fleet, engine, fetcher, this.monitor, log);
+		Rollout rollout = new Rollout();
+		this.copies = new CopyKeeper(fleet, engine, this.monitor, rollout, fetcher, log);
+		this.keeper = new EngineKeeper(fleet, engine, rollout, this.copies, this.monitor, log);
 	}
 
 	public void start() {
@@ -67,6 +71,7 @@
 			.start();
 		this.monitor.start();
 		this.sync.start();
+		this.copies.start();
 		this.keeper.start();
 		this.log.log(Event.PROCESS_STARTED, "role", "replica", "address", this.settings.listen());
 	}
@@ -77,6 +82,7 @@
 	public void drain(long nowMillis) {
 		this.draining = true;
 		this.keeper.close();
+		this.copies.close();
 		this.monitor.close();
 		this.sync.close();
 		this.log.log(Event.PROCESS_STOPPED, "role", "replica", "seconds", 0);
@@ -111,7 +117,7 @@
 		}
 		NamedWeights weights = new NamedWeights(parts[0], number(parts[1]));
 		long waitMillis = Math.clamp(exchange.queryLong("wait", 0), 0, MAX_WAIT_MILLIS);
-		WeightCopy copy = serving(weights) ? this.keeper.copy(weights) : this.keeper.awaitCopy(weights, waitMillis);
+		WeightCopy copy = serving(weights) ? this.copies.copy(weights) : this.copies.awaitCopy(weights, waitMillis);
 		if (parts[2].equals(PeerPieces.LIST)) {
 			sendList(exchange, copy);
 			return;
@@ -123,7 +129,7 @@
 		}
 		else {
 			try (OutputStream out = exchange.stream(200, "application/octet-stream")) {
-				this.pacer.send(out, piece);
+				this.pacer.send(out, piece, exchange.query().containsKey("far"));
 			}
 		}
 	}
--- a/src/main/java/org/jaywood/replica/Rollout.java
+++ b/src/main/java/org/jaywood/replica/Rollout.java
@@ -2,6 +2,8 @@
 
 import java.util.Comparator;
 import java.util.List;
+import java.util.Objects;
+import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
 
@@ -71,6 +73,13 @@
 		return this.current;
 	}
 
+	/**
+	 * The versions to fetch, the one to load first.
+	 */
+	synchronized List<NamedWeights> versions() {
+		return Stream.of(this.current, this.next).filter(Objects::nonNull).toList();
+	}
+
 	/**
 	 * Whether an engine that runs calls may load a version now. The first half loads at
 	 * once, the second one a little later, so that capacity never drops all at once.
--- a/src/main/java/org/jaywood/replica/SourcePlan.java
+++ b/src/main/java/org/jaywood/replica/SourcePlan.java
@@ -41,16 +41,15 @@
 	/**
 	 * Creates a plan.
 	 * @param own the engine of this agent
-	 * @param engines all engines of the service, the own one included
+	 * @param engines all engines of the service; an older entry of the own one is ignored
 	 * @param target version wanted
 	 * @param originRegion region of the origin
 	 */
 	SourcePlan(Upstream own, List<Upstream> engines, NamedWeights target, String originRegion) {
 		this.own = own;
-		this.engines = engines;
+		this.engines = engines.stream().filter((engine) -> !engine.id().equals(own.id())).toList();
 		this.target = target;
-		this.byRegion = Stream.concat(Stream.of(own), engines.stream())
-			.distinct()
+		this.byRegion = Stream.concat(Stream.of(own), this.engines.stream())
 			.sorted(Comparator.comparing(Upstream::dataCentre).thenComparing(Upstream::id))
 			.collect(Collectors.groupingBy(Upstream::region, TreeMap::new, Collectors.toList()));
 		this.originRegion = this.byRegion.containsKey(originRegion) ? originRegion
@@ -61,11 +60,7 @@
 	 * Engines whose agents are asked for a piece, in order. After them comes the origin.
 	 */
 	List<Upstream> sources(int index) {
-		List<Upstream> holders = this.engines.stream()
-			.filter((engine) -> !engine.id().equals(this.own.id()))
-			.filter(this::holds)
-			.sorted(nearest(index))
-			.toList();
+		List<Upstream> holders = this.engines.stream().filter(this::holds).sorted(nearest(index)).toList();
 		if (holders.isEmpty()) {
 			return predecessors(index);
 		}
--- a/src/main/java/org/jaywood/replica/UploadPacer.java
+++ b/src/main/java/org/jaywood/replica/UploadPacer.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
-import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -22,7 +21,9 @@
 
 	private final double bytesPerNano;
 
-	private final Semaphore turns = new Semaphore(PIECES_AT_ONCE, true);
+	private int active;
+
+	private int farWaiting;
 
 	private long freeAtNanos = System.nanoTime();
 
@@ -36,9 +37,10 @@
 
 	/**
 	 * Sends a piece in its turn.
+	 * @param far whether it goes to another region, where all agents wait for it
 	 */
-	void send(OutputStream out, byte[] piece) throws IOException, InterruptedException {
-		this.turns.acquire();
+	void send(OutputStream out, byte[] piece, boolean far) throws IOException, InterruptedException {
+		begin(far);
 		try {
 			for (int offset = 0; offset < piece.length; offset += SLICE_BYTES) {
 				int length = Math.min(SLICE_BYTES, piece.length - offset);
@@ -48,10 +50,28 @@
 			}
 		}
 		finally {
-			this.turns.release();
+			end();
+		}
+	}
+
+	private synchronized void begin(boolean far) throws InterruptedException {
+		this.farWaiting += far ? 1 : 0;
+		try {
+			while (this.active >= PIECES_AT_ONCE || (!far && this.farWaiting > 0)) {
+				wait();
+			}
+			this.active++;
+		}
+		finally {
+			this.farWaiting -= far ? 1 : 0;
 		}
 	}
 
+	private synchronized void end() {
+		this.active--;
+		notifyAll();
+	}
+
 	/**
 	 * Takes the link for a slice.
 	 * @return time until the slice may be sent, in nanoseconds
