--- a/src/main/java/org/jaywood/gateway/EventCutter.java
+++ b/src/main/java/org/jaywood/gateway/EventCutter.java
@@ -20,6 +20,8 @@
 
 	private @Nullable String firstId;
 
+	private @Nullable String resumedAfter;
+
 	/**
 	 * Takes bytes of the stream.
 	 * @return the events that are whole now, possibly none
@@ -51,20 +53,36 @@
 	void dropPartial() {
 		this.partial.reset();
 		this.firstId = null;
+		this.resumedAfter = this.lastId;
 	}
 
 	/**
-	 * Id of the last whole event, or null if there was none with an id.
+	 * Id of the last event before the stream was resumed, or null if it was not.
 	 */
-	@Nullable String lastId() {
-		return this.lastId;
+	@Nullable String resumedAfter() {
+		return this.resumedAfter;
+	}
+
+	/**
+	 * Whether the events since the stream was resumed go on where it was broken off.
+	 */
+	boolean continuous() {
+		if (this.resumedAfter == null || this.firstId == null) {
+			return true;
+		}
+		try {
+			return Long.parseLong(this.firstId) == Long.parseLong(this.resumedAfter) + 1;
+		}
+		catch (NumberFormatException ex) {
+			return !this.firstId.equals(this.resumedAfter);
+		}
 	}
 
 	/**
-	 * Id of the first whole event since the last partial one was dropped.
+	 * Id of the last whole event, or null if there was none with an id.
 	 */
-	@Nullable String firstId() {
-		return this.firstId;
+	@Nullable String lastId() {
+		return this.lastId;
 	}
 
 	private static int endOfLastEvent(byte[] held) {
--- a/src/main/java/org/jaywood/gateway/Gateway.java
+++ b/src/main/java/org/jaywood/gateway/Gateway.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -113,6 +114,13 @@
 		log.log(Event.PROCESS_STARTED, "role", "gateway", "address", this.settings.caller());
 	}
 
+	/**
+	 * Port on which callers connect, once started.
+	 */
+	int callerPort() {
+		return Objects.requireNonNull(this.listener).port();
+	}
+
 	/**
 	 * Whether new callers may connect.
 	 */
@@ -133,10 +141,11 @@
 		if (this.listener != null) {
 			this.listener.close();
 		}
+		this.active.closeIdle();
 		while (this.active.busy() > 0 && BootClock.nowMillis() < endMillis) {
 			Thread.sleep(DRAIN_POLL_MILLIS);
+			this.active.closeIdle();
 		}
-		this.active.closeIdle();
 		this.context.log()
 			.log(Event.PROCESS_STOPPED, "role", "gateway", "seconds",
 					(BootClock.nowMillis() - endMillis + this.settings.graceMillis() - END_MARGIN_MILLIS) / 1000.0);
--- a/src/main/java/org/jaywood/gateway/HandOver.java
+++ b/src/main/java/org/jaywood/gateway/HandOver.java
@@ -174,6 +174,9 @@
 				break;
 			}
 			byte[] whole = this.cutter.append(chunk, length);
+			if (!this.cutter.continuous()) {
+				throw new IOException("the resumed stream does not go on behind event " + this.cutter.resumedAfter());
+			}
 			this.reply.write(whole, whole.length);
 		}
 		byte[] rest = this.cutter.rest();
--- a/src/main/java/org/jaywood/gateway/Knowledge.java
+++ b/src/main/java/org/jaywood/gateway/Knowledge.java
@@ -36,6 +36,8 @@
 
 	private Set<String> closedDataCentres = Set.of();
 
+	private @Nullable FeedView<NamedWeights> weightsView;
+
 	private boolean weightsKnown;
 
 	private long weightsRevision;
@@ -110,11 +112,12 @@
 			publish();
 		}
 		this.weightsRevision = view.revision();
-		long nowMillis = BootClock.nowMillis();
+		long sinceMillis = namedSinceMillis(view, BootClock.nowMillis());
+		this.weightsView = view;
 		view.entries().values().forEach((weights) -> {
 			if (weights.version() > version(weights.model())) {
 				List<Fleet.NamedSince> namings = new ArrayList<>(this.named.getOrDefault(weights.model(), List.of()));
-				namings.add(new Fleet.NamedSince(weights.version(), nowMillis));
+				namings.add(new Fleet.NamedSince(weights.version(), sinceMillis));
 				this.named.put(weights.model(), List.copyOf(namings));
 				this.log.log(Event.WEIGHTS_NAMED, "model", weights.model(), "version", weights.version(), "revision",
 						view.revision());
@@ -123,6 +126,18 @@
 		});
 	}
 
+	/**
+	 * The earliest time at which a version that a view shows for the first time may have
+	 * been named. After a start, or while the store did not answer, that is long ago.
+	 */
+	private long namedSinceMillis(FeedView<NamedWeights> view, long nowMillis) {
+		FeedView<NamedWeights> before = this.weightsView;
+		if (before == null) {
+			return Long.MIN_VALUE / 2;
+		}
+		return (before.regainedMillis() != view.regainedMillis()) ? before.confirmedMillis() : nowMillis;
+	}
+
 	/**
 	 * Waits for a digest for the agents of a service that differs from one they have.
 	 * @param service name of the service
--- a/src/main/java/org/jaywood/gateway/WaitLimit.java
+++ b/src/main/java/org/jaywood/gateway/WaitLimit.java
@@ -16,7 +16,7 @@
 	private static final double PLAIN_SHARE = 0.8;
 
 	/** Wait of a call that is late already. */
-	private static final long LATE_WAIT_MILLIS = 250;
+	private static final long LATE_WAIT_MILLIS = 500;
 
 	/** Least wait, in which a place often becomes free. */
 	private static final long MIN_WAIT_MILLIS = 25;
--- a/src/main/java/org/jaywood/replica/PieceFetcher.java
+++ b/src/main/java/org/jaywood/replica/PieceFetcher.java
@@ -3,11 +3,13 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Semaphore;
 import java.util.function.BooleanSupplier;
 import java.util.stream.IntStream;
 
@@ -47,9 +49,6 @@
 
 	private static final long RETRY_PAUSE_MILLIS = 150;
 
-	/** Failures of all peers of a piece after which the origin is asked. */
-	private static final int PEER_ROUNDS = 2;
-
 	private final FleetKnowledge fleet;
 
 	private final PeerPieces peers;
@@ -60,6 +59,8 @@
 
 	private final EventLog log;
 
+	private final Semaphore originTurns = new Semaphore(ORIGIN_WORKERS);
+
 	private final Map<String, Long> unreachableSinceMillis = new ConcurrentHashMap<>();
 
 	PieceFetcher(FleetKnowledge fleet, PeerPieces peers, WeightOrigin origin, int agentPort, EventLog log) {
@@ -99,7 +100,7 @@
 	 */
 	void fetch(WeightCopy copy, Upstream own, BooleanSupplier wanted) throws InterruptedException {
 		NamedWeights target = new NamedWeights(copy.list().model(), copy.list().version());
-		SourcePlan plan = new SourcePlan(own, this.fleet.engines(), target, originRegion());
+		SourcePlan plan = plan(target, own);
 		List<Integer> missing = IntStream.range(0, copy.list().size())
 			.filter((index) -> !copy.has(index))
 			.boxed()
@@ -148,27 +149,47 @@
 		}
 	}
 
-	private void fromPeers(int index, WeightCopy copy, SourcePlan plan, NamedWeights target, BooleanSupplier wanted) {
+	private void fromPeers(int index, WeightCopy copy, SourcePlan first, NamedWeights target, BooleanSupplier wanted) {
+		SourcePlan plan = first;
 		for (int round = 0; !copy.has(index) && wanted.getAsBoolean(); round++) {
+			long waitMillis = (round == 0) ? PEER_WAIT_MILLIS : 0;
 			boolean found = plan.sources(index)
 				.stream()
-				.anyMatch((source) -> wanted.getAsBoolean() && askPeer(source, index, copy, target));
-			if (!found && round + 1 >= PEER_ROUNDS) {
-				found = askOrigin(index, copy, target);
+				.anyMatch((source) -> wanted.getAsBoolean() && askPeer(source, index, copy, target, waitMillis));
+			if (!found && wanted.getAsBoolean()) {
+				found = askAnyone(index, copy, target) || askOrigin(index, copy, target);
 			}
 			if (!found) {
 				pause();
+				plan = this.fleet.own().map((own) -> plan(target, own)).orElse(first);
 			}
 		}
 	}
 
-	private boolean askPeer(Upstream source, int index, WeightCopy copy, NamedWeights target) {
+	private SourcePlan plan(NamedWeights target, Upstream own) {
+		return new SourcePlan(own, this.fleet.engines(), target, originRegion());
+	}
+
+	/**
+	 * Asks all peers, whatever the plan says: the plans of agents that know different
+	 * lists may wait for each other.
+	 */
+	private boolean askAnyone(int index, WeightCopy copy, NamedWeights target) {
+		String self = this.fleet.own().map(Upstream::id).orElse("");
+		return this.fleet.engines()
+			.stream()
+			.filter((engine) -> !engine.id().equals(self))
+			.sorted(Comparator.comparing(this::isFar))
+			.anyMatch((engine) -> askPeer(engine, index, copy, target, 0));
+	}
+
+	private boolean askPeer(Upstream source, int index, WeightCopy copy, NamedWeights target, long waitMillis) {
 		Long failedMillis = this.unreachableSinceMillis.get(source.id());
 		if (failedMillis != null && BootClock.nowMillis() - failedMillis < UNREACHABLE_MILLIS) {
 			return false;
 		}
 		try {
-			byte[] piece = this.peers.piece(agent(source), target, index, isFar(source), PEER_WAIT_MILLIS);
+			byte[] piece = this.peers.piece(agent(source), target, index, isFar(source), waitMillis);
 			return accept(copy, index, piece, source.id());
 		}
 		catch (ConnectionException ex) {
@@ -187,7 +208,11 @@
 	}
 
 	private boolean askOrigin(int index, WeightCopy copy, NamedWeights target) {
+		this.originTurns.acquireUninterruptibly();
 		try {
+			if (copy.has(index)) {
+				return true;
+			}
 			return accept(copy, index, this.origin.piece(originAddress(), target.model(), target.version(), index),
 					"origin");
 		}
@@ -195,6 +220,9 @@
 			logFailure(Integer.toString(index), "origin", ex);
 			return false;
 		}
+		finally {
+			this.originTurns.release();
+		}
 	}
 
 	private boolean accept(WeightCopy copy, int index, byte[] piece, String source) {
--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -32,6 +32,14 @@
 	/** Time in which the list is likely to show the change. */
 	private static final long MISDIRECTED_PAUSE_MILLIS = 400;
 
+	/**
+	 * A caller that is sent away during an overload finds the same one a moment later.
+	 */
+	private static final long MIN_RETRY_AFTER_MILLIS = 700;
+
+	/** Callers that are refused together come back apart. */
+	private static final int RETRY_SPREAD_MILLIS = 600;
+
 	private final PlacementPolicy policy;
 
 	private final DispatchSettings settings;
@@ -153,7 +161,8 @@
 		Collection<UpstreamState> eligible = eligible(demand, nowMillis);
 		TreeSet<Ticket> queue = this.waiting.get(demand.service());
 		int ahead = (queue != null) ? queue.size() : 0;
-		long byRate = rate(demand.service()).retryAfterMillis(ahead + 1, nowMillis);
+		long byRate = Math.max(MIN_RETRY_AFTER_MILLIS, rate(demand.service()).retryAfterMillis(ahead + 1, nowMillis))
+				+ Math.floorMod(demand.callId().hashCode(), RETRY_SPREAD_MILLIS);
 		return eligible.stream()
 			.mapToLong((state) -> Math.max(byRate, state.health().pausedUntilMillis() - nowMillis))
 			.min()
--- a/src/main/java/org/jaywood/routing/FleetDigest.java
+++ b/src/main/java/org/jaywood/routing/FleetDigest.java
@@ -2,6 +2,9 @@
 
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.BinaryOperator;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import org.jspecify.annotations.Nullable;
@@ -31,12 +34,18 @@
 	}
 
 	/**
-	 * Makes the digest of one service. Times that pass by themselves are left out.
+	 * Makes the digest of one service. Times that pass by themselves are left out, and of
+	 * several entries with one address all but the youngest, since an engine that lost
+	 * power leaves an entry behind for a while.
 	 */
 	public static FleetDigest of(long revision, ServiceProfile.Engines profile, ServiceProfile.@Nullable Origin origin,
 			long version, List<Upstream> upstreams) {
 		List<Upstream> engines = upstreams.stream()
 			.filter((upstream) -> upstream.service().equals(profile.name()))
+			.collect(Collectors.toMap(Upstream::address, Function.identity(),
+					BinaryOperator.maxBy(Comparator.comparingLong(Upstream::bornMillis))))
+			.values()
+			.stream()
 			.map(Upstream::withoutColdTime)
 			.sorted(Comparator.comparing(Upstream::id))
 			.toList();
--- a/src/test/java/org/jaywood/ArchitectureTests.java
+++ b/src/test/java/org/jaywood/ArchitectureTests.java
@@ -50,8 +50,32 @@
 				.definedBy("org.jaywood.wire..")
 				.layer("event")
 				.definedBy("org.jaywood.event..")
+				.layer("http")
+				.definedBy("org.jaywood.http..")
+				.layer("feed")
+				.definedBy("org.jaywood.feed..")
+				.layer("routing")
+				.definedBy("org.jaywood.routing..")
+				.layer("gateway")
+				.definedBy("org.jaywood.gateway..")
+				.layer("replica")
+				.definedBy("org.jaywood.replica..")
+				.layer("platform")
+				.definedBy("org.jaywood.platform..")
 				.whereLayer("cli")
 				.mayNotBeAccessedByAnyLayer()
+				.whereLayer("platform")
+				.mayOnlyBeAccessedByLayers("cli")
+				.whereLayer("gateway")
+				.mayOnlyBeAccessedByLayers("cli", "platform")
+				.whereLayer("replica")
+				.mayOnlyBeAccessedByLayers("cli", "platform")
+				.whereLayer("routing")
+				.mayOnlyBeAccessedByLayers("cli", "platform", "gateway", "replica", "router")
+				.whereLayer("feed")
+				.mayOnlyBeAccessedByLayers("cli", "platform", "gateway", "replica", "routing")
+				.whereLayer("http")
+				.mayOnlyBeAccessedByLayers("cli", "platform", "gateway", "replica", "routing")
 				.whereLayer("bench")
 				.mayOnlyBeAccessedByLayers("cli")
 				.whereLayer("standin")
@@ -63,7 +87,7 @@
 				.whereLayer("weights")
 				.mayOnlyBeAccessedByLayers("cli", "bench", "standin", "agent")
 				.whereLayer("peer")
-				.mayOnlyBeAccessedByLayers("cli", "bench", "router", "agent", "weights")
+				.mayOnlyBeAccessedByLayers("cli", "bench", "router", "agent", "weights", "gateway")
 				.whereLayer("config")
 				.mayOnlyBeAccessedByLayers("cli", "bench", "router", "agent", "weights", "peer")
 				.whereLayer("store")
@@ -86,6 +110,22 @@
 
 	}
 
+	@Nested
+	class Decisions {
+
+		@Test
+		void routingUsesNoNetwork() {
+			ArchRuleDefinition.noClasses()
+				.that()
+				.resideInAPackage("org.jaywood.routing..")
+				.should()
+				.dependOnClassesThat()
+				.resideInAnyPackage("java.net..", "org.apache.hc..", "com.sun.net..")
+				.check(CLASSES);
+		}
+
+	}
+
 	@Nested
 	class Processes {
 
--- /dev/null
+++ b/src/test/java/org/jaywood/feed/FeedFollowerTests.java
@@ -0,0 +1,128 @@
+package org.jaywood.feed;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.event.EventLog;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class FeedFollowerTests {
+
+	private static final long WAIT_MILLIS = 50;
+
+	private final ScriptedFeed feed = new ScriptedFeed();
+
+	private final FeedFollower<String> follower = new FeedFollower<>(this.feed, WAIT_MILLIS, (view) -> {
+	}, new EventLog("test"));
+
+	/**
+	 * Guards against a view that misses changes, or claims to be newer than it is.
+	 */
+	@Nested
+	class View {
+
+		@Test
+		void followsChangesAndDeletions() {
+			FeedFollowerTests.this.feed.add(new FeedPage<>(5, List.of(new FeedEntry<>("a", "1"))));
+			FeedFollowerTests.this.feed
+				.add(new FeedPage<>(6, List.of(new FeedEntry<>("b", "2"), new FeedEntry<>("a", null))));
+			FeedFollowerTests.this.follower.start();
+			Awaitility.await().until(() -> revision() == 6);
+			assertThat(FeedFollowerTests.this.follower.view().entries()).containsExactly("b", "2");
+		}
+
+		@Test
+		void listsAnewWhenTheHistoryIsGone() {
+			FeedFollowerTests.this.feed.add(new FeedPage<>(5, List.of(new FeedEntry<>("a", "1"))));
+			FeedFollowerTests.this.feed.add(new HistoryLostException("gone"));
+			FeedFollowerTests.this.feed.add(new FeedPage<>(9, List.of(new FeedEntry<>("c", "3"))));
+			FeedFollowerTests.this.follower.start();
+			Awaitility.await().until(() -> revision() == 9);
+			assertThat(FeedFollowerTests.this.follower.view().entries()).containsExactly("c", "3");
+			assertThat(FeedFollowerTests.this.feed.calls.subList(0, 3)).containsExactly("list", "watch", "list")
+				.inOrder();
+		}
+
+		@Test
+		void listsAnewAfterAWatchThatWasCut() {
+			FeedFollowerTests.this.feed.add(new FeedPage<>(5, List.of(new FeedEntry<>("a", "1"))));
+			FeedFollowerTests.this.feed.add(new FeedException("cut", null));
+			FeedFollowerTests.this.feed.add(new FeedPage<>(7, List.of()));
+			FeedFollowerTests.this.follower.start();
+			Awaitility.await().until(() -> revision() == 7);
+			assertThat(FeedFollowerTests.this.follower.view().entries()).isEmpty();
+		}
+
+		@Test
+		void anOutageIsNotConfirmedAsCurrent() {
+			FeedFollowerTests.this.feed.add(new FeedPage<>(5, List.of()));
+			long beforeMillis = BootClock.nowMillis();
+			for (int failure = 0; failure < 3; failure++) {
+				FeedFollowerTests.this.feed.add(new FeedException("down", null));
+			}
+			FeedFollowerTests.this.follower.start();
+			Awaitility.await().until(() -> FeedFollowerTests.this.feed.answers.isEmpty());
+			FeedView<String> view = FeedFollowerTests.this.follower.view();
+			assertThat(view.confirmedMillis()).isAtMost(beforeMillis + 5 * WAIT_MILLIS + 1_000);
+			assertThat(view.revision()).isEqualTo(5);
+		}
+
+		private long revision() {
+			FeedView<String> view = FeedFollowerTests.this.follower.view();
+			return (view != null) ? view.revision() : -1;
+		}
+
+	}
+
+	/**
+	 * Feed that gives prepared answers and then fails.
+	 */
+	private static final class ScriptedFeed implements Feed<String> {
+
+		private final Deque<Object> answers = new ArrayDeque<>();
+
+		private final List<String> calls = new CopyOnWriteArrayList<>();
+
+		synchronized void add(Object answer) {
+			this.answers.add(answer);
+		}
+
+		@Override
+		public String name() {
+			return "scripted";
+		}
+
+		@Override
+		public FeedPage<String> list() throws FeedException {
+			this.calls.add("list");
+			return next();
+		}
+
+		@Override
+		public FeedPage<String> watch(long revision, long waitMillis) throws FeedException {
+			this.calls.add("watch");
+			return next();
+		}
+
+		@SuppressWarnings("unchecked")
+		private synchronized FeedPage<String> next() throws FeedException {
+			Object answer = this.answers.poll();
+			if (answer instanceof FeedException failure) {
+				throw failure;
+			}
+			if (answer == null) {
+				throw new FeedException("no more answers", null);
+			}
+			return (FeedPage<String>) answer;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/jaywood/gateway/GatewayTests.java
@@ -0,0 +1,382 @@
+package org.jaywood.gateway;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.event.EventLog;
+import org.jaywood.feed.Feed;
+import org.jaywood.feed.FeedEntry;
+import org.jaywood.feed.FeedException;
+import org.jaywood.feed.FeedPage;
+import org.jaywood.http.RequestLimits;
+import org.jaywood.platform.PlatformCalls;
+import org.jaywood.routing.DispatchSettings;
+import org.jaywood.routing.NamedWeights;
+import org.jaywood.routing.RepeatPolicy;
+import org.jaywood.routing.Route;
+import org.jaywood.routing.RouteTable;
+import org.jaywood.routing.ServiceProfile;
+import org.jaywood.routing.ServiceShare;
+import org.jaywood.routing.Upstream;
+import org.jaywood.routing.Workspace;
+import org.jaywood.wire.Address;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * A gateway on loopback ports before scripted upstreams.
+ */
+class GatewayTests {
+
+	private static final String SAFE = "GET /safe/x HTTP/1.1\r\nHost: host\r\nX-Attempt-Id: call-1\r\n"
+			+ "X-Deadline-Ms: 3000\r\nAuthorization: Bearer key-1\r\nX-Tenant: forged\r\n\r\n";
+
+	private static final String UNSAFE = "POST /unsafe/x?q=1 HTTP/1.1\r\nHost: host\r\nX-Attempt-Id: call-1\r\n"
+			+ "X-Deadline-Ms: 3000\r\nAuthorization: Bearer key-1\r\nContent-Length: 4\r\n\r\nbody";
+
+	private static final String STREAM = "POST /stream/x HTTP/1.1\r\nHost: host\r\nX-Attempt-Id: call-1\r\n"
+			+ "X-Deadline-Ms: 6000\r\nAuthorization: Bearer key-1\r\nContent-Length: 2\r\n\r\nhi";
+
+	private final List<AutoCloseable> open = new ArrayList<>();
+
+	private Gateway start(FakeUpstream... upstreams) {
+		List<Upstream> entries = new ArrayList<>();
+		for (FakeUpstream upstream : upstreams) {
+			this.open.add(upstream);
+			entries.add(new Upstream("i-" + entries.size(), "desk", upstream.address(), "dc", "region", 8, false, 0, 1,
+					null));
+		}
+		GatewaySettings settings = new GatewaySettings("gateway", new Address("127.0.0.1", 0),
+				new Address("127.0.0.1", 0), "/ready", new Address("127.0.0.1", 0), 1,
+				new DispatchSettings("region", "dc", 1.5, 5, 2_200, 7_000), 1, 0.2, 100, 10_000, 3_400, 1_800, 8_000);
+		Gateway gateway = new Gateway(settings, new PlatformCalls(),
+				new GatewayFeeds(new FixedFeed<>("config", List.of(table())), new FixedFeed<>("servers", entries),
+						new FixedFeed<>("closed", List.of()), new FixedFeed<NamedWeights>("weights", List.of())),
+				new EventLog("gateway"));
+		gateway.start();
+		Awaitility.await().until(gateway::ready);
+		return gateway;
+	}
+
+	private static RouteTable table() {
+		return new RouteTable(1,
+				List.of(route("safe", RepeatPolicy.IDEMPOTENT), route("unsafe", RepeatPolicy.AT_MOST_ONCE),
+						route("stream", RepeatPolicy.RESUMABLE_STREAM)),
+				Map.of("desk", new ServiceProfile.Plain("desk")),
+				Map.of("key-1", new Workspace("workspace-1", OptionalInt.empty(), Set.of())),
+				new RequestLimits(16_384, 10_000, 3_000, 15_000));
+	}
+
+	private static Route route(String name, RepeatPolicy policy) {
+		return new Route(name, "host", "/" + name + "/", policy, 5_000, 400, 1, List.of(new ServiceShare("desk", 1)),
+				(policy == RepeatPolicy.AT_MOST_ONCE) ? 1 : 2, false, Set.of());
+	}
+
+	private static String exchange(Gateway gateway, String request) throws IOException {
+		try (Socket socket = new Socket("127.0.0.1", gateway.callerPort())) {
+			socket.setSoTimeout(8_000);
+			String closing = request.replaceFirst("\r\n\r\n", "\r\nConnection: close\r\n\r\n");
+			socket.getOutputStream().write(closing.getBytes(StandardCharsets.ISO_8859_1));
+			return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+		}
+	}
+
+	private static void write(OutputStream out, String text) throws IOException {
+		out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+		out.flush();
+	}
+
+	@AfterEach
+	void close() throws Exception {
+		for (AutoCloseable closeable : this.open) {
+			closeable.close();
+		}
+	}
+
+	/**
+	 * Guards against a call that reaches an upstream altered, under another name, or with
+	 * the caller's key.
+	 */
+	@Nested
+	class Forwarding {
+
+		@Test
+		void passesTheCallOnWithItsOwnHeadersOnly() throws IOException {
+			FakeUpstream upstream = new FakeUpstream(
+					(request, number, out, socket) -> write(out, FakeUpstream.answer(request, 200, "", "done")));
+			String answer = exchange(start(upstream), UNSAFE);
+			FakeUpstream.Request seen = upstream.requests().getFirst();
+			assertThat(seen.line()).isEqualTo("POST /unsafe/x?q=1 HTTP/1.1");
+			assertThat(seen.body()).isEqualTo("body");
+			assertThat(seen.header("x-tenant")).isEqualTo("workspace-1");
+			assertThat(seen.header("x-expect-instance")).isEqualTo("i-0");
+			assertThat(seen.header("authorization")).isEmpty();
+			assertThat(Long.parseLong(seen.header("x-deadline-ms"))).isAtMost(3_000);
+			assertThat(answer).contains("X-Response-Seal: seal");
+			assertThat(answer).endsWith("done");
+		}
+
+		@Test
+		void aForgedWorkspaceIsReplaced() throws IOException {
+			FakeUpstream upstream = new FakeUpstream(
+					(request, number, out, socket) -> write(out, FakeUpstream.answer(request, 200, "", "done")));
+			exchange(start(upstream), SAFE);
+			assertThat(upstream.requests().getFirst().header("x-tenant")).isEqualTo("workspace-1");
+		}
+
+		@Test
+		void rejectsARequestWhoseLengthIsStatedTwice() throws IOException {
+			FakeUpstream upstream = new FakeUpstream(
+					(request, number, out, socket) -> write(out, FakeUpstream.answer(request, 200, "", "done")));
+			String smuggled = UNSAFE.replace("Content-Length: 4", "Content-Length: 4\r\nTransfer-Encoding: chunked");
+			assertThat(exchange(start(upstream), smuggled)).startsWith("HTTP/1.1 400");
+			assertThat(upstream.requests()).isEmpty();
+		}
+
+		@Test
+		void refusesAnUnknownKeyAndAnUnknownPath() throws IOException {
+			Gateway gateway = start(new FakeUpstream((request, number, out, socket) -> socket.close()));
+			assertThat(exchange(gateway, SAFE.replace("key-1", "key-2"))).startsWith("HTTP/1.1 401");
+			assertThat(exchange(gateway, SAFE.replace("/safe/", "/none/"))).startsWith("HTTP/1.1 404");
+		}
+
+	}
+
+	/**
+	 * Guards against a call that runs twice, and against a refusal that says "not run" of
+	 * one that may have run.
+	 */
+	@Nested
+	class AtMostOnce {
+
+		@Test
+		void aBrokenCallThatMayNotRunTwiceIsNotSentAgain() throws IOException {
+			FakeUpstream first = new FakeUpstream((request, number, out, socket) -> socket.close());
+			FakeUpstream second = new FakeUpstream((request, number, out, socket) -> socket.close());
+			String answer = exchange(start(first, second), UNSAFE);
+			assertThat(first.requests().size() + second.requests().size()).isEqualTo(1);
+			assertThat(answer).startsWith("HTTP/1.1 502");
+		}
+
+		@Test
+		void aBrokenIdempotentCallIsSentToAnotherUpstream() throws IOException {
+			FakeUpstream.Script script = (request, number, out, socket) -> {
+				if (request.header("x-expect-instance").equals("i-0")) {
+					socket.close();
+				}
+				else {
+					write(out, FakeUpstream.answer(request, 200, "", "done"));
+				}
+			};
+			String answer = exchange(start(new FakeUpstream(script), new FakeUpstream(script)), SAFE);
+			assertThat(answer).startsWith("HTTP/1.1 200");
+		}
+
+		@Test
+		void aCallThatNoUpstreamRanIsRefusedAsNotRun() throws IOException {
+			FakeUpstream full = new FakeUpstream((request, number, out, socket) -> write(out,
+					FakeUpstream.answer(request, 503, "X-Not-Executed: 1\r\n", "")));
+			String answer = exchange(start(full), UNSAFE);
+			assertThat(answer).startsWith("HTTP/1.1 503");
+			assertThat(answer).contains("Retry-After: ");
+		}
+
+		@Test
+		void a503OfAnUpstreamThatMayHaveRunTheCallIsNotPassedOnAsAPromise() throws IOException {
+			FakeUpstream odd = new FakeUpstream(
+					(request, number, out, socket) -> write(out, FakeUpstream.answer(request, 503, "", "")));
+			assertThat(exchange(start(odd), UNSAFE)).startsWith("HTTP/1.1 502");
+		}
+
+	}
+
+	/**
+	 * Guards against answers that are mixed up, cut or joined wrongly.
+	 */
+	@Nested
+	class Answers {
+
+		@Test
+		void anExtraAnswerToAnEarlierCallIsSkipped() throws IOException {
+			FakeUpstream upstream = new FakeUpstream((request, number, out, socket) -> write(out,
+					FakeUpstream.answer(request, 200, "", "stray").replace("call-1", "call-0")
+							+ FakeUpstream.answer(request, 200, "", "done")));
+			assertThat(exchange(start(upstream), UNSAFE)).endsWith("done");
+		}
+
+		@Test
+		void aPlainAnswerThatEndsEarlyIsNotPassedOn() throws IOException {
+			FakeUpstream upstream = new FakeUpstream((request, number, out, socket) -> {
+				write(out, FakeUpstream.answer(request, 200, "", "whole answer").replace("answer", ""));
+				socket.close();
+			});
+			assertThat(exchange(start(upstream), UNSAFE)).startsWith("HTTP/1.1 502");
+		}
+
+		@Test
+		void aBrokenStreamGoesOnBehindTheLastWholeEvent() throws IOException {
+			FakeUpstream.Script script = (request, number, out, socket) -> {
+				write(out, FakeUpstream.streamHead(request));
+				if (request.header("last-event-id").isEmpty()) {
+					write(out, FakeUpstream.chunk("id: 1\ndata: a\n\nid: 2\nda"));
+					socket.close();
+				}
+				else {
+					write(out, FakeUpstream.chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+				}
+			};
+			String answer = exchange(start(new FakeUpstream(script), new FakeUpstream(script)), STREAM);
+			assertThat(answer).contains("id: 1\ndata: a\n\n");
+			assertThat(answer).contains("id: 2\ndata: b\n\n");
+			assertThat(answer).endsWith("0\r\n\r\n");
+		}
+
+		@Test
+		void aStreamThatCannotGoOnHasNoEnd() throws IOException {
+			FakeUpstream only = new FakeUpstream((request, number, out, socket) -> {
+				write(out, FakeUpstream.streamHead(request) + FakeUpstream.chunk("id: 1\ndata: a\n\n"));
+				socket.close();
+			});
+			String answer = exchange(start(only), STREAM);
+			assertThat(answer).contains("id: 1");
+			assertThat(answer).doesNotContain("\r\n0\r\n");
+		}
+
+		@Test
+		void aResumedStreamThatRepeatsAnEventIsCut() throws IOException {
+			FakeUpstream.Script script = (request, number, out, socket) -> {
+				write(out, FakeUpstream.streamHead(request) + FakeUpstream.chunk("id: 1\ndata: a\n\n"));
+				if (request.header("last-event-id").isEmpty()) {
+					socket.close();
+				}
+				else {
+					write(out, "0\r\n\r\n");
+				}
+			};
+			String answer = exchange(start(new FakeUpstream(script), new FakeUpstream(script)), STREAM);
+			assertThat(answer.split("id: 1", -1)).hasLength(2);
+			assertThat(answer).doesNotContain("\r\n0\r\n");
+		}
+
+	}
+
+	/**
+	 * Guards against work for a caller that has left.
+	 */
+	@Nested
+	class Leaving {
+
+		@Test
+		void theCallIsCancelledAtTheUpstreamBeforeTheFirstByte() throws Exception {
+			FakeUpstream silent = new FakeUpstream((request, number, out, socket) -> {
+			});
+			Gateway gateway = start(silent);
+			try (Socket caller = new Socket("127.0.0.1", gateway.callerPort())) {
+				write(caller.getOutputStream(), STREAM);
+				Awaitility.await().until(() -> !silent.requests().isEmpty());
+			}
+			assertThat(silent.callerGone().await(500, TimeUnit.MILLISECONDS)).isTrue();
+		}
+
+	}
+
+	/**
+	 * Guards against callers that are cut or turned away while the process stops.
+	 */
+	@Nested
+	class Stopping {
+
+		@Test
+		void aCallUnderWayIsAnsweredAndNewOnesAreStillTaken() throws Exception {
+			FakeUpstream slow = new FakeUpstream((request, number, out, socket) -> {
+				Awaitility.await().pollDelay(300, TimeUnit.MILLISECONDS).until(() -> true);
+				write(out, FakeUpstream.answer(request, 200, "", "done"));
+			});
+			Gateway gateway = start(slow);
+			Thread drain = Thread.ofVirtual().start(() -> {
+				try {
+					gateway.drain(0);
+				}
+				catch (InterruptedException ex) {
+					Thread.currentThread().interrupt();
+				}
+			});
+			Awaitility.await().until(() -> !gateway.ready());
+			String answer = exchange(gateway, SAFE);
+			assertThat(answer).startsWith("HTTP/1.1 200");
+			assertThat(answer).contains("Connection: close");
+			drain.join();
+		}
+
+	}
+
+	/**
+	 * Guards against an idle connection that stays open while the process stops, so that
+	 * the call sent on it late is cut.
+	 */
+	@Nested
+	class StoppingWithIdleCallers {
+
+		@Test
+		void idleConnectionsCloseOnceNewCallersGoElsewhere() throws Exception {
+			FakeUpstream upstream = new FakeUpstream(
+					(request, number, out, socket) -> write(out, FakeUpstream.answer(request, 200, "", "done")));
+			Gateway gateway = start(upstream);
+			try (Socket idle = new Socket("127.0.0.1", gateway.callerPort())) {
+				idle.setSoTimeout(6_000);
+				Thread.ofVirtual().start(() -> {
+					try {
+						gateway.drain(0);
+					}
+					catch (InterruptedException ex) {
+						Thread.currentThread().interrupt();
+					}
+				});
+				assertThat(idle.getInputStream().read()).isEqualTo(-1);
+			}
+		}
+
+	}
+
+	/**
+	 * Feed whose objects never change.
+	 *
+	 * @param <T> type of the values
+	 */
+	private record FixedFeed<T>(String name, List<T> values) implements Feed<T> {
+
+		@Override
+		public FeedPage<T> list() {
+			List<FeedEntry<T>> entries = new ArrayList<>();
+			this.values.forEach((value) -> entries
+				.add(new FeedEntry<>((value instanceof Upstream upstream) ? upstream.id() : "object", value)));
+			return new FeedPage<>(1, entries);
+		}
+
+		@Override
+		public FeedPage<T> watch(long revision, long waitMillis) throws FeedException {
+			try {
+				Thread.sleep(waitMillis);
+			}
+			catch (InterruptedException ex) {
+				throw new FeedException("interrupted", ex);
+			}
+			return new FeedPage<>(revision, List.of());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/jaywood/gateway/KnowledgeTests.java
@@ -0,0 +1,78 @@
+package org.jaywood.gateway;
+
+import java.util.Map;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.event.EventLog;
+import org.jaywood.feed.BootClock;
+import org.jaywood.feed.FeedView;
+import org.jaywood.routing.DispatchSettings;
+import org.jaywood.routing.Dispatcher;
+import org.jaywood.routing.NamedWeights;
+import org.jaywood.routing.RouteTable;
+import org.jaywood.routing.Upstream;
+import org.jaywood.routing.Upstreams;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class KnowledgeTests {
+
+	private static final long VERSION_MILLIS = 7_000;
+
+	private final Dispatcher dispatcher = new Dispatcher(
+			new DispatchSettings("doto", "kushiro-a", 1.5, 5, 2_200, VERSION_MILLIS));
+
+	private final Knowledge knowledge = new Knowledge(this.dispatcher, new EventLog("test"));
+
+	private final Upstream engine = Upstreams.engine("a", "kushiro-a", "doto", 1);
+
+	KnowledgeTests() {
+		long nowMillis = BootClock.nowMillis();
+		RouteTable table = Upstreams.table();
+		this.knowledge.onConfiguration(new FeedView<>(Map.of("main", table), 1, nowMillis, Long.MIN_VALUE));
+		this.knowledge.onUpstreams(new FeedView<>(Map.of(this.engine.id(), this.engine), 1, nowMillis, Long.MIN_VALUE));
+	}
+
+	private void onWeights(long version, long confirmedMillis, long regainedMillis) {
+		Map<String, NamedWeights> entries = (version > 1) ? Map.of("model", new NamedWeights("model", version))
+				: Map.of();
+		this.knowledge.onWeights(new FeedView<>(entries, 2, confirmedMillis, regainedMillis));
+	}
+
+	private boolean due() {
+		return this.dispatcher.requiredVersion(Upstreams.POOL, BootClock.nowMillis()).isPresent();
+	}
+
+	/**
+	 * Guards against a gateway that grants an outdated version its whole time anew
+	 * because it has just started, or has just reached the store again.
+	 */
+	@Nested
+	class NamedVersions {
+
+		@Test
+		void aVersionFoundAtTheStartIsDueAtOnce() {
+			onWeights(2, BootClock.nowMillis(), Long.MIN_VALUE);
+			assertThat(due()).isTrue();
+		}
+
+		@Test
+		void aVersionSeenAsItIsNamedIsNotDueYet() {
+			onWeights(1, BootClock.nowMillis(), Long.MIN_VALUE);
+			onWeights(2, BootClock.nowMillis(), Long.MIN_VALUE);
+			assertThat(due()).isFalse();
+		}
+
+		@Test
+		void aVersionFoundAfterAnOutageCountsFromTheLastAnswerBefore() {
+			long nowMillis = BootClock.nowMillis();
+			onWeights(1, nowMillis - VERSION_MILLIS - 500, Long.MIN_VALUE);
+			onWeights(2, nowMillis, nowMillis);
+			assertThat(due()).isTrue();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/jaywood/platform/PlatformNamesTests.java
@@ -0,0 +1,49 @@
+package org.jaywood.platform;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against names of the platform that spread into the product, where they would
+ * have to be known and changed in many places.
+ */
+class PlatformNamesTests {
+
+	private static final Path MAIN = Path.of("src/main/java/org/jaywood");
+
+	private static final List<String> NAMES = List.of("X-Attempt-Id", "X-Deadline-Ms", "X-Response-Seal",
+			"X-Not-Executed", "X-Expect-Instance", "X-Expect-Version", "X-Tenant", "X-Request-Priority",
+			"X-Weight-Versions", "X-Token-Usage", "X-Length-Hint", "SampleCount", "HasMore", "AsOf", "AllowStale",
+			"AllowedRegions", "StartAfter", "PathPrefix", "TimeoutMs", "ApiKeys", "ColdPerS", "ColdLeftMs", "KvUsed",
+			"evacuations", "stage-put", "/manifest/");
+
+	@Test
+	void onlyTheAdapterNamesWhatThePlatformNames() throws IOException {
+		try (Stream<Path> files = Files.walk(MAIN)) {
+			List<String> hits = files.filter((file) -> file.toString().endsWith(".java"))
+				.filter((file) -> !file.startsWith(MAIN.resolve("platform")))
+				.flatMap((file) -> names(file).map((name) -> file + ": " + name))
+				.toList();
+			assertThat(hits).isEmpty();
+		}
+	}
+
+	private static Stream<String> names(Path file) {
+		try {
+			String text = Files.readString(file);
+			return NAMES.stream()
+				.filter((name) -> text.contains("\"" + name + "\"") || text.contains("\"" + name + "="));
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/jaywood/replica/RolloutTests.java
@@ -0,0 +1,75 @@
+package org.jaywood.replica;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.routing.NamedWeights;
+import org.jaywood.routing.Upstream;
+import org.jaywood.routing.Upstreams;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class RolloutTests {
+
+	private static final long NOW = 50_000;
+
+	private final Rollout rollout = new Rollout();
+
+	private static NamedWeights version(long number) {
+		return new NamedWeights("model", number);
+	}
+
+	/**
+	 * Guards against engines without any version that may run calls, because each
+	 * transfer is dropped for the next one.
+	 */
+	@Nested
+	class Succession {
+
+		@Test
+		void aVersionThatIsWellUnderWayIsFinishedFirst() {
+			RolloutTests.this.rollout.onNamed(version(2), NOW);
+			RolloutTests.this.rollout.onNamed(version(3), NOW + 4_000);
+			assertThat(RolloutTests.this.rollout.target()).isEqualTo(version(2));
+			assertThat(RolloutTests.this.rollout.versions()).containsExactly(version(2), version(3)).inOrder();
+			RolloutTests.this.rollout.onActivated(version(2));
+			assertThat(RolloutTests.this.rollout.target()).isEqualTo(version(3));
+		}
+
+		@Test
+		void aVersionThatHasJustBegunGivesWay() {
+			RolloutTests.this.rollout.onNamed(version(2), NOW);
+			RolloutTests.this.rollout.onNamed(version(3), NOW + 1_000);
+			assertThat(RolloutTests.this.rollout.versions()).containsExactly(version(3));
+		}
+
+		@Test
+		void anOlderNamingChangesNothing() {
+			RolloutTests.this.rollout.onNamed(version(3), NOW);
+			RolloutTests.this.rollout.onNamed(version(2), NOW + 5_000);
+			assertThat(RolloutTests.this.rollout.versions()).containsExactly(version(3));
+		}
+
+	}
+
+	/**
+	 * Guards against all engines loading at the same moment.
+	 */
+	@Nested
+	class Turns {
+
+		@Test
+		void theSecondHalfWaits() {
+			List<Upstream> engines = List.of(Upstreams.engine("a", "kushiro-a", "doto", 1),
+					Upstreams.engine("b", "kushiro-a", "doto", 1));
+			RolloutTests.this.rollout.onNamed(version(2), NOW);
+			assertThat(RolloutTests.this.rollout.mayLoad(version(2), engines.get(0), engines, NOW + 5_000)).isTrue();
+			assertThat(RolloutTests.this.rollout.mayLoad(version(2), engines.get(1), engines, NOW + 5_000)).isFalse();
+			assertThat(RolloutTests.this.rollout.mayLoad(version(2), engines.get(1), engines, NOW + 6_200)).isTrue();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/jaywood/replica/SourcePlanTests.java
@@ -0,0 +1,120 @@
+package org.jaywood.replica;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.routing.NamedWeights;
+import org.jaywood.routing.Upstream;
+import org.jaywood.routing.Upstreams;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class SourcePlanTests {
+
+	private static final int PIECES = 96;
+
+	private static final NamedWeights NEW = new NamedWeights("model", 2);
+
+	private static final NamedWeights SERVED = new NamedWeights("model", 1);
+
+	private static List<Upstream> engines(int perRegion) {
+		return Stream.of("doto", "dohoku", "donan")
+			.flatMap((region) -> IntStream.range(0, perRegion)
+				.mapToObj((number) -> Upstreams.engine(region + number, region + "-a", region, 1)))
+			.toList();
+	}
+
+	private static SourcePlan plan(Upstream own, List<Upstream> engines, NamedWeights target) {
+		return new SourcePlan(own, engines, target, "dohoku");
+	}
+
+	/**
+	 * Guards against a version that spreads more slowly than one link carries it, crosses
+	 * the region links more often than needed, or never arrives.
+	 */
+	@Nested
+	class NewVersion {
+
+		@Test
+		void oneCopyLeavesTheOriginAndOneEntersEachOtherRegion() {
+			List<Upstream> engines = engines(3);
+			Map<String, Integer> sends = new HashMap<>();
+			int fromOrigin = 0;
+			int crossings = 0;
+			for (Upstream engine : engines) {
+				SourcePlan plan = plan(engine, engines, NEW);
+				for (int index = 0; index < PIECES; index++) {
+					List<Upstream> sources = plan.sources(index);
+					fromOrigin += sources.isEmpty() ? 1 : 0;
+					if (!sources.isEmpty()) {
+						Upstream source = sources.getFirst();
+						sends.merge(source.id(), 1, Integer::sum);
+						crossings += source.region().equals(engine.region()) ? 0 : 1;
+					}
+				}
+			}
+			assertThat(fromOrigin).isEqualTo(PIECES);
+			assertThat(crossings).isEqualTo(2 * PIECES);
+			sends.values().forEach((count) -> assertThat(count).isAtMost(PIECES));
+		}
+
+		@Test
+		void everyChainEndsAtTheOriginAlsoWhileOwnEntriesDiffer() {
+			List<Upstream> engines = engines(3);
+			for (int index = 0; index < PIECES; index++) {
+				Map<String, Upstream> sourceOf = new HashMap<>();
+				for (Upstream engine : engines) {
+					Upstream changed = Upstreams.engine(engine.id(), engine.dataCentre(), engine.region(), 0);
+					plan(changed, engines, NEW).sources(index)
+						.stream()
+						.findFirst()
+						.ifPresent((source) -> sourceOf.put(engine.id(), source));
+				}
+				for (Upstream engine : engines) {
+					assertThat(endsAtOrigin(engine.id(), sourceOf)).isTrue();
+				}
+			}
+		}
+
+		private boolean endsAtOrigin(String id, Map<String, Upstream> sourceOf) {
+			Set<String> seen = new HashSet<>();
+			String present = id;
+			while (sourceOf.containsKey(present) && seen.add(present)) {
+				present = sourceOf.get(present).id();
+			}
+			return !sourceOf.containsKey(present);
+		}
+
+	}
+
+	/**
+	 * Guards against engines that run calls losing their links to added ones.
+	 */
+	@Nested
+	class ServedVersion {
+
+		@Test
+		void addedEnginesOfADataCentreShareOneCopy() {
+			Upstream holder = Upstreams.engine("holder", "doto-a", "doto", 1);
+			Upstream first = Upstreams.engine("first", "doto-a", "doto", 0);
+			Upstream second = Upstreams.engine("second", "doto-a", "doto", 0);
+			List<Upstream> engines = List.of(holder, first, second);
+			long ofHolder = Stream.of(first, second)
+				.flatMap((own) -> IntStream.range(0, PIECES)
+					.mapToObj((index) -> plan(own, engines, SERVED).sources(index).getFirst()))
+				.filter((source) -> source.id().equals("holder"))
+				.count();
+			assertThat(ofHolder).isEqualTo(PIECES);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/jaywood/routing/DispatcherTests.java
@@ -0,0 +1,225 @@
+package org.jaywood.routing;
+
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class DispatcherTests {
+
+	private static final long NOW = 100_000;
+
+	private final Dispatcher dispatcher = new Dispatcher(Upstreams.settings());
+
+	DispatcherTests() {
+		this.dispatcher.onTable(Upstreams.table(), NOW);
+	}
+
+	private List<Dispatcher.Ticket> request(int count, boolean late) {
+		return IntStream.range(0, count)
+			.mapToObj((number) -> this.dispatcher.request(Upstreams.demand(Upstreams.POOL, late), NOW))
+			.toList();
+	}
+
+	private static UpstreamReport report(String id, int running, int queued, boolean busy) {
+		return new UpstreamReport(id, running, queued, busy, 1, new LoadedWeights("model", 1, 0, 16));
+	}
+
+	/**
+	 * Guards against engines that hold more calls than they run, and against calls that
+	 * could be on time waiting behind those that cannot.
+	 */
+	@Nested
+	class Overload {
+
+		@Test
+		void callsBeyondTheCapacityWait() {
+			DispatcherTests.this.dispatcher.onFleet(Upstreams.fleet(Upstreams.engine("a")), NOW);
+			DispatcherTests.this.dispatcher.onReport("a", report("a", 0, 0, false), NOW);
+			long placed = request(20, false).stream().filter((ticket) -> ticket.placement().isDone()).count();
+			assertThat(placed).isEqualTo(Upstreams.SLOTS + 1);
+		}
+
+		@Test
+		void callsOfOtherGatewaysCount() {
+			DispatcherTests.this.dispatcher.onFleet(Upstreams.fleet(Upstreams.engine("a")), NOW);
+			DispatcherTests.this.dispatcher.onReport("a", report("a", Upstreams.SLOTS, 1, false), NOW);
+			assertThat(request(1, false).getFirst().placement().isDone()).isFalse();
+		}
+
+		@Test
+		void aFreedPlaceGoesToACallThatCanBeOnTime() {
+			DispatcherTests.this.dispatcher.onFleet(Upstreams.fleet(Upstreams.engine("a")), NOW);
+			DispatcherTests.this.dispatcher.onReport("a", report("a", 0, 0, false), NOW);
+			List<Dispatcher.Ticket> running = request(Upstreams.SLOTS + 1, false);
+			Dispatcher.Ticket late = request(1, true).getFirst();
+			Dispatcher.Ticket fresh = request(1, false).getFirst();
+			DispatcherTests.this.dispatcher.end(running.getFirst().placement().getNow(null), Outcome.ANSWERED, NOW + 1);
+			assertThat(fresh.placement().isDone()).isTrue();
+			assertThat(late.placement().isDone()).isFalse();
+		}
+
+		@Test
+		void aWithdrawnCallGetsNoPlace() {
+			DispatcherTests.this.dispatcher.onFleet(Upstreams.fleet(Upstreams.engine("a")), NOW);
+			DispatcherTests.this.dispatcher.onReport("a", report("a", Upstreams.SLOTS, 1, false), NOW);
+			Dispatcher.Ticket waiting = request(1, false).getFirst();
+			assertThat(DispatcherTests.this.dispatcher.withdraw(waiting)).isTrue();
+			DispatcherTests.this.dispatcher.onReport("a", report("a", 0, 0, false), NOW + 1);
+			assertThat(waiting.placement().isDone()).isFalse();
+		}
+
+	}
+
+	/**
+	 * Guards against calls that reach an upstream which must not get them.
+	 */
+	@Nested
+	class Eligibility {
+
+		@Test
+		void leavingUpstreamsGetNothing() {
+			DispatcherTests.this.dispatcher.onFleet(Upstreams.fleet(Upstreams.leaving(Upstreams.engine("a"))), NOW);
+			assertThat(DispatcherTests.this.dispatcher.servable(Upstreams.demand(Upstreams.POOL, false), NOW))
+				.isFalse();
+		}
+
+		@Test
+		void closedDataCentresGetNothing() {
+			Fleet open = Upstreams.fleet(Upstreams.engine("a"));
+			DispatcherTests.this.dispatcher.onFleet(new Fleet(open.upstreams(), Set.of("kushiro-a"), Map.of()), NOW);
+			assertThat(DispatcherTests.this.dispatcher.servable(Upstreams.demand(Upstreams.POOL, false), NOW))
+				.isFalse();
+		}
+
+		@Test
+		void otherRegionsGetNothingOfABoundCall() {
+			DispatcherTests.this.dispatcher.onFleet(Upstreams.fleet(Upstreams.engine("a")), NOW);
+			Demand bound = new Demand("call", Upstreams.POOL, Set.of("donan"), 1, false, true, OptionalLong.empty(),
+					Set.of());
+			assertThat(DispatcherTests.this.dispatcher.servable(bound, NOW)).isFalse();
+		}
+
+		@Test
+		void enginesWithSomeLayersOnlyGetNothing() {
+			Upstream part = new Upstream("a", Upstreams.POOL, Upstreams.engine("a").address(), "kushiro-a", "doto", 4,
+					false, 0, 1, new LoadedWeights("model", 1, 0, 8));
+			DispatcherTests.this.dispatcher.onFleet(Upstreams.fleet(part), NOW);
+			assertThat(DispatcherTests.this.dispatcher.servable(Upstreams.demand(Upstreams.POOL, false), NOW))
+				.isFalse();
+		}
+
+		@Test
+		void enginesThatLoadGetNothing() {
+			DispatcherTests.this.dispatcher.onFleet(Upstreams.fleet(Upstreams.engine("a")), NOW);
+			DispatcherTests.this.dispatcher.onReport("a", report("a", 0, 0, true), NOW);
+			assertThat(request(1, false).getFirst().placement().isDone()).isFalse();
+		}
+
+		@Test
+		void anOlderVersionIsDueEvenIfANewerOneWasNamedSince() {
+			Fleet.NamedSince second = new Fleet.NamedSince(2, NOW);
+			Fleet.NamedSince third = new Fleet.NamedSince(3, NOW + 4_000);
+			Fleet fleet = new Fleet(Upstreams.view(Long.MIN_VALUE, Upstreams.engine("a")), Set.of(),
+					Map.of("model", List.of(second, third)));
+			DispatcherTests.this.dispatcher.onFleet(fleet, NOW);
+			Demand demand = Upstreams.demand(Upstreams.POOL, false);
+			assertThat(DispatcherTests.this.dispatcher.servable(demand, NOW + 6_999)).isTrue();
+			assertThat(DispatcherTests.this.dispatcher.servable(demand, NOW + 7_000)).isFalse();
+		}
+
+	}
+
+	/**
+	 * Guards against upstreams that are lost because the store was away, and against ones
+	 * that are kept although they are gone.
+	 */
+	@Nested
+	class Lapse {
+
+		@Test
+		void anEntryMissingAfterAnOutageIsKeptForAMoment() {
+			DispatcherTests.this.dispatcher.onFleet(Upstreams.fleet(Upstreams.engine("a")), NOW);
+			Fleet empty = new Fleet(Upstreams.view(NOW + 1_000), Set.of(), Map.of());
+			DispatcherTests.this.dispatcher.onFleet(empty, NOW + 1_000);
+			Demand demand = Upstreams.demand(Upstreams.POOL, false);
+			assertThat(DispatcherTests.this.dispatcher.servable(demand, NOW + 3_000)).isTrue();
+			assertThat(DispatcherTests.this.dispatcher.servable(demand, NOW + 3_300)).isFalse();
+		}
+
+		@Test
+		void anEntryRemovedWithoutAnOutageIsGoneAtOnce() {
+			DispatcherTests.this.dispatcher.onFleet(Upstreams.fleet(Upstreams.engine("a")), NOW);
+			DispatcherTests.this.dispatcher.onFleet(Upstreams.fleet(), NOW + 1);
+			assertThat(DispatcherTests.this.dispatcher.servable(Upstreams.demand(Upstreams.POOL, false), NOW + 1))
+				.isFalse();
+		}
+
+	}
+
+	/**
+	 * Guards against a cold engine that several gateways overrun together.
+	 */
+	@Nested
+	class ColdLimit {
+
+		@Test
+		void eachGatewayKeepsToItsPartOfASecond() {
+			Upstream wide = new Upstream("a", Upstreams.POOL, Upstreams.engine("a").address(), "kushiro-a", "doto", 500,
+					false, 3_000, 1, new LoadedWeights("model", 1, 0, 16));
+			DispatcherTests.this.dispatcher.onFleet(Upstreams.fleet(wide), NOW);
+			DispatcherTests.this.dispatcher.onReport("a",
+					new UpstreamReport("a", 0, 0, false, 4, new LoadedWeights("model", 1, 0, 16)), NOW);
+			long placed = request(100, false).stream().filter((ticket) -> ticket.placement().isDone()).count();
+			double limit = 36 * 1.5 + 5;
+			assertThat(placed * 4.0).isAtMost(limit);
+			assertThat(placed).isGreaterThan(0);
+		}
+
+	}
+
+	/**
+	 * Guards against an upstream that fails and goes on drawing calls.
+	 */
+	@Nested
+	class Health {
+
+		@Test
+		void anUnreachableUpstreamIsLeftOutForAWhile() {
+			DispatcherTests.this.dispatcher.onFleet(Upstreams.fleet(Upstreams.plain("a"), Upstreams.plain("b")), NOW);
+			Demand demand = Upstreams.demand(Upstreams.DESK, false);
+			Placement first = DispatcherTests.this.dispatcher.request(demand, NOW).placement().getNow(null);
+			DispatcherTests.this.dispatcher.end(first, Outcome.UNREACHABLE, NOW);
+			IntStream.range(0, 5).forEach((number) -> {
+				Placement next = DispatcherTests.this.dispatcher.request(demand, NOW + 1).placement().getNow(null);
+				assertThat(next.upstream().id()).isNotEqualTo(first.upstream().id());
+				DispatcherTests.this.dispatcher.end(next, Outcome.ANSWERED, NOW + 1);
+			});
+		}
+
+		@Test
+		void anUpstreamThatFailsPartOfItsCallsGetsFew() {
+			DispatcherTests.this.dispatcher.onFleet(Upstreams.fleet(Upstreams.plain("a"), Upstreams.plain("b")), NOW);
+			Demand demand = Upstreams.demand(Upstreams.DESK, false);
+			int grey = 0;
+			for (int call = 0; call < 200; call++) {
+				long nowMillis = NOW + call * 20L;
+				Placement placement = DispatcherTests.this.dispatcher.request(demand, nowMillis)
+					.placement()
+					.getNow(null);
+				boolean failed = placement.upstream().id().equals("a") && call % 2 == 0;
+				grey += placement.upstream().id().equals("a") ? 1 : 0;
+				DispatcherTests.this.dispatcher.end(placement, failed ? Outcome.FAILED : Outcome.ANSWERED, nowMillis);
+			}
+			assertThat(grey).isLessThan(60);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/jaywood/routing/FleetDigestTests.java
@@ -0,0 +1,39 @@
+package org.jaywood.routing;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against agents that wait for an engine which is gone, because its entry is still
+ * in the list beside that of its next start.
+ */
+class FleetDigestTests {
+
+	private static final ServiceProfile.Engines PROFILE = new ServiceProfile.Engines(Upstreams.POOL, 36, "model", 16,
+			300);
+
+	private static Upstream born(String id, long bornMillis) {
+		Upstream engine = Upstreams.engine("same");
+		return new Upstream(id, engine.service(), engine.address(), engine.dataCentre(), engine.region(),
+				engine.slots(), false, 0, bornMillis, engine.weights());
+	}
+
+	@Test
+	void theYoungestEntryOfAnAddressCounts() {
+		FleetDigest digest = FleetDigest.of(1, PROFILE, null, 1, List.of(born("old", 5), born("new", 9)));
+		assertThat(digest.engines().stream().map(Upstream::id).toList()).containsExactly("new");
+	}
+
+	@Test
+	void theTimeForWhichAnEngineIsColdChangesNothing() {
+		Upstream engine = Upstreams.engine("a");
+		Upstream cold = new Upstream(engine.id(), engine.service(), engine.address(), engine.dataCentre(),
+				engine.region(), engine.slots(), false, 2_500, engine.bornMillis(), engine.weights());
+		assertThat(FleetDigest.of(1, PROFILE, null, 1, List.of(cold)).content())
+			.isEqualTo(FleetDigest.of(2, PROFILE, null, 1, List.of(engine)).content());
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/jaywood/routing/Upstreams.java
@@ -0,0 +1,78 @@
+package org.jaywood.routing;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+import org.jaywood.feed.FeedView;
+import org.jaywood.http.RequestLimits;
+import org.jaywood.wire.Address;
+
+/**
+ * Records for tests of decisions.
+ */
+public final class Upstreams {
+
+	/** Service of model engines. */
+	public static final String POOL = "pool";
+
+	/** Service of plain upstreams. */
+	public static final String DESK = "desk";
+
+	static final int SLOTS = 4;
+
+	private Upstreams() {
+	}
+
+	static DispatchSettings settings() {
+		return new DispatchSettings("doto", "kushiro-a", 1.5, 5, 2_200, 7_000);
+	}
+
+	public static RouteTable table(Route... routes) {
+		return new RouteTable(1, Stream.of(routes).toList(),
+				Map.of(POOL, new ServiceProfile.Engines(POOL, 36, "model", 16, 300), DESK,
+						new ServiceProfile.Plain(DESK)),
+				Map.of("key-1", new Workspace("workspace-1", OptionalInt.empty(), Set.of())),
+				new RequestLimits(16_384, 1_000_000, 3_000, 15_000));
+	}
+
+	public static Upstream engine(String id, String dataCentre, String region, long version) {
+		return new Upstream(id, POOL, new Address("10.0.0." + Math.floorMod(id.hashCode(), 250), 80), dataCentre,
+				region, SLOTS, false, 0, 1, new LoadedWeights("model", version, 0, 16));
+	}
+
+	static Upstream engine(String id) {
+		return engine(id, "kushiro-a", "doto", 1);
+	}
+
+	static Upstream plain(String id) {
+		return new Upstream(id, DESK, new Address("10.0.1.1", 80), "kushiro-a", "doto", SLOTS, false, 0, 1, null);
+	}
+
+	static Upstream leaving(Upstream upstream) {
+		return new Upstream(upstream.id(), upstream.service(), upstream.address(), upstream.dataCentre(),
+				upstream.region(), upstream.slots(), true, 0, upstream.bornMillis(), upstream.weights());
+	}
+
+	static Fleet fleet(Upstream... upstreams) {
+		return new Fleet(view(Long.MIN_VALUE, upstreams), Set.of(), Map.of());
+	}
+
+	static FeedView<Upstream> view(long regainedMillis, Upstream... upstreams) {
+		return new FeedView<>(Stream.of(upstreams).collect(Collectors.toMap(Upstream::id, (upstream) -> upstream)), 1,
+				0, regainedMillis);
+	}
+
+	static Demand demand(String service, boolean late) {
+		return new Demand("call", service, Set.of(), 1, late, service.equals(POOL), OptionalLong.empty(), Set.of());
+	}
+
+	static Optional<Placement> placed(Dispatcher.Ticket ticket) {
+		return Optional.ofNullable(ticket.placement().getNow(null));
+	}
+
+}
