--- a/src/main/java/org/jaywood/gateway/CallTask.java
+++ b/src/main/java/org/jaywood/gateway/CallTask.java
@@ -132,8 +132,15 @@
 	}
 
 	private Demand demand() {
-		return new Demand(this.call.id(), this.call.service(), this.call.regions(), this.call.priority(),
-				this.call.late(), this.call.route().policy().streaming(), this.streamWeights, Set.copyOf(this.tried));
+		return new Demand(this.call.id(), this.call.service(), this.call.regions(), this.call.priority(), rank(),
+				this.call.route().policy().streaming(), this.streamWeights, Set.copyOf(this.tried));
+	}
+
+	private Demand.Rank rank() {
+		if (this.reply.begun()) {
+			return Demand.Rank.STARTED;
+		}
+		return this.call.late() ? Demand.Rank.LATE : Demand.Rank.ON_TIME;
 	}
 
 	/**
--- a/src/main/java/org/jaywood/gateway/LoadSubscriptions.java
+++ b/src/main/java/org/jaywood/gateway/LoadSubscriptions.java
@@ -82,6 +82,10 @@
 				}
 				lost = true;
 			}
+			String id = this.idsByAddress.get(engine);
+			if (id != null) {
+				this.context.dispatcher().onAgentLost(id);
+			}
 			try {
 				Thread.sleep(backoffMillis / 2 + ThreadLocalRandom.current().nextLong(backoffMillis));
 			}
--- a/src/main/java/org/jaywood/routing/Demand.java
+++ b/src/main/java/org/jaywood/routing/Demand.java
@@ -10,11 +10,28 @@
  * @param service service that runs it
  * @param regions regions in which it may run, or empty for all
  * @param priority its rank, 0 first
- * @param late whether its time target has passed already
+ * @param rank where it stands among waiting calls
  * @param streaming whether it runs in an engine
  * @param weights the only version of the weights that may run it, if that matters
  * @param tried ids of upstreams that shall not get it again
  */
-public record Demand(String callId, String service, Set<String> regions, int priority, boolean late, boolean streaming,
+public record Demand(String callId, String service, Set<String> regions, int priority, Rank rank, boolean streaming,
 		OptionalLong weights, Set<String> tried) {
+
+	/**
+	 * Standing of a call among those that wait.
+	 */
+	public enum Rank {
+
+		/** It has run in part: its caller waits in the middle of an answer. */
+		STARTED,
+
+		/** It can still be answered in time. */
+		ON_TIME,
+
+		/** Its time target has passed. */
+		LATE
+
+	}
+
 }
--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -112,6 +112,17 @@
 		placeWaiting(nowMillis);
 	}
 
+	/**
+	 * Notes that the connection to the agent of an upstream has ended, so that its
+	 * silence says nothing about the upstream.
+	 */
+	public synchronized void onAgentLost(String upstreamId) {
+		UpstreamState state = this.states.get(upstreamId);
+		if (state != null) {
+			state.onAgentLost();
+		}
+	}
+
 	/**
 	 * Asks for a place. The ticket completes at once if there is one.
 	 */
@@ -269,12 +280,9 @@
 	private Optional<PlacementPolicy.Candidate> choose(Demand demand, long nowMillis) {
 		List<UpstreamState> usable = eligible(demand, nowMillis).stream()
 			.filter((state) -> !state.health().paused(nowMillis))
-			.filter((state) -> {
-				UpstreamReport report = state.freshReport(nowMillis);
-				return report == null || report.reachable();
-			})
+			.filter((state) -> state.responsive(nowMillis))
 			.toList();
-		return this.policy.choose(usable, profile(demand.service()), gateways(nowMillis), nowMillis);
+		return this.policy.choose(usable, demand, profile(demand.service()), gateways(nowMillis), nowMillis);
 	}
 
 	private void place(Ticket ticket, PlacementPolicy.Candidate chosen, long nowMillis) {
@@ -290,8 +298,8 @@
 	 */
 	public static final class Ticket {
 
-		private static final Comparator<Ticket> ORDER = Comparator
-			.<Ticket, Boolean>comparing((ticket) -> ticket.demand.late())
+		private static final Comparator<Ticket> ORDER = Comparator.<Ticket, Demand.Rank>comparing(
+				(ticket) -> ticket.demand.rank())
 			.thenComparingInt((ticket) -> ticket.demand.priority())
 			.thenComparingLong((ticket) -> ticket.number);
 
--- a/src/main/java/org/jaywood/routing/PlacementPolicy.java
+++ b/src/main/java/org/jaywood/routing/PlacementPolicy.java
@@ -23,6 +23,9 @@
 	 */
 	private static final double ENGINE_QUEUE = 1;
 
+	/** Calls beyond its capacity that an upstream may hold if they have run in part. */
+	private static final double STARTED_RESERVE = 2;
+
 	/** Calls that a plain upstream may hold for each of its slots. */
 	private static final double PLAIN_OVERCOMMIT = 2;
 
@@ -57,13 +60,14 @@
 	 * Chooses an upstream with room.
 	 * @param candidates upstreams that may run the call
 	 */
-	Optional<Candidate> choose(Collection<UpstreamState> candidates, @Nullable ServiceProfile profile, int gateways,
-			long nowMillis) {
+	Optional<Candidate> choose(Collection<UpstreamState> candidates, Demand demand, @Nullable ServiceProfile profile,
+			int gateways, long nowMillis) {
 		double bestShare = candidates.stream().mapToDouble((state) -> state.health().failureShare()).min().orElse(0);
+		double reserve = (demand.rank() == Demand.Rank.STARTED) ? STARTED_RESERVE : 0;
 		return candidates.stream()
 			.filter((state) -> withinColdLimit(state, profile, gateways, nowMillis))
 			.map((state) -> rate(state, profile, bestShare, gateways, nowMillis))
-			.filter(Candidate::hasRoom)
+			.filter((candidate) -> candidate.load() < candidate.capacity() + reserve)
 			.min(Comparator.comparingDouble(Candidate::rating));
 	}
 
@@ -153,11 +157,6 @@
 	 * @param rating lower is better
 	 */
 	record Candidate(UpstreamState state, double load, double capacity, double rating) {
-
-		boolean hasRoom() {
-			return this.load < this.capacity;
-		}
-
 	}
 
 }
--- a/src/main/java/org/jaywood/routing/UpstreamState.java
+++ b/src/main/java/org/jaywood/routing/UpstreamState.java
@@ -10,7 +10,7 @@
 final class UpstreamState {
 
 	/** A report is used for this long; without one, the own calls are extrapolated. */
-	private static final long REPORT_LIFETIME_MILLIS = 700;
+	private static final long REPORT_LIFETIME_MILLIS = 900;
 
 	private final UpstreamHealth health = new UpstreamHealth();
 
@@ -30,6 +30,8 @@
 
 	private int inFlightAtReport;
 
+	private boolean agentConnected;
+
 	UpstreamState(Upstream upstream, long nowMillis) {
 		this.upstream = upstream;
 		this.coldUntilMillis = nowMillis + upstream.coldMillis();
@@ -70,6 +72,20 @@
 		this.report = latest;
 		this.reportedMillis = nowMillis;
 		this.inFlightAtReport = this.inFlight;
+		this.agentConnected = true;
+	}
+
+	void onAgentLost() {
+		this.agentConnected = false;
+	}
+
+	/**
+	 * Whether the agent says that the upstream answers, or says nothing because it is not
+	 * connected. An agent that is connected and silent shares the fate of its VM.
+	 */
+	boolean responsive(long nowMillis) {
+		UpstreamReport fresh = freshReport(nowMillis);
+		return (fresh != null) ? fresh.reachable() : !this.agentConnected;
 	}
 
 	/**
