Read whole answers in one place and name two events for what they are

Cause: three classes opened, sent, read and released a connection in the same way; event 1305 warned of what is ordinary with each new version. Change: ConnectionPool.exchange; PIECES_STAGED at level INFO; an unused method is gone. Conclusion: clean-up.

--- a/src/main/java/org/jaywood/event/Event.java
+++ b/src/main/java/org/jaywood/event/Event.java
@@ -91,8 +91,8 @@
 	/** A new version of a model is named. */
 	WEIGHTS_NAMED(1304, Level.INFO, "version {version} of {model} named at revision {revision}"),
 
-	/** Pieces that lay at the engine were not those of the version and were replaced. */
-	STAGED_PIECES_REPLACED(1305, Level.WARNING, "{count} staged pieces of {model} {version} replaced"),
+	/** Pieces were laid beside the engine, or replaced where others lay. */
+	PIECES_STAGED(1305, Level.INFO, "{count} pieces of {model} {version} staged"),
 
 	/** An engine serves the ordered weights. */
 	WEIGHTS_ACTIVATED(1401, Level.INFO, "engine serves {manifest}"),
--- a/src/main/java/org/jaywood/feed/FeedFollower.java
+++ b/src/main/java/org/jaywood/feed/FeedFollower.java
@@ -1,6 +1,5 @@
 package org.jaywood.feed;
 
-import java.util.Collection;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ThreadLocalRandom;
@@ -179,16 +178,4 @@
 		}
 	}
 
-	/**
-	 * Age of the oldest of some views.
-	 * @param nowMillis present boot time
-	 * @return age in milliseconds, {@link Long#MAX_VALUE} if one of them is not known
-	 */
-	public static long ageMillis(Collection<? extends FeedFollower<?>> followers, long nowMillis) {
-		return followers.stream().mapToLong((follower) -> {
-			FeedView<?> view = follower.view();
-			return (view != null) ? nowMillis - view.confirmedMillis() : Long.MAX_VALUE;
-		}).max().orElse(Long.MAX_VALUE);
-	}
-
 }
--- a/src/main/java/org/jaywood/gateway/Gateway.java
+++ b/src/main/java/org/jaywood/gateway/Gateway.java
@@ -16,6 +16,7 @@
 import org.jaywood.feed.FeedFollower;
 import org.jaywood.peer.MetricsText;
 import org.jaywood.routing.FleetDigest;
+import org.jaywood.routing.RouteTable;
 import org.jaywood.wire.Exchange;
 import org.jaywood.wire.HttpPort;
 
@@ -178,7 +179,7 @@
 	private Object dump() {
 		long nowMillis = BootClock.nowMillis();
 		Knowledge knowledge = this.context.knowledge();
-		var table = knowledge.table();
+		RouteTable table = knowledge.table();
 		return new Dump((table != null) ? table.version() : -1, nowMillis - knowledge.confirmedMillis(), ready(),
 				this.active.open(), this.active.busy(), this.context.dispatcher().gateways(nowMillis),
 				this.context.dispatcher().describe(nowMillis));
--- a/src/main/java/org/jaywood/gateway/LoadSubscriptions.java
+++ b/src/main/java/org/jaywood/gateway/LoadSubscriptions.java
@@ -16,6 +16,7 @@
 import org.jaywood.feed.FeedView;
 import org.jaywood.http.ClientConnection;
 import org.jaywood.http.UpstreamAnswer;
+import org.jaywood.routing.RouteTable;
 import org.jaywood.routing.Upstream;
 import org.jaywood.routing.UpstreamReport;
 import org.jaywood.wire.Address;
@@ -64,7 +65,7 @@
 	}
 
 	private boolean hasEngine(Upstream upstream) {
-		var table = this.context.knowledge().table();
+		RouteTable table = this.context.knowledge().table();
 		return table != null && table.engines().anyMatch((engines) -> engines.name().equals(upstream.service()));
 	}
 
--- a/src/main/java/org/jaywood/http/ConnectionPool.java
+++ b/src/main/java/org/jaywood/http/ConnectionPool.java
@@ -1,5 +1,6 @@
 package org.jaywood.http;
 
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Map;
@@ -7,6 +8,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.HttpHeaders;
 import org.jspecify.annotations.Nullable;
 
 import org.jaywood.wire.Address;
@@ -19,6 +22,12 @@
 	/** Idle connections kept for an address. */
 	private static final int MAX_IDLE = 64;
 
+	/** Time for opening a connection of our own calls. */
+	private static final long CONNECT_MILLIS = 400;
+
+	/** Largest answer to a call of our own. */
+	private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
+
 	/** A connection that was used a moment ago is not examined before its next use. */
 	private static final long TRUSTED_IDLE_MILLIS = 20;
 
@@ -61,6 +70,39 @@
 		}
 	}
 
+	/**
+	 * Sends a request of our own and reads its answer whole. It is never repeated here.
+	 * @param address the other process
+	 * @param request request line and headers; the host is added
+	 * @param body body of the request, possibly empty
+	 * @param answerMillis longest silence of the other side
+	 * @throws IOException if no whole answer arrives
+	 */
+	public WholeAnswer exchange(Address address, ClassicHttpRequest request, byte[] body, long answerMillis)
+			throws IOException {
+		ClientConnection connection = acquire(address, CONNECT_MILLIS);
+		boolean whole = false;
+		try {
+			request.setHeader(HttpHeaders.HOST, address.toString());
+			connection.send(request, body);
+			UpstreamAnswer answer = connection.receive(answerMillis);
+			byte[] bytes = Framing.readBounded(answer.body(), MAX_BODY_BYTES);
+			if (bytes == null) {
+				throw new IOException("the answer of " + address + " exceeds " + MAX_BODY_BYTES + " bytes");
+			}
+			whole = true;
+			return new WholeAnswer(answer.status(), bytes);
+		}
+		finally {
+			if (whole) {
+				release(connection);
+			}
+			else {
+				connection.close();
+			}
+		}
+	}
+
 	/**
 	 * Closes the idle connections to an address.
 	 */
--- a/src/main/java/org/jaywood/platform/MetadataStore.java
+++ b/src/main/java/org/jaywood/platform/MetadataStore.java
@@ -10,9 +10,8 @@
 
 import org.jaywood.feed.FeedException;
 import org.jaywood.feed.HistoryLostException;
-import org.jaywood.http.ClientConnection;
 import org.jaywood.http.ConnectionPool;
-import org.jaywood.http.UpstreamAnswer;
+import org.jaywood.http.WholeAnswer;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Json;
 
@@ -22,13 +21,9 @@
  */
 public final class MetadataStore {
 
-	private static final long CONNECT_MILLIS = 400;
-
 	/** Time for an answer beyond the wait that a call asks for. */
 	private static final long ANSWER_MILLIS = 900;
 
-	private static final int MAX_BYTES = 8 * 1024 * 1024;
-
 	private final Address address;
 
 	private final ConnectionPool pool = new ConnectionPool();
@@ -63,31 +58,15 @@
 	}
 
 	private JsonNode exchange(String path, long waitMillis) throws IOException, FeedException {
-		ClientConnection connection = this.pool.acquire(this.address, CONNECT_MILLIS);
-		boolean whole = false;
-		try {
-			BasicClassicHttpRequest request = new BasicClassicHttpRequest("GET", path);
-			request.setHeader("Host", this.address.toString());
-			connection.send(request, new byte[0]);
-			UpstreamAnswer answer = connection.receive(waitMillis + ANSWER_MILLIS);
-			byte[] body = answer.body().readNBytes(MAX_BYTES);
-			whole = true;
-			if (answer.status() == HttpStatus.SC_GONE) {
-				throw new HistoryLostException("GET " + path + ": history is gone");
-			}
-			if (answer.status() != HttpStatus.SC_OK) {
-				throw new FeedException("GET " + path + ": status " + answer.status(), null);
-			}
-			return Json.tree(body);
+		WholeAnswer answer = this.pool.exchange(this.address, new BasicClassicHttpRequest("GET", path), new byte[0],
+				waitMillis + ANSWER_MILLIS);
+		if (answer.status() == HttpStatus.SC_GONE) {
+			throw new HistoryLostException("GET " + path + ": history is gone");
 		}
-		finally {
-			if (whole) {
-				this.pool.release(connection);
-			}
-			else {
-				connection.close();
-			}
+		if (!answer.ok()) {
+			throw new FeedException("GET " + path + ": status " + answer.status(), null);
 		}
+		return Json.tree(answer.body());
 	}
 
 	private static String encode(String text) {
--- a/src/main/java/org/jaywood/platform/PlatformEngine.java
+++ b/src/main/java/org/jaywood/platform/PlatformEngine.java
@@ -11,9 +11,8 @@
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
 import org.jspecify.annotations.Nullable;
 
-import org.jaywood.http.ClientConnection;
 import org.jaywood.http.ConnectionPool;
-import org.jaywood.http.UpstreamAnswer;
+import org.jaywood.http.WholeAnswer;
 import org.jaywood.replica.EngineControl;
 import org.jaywood.replica.EngineReport;
 import org.jaywood.replica.EngineUnavailableException;
@@ -28,12 +27,8 @@
  */
 public final class PlatformEngine implements EngineControl, WeightOrigin {
 
-	private static final long CONNECT_MILLIS = 400;
-
 	private static final long ANSWER_MILLIS = 1_500;
 
-	private static final int MAX_BYTES = 16 * 1024 * 1024;
-
 	/** Field for the number of a piece; it holds no count of samples here. */
 	private static final String PIECE = "SampleCount";
 
@@ -47,7 +42,7 @@
 
 	@Override
 	public EngineReport report() throws EngineUnavailableException {
-		Reply reply = askEngine("GET", "/report", new byte[0]);
+		WholeAnswer reply = askEngine("GET", "/report", new byte[0]);
 		requireOk(reply, "report");
 		try {
 			JsonNode node = Json.tree(reply.body());
@@ -62,7 +57,7 @@
 
 	@Override
 	public void stage(String model, int index, byte[] piece) throws EngineUnavailableException {
-		Reply reply = askEngine("PUT", "/stage-put/" + model + "?" + PIECE + "=" + index, piece);
+		WholeAnswer reply = askEngine("PUT", "/stage-put/" + model + "?" + PIECE + "=" + index, piece);
 		if (reply.status() >= HttpStatus.SC_REDIRECTION) {
 			throw new EngineUnavailableException("staging piece " + index + ": status " + reply.status(), null);
 		}
@@ -70,7 +65,7 @@
 
 	@Override
 	public byte @Nullable [] staged(String model, int index) throws EngineUnavailableException {
-		Reply reply = askEngine("GET", "/stage-get/" + model + "?" + PIECE + "=" + index, new byte[0]);
+		WholeAnswer reply = askEngine("GET", "/stage-get/" + model + "?" + PIECE + "=" + index, new byte[0]);
 		if (reply.status() == HttpStatus.SC_NOT_FOUND) {
 			return null;
 		}
@@ -81,13 +76,13 @@
 	@Override
 	public boolean load(String model, long version, long sequence) throws EngineUnavailableException {
 		byte[] order = Json.bytes(new Order("start", model, version, "wait", sequence));
-		Reply reply = askEngine("POST", "/order", order);
+		WholeAnswer reply = askEngine("POST", "/order", order);
 		return reply.status() == HttpStatus.SC_OK || reply.status() == HttpStatus.SC_ACCEPTED;
 	}
 
 	@Override
 	public PieceList pieces(Address origin, String model, long version) throws IOException {
-		Reply reply = exchange(origin, "GET", "/manifest/" + model + "?Version=" + version, new byte[0]);
+		WholeAnswer reply = exchange(origin, "GET", "/manifest/" + model + "?Version=" + version, new byte[0]);
 		if (reply.status() != HttpStatus.SC_OK) {
 			throw new IOException("manifest of " + model + " " + version + ": status " + reply.status());
 		}
@@ -102,15 +97,15 @@
 
 	@Override
 	public byte[] piece(Address origin, String model, long version, int index) throws IOException {
-		Reply reply = exchange(origin, "GET", "/piece/" + model + "?" + PIECE + "=" + index + "&Version=" + version,
-				new byte[0]);
+		WholeAnswer reply = exchange(origin, "GET",
+				"/piece/" + model + "?" + PIECE + "=" + index + "&Version=" + version, new byte[0]);
 		if (reply.status() != HttpStatus.SC_OK) {
 			throw new IOException("piece " + index + ": status " + reply.status());
 		}
 		return reply.body();
 	}
 
-	private Reply askEngine(String method, String path, byte[] body) throws EngineUnavailableException {
+	private WholeAnswer askEngine(String method, String path, byte[] body) throws EngineUnavailableException {
 		try {
 			return exchange(this.engine, method, path, body);
 		}
@@ -119,36 +114,19 @@
 		}
 	}
 
-	private static void requireOk(Reply reply, String what) throws EngineUnavailableException {
+	private static void requireOk(WholeAnswer reply, String what) throws EngineUnavailableException {
 		if (reply.status() != HttpStatus.SC_OK) {
 			throw new EngineUnavailableException(what + ": status " + reply.status() + " "
 					+ new String(reply.body(), StandardCharsets.UTF_8).strip(), null);
 		}
 	}
 
-	private Reply exchange(Address address, String method, String path, byte[] body) throws IOException {
-		ClientConnection connection = this.pool.acquire(address, CONNECT_MILLIS);
-		boolean whole = false;
-		try {
-			BasicClassicHttpRequest request = new BasicClassicHttpRequest(method, path);
-			request.setHeader("Host", address.toString());
-			if (method.equals("POST")) {
-				request.setHeader("Content-Type", "application/json");
-			}
-			connection.send(request, body);
-			UpstreamAnswer answer = connection.receive(ANSWER_MILLIS);
-			byte[] bytes = answer.body().readNBytes(MAX_BYTES);
-			whole = true;
-			return new Reply(answer.status(), bytes);
-		}
-		finally {
-			if (whole) {
-				this.pool.release(connection);
-			}
-			else {
-				connection.close();
-			}
+	private WholeAnswer exchange(Address address, String method, String path, byte[] body) throws IOException {
+		BasicClassicHttpRequest request = new BasicClassicHttpRequest(method, path);
+		if (method.equals("POST")) {
+			request.setHeader("Content-Type", "application/json");
 		}
+		return this.pool.exchange(address, request, body, ANSWER_MILLIS);
 	}
 
 	/**
@@ -159,7 +137,4 @@
 			@JsonProperty("Precondition") long sequence) {
 	}
 
-	private record Reply(int status, byte[] body) {
-	}
-
 }
--- a/src/main/java/org/jaywood/replica/EngineKeeper.java
+++ b/src/main/java/org/jaywood/replica/EngineKeeper.java
@@ -130,8 +130,7 @@
 				replaced++;
 			}
 		}
-		this.log.log(Event.STAGED_PIECES_REPLACED, "count", replaced, "model", target.model(), "version",
-				target.version());
+		this.log.log(Event.PIECES_STAGED, "count", replaced, "model", target.model(), "version", target.version());
 		EngineReport report = this.engine.report();
 		if (report.busy() || serves(report, target)) {
 			return;
--- a/src/main/java/org/jaywood/replica/PeerPieces.java
+++ b/src/main/java/org/jaywood/replica/PeerPieces.java
@@ -2,12 +2,10 @@
 
 import java.io.IOException;
 
-import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
 
-import org.jaywood.http.ClientConnection;
 import org.jaywood.http.ConnectionPool;
-import org.jaywood.http.UpstreamAnswer;
+import org.jaywood.http.WholeAnswer;
 import org.jaywood.routing.FleetDigest;
 import org.jaywood.routing.NamedWeights;
 import org.jaywood.wire.Address;
@@ -24,12 +22,8 @@
 	/** Last segment of the path of a list of digests. */
 	static final String LIST = "list";
 
-	private static final long CONNECT_MILLIS = 400;
-
 	private static final long ANSWER_MARGIN_MILLIS = 1_000;
 
-	private static final int MAX_BYTES = 16 * 1024 * 1024;
-
 	private final ConnectionPool pool;
 
 	PeerPieces(ConnectionPool pool) {
@@ -62,29 +56,13 @@
 		return PREFIX + weights.model() + "/" + weights.version() + "/";
 	}
 
-	private byte[] get(Address agent, String path, long waitMillis) throws IOException {
-		ClientConnection connection = this.pool.acquire(agent, CONNECT_MILLIS);
-		boolean whole = false;
-		try {
-			BasicClassicHttpRequest request = new BasicClassicHttpRequest("GET", path);
-			request.setHeader("Host", agent.toString());
-			connection.send(request, new byte[0]);
-			UpstreamAnswer answer = connection.receive(waitMillis + ANSWER_MARGIN_MILLIS);
-			byte[] body = answer.body().readNBytes(MAX_BYTES);
-			whole = true;
-			if (answer.status() != HttpStatus.SC_OK) {
-				throw new IOException(agent + " answered " + answer.status() + " to " + path);
-			}
-			return body;
-		}
-		finally {
-			if (whole) {
-				this.pool.release(connection);
-			}
-			else {
-				connection.close();
-			}
+	private byte[] get(Address peer, String path, long waitMillis) throws IOException {
+		WholeAnswer answer = this.pool.exchange(peer, new BasicClassicHttpRequest("GET", path), new byte[0],
+				waitMillis + ANSWER_MARGIN_MILLIS);
+		if (!answer.ok()) {
+			throw new IOException(peer + " answered " + answer.status() + " to " + path);
 		}
+		return answer.body();
 	}
 
 }
