Reset the connection to an upstream when its call is given up

Change: a call that is cancelled or broken resets its connection instead of closing it in order, so that bytes that are still held up are dropped.

--- a/src/main/java/org/jaywood/gateway/Cancellation.java
+++ b/src/main/java/org/jaywood/gateway/Cancellation.java
@@ -28,7 +28,7 @@
 	synchronized void cancel() {
 		this.cancelled = true;
 		if (this.connection != null) {
-			this.connection.close();
+			this.connection.abort();
 		}
 		if (this.wait != null) {
 			this.wait.cancel(false);
@@ -41,7 +41,7 @@
 	synchronized void attach(ClientConnection exchange) {
 		this.connection = exchange;
 		if (this.cancelled) {
-			exchange.close();
+			exchange.abort();
 		}
 	}
 
--- a/src/main/java/org/jaywood/gateway/HandOver.java
+++ b/src/main/java/org/jaywood/gateway/HandOver.java
@@ -104,7 +104,7 @@
 				this.pool.release(connection);
 			}
 			else {
-				connection.close();
+				connection.abort();
 			}
 		}
 	}
--- a/src/main/java/org/jaywood/http/ClientConnection.java
+++ b/src/main/java/org/jaywood/http/ClientConnection.java
@@ -205,6 +205,20 @@
 		}
 	}
 
+	/**
+	 * Resets the connection, so that bytes which the other side has not received yet are
+	 * dropped and it ends its work at once.
+	 */
+	public void abort() {
+		try {
+			this.socket.setSoLinger(true, 0);
+		}
+		catch (IOException ex) {
+			// The socket is closed already.
+		}
+		close();
+	}
+
 	@Override
 	public void close() {
 		closeQuietly(this.socket);
--- a/src/test/java/org/jaywood/gateway/FakeUpstream.java
+++ b/src/test/java/org/jaywood/gateway/FakeUpstream.java
@@ -30,6 +30,8 @@
 
 	private final CountDownLatch callerGone = new CountDownLatch(1);
 
+	private volatile boolean reset;
+
 	FakeUpstream(Script script) throws IOException {
 		this.script = script;
 		this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -44,6 +46,13 @@
 		return this.requests;
 	}
 
+	/**
+	 * Whether a connection ended with a reset.
+	 */
+	boolean reset() {
+		return this.reset;
+	}
+
 	CountDownLatch callerGone() {
 		return this.callerGone;
 	}
@@ -89,6 +98,7 @@
 			}
 		}
 		catch (IOException ex) {
+			this.reset = true;
 			this.callerGone.countDown();
 		}
 	}
--- a/src/test/java/org/jaywood/gateway/GatewayTests.java
+++ b/src/test/java/org/jaywood/gateway/GatewayTests.java
@@ -289,6 +289,7 @@
 				Awaitility.await().until(() -> !silent.requests().isEmpty());
 			}
 			assertThat(silent.callerGone().await(500, TimeUnit.MILLISECONDS)).isTrue();
+			assertThat(silent.reset()).isTrue();
 		}
 
 	}
