--- a/src/main/java/org/jaywood/bench/LoadClient.java
+++ b/src/main/java/org/jaywood/bench/LoadClient.java
@@ -16,6 +16,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -120,7 +121,7 @@
 			case WHOLE -> checkWhole(call, Json.read(body.readAllAsString(), JsonNode.class), dueNanos);
 			case READ, REPLACE, BOOK -> {
 				JsonNode answer = Json.read(body.readAllAsString(), JsonNode.class);
-				yield result(answer.path("path").asText().equals(path(call)), 0, dueNanos);
+				yield result(answer.path("path").asText().equals(path(call)), 0, dueNanos, answer::toString);
 			}
 		};
 	}
@@ -131,7 +132,8 @@
 		boolean right = !digest.isEmpty() && answer.path("count").asInt() == call.tokens()
 				&& text.equals(expected(digest, call).collect(Collectors.joining()))
 				&& answer.path("digest").asText().equals(Digests.sha256(text));
-		return result(right, 0, dueNanos);
+		return result(right, 0, dueNanos, () -> "whole answer of weights " + digest + " with "
+				+ answer.path("count").asInt() + " tokens: " + text);
 	}
 
 	private LoadResult checkStream(LoadCall call, BufferedReader body, long dueNanos) throws IOException {
@@ -149,7 +151,9 @@
 			if (event.path("end").asBoolean()) {
 				boolean whole = event.path("count").asInt() == call.tokens() && tokens.size() == call.tokens()
 						&& event.path("digest").asText().equals(Digests.sha256(String.join("", tokens)));
-				return result(whole && fromOneSet(tokens, call), firstTokenMicros, dueNanos);
+				return result(whole && fromOneSet(tokens, call), firstTokenMicros, dueNanos,
+						() -> "stream with the end " + event + " behind " + tokens.size() + " tokens: "
+								+ String.join("", tokens));
 			}
 			if (event.has("index")) {
 				firstTokenMicros = (firstTokenMicros == 0) ? microsSince(dueNanos) : firstTokenMicros;
@@ -167,9 +171,9 @@
 		return IntStream.range(0, call.tokens()).mapToObj((index) -> TokenFunction.token(digest, call.prompt(), index));
 	}
 
-	private static LoadResult result(boolean right, long firstTokenMicros, long dueNanos) {
+	private static LoadResult result(boolean right, long firstTokenMicros, long dueNanos, Supplier<String> received) {
 		return new LoadResult(right ? Outcome.ANSWERED : Outcome.WRONG, firstTokenMicros, microsSince(dueNanos),
-				right ? "" : "answer differs");
+				right ? "" : "answer differs, received: " + received.get());
 	}
 
 	private static long microsSince(long startNanos) {
--- a/src/main/java/org/jaywood/feed/FeedFollower.java
+++ b/src/main/java/org/jaywood/feed/FeedFollower.java
@@ -46,7 +46,7 @@
 
 	private long regainedMillis = Long.MIN_VALUE;
 
-	private boolean reachable = true;
+	private volatile boolean reachable = true;
 
 	private volatile boolean closed;
 
@@ -80,6 +80,13 @@
 		return this.view;
 	}
 
+	/**
+	 * Whether the store answered the last call.
+	 */
+	public boolean reachable() {
+		return this.reachable;
+	}
+
 	@Override
 	public void close() {
 		this.closed = true;
--- /dev/null
+++ b/src/main/java/org/jaywood/gateway/DigestService.java
@@ -0,0 +1,46 @@
+package org.jaywood.gateway;
+
+import java.util.function.BooleanSupplier;
+
+import org.jaywood.feed.BootClock;
+import org.jaywood.routing.DigestReply;
+import org.jaywood.routing.FleetDigest;
+
+/**
+ * Lets agents wait for changes of what they have to know. A gateway that has lost the
+ * store says so within one interval, so that its agents turn to another one.
+ */
+final class DigestService {
+
+	/** Interval at which a waiting agent is told that the store is lost. */
+	private static final long CHECK_MILLIS = 500;
+
+	private final Knowledge knowledge;
+
+	private final BooleanSupplier storeReachable;
+
+	DigestService(Knowledge knowledge, BooleanSupplier storeReachable) {
+		this.knowledge = knowledge;
+		this.storeReachable = storeReachable;
+	}
+
+	/**
+	 * Waits for a digest that differs from one that an agent has.
+	 * @param service service of the agent
+	 * @param known {@link FleetDigest#content} of the one it has, or 0
+	 * @param waitMillis longest wait
+	 */
+	DigestReply await(String service, long known, long waitMillis) throws InterruptedException {
+		long untilMillis = BootClock.nowMillis() + waitMillis;
+		while (true) {
+			long leftMillis = untilMillis - BootClock.nowMillis();
+			FleetDigest digest = this.knowledge.awaitDigest(service, known, Math.clamp(leftMillis, 0, CHECK_MILLIS));
+			boolean current = digest != null && this.storeReachable.getAsBoolean();
+			boolean changed = digest != null && digest.content() != known;
+			if (changed || !current || BootClock.nowMillis() >= untilMillis) {
+				return new DigestReply(current, changed ? digest : null);
+			}
+		}
+	}
+
+}
--- a/src/main/java/org/jaywood/gateway/Gateway.java
+++ b/src/main/java/org/jaywood/gateway/Gateway.java
@@ -15,7 +15,6 @@
 import org.jaywood.feed.BootClock;
 import org.jaywood.feed.FeedFollower;
 import org.jaywood.peer.MetricsText;
-import org.jaywood.routing.FleetDigest;
 import org.jaywood.routing.RouteTable;
 import org.jaywood.wire.Exchange;
 import org.jaywood.wire.HttpPort;
@@ -39,7 +38,7 @@
 	/** Path at which agents ask for what they have to know. */
 	private static final String FLEET_PATH = "/v1/fleet";
 
-	private static final long MAX_DIGEST_WAIT_MILLIS = 20_000;
+	private static final long MAX_DIGEST_WAIT_MILLIS = 5_000;
 
 	private static final long TICK_MILLIS = 40;
 
@@ -63,6 +62,8 @@
 
 	private final List<FeedFollower<?>> followers;
 
+	private final DigestService digests;
+
 	private final ScheduledExecutorService timer = Executors
 		.newSingleThreadScheduledExecutor(Thread.ofPlatform().daemon().name("tick").factory());
 
@@ -91,6 +92,7 @@
 				}, log), new FeedFollower<>(feeds.closedDataCentres(), DATA_CENTRES_WAIT_MILLIS,
 						knowledge::onClosedDataCentres, log),
 				new FeedFollower<>(feeds.weights(), WEIGHTS_WAIT_MILLIS, knowledge::onWeights, log));
+		this.digests = new DigestService(knowledge, () -> this.followers.stream().allMatch(FeedFollower::reachable));
 	}
 
 	/**
@@ -159,12 +161,7 @@
 		String service = exchange.query().getOrDefault("service", "");
 		long known = exchange.queryLong("content", 0);
 		long waitMillis = Math.clamp(exchange.queryLong("wait", 0), 0, MAX_DIGEST_WAIT_MILLIS);
-		FleetDigest digest = this.context.knowledge().awaitDigest(service, known, waitMillis);
-		if (digest == null) {
-			exchange.respondError(503, "service " + service + " is not known");
-			return;
-		}
-		exchange.respondJson(200, digest);
+		exchange.respondJson(200, this.digests.await(service, known, waitMillis));
 	}
 
 	private void tick() {
--- a/src/main/java/org/jaywood/replica/FleetKnowledge.java
+++ b/src/main/java/org/jaywood/replica/FleetKnowledge.java
@@ -47,6 +47,13 @@
 		return present.model().equals(latest.model()) && present.version() > latest.version();
 	}
 
+	/**
+	 * Whether anything is known yet.
+	 */
+	boolean known() {
+		return this.digest != null;
+	}
+
 	/**
 	 * Hash of what is known, 0 for nothing.
 	 */
--- a/src/main/java/org/jaywood/replica/FleetSync.java
+++ b/src/main/java/org/jaywood/replica/FleetSync.java
@@ -1,11 +1,8 @@
 package org.jaywood.replica;
 
 import java.io.IOException;
-import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
-import java.util.concurrent.ConcurrentHashMap;
 
 import org.jaywood.event.Event;
 import org.jaywood.event.EventLog;
@@ -13,6 +10,7 @@
 import org.jaywood.feed.FeedEntry;
 import org.jaywood.feed.FeedException;
 import org.jaywood.feed.FeedPage;
+import org.jaywood.routing.DigestReply;
 import org.jaywood.routing.FleetDigest;
 import org.jaywood.routing.NamedWeights;
 import org.jaywood.routing.RouteTable;
@@ -22,12 +20,13 @@
 
 /**
  * Keeps an agent informed of its service. It asks one of the gateways that receive its
- * reports, since each call to the store is paid for, and reads the store itself only
- * while no gateway answers.
+ * reports and reach the store, since each call to the store is paid for, and reads the
+ * store itself only while there is no such gateway.
  */
 final class FleetSync {
 
-	private static final long WAIT_MILLIS = 10_000;
+	/** A gateway that is silent for longer than this is taken as lost. */
+	private static final long WAIT_MILLIS = 2_000;
 
 	/** Time without a gateway after which the store is read. */
 	private static final long STORE_AFTER_MILLIS = 4_000;
@@ -46,7 +45,7 @@
 
 	private final EventLog log;
 
-	private final Map<Address, String> gateways = new ConcurrentHashMap<>();
+	private final GatewayDirectory gateways;
 
 	private long informedMillis;
 
@@ -62,6 +61,7 @@
 		this.feeds = feeds;
 		this.peers = peers;
 		this.log = log;
+		this.gateways = new GatewayDirectory(settings.dataCentre(), settings.vm());
 	}
 
 	FleetSync start() {
@@ -78,7 +78,7 @@
 	 * Notes a gateway that receives reports.
 	 */
 	void onGateway(Address gateway, String dataCentre) {
-		this.gateways.put(gateway, dataCentre);
+		this.gateways.add(gateway, dataCentre);
 	}
 
 	void onGatewayGone(Address gateway) {
@@ -87,7 +87,7 @@
 
 	private void run() {
 		while (!this.closed) {
-			boolean informed = nearestFirst().stream().anyMatch(this::ask);
+			boolean informed = this.gateways.order(BootClock.nowMillis()).stream().anyMatch(this::ask);
 			try {
 				if (!informed) {
 					readStoreIfDue(BootClock.nowMillis());
@@ -100,30 +100,41 @@
 		}
 	}
 
-	private List<Address> nearestFirst() {
-		return this.gateways.entrySet()
-			.stream()
-			.sorted(Comparator.<Map.Entry<Address, String>, Boolean>comparing(
-					(gateway) -> !gateway.getValue().equals(this.settings.dataCentre()))
-				.thenComparing((gateway) -> (gateway.getKey() + this.settings.vm()).hashCode()))
-			.map(Map.Entry::getKey)
-			.toList();
-	}
-
+	/**
+	 * Asks a gateway for news.
+	 * @return whether it reaches the store, so that no other one need be asked
+	 */
 	private boolean ask(Address gateway) {
 		try {
-			FleetDigest digest = this.peers.digest(gateway, this.settings.service(), this.fleet.content(), WAIT_MILLIS);
-			this.fleet.onDigest(digest);
+			DigestReply reply = this.peers.digest(gateway, this.settings.service(), this.fleet.content(), WAIT_MILLIS);
+			FleetDigest digest = reply.digest();
+			if (digest != null && (reply.current() || !this.fleet.known())) {
+				this.fleet.onDigest(digest);
+			}
+			if (!reply.current()) {
+				doubt(gateway, "it does not reach the store");
+				return false;
+			}
+			if (this.gateways.trust(gateway)) {
+				this.log.log(Event.FEED_REGAINED, "feed", "gateway " + gateway, "millis",
+						BootClock.nowMillis() - this.informedMillis);
+			}
 			this.informedMillis = BootClock.nowMillis();
 			return true;
 		}
 		catch (IOException | RuntimeException ex) {
-			this.log.log(Event.FEED_LOST, "feed", "gateway " + gateway, "revision", this.fleet.content(), "error",
-					ex.getMessage());
+			doubt(gateway, String.valueOf(ex.getMessage()));
 			return false;
 		}
 	}
 
+	private void doubt(Address gateway, String reason) {
+		if (this.gateways.doubt(gateway, BootClock.nowMillis())) {
+			this.log.log(Event.FEED_LOST, "feed", "gateway " + gateway, "revision", this.fleet.content(), "error",
+					reason);
+		}
+	}
+
 	private void readStoreIfDue(long nowMillis) {
 		boolean due = nowMillis - this.informedMillis > STORE_AFTER_MILLIS
 				&& nowMillis - this.storeReadMillis > STORE_INTERVAL_MILLIS;
--- /dev/null
+++ b/src/main/java/org/jaywood/replica/HeldPieces.java
@@ -0,0 +1,79 @@
+package org.jaywood.replica;
+
+import org.jspecify.annotations.Nullable;
+
+import org.jaywood.event.Event;
+import org.jaywood.event.EventLog;
+import org.jaywood.routing.LoadedWeights;
+import org.jaywood.routing.NamedWeights;
+
+/**
+ * The pieces that an agent can pass on: those that it has fetched and verified, and those
+ * that lie beside an engine which serves the very version that is asked for. What lies
+ * there otherwise belongs to another version, and would cost the link of the receiver for
+ * nothing.
+ */
+final class HeldPieces {
+
+	private final CopyKeeper copies;
+
+	private final EngineControl engine;
+
+	private final EngineMonitor monitor;
+
+	private final EventLog log;
+
+	HeldPieces(CopyKeeper copies, EngineControl engine, EngineMonitor monitor, EventLog log) {
+		this.copies = copies;
+		this.engine = engine;
+		this.monitor = monitor;
+		this.log = log;
+	}
+
+	/**
+	 * The list of digests of a version.
+	 * @param waitMillis longest wait for a version that is not being fetched yet
+	 * @return the list, or null if it is not here
+	 */
+	@Nullable PieceList list(NamedWeights weights, long waitMillis) throws InterruptedException {
+		WeightCopy copy = copy(weights, waitMillis);
+		return (copy != null) ? copy.list() : null;
+	}
+
+	/**
+	 * A piece of a version.
+	 * @param waitMillis longest wait for a piece that is still on its way
+	 * @return the bytes, or null if they are not here
+	 */
+	byte @Nullable [] piece(NamedWeights weights, int index, long waitMillis) throws InterruptedException {
+		WeightCopy copy = copy(weights, waitMillis);
+		if (copy != null) {
+			return copy.await(index, waitMillis);
+		}
+		return serving(weights) ? staged(weights, index) : null;
+	}
+
+	private @Nullable WeightCopy copy(NamedWeights weights, long waitMillis) throws InterruptedException {
+		return serving(weights) ? this.copies.copy(weights) : this.copies.awaitCopy(weights, waitMillis);
+	}
+
+	private boolean serving(NamedWeights weights) {
+		EngineReport report = this.monitor.latest();
+		LoadedWeights loaded = (report != null) ? report.weights() : null;
+		return loaded != null && loaded.version() == weights.version();
+	}
+
+	/**
+	 * Reads a piece beside the engine. It is not verified here: the receiver does so.
+	 */
+	private byte @Nullable [] staged(NamedWeights weights, int index) {
+		try {
+			return this.engine.staged(weights.model(), index);
+		}
+		catch (EngineUnavailableException ex) {
+			this.log.log(Event.CHUNK_FETCH_FAILED, "chunk", index, "source", "engine", "error", ex.getMessage());
+			return null;
+		}
+	}
+
+}
--- a/src/main/java/org/jaywood/replica/PeerPieces.java
+++ b/src/main/java/org/jaywood/replica/PeerPieces.java
@@ -6,7 +6,7 @@
 
 import org.jaywood.http.ConnectionPool;
 import org.jaywood.http.WholeAnswer;
-import org.jaywood.routing.FleetDigest;
+import org.jaywood.routing.DigestReply;
 import org.jaywood.routing.NamedWeights;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Json;
@@ -43,13 +43,13 @@
 	}
 
 	/**
-	 * Asks a gateway for the digest of a service.
+	 * Asks a gateway for the digest of a service, if it is another one than that known.
 	 * @param content hash of the digest that is known
 	 * @param waitMillis wait of the gateway for another one
 	 */
-	FleetDigest digest(Address gateway, String service, long content, long waitMillis) throws IOException {
+	DigestReply digest(Address gateway, String service, long content, long waitMillis) throws IOException {
 		return Json.read(get(gateway, "/v1/fleet?service=" + service + "&content=" + content + "&wait=" + waitMillis,
-				waitMillis), FleetDigest.class);
+				waitMillis), DigestReply.class);
 	}
 
 	private static String path(NamedWeights weights) {
--- a/src/main/java/org/jaywood/replica/Replica.java
+++ b/src/main/java/org/jaywood/replica/Replica.java
@@ -9,7 +9,6 @@
 import org.jaywood.event.Event;
 import org.jaywood.event.EventLog;
 import org.jaywood.http.ConnectionPool;
-import org.jaywood.routing.LoadedWeights;
 import org.jaywood.routing.NamedWeights;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.BadInputException;
@@ -30,14 +29,14 @@
 
 	private final ReplicaSettings settings;
 
-	private final EngineControl engine;
-
 	private final EngineMonitor monitor;
 
 	private final EngineKeeper keeper;
 
 	private final CopyKeeper copies;
 
+	private final HeldPieces pieces;
+
 	private final FleetSync sync;
 
 	private final UploadPacer pacer;
@@ -51,7 +50,6 @@
 	public Replica(ReplicaSettings settings, EngineControl engine, WeightOrigin origin, ReplicaFeeds feeds,
 			EventLog log) {
 		this.settings = settings;
-		this.engine = engine;
 		this.pacer = new UploadPacer(settings.linkBytesPerSecond());
 		this.log = log;
 		FleetKnowledge fleet = new FleetKnowledge(settings, log);
@@ -61,6 +59,7 @@
 		PieceFetcher fetcher = new PieceFetcher(fleet, peers, origin, settings.listen().port(), log);
 		Rollout rollout = new Rollout();
 		this.copies = new CopyKeeper(fleet, engine, this.monitor, rollout, fetcher, log);
+		this.pieces = new HeldPieces(this.copies, engine, this.monitor, log);
 		this.keeper = new EngineKeeper(fleet, engine, rollout, this.copies, this.monitor, log);
 	}
 
@@ -117,13 +116,12 @@
 		}
 		NamedWeights weights = new NamedWeights(parts[0], number(parts[1]));
 		long waitMillis = Math.clamp(exchange.queryLong("wait", 0), 0, MAX_WAIT_MILLIS);
-		WeightCopy copy = serving(weights) ? this.copies.copy(weights) : this.copies.awaitCopy(weights, waitMillis);
 		if (parts[2].equals(PeerPieces.LIST)) {
-			sendList(exchange, copy);
+			sendList(exchange, this.pieces.list(weights, waitMillis));
 			return;
 		}
 		int index = Math.toIntExact(number(parts[2]));
-		byte[] piece = (copy != null) ? copy.await(index, waitMillis) : staged(weights, index);
+		byte[] piece = this.pieces.piece(weights, index, waitMillis);
 		if (piece == null) {
 			exchange.respondError(404, "piece " + index + " is not here");
 		}
@@ -134,31 +132,12 @@
 		}
 	}
 
-	private boolean serving(NamedWeights weights) {
-		EngineReport report = this.monitor.latest();
-		LoadedWeights loaded = (report != null) ? report.weights() : null;
-		return loaded != null && loaded.version() == weights.version();
-	}
-
-	private void sendList(Exchange exchange, @Nullable WeightCopy copy) throws IOException {
-		if (copy == null) {
+	private static void sendList(Exchange exchange, @Nullable PieceList list) throws IOException {
+		if (list == null) {
 			exchange.respondError(404, "no list of these weights");
 		}
 		else {
-			exchange.respondJson(200, copy.list());
-		}
-	}
-
-	/**
-	 * Reads a piece beside the engine. It is not verified here: the receiver does so.
-	 */
-	private byte @Nullable [] staged(NamedWeights weights, int index) {
-		try {
-			return this.engine.staged(weights.model(), index);
-		}
-		catch (EngineUnavailableException ex) {
-			this.log.log(Event.CHUNK_FETCH_FAILED, "chunk", index, "source", "engine", "error", ex.getMessage());
-			return null;
+			exchange.respondJson(200, list);
 		}
 	}
 
--- a/src/test/java/org/jaywood/gateway/KnowledgeTests.java
+++ b/src/test/java/org/jaywood/gateway/KnowledgeTests.java
@@ -8,6 +8,7 @@
 import org.jaywood.event.EventLog;
 import org.jaywood.feed.BootClock;
 import org.jaywood.feed.FeedView;
+import org.jaywood.routing.DigestReply;
 import org.jaywood.routing.DispatchSettings;
 import org.jaywood.routing.Dispatcher;
 import org.jaywood.routing.NamedWeights;
@@ -75,4 +76,51 @@
 
 	}
 
+	/**
+	 * Guards against a gateway that keeps its agents waiting though it has lost the
+	 * store, so that they miss a new version for as long as they wait.
+	 */
+	@Nested
+	class Digests {
+
+		private static final long LONG_WAIT_MILLIS = 5_000;
+
+		private boolean reachable = true;
+
+		private final DigestService digests = new DigestService(KnowledgeTests.this.knowledge, () -> this.reachable);
+
+		Digests() {
+			onWeights(1, BootClock.nowMillis(), Long.MIN_VALUE);
+		}
+
+		@Test
+		void anAgentGetsWhatItDoesNotHave() throws Exception {
+			DigestReply reply = this.digests.await(Upstreams.POOL, 0, 0);
+			assertThat(reply.current()).isTrue();
+			assertThat(reply.digest().target()).isEqualTo(new NamedWeights("model", 1));
+		}
+
+		@Test
+		void nothingIsSentTwice() throws Exception {
+			long known = this.digests.await(Upstreams.POOL, 0, 0).digest().content();
+			assertThat(this.digests.await(Upstreams.POOL, known, 0)).isEqualTo(new DigestReply(true, null));
+		}
+
+		@Test
+		void aLostStoreEndsTheWaitEarly() throws Exception {
+			long known = this.digests.await(Upstreams.POOL, 0, 0).digest().content();
+			this.reachable = false;
+			long sinceMillis = BootClock.nowMillis();
+			DigestReply reply = this.digests.await(Upstreams.POOL, known, LONG_WAIT_MILLIS);
+			assertThat(reply).isEqualTo(new DigestReply(false, null));
+			assertThat(BootClock.nowMillis() - sinceMillis).isLessThan(LONG_WAIT_MILLIS / 2);
+		}
+
+		@Test
+		void anUnknownServiceIsNotCurrent() throws Exception {
+			assertThat(this.digests.await("other", 0, 0)).isEqualTo(new DigestReply(false, null));
+		}
+
+	}
+
 }
--- a/src/test/java/org/jaywood/replica/EngineKeeperTests.java
+++ b/src/test/java/org/jaywood/replica/EngineKeeperTests.java
@@ -1,17 +1,14 @@
 package org.jaywood.replica;
 
-import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
 import org.awaitility.Awaitility;
-import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -19,7 +16,6 @@
 import org.jaywood.event.EventLog;
 import org.jaywood.http.ConnectionPool;
 import org.jaywood.routing.FleetDigest;
-import org.jaywood.routing.LoadedWeights;
 import org.jaywood.routing.ServiceProfile;
 import org.jaywood.routing.Upstream;
 import org.jaywood.routing.Upstreams;
@@ -29,10 +25,6 @@
 
 class EngineKeeperTests {
 
-	private static final int PIECES = 4;
-
-	private static final int LAYERS = 16;
-
 	private final EventLog log = new EventLog("test");
 
 	private final Upstream own = Upstreams.engine("own", "kushiro-a", "doto", 1);
@@ -61,7 +53,8 @@
 	}
 
 	private void name(long version) {
-		ServiceProfile.Engines profile = new ServiceProfile.Engines(Upstreams.POOL, 36, "model", LAYERS, 300);
+		ServiceProfile.Engines profile = new ServiceProfile.Engines(Upstreams.POOL, 36, "model", FakeEngine.LAYERS,
+				300);
 		ServiceProfile.Origin origin = new ServiceProfile.Origin("origin", new Address("127.0.0.1", 2), "doto");
 		this.fleet.onDigest(FleetDigest.of(version, profile, origin, version, List.of(this.own)));
 	}
@@ -72,10 +65,6 @@
 		this.keeper.start();
 	}
 
-	private static byte[] piece(long version, int index) {
-		return ("piece " + version + " " + index).getBytes(StandardCharsets.UTF_8);
-	}
-
 	/**
 	 * Guards against an engine that loads pieces which are missing, spoilt or of another
 	 * version.
@@ -85,7 +74,7 @@
 
 		@Test
 		void piecesThatTurnBadBesideTheEngineAreReplacedBeforeTheOrder() {
-			EngineKeeperTests.this.engine.staged.put(0, piece(2, 0));
+			EngineKeeperTests.this.engine.staged.put(0, FakeEngine.piece(2, 0));
 			EngineKeeperTests.this.engine.staged.put(1, new byte[] { 1 });
 			name(2);
 			start();
@@ -123,64 +112,6 @@
 
 	}
 
-	/**
-	 * Engine that keeps what is staged and loads it at once.
-	 */
-	private static final class FakeEngine implements EngineControl {
-
-		private final Map<Integer, byte[]> staged = new ConcurrentHashMap<>();
-
-		private final List<String> loaded = new ArrayList<>();
-
-		private volatile long sequence;
-
-		private volatile long lastPrecondition = -1;
-
-		private volatile @Nullable LoadedWeights weights = new LoadedWeights("model", 1, 0, LAYERS);
-
-		private volatile boolean spoilOrigin;
-
-		void restart() {
-			this.weights = null;
-			this.sequence = 0;
-		}
-
-		@Override
-		public EngineReport report() {
-			return new EngineReport(1, 0, 0, false, this.sequence, this.weights);
-		}
-
-		@Override
-		public void stage(String model, int index, byte[] piece) {
-			this.staged.put(index, piece);
-		}
-
-		@Override
-		public byte @Nullable [] staged(String model, int index) {
-			return this.staged.get(index);
-		}
-
-		@Override
-		public boolean load(String model, long version, long precondition) {
-			this.lastPrecondition = precondition;
-			if (precondition != this.sequence) {
-				return false;
-			}
-			Map<Integer, String> wanted = new HashMap<>();
-			Map<Integer, String> present = new HashMap<>();
-			for (int index = 0; index < PIECES; index++) {
-				wanted.put(index, new String(piece(version, index), StandardCharsets.UTF_8));
-				byte[] bytes = this.staged.getOrDefault(index, new byte[0]);
-				present.put(index, new String(bytes, StandardCharsets.UTF_8));
-			}
-			this.sequence++;
-			this.weights = new LoadedWeights(model, version, 0, LAYERS);
-			this.loaded.add(version + (wanted.equals(present) ? " whole" : " spoilt"));
-			return true;
-		}
-
-	}
-
 	/**
 	 * Origin that may spoil the first answer for a piece.
 	 */
@@ -191,8 +122,8 @@
 		@Override
 		public PieceList pieces(Address origin, String model, long version) {
 			List<String> digests = new ArrayList<>();
-			for (int index = 0; index < PIECES; index++) {
-				digests.add(digest(EngineKeeperTests.piece(version, index)));
+			for (int index = 0; index < FakeEngine.PIECES; index++) {
+				digests.add(digest(FakeEngine.piece(version, index)));
 			}
 			return new PieceList(model, version, digests);
 		}
@@ -201,7 +132,7 @@
 		public byte[] piece(Address origin, String model, long version, int index) {
 			boolean first = this.asked.put(index, true) == null;
 			return (first && EngineKeeperTests.this.engine.spoilOrigin) ? new byte[] { 9 }
-					: EngineKeeperTests.piece(version, index);
+					: FakeEngine.piece(version, index);
 		}
 
 		private static String digest(byte[] bytes) {
--- /dev/null
+++ b/src/test/java/org/jaywood/replica/FakeEngine.java
@@ -0,0 +1,81 @@
+package org.jaywood.replica;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.jspecify.annotations.Nullable;
+
+import org.jaywood.routing.LoadedWeights;
+
+/**
+ * Engine that keeps what is staged and loads it at once.
+ */
+final class FakeEngine implements EngineControl {
+
+	static final int PIECES = 4;
+
+	static final int LAYERS = 16;
+
+	final Map<Integer, byte[]> staged = new ConcurrentHashMap<>();
+
+	final List<String> loaded = new ArrayList<>();
+
+	volatile long sequence;
+
+	volatile long lastPrecondition = -1;
+
+	volatile @Nullable LoadedWeights weights = new LoadedWeights("model", 1, 0, LAYERS);
+
+	volatile boolean spoilOrigin;
+
+	/**
+	 * The right bytes of a piece.
+	 */
+	static byte[] piece(long version, int index) {
+		return ("piece " + version + " " + index).getBytes(StandardCharsets.UTF_8);
+	}
+
+	void restart() {
+		this.weights = null;
+		this.sequence = 0;
+	}
+
+	@Override
+	public EngineReport report() {
+		return new EngineReport(1, 0, 0, false, this.sequence, this.weights);
+	}
+
+	@Override
+	public void stage(String model, int index, byte[] piece) {
+		this.staged.put(index, piece);
+	}
+
+	@Override
+	public byte @Nullable [] staged(String model, int index) {
+		return this.staged.get(index);
+	}
+
+	@Override
+	public boolean load(String model, long version, long precondition) {
+		this.lastPrecondition = precondition;
+		if (precondition != this.sequence) {
+			return false;
+		}
+		Map<Integer, String> wanted = new HashMap<>();
+		Map<Integer, String> present = new HashMap<>();
+		for (int index = 0; index < PIECES; index++) {
+			wanted.put(index, new String(piece(version, index), StandardCharsets.UTF_8));
+			byte[] bytes = this.staged.getOrDefault(index, new byte[0]);
+			present.put(index, new String(bytes, StandardCharsets.UTF_8));
+		}
+		this.sequence++;
+		this.weights = new LoadedWeights(model, version, 0, LAYERS);
+		this.loaded.add(version + (wanted.equals(present) ? " whole" : " spoilt"));
+		return true;
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/jaywood/replica/FleetSyncTests.java
@@ -0,0 +1,126 @@
+package org.jaywood.replica;
+
+import java.util.List;
+
+import org.awaitility.Awaitility;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.event.EventLog;
+import org.jaywood.feed.Feed;
+import org.jaywood.feed.FeedException;
+import org.jaywood.feed.FeedPage;
+import org.jaywood.http.ConnectionPool;
+import org.jaywood.routing.DigestReply;
+import org.jaywood.routing.FleetDigest;
+import org.jaywood.routing.NamedWeights;
+import org.jaywood.routing.ServiceProfile;
+import org.jaywood.routing.Upstream;
+import org.jaywood.routing.Upstreams;
+import org.jaywood.wire.Address;
+import org.jaywood.wire.HttpPort;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class FleetSyncTests {
+
+	private static final Address NEAR = new Address("127.0.0.1", 17_411);
+
+	private static final Address FAR = new Address("127.0.0.1", 17_412);
+
+	private final EventLog log = new EventLog("test");
+
+	private final Upstream own = Upstreams.engine("own", "kushiro-a", "doto", 1);
+
+	private final ReplicaSettings settings = new ReplicaSettings("vm", this.own.address(), new Address("127.0.0.1", 1),
+			Upstreams.POOL, "doto", "kushiro-a", 0, 8_000);
+
+	private final FleetKnowledge fleet = new FleetKnowledge(this.settings, this.log);
+
+	private final FleetSync sync = new FleetSync(this.settings, this.fleet,
+			new ReplicaFeeds(new LostFeed<>(), new LostFeed<>(), new LostFeed<>()),
+			new PeerPieces(new ConnectionPool()), this.log);
+
+	private volatile @Nullable DigestReply near;
+
+	private volatile @Nullable DigestReply far;
+
+	private final HttpPort nearPort = HttpPort.open(NEAR, this.log)
+		.route("GET", "/v1/fleet", (exchange) -> exchange.respondJson(200, this.near))
+		.start();
+
+	private final HttpPort farPort = HttpPort.open(FAR, this.log)
+		.route("GET", "/v1/fleet", (exchange) -> exchange.respondJson(200, this.far))
+		.start();
+
+	FleetSyncTests() {
+		this.sync.onGateway(NEAR, "kushiro-a");
+		this.sync.onGateway(FAR, "donan-a");
+	}
+
+	@AfterEach
+	void stop() {
+		this.sync.close();
+		this.nearPort.close();
+		this.farPort.close();
+	}
+
+	private FleetDigest digest(long version) {
+		return FleetDigest.of(version, new ServiceProfile.Engines(Upstreams.POOL, 36, "model", 16, 300), null, version,
+				List.of(this.own));
+	}
+
+	/**
+	 * Guards against an agent that learns of a new version late, since the gateway that
+	 * it asks has lost the store.
+	 */
+	@Nested
+	class Gateways {
+
+		@Test
+		void anAgentTurnsFromAGatewayThatHasLostTheStore() {
+			FleetSyncTests.this.near = new DigestReply(false, digest(1));
+			FleetSyncTests.this.far = new DigestReply(true, digest(2));
+			FleetSyncTests.this.sync.start();
+			Awaitility.await()
+				.until(() -> FleetSyncTests.this.fleet.target().filter((target) -> target.version() == 2).isPresent());
+		}
+
+		@Test
+		void anAgentThatKnowsNothingTakesWhatIsThere() {
+			FleetSyncTests.this.near = new DigestReply(false, digest(1));
+			FleetSyncTests.this.far = new DigestReply(false, null);
+			FleetSyncTests.this.sync.start();
+			Awaitility.await().until(FleetSyncTests.this.fleet::known);
+			assertThat(FleetSyncTests.this.fleet.target().orElseThrow()).isEqualTo(new NamedWeights("model", 1));
+		}
+
+	}
+
+	/**
+	 * Feed of a store that does not answer.
+	 *
+	 * @param <T> type of the values
+	 */
+	private static final class LostFeed<T> implements Feed<T> {
+
+		@Override
+		public String name() {
+			return "lost";
+		}
+
+		@Override
+		public FeedPage<T> list() throws FeedException {
+			throw new FeedException("no answer", null);
+		}
+
+		@Override
+		public FeedPage<T> watch(long revision, long waitMillis) throws FeedException {
+			throw new FeedException("no answer", null);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/jaywood/replica/HeldPiecesTests.java
@@ -0,0 +1,84 @@
+package org.jaywood.replica;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.event.EventLog;
+import org.jaywood.http.ConnectionPool;
+import org.jaywood.routing.NamedWeights;
+import org.jaywood.routing.Upstream;
+import org.jaywood.routing.Upstreams;
+import org.jaywood.wire.Address;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class HeldPiecesTests {
+
+	private final EventLog log = new EventLog("test");
+
+	private final Upstream own = Upstreams.engine("own", "kushiro-a", "doto", 1);
+
+	private final FakeEngine engine = new FakeEngine();
+
+	private final FleetKnowledge fleet = new FleetKnowledge(new ReplicaSettings("vm", this.own.address(),
+			new Address("127.0.0.1", 1), Upstreams.POOL, "doto", "kushiro-a", 0, 8_000), this.log);
+
+	private final EngineMonitor monitor = new EngineMonitor(this.fleet, this.engine, "engine", this.log);
+
+	private final CopyKeeper copies = new CopyKeeper(this.fleet, this.engine, this.monitor, new Rollout(),
+			new PieceFetcher(this.fleet, new PeerPieces(new ConnectionPool()), new NoOrigin(), 1, this.log), this.log);
+
+	private final HeldPieces pieces = new HeldPieces(this.copies, this.engine, this.monitor, this.log);
+
+	@BeforeEach
+	void serveTheFirstVersion() {
+		this.engine.staged.put(0, FakeEngine.piece(1, 0));
+		this.monitor.refresh();
+	}
+
+	/**
+	 * Guards against bytes of another version that fill the links of peers: an agent that
+	 * has not heard of a new version yet is asked for its pieces all the same.
+	 */
+	@Nested
+	class Versions {
+
+		@Test
+		void aPieceOfTheVersionThatTheEngineServesIsPassedOn() throws Exception {
+			assertThat(HeldPiecesTests.this.pieces.piece(new NamedWeights("model", 1), 0, 0))
+				.isEqualTo(FakeEngine.piece(1, 0));
+		}
+
+		@Test
+		void aPieceOfAVersionThatIsNotHereIsRefused() throws Exception {
+			assertThat(HeldPiecesTests.this.pieces.piece(new NamedWeights("model", 2), 0, 0)).isNull();
+		}
+
+		@Test
+		void anEmptyEngineHoldsNoVersion() throws Exception {
+			HeldPiecesTests.this.engine.restart();
+			HeldPiecesTests.this.monitor.refresh();
+			assertThat(HeldPiecesTests.this.pieces.piece(new NamedWeights("model", 1), 0, 0)).isNull();
+		}
+
+	}
+
+	/**
+	 * Origin that does not answer.
+	 */
+	private static final class NoOrigin implements WeightOrigin {
+
+		@Override
+		public PieceList pieces(Address origin, String model, long version) {
+			throw new AssertionError("the origin is not asked here");
+		}
+
+		@Override
+		public byte[] piece(Address origin, String model, long version, int index) {
+			throw new AssertionError("the origin is not asked here");
+		}
+
+	}
+
+}
