--- a/src/main/java/org/jaywood/agent/ModelContext.java
+++ b/src/main/java/org/jaywood/agent/ModelContext.java
@@ -15,11 +15,22 @@
  * @param client client of the engine
  * @param admission admission to the engine
  * @param metrics counters
- * @param expectedWeights digest of the weights that were activated
+ * @param expectedWeights digest of the weights that were activated, or empty
  * @param onReset called after a reply reset the limit
  * @param onWrongWeights given the weights named by a reply if others were expected
  * @param clock present time in milliseconds
  */
 record ModelContext(CallSettings settings, Address engine, WireClient client, Admission admission, AgentMetrics metrics,
 		Supplier<String> expectedWeights, Runnable onReset, Consumer<String> onWrongWeights, LongSupplier clock) {
+
+	/**
+	 * Whether an engine that names these weights may answer. One that has just restarted
+	 * names none, and none are expected either once that was noticed, but what it
+	 * generates then is no answer.
+	 * @param served digest of the weights that the engine names, or empty
+	 */
+	boolean mayAnswer(String served) {
+		return !served.isEmpty() && served.equals(this.expectedWeights.get());
+	}
+
 }
--- a/src/main/java/org/jaywood/agent/ModelRun.java
+++ b/src/main/java/org/jaywood/agent/ModelRun.java
@@ -188,7 +188,7 @@
 			place.refused(this.context.clock().getAsLong());
 			throw refuseOrFail(head.warm() ? RefusalReason.FULL : RefusalReason.COLD_FULL, null);
 		}
-		if (!served.equals(this.context.expectedWeights().get())) {
+		if (!this.context.mayAnswer(served)) {
 			this.context.onWrongWeights().accept(served);
 			throw new IOException("engine serves other weights than were activated");
 		}
