--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -20,3 +20,9 @@
 "$jdk/bin/jlink" --add-modules java.base,java.logging,java.management,jdk.management,jdk.httpserver,jdk.net,jdk.unsupported,java.naming,java.net.http,java.desktop,java.sql \
 	--strip-debug --no-header-files --no-man-pages --output target/jre
 cp target/jaywood-0.1.0-SNAPSHOT-all.jar target/jaywood-run.jar
+
+# An ahead-of-time cache of the classes that a start needs. Without it the processes start too, only more slowly.
+target/jre/bin/java -Xmx160m -XX:+UseSerialGC -XX:TieredStopAtLevel=1 --enable-native-access=ALL-UNNAMED \
+	-XX:AOTCacheOutput=target/jaywood.aot -cp target/jaywood-run.jar org.jaywood.cli.Jaywood \
+	rehearse --directory deploy/rehearsal >target/rehearsal.log 2>&1 ||
+	{ echo "build: the rehearsal failed:" >&2; tail -5 target/rehearsal.log >&2; exit 1; }
--- a/src/main/java/org/jaywood/cli/Jaywood.java
+++ b/src/main/java/org/jaywood/cli/Jaywood.java
@@ -37,9 +37,9 @@
 	public static final int EXIT_ORPHANED = 5;
 
 	private final Map<String, Command> commands = List
-		.of(new RouterCommand(), new AgentCommand(), new GatewayCommand(), new ReplicaCommand(), new StandinCommand(),
-				new ValidateCommand(), new PlanCommand(), new ApplyCommand(), new RollbackCommand(),
-				new HistoryCommand(), new StatusCommand(), new DumpCommand(), new BenchCommand())
+		.of(new RouterCommand(), new AgentCommand(), new GatewayCommand(), new ReplicaCommand(), new RehearseCommand(),
+				new StandinCommand(), new ValidateCommand(), new PlanCommand(), new ApplyCommand(),
+				new RollbackCommand(), new HistoryCommand(), new StatusCommand(), new DumpCommand(), new BenchCommand())
 		.stream()
 		.collect(Collectors.toMap(Command::name, Function.identity()));
 
--- /dev/null
+++ b/src/main/java/org/jaywood/cli/PreparedAnswers.java
@@ -0,0 +1,71 @@
+package org.jaywood.cli;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import org.jaywood.event.EventLog;
+import org.jaywood.wire.Address;
+import org.jaywood.wire.Exchange;
+import org.jaywood.wire.HttpPort;
+
+/**
+ * Answers requests with the files of a directory: the path names the file, whatever the
+ * query says. A request with a query is answered after a pause, since it may be one that
+ * waits for changes.
+ */
+final class PreparedAnswers implements AutoCloseable {
+
+	private static final long PAUSE_MILLIS = 300;
+
+	private final Path directory;
+
+	private final HttpPort port;
+
+	PreparedAnswers(Path directory, EventLog log) {
+		this.directory = directory;
+		this.port = HttpPort.open(new Address("127.0.0.1", 0), log).route("*", "/", this::answer).start();
+	}
+
+	Address address() {
+		return this.port.address();
+	}
+
+	private void answer(Exchange exchange) throws IOException, InterruptedException {
+		String name = exchange.path().replaceFirst("^/", "").replaceFirst("/$", "");
+		Path json = this.directory.resolve(name + ".json");
+		Path text = this.directory.resolve(name + ".txt");
+		if (!exchange.query().isEmpty()) {
+			Thread.sleep(PAUSE_MILLIS);
+		}
+		if (Files.exists(json)) {
+			send(exchange, "application/json", fill(json));
+		}
+		else if (Files.exists(text)) {
+			send(exchange, "text/event-stream", Files.readAllBytes(text));
+		}
+		else {
+			exchange.respondError(404, "no file for " + exchange.path());
+		}
+	}
+
+	private byte[] fill(Path file) throws IOException {
+		return Files.readString(file)
+			.replace("{prepared}", Integer.toString(address().port()))
+			.getBytes(StandardCharsets.UTF_8);
+	}
+
+	private static void send(Exchange exchange, String type, byte[] body) throws IOException {
+		try (OutputStream out = exchange.stream(200, type)) {
+			out.write(body);
+		}
+	}
+
+	@Override
+	public void close() {
+		this.port.close();
+	}
+
+}
--- /dev/null
+++ b/src/main/java/org/jaywood/cli/RehearseCommand.java
@@ -0,0 +1,143 @@
+package org.jaywood.cli;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.jar.JarEntry;
+import java.util.jar.JarFile;
+import java.util.stream.IntStream;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
+
+import org.jaywood.event.EventLog;
+import org.jaywood.gateway.Gateway;
+import org.jaywood.http.ConnectionPool;
+import org.jaywood.platform.MetadataStore;
+import org.jaywood.platform.PlatformCalls;
+import org.jaywood.platform.PlatformEngine;
+import org.jaywood.platform.PlatformFeeds;
+import org.jaywood.platform.PlatformSettings;
+import org.jaywood.replica.Replica;
+import org.jaywood.wire.Address;
+
+/**
+ * Starts a gateway and a replica in this process against prepared answers and makes some
+ * calls. The build runs it once to record which classes the daemons need, so that they
+ * start from an ahead-of-time cache: after a fault of all VMs, nobody is served while
+ * processes start.
+ */
+@Parameters(commandDescription = "Starts a gateway and a replica once against prepared answers, for the build",
+		hidden = true)
+final class RehearseCommand implements Command {
+
+	private static final String SUFFIX = ".class";
+
+	private static final String LOOPBACK = "127.0.0.1";
+
+	/** Classes of the daemons within the jar. */
+	private static final String CLASSES = "org/jaywood/(event|feed|gateway|http|platform|replica|routing|wire)/\\w.*";
+
+	private static final int PORTS = 4;
+
+	private static final int CALLS = 40;
+
+	private static final long START_MILLIS = 1_500;
+
+	private static final long ANSWER_MILLIS = 2_000;
+
+	@Parameter(names = "--directory", description = "Directory of the settings and answers", required = true)
+	private Path directory = Path.of("");
+
+	private int answered;
+
+	@Override
+	public String name() {
+		return "rehearse";
+	}
+
+	@Override
+	public int run() throws Exception {
+		EventLog log = new EventLog("rehearsal");
+		loadClasses();
+		List<Integer> ports = freePorts();
+		try (PreparedAnswers prepared = new PreparedAnswers(this.directory, log)) {
+			PlatformSettings settings = settings(prepared.address(), ports);
+			PlatformFeeds feeds = new PlatformFeeds(new MetadataStore(settings.store()), settings.regions(), log);
+			PlatformEngine engine = new PlatformEngine(settings.replica().engine());
+			new Replica(settings.replica(), engine, engine, feeds.replica(), log).start();
+			new Gateway(settings.gateway(), new PlatformCalls(), feeds.gateway(), log).start();
+			Thread.sleep(START_MILLIS);
+			call(settings.gateway().caller());
+		}
+		System.out.println("rehearsal: " + this.answered + " of " + 2 * CALLS + " calls answered");
+		return (this.answered == 2 * CALLS) ? 0 : 1;
+	}
+
+	private PlatformSettings settings(Address prepared, List<Integer> ports) throws IOException {
+		String text = Files.readString(this.directory.resolve("node.toml"))
+			.replace("{prepared}", Integer.toString(prepared.port()))
+			.replace("{front}", ports.get(0).toString())
+			.replace("{ready}", ports.get(1).toString())
+			.replace("{agent}", ports.get(2).toString())
+			.replace("{operator}", ports.get(3).toString());
+		return PlatformSettings.parse(text);
+	}
+
+	private void call(Address caller) throws IOException {
+		ConnectionPool pool = new ConnectionPool();
+		for (int i = 0; i < CALLS; i++) {
+			call(pool, caller, new BasicClassicHttpRequest("POST", "/stream/"), "prompt");
+			call(pool, caller, new BasicClassicHttpRequest("GET", "/plain/"), "");
+		}
+	}
+
+	private void call(ConnectionPool pool, Address caller, BasicClassicHttpRequest request, String body)
+			throws IOException {
+		request.setHeader("Authorization", "Bearer key");
+		byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+		this.answered += pool.exchange(caller, request, bytes, ANSWER_MILLIS).ok() ? 1 : 0;
+	}
+
+	/**
+	 * Loads all classes of this project, since some are needed in failures only.
+	 */
+	private static void loadClasses() throws IOException, ClassNotFoundException {
+		Path source = Path.of(System.getProperty("java.class.path"));
+		if (!Files.isRegularFile(source)) {
+			return;
+		}
+		try (JarFile jar = new JarFile(source.toFile())) {
+			List<String> names = jar.stream()
+				.map(JarEntry::getName)
+				.filter((name) -> name.matches(CLASSES) && name.endsWith(SUFFIX) && !name.endsWith("-info" + SUFFIX))
+				.map((name) -> name.substring(0, name.length() - SUFFIX.length()).replace('/', '.'))
+				.toList();
+			for (String name : names) {
+				Class.forName(name, false, RehearseCommand.class.getClassLoader());
+			}
+		}
+	}
+
+	private static List<Integer> freePorts() throws IOException {
+		List<ServerSocket> sockets = new ArrayList<>();
+		try {
+			for (int i = 0; i < PORTS; i++) {
+				sockets.add(new ServerSocket(0, 1, InetAddress.getByName(LOOPBACK)));
+			}
+			return IntStream.range(0, PORTS).map((index) -> sockets.get(index).getLocalPort()).boxed().toList();
+		}
+		finally {
+			for (ServerSocket socket : sockets) {
+				socket.close();
+			}
+		}
+	}
+
+}
--- a/src/main/java/org/jaywood/platform/PlatformSettings.java
+++ b/src/main/java/org/jaywood/platform/PlatformSettings.java
@@ -58,7 +58,11 @@
 		return parse(Files.readString(file));
 	}
 
-	static PlatformSettings parse(String text) throws IOException {
+	/**
+	 * Reads the text of a file.
+	 * @throws IOException if it is not TOML
+	 */
+	public static PlatformSettings parse(String text) throws IOException {
 		return new PlatformSettings(new TomlMapper().readTree(text));
 	}
 
