--- a/src/main/java/org/jaywood/replica/FleetSync.java
+++ b/src/main/java/org/jaywood/replica/FleetSync.java
@@ -21,7 +21,8 @@
 /**
  * Keeps an agent informed of its service. It asks one of the gateways that receive its
  * reports and reach the store, since each call to the store is paid for, and reads the
- * store itself only while there is no such gateway.
+ * store itself only at its start, when gateways may still be starting too, and while
+ * there is no such gateway.
  */
 final class FleetSync {
 
@@ -49,7 +50,7 @@
 
 	private long informedMillis;
 
-	private long storeReadMillis;
+	private long storeReadMillis = Long.MIN_VALUE / 2;
 
 	private boolean storeLost;
 
@@ -136,9 +137,8 @@
 	}
 
 	private void readStoreIfDue(long nowMillis) {
-		boolean due = nowMillis - this.informedMillis > STORE_AFTER_MILLIS
-				&& nowMillis - this.storeReadMillis > STORE_INTERVAL_MILLIS;
-		if (!due) {
+		boolean uninformed = !this.fleet.known() || nowMillis - this.informedMillis > STORE_AFTER_MILLIS;
+		if (!uninformed || nowMillis - this.storeReadMillis <= STORE_INTERVAL_MILLIS) {
 			return;
 		}
 		this.storeReadMillis = nowMillis;
--- a/src/test/java/org/jaywood/replica/FleetSyncTests.java
+++ b/src/test/java/org/jaywood/replica/FleetSyncTests.java
@@ -1,6 +1,8 @@
 package org.jaywood.replica;
 
+import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.awaitility.Awaitility;
 import org.jspecify.annotations.Nullable;
@@ -99,6 +101,31 @@
 
 	}
 
+	/**
+	 * Guards against an agent that waits for gateways which start after it: after a loss
+	 * of power all engines are empty, and nobody is served until agents know what to
+	 * load.
+	 */
+	@Nested
+	class Start {
+
+		@Test
+		void anAgentWithoutGatewaysReadsTheStoreAtOnce() {
+			AtomicInteger reads = new AtomicInteger();
+			FleetSync alone = new FleetSync(FleetSyncTests.this.settings, FleetSyncTests.this.fleet,
+					new ReplicaFeeds(new LostFeed<>(reads::incrementAndGet), new LostFeed<>(), new LostFeed<>()),
+					new PeerPieces(new ConnectionPool()), FleetSyncTests.this.log)
+				.start();
+			try {
+				Awaitility.await().atMost(Duration.ofSeconds(2)).until(() -> reads.get() > 0);
+			}
+			finally {
+				alone.close();
+			}
+		}
+
+	}
+
 	/**
 	 * Feed of a store that does not answer.
 	 *
@@ -106,6 +133,17 @@
 	 */
 	private static final class LostFeed<T> implements Feed<T> {
 
+		private final Runnable onList;
+
+		LostFeed() {
+			this(() -> {
+			});
+		}
+
+		LostFeed(Runnable onList) {
+			this.onList = onList;
+		}
+
 		@Override
 		public String name() {
 			return "lost";
@@ -113,6 +151,7 @@
 
 		@Override
 		public FeedPage<T> list() throws FeedException {
+			this.onList.run();
 			throw new FeedException("no answer", null);
 		}
 
