--- a/src/main/java/org/jaywood/cli/RehearseCommand.java
+++ b/src/main/java/org/jaywood/cli/RehearseCommand.java
@@ -30,8 +30,8 @@
 /**
  * Starts a gateway and a replica in this process against prepared answers and makes some
  * calls. The build runs it once to record which classes the daemons need, so that they
- * start from a class archive: after a fault of all VMs, nobody is served while
- * processes start.
+ * start from a class archive: after a fault of all VMs, nobody is served while processes
+ * start.
  */
 @Parameters(commandDescription = "Starts a gateway and a replica once against prepared answers, for the build",
 		hidden = true)
--- a/src/main/java/org/jaywood/gateway/CallTask.java
+++ b/src/main/java/org/jaywood/gateway/CallTask.java
@@ -30,6 +30,12 @@
 	/** Upstreams that one call asks at the most, those that did not run it included. */
 	private static final int MAX_TRIED = 6;
 
+	/** Reason of a refusal after a wait, or while no upstream can run the call. */
+	private static final String NO_PLACE = "no-place";
+
+	/** Reason of a refusal without a wait. */
+	private static final String QUEUE_FULL = "queue-full";
+
 	private final GatewayContext context;
 
 	private final Call call;
@@ -46,6 +52,8 @@
 
 	private boolean mayHaveRun;
 
+	private String noPlaceReason = NO_PLACE;
+
 	private @Nullable BufferedAnswer failedAnswer;
 
 	private OptionalLong streamWeights = OptionalLong.empty();
@@ -80,7 +88,7 @@
 					logGone();
 				}
 				else {
-					giveUp("no-place");
+					giveUp(this.noPlaceReason);
 				}
 				return;
 			}
@@ -102,11 +110,15 @@
 		if (!dispatcher.servable(demand, nowMillis)) {
 			return null;
 		}
+		long untilMillis = (this.sends == 0) ? WaitLimit.untilMillis(this.call, nowMillis)
+				: Math.min(this.call.endMillis(), nowMillis + REPEAT_WAIT_MILLIS);
+		if (this.sends == 0 && !dispatcher.worthWaiting(demand, untilMillis - nowMillis, nowMillis)) {
+			this.noPlaceReason = QUEUE_FULL;
+			return null;
+		}
 		Dispatcher.Ticket ticket = dispatcher.request(demand, nowMillis);
 		this.cancellation.attach(ticket.placement());
 		try {
-			long untilMillis = (this.sends == 0) ? WaitLimit.untilMillis(this.call, nowMillis)
-					: Math.min(this.call.endMillis(), nowMillis + REPEAT_WAIT_MILLIS);
 			return ticket.placement().get(Math.max(0, untilMillis - nowMillis), TimeUnit.MILLISECONDS);
 		}
 		catch (TimeoutException | CancellationException ex) {
--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -37,6 +37,15 @@
 	 */
 	private static final long MIN_RETRY_AFTER_MILLIS = 700;
 
+	/**
+	 * Calls that always may wait, whatever the forecast says, so that no freed place
+	 * idles.
+	 */
+	private static final int LEAST_QUEUE = 4;
+
+	/** Part of its wait that a call may be forecast to need, since forecasts err. */
+	private static final double FORECAST_SHARE = 0.8;
+
 	/** Callers that are refused together come back apart. */
 	private static final int RETRY_SPREAD_MILLIS = 600;
 
@@ -50,6 +59,8 @@
 
 	private final Map<String, ServiceRate> rates = new HashMap<>();
 
+	private final Map<String, WaitForecast> forecasts = new HashMap<>();
+
 	private @Nullable RouteTable table;
 
 	private @Nullable Fleet fleet;
@@ -134,6 +145,19 @@
 		return ticket;
 	}
 
+	/**
+	 * Whether a call is likely to get a place within its wait.
+	 * @param waitMillis time for which it can wait
+	 */
+	public synchronized boolean worthWaiting(Demand demand, long waitMillis, long nowMillis) {
+		TreeSet<Ticket> queue = this.waiting.get(demand.service());
+		if (queue == null || queue.size() < LEAST_QUEUE) {
+			return true;
+		}
+		int ahead = queue.headSet(new Ticket(demand, this.sequence, nowMillis)).size();
+		return forecast(demand.service()).waitMillis(ahead, nowMillis) <= FORECAST_SHARE * waitMillis;
+	}
+
 	/**
 	 * Gives up waiting.
 	 * @return whether the ticket had no place yet
@@ -241,6 +265,10 @@
 		return this.rates.computeIfAbsent(service, (key) -> new ServiceRate());
 	}
 
+	private WaitForecast forecast(String service) {
+		return this.forecasts.computeIfAbsent(service, (key) -> new WaitForecast());
+	}
+
 	private @Nullable ServiceProfile profile(String service) {
 		return (this.table != null) ? this.table.service(service).orElse(null) : null;
 	}
@@ -288,6 +316,7 @@
 	private void place(Ticket ticket, PlacementPolicy.Candidate chosen, long nowMillis) {
 		UpstreamState state = chosen.state();
 		state.onSend(nowMillis);
+		forecast(ticket.demand.service()).recordPlaced(nowMillis);
 		long reportAgeMillis = state.reportAgeMillis(nowMillis);
 		ticket.placement.complete(new Placement(state.upstream(), chosen.load(), chosen.capacity(), reportAgeMillis,
 				nowMillis - ticket.sinceMillis));
