Let the time of a named version run from the end of an outage of the store

Versions 2 and 3 were named while the store was away (18 to 26 s); gateways counted their time from the last answer before, so that at the return every engine was left out until it had loaded the new version at 33 s. Change: agents report whether they lately heard of the store through any gateway; StoreOutage tells an outage of the store from a loss of contact of one gateway, whose namings keep their time. Times that were up before stay up. Tests: DispatcherTests.VersionsAroundOutages, among them that contact lost by one gateway prolongs nothing.

--- a/src/main/java/org/jaywood/replica/EngineMonitor.java
+++ b/src/main/java/org/jaywood/replica/EngineMonitor.java
@@ -31,7 +31,7 @@
 
 	private @Nullable EngineReport latest;
 
-	private UpstreamReport published = new UpstreamReport("", 0, 0, false, 0, null);
+	private UpstreamReport published = new UpstreamReport("", 0, 0, false, 0, true, null);
 
 	private long changes;
 
@@ -136,11 +136,12 @@
 
 	private UpstreamReport describe(@Nullable EngineReport report) {
 		Optional<Upstream> entry = this.fleet.own();
+		boolean informed = this.fleet.informed(BootClock.nowMillis());
 		if (report == null || entry.isEmpty() || entry.get().bornMillis() != report.bornMillis()) {
-			return new UpstreamReport("", 0, 0, false, this.gateways.get(), null);
+			return new UpstreamReport("", 0, 0, false, this.gateways.get(), informed, null);
 		}
 		return new UpstreamReport(entry.get().id(), report.running(), report.queued(), report.busy(),
-				this.gateways.get(), report.weights());
+				this.gateways.get(), informed, report.weights());
 	}
 
 	/**
--- a/src/main/java/org/jaywood/replica/FleetKnowledge.java
+++ b/src/main/java/org/jaywood/replica/FleetKnowledge.java
@@ -18,12 +18,17 @@
  */
 final class FleetKnowledge {
 
+	/** Longer than the interval at which a gateway says that nothing changed. */
+	private static final long INFORMED_MILLIS = 3_000;
+
 	private final ReplicaSettings settings;
 
 	private final EventLog log;
 
 	private volatile @Nullable FleetDigest digest;
 
+	private volatile long contactMillis = Long.MIN_VALUE / 2;
+
 	FleetKnowledge(ReplicaSettings settings, EventLog log) {
 		this.settings = settings;
 		this.log = log;
@@ -47,6 +52,20 @@
 		return present.model().equals(latest.model()) && present.version() > latest.version();
 	}
 
+	/**
+	 * Notes that the store said what it knows, through a gateway or directly.
+	 */
+	void onContact(long nowMillis) {
+		this.contactMillis = nowMillis;
+	}
+
+	/**
+	 * Whether the store lately said what it knows.
+	 */
+	boolean informed(long nowMillis) {
+		return nowMillis - this.contactMillis <= INFORMED_MILLIS;
+	}
+
 	/**
 	 * Whether anything is known yet.
 	 */
--- a/src/main/java/org/jaywood/replica/FleetSync.java
+++ b/src/main/java/org/jaywood/replica/FleetSync.java
@@ -121,6 +121,7 @@
 						BootClock.nowMillis() - this.informedMillis);
 			}
 			this.informedMillis = BootClock.nowMillis();
+			this.fleet.onContact(this.informedMillis);
 			return true;
 		}
 		catch (IOException | RuntimeException ex) {
@@ -144,6 +145,7 @@
 		this.storeReadMillis = nowMillis;
 		try {
 			this.fleet.onDigest(readStore());
+			this.fleet.onContact(nowMillis);
 			if (this.storeLost) {
 				this.log.log(Event.FEED_REGAINED, "feed", "store", "millis", nowMillis - this.informedMillis);
 			}
--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -116,6 +116,7 @@
 	public synchronized void onReport(String upstreamId, UpstreamReport report, long nowMillis) {
 		UpstreamState state = this.states.get(upstreamId);
 		noteGateways(report.gateways(), nowMillis);
+		this.policy.onReport(report.informed(), nowMillis);
 		if (state == null || (report.reachable() && !report.upstream().equals(upstreamId))) {
 			return;
 		}
--- a/src/main/java/org/jaywood/routing/PlacementPolicy.java
+++ b/src/main/java/org/jaywood/routing/PlacementPolicy.java
@@ -52,6 +52,8 @@
 
 	private final DispatchSettings settings;
 
+	private final StoreOutage outage = new StoreOutage();
+
 	PlacementPolicy(DispatchSettings settings) {
 		this.settings = settings;
 	}
@@ -86,14 +88,23 @@
 					|| servesWeights(state, engines, demand, fleet.named(), nowMillis));
 	}
 
+	/**
+	 * Notes whether an agent lately heard of the store.
+	 */
+	void onReport(boolean informed, long nowMillis) {
+		this.outage.onReport(informed, nowMillis);
+	}
+
 	/**
 	 * The oldest version that may still begin a call, if one is named. Each naming has
 	 * its own time: a newer one does not prolong that of the one before.
 	 */
 	OptionalLong requiredVersion(String model, Map<String, List<Fleet.NamedSince>> named, long nowMillis) {
+		long periodMillis = this.settings.versionMillis();
 		return named.getOrDefault(model, List.of())
 			.stream()
-			.filter((naming) -> nowMillis - naming.learnedMillis() >= this.settings.versionMillis())
+			.filter((naming) -> nowMillis
+					- this.outage.countsFromMillis(naming.learnedMillis(), periodMillis) >= periodMillis)
 			.mapToLong(Fleet.NamedSince::version)
 			.max();
 	}
--- a/src/main/java/org/jaywood/routing/UpstreamReport.java
+++ b/src/main/java/org/jaywood/routing/UpstreamReport.java
@@ -10,9 +10,11 @@
  * @param queued calls that wait in the engine
  * @param busy whether the engine is changing its weights
  * @param gateways gateways that receive this report
+ * @param informed whether its agent lately heard of the store, through a gateway that
+ * reaches it or by itself
  * @param weights weights that it serves
  */
-public record UpstreamReport(String upstream, int running, int queued, boolean busy, int gateways,
+public record UpstreamReport(String upstream, int running, int queued, boolean busy, int gateways, boolean informed,
 		@Nullable LoadedWeights weights) {
 
 	public boolean reachable() {
--- a/src/test/java/org/jaywood/routing/DispatcherTests.java
+++ b/src/test/java/org/jaywood/routing/DispatcherTests.java
@@ -28,7 +28,7 @@
 	}
 
 	private static UpstreamReport report(String id, int running, int queued, boolean busy) {
-		return new UpstreamReport(id, running, queued, busy, 1, new LoadedWeights("model", 1, 0, 16));
+		return new UpstreamReport(id, running, queued, busy, 1, true, new LoadedWeights("model", 1, 0, 16));
 	}
 
 	/**
@@ -136,6 +136,64 @@
 
 	}
 
+	/**
+	 * Guards against a service without engines: a version that is named around an outage
+	 * of the store reaches them late, and they are left out before they can have it.
+	 */
+	@Nested
+	class VersionsAroundOutages {
+
+		private static final long OUTAGE_END = NOW + 10_000;
+
+		VersionsAroundOutages() {
+			Fleet fleet = new Fleet(Upstreams.view(Long.MIN_VALUE, Upstreams.engine("a")), Set.of(),
+					Map.of("model", List.of(new Fleet.NamedSince(2, NOW))));
+			DispatcherTests.this.dispatcher.onFleet(fleet, NOW);
+		}
+
+		private void reports(boolean informed, long fromMillis, long untilMillis) {
+			for (long nowMillis = fromMillis; nowMillis <= untilMillis; nowMillis += 450) {
+				DispatcherTests.this.dispatcher.onReport("a",
+						new UpstreamReport("a", 0, 0, false, 4, informed, new LoadedWeights("model", 1, 0, 16)),
+						nowMillis);
+			}
+		}
+
+		private boolean servable(long nowMillis) {
+			return DispatcherTests.this.dispatcher.servable(Upstreams.demand(Upstreams.POOL, false), nowMillis);
+		}
+
+		@Test
+		void theTimeOfANamingCountsFromTheEndOfTheOutage() {
+			reports(true, NOW, NOW + 3_000);
+			reports(false, NOW + 3_450, OUTAGE_END);
+			reports(true, OUTAGE_END + 100, OUTAGE_END + 100);
+			assertThat(servable(OUTAGE_END + 6_000)).isTrue();
+			assertThat(servable(OUTAGE_END + 7_100)).isFalse();
+		}
+
+		@Test
+		void aLossOfContactOfThisGatewayAloneProlongsNothing() {
+			reports(true, NOW, OUTAGE_END);
+			assertThat(servable(NOW + 7_000)).isFalse();
+		}
+
+		@Test
+		void agentsThatHaveJustStartedProlongNothing() {
+			reports(true, NOW, NOW + 6_000);
+			reports(false, NOW + 6_100, NOW + 6_600);
+			assertThat(servable(NOW + 7_000)).isFalse();
+		}
+
+		@Test
+		void aTimeThatWasUpBeforeIsNotProlonged() {
+			reports(true, NOW, NOW + 12_000);
+			reports(false, NOW + 12_100, NOW + 20_000);
+			assertThat(servable(NOW + 20_000)).isFalse();
+		}
+
+	}
+
 	/**
 	 * Guards against upstreams that are lost because the store was away, and against ones
 	 * that are kept although they are gone.
@@ -175,7 +233,7 @@
 					false, 3_000, 1, new LoadedWeights("model", 1, 0, 16));
 			DispatcherTests.this.dispatcher.onFleet(Upstreams.fleet(wide), NOW);
 			DispatcherTests.this.dispatcher.onReport("a",
-					new UpstreamReport("a", 0, 0, false, 4, new LoadedWeights("model", 1, 0, 16)), NOW);
+					new UpstreamReport("a", 0, 0, false, 4, true, new LoadedWeights("model", 1, 0, 16)), NOW);
 			long placed = request(100, false).stream().filter((ticket) -> ticket.placement().isDone()).count();
 			double limit = 36 * 1.5 + 5;
 			assertThat(placed * 4.0).isAtMost(limit);
--- a/src/test/java/org/jaywood/routing/OverloadTests.java
+++ b/src/test/java/org/jaywood/routing/OverloadTests.java
@@ -113,9 +113,8 @@
 
 		private void report(long nowMillis) {
 			if (nowMillis % 100 == 0) {
-				this.dispatcher.onReport("a",
-						new UpstreamReport("a", this.running.size(), 0, false, 1, new LoadedWeights("model", 1, 0, 16)),
-						nowMillis);
+				this.dispatcher.onReport("a", new UpstreamReport("a", this.running.size(), 0, false, 1, true,
+						new LoadedWeights("model", 1, 0, 16)), nowMillis);
 			}
 		}
 
