Count the time of a named version from the earliest moment at which it may have been named

Change: FeedView says whether it was listed anew; PauseDetector gives the begin of a pause that has just ended. Tests: KnowledgeTests.NamedVersions, one for each gap.

--- a/src/main/java/org/jaywood/feed/FeedFollower.java
+++ b/src/main/java/org/jaywood/feed/FeedFollower.java
@@ -124,24 +124,24 @@
 		if (this.revision < 0) {
 			FeedPage<T> page = this.feed.list();
 			this.entries.clear();
-			accept(page, askedMillis);
+			accept(page, askedMillis, true);
 			return;
 		}
 		FeedPage<T> page = this.feed.watch(this.revision, this.waitMillis);
 		// An empty answer is given at the end of the wait, not at its beginning.
 		boolean waited = page.entries().isEmpty();
 		long nowMillis = BootClock.nowMillis();
-		accept(page, waited ? Math.min(nowMillis, askedMillis + this.waitMillis) : askedMillis);
+		accept(page, waited ? Math.min(nowMillis, askedMillis + this.waitMillis) : askedMillis, false);
 	}
 
-	private void accept(FeedPage<T> page, long currentMillis) {
+	private void accept(FeedPage<T> page, long currentMillis, boolean listed) {
 		long nowMillis = BootClock.nowMillis();
 		noteAnswer(nowMillis);
 		page.entries().forEach(this::apply);
 		this.revision = page.revision();
 		this.confirmedMillis = Math.max(this.confirmedMillis, currentMillis);
 		FeedView<T> next = new FeedView<>(Map.copyOf(this.entries), this.revision, this.confirmedMillis,
-				this.regainedMillis);
+				this.regainedMillis, listed);
 		this.view = next;
 		this.listener.accept(next);
 	}
--- a/src/main/java/org/jaywood/gateway/Gateway.java
+++ b/src/main/java/org/jaywood/gateway/Gateway.java
@@ -166,6 +166,7 @@
 
 	private void tick() {
 		long nowMillis = BootClock.nowMillis();
+		this.context.knowledge().onTick(nowMillis);
 		this.context.dispatcher().tick(nowMillis);
 		this.ticks++;
 		if (this.ticks % SWEEP_TICKS == 0) {
--- a/src/main/java/org/jaywood/gateway/Knowledge.java
+++ b/src/main/java/org/jaywood/gateway/Knowledge.java
@@ -30,6 +30,8 @@
 
 	private final EventLog log;
 
+	private final PauseDetector pauses = new PauseDetector();
+
 	private final Map<String, List<Fleet.NamedSince>> named = new HashMap<>();
 
 	private @Nullable FeedView<Upstream> upstreams;
@@ -65,6 +67,13 @@
 		return this.confirmedMillis;
 	}
 
+	/**
+	 * Notes that this process runs, at short intervals.
+	 */
+	synchronized void onTick(long nowMillis) {
+		this.pauses.onTick(nowMillis);
+	}
+
 	synchronized boolean complete() {
 		return this.table != null && this.upstreams != null;
 	}
@@ -128,14 +137,17 @@
 
 	/**
 	 * The earliest time at which a version that a view shows for the first time may have
-	 * been named. After a start, or while the store did not answer, that is long ago.
+	 * been named. After a start that is long ago. A view that was listed anew, after an
+	 * outage or a loss of history, shows changes of any time since the view before, and
+	 * one that was received after a pause of this process those since its begin.
 	 */
 	private long namedSinceMillis(FeedView<NamedWeights> view, long nowMillis) {
 		FeedView<NamedWeights> before = this.weightsView;
 		if (before == null) {
 			return Long.MIN_VALUE / 2;
 		}
-		return (before.regainedMillis() != view.regainedMillis()) ? before.confirmedMillis() : nowMillis;
+		boolean gap = view.listed() || before.regainedMillis() != view.regainedMillis();
+		return gap ? before.confirmedMillis() : this.pauses.awakeSinceMillis(nowMillis);
 	}
 
 	/**
--- /dev/null
+++ b/src/main/java/org/jaywood/gateway/PauseDetector.java
@@ -0,0 +1,48 @@
+package org.jaywood.gateway;
+
+/**
+ * Tells how long this process has run without a pause. After one, what has waited in its
+ * connections may be as old as the pause is long. Not safe for use by several threads.
+ */
+final class PauseDetector {
+
+	/** Ticks come much more often than this while the process runs. */
+	private static final long PAUSE_MILLIS = 500;
+
+	/** Time after a pause in which what arrived meanwhile is read. */
+	private static final long CATCH_UP_MILLIS = 1_500;
+
+	private long tickMillis = Long.MIN_VALUE;
+
+	private long pausedFromMillis = Long.MIN_VALUE;
+
+	private long resumedMillis = Long.MIN_VALUE;
+
+	/**
+	 * Notes that the process runs.
+	 */
+	void onTick(long nowMillis) {
+		if (paused(nowMillis)) {
+			this.pausedFromMillis = this.tickMillis;
+			this.resumedMillis = nowMillis;
+		}
+		this.tickMillis = nowMillis;
+	}
+
+	/**
+	 * Earliest time at which something that is read now may have been sent: now, or the
+	 * begin of a pause that has just ended.
+	 */
+	long awakeSinceMillis(long nowMillis) {
+		if (paused(nowMillis)) {
+			return this.tickMillis;
+		}
+		boolean catchingUp = this.resumedMillis != Long.MIN_VALUE && nowMillis - this.resumedMillis < CATCH_UP_MILLIS;
+		return catchingUp ? this.pausedFromMillis : nowMillis;
+	}
+
+	private boolean paused(long nowMillis) {
+		return this.tickMillis != Long.MIN_VALUE && nowMillis - this.tickMillis > PAUSE_MILLIS;
+	}
+
+}
--- a/src/test/java/org/jaywood/gateway/KnowledgeTests.java
+++ b/src/test/java/org/jaywood/gateway/KnowledgeTests.java
@@ -32,14 +32,19 @@
 	KnowledgeTests() {
 		long nowMillis = BootClock.nowMillis();
 		RouteTable table = Upstreams.table();
-		this.knowledge.onConfiguration(new FeedView<>(Map.of("main", table), 1, nowMillis, Long.MIN_VALUE));
-		this.knowledge.onUpstreams(new FeedView<>(Map.of(this.engine.id(), this.engine), 1, nowMillis, Long.MIN_VALUE));
+		this.knowledge.onConfiguration(new FeedView<>(Map.of("main", table), 1, nowMillis, Long.MIN_VALUE, true));
+		this.knowledge
+			.onUpstreams(new FeedView<>(Map.of(this.engine.id(), this.engine), 1, nowMillis, Long.MIN_VALUE, true));
 	}
 
 	private void onWeights(long version, long confirmedMillis, long regainedMillis) {
+		onWeights(version, confirmedMillis, regainedMillis, false);
+	}
+
+	private void onWeights(long version, long confirmedMillis, long regainedMillis, boolean listed) {
 		Map<String, NamedWeights> entries = (version > 1) ? Map.of("model", new NamedWeights("model", version))
 				: Map.of();
-		this.knowledge.onWeights(new FeedView<>(entries, 2, confirmedMillis, regainedMillis));
+		this.knowledge.onWeights(new FeedView<>(entries, 2, confirmedMillis, regainedMillis, listed));
 	}
 
 	private boolean due() {
@@ -66,6 +71,24 @@
 			assertThat(due()).isFalse();
 		}
 
+		@Test
+		void aVersionListedAfterALossOfHistoryCountsFromTheLastAnswerBefore() {
+			long nowMillis = BootClock.nowMillis();
+			onWeights(1, nowMillis - VERSION_MILLIS - 500, Long.MIN_VALUE);
+			onWeights(2, nowMillis, Long.MIN_VALUE, true);
+			assertThat(due()).isTrue();
+		}
+
+		@Test
+		void aVersionReadAfterAPauseCountsFromItsBegin() {
+			long nowMillis = BootClock.nowMillis();
+			onWeights(1, nowMillis, Long.MIN_VALUE);
+			KnowledgeTests.this.knowledge.onTick(nowMillis - VERSION_MILLIS - 500);
+			KnowledgeTests.this.knowledge.onTick(nowMillis);
+			onWeights(2, nowMillis, Long.MIN_VALUE);
+			assertThat(due()).isTrue();
+		}
+
 		@Test
 		void aVersionFoundAfterAnOutageCountsFromTheLastAnswerBefore() {
 			long nowMillis = BootClock.nowMillis();
--- a/src/test/java/org/jaywood/routing/Upstreams.java
+++ b/src/test/java/org/jaywood/routing/Upstreams.java
@@ -64,7 +64,7 @@
 
 	static FeedView<Upstream> view(long regainedMillis, Upstream... upstreams) {
 		return new FeedView<>(Stream.of(upstreams).collect(Collectors.toMap(Upstream::id, (upstream) -> upstream)), 1,
-				0, regainedMillis);
+				0, regainedMillis, false);
 	}
 
 	static Demand demand(String service, boolean late) {
