--- a/src/main/java/org/jaywood/platform/PlatformSettings.java
+++ b/src/main/java/org/jaywood/platform/PlatformSettings.java
@@ -38,8 +38,11 @@
 	/** Time for which entries may be missing after the store was away, and a margin. */
 	private static final long LAPSE_MILLIS = 2_200;
 
-	/** Time that a call may spend on its way and in the queue of an engine. */
-	private static final long VERSION_MARGIN_MILLIS = 1_000;
+	/**
+	 * Time that a call may spend on its way and in the queue of an engine, which several
+	 * gateways overfill for as long as a report is old.
+	 */
+	private static final long VERSION_MARGIN_MILLIS = 1_500;
 
 	/** Gateways that share the retry budget at the most. */
 	private static final int MAX_GATEWAYS = 12;
