--- a/src/main/java/org/jaywood/event/Event.java
+++ b/src/main/java/org/jaywood/event/Event.java
@@ -146,6 +146,9 @@
 	/** Log lines were dropped because too many were written at once. */
 	LOG_LINES_DROPPED(1006, Level.WARNING, "{count} log lines dropped"),
 
+	/** The process did not run for a while. */
+	PROCESS_PAUSED(1007, Level.WARNING, "did not run for {millis} ms; what arrived meanwhile is as old"),
+
 	/** Expired claims of idempotency keys were deleted. */
 	CLAIMS_DELETED(1701, Level.INFO, "deleted {count} expired claims"),
 
--- a/src/main/java/org/jaywood/gateway/Knowledge.java
+++ b/src/main/java/org/jaywood/gateway/Knowledge.java
@@ -71,7 +71,10 @@
 	 * Notes that this process runs, at short intervals.
 	 */
 	synchronized void onTick(long nowMillis) {
-		this.pauses.onTick(nowMillis);
+		long pauseMillis = this.pauses.onTick(nowMillis);
+		if (pauseMillis > 0) {
+			this.log.log(Event.PROCESS_PAUSED, "millis", pauseMillis);
+		}
 	}
 
 	synchronized boolean complete() {
--- a/src/main/java/org/jaywood/gateway/PauseDetector.java
+++ b/src/main/java/org/jaywood/gateway/PauseDetector.java
@@ -20,13 +20,17 @@
 
 	/**
 	 * Notes that the process runs.
+	 * @return length of the pause that has just ended, 0 if there was none
 	 */
-	void onTick(long nowMillis) {
+	long onTick(long nowMillis) {
+		long pauseMillis = 0;
 		if (paused(nowMillis)) {
+			pauseMillis = nowMillis - this.tickMillis;
 			this.pausedFromMillis = this.tickMillis;
 			this.resumedMillis = nowMillis;
 		}
 		this.tickMillis = nowMillis;
+		return pauseMillis;
 	}
 
 	/**
