--- a/src/main/java/org/jaywood/gateway/DigestService.java
+++ b/src/main/java/org/jaywood/gateway/DigestService.java
@@ -34,11 +34,12 @@
 		long untilMillis = BootClock.nowMillis() + waitMillis;
 		while (true) {
 			long leftMillis = untilMillis - BootClock.nowMillis();
-			FleetDigest digest = this.knowledge.awaitDigest(service, known, Math.clamp(leftMillis, 0, CHECK_MILLIS));
-			boolean current = digest != null && this.storeReachable.getAsBoolean();
-			boolean changed = digest != null && digest.content() != known;
-			if (changed || !current || BootClock.nowMillis() >= untilMillis) {
-				return new DigestReply(current, changed ? digest : null);
+			Knowledge.PublishedDigest present = this.knowledge.awaitDigest(service, known,
+					Math.clamp(leftMillis, 0, CHECK_MILLIS));
+			boolean current = present != null && this.storeReachable.getAsBoolean();
+			FleetDigest news = (present != null && present.content() != known) ? present.digest() : null;
+			if (news != null || !current || BootClock.nowMillis() >= untilMillis) {
+				return new DigestReply(current, news);
 			}
 		}
 	}
--- a/src/main/java/org/jaywood/gateway/Knowledge.java
+++ b/src/main/java/org/jaywood/gateway/Knowledge.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
@@ -26,6 +27,9 @@
  */
 final class Knowledge {
 
+	/** Interval at which agents are told of changes of the list of upstreams. */
+	private static final long LIST_INTERVAL_MILLIS = 500;
+
 	private final Dispatcher dispatcher;
 
 	private final EventLog log;
@@ -40,6 +44,10 @@
 
 	private @Nullable FeedView<NamedWeights> weightsView;
 
+	private final Map<String, PublishedDigest> digests = new HashMap<>();
+
+	private long changes;
+
 	private boolean weightsKnown;
 
 	private long weightsRevision;
@@ -75,6 +83,7 @@
 		if (pauseMillis > 0) {
 			this.log.log(Event.PROCESS_PAUSED, "millis", pauseMillis);
 		}
+		refreshDigests(nowMillis);
 	}
 
 	synchronized boolean complete() {
@@ -93,6 +102,8 @@
 				this.table = latest;
 				this.log.log(Event.CONFIGURATION_IN_FORCE, "generation", latest.version(), "source", "store");
 				this.dispatcher.onTable(latest, BootClock.nowMillis());
+				this.changes++;
+				refreshDigests(BootClock.nowMillis());
 			}
 			this.confirmedMillis = view.confirmedMillis();
 		});
@@ -160,34 +171,60 @@
 	 * @param waitMillis longest wait
 	 * @return the present digest, or null if the service is not known
 	 */
-	synchronized @Nullable FleetDigest awaitDigest(String service, long known, long waitMillis)
+	synchronized @Nullable PublishedDigest awaitDigest(String service, long known, long waitMillis)
 			throws InterruptedException {
 		long untilMillis = BootClock.nowMillis() + waitMillis;
-		FleetDigest present = digest(service);
+		PublishedDigest present = digest(service, BootClock.nowMillis());
 		long leftMillis = waitMillis;
 		while ((present == null || present.content() == known) && leftMillis > 0) {
 			wait(leftMillis);
-			present = digest(service);
+			present = digest(service, BootClock.nowMillis());
 			leftMillis = untilMillis - BootClock.nowMillis();
 		}
 		return present;
 	}
 
 	/**
-	 * The digest of a service as of now, or null if the service is not known.
+	 * The digest of a service that agents get now, or null if the service is not known.
+	 */
+	synchronized @Nullable PublishedDigest digest(String service, long nowMillis) {
+		refreshDigest(service, nowMillis);
+		return this.digests.get(service);
+	}
+
+	/**
+	 * Replaces the digest of a service if it is outdated and may be replaced now.
+	 * @return whether it was replaced
 	 */
-	synchronized @Nullable FleetDigest digest(String service) {
+	private boolean refreshDigest(String service, long nowMillis) {
 		RouteTable known = this.table;
 		FeedView<Upstream> view = this.upstreams;
-		if (known == null || view == null || !this.weightsKnown) {
-			return null;
+		PublishedDigest present = this.digests.get(service);
+		boolean outdated = present == null || present.changes() != this.changes;
+		if (known == null || view == null || !this.weightsKnown || !outdated) {
+			return false;
 		}
-		return known.service(service)
+		Optional<ServiceProfile.Engines> profile = known.service(service)
 			.filter(ServiceProfile.Engines.class::isInstance)
-			.map(ServiceProfile.Engines.class::cast)
-			.map((profile) -> FleetDigest.of(Math.max(view.revision(), this.weightsRevision), profile,
-					known.origin().orElse(null), version(profile.model()), List.copyOf(view.entries().values())))
-			.orElse(null);
+			.map(ServiceProfile.Engines.class::cast);
+		if (profile.isEmpty() || !mayReplace(present, profile.get(), nowMillis)) {
+			return false;
+		}
+		FleetDigest latest = FleetDigest.of(Math.max(view.revision(), this.weightsRevision), profile.get(),
+				known.origin().orElse(null), version(profile.get().model()), List.copyOf(view.entries().values()));
+		this.digests.put(service, new PublishedDigest(latest, latest.content(), this.changes, nowMillis));
+		return true;
+	}
+
+	/**
+	 * Changes of the list alone follow each other at an interval, so that many entries
+	 * which arrive one by one do not each send the whole list to all agents. A single
+	 * change, a version and a profile are passed on at once.
+	 */
+	private boolean mayReplace(@Nullable PublishedDigest present, ServiceProfile.Engines profile, long nowMillis) {
+		return present == null || nowMillis - present.sinceMillis() >= LIST_INTERVAL_MILLIS
+				|| !present.digest().profile().equals(profile)
+				|| present.digest().target().version() != version(profile.model());
 	}
 
 	private long version(String model) {
@@ -199,11 +236,33 @@
 	}
 
 	private void publish() {
-		notifyAll();
+		this.changes++;
+		refreshDigests(BootClock.nowMillis());
 		if (this.upstreams != null) {
 			this.dispatcher.onFleet(new Fleet(this.upstreams, this.closedDataCentres, Map.copyOf(this.named)),
 					BootClock.nowMillis());
 		}
 	}
 
+	private void refreshDigests(long nowMillis) {
+		boolean replaced = List.copyOf(this.digests.keySet())
+			.stream()
+			.map((service) -> refreshDigest(service, nowMillis))
+			.reduce(false, Boolean::logicalOr);
+		if (replaced || this.digests.isEmpty()) {
+			notifyAll();
+		}
+	}
+
+	/**
+	 * A digest as agents get it.
+	 *
+	 * @param digest the digest
+	 * @param content its {@link FleetDigest#content}
+	 * @param changes number of changes of the fleet that it includes
+	 * @param sinceMillis boot time from which agents got it
+	 */
+	record PublishedDigest(FleetDigest digest, long content, long changes, long sinceMillis) {
+	}
+
 }
--- a/src/main/java/org/jaywood/http/ClientConnection.java
+++ b/src/main/java/org/jaywood/http/ClientConnection.java
@@ -205,6 +205,18 @@
 		}
 	}
 
+	/**
+	 * Whether the idle connection has received no bytes that belong to no request.
+	 */
+	boolean unread() {
+		try {
+			return this.in.available() == 0;
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
 	/**
 	 * Resets the connection, so that bytes which the other side has not received yet are
 	 * dropped and it ends its work at once.
--- a/src/main/java/org/jaywood/http/ConnectionPool.java
+++ b/src/main/java/org/jaywood/http/ConnectionPool.java
@@ -1,12 +1,14 @@
 package org.jaywood.http;
 
 import java.io.IOException;
+import java.net.SocketTimeoutException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Predicate;
 
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.HttpHeaders;
@@ -43,7 +45,7 @@
 	 * @throws ConnectionException if none can be opened
 	 */
 	public ClientConnection acquire(Address address, long connectMillis) throws ConnectionException {
-		ClientConnection kept = takeIdle(address);
+		ClientConnection kept = takeIdle(address, ConnectionPool::usable);
 		if (kept != null) {
 			return kept;
 		}
@@ -80,7 +82,38 @@
 	 */
 	public WholeAnswer exchange(Address address, ClassicHttpRequest request, byte[] body, long answerMillis)
 			throws IOException {
-		ClientConnection connection = acquire(address, CONNECT_MILLIS);
+		return exchange(acquire(address, CONNECT_MILLIS), request, body, answerMillis);
+	}
+
+	/**
+	 * Sends a frequent request without a body that may be repeated. A kept connection is
+	 * used without a wait that shows whether the other side has closed it; if it has, the
+	 * request is sent once more on a new one.
+	 * @param address the other process
+	 * @param request request line and headers; the host is added
+	 * @param answerMillis longest silence of the other side
+	 * @throws IOException if no whole answer arrives
+	 */
+	public WholeAnswer poll(Address address, ClassicHttpRequest request, long answerMillis) throws IOException {
+		byte[] body = new byte[0];
+		ClientConnection kept = takeIdle(address, ConnectionPool::unread);
+		if (kept != null) {
+			try {
+				return exchange(kept, request, body, answerMillis);
+			}
+			catch (ConnectionException ex) {
+				if (ex.getCause() instanceof SocketTimeoutException) {
+					throw ex;
+				}
+			}
+		}
+		this.opened.incrementAndGet();
+		return exchange(ClientConnection.open(address, CONNECT_MILLIS), request, body, answerMillis);
+	}
+
+	private WholeAnswer exchange(ClientConnection connection, ClassicHttpRequest request, byte[] body,
+			long answerMillis) throws IOException {
+		Address address = connection.address();
 		boolean whole = false;
 		try {
 			request.setHeader(HttpHeaders.HOST, address.toString());
@@ -128,7 +161,7 @@
 		this.idle.keySet().forEach(this::forget);
 	}
 
-	private @Nullable ClientConnection takeIdle(Address address) {
+	private @Nullable ClientConnection takeIdle(Address address, Predicate<ClientConnection> check) {
 		Deque<ClientConnection> stack = this.idle.get(address);
 		if (stack == null) {
 			return null;
@@ -141,13 +174,21 @@
 			if (connection == null) {
 				return null;
 			}
-			if (usable(connection)) {
+			if (check.test(connection)) {
 				return connection;
 			}
 			connection.close();
 		}
 	}
 
+	/**
+	 * A check without a wait, for requests that are repeated if the other side has closed
+	 * the connection.
+	 */
+	private static boolean unread(ClientConnection connection) {
+		return connection.alive(System.nanoTime()) && connection.unread();
+	}
+
 	private static boolean usable(ClientConnection connection) {
 		long nowNanos = System.nanoTime();
 		if (!connection.alive(nowNanos)) {
--- a/src/main/java/org/jaywood/platform/PlatformEngine.java
+++ b/src/main/java/org/jaywood/platform/PlatformEngine.java
@@ -42,7 +42,7 @@
 
 	@Override
 	public EngineReport report() throws EngineUnavailableException {
-		WholeAnswer reply = askEngine("GET", "/report", new byte[0]);
+		WholeAnswer reply = poll("/report");
 		requireOk(reply, "report");
 		try {
 			JsonNode node = Json.tree(reply.body());
@@ -105,6 +105,15 @@
 		return reply.body();
 	}
 
+	private WholeAnswer poll(String path) throws EngineUnavailableException {
+		try {
+			return this.pool.poll(this.engine, new BasicClassicHttpRequest("GET", path), ANSWER_MILLIS);
+		}
+		catch (IOException | RuntimeException ex) {
+			throw new EngineUnavailableException("GET " + path + ": " + ex.getMessage(), ex);
+		}
+	}
+
 	private WholeAnswer askEngine(String method, String path, byte[] body) throws EngineUnavailableException {
 		try {
 			return exchange(this.engine, method, path, body);
--- a/src/main/java/org/jaywood/replica/CopyKeeper.java
+++ b/src/main/java/org/jaywood/replica/CopyKeeper.java
@@ -22,6 +22,9 @@
 
 	private static final long PAUSE_MILLIS = 50;
 
+	/** Longest time without a check while nothing is missing. */
+	private static final long SETTLED_MILLIS = 1_000;
+
 	private static final long FAILURE_PAUSE_MILLIS = 200;
 
 	private final FleetKnowledge fleet;
@@ -83,8 +86,9 @@
 	private void run() {
 		while (!this.closed) {
 			try {
-				step();
-				Thread.sleep(PAUSE_MILLIS);
+				long seen = this.fleet.changes().changes();
+				boolean settled = step();
+				this.fleet.changes().await(seen, settled ? SETTLED_MILLIS : PAUSE_MILLIS);
 			}
 			catch (EngineUnavailableException | RuntimeException ex) {
 				this.log.log(Event.TASK_FAILED, "task", "keep-copies", "error", ex);
@@ -96,12 +100,16 @@
 		}
 	}
 
-	private void step() throws EngineUnavailableException, InterruptedException {
+	/**
+	 * Fetches the first version that is missing.
+	 * @return whether none is
+	 */
+	private boolean step() throws EngineUnavailableException, InterruptedException {
 		Optional<Upstream> own = this.fleet.own();
 		Optional<ServiceProfile.Engines> profile = this.fleet.profile();
 		EngineReport report = this.monitor.latest();
 		if (own.isEmpty() || profile.isEmpty() || report == null) {
-			return;
+			return false;
 		}
 		this.fleet.target().ifPresent((named) -> this.rollout.onNamed(named, BootClock.nowMillis()));
 		Optional<NamedWeights> missing = this.rollout.versions()
@@ -111,6 +119,7 @@
 		if (missing.isPresent()) {
 			obtain(missing.get(), own.get());
 		}
+		return missing.isEmpty();
 	}
 
 	private boolean isComplete(NamedWeights version) {
@@ -138,6 +147,7 @@
 		long sinceMillis = BootClock.nowMillis();
 		this.fetcher.fetch(copy, own, () -> isWanted(version));
 		if (copy.complete()) {
+			this.fleet.changes().raise();
 			this.log.log(Event.WEIGHTS_VERIFIED, "manifest", version.model() + "/" + version.version(), "chunks",
 					copy.list().size(), "seconds", (BootClock.nowMillis() - sinceMillis) / 1000.0);
 		}
--- a/src/main/java/org/jaywood/replica/EngineKeeper.java
+++ b/src/main/java/org/jaywood/replica/EngineKeeper.java
@@ -20,7 +20,11 @@
  */
 final class EngineKeeper {
 
-	private static final long PAUSE_MILLIS = 100;
+	/** Interval of checks while the engine does not serve the named version. */
+	private static final long PENDING_MILLIS = 100;
+
+	/** Longest time without a check. */
+	private static final long SETTLED_MILLIS = 1_000;
 
 	private final FleetKnowledge fleet;
 
@@ -60,8 +64,9 @@
 	private void run() {
 		while (!this.closed) {
 			try {
+				long seen = this.fleet.changes().changes();
 				step();
-				Thread.sleep(PAUSE_MILLIS);
+				this.fleet.changes().await(seen, (this.activated != null) ? SETTLED_MILLIS : PENDING_MILLIS);
 			}
 			catch (EngineUnavailableException ex) {
 				this.log.log(Event.ORDER_FAILED, "order", "load", "error", ex.getMessage());
@@ -149,7 +154,7 @@
 
 	private void pauseAfterFailure() {
 		try {
-			Thread.sleep(PAUSE_MILLIS * 2);
+			Thread.sleep(PENDING_MILLIS * 2);
 		}
 		catch (InterruptedException ex) {
 			this.closed = true;
--- a/src/main/java/org/jaywood/replica/EngineMonitor.java
+++ b/src/main/java/org/jaywood/replica/EngineMonitor.java
@@ -1,5 +1,6 @@
 package org.jaywood.replica;
 
+import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -17,7 +18,11 @@
  */
 final class EngineMonitor {
 
-	private static final long INTERVAL_MILLIS = 100;
+	/** Interval while calls or orders change the state at any moment. */
+	private static final long BUSY_INTERVAL_MILLIS = 100;
+
+	/** Interval while an engine with weights has nothing to do. */
+	private static final long IDLE_INTERVAL_MILLIS = 250;
 
 	private final FleetKnowledge fleet;
 
@@ -96,7 +101,7 @@
 		while (!this.closed) {
 			refresh();
 			try {
-				Thread.sleep(INTERVAL_MILLIS);
+				Thread.sleep(intervalMillis(latest()));
 			}
 			catch (InterruptedException ex) {
 				return;
@@ -104,6 +109,12 @@
 		}
 	}
 
+	private static long intervalMillis(@Nullable EngineReport report) {
+		boolean idle = report != null && report.weights() != null && !report.busy()
+				&& report.running() + report.queued() == 0;
+		return idle ? IDLE_INTERVAL_MILLIS : BUSY_INTERVAL_MILLIS;
+	}
+
 	/**
 	 * Asks the engine now.
 	 */
@@ -121,6 +132,9 @@
 	}
 
 	private synchronized void publish(@Nullable EngineReport report) {
+		if (!sameEngine(this.latest, report)) {
+			this.fleet.changes().raise();
+		}
 		this.latest = report;
 		if (report != null && this.lost) {
 			this.lost = false;
@@ -134,6 +148,17 @@
 		}
 	}
 
+	/**
+	 * Whether two reports differ in nothing that orders depend on.
+	 */
+	private static boolean sameEngine(@Nullable EngineReport before, @Nullable EngineReport now) {
+		if (before == null || now == null) {
+			return before == now;
+		}
+		return before.bornMillis() == now.bornMillis() && before.busy() == now.busy()
+				&& Objects.equals(before.weights(), now.weights());
+	}
+
 	private UpstreamReport describe(@Nullable EngineReport report) {
 		Optional<Upstream> entry = this.fleet.own();
 		boolean informed = this.fleet.informed(BootClock.nowMillis());
--- a/src/main/java/org/jaywood/replica/FleetKnowledge.java
+++ b/src/main/java/org/jaywood/replica/FleetKnowledge.java
@@ -25,8 +25,13 @@
 
 	private final EventLog log;
 
+	private final ChangeSignal changes = new ChangeSignal();
+
 	private volatile @Nullable FleetDigest digest;
 
+	/** {@link FleetDigest#content} of the digest, 0 while there is none. */
+	private volatile long content;
+
 	private volatile long contactMillis = Long.MIN_VALUE / 2;
 
 	FleetKnowledge(ReplicaSettings settings, EventLog log) {
@@ -42,6 +47,8 @@
 			return;
 		}
 		this.digest = latest;
+		this.content = latest.content();
+		this.changes.raise();
 		if (present == null || !present.target().equals(latest.target())) {
 			this.log.log(Event.WEIGHTS_NAMED, "model", latest.target().model(), "version", latest.target().version(),
 					"revision", latest.revision());
@@ -52,6 +59,13 @@
 		return present.model().equals(latest.model()) && present.version() > latest.version();
 	}
 
+	/**
+	 * Raised when the digest changes, or what the engine serves.
+	 */
+	ChangeSignal changes() {
+		return this.changes;
+	}
+
 	/**
 	 * Notes that the store said what it knows, through a gateway or directly.
 	 */
@@ -77,8 +91,7 @@
 	 * Hash of what is known, 0 for nothing.
 	 */
 	long content() {
-		FleetDigest known = this.digest;
-		return (known != null) ? known.content() : 0;
+		return this.content;
 	}
 
 	/**
--- a/src/test/java/org/jaywood/gateway/KnowledgeTests.java
+++ b/src/test/java/org/jaywood/gateway/KnowledgeTests.java
@@ -1,7 +1,11 @@
 package org.jaywood.gateway;
 
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
+import org.awaitility.Awaitility;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -139,6 +143,45 @@
 			assertThat(BootClock.nowMillis() - sinceMillis).isLessThan(LONG_WAIT_MILLIS / 2);
 		}
 
+		@Test
+		void entriesThatArriveOneByOneAreSentTogether() throws Exception {
+			Set<Long> contents = new HashSet<>();
+			Map<String, Upstream> entries = new HashMap<>();
+			for (int number = 0; number < 60; number++) {
+				Upstream added = Upstreams.engine("added-" + number, "kushiro-a", "doto", 1);
+				entries.put(added.id(), added);
+				onUpstreams(entries);
+				contents.add(content());
+			}
+			assertThat(contents.size()).isAtMost(2);
+			Awaitility.await().until(() -> {
+				KnowledgeTests.this.knowledge.onTick(BootClock.nowMillis());
+				return this.digests.await(Upstreams.POOL, 0, 0)
+					.digest()
+					.engines()
+					.stream()
+					.anyMatch((engine) -> engine.id().equals("added-59"));
+			});
+		}
+
+		@Test
+		void aNamedVersionDoesNotWaitForTheList() throws Exception {
+			onUpstreams(Map.of("added", Upstreams.engine("added", "kushiro-a", "doto", 1)));
+			content();
+			onWeights(2, BootClock.nowMillis(), Long.MIN_VALUE);
+			assertThat(this.digests.await(Upstreams.POOL, 0, 0).digest().target())
+				.isEqualTo(new NamedWeights("model", 2));
+		}
+
+		private long content() throws InterruptedException {
+			return this.digests.await(Upstreams.POOL, 0, 0).digest().content();
+		}
+
+		private void onUpstreams(Map<String, Upstream> entries) {
+			KnowledgeTests.this.knowledge
+				.onUpstreams(new FeedView<>(Map.copyOf(entries), 1, BootClock.nowMillis(), Long.MIN_VALUE, false));
+		}
+
 		@Test
 		void anUnknownServiceIsNotCurrent() throws Exception {
 			assertThat(this.digests.await("other", 0, 0)).isEqualTo(new DigestReply(false, null));
--- /dev/null
+++ b/src/test/java/org/jaywood/http/ConnectionPoolTests.java
@@ -0,0 +1,107 @@
+package org.jaywood.http;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.wire.Address;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against an engine that seems lost because it closed an idle connection, and
+ * against a request that is repeated though it may run once.
+ */
+class ConnectionPoolTests {
+
+	private static final long ANSWER_MILLIS = 2_000;
+
+	private final AtomicInteger requests = new AtomicInteger();
+
+	private final ServerSocket server = listen();
+
+	private final ConnectionPool pool = new ConnectionPool();
+
+	private static ServerSocket listen() {
+		try {
+			return new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	@AfterEach
+	void close() throws IOException {
+		this.pool.close();
+		this.server.close();
+	}
+
+	/**
+	 * Answers one request on each connection, and closes it at the next one.
+	 */
+	private Address start() {
+		Thread.ofVirtual().start(() -> {
+			while (!this.server.isClosed()) {
+				serveOne();
+			}
+		});
+		return new Address(this.server.getInetAddress().getHostAddress(), this.server.getLocalPort());
+	}
+
+	private void serveOne() {
+		try (Socket socket = this.server.accept()) {
+			BufferedReader in = new BufferedReader(
+					new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+			readHead(in);
+			socket.getOutputStream()
+				.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".getBytes(StandardCharsets.ISO_8859_1));
+			readHead(in);
+		}
+		catch (IOException ex) {
+			// The test has closed the server.
+		}
+	}
+
+	private void readHead(BufferedReader in) throws IOException {
+		String line = in.readLine();
+		this.requests.addAndGet((line != null) ? 1 : 0);
+		while (line != null && !line.isEmpty()) {
+			line = in.readLine();
+		}
+	}
+
+	@Test
+	void aPollOnAClosedConnectionIsSentAgain() throws IOException {
+		Address address = start();
+		for (int number = 0; number < 3; number++) {
+			WholeAnswer answer = this.pool.poll(address, new BasicClassicHttpRequest("GET", "/"), ANSWER_MILLIS);
+			assertThat(answer.body()).isEqualTo("ok".getBytes(StandardCharsets.ISO_8859_1));
+		}
+	}
+
+	@Test
+	void anExchangeIsNotSentAgain() throws IOException {
+		Address address = start();
+		this.pool.exchange(address, new BasicClassicHttpRequest("POST", "/"), new byte[0], ANSWER_MILLIS);
+		boolean failed = false;
+		try {
+			this.pool.exchange(address, new BasicClassicHttpRequest("POST", "/"), new byte[0], ANSWER_MILLIS);
+		}
+		catch (ConnectionException ex) {
+			failed = true;
+		}
+		assertThat(failed).isTrue();
+		assertThat(this.requests.get()).isEqualTo(2);
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/jaywood/replica/ChangeSignalTests.java
@@ -0,0 +1,49 @@
+package org.jaywood.replica;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against a task that sleeps through a change which came before its wait, and so
+ * loads a version late.
+ */
+class ChangeSignalTests {
+
+	private static final long LONG_WAIT_MILLIS = 20_000;
+
+	private final ChangeSignal signal = new ChangeSignal();
+
+	@Test
+	void aChangeBeforeTheWaitEndsItAtOnce() throws Exception {
+		long seen = this.signal.changes();
+		this.signal.raise();
+		CompletableFuture.runAsync(() -> await(seen)).get(LONG_WAIT_MILLIS / 4, TimeUnit.MILLISECONDS);
+	}
+
+	@Test
+	void aChangeDuringTheWaitEndsIt() throws Exception {
+		CompletableFuture<Void> waiting = CompletableFuture.runAsync(() -> await(0));
+		this.signal.raise();
+		waiting.get(LONG_WAIT_MILLIS / 4, TimeUnit.MILLISECONDS);
+	}
+
+	@Test
+	void aWaitWithoutAChangeEndsByItself() throws Exception {
+		this.signal.await(this.signal.changes(), 1);
+		assertThat(this.signal.changes()).isEqualTo(0);
+	}
+
+	private void await(long seen) {
+		try {
+			this.signal.await(seen, LONG_WAIT_MILLIS);
+		}
+		catch (InterruptedException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+}
