--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -26,7 +26,7 @@
 archive_classes() {
 	target/jre/bin/java $java_flags -Xshare:off -XX:DumpLoadedClassList=target/jaywood.classes \
 		org.jaywood.cli.Jaywood rehearse --directory deploy/rehearsal >target/rehearsal.log 2>&1 &&
-		target/jre/bin/java $java_flags -Xshare:dump -XX:SharedClassListFile=target/jaywood.classes \
+		target/jre/bin/java $java_flags -Xshare:dump -XX:+AOTClassLinking -XX:SharedClassListFile=target/jaywood.classes \
 			-XX:SharedArchiveFile=target/jaywood.jsa >target/archive.log 2>&1
 }
 # Without the archive the processes start too, only more slowly.
--- a/src/main/java/org/jaywood/feed/FeedFollower.java
+++ b/src/main/java/org/jaywood/feed/FeedFollower.java
@@ -64,7 +64,7 @@
 		this.waitMillis = waitMillis;
 		this.listener = listener;
 		this.log = log;
-		this.task = Thread.ofVirtual().name("follow-" + feed.name()).unstarted(this::run);
+		this.task = Thread.ofPlatform().daemon().name("follow-" + feed.name()).unstarted(this::run);
 	}
 
 	public FeedFollower<T> start() {
--- a/src/main/java/org/jaywood/gateway/CallerConnection.java
+++ b/src/main/java/org/jaywood/gateway/CallerConnection.java
@@ -110,7 +110,7 @@
 		catch (CallerGoneException ex) {
 			this.context.metrics().counter("call.caller_gone").inc();
 		}
-		catch (RuntimeException ex) {
+		catch (RuntimeException | Error ex) {
 			this.context.log()
 				.log(Event.HANDLER_FAILED, "method", request.head().getMethod(), "path", request.head().getRequestUri(),
 						"error", ex);
--- a/src/main/java/org/jaywood/gateway/LoadSubscriptions.java
+++ b/src/main/java/org/jaywood/gateway/LoadSubscriptions.java
@@ -21,6 +21,7 @@
 import org.jaywood.routing.UpstreamReport;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Json;
+import org.jaywood.wire.Tasks;
 
 /**
  * Receives the reports of all agents, one task and one connection for each. An agent runs
@@ -61,7 +62,7 @@
 			.collect(Collectors.toMap(Upstream::address, Upstream::id, (first, second) -> second));
 		this.idsByAddress.keySet()
 			.forEach((address) -> this.tasks.computeIfAbsent(address,
-					(key) -> Thread.ofVirtual().start(() -> follow(key))));
+					(key) -> Tasks.start("follow-" + key, () -> follow(key))));
 	}
 
 	private boolean hasEngine(Upstream upstream) {
--- a/src/main/java/org/jaywood/replica/CopyKeeper.java
+++ b/src/main/java/org/jaywood/replica/CopyKeeper.java
@@ -12,6 +12,7 @@
 import org.jaywood.routing.NamedWeights;
 import org.jaywood.routing.ServiceProfile;
 import org.jaywood.routing.Upstream;
+import org.jaywood.wire.Tasks;
 
 /**
  * Fetches the versions that the engine is to load, one after the other: the link carries
@@ -54,7 +55,7 @@
 	}
 
 	CopyKeeper start() {
-		Thread.ofVirtual().name("keep-copies").start(this::run);
+		Tasks.start("keep-copies", this::run);
 		return this;
 	}
 
--- a/src/main/java/org/jaywood/replica/EngineKeeper.java
+++ b/src/main/java/org/jaywood/replica/EngineKeeper.java
@@ -12,6 +12,7 @@
 import org.jaywood.routing.NamedWeights;
 import org.jaywood.routing.ServiceProfile;
 import org.jaywood.routing.Upstream;
+import org.jaywood.wire.Tasks;
 
 /**
  * Brings the engine to the named version, again and again: after a new version is named,
@@ -53,7 +54,7 @@
 	}
 
 	EngineKeeper start() {
-		Thread.ofVirtual().name("keep-engine").start(this::run);
+		Tasks.start("keep-engine", this::run);
 		return this;
 	}
 
--- a/src/main/java/org/jaywood/replica/EngineMonitor.java
+++ b/src/main/java/org/jaywood/replica/EngineMonitor.java
@@ -1,5 +1,6 @@
 package org.jaywood.replica;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -11,6 +12,8 @@
 import org.jaywood.feed.BootClock;
 import org.jaywood.routing.Upstream;
 import org.jaywood.routing.UpstreamReport;
+import org.jaywood.wire.Json;
+import org.jaywood.wire.Tasks;
 
 /**
  * Asks the engine for its state at short intervals, which is free on its own VM, and lets
@@ -38,6 +41,8 @@
 
 	private UpstreamReport published = new UpstreamReport("", 0, 0, false, 0, true, null);
 
+	private byte[] line = line(this.published);
+
 	private long changes;
 
 	private boolean lost = true;
@@ -52,7 +57,7 @@
 	}
 
 	EngineMonitor start() {
-		Thread.ofVirtual().name("monitor-engine").start(this::run);
+		Tasks.start("monitor-engine", this::run);
 		return this;
 	}
 
@@ -94,7 +99,7 @@
 			wait(leftMillis);
 			leftMillis = untilMillis - BootClock.nowMillis();
 		}
-		return new Change(this.changes, this.published);
+		return new Change(this.changes, this.line);
 	}
 
 	private void run() {
@@ -143,6 +148,7 @@
 		UpstreamReport next = describe(report);
 		if (!next.equals(this.published)) {
 			this.published = next;
+			this.line = line(next);
 			this.changes++;
 			notifyAll();
 		}
@@ -159,6 +165,10 @@
 				&& Objects.equals(before.weights(), now.weights());
 	}
 
+	private static byte[] line(UpstreamReport report) {
+		return (Json.text(report) + "\n").getBytes(StandardCharsets.UTF_8);
+	}
+
 	private UpstreamReport describe(@Nullable EngineReport report) {
 		Optional<Upstream> entry = this.fleet.own();
 		boolean informed = this.fleet.informed(BootClock.nowMillis());
@@ -173,9 +183,9 @@
 	 * A report and the number of changes up to it.
 	 *
 	 * @param number number of changes
-	 * @param report the report
+	 * @param line the report as a line of JSON
 	 */
-	record Change(long number, UpstreamReport report) {
+	record Change(long number, byte[] line) {
 	}
 
 }
--- a/src/main/java/org/jaywood/replica/FleetSync.java
+++ b/src/main/java/org/jaywood/replica/FleetSync.java
@@ -17,6 +17,7 @@
 import org.jaywood.routing.ServiceProfile;
 import org.jaywood.routing.Upstream;
 import org.jaywood.wire.Address;
+import org.jaywood.wire.Tasks;
 
 /**
  * Keeps an agent informed of its service. It asks one of the gateways that receive its
@@ -67,7 +68,7 @@
 
 	FleetSync start() {
 		this.informedMillis = BootClock.nowMillis();
-		Thread.ofVirtual().name("fleet-sync").start(this::run);
+		Tasks.start("fleet-sync", this::run);
 		return this;
 	}
 
--- a/src/main/java/org/jaywood/replica/PieceFetcher.java
+++ b/src/main/java/org/jaywood/replica/PieceFetcher.java
@@ -23,6 +23,7 @@
 import org.jaywood.routing.ServiceProfile;
 import org.jaywood.routing.Upstream;
 import org.jaywood.wire.Address;
+import org.jaywood.wire.Tasks;
 
 /**
  * Brings all pieces of a version to this agent: from the peers of the plan, and from the
@@ -131,7 +132,7 @@
 	}
 
 	private static Thread start(Runnable work) {
-		return Thread.ofVirtual().start(work);
+		return Tasks.start("fetch-pieces", work);
 	}
 
 	private void drainOrigin(Queue<Integer> indexes, WeightCopy copy, NamedWeights target, BooleanSupplier wanted) {
--- a/src/main/java/org/jaywood/replica/Replica.java
+++ b/src/main/java/org/jaywood/replica/Replica.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
-import java.nio.charset.StandardCharsets;
 
 import org.jspecify.annotations.Nullable;
 
@@ -14,7 +13,7 @@
 import org.jaywood.wire.BadInputException;
 import org.jaywood.wire.Exchange;
 import org.jaywood.wire.HttpPort;
-import org.jaywood.wire.Json;
+import org.jaywood.wire.Tasks;
 
 /**
  * The process beside an engine: it keeps the engine on the named weights, passes pieces
@@ -65,6 +64,7 @@
 
 	public void start() {
 		this.port = HttpPort.open(this.settings.listen(), this.log)
+			.servedBy(Tasks.pool())
 			.route("GET", "/v1/load", this::sendReports)
 			.route("GET", PeerPieces.PREFIX, this::sendWeights)
 			.start();
@@ -96,7 +96,7 @@
 			while (!this.draining) {
 				EngineMonitor.Change change = this.monitor.await(seen, REPORT_MILLIS);
 				seen = change.number();
-				out.write((Json.text(change.report()) + "\n").getBytes(StandardCharsets.UTF_8));
+				out.write(change.line());
 				out.flush();
 			}
 		}
--- a/src/main/java/org/jaywood/wire/HttpPort.java
+++ b/src/main/java/org/jaywood/wire/HttpPort.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -37,7 +38,9 @@
 
 	private final HttpServer server;
 
-	private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
+	private final ExecutorService ownExecutor = Executors.newVirtualThreadPerTaskExecutor();
+
+	private Executor executor = this.ownExecutor;
 
 	private final List<Route> routes = new CopyOnWriteArrayList<>();
 
@@ -109,6 +112,14 @@
 		return this;
 	}
 
+	/**
+	 * Serves requests by other threads than a virtual one for each.
+	 */
+	public HttpPort servedBy(Executor threads) {
+		this.executor = threads;
+		return this;
+	}
+
 	public HttpPort start() {
 		// Jetty's server starts and accepts as soon as it gets its executor.
 		this.server.setExecutor(this.executor);
@@ -176,9 +187,9 @@
 	@Override
 	public void close() {
 		this.server.stop(0);
-		this.executor.shutdownNow();
+		this.ownExecutor.shutdownNow();
 		try {
-			this.executor.awaitTermination(1, TimeUnit.SECONDS);
+			this.ownExecutor.awaitTermination(1, TimeUnit.SECONDS);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
--- /dev/null
+++ b/src/main/java/org/jaywood/wire/Tasks.java
@@ -0,0 +1,37 @@
+package org.jaywood.wire;
+
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadFactory;
+
+/**
+ * Platform threads for the few tasks that last: peers, feeds and the watch over an
+ * engine. Such a thread blocks in the kernel until its bytes are there, whereas each wait
+ * of a virtual thread wakes a poller and a carrier as well. Callers and their calls,
+ * which are many, run on virtual threads.
+ */
+public final class Tasks {
+
+	private static final ThreadFactory FACTORY = Thread.ofPlatform().daemon().name("task-", 0).factory();
+
+	private static final ExecutorService POOL = Executors.newCachedThreadPool(FACTORY);
+
+	private Tasks() {
+	}
+
+	/**
+	 * The threads that serve requests of peers; idle ones are kept for a minute.
+	 */
+	public static ExecutorService pool() {
+		return POOL;
+	}
+
+	/**
+	 * Starts a task that lasts as long as its owner.
+	 * @param name name of its thread
+	 */
+	public static Thread start(String name, Runnable work) {
+		return Thread.ofPlatform().daemon().name(name).start(work);
+	}
+
+}
