--- a/src/main/java/org/jaywood/gateway/Gateway.java
+++ b/src/main/java/org/jaywood/gateway/Gateway.java
@@ -85,14 +85,16 @@
 				new CallAdmission(protocol, settings.keyLifetimeMillis(), settings.routeLifetimeMillis()));
 		this.subscriptions = new LoadSubscriptions(this.context);
 		Knowledge knowledge = this.context.knowledge();
-		this.followers = List.of(
-				new FeedFollower<>(feeds.configuration(), CONFIGURATION_WAIT_MILLIS, knowledge::onConfiguration, log),
-				new FeedFollower<>(feeds.upstreams(), UPSTREAMS_WAIT_MILLIS, (view) -> {
-					knowledge.onUpstreams(view);
-					this.subscriptions.onUpstreams(view);
-				}, log), new FeedFollower<>(feeds.closedDataCentres(), DATA_CENTRES_WAIT_MILLIS,
-						knowledge::onClosedDataCentres, log),
-				new FeedFollower<>(feeds.weights(), WEIGHTS_WAIT_MILLIS, knowledge::onWeights, log));
+		this.followers = List.of(new FeedFollower<>(feeds.configuration(), CONFIGURATION_WAIT_MILLIS, (view) -> {
+			knowledge.onConfiguration(view);
+			this.subscriptions.onFleet();
+		}, log), new FeedFollower<>(feeds.upstreams(), UPSTREAMS_WAIT_MILLIS, (view) -> {
+			knowledge.onUpstreams(view);
+			this.subscriptions.onFleet();
+		}, log), new FeedFollower<>(feeds.closedDataCentres(), DATA_CENTRES_WAIT_MILLIS, (view) -> {
+			knowledge.onClosedDataCentres(view);
+			this.subscriptions.onFleet();
+		}, log), new FeedFollower<>(feeds.weights(), WEIGHTS_WAIT_MILLIS, knowledge::onWeights, log));
 		this.digests = new DigestService(knowledge, () -> this.followers.stream().allMatch(FeedFollower::reachable));
 	}
 
@@ -174,6 +176,7 @@
 		this.ticks++;
 		if (this.ticks % SWEEP_TICKS == 0) {
 			this.active.closeOverdue(nowMillis);
+			this.context.resizeBudgets(nowMillis);
 		}
 	}
 
--- a/src/main/java/org/jaywood/gateway/GatewayContext.java
+++ b/src/main/java/org/jaywood/gateway/GatewayContext.java
@@ -32,6 +32,9 @@
 	/** Part of a window's fixed allowance that may be used at once. */
 	private static final double BURST_SHARE = 0.5;
 
+	/** Gateways that share a budget while their number is not known. */
+	private static final int UNKNOWN_GATEWAYS = 24;
+
 	private static final double MILLIS_PER_SECOND = 1_000;
 
 	static GatewayContext create(GatewaySettings settings, CallProtocol protocol, EventLog log) {
@@ -47,11 +50,32 @@
 	RetryBudget budget(String service) {
 		return this.budgets.computeIfAbsent(service, (key) -> {
 			long nowMillis = BootClock.nowMillis();
-			double allowance = BUDGET_USE * this.settings.retryWindowExtra() / this.settings.maxGateways();
-			double windowSeconds = this.settings.retryWindowMillis() / MILLIS_PER_SECOND;
-			return new RetryBudget(BUDGET_USE * this.settings.retryRatio(),
-					(1 - BURST_SHARE) * allowance / windowSeconds, BURST_SHARE * allowance, nowMillis);
+			double allowance = allowance(nowMillis);
+			return new RetryBudget(BUDGET_USE * this.settings.retryRatio(), floorPerSecond(allowance),
+					BURST_SHARE * allowance, nowMillis);
 		});
 	}
 
+	/**
+	 * Cuts the retry budgets by the number of gateways as known now.
+	 */
+	void resizeBudgets(long nowMillis) {
+		double allowance = allowance(nowMillis);
+		this.budgets.values().forEach((budget) -> budget.resize(floorPerSecond(allowance), BURST_SHARE * allowance));
+	}
+
+	/**
+	 * The part of this gateway of the retries that a window allows besides those earned
+	 * by calls.
+	 */
+	private double allowance(long nowMillis) {
+		int gateways = this.dispatcher.toldGateways(nowMillis)
+			.orElseGet(() -> Math.max(UNKNOWN_GATEWAYS, this.dispatcher.gateways(nowMillis)));
+		return BUDGET_USE * this.settings.retryWindowExtra() / gateways;
+	}
+
+	private double floorPerSecond(double allowance) {
+		return (1 - BURST_SHARE) * allowance * MILLIS_PER_SECOND / this.settings.retryWindowMillis();
+	}
+
 }
--- a/src/main/java/org/jaywood/gateway/GatewaySettings.java
+++ b/src/main/java/org/jaywood/gateway/GatewaySettings.java
@@ -13,7 +13,6 @@
  * @param operator where the dump and the metrics are served
  * @param agentPort port of the agents, on the VM of their engine
  * @param dispatch bounds of the dispatcher
- * @param maxGateways gateways that share the retry budget at the most
  * @param retryRatio retries allowed for each call of a service
  * @param retryWindowExtra retries allowed besides in a window
  * @param retryWindowMillis length of that window
@@ -22,6 +21,6 @@
  * @param graceMillis time between the signal to stop and the forced end
  */
 public record GatewaySettings(String vm, Address caller, Address ready, String readyPath, Address operator,
-		int agentPort, DispatchSettings dispatch, int maxGateways, double retryRatio, double retryWindowExtra,
-		long retryWindowMillis, long keyLifetimeMillis, long routeLifetimeMillis, long graceMillis) {
+		int agentPort, DispatchSettings dispatch, double retryRatio, double retryWindowExtra, long retryWindowMillis,
+		long keyLifetimeMillis, long routeLifetimeMillis, long graceMillis) {
 }
--- a/src/main/java/org/jaywood/gateway/LoadSubscriptions.java
+++ b/src/main/java/org/jaywood/gateway/LoadSubscriptions.java
@@ -7,25 +7,22 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.stream.Collectors;
 
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
 
 import org.jaywood.event.Event;
 import org.jaywood.feed.BootClock;
-import org.jaywood.feed.FeedView;
 import org.jaywood.http.ClientConnection;
 import org.jaywood.http.UpstreamAnswer;
-import org.jaywood.routing.RouteTable;
-import org.jaywood.routing.Upstream;
 import org.jaywood.routing.UpstreamReport;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Json;
 import org.jaywood.wire.Tasks;
 
 /**
- * Receives the reports of all agents, one task and one connection for each. An agent runs
- * on the VM of its engine, so its address follows from the list of upstreams.
+ * Receives the reports of the agents that it follows, one task and one connection for
+ * each. An agent runs on the VM of its engine, so its address follows from the list of
+ * upstreams.
  */
 final class LoadSubscriptions implements AutoCloseable {
 
@@ -52,24 +49,15 @@
 	}
 
 	/**
-	 * Follows the agents of all engines of the list.
+	 * Follows the agents of the engines that the dispatcher chose.
 	 */
-	void onUpstreams(FeedView<Upstream> view) {
-		this.idsByAddress = view.entries()
-			.values()
-			.stream()
-			.filter((upstream) -> upstream.weights() != null || hasEngine(upstream))
-			.collect(Collectors.toMap(Upstream::address, Upstream::id, (first, second) -> second));
+	void onFleet() {
+		this.idsByAddress = this.context.dispatcher().followed();
 		this.idsByAddress.keySet()
 			.forEach((address) -> this.tasks.computeIfAbsent(address,
 					(key) -> Tasks.start("follow-" + key, () -> follow(key))));
 	}
 
-	private boolean hasEngine(Upstream upstream) {
-		RouteTable table = this.context.knowledge().table();
-		return table != null && table.engines().anyMatch((engines) -> engines.name().equals(upstream.service()));
-	}
-
 	private void follow(Address engine) {
 		Address agent = new Address(engine.host(), this.context.settings().agentPort());
 		long backoffMillis = FIRST_BACKOFF_MILLIS;
--- a/src/main/java/org/jaywood/platform/PlatformSettings.java
+++ b/src/main/java/org/jaywood/platform/PlatformSettings.java
@@ -44,9 +44,6 @@
 	 */
 	private static final long VERSION_MARGIN_MILLIS = 1_500;
 
-	/** Gateways that share the retry budget at the most. */
-	private static final int MAX_GATEWAYS = 12;
-
 	private final JsonNode tree;
 
 	private PlatformSettings(JsonNode tree) {
@@ -103,7 +100,7 @@
 				: Long.MAX_VALUE;
 		return new GatewaySettings(vm(), Address.parse(listen.path("Front").asText()),
 				Address.parse(listen.path("ReadyAddress").asText()), "/ready", new Address(ip(), lastPort()),
-				firstPort(), dispatch(bounds), MAX_GATEWAYS, bounds.path("RetryBudgetRatio").asDouble(),
+				firstPort(), dispatch(bounds), bounds.path("RetryBudgetRatio").asDouble(),
 				bounds.path("BudgetExtra").asDouble(), bounds.path("BudgetWindowS").asLong() * MILLIS_PER_SECOND,
 				keyLifetimeMillis, Math.round(bounds.path("ConfigMs").asLong() * ROUTE_LIFETIME_SHARE), graceMillis());
 	}
@@ -118,7 +115,7 @@
 	}
 
 	private DispatchSettings dispatch(JsonNode bounds) {
-		return new DispatchSettings(this.tree.path("Region").asText(), this.tree.path("Zone").asText(),
+		return new DispatchSettings(vm(), this.tree.path("Region").asText(), this.tree.path("Zone").asText(),
 				bounds.path("ColdOverage").asDouble(), bounds.path("ColdSlack").asDouble(), LAPSE_MILLIS,
 				bounds.path("version_ms").asLong() - VERSION_MARGIN_MILLIS);
 	}
--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -3,15 +3,23 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.IntSummaryStatistics;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
 
+import org.jaywood.wire.Address;
+
 /**
  * Gives calls their places at upstreams. It answers the load of many more calls than the
  * upstreams can run: engines are kept full and not more, the rest wait here for a moment,
@@ -23,8 +31,14 @@
 	/** Number of gateways assumed while no agent has told it. */
 	private static final int UNKNOWN_GATEWAYS = 4;
 
-	/** A report of the number of gateways counts for this long. */
-	private static final long GATEWAYS_LIFETIME_MILLIS = 3_000;
+	/** Interval at which the number of gateways is worked out. */
+	private static final long GATEWAYS_INTERVAL_MILLIS = 100;
+
+	/**
+	 * Factor on a number of gateways that is estimated from a part of the engines, so
+	 * that the parts of all gateways seldom exceed the whole.
+	 */
+	private static final double ESTIMATE_MARGIN = 1.15;
 
 	/** An upstream that is full soon has room again. */
 	private static final long REJECTED_PAUSE_MILLIS = 60;
@@ -65,15 +79,22 @@
 
 	private @Nullable Fleet fleet;
 
-	private int gateways = UNKNOWN_GATEWAYS;
+	private final UpstreamSubset subset;
 
-	private long gatewaysMillis = Long.MIN_VALUE / 2;
+	private double followedShare = 1;
+
+	private OptionalInt toldGateways = OptionalInt.empty();
+
+	private long toldMillis = Long.MIN_VALUE / 2;
+
+	private int lastGateways = UNKNOWN_GATEWAYS;
 
 	private long sequence;
 
 	public Dispatcher(DispatchSettings settings) {
 		this.settings = settings;
 		this.policy = new PlacementPolicy(settings);
+		this.subset = new UpstreamSubset(settings.gateway(), settings.dataCentre());
 	}
 
 	/**
@@ -81,6 +102,7 @@
 	 */
 	public synchronized void onTable(RouteTable latest, long nowMillis) {
 		this.table = latest;
+		follow();
 		placeWaiting(nowMillis);
 	}
 
@@ -106,6 +128,7 @@
 			.filter((state) -> !entries.containsKey(state.upstream().id()))
 			.forEach((state) -> state.keepMissingUntil(lapse ? graceEndMillis : nowMillis));
 		this.states.values().removeIf((state) -> !state.present(nowMillis) && state.inFlight() == 0);
+		follow();
 		placeWaiting(nowMillis);
 	}
 
@@ -115,12 +138,13 @@
 	 */
 	public synchronized void onReport(String upstreamId, UpstreamReport report, long nowMillis) {
 		UpstreamState state = this.states.get(upstreamId);
-		noteGateways(report.gateways(), nowMillis);
 		this.policy.onReport(report.informed(), nowMillis);
 		if (state == null || (report.reachable() && !report.upstream().equals(upstreamId))) {
 			return;
 		}
+		boolean first = state.gateways(nowMillis).isEmpty();
 		state.onReport(report, nowMillis);
+		this.toldMillis = first ? Long.MIN_VALUE / 2 : this.toldMillis;
 		placeWaiting(nowMillis);
 	}
 
@@ -221,11 +245,35 @@
 	}
 
 	/**
-	 * Number of gateways that share the upstreams.
+	 * Number of gateways that share the upstreams, as last known.
 	 */
 	public synchronized int gateways(long nowMillis) {
-		return (nowMillis - this.gatewaysMillis < GATEWAYS_LIFETIME_MILLIS) ? this.gateways
-				: Math.max(this.gateways, UNKNOWN_GATEWAYS);
+		return toldGateways(nowMillis).orElse(this.lastGateways);
+	}
+
+	/**
+	 * Number of gateways that share the upstreams, empty while no agent tells. While all
+	 * engines are followed, their agents know it; else it follows from how many gateways
+	 * follow an engine, as each of them follows the same share of the engines.
+	 */
+	public synchronized OptionalInt toldGateways(long nowMillis) {
+		if (nowMillis - this.toldMillis >= GATEWAYS_INTERVAL_MILLIS) {
+			this.toldMillis = nowMillis;
+			this.toldGateways = countGateways(nowMillis);
+			this.toldGateways.ifPresent((count) -> this.lastGateways = Math.max(UNKNOWN_GATEWAYS, count));
+		}
+		return this.toldGateways;
+	}
+
+	/**
+	 * The engines whose agents report to this gateway, by address.
+	 */
+	public synchronized Map<Address, String> followed() {
+		return this.states.values()
+			.stream()
+			.filter(UpstreamState::followed)
+			.map(UpstreamState::upstream)
+			.collect(Collectors.toMap(Upstream::address, Upstream::id, (first, second) -> second));
 	}
 
 	/**
@@ -241,12 +289,48 @@
 			.toList();
 	}
 
-	private void noteGateways(int reported, long nowMillis) {
-		boolean expired = nowMillis - this.gatewaysMillis >= GATEWAYS_LIFETIME_MILLIS;
-		if (reported >= this.gateways || expired) {
-			this.gateways = Math.max(1, reported);
-			this.gatewaysMillis = nowMillis;
+	private OptionalInt countGateways(long nowMillis) {
+		IntSummaryStatistics told = this.states.values()
+			.stream()
+			.filter(UpstreamState::followed)
+			.map((state) -> state.gateways(nowMillis))
+			.flatMapToInt(OptionalInt::stream)
+			.summaryStatistics();
+		if (told.getCount() == 0) {
+			return OptionalInt.empty();
+		}
+		boolean all = this.followedShare >= 1;
+		return OptionalInt
+			.of(all ? told.getMax() : (int) Math.ceil(ESTIMATE_MARGIN * told.getAverage() / this.followedShare));
+	}
+
+	private void follow() {
+		if (this.table == null || this.fleet == null) {
+			return;
 		}
+		Map<String, List<Upstream>> engines = this.fleet.upstreams()
+			.entries()
+			.values()
+			.stream()
+			.filter((upstream) -> profile(upstream.service()) instanceof ServiceProfile.Engines)
+			.collect(Collectors.groupingBy(Upstream::service));
+		Set<String> ids = engines.values().stream().flatMap(this::chosen).collect(Collectors.toSet());
+		int listed = engines.values().stream().mapToInt(List::size).sum();
+		this.followedShare = (double) ids.size() / Math.max(1, listed);
+		this.toldMillis = Long.MIN_VALUE / 2;
+		this.states.values().forEach((state) -> state.follow(ids.contains(state.upstream().id())));
+	}
+
+	/**
+	 * The engines of a service that are followed: a part of those that may get calls, and
+	 * near ones.
+	 */
+	private Stream<String> chosen(List<Upstream> engines) {
+		Set<String> closed = Objects.requireNonNull(this.fleet).closedDataCentres();
+		List<Upstream> open = engines.stream()
+			.filter((engine) -> !engine.leaving() && !closed.contains(engine.dataCentre()))
+			.toList();
+		return Stream.concat(this.subset.of(open).stream(), this.subset.near(engines).stream()).map(Upstream::id);
 	}
 
 	private static void learn(UpstreamHealth health, Outcome outcome, long nowMillis) {
--- a/src/main/java/org/jaywood/routing/PlacementPolicy.java
+++ b/src/main/java/org/jaywood/routing/PlacementPolicy.java
@@ -50,6 +50,9 @@
 	 */
 	private static final double COLD_USE = 0.9;
 
+	/** Followed engines that may run a call, below which others are asked too. */
+	private static final int LEAST_CHOICES = 4;
+
 	private final DispatchSettings settings;
 
 	private final StoreOutage outage = new StoreOutage();
@@ -66,13 +69,29 @@
 			int gateways, long nowMillis) {
 		double bestShare = candidates.stream().mapToDouble((state) -> state.health().failureShare()).min().orElse(0);
 		double reserve = (demand.rank() == Demand.Rank.STARTED) ? STARTED_RESERVE : 0;
-		return candidates.stream()
+		return preferFollowed(candidates, demand, profile).stream()
 			.filter((state) -> withinColdLimit(state, profile, gateways, nowMillis))
 			.map((state) -> rate(state, profile, bestShare, gateways, nowMillis))
 			.filter((candidate) -> candidate.load() < candidate.capacity() + reserve)
 			.min(Comparator.comparingDouble(Candidate::rating));
 	}
 
+	/**
+	 * Leaves out engines that this gateway does not follow unless too few others may run
+	 * the call or it is bound to a region, and among them those that hold a call of this
+	 * gateway already: nothing is known of the calls of others there.
+	 */
+	private static Collection<UpstreamState> preferFollowed(Collection<UpstreamState> candidates, Demand demand,
+			@Nullable ServiceProfile profile) {
+		if (!(profile instanceof ServiceProfile.Engines)) {
+			return candidates;
+		}
+		List<UpstreamState> followed = candidates.stream().filter(UpstreamState::followed).toList();
+		boolean enough = followed.size() >= LEAST_CHOICES && demand.regions().isEmpty();
+		return (enough || followed.size() == candidates.size()) ? followed
+				: candidates.stream().filter((state) -> state.followed() || state.inFlight() == 0).toList();
+	}
+
 	/**
 	 * The upstreams that may run a call, with room or without.
 	 */
@@ -156,7 +175,8 @@
 			return true;
 		}
 		double total = engines.coldPerSecond() * this.settings.coldOverage() + this.settings.coldSlack();
-		return state.sentWithinSecond(nowMillis) < Math.max(1, Math.floor(COLD_USE * total / gateways));
+		int sharing = state.gateways(nowMillis).orElse(gateways);
+		return state.sentWithinSecond(nowMillis) < Math.max(1, Math.floor(COLD_USE * total / sharing));
 	}
 
 	/**
--- a/src/main/java/org/jaywood/routing/RetryBudget.java
+++ b/src/main/java/org/jaywood/routing/RetryBudget.java
@@ -8,9 +8,9 @@
 
 	private final double share;
 
-	private final double floorPerSecond;
+	private double floorPerSecond;
 
-	private final double capacity;
+	private double capacity;
 
 	private double tokens;
 
@@ -24,6 +24,16 @@
 		this.refilledMillis = nowMillis;
 	}
 
+	/**
+	 * Changes the part that does not depend on calls. What is left above a smaller
+	 * capacity is lost; a larger one fills with time.
+	 */
+	public synchronized void resize(double latestFloorPerSecond, double latestCapacity) {
+		this.floorPerSecond = latestFloorPerSecond;
+		this.capacity = latestCapacity;
+		this.tokens = Math.min(this.tokens, latestCapacity);
+	}
+
 	/**
 	 * Notes a call, which earns a share of a retry.
 	 */
--- a/src/main/java/org/jaywood/routing/UpstreamState.java
+++ b/src/main/java/org/jaywood/routing/UpstreamState.java
@@ -1,5 +1,7 @@
 package org.jaywood.routing;
 
+import java.util.OptionalInt;
+
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -12,6 +14,9 @@
 	/** A report is used for this long; without one, the own calls are extrapolated. */
 	private static final long REPORT_LIFETIME_MILLIS = 900;
 
+	/** The number of gateways that an agent told counts for this long. */
+	private static final long GATEWAYS_LIFETIME_MILLIS = 3_000;
+
 	private final UpstreamHealth health = new UpstreamHealth();
 
 	private final SendRate sendRate = new SendRate();
@@ -32,6 +37,8 @@
 
 	private boolean agentConnected;
 
+	private boolean followed;
+
 	UpstreamState(Upstream upstream, long nowMillis) {
 		this.upstream = upstream;
 		this.coldUntilMillis = nowMillis + upstream.coldMillis();
@@ -102,6 +109,27 @@
 		return (freshReport(nowMillis) != null) ? nowMillis - this.reportedMillis : -1;
 	}
 
+	/**
+	 * Whether this gateway follows the agent of the upstream.
+	 */
+	boolean followed() {
+		return this.followed;
+	}
+
+	void follow(boolean latest) {
+		this.followed = latest;
+	}
+
+	/**
+	 * Number of gateways that follow the upstream, empty if its agent has not told
+	 * lately.
+	 */
+	OptionalInt gateways(long nowMillis) {
+		UpstreamReport latest = this.report;
+		return (latest != null && nowMillis - this.reportedMillis < GATEWAYS_LIFETIME_MILLIS)
+				? OptionalInt.of(Math.max(1, latest.gateways())) : OptionalInt.empty();
+	}
+
 	/**
 	 * Weights that the upstream serves by the fresher of its report and its entry.
 	 */
@@ -112,12 +140,12 @@
 
 	/**
 	 * Calls that the upstream holds, of all gateways together.
-	 * @param gateways number of gateways, for an upstream without a fresh report
+	 * @param gateways number of gateways, for an upstream whose agent does not tell
 	 */
 	double load(int gateways, long nowMillis) {
 		UpstreamReport fresh = freshReport(nowMillis);
 		if (fresh == null) {
-			return (double) this.inFlight * gateways;
+			return (double) this.inFlight * gateways(nowMillis).orElse(gateways);
 		}
 		return Math.max(this.inFlight, fresh.load() + this.inFlight - this.inFlightAtReport);
 	}
--- /dev/null
+++ b/src/main/java/org/jaywood/routing/UpstreamSubset.java
@@ -0,0 +1,103 @@
+package org.jaywood.routing;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+import com.dynatrace.hash4j.hashing.Hasher64;
+import com.dynatrace.hash4j.hashing.Hashing;
+
+/**
+ * Chooses the engines that a gateway follows: those whose agents report to it and that
+ * get its calls while they have room. It answers the load of many gateways before many
+ * engines, where the reports of all engines to all gateways would cost more than the
+ * calls. The choice follows from names alone: engines of the own data centre first, then
+ * the other data centres in turns, so that a gateway always knows engines of several. A
+ * gateway or an engine that joins or leaves changes little.
+ */
+final class UpstreamSubset {
+
+	/** Engines of a service that a gateway follows. */
+	static final int SIZE = 20;
+
+	/** Places in the subset that are kept for other data centres. */
+	static final int FAR_SIZE = 8;
+
+	private static final Hasher64 HASH = Hashing.xxh3_64();
+
+	private final String gateway;
+
+	private final String dataCentre;
+
+	/**
+	 * Creates the choice of one gateway.
+	 * @param gateway name of the gateway, which spreads gateways over engines
+	 * @param dataCentre its data centre
+	 */
+	UpstreamSubset(String gateway, String dataCentre) {
+		this.gateway = gateway;
+		this.dataCentre = dataCentre;
+	}
+
+	/**
+	 * Chooses among the engines of one service.
+	 * @param engines engines that may get calls
+	 * @return all of them if they are few, else as many as the size of the subset
+	 */
+	Set<Upstream> of(Collection<Upstream> engines) {
+		if (engines.size() <= SIZE) {
+			return Set.copyOf(engines);
+		}
+		Map<String, List<Upstream>> byDataCentre = engines.stream()
+			.sorted(Comparator.comparingLong(this::rank))
+			.collect(Collectors.groupingBy(Upstream::dataCentre, TreeMap::new, Collectors.toList()));
+		List<Upstream> near = byDataCentre.getOrDefault(this.dataCentre, List.of());
+		byDataCentre.remove(this.dataCentre);
+		List<Upstream> far = interleaved(byDataCentre.values());
+		int nearCount = Math.min(near.size(), Math.max(SIZE - FAR_SIZE, SIZE - far.size()));
+		return Stream.concat(near.stream().limit(nearCount), far.stream().limit(SIZE - nearCount))
+			.collect(Collectors.toUnmodifiableSet());
+	}
+
+	/**
+	 * Chooses among the engines of the own data centre, so that their agents learn of
+	 * this gateway also while they get no calls.
+	 */
+	Set<Upstream> near(Collection<Upstream> engines) {
+		return engines.stream()
+			.filter((engine) -> engine.dataCentre().equals(this.dataCentre))
+			.sorted(Comparator.comparingLong(this::rank))
+			.limit(SIZE - FAR_SIZE)
+			.collect(Collectors.toUnmodifiableSet());
+	}
+
+	/**
+	 * The first engine of each data centre, then the second of each, and so on. Gateways
+	 * begin with different data centres.
+	 */
+	private List<Upstream> interleaved(Collection<List<Upstream>> dataCentres) {
+		List<List<Upstream>> lists = dataCentres.stream()
+			.sorted(Comparator.comparingLong((list) -> hash(list.getFirst().dataCentre())))
+			.toList();
+		int longest = lists.stream().mapToInt(List::size).max().orElse(0);
+		return IntStream.range(0, longest)
+			.boxed()
+			.flatMap((place) -> lists.stream().filter((list) -> place < list.size()).map((list) -> list.get(place)))
+			.toList();
+	}
+
+	private long rank(Upstream engine) {
+		return hash(engine.address().toString());
+	}
+
+	private long hash(String name) {
+		return HASH.hashCharsToLong(this.gateway + "/" + name);
+	}
+
+}
--- a/src/test/java/org/jaywood/gateway/GatewayTests.java
+++ b/src/test/java/org/jaywood/gateway/GatewayTests.java
@@ -62,7 +62,8 @@
 		}
 		GatewaySettings settings = new GatewaySettings("gateway", new Address("127.0.0.1", 0),
 				new Address("127.0.0.1", 0), "/ready", new Address("127.0.0.1", 0), 1,
-				new DispatchSettings("region", "dc", 1.5, 5, 2_200, 7_000), 1, 0.2, 100, 10_000, 3_400, 1_800, 8_000);
+				new DispatchSettings("gateway", "region", "dc", 1.5, 5, 2_200, 7_000), 0.2, 100, 10_000, 3_400, 1_800,
+				8_000);
 		Gateway gateway = new Gateway(settings, new PlatformCalls(),
 				new GatewayFeeds(new FixedFeed<>("config", List.of(table())), new FixedFeed<>("servers", entries),
 						new FixedFeed<>("closed", List.of()), new FixedFeed<NamedWeights>("weights", List.of())),
--- a/src/test/java/org/jaywood/gateway/KnowledgeTests.java
+++ b/src/test/java/org/jaywood/gateway/KnowledgeTests.java
@@ -27,7 +27,7 @@
 	private static final long VERSION_MILLIS = 7_000;
 
 	private final Dispatcher dispatcher = new Dispatcher(
-			new DispatchSettings("doto", "kushiro-a", 1.5, 5, 2_200, VERSION_MILLIS));
+			new DispatchSettings("gateway", "doto", "kushiro-a", 1.5, 5, 2_200, VERSION_MILLIS));
 
 	private final Knowledge knowledge = new Knowledge(this.dispatcher, new EventLog("test"));
 
--- a/src/test/java/org/jaywood/routing/DispatcherTests.java
+++ b/src/test/java/org/jaywood/routing/DispatcherTests.java
@@ -2,8 +2,10 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Nested;
@@ -327,4 +329,71 @@
 
 	}
 
+	/**
+	 * Guards against budgets of all gateways that exceed the whole together, and against
+	 * calls that go to engines of which nothing is known while others have room.
+	 */
+	@Nested
+	class ManyEngines {
+
+		private static final int ENGINES = 60;
+
+		private final Upstream[] engines = IntStream.range(0, ENGINES)
+			.mapToObj((number) -> Upstreams.engine("e" + number, "dc-" + number % 5, "region-" + number % 5, 1))
+			.toArray(Upstream[]::new);
+
+		ManyEngines() {
+			DispatcherTests.this.dispatcher.onFleet(Upstreams.fleet(this.engines), NOW);
+		}
+
+		private void reportAll(int gateways, int running) {
+			DispatcherTests.this.dispatcher.followed()
+				.values()
+				.forEach((id) -> DispatcherTests.this.dispatcher.onReport(id,
+						new UpstreamReport(id, running, 0, false, gateways, true, new LoadedWeights("model", 1, 0, 16)),
+						NOW));
+		}
+
+		@Test
+		void theNumberOfGatewaysFollowsFromThePartThatFollowsEachEngine() {
+			int followed = DispatcherTests.this.dispatcher.followed().size();
+			reportAll(6, 0);
+			int gateways = DispatcherTests.this.dispatcher.gateways(NOW);
+			assertThat(gateways).isAtLeast(6 * ENGINES / followed);
+			assertThat(gateways).isAtMost(8 * ENGINES / followed);
+		}
+
+		@Test
+		void callsGoToFollowedEngines() {
+			reportAll(6, 0);
+			Set<String> followed = Set.copyOf(DispatcherTests.this.dispatcher.followed().values());
+			Set<String> used = request(40, false).stream()
+				.map(Upstreams::placed)
+				.flatMap(Optional::stream)
+				.map((placement) -> placement.upstream().id())
+				.collect(Collectors.toSet());
+			assertThat(followed).containsAtLeastElementsIn(used);
+			assertThat(used).isNotEmpty();
+		}
+
+		@Test
+		void callsBoundToARegionReachItsOtherEnginesToo() {
+			reportAll(6, Upstreams.SLOTS + 1);
+			Demand bound = new Demand("call", Upstreams.POOL, Set.of("region-3"), 1, Demand.Rank.ON_TIME, true,
+					OptionalLong.empty(), Set.of());
+			assertThat(Upstreams.placed(DispatcherTests.this.dispatcher.request(bound, NOW))).isPresent();
+		}
+
+		@Test
+		void aClosedDataCentreIsReplacedInTheSubset() {
+			Set<String> closed = Set.of("dc-1", "dc-2");
+			Fleet open = Upstreams.fleet(this.engines);
+			DispatcherTests.this.dispatcher.onFleet(new Fleet(open.upstreams(), closed, Map.of()), NOW);
+			reportAll(6, 0);
+			long placed = request(100, false).stream().filter((ticket) -> ticket.placement().isDone()).count();
+			assertThat(placed).isEqualTo(UpstreamSubset.SIZE * (Upstreams.SLOTS + 1));
+		}
+
+	}
+
 }
--- a/src/test/java/org/jaywood/routing/RetryBudgetTests.java
+++ b/src/test/java/org/jaywood/routing/RetryBudgetTests.java
@@ -1,5 +1,9 @@
 package org.jaywood.routing;
 
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -23,4 +27,23 @@
 		assertThat((double) taken).isAtMost(10 + 0.2 * calls + 2 * millis / 1_000.0);
 	}
 
+	@Property(tries = 200, seed = "2")
+	void partsOfAllGatewaysStayWithinTheWholeWhileSomeJoin(@ForAll @IntRange(min = 1, max = 40) int before,
+			@ForAll @IntRange(min = 1, max = 40) int joined, @ForAll @IntRange(min = 0, max = 10_000) int millis) {
+		double whole = 100;
+		List<RetryBudget> budgets = IntStream.range(0, before)
+			.mapToObj((number) -> new RetryBudget(0, 0, whole / before, 0))
+			.collect(Collectors.toList());
+		int after = before + joined;
+		budgets.forEach((budget) -> budget.resize(0, whole / after));
+		IntStream.range(0, joined).forEach((number) -> budgets.add(new RetryBudget(0, 0, whole / after, millis)));
+		int taken = 0;
+		for (RetryBudget budget : budgets) {
+			while (budget.tryTake(millis)) {
+				taken++;
+			}
+		}
+		assertThat((double) taken).isAtMost(whole);
+	}
+
 }
--- a/src/test/java/org/jaywood/routing/Upstreams.java
+++ b/src/test/java/org/jaywood/routing/Upstreams.java
@@ -29,7 +29,7 @@
 	}
 
 	static DispatchSettings settings() {
-		return new DispatchSettings("doto", "kushiro-a", 1.5, 5, 2_200, 7_000);
+		return new DispatchSettings("gateway", "doto", "kushiro-a", 1.5, 5, 2_200, 7_000);
 	}
 
 	public static RouteTable table(Route... routes) {
