--- a/src/main/java/org/jaywood/gateway/CallerConnection.java
+++ b/src/main/java/org/jaywood/gateway/CallerConnection.java
@@ -183,14 +183,24 @@
 	}
 
 	/**
-	 * Closes the connection unless a request is under way.
+	 * Closes the connection unless a request is under way or has arrived unread.
 	 */
 	void closeIfIdle() {
-		if (!this.busy.get()) {
+		if (!this.busy.get() && !requestArrived()) {
 			close();
 		}
 	}
 
+	private boolean requestArrived() {
+		try {
+			return this.socket.getInputStream().available() > 0;
+		}
+		catch (IOException ex) {
+			// The connection has ended already.
+			return false;
+		}
+	}
+
 	boolean busy() {
 		return this.busy.get();
 	}
--- a/src/main/java/org/jaywood/gateway/CallerListener.java
+++ b/src/main/java/org/jaywood/gateway/CallerListener.java
@@ -53,7 +53,7 @@
 				Socket socket = this.server.accept();
 				Thread.ofVirtual().start(new CallerConnection(this.context, this.active, socket));
 			}
-			catch (IOException ex) {
+			catch (IOException | RuntimeException ex) {
 				if (!this.closed) {
 					log.log(Event.TASK_FAILED, "task", "accept", "error", ex);
 				}
--- a/src/main/java/org/jaywood/gateway/EventCutter.java
+++ b/src/main/java/org/jaywood/gateway/EventCutter.java
@@ -1,6 +1,7 @@
 package org.jaywood.gateway;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 
@@ -14,8 +15,16 @@
 
 	private static final String ID_FIELD = "id:";
 
+	/** Largest event; nobody could go on behind a longer one without holding it whole. */
+	private static final int MAX_EVENT_BYTES = 256 * 1024;
+
+	/** Bytes before a position that tell whether an event ends there. */
+	private static final int END_BYTES = 2;
+
 	private final ByteArrayOutputStream partial = new ByteArrayOutputStream();
 
+	private byte[] tail = new byte[0];
+
 	private @Nullable String lastId;
 
 	private @Nullable String firstId;
@@ -25,21 +34,32 @@
 	/**
 	 * Takes bytes of the stream.
 	 * @return the events that are whole now, possibly none
+	 * @throws IOException if an event is too large to be held
 	 */
-	byte[] append(byte[] bytes, int length) {
-		this.partial.write(bytes, 0, length);
-		byte[] held = this.partial.toByteArray();
-		int end = endOfLastEvent(held);
+	byte[] append(byte[] bytes, int length) throws IOException {
+		int end = endOfLastEvent(bytes, length);
 		if (end == 0) {
+			hold(bytes, 0, length);
 			return new byte[0];
 		}
-		byte[] whole = Arrays.copyOf(held, end);
+		this.partial.write(bytes, 0, end);
+		byte[] whole = this.partial.toByteArray();
 		this.partial.reset();
-		this.partial.write(held, end, held.length - end);
+		this.tail = new byte[0];
+		hold(bytes, end, length - end);
 		noteIds(whole);
 		return whole;
 	}
 
+	private void hold(byte[] bytes, int offset, int length) throws IOException {
+		if (this.partial.size() + length > MAX_EVENT_BYTES) {
+			throw new IOException("an event exceeds " + MAX_EVENT_BYTES + " bytes");
+		}
+		this.partial.write(bytes, offset, length);
+		byte[] joined = join(this.tail, Arrays.copyOfRange(bytes, offset, offset + length));
+		this.tail = Arrays.copyOfRange(joined, Math.max(0, joined.length - END_BYTES), joined.length);
+	}
+
 	/**
 	 * Bytes behind the last whole event.
 	 */
@@ -52,6 +72,7 @@
 	 */
 	void dropPartial() {
 		this.partial.reset();
+		this.tail = new byte[0];
 		this.firstId = null;
 		this.resumedAfter = this.lastId;
 	}
@@ -85,17 +106,27 @@
 		return this.lastId;
 	}
 
-	private static int endOfLastEvent(byte[] held) {
-		for (int i = held.length - 1; i > 0; i--) {
-			boolean newline = held[i] == '\n';
-			boolean blank = held[i - 1] == '\n' || (i > 1 && held[i - 1] == '\r' && held[i - 2] == '\n');
+	/**
+	 * Position behind the last event that ends in new bytes, 0 if none does.
+	 */
+	private int endOfLastEvent(byte[] bytes, int length) {
+		byte[] joined = join(this.tail, Arrays.copyOf(bytes, length));
+		for (int i = joined.length - 1; i >= Math.max(1, this.tail.length); i--) {
+			boolean newline = joined[i] == '\n';
+			boolean blank = joined[i - 1] == '\n' || (i > 1 && joined[i - 1] == '\r' && joined[i - 2] == '\n');
 			if (newline && blank) {
-				return i + 1;
+				return i + 1 - this.tail.length;
 			}
 		}
 		return 0;
 	}
 
+	private static byte[] join(byte[] first, byte[] second) {
+		byte[] joined = Arrays.copyOf(first, first.length + second.length);
+		System.arraycopy(second, 0, joined, first.length, second.length);
+		return joined;
+	}
+
 	private void noteIds(byte[] whole) {
 		new String(whole, StandardCharsets.ISO_8859_1).lines()
 			.filter((line) -> line.startsWith(ID_FIELD))
--- a/src/main/java/org/jaywood/gateway/Gateway.java
+++ b/src/main/java/org/jaywood/gateway/Gateway.java
@@ -169,8 +169,20 @@
 		exchange.respondJson(200, this.digests.await(service, known, waitMillis));
 	}
 
+	/**
+	 * Does the periodic work. An error must not leave it, since that would end all
+	 * further ticks.
+	 */
 	private void tick() {
-		long nowMillis = BootClock.nowMillis();
+		try {
+			tick(BootClock.nowMillis());
+		}
+		catch (RuntimeException ex) {
+			this.context.log().log(Event.TASK_FAILED, "task", "tick", "error", ex);
+		}
+	}
+
+	private void tick(long nowMillis) {
 		this.context.knowledge().onTick(nowMillis);
 		this.context.dispatcher().tick(nowMillis);
 		this.ticks++;
--- a/src/main/java/org/jaywood/gateway/HandOver.java
+++ b/src/main/java/org/jaywood/gateway/HandOver.java
@@ -16,6 +16,7 @@
 import org.jaywood.http.ClientConnection;
 import org.jaywood.http.ConnectionException;
 import org.jaywood.http.ConnectionPool;
+import org.jaywood.http.Framing;
 import org.jaywood.http.UpstreamAnswer;
 import org.jaywood.routing.Outcome;
 import org.jaywood.routing.Upstream;
@@ -29,10 +30,10 @@
 
 	private static final long CONNECT_MILLIS = 300;
 
-	/** Silence before the head after which a repeatable call is tried elsewhere. */
+	/** Time for the head after which a repeatable call is tried elsewhere. */
 	private static final long REPEATABLE_HEAD_MILLIS = 1_200;
 
-	/** Silence within a resumable stream after which it is resumed elsewhere. */
+	/** Time for the next event after which a resumable stream is resumed elsewhere. */
 	private static final long RESUMABLE_GAP_MILLIS = 1_300;
 
 	/** Largest body that is read whole before its head is passed on. */
@@ -131,10 +132,17 @@
 		return deliver(connection, answer);
 	}
 
+	/**
+	 * Reads the answer to this call. Answers to earlier calls that come late are skipped.
+	 */
 	private UpstreamAnswer receiveOwn(ClientConnection connection) throws IOException {
+		long untilMillis = BootClock.nowMillis() + headTimeoutMillis();
 		for (int stray = 0; stray <= MAX_STRAY_ANSWERS; stray++) {
-			UpstreamAnswer answer = connection.receive(headTimeoutMillis());
+			UpstreamAnswer answer = connection.receive(untilMillis - BootClock.nowMillis());
 			String id = this.protocol.read(answer.head()).callId();
+			if (id == null && connection.used()) {
+				throw new IOException("an answer without an id, which may belong to an earlier call");
+			}
 			if (id == null || id.equals(this.call.id())) {
 				return answer;
 			}
@@ -149,6 +157,7 @@
 			this.reply.begin(answer.head());
 			return copyEvents(connection, answer);
 		}
+		connection.limit(remainingMillis());
 		byte[] body = readUpTo(answer, BUFFERED_BYTES);
 		if (body.length <= BUFFERED_BYTES) {
 			this.metrics.firstByte(BootClock.nowMillis() - this.call.arrivedMillis());
@@ -157,7 +166,7 @@
 		}
 		this.reply.begin(answer.head());
 		this.reply.write(body, body.length);
-		copyRest(connection, answer);
+		copyRest(answer);
 		this.reply.finish();
 		return new HandOverResult.Delivered(answer.status());
 	}
@@ -167,8 +176,8 @@
 	 */
 	private HandOverResult copyEvents(ClientConnection connection, UpstreamAnswer answer) throws IOException {
 		byte[] chunk = new byte[CHUNK_BYTES];
+		connection.limit(gapTimeoutMillis());
 		while (true) {
-			connection.limitSilence(gapTimeoutMillis());
 			int length = answer.body().read(chunk);
 			if (length < 0) {
 				break;
@@ -177,9 +186,15 @@
 			if (!this.cutter.continuous()) {
 				throw new IOException("the resumed stream does not go on behind event " + this.cutter.resumedAfter());
 			}
-			this.reply.write(whole, whole.length);
+			if (whole.length > 0) {
+				this.reply.write(whole, whole.length);
+				connection.limit(gapTimeoutMillis());
+			}
 		}
 		byte[] rest = this.cutter.rest();
+		if (rest.length > 0 && answer.length() == Framing.UNTIL_CLOSE) {
+			throw new IOException("the connection ended within an event");
+		}
 		this.reply.write(rest, rest.length);
 		this.reply.finish();
 		return new HandOverResult.Delivered(answer.status());
@@ -193,10 +208,9 @@
 		return copyEvents(connection, answer);
 	}
 
-	private void copyRest(ClientConnection connection, UpstreamAnswer answer) throws IOException {
+	private void copyRest(UpstreamAnswer answer) throws IOException {
 		byte[] chunk = new byte[CHUNK_BYTES];
 		while (true) {
-			connection.limitSilence(remainingMillis());
 			int length = answer.body().read(chunk);
 			if (length < 0) {
 				return;
--- a/src/main/java/org/jaywood/gateway/LoadSubscriptions.java
+++ b/src/main/java/org/jaywood/gateway/LoadSubscriptions.java
@@ -1,9 +1,6 @@
 package org.jaywood.gateway;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
-import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
@@ -12,6 +9,7 @@
 
 import org.jaywood.event.Event;
 import org.jaywood.feed.BootClock;
+import org.jaywood.http.BoundedLines;
 import org.jaywood.http.ClientConnection;
 import org.jaywood.http.UpstreamAnswer;
 import org.jaywood.routing.UpstreamReport;
@@ -34,6 +32,9 @@
 	/** Agents send a report at least three times in this time. */
 	private static final long SILENCE_MILLIS = 1_500;
 
+	/** Largest report. */
+	private static final int MAX_REPORT_BYTES = 16 * 1024;
+
 	private static final long FIRST_BACKOFF_MILLIS = 200;
 
 	private static final long MAX_BACKOFF_MILLIS = 1_500;
@@ -95,9 +96,10 @@
 			request.setHeader("Host", agent.toString());
 			connection.send(request, new byte[0]);
 			UpstreamAnswer answer = connection.receive(SILENCE_MILLIS);
-			BufferedReader lines = new BufferedReader(new InputStreamReader(answer.body(), StandardCharsets.UTF_8));
+			BoundedLines lines = new BoundedLines(answer.body(), MAX_REPORT_BYTES);
 			this.context.log().log(Event.AGENT_FOUND, "agent", agent);
-			for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+			for (byte[] line = lines.next(); line != null; line = lines.next()) {
+				connection.limit(SILENCE_MILLIS);
 				UpstreamReport report = Json.read(line, UpstreamReport.class);
 				String id = this.idsByAddress.get(engine);
 				if (id == null) {
--- a/src/main/java/org/jaywood/http/ClientConnection.java
+++ b/src/main/java/org/jaywood/http/ClientConnection.java
@@ -1,7 +1,6 @@
 package org.jaywood.http;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -37,7 +36,7 @@
 	private static final int MAX_HEADERS = 100;
 
 	/** Wait that shows whether the other side has sent or closed already. */
-	private static final int STALE_CHECK_MILLIS = 1;
+	private static final long STALE_CHECK_MILLIS = 1;
 
 	/** Taken off the announced idle limit, so that no request meets the close. */
 	private static final long KEEP_ALIVE_MARGIN_MILLIS = 1_000;
@@ -55,7 +54,7 @@
 
 	private final Socket socket;
 
-	private final InputStream in;
+	private final TimedInputStream in;
 
 	private final OutputStream out;
 
@@ -76,7 +75,7 @@
 	private ClientConnection(Address address, Socket socket) throws IOException {
 		this.address = address;
 		this.socket = socket;
-		this.in = socket.getInputStream();
+		this.in = new TimedInputStream(socket);
 		this.out = socket.getOutputStream();
 	}
 
@@ -132,12 +131,13 @@
 	/**
 	 * Reads the head of the answer to the request that was sent last. Interim answers are
 	 * skipped.
-	 * @param timeoutMillis longest silence of the other side, here and in the body
+	 * @param timeoutMillis time for the whole head, and for the body unless it gets a
+	 * limit of its own
 	 * @throws ConnectionException if no well-formed head arrives in time
 	 */
 	public UpstreamAnswer receive(long timeoutMillis) throws ConnectionException {
 		try {
-			limitSilence(timeoutMillis);
+			limit(timeoutMillis);
 			DefaultHttpResponseParser parser = new DefaultHttpResponseParser(CONFIG);
 			ClassicHttpResponse head = parser.parse(this.inputBuffer, this.in);
 			while (head != null && head.getCode() < HttpStatus.SC_OK) {
@@ -156,10 +156,10 @@
 	}
 
 	/**
-	 * Bounds how long a read may wait for the next byte.
+	 * Bounds the time within which all that is read until the next limit must arrive.
 	 */
-	public void limitSilence(long millis) throws IOException {
-		this.socket.setSoTimeout(Math.toIntExact(Math.clamp(millis, 1, Integer.MAX_VALUE)));
+	public void limit(long millis) {
+		this.in.limit(millis, System.nanoTime());
 	}
 
 	/**
@@ -193,7 +193,7 @@
 	 */
 	boolean quiet() {
 		try {
-			this.socket.setSoTimeout(STALE_CHECK_MILLIS);
+			limit(STALE_CHECK_MILLIS);
 			this.inputBuffer.fillBuffer(this.in);
 			return false;
 		}
--- a/src/main/java/org/jaywood/http/ConnectionPool.java
+++ b/src/main/java/org/jaywood/http/ConnectionPool.java
@@ -30,6 +30,9 @@
 	/** Largest answer to a call of our own. */
 	private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
 
+	/** Least time for the body of an answer to a call of our own. */
+	private static final long BODY_MILLIS = 10_000;
+
 	/** A connection that was used a moment ago is not examined before its next use. */
 	private static final long TRUSTED_IDLE_MILLIS = 20;
 
@@ -77,7 +80,7 @@
 	 * @param address the other process
 	 * @param request request line and headers; the host is added
 	 * @param body body of the request, possibly empty
-	 * @param answerMillis longest silence of the other side
+	 * @param answerMillis time for the head of the answer
 	 * @throws IOException if no whole answer arrives
 	 */
 	public WholeAnswer exchange(Address address, ClassicHttpRequest request, byte[] body, long answerMillis)
@@ -91,7 +94,7 @@
 	 * request is sent once more on a new one.
 	 * @param address the other process
 	 * @param request request line and headers; the host is added
-	 * @param answerMillis longest silence of the other side
+	 * @param answerMillis time for the head of the answer
 	 * @throws IOException if no whole answer arrives
 	 */
 	public WholeAnswer poll(Address address, ClassicHttpRequest request, long answerMillis) throws IOException {
@@ -119,6 +122,7 @@
 			request.setHeader(HttpHeaders.HOST, address.toString());
 			connection.send(request, body);
 			UpstreamAnswer answer = connection.receive(answerMillis);
+			connection.limit(Math.max(answerMillis, BODY_MILLIS));
 			byte[] bytes = Framing.readBounded(answer.body(), MAX_BODY_BYTES);
 			if (bytes == null) {
 				throw new IOException("the answer of " + address + " exceeds " + MAX_BODY_BYTES + " bytes");
--- a/src/main/java/org/jaywood/replica/EngineMonitor.java
+++ b/src/main/java/org/jaywood/replica/EngineMonitor.java
@@ -104,7 +104,12 @@
 
 	private void run() {
 		while (!this.closed) {
-			refresh();
+			try {
+				refresh();
+			}
+			catch (RuntimeException ex) {
+				this.log.log(Event.TASK_FAILED, "task", "monitor-engine", "error", ex);
+			}
 			try {
 				Thread.sleep(intervalMillis(latest()));
 			}
--- a/src/main/java/org/jaywood/replica/FleetSync.java
+++ b/src/main/java/org/jaywood/replica/FleetSync.java
@@ -89,8 +89,8 @@
 
 	private void run() {
 		while (!this.closed) {
-			boolean informed = this.gateways.order(BootClock.nowMillis()).stream().anyMatch(this::ask);
 			try {
+				boolean informed = this.gateways.order(BootClock.nowMillis()).stream().anyMatch(this::ask);
 				if (!informed) {
 					readStoreIfDue(BootClock.nowMillis());
 					Thread.sleep(PAUSE_MILLIS);
@@ -152,7 +152,7 @@
 			}
 			this.storeLost = false;
 		}
-		catch (FeedException ex) {
+		catch (FeedException | RuntimeException ex) {
 			if (!this.storeLost) {
 				this.log.log(Event.FEED_LOST, "feed", "store", "revision", this.fleet.content(), "error",
 						ex.getMessage());
--- /dev/null
+++ b/src/test/java/org/jaywood/gateway/MisbehavingUpstreamTests.java
@@ -0,0 +1,211 @@
+package org.jaywood.gateway;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.feed.BootClock;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * A gateway before upstreams that send too much, too slowly or what nobody asked for.
+ */
+class MisbehavingUpstreamTests extends GatewayFixture {
+
+	/** Deadline of the calls that are sent here. */
+	private static final long DEADLINE_MILLIS = 1_500;
+
+	/** Time after the deadline in which the final answer must have been given. */
+	private static final long SLACK_MILLIS = 1_000;
+
+	private static final long PACE_MILLIS = 50;
+
+	private static String withDeadline(String request) {
+		return request.replaceFirst("X-Deadline-Ms: \\d+", "X-Deadline-Ms: " + DEADLINE_MILLIS);
+	}
+
+	/**
+	 * Sends a text over and over at a slow pace until the gateway closes the connection.
+	 */
+	private static void repeat(OutputStream out, String text) throws IOException {
+		while (true) {
+			write(out, text);
+			try {
+				Thread.sleep(PACE_MILLIS);
+			}
+			catch (InterruptedException ex) {
+				throw new IOException(ex);
+			}
+		}
+	}
+
+	private String answerInTime(FakeUpstream.Script script, String request) throws IOException {
+		Gateway gateway = start(new FakeUpstream(script));
+		long sinceMillis = BootClock.nowMillis();
+		String answer = exchange(gateway, withDeadline(request));
+		assertThat(BootClock.nowMillis() - sinceMillis).isLessThan(DEADLINE_MILLIS + SLACK_MILLIS);
+		return answer;
+	}
+
+	/**
+	 * Guards against bytes that come without end, or one now and then, and hold a call
+	 * past its time.
+	 */
+	@Nested
+	class WithoutEnd {
+
+		@Test
+		void aHeadThatNeverEnds() throws IOException {
+			String answer = answerInTime((request, number, out, socket) -> {
+				write(out, "HTTP/1.1 200 OK\r\nX-Long: ");
+				repeat(out, "a");
+			}, UNSAFE);
+			assertThat(answer).startsWith("HTTP/1.1 504");
+		}
+
+		@Test
+		void interimAnswersWithoutAFinalOne() throws IOException {
+			String answer = answerInTime(
+					(request, number, out, socket) -> repeat(out, "HTTP/1.1 102 Processing\r\n\r\n"), UNSAFE);
+			assertThat(answer).startsWith("HTTP/1.1 504");
+		}
+
+		@Test
+		void aPlainBodyThatNeverEnds() throws IOException {
+			String answer = answerInTime((request, number, out, socket) -> {
+				write(out, FakeUpstream.streamHead(request));
+				repeat(out, FakeUpstream.chunk("a"));
+			}, UNSAFE);
+			assertThat(answer).startsWith("HTTP/1.1 504");
+		}
+
+		@Test
+		void anEventThatNeverEnds() throws IOException {
+			String answer = answerInTime((request, number, out, socket) -> {
+				write(out, FakeUpstream.streamHead(request) + FakeUpstream.chunk("id: 1\ndata: a\n\n"));
+				repeat(out, FakeUpstream.chunk("a"));
+			}, STREAM);
+			assertThat(answer).doesNotContain("\r\n0\r\n");
+		}
+
+		@Test
+		void anEventOfAnySizeIsNotHeld() throws Exception {
+			FakeUpstream flood = new FakeUpstream((request, number, out, socket) -> {
+				write(out, FakeUpstream.streamHead(request));
+				String chunk = FakeUpstream.chunk("a".repeat(64 * 1024));
+				while (true) {
+					write(out, chunk);
+				}
+			});
+			Gateway gateway = start(flood);
+			long sinceMillis = BootClock.nowMillis();
+			String answer = exchange(gateway, STREAM);
+			assertThat(BootClock.nowMillis() - sinceMillis).isLessThan(DEADLINE_MILLIS + SLACK_MILLIS);
+			assertThat(answer).doesNotContain("\r\n0\r\n");
+			assertThat(flood.callerGone().await(SLACK_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+		}
+
+	}
+
+	/**
+	 * Guards against slow but sound streams that are cut.
+	 */
+	@Nested
+	class Slow {
+
+		@Test
+		void aStreamWhoseEventsComeInPartsGoesOn() throws IOException {
+			FakeUpstream slow = new FakeUpstream((request, number, out, socket) -> {
+				write(out, FakeUpstream.streamHead(request));
+				for (int event = 1; event <= 5; event++) {
+					write(out, FakeUpstream.chunk("id: " + event + "\n"));
+					pause(400);
+					write(out, FakeUpstream.chunk("data: a\n\n"));
+				}
+				write(out, "0\r\n\r\n");
+			});
+			String answer = exchange(start(slow), STREAM);
+			assertThat(answer).contains("id: 5\ndata: a\n\n");
+			assertThat(answer).endsWith("0\r\n\r\n");
+			assertThat(slow.requests()).hasSize(1);
+		}
+
+		private static void pause(long millis) throws IOException {
+			try {
+				Thread.sleep(millis);
+			}
+			catch (InterruptedException ex) {
+				throw new IOException(ex);
+			}
+		}
+
+	}
+
+	/**
+	 * Guards against an answer that broke off and reaches the caller as a complete one.
+	 */
+	@Nested
+	class BrokenOff {
+
+		@Test
+		void aStreamWithoutLengthThatEndsWithinAnEventHasNoEnd() throws IOException {
+			FakeUpstream only = new FakeUpstream((request, number, out, socket) -> {
+				write(out, FakeUpstream.streamHead(request).replace("Transfer-Encoding: chunked\r\n", "")
+						+ "id: 1\ndata: a\n\nid: 2\nda");
+				socket.close();
+			});
+			String answer = exchange(start(only), STREAM);
+			assertThat(answer).contains("id: 1\ndata: a\n\n");
+			assertThat(answer).doesNotContain("id: 2");
+			assertThat(answer).doesNotContain("\r\n0\r\n");
+		}
+
+	}
+
+	/**
+	 * Guards against a second copy of an answer that comes late, on a connection that
+	 * carries the next call already, and reaches the caller of that one.
+	 */
+	@Nested
+	class SecondCopy {
+
+		@Test
+		void aCopyWithoutAnIdOnAUsedConnectionIsNotTaken() throws IOException {
+			String anonymous = "HTTP/1.1 200 OK\r\nX-Response-Seal: old\r\nContent-Length: 3\r\n\r\nold";
+			FakeUpstream upstream = new FakeUpstream((request, number, out, socket) -> {
+				write(out, (number == 1) ? "" : anonymous);
+				write(out, FakeUpstream.answer(request, 200, "", "own"));
+			});
+			Gateway gateway = start(upstream);
+			try (Socket caller = new Socket("127.0.0.1", gateway.callerPort())) {
+				caller.setSoTimeout(5_000);
+				write(caller.getOutputStream(), UNSAFE);
+				assertThat(readAnswer(caller)).endsWith("own");
+				write(caller.getOutputStream(), UNSAFE.replace("call-1", "call-2"));
+				assertThat(readAnswer(caller)).doesNotContain("old");
+			}
+		}
+
+		private static String readAnswer(Socket caller) throws IOException {
+			StringBuilder text = new StringBuilder();
+			byte[] bytes = new byte[4_096];
+			while (!text.toString().endsWith("own") && !text.toString().endsWith("}")
+					&& !text.toString().endsWith("old")) {
+				int length = caller.getInputStream().read(bytes);
+				if (length < 0) {
+					return text.toString();
+				}
+				text.append(new String(bytes, 0, length, StandardCharsets.ISO_8859_1));
+			}
+			return text.toString();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/jaywood/replica/EngineMonitorTests.java
@@ -0,0 +1,77 @@
+package org.jaywood.replica;
+
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.awaitility.Awaitility;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.event.EventLog;
+import org.jaywood.routing.FleetDigest;
+import org.jaywood.routing.LoadedWeights;
+import org.jaywood.routing.ServiceProfile;
+import org.jaywood.routing.Upstream;
+import org.jaywood.routing.Upstreams;
+import org.jaywood.wire.Address;
+
+/**
+ * Guards against one malformed report that ends the watch over the engine for good, after
+ * which the gateways would take a sound engine for a silent one.
+ */
+class EngineMonitorTests {
+
+	private final EventLog log = new EventLog("test");
+
+	private final Upstream own = Upstreams.engine("own", "kushiro-a", "doto", 1);
+
+	private final FleetKnowledge fleet = new FleetKnowledge(new ReplicaSettings("vm", this.own.address(),
+			new Address("127.0.0.1", 1), Upstreams.POOL, "doto", "kushiro-a", 0, 8_000), this.log);
+
+	@Test
+	void theWatchGoesOnAfterAnUnexpectedError() {
+		this.fleet
+			.onDigest(FleetDigest.of(1, new ServiceProfile.Engines(Upstreams.POOL, 36, "model", FakeEngine.LAYERS, 300),
+					null, 1, List.of(this.own)));
+		EngineMonitor monitor = new EngineMonitor(this.fleet, new FailingEngine(), "engine", this.log);
+		monitor.start();
+		try {
+			Awaitility.await().until(() -> monitor.latest() != null);
+		}
+		finally {
+			monitor.close();
+		}
+	}
+
+	/**
+	 * Engine whose first report cannot be understood.
+	 */
+	private static final class FailingEngine implements EngineControl {
+
+		private final AtomicInteger asked = new AtomicInteger();
+
+		@Override
+		public EngineReport report() {
+			if (this.asked.incrementAndGet() == 1) {
+				throw new IllegalStateException("unexpected");
+			}
+			return new EngineReport(1, 0, 0, false, 0, new LoadedWeights("model", 1, 0, FakeEngine.LAYERS));
+		}
+
+		@Override
+		public void stage(String model, int index, byte[] piece) {
+		}
+
+		@Override
+		public byte @Nullable [] staged(String model, int index) {
+			return null;
+		}
+
+		@Override
+		public boolean load(String model, long version, long sequence) {
+			return true;
+		}
+
+	}
+
+}
