Gather changes of the store that follow each other closely

Change: after a change a follower pauses 0.2 to 0.4 s before it asks for the next one. Test: FeedFollowerTests.Gathering, failed before.

--- a/src/main/java/org/jaywood/feed/FeedFollower.java
+++ b/src/main/java/org/jaywood/feed/FeedFollower.java
@@ -23,6 +23,12 @@
 
 	private static final long MAX_BACKOFF_MILLIS = 400;
 
+	/**
+	 * Longest pause after a change before the next one is asked for, so that changes that
+	 * follow each other closely cost each process one call together.
+	 */
+	private static final long GATHER_MILLIS = 400;
+
 	/** A shorter gap in answers is an ordinary retry. */
 	private static final long OUTAGE_MILLIS = 600;
 
@@ -132,6 +138,9 @@
 		boolean waited = page.entries().isEmpty();
 		long nowMillis = BootClock.nowMillis();
 		accept(page, waited ? Math.min(nowMillis, askedMillis + this.waitMillis) : askedMillis, false);
+		if (!waited) {
+			pause(GATHER_MILLIS);
+		}
 	}
 
 	private void accept(FeedPage<T> page, long currentMillis, boolean listed) {
--- a/src/test/java/org/jaywood/feed/FeedFollowerTests.java
+++ b/src/test/java/org/jaywood/feed/FeedFollowerTests.java
@@ -4,6 +4,8 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.Nested;
@@ -81,6 +83,54 @@
 
 	}
 
+	/**
+	 * Guards against a fleet that starts and costs each process one call for each entry.
+	 */
+	@Nested
+	class Gathering {
+
+		private static final long OBSERVED_MILLIS = 1_000;
+
+		private static final int MAX_CALLS = 10;
+
+		@Test
+		void changesThatFollowEachOtherCloselyCostOneCallTogether() {
+			RestlessFeed restless = new RestlessFeed();
+			FeedFollower<String> busy = new FeedFollower<>(restless, WAIT_MILLIS, (view) -> {
+			}, new EventLog("test"));
+			busy.start();
+			Awaitility.await().pollDelay(OBSERVED_MILLIS, TimeUnit.MILLISECONDS).until(() -> restless.calls.get() > 1);
+			busy.close();
+			assertThat(restless.calls.get()).isLessThan(MAX_CALLS);
+		}
+
+	}
+
+	/**
+	 * Feed that always has a change.
+	 */
+	private static final class RestlessFeed implements Feed<String> {
+
+		private final AtomicInteger calls = new AtomicInteger();
+
+		@Override
+		public String name() {
+			return "restless";
+		}
+
+		@Override
+		public FeedPage<String> list() {
+			return watch(0, 0);
+		}
+
+		@Override
+		public FeedPage<String> watch(long revision, long waitMillis) {
+			int call = this.calls.incrementAndGet();
+			return new FeedPage<>(call, List.of(new FeedEntry<>("a", "value-" + call)));
+		}
+
+	}
+
 	/**
 	 * Feed that gives prepared answers and then fails.
 	 */
