--- /dev/null
+++ b/src/main/java/org/jaywood/gateway/DigestBoard.java
@@ -0,0 +1,82 @@
+package org.jaywood.gateway;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
+
+import org.jaywood.routing.FleetDigest;
+
+/**
+ * The digests that agents get, one for each service. It answers the load of many entries
+ * that arrive one by one, each of which would send the whole list to all agents: changes
+ * of a list alone follow each other at an interval. A single change, a version and a
+ * profile are passed on at once. Guarded by the lock of its {@link Knowledge}.
+ */
+final class DigestBoard {
+
+	/** Interval at which agents are told of changes of the list of upstreams. */
+	static final long LIST_INTERVAL_MILLIS = 500;
+
+	private final Map<String, Published> digests = new HashMap<>();
+
+	/**
+	 * The services whose digests agents have asked for.
+	 */
+	List<String> services() {
+		return List.copyOf(this.digests.keySet());
+	}
+
+	/**
+	 * The digest of a service that agents get now, or null if there is none.
+	 */
+	@Nullable Published get(String service) {
+		return this.digests.get(service);
+	}
+
+	/**
+	 * Whether the digest of a service lacks a change.
+	 * @param changes number of changes of the fleet so far
+	 */
+	boolean outdated(String service, long changes) {
+		Published present = this.digests.get(service);
+		return present == null || present.changes() != changes;
+	}
+
+	/**
+	 * Replaces the digest of a service if that may be done now.
+	 * @param latest the digest as of now, or null if the service is not known
+	 * @param changes number of changes of the fleet that it includes
+	 * @return whether it was replaced
+	 */
+	boolean offer(String service, @Nullable FleetDigest latest, long changes, long nowMillis) {
+		if (latest == null) {
+			return this.digests.remove(service) != null;
+		}
+		Published present = this.digests.get(service);
+		if (present != null && !mayReplace(present, latest, nowMillis)) {
+			return false;
+		}
+		this.digests.put(service, new Published(latest, latest.content(), changes, nowMillis));
+		return true;
+	}
+
+	private static boolean mayReplace(Published present, FleetDigest latest, long nowMillis) {
+		return nowMillis - present.sinceMillis() >= LIST_INTERVAL_MILLIS
+				|| !present.digest().profile().equals(latest.profile())
+				|| !present.digest().target().equals(latest.target());
+	}
+
+	/**
+	 * A digest as agents get it.
+	 *
+	 * @param digest the digest
+	 * @param content its {@link FleetDigest#content}
+	 * @param changes number of changes of the fleet that it includes
+	 * @param sinceMillis boot time from which agents got it
+	 */
+	record Published(FleetDigest digest, long content, long changes, long sinceMillis) {
+	}
+
+}
--- a/src/main/java/org/jaywood/gateway/DigestService.java
+++ b/src/main/java/org/jaywood/gateway/DigestService.java
@@ -34,7 +34,7 @@
 		long untilMillis = BootClock.nowMillis() + waitMillis;
 		while (true) {
 			long leftMillis = untilMillis - BootClock.nowMillis();
-			Knowledge.PublishedDigest present = this.knowledge.awaitDigest(service, known,
+			DigestBoard.Published present = this.knowledge.awaitDigest(service, known,
 					Math.clamp(leftMillis, 0, CHECK_MILLIS));
 			boolean current = present != null && this.storeReachable.getAsBoolean();
 			FleetDigest news = (present != null && present.content() != known) ? present.digest() : null;
--- a/src/main/java/org/jaywood/gateway/Knowledge.java
+++ b/src/main/java/org/jaywood/gateway/Knowledge.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
@@ -27,9 +26,6 @@
  */
 final class Knowledge {
 
-	/** Interval at which agents are told of changes of the list of upstreams. */
-	private static final long LIST_INTERVAL_MILLIS = 500;
-
 	private final Dispatcher dispatcher;
 
 	private final EventLog log;
@@ -44,7 +40,7 @@
 
 	private @Nullable FeedView<NamedWeights> weightsView;
 
-	private final Map<String, PublishedDigest> digests = new HashMap<>();
+	private final DigestBoard digests = new DigestBoard();
 
 	private long changes;
 
@@ -171,10 +167,10 @@
 	 * @param waitMillis longest wait
 	 * @return the present digest, or null if the service is not known
 	 */
-	synchronized @Nullable PublishedDigest awaitDigest(String service, long known, long waitMillis)
+	synchronized DigestBoard.@Nullable Published awaitDigest(String service, long known, long waitMillis)
 			throws InterruptedException {
 		long untilMillis = BootClock.nowMillis() + waitMillis;
-		PublishedDigest present = digest(service, BootClock.nowMillis());
+		DigestBoard.Published present = digest(service, BootClock.nowMillis());
 		long leftMillis = waitMillis;
 		while ((present == null || present.content() == known) && leftMillis > 0) {
 			wait(leftMillis);
@@ -187,7 +183,7 @@
 	/**
 	 * The digest of a service that agents get now, or null if the service is not known.
 	 */
-	synchronized @Nullable PublishedDigest digest(String service, long nowMillis) {
+	synchronized DigestBoard.@Nullable Published digest(String service, long nowMillis) {
 		refreshDigest(service, nowMillis);
 		return this.digests.get(service);
 	}
@@ -197,34 +193,22 @@
 	 * @return whether it was replaced
 	 */
 	private boolean refreshDigest(String service, long nowMillis) {
+		return this.digests.outdated(service, this.changes)
+				&& this.digests.offer(service, latestDigest(service), this.changes, nowMillis);
+	}
+
+	private @Nullable FleetDigest latestDigest(String service) {
 		RouteTable known = this.table;
 		FeedView<Upstream> view = this.upstreams;
-		PublishedDigest present = this.digests.get(service);
-		boolean outdated = present == null || present.changes() != this.changes;
-		if (known == null || view == null || !this.weightsKnown || !outdated) {
-			return false;
+		if (known == null || view == null || !this.weightsKnown) {
+			return null;
 		}
-		Optional<ServiceProfile.Engines> profile = known.service(service)
+		return known.service(service)
 			.filter(ServiceProfile.Engines.class::isInstance)
-			.map(ServiceProfile.Engines.class::cast);
-		if (profile.isEmpty() || !mayReplace(present, profile.get(), nowMillis)) {
-			return false;
-		}
-		FleetDigest latest = FleetDigest.of(Math.max(view.revision(), this.weightsRevision), profile.get(),
-				known.origin().orElse(null), version(profile.get().model()), List.copyOf(view.entries().values()));
-		this.digests.put(service, new PublishedDigest(latest, latest.content(), this.changes, nowMillis));
-		return true;
-	}
-
-	/**
-	 * Changes of the list alone follow each other at an interval, so that many entries
-	 * which arrive one by one do not each send the whole list to all agents. A single
-	 * change, a version and a profile are passed on at once.
-	 */
-	private boolean mayReplace(@Nullable PublishedDigest present, ServiceProfile.Engines profile, long nowMillis) {
-		return present == null || nowMillis - present.sinceMillis() >= LIST_INTERVAL_MILLIS
-				|| !present.digest().profile().equals(profile)
-				|| present.digest().target().version() != version(profile.model());
+			.map(ServiceProfile.Engines.class::cast)
+			.map((profile) -> FleetDigest.of(Math.max(view.revision(), this.weightsRevision), profile,
+					known.origin().orElse(null), version(profile.model()), List.copyOf(view.entries().values())))
+			.orElse(null);
 	}
 
 	private long version(String model) {
@@ -245,24 +229,11 @@
 	}
 
 	private void refreshDigests(long nowMillis) {
-		boolean replaced = List.copyOf(this.digests.keySet())
-			.stream()
-			.map((service) -> refreshDigest(service, nowMillis))
-			.reduce(false, Boolean::logicalOr);
-		if (replaced || this.digests.isEmpty()) {
+		List<String> services = this.digests.services();
+		long replaced = services.stream().filter((service) -> refreshDigest(service, nowMillis)).count();
+		if (replaced > 0 || services.isEmpty()) {
 			notifyAll();
 		}
 	}
 
-	/**
-	 * A digest as agents get it.
-	 *
-	 * @param digest the digest
-	 * @param content its {@link FleetDigest#content}
-	 * @param changes number of changes of the fleet that it includes
-	 * @param sinceMillis boot time from which agents got it
-	 */
-	record PublishedDigest(FleetDigest digest, long content, long changes, long sinceMillis) {
-	}
-
 }
--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -3,7 +3,6 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.IntSummaryStatistics;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -28,18 +27,6 @@
  */
 public final class Dispatcher {
 
-	/** Number of gateways assumed while no agent has told it. */
-	private static final int UNKNOWN_GATEWAYS = 4;
-
-	/** Interval at which the number of gateways is worked out. */
-	private static final long GATEWAYS_INTERVAL_MILLIS = 100;
-
-	/**
-	 * Factor on a number of gateways that is estimated from a part of the engines, so
-	 * that the parts of all gateways seldom exceed the whole.
-	 */
-	private static final double ESTIMATE_MARGIN = 1.15;
-
 	/** An upstream that is full soon has room again. */
 	private static final long REJECTED_PAUSE_MILLIS = 60;
 
@@ -83,11 +70,7 @@
 
 	private double followedShare = 1;
 
-	private OptionalInt toldGateways = OptionalInt.empty();
-
-	private long toldMillis = Long.MIN_VALUE / 2;
-
-	private int lastGateways = UNKNOWN_GATEWAYS;
+	private final GatewayCount gateways = new GatewayCount();
 
 	private long sequence;
 
@@ -144,7 +127,9 @@
 		}
 		boolean first = state.gateways(nowMillis).isEmpty();
 		state.onReport(report, nowMillis);
-		this.toldMillis = first ? Long.MIN_VALUE / 2 : this.toldMillis;
+		if (first) {
+			this.gateways.refresh();
+		}
 		placeWaiting(nowMillis);
 	}
 
@@ -248,21 +233,14 @@
 	 * Number of gateways that share the upstreams, as last known.
 	 */
 	public synchronized int gateways(long nowMillis) {
-		return toldGateways(nowMillis).orElse(this.lastGateways);
+		return toldGateways(nowMillis).orElse(this.gateways.last());
 	}
 
 	/**
-	 * Number of gateways that share the upstreams, empty while no agent tells. While all
-	 * engines are followed, their agents know it; else it follows from how many gateways
-	 * follow an engine, as each of them follows the same share of the engines.
+	 * Number of gateways that share the upstreams, empty while no agent tells.
 	 */
 	public synchronized OptionalInt toldGateways(long nowMillis) {
-		if (nowMillis - this.toldMillis >= GATEWAYS_INTERVAL_MILLIS) {
-			this.toldMillis = nowMillis;
-			this.toldGateways = countGateways(nowMillis);
-			this.toldGateways.ifPresent((count) -> this.lastGateways = Math.max(UNKNOWN_GATEWAYS, count));
-		}
-		return this.toldGateways;
+		return this.gateways.told(this.states.values(), this.followedShare, nowMillis);
 	}
 
 	/**
@@ -289,21 +267,6 @@
 			.toList();
 	}
 
-	private OptionalInt countGateways(long nowMillis) {
-		IntSummaryStatistics told = this.states.values()
-			.stream()
-			.filter(UpstreamState::followed)
-			.map((state) -> state.gateways(nowMillis))
-			.flatMapToInt(OptionalInt::stream)
-			.summaryStatistics();
-		if (told.getCount() == 0) {
-			return OptionalInt.empty();
-		}
-		boolean all = this.followedShare >= 1;
-		return OptionalInt
-			.of(all ? told.getMax() : (int) Math.ceil(ESTIMATE_MARGIN * told.getAverage() / this.followedShare));
-	}
-
 	private void follow() {
 		if (this.table == null || this.fleet == null) {
 			return;
@@ -317,7 +280,7 @@
 		Set<String> ids = engines.values().stream().flatMap(this::chosen).collect(Collectors.toSet());
 		int listed = engines.values().stream().mapToInt(List::size).sum();
 		this.followedShare = (double) ids.size() / Math.max(1, listed);
-		this.toldMillis = Long.MIN_VALUE / 2;
+		this.gateways.refresh();
 		this.states.values().forEach((state) -> state.follow(ids.contains(state.upstream().id())));
 	}
 
--- /dev/null
+++ b/src/main/java/org/jaywood/routing/GatewayCount.java
@@ -0,0 +1,74 @@
+package org.jaywood.routing;
+
+import java.util.Collection;
+import java.util.IntSummaryStatistics;
+import java.util.OptionalInt;
+
+/**
+ * Number of gateways that share the upstreams. While a gateway follows all engines, their
+ * agents know it; else it follows from how many gateways follow an engine, as each of
+ * them follows the same share of the engines. Guarded by the lock of its
+ * {@link Dispatcher}.
+ */
+final class GatewayCount {
+
+	/** Number assumed while no agent has told it. */
+	private static final int UNKNOWN = 4;
+
+	/**
+	 * Factor on a number that is estimated from a part of the engines, so that the parts
+	 * of all gateways seldom exceed the whole.
+	 */
+	private static final double ESTIMATE_MARGIN = 1.15;
+
+	/** Interval at which the number is worked out. */
+	private static final long INTERVAL_MILLIS = 100;
+
+	private OptionalInt told = OptionalInt.empty();
+
+	private long toldMillis = Long.MIN_VALUE / 2;
+
+	private int last = UNKNOWN;
+
+	/**
+	 * The number, empty while no agent tells.
+	 * @param states all upstreams
+	 * @param followedShare share of the engines that a gateway follows
+	 */
+	OptionalInt told(Collection<UpstreamState> states, double followedShare, long nowMillis) {
+		if (nowMillis - this.toldMillis >= INTERVAL_MILLIS) {
+			this.toldMillis = nowMillis;
+			this.told = count(states, followedShare, nowMillis);
+			this.told.ifPresent((count) -> this.last = Math.max(UNKNOWN, count));
+		}
+		return this.told;
+	}
+
+	/**
+	 * The number as it was told last.
+	 */
+	int last() {
+		return this.last;
+	}
+
+	/**
+	 * Works the number out anew at the next question.
+	 */
+	void refresh() {
+		this.toldMillis = Long.MIN_VALUE / 2;
+	}
+
+	private static OptionalInt count(Collection<UpstreamState> states, double followedShare, long nowMillis) {
+		IntSummaryStatistics followers = states.stream()
+			.filter(UpstreamState::followed)
+			.map((state) -> state.gateways(nowMillis))
+			.flatMapToInt(OptionalInt::stream)
+			.summaryStatistics();
+		if (followers.getCount() == 0) {
+			return OptionalInt.empty();
+		}
+		return OptionalInt.of((followedShare >= 1) ? followers.getMax()
+				: (int) Math.ceil(ESTIMATE_MARGIN * followers.getAverage() / followedShare));
+	}
+
+}
--- a/src/test/java/org/jaywood/gateway/CallerConnectionTests.java
+++ b/src/test/java/org/jaywood/gateway/CallerConnectionTests.java
@@ -20,15 +20,18 @@
  */
 class CallerConnectionTests {
 
+	private static CallerConnection connection(Socket accepted) {
+		PlatformCalls protocol = new PlatformCalls();
+		GatewayContext context = GatewayContext.create(GatewayFixture.settings(), protocol, new EventLog("test"));
+		return new CallerConnection(context, new ActiveCalls(new CallAdmission(protocol, 1_000, 1_000)), accepted);
+	}
+
 	@Test
 	void aConnectionWithAnUnreadRequestIsNotIdle() throws IOException {
 		try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
 				Socket caller = new Socket(server.getInetAddress(), server.getLocalPort());
 				Socket accepted = server.accept()) {
-			GatewayContext context = GatewayContext.create(GatewayFixture.settings(), new PlatformCalls(),
-					new EventLog("test"));
-			CallerConnection connection = new CallerConnection(context,
-					new ActiveCalls(new CallAdmission(new PlatformCalls(), 1_000, 1_000)), accepted);
+			CallerConnection connection = connection(accepted);
 			caller.getOutputStream().write("GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
 			Awaitility.await().until(() -> accepted.getInputStream().available() > 0);
 			connection.closeIfIdle();
@@ -41,10 +44,7 @@
 		try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
 				Socket caller = new Socket(server.getInetAddress(), server.getLocalPort());
 				Socket accepted = server.accept()) {
-			GatewayContext context = GatewayContext.create(GatewayFixture.settings(), new PlatformCalls(),
-					new EventLog("test"));
-			CallerConnection connection = new CallerConnection(context,
-					new ActiveCalls(new CallAdmission(new PlatformCalls(), 1_000, 1_000)), accepted);
+			CallerConnection connection = connection(accepted);
 			connection.closeIfIdle();
 			assertThat(caller.getInputStream().read()).isEqualTo(-1);
 		}
--- /dev/null
+++ b/src/test/java/org/jaywood/gateway/DigestBoardTests.java
@@ -0,0 +1,62 @@
+package org.jaywood.gateway;
+
+import java.util.List;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.routing.FleetDigest;
+import org.jaywood.routing.ServiceProfile;
+import org.jaywood.routing.Upstream;
+import org.jaywood.routing.Upstreams;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against a start of a fleet that sends the whole list for each of its entries,
+ * and against a version that waits for the list.
+ */
+class DigestBoardTests {
+
+	private static final long NOW = 100_000;
+
+	private final DigestBoard board = new DigestBoard();
+
+	private static FleetDigest digest(int engines, long version) {
+		List<Upstream> entries = IntStream.range(0, engines)
+			.mapToObj((number) -> Upstreams.engine("e" + number, "kushiro-a", "doto", 1))
+			.toList();
+		return FleetDigest.of(1, new ServiceProfile.Engines(Upstreams.POOL, 36, "model", 16, 300), null, version,
+				entries);
+	}
+
+	private boolean offer(int engines, long version, long nowMillis) {
+		return this.board.offer(Upstreams.POOL, digest(engines, version), engines, nowMillis);
+	}
+
+	@Test
+	void changesOfTheListFollowAtAnInterval() {
+		long replaced = IntStream.range(0, 100).filter((number) -> offer(number, 1, NOW + 10 * number)).count();
+		assertThat(replaced).isEqualTo(1 + 990 / DigestBoard.LIST_INTERVAL_MILLIS);
+	}
+
+	@Test
+	void aSingleChangeIsPassedOnAtOnce() {
+		offer(1, 1, NOW);
+		assertThat(offer(2, 1, NOW + DigestBoard.LIST_INTERVAL_MILLIS)).isTrue();
+	}
+
+	@Test
+	void aVersionIsPassedOnAtOnce() {
+		offer(1, 1, NOW);
+		assertThat(offer(1, 2, NOW + 1)).isTrue();
+	}
+
+	@Test
+	void anUnknownServiceHasNoDigest() {
+		offer(1, 1, NOW);
+		this.board.offer(Upstreams.POOL, null, 2, NOW + 1);
+		assertThat(this.board.get(Upstreams.POOL)).isNull();
+	}
+
+}
