Do not take an engine for silent that is not followed any more

Cause: found by reading the diff; an engine whose agent was connected when this gateway chose others to follow counted as connected and silent for good, so that calls bound to its region could not reach it. Test: UpstreamStateTests, failed before.

--- a/src/main/java/org/jaywood/routing/UpstreamState.java
+++ b/src/main/java/org/jaywood/routing/UpstreamState.java
@@ -118,6 +118,7 @@
 
 	void follow(boolean latest) {
 		this.followed = latest;
+		this.agentConnected = this.agentConnected && latest;
 	}
 
 	/**
--- /dev/null
+++ b/src/test/java/org/jaywood/routing/UpstreamStateTests.java
@@ -0,0 +1,26 @@
+package org.jaywood.routing;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against an engine that gets no calls any more because its reports ended when this
+ * gateway chose others to follow.
+ */
+class UpstreamStateTests {
+
+	private static final long NOW = 100_000;
+
+	private static final long SILENCE_MILLIS = 5_000;
+
+	@Test
+	void anEngineThatIsNotFollowedAnyMoreIsNotTakenAsSilent() {
+		UpstreamState state = new UpstreamState(Upstreams.engine("a"), NOW);
+		state.follow(true);
+		state.onReport(new UpstreamReport("a", 0, 0, false, 1, true, new LoadedWeights("model", 1, 0, 16)), NOW);
+		state.follow(false);
+		assertThat(state.responsive(NOW + SILENCE_MILLIS)).isTrue();
+	}
+
+}
