Spread the list of digests along a tree in each region

Cause (by reading, not traced): an agent fetches nothing before it has the list of digests, and lists went along the chain of the first piece: through all agents of a region in line, each hop with a look every 50 ms, and past 0.7 s to the next one. Change: SourcePlan.listSources; depth grows with the logarithm of the agents of a region. Test: SourcePlanTests.Lists, failed before (more than 9 hops for 90 agents in each region).

--- a/src/main/java/org/jaywood/replica/PieceFetcher.java
+++ b/src/main/java/org/jaywood/replica/PieceFetcher.java
@@ -77,7 +77,7 @@
 	 * @return the list, or null if nobody has it now
 	 */
 	@Nullable PieceList list(NamedWeights target, Upstream own) {
-		List<Upstream> holders = new SourcePlan(own, this.fleet.engines(), target, originRegion()).sources(0);
+		List<Upstream> holders = plan(target, own).listSources();
 		for (Upstream holder : holders) {
 			try {
 				return this.peers.list(agent(holder), target, LIST_WAIT_MILLIS);
--- a/src/main/java/org/jaywood/replica/SourcePlan.java
+++ b/src/main/java/org/jaywood/replica/SourcePlan.java
@@ -69,6 +69,28 @@
 				: Stream.concat(Stream.of(collector), holders.stream()).toList();
 	}
 
+	/**
+	 * Engines whose agents are asked for the list of digests, in order. After them comes
+	 * the origin. Without holders the list spreads along a tree in each region, since an
+	 * agent fetches nothing before it has the list.
+	 */
+	List<Upstream> listSources() {
+		List<Upstream> holders = this.engines.stream().filter(this::holds).sorted(nearest(0)).toList();
+		if (!holders.isEmpty()) {
+			return holders;
+		}
+		List<Upstream> members = rotated(this.own.region(), 0);
+		List<Upstream> ancestors = new ArrayList<>();
+		for (int place = members.indexOf(this.own); place > 0;) {
+			place = (place - 1) / 2;
+			ancestors.add(members.get(place));
+		}
+		if (!this.own.region().equals(this.originRegion)) {
+			ancestors.add(rotated(this.originRegion, 0).getFirst());
+		}
+		return ancestors;
+	}
+
 	/**
 	 * Whether this agent is the one that fetches a piece from the origin.
 	 */
--- a/src/test/java/org/jaywood/replica/SourcePlanTests.java
+++ b/src/test/java/org/jaywood/replica/SourcePlanTests.java
@@ -36,6 +36,46 @@
 		return new SourcePlan(own, engines, target, "dohoku");
 	}
 
+	/**
+	 * Guards against a list of digests, without which no piece is fetched, that waits for
+	 * each agent of a large region in turn.
+	 */
+	@Nested
+	class Lists {
+
+		private static final int PER_REGION = 90;
+
+		private int depth(Upstream engine, List<Upstream> engines) {
+			int depth = 0;
+			List<Upstream> sources = plan(engine, engines, NEW).listSources();
+			while (!sources.isEmpty()) {
+				depth++;
+				sources = plan(sources.getFirst(), engines, NEW).listSources();
+			}
+			return depth;
+		}
+
+		@Test
+		void fewAgentsStandBetweenTheOriginAndAnyOther() {
+			List<Upstream> engines = engines(PER_REGION);
+			int deepest = engines.stream().mapToInt((engine) -> depth(engine, engines)).max().orElseThrow();
+			assertThat(deepest).isAtMost(2 + (int) Math.ceil(Math.log(PER_REGION) / Math.log(2)));
+		}
+
+		@Test
+		void oneAgentAsksTheOriginAndNoneSendsMoreThanAFew() {
+			List<Upstream> engines = engines(PER_REGION);
+			Map<String, Integer> sends = new HashMap<>();
+			engines.stream()
+				.map((engine) -> plan(engine, engines, NEW).listSources())
+				.filter((sources) -> !sources.isEmpty())
+				.forEach((sources) -> sends.merge(sources.getFirst().id(), 1, Integer::sum));
+			assertThat(sends.values().stream().mapToInt(Integer::intValue).sum()).isEqualTo(engines.size() - 1);
+			sends.values().forEach((count) -> assertThat(count).isAtMost(4));
+		}
+
+	}
+
 	/**
 	 * Guards against a version that spreads more slowly than one link carries it, crosses
 	 * the region links more often than needed, or never arrives.
