--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -267,6 +267,9 @@
 			.toList();
 	}
 
+	/**
+	 * Chooses the engines to follow: a part of those that may get calls, and near ones.
+	 */
 	private void follow() {
 		if (this.table == null || this.fleet == null) {
 			return;
@@ -277,23 +280,22 @@
 			.stream()
 			.filter((upstream) -> profile(upstream.service()) instanceof ServiceProfile.Engines)
 			.collect(Collectors.groupingBy(Upstream::service));
-		Set<String> ids = engines.values().stream().flatMap(this::chosen).collect(Collectors.toSet());
-		int listed = engines.values().stream().mapToInt(List::size).sum();
-		this.followedShare = (double) ids.size() / Math.max(1, listed);
+		List<List<Upstream>> open = engines.values().stream().map(this::open).toList();
+		List<Upstream> chosen = open.stream().map(this.subset::of).flatMap(Set::stream).toList();
+		Stream<Upstream> near = engines.values().stream().map(this.subset::near).flatMap(Set::stream);
+		Set<String> ids = Stream.concat(chosen.stream(), near).map(Upstream::id).collect(Collectors.toSet());
+		int openCount = open.stream().mapToInt(List::size).sum();
+		this.followedShare = (openCount > 0) ? (double) chosen.size() / openCount : 1;
 		this.gateways.refresh();
 		this.states.values().forEach((state) -> state.follow(ids.contains(state.upstream().id())));
 	}
 
 	/**
-	 * The engines of a service that are followed: a part of those that may get calls, and
-	 * near ones.
+	 * The engines of a list that may get calls.
 	 */
-	private Stream<String> chosen(List<Upstream> engines) {
+	private List<Upstream> open(List<Upstream> engines) {
 		Set<String> closed = Objects.requireNonNull(this.fleet).closedDataCentres();
-		List<Upstream> open = engines.stream()
-			.filter((engine) -> !engine.leaving() && !closed.contains(engine.dataCentre()))
-			.toList();
-		return Stream.concat(this.subset.of(open).stream(), this.subset.near(engines).stream()).map(Upstream::id);
+		return engines.stream().filter((engine) -> !engine.leaving() && !closed.contains(engine.dataCentre())).toList();
 	}
 
 	private static void learn(UpstreamHealth health, Outcome outcome, long nowMillis) {
--- a/src/test/java/org/jaywood/routing/DispatcherTests.java
+++ b/src/test/java/org/jaywood/routing/DispatcherTests.java
@@ -363,6 +363,16 @@
 			assertThat(gateways).isAtMost(8 * ENGINES / followed);
 		}
 
+		@Test
+		void enginesThatMayGetNoCallsDoNotCount() {
+			Upstream leaving = Upstreams.leaving(Upstreams.engine("b"));
+			DispatcherTests.this.dispatcher.onFleet(Upstreams.fleet(Upstreams.engine("a"),
+					Upstreams.leaving(Upstreams.engine("c", "dc-1", "region-1", 1)), leaving), NOW);
+			DispatcherTests.this.dispatcher.onReport("a",
+					new UpstreamReport("a", 0, 0, false, 6, true, new LoadedWeights("model", 1, 0, 16)), NOW);
+			assertThat(DispatcherTests.this.dispatcher.gateways(NOW)).isEqualTo(6);
+		}
+
 		@Test
 		void callsGoToFollowedEngines() {
 			reportAll(6, 0);
