Pass pieces on along trees in large regions

A region of 22 agents passed each piece on in line, an agent asked for 8 pieces at once, so at most 8 pieces travelled in the time of 22 hops; after 1.5 s agents asked everybody and the origin, whose 48 connections do not bear that.

--- a/src/main/java/org/jaywood/replica/SourcePlan.java
+++ b/src/main/java/org/jaywood/replica/SourcePlan.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 import com.dynatrace.hash4j.hashing.Hasher64;
@@ -26,6 +27,9 @@
  */
 final class SourcePlan {
 
+	/** Agents of a region that pass a piece on in line. */
+	private static final int CHAIN_AGENTS = 8;
+
 	private static final Hasher64 HASH = Hashing.xxh3_64();
 
 	private final Upstream own;
@@ -105,13 +109,28 @@
 		List<String> regions = regionOrder(index);
 		int position = regions.indexOf(this.own.region());
 		List<Upstream> ownRegion = rotated(this.own.region(), index);
-		List<Upstream> before = new ArrayList<>(ownRegion.subList(0, ownRegion.indexOf(this.own)).reversed());
+		List<Upstream> before = before(ownRegion);
 		for (int i = position - 1; i >= 0; i--) {
 			before.add(rotated(regions.get(i), index).getFirst());
 		}
 		return before;
 	}
 
+	/**
+	 * Agents of the own region before this one: all in line where they are few, else
+	 * those above it in a tree, whose inner places the agents take in turns.
+	 */
+	private List<Upstream> before(List<Upstream> ownRegion) {
+		int own = ownRegion.indexOf(this.own);
+		if (ownRegion.size() <= CHAIN_AGENTS) {
+			return new ArrayList<>(ownRegion.subList(0, own).reversed());
+		}
+		return IntStream.iterate(own, (place) -> place > 0, (place) -> (place - 1) / 2)
+			.map((place) -> (place - 1) / 2)
+			.mapToObj(ownRegion::get)
+			.collect(Collectors.toCollection(ArrayList::new));
+	}
+
 	/**
 	 * Regions in the order in which a piece crosses into them. The others take turns to
 	 * be the last one, which sends least.
