--- a/src/main/java/org/jaywood/replica/SourcePlan.java
+++ b/src/main/java/org/jaywood/replica/SourcePlan.java
@@ -83,12 +83,7 @@
 		if (!holders.isEmpty()) {
 			return holders;
 		}
-		List<Upstream> members = rotated(this.own.region(), 0);
-		List<Upstream> ancestors = new ArrayList<>();
-		for (int place = members.indexOf(this.own); place > 0;) {
-			place = (place - 1) / 2;
-			ancestors.add(members.get(place));
-		}
+		List<Upstream> ancestors = ancestors(rotated(this.own.region(), 0));
 		if (!this.own.region().equals(this.originRegion)) {
 			ancestors.add(rotated(this.originRegion, 0).getFirst());
 		}
@@ -121,16 +116,23 @@
 	 * those above it in a tree, whose inner places the agents take in turns.
 	 */
 	private List<Upstream> before(List<Upstream> ownRegion) {
-		int own = ownRegion.indexOf(this.own);
-		if (ownRegion.size() <= CHAIN_AGENTS) {
-			return new ArrayList<>(ownRegion.subList(0, own).reversed());
-		}
-		return IntStream.iterate(own, (place) -> place > 0, (place) -> (place - 1) / 2)
-			.map((place) -> (place - 1) / 2)
-			.mapToObj(ownRegion::get)
+		return (ownRegion.size() > CHAIN_AGENTS) ? ancestors(ownRegion)
+				: new ArrayList<>(ownRegion.subList(0, ownRegion.indexOf(this.own)).reversed());
+	}
+
+	/**
+	 * Agents above this one in a tree of two children, the nearest first.
+	 */
+	private List<Upstream> ancestors(List<Upstream> members) {
+		return IntStream.iterate(members.indexOf(this.own), (place) -> place > 0, SourcePlan::parent)
+			.mapToObj((place) -> members.get(parent(place)))
 			.collect(Collectors.toCollection(ArrayList::new));
 	}
 
+	private static int parent(int place) {
+		return (place - 1) / 2;
+	}
+
 	/**
 	 * Regions in the order in which a piece crosses into them. The others take turns to
 	 * be the last one, which sends least.
