--- a/src/main/java/org/jaywood/replica/PieceFetcher.java
+++ b/src/main/java/org/jaywood/replica/PieceFetcher.java
@@ -32,7 +32,7 @@
 final class PieceFetcher {
 
 	/** Pieces asked of peers at once; most of these requests wait at the peer. */
-	private static final int PEER_WORKERS = 24;
+	private static final int PEER_WORKERS = 8;
 
 	/** Pieces asked of the origin at once, which fill its link. */
 	private static final int ORIGIN_WORKERS = 2;
@@ -48,9 +48,6 @@
 
 	private static final Duration WANTED_CHECK = Duration.ofMillis(50);
 
-	/** Rounds at peers before the origin is asked for a piece of theirs. */
-	private static final int ROUNDS_BEFORE_ORIGIN = 3;
-
 	private static final long RETRY_PAUSE_MILLIS = 150;
 
 	private final FleetKnowledge fleet;
@@ -161,8 +158,7 @@
 				.stream()
 				.anyMatch((source) -> wanted.getAsBoolean() && askPeer(source, index, copy, target, waitMillis));
 			if (!found && wanted.getAsBoolean()) {
-				found = askAnyone(index, copy, target)
-						|| (round >= ROUNDS_BEFORE_ORIGIN && askOrigin(index, copy, target));
+				found = askAnyone(index, copy, target) || askOrigin(index, copy, target);
 			}
 			if (!found) {
 				pause();
--- a/src/main/java/org/jaywood/replica/SourcePlan.java
+++ b/src/main/java/org/jaywood/replica/SourcePlan.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
-import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 import com.dynatrace.hash4j.hashing.Hasher64;
@@ -27,9 +26,6 @@
  */
 final class SourcePlan {
 
-	/** Agents of a region that pass a piece on in line. */
-	private static final int CHAIN_AGENTS = 8;
-
 	private static final Hasher64 HASH = Hashing.xxh3_64();
 
 	private final Upstream own;
@@ -83,7 +79,12 @@
 		if (!holders.isEmpty()) {
 			return holders;
 		}
-		List<Upstream> ancestors = ancestors(rotated(this.own.region(), 0));
+		List<Upstream> members = rotated(this.own.region(), 0);
+		List<Upstream> ancestors = new ArrayList<>();
+		for (int place = members.indexOf(this.own); place > 0;) {
+			place = (place - 1) / 2;
+			ancestors.add(members.get(place));
+		}
 		if (!this.own.region().equals(this.originRegion)) {
 			ancestors.add(rotated(this.originRegion, 0).getFirst());
 		}
@@ -104,35 +105,13 @@
 		List<String> regions = regionOrder(index);
 		int position = regions.indexOf(this.own.region());
 		List<Upstream> ownRegion = rotated(this.own.region(), index);
-		List<Upstream> before = before(ownRegion);
+		List<Upstream> before = new ArrayList<>(ownRegion.subList(0, ownRegion.indexOf(this.own)).reversed());
 		for (int i = position - 1; i >= 0; i--) {
 			before.add(rotated(regions.get(i), index).getFirst());
 		}
 		return before;
 	}
 
-	/**
-	 * Agents of the own region before this one: all in line where they are few, else
-	 * those above it in a tree, whose inner places the agents take in turns.
-	 */
-	private List<Upstream> before(List<Upstream> ownRegion) {
-		return (ownRegion.size() > CHAIN_AGENTS) ? ancestors(ownRegion)
-				: new ArrayList<>(ownRegion.subList(0, ownRegion.indexOf(this.own)).reversed());
-	}
-
-	/**
-	 * Agents above this one in a tree of two children, the nearest first.
-	 */
-	private List<Upstream> ancestors(List<Upstream> members) {
-		return IntStream.iterate(members.indexOf(this.own), (place) -> place > 0, SourcePlan::parent)
-			.mapToObj((place) -> members.get(parent(place)))
-			.collect(Collectors.toCollection(ArrayList::new));
-	}
-
-	private static int parent(int place) {
-		return (place - 1) / 2;
-	}
-
 	/**
 	 * Regions in the order in which a piece crosses into them. The others take turns to
 	 * be the last one, which sends least.
