Tell refused callers a time to return that is not past all ages

Cause of the refusal: the test's engine bears 100 calls a second while cold, of which the gateway uses 0.9 x (100 x 1.5 + 5) = 139; an idle machine sends more than that, so the calls beyond had to wait longer than they may. The case is allowed; the test is about stops, so its engine now bears more than one caller can send. The check itself is the same: each call is answered with 200. Cause of the time: the end of a pause that never was, the least long value, minus the present time overflows. All refusals with an eligible upstream that had never paused were told to return after ages. Change: UpstreamHealth tells how much of a pause is left. Test: RetryAfterTests, failed before.

--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -209,7 +209,7 @@
 		long byRate = Math.max(MIN_RETRY_AFTER_MILLIS, rate(demand.service()).retryAfterMillis(ahead + 1, nowMillis))
 				+ Math.floorMod(demand.callId().hashCode(), RETRY_SPREAD_MILLIS);
 		return eligible.stream()
-			.mapToLong((state) -> Math.max(byRate, state.health().pausedUntilMillis() - nowMillis))
+			.mapToLong((state) -> Math.max(byRate, state.health().pauseLeftMillis(nowMillis)))
 			.min()
 			.orElse(byRate);
 	}
--- a/src/main/java/org/jaywood/routing/UpstreamHealth.java
+++ b/src/main/java/org/jaywood/routing/UpstreamHealth.java
@@ -66,8 +66,11 @@
 		return nowMillis < this.pausedUntilMillis;
 	}
 
-	long pausedUntilMillis() {
-		return this.pausedUntilMillis;
+	/**
+	 * Time until the end of the pause, or 0 if there is none.
+	 */
+	long pauseLeftMillis(long nowMillis) {
+		return paused(nowMillis) ? this.pausedUntilMillis - nowMillis : 0;
 	}
 
 	double failureShare() {
--- a/src/test/java/org/jaywood/platform/PlatformIT.java
+++ b/src/test/java/org/jaywood/platform/PlatformIT.java
@@ -44,6 +44,11 @@
 	/** Bound on configurations in the settings of the processes. */
 	private static final long CONFIGURATION_MILLIS = 2_000;
 
+	/**
+	 * More than one caller sends in a second, so that no call waits for a cold engine.
+	 */
+	private static final int COLD_PER_SECOND = 10_000;
+
 	private final EventLog log = new EventLog("test");
 
 	private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
@@ -123,7 +128,7 @@
 		Map<String, Object> route = Map.of("Name", "work", "Host", this.fleet.address(0, 0, 3, 8005).host(),
 				"PathPrefix", "/calls/", "Service", "pool", "Kind", "streaming", "Resumable", true, "TimeoutMs", 5_000,
 				"TargetLatencyMs", 400, "Priority", 1, "MaxAttempts", 2);
-		Map<String, Object> pool = Map.of("Name", "pool", "ColdPerS", 100, "Engine",
+		Map<String, Object> pool = Map.of("Name", "pool", "ColdPerS", COLD_PER_SECOND, "Engine",
 				Map.of("layers", 16, "Models", List.of(Map.of("Name", FakePlatformEngine.MODEL, "WarmS", 0.1))));
 		Map<String, Object> origin = Map.of("Name", "origin", "Origin", this.fleet.address(0, 0, 2, 8000).toString(),
 				"Zone", "zone-a");
--- /dev/null
+++ b/src/test/java/org/jaywood/routing/RetryAfterTests.java
@@ -0,0 +1,49 @@
+package org.jaywood.routing;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class RetryAfterTests {
+
+	private static final long NOW = 100_000;
+
+	/** Time by which any overload of these tests has passed. */
+	private static final long LONGEST_MILLIS = 31_000;
+
+	private final Dispatcher dispatcher = new Dispatcher(Upstreams.settings());
+
+	private final Demand demand = Upstreams.demand(Upstreams.POOL, false);
+
+	RetryAfterTests() {
+		this.dispatcher.onTable(Upstreams.table(), NOW);
+		this.dispatcher.onFleet(Upstreams.fleet(Upstreams.engine("a")), NOW);
+	}
+
+	/**
+	 * Guards against refused callers that are told to return after ages, or never.
+	 */
+	@Nested
+	class Bounds {
+
+		@Test
+		void anUpstreamThatNeverPausedDoesNotProlongTheTime() {
+			long retryMillis = RetryAfterTests.this.dispatcher.retryAfterMillis(RetryAfterTests.this.demand, NOW);
+			assertThat(retryMillis).isGreaterThan(0);
+			assertThat(retryMillis).isLessThan(LONGEST_MILLIS);
+		}
+
+		@Test
+		void aPausedUpstreamIsWaitedFor() {
+			Dispatcher.Ticket ticket = RetryAfterTests.this.dispatcher.request(RetryAfterTests.this.demand, NOW);
+			Placement placement = ticket.placement().join();
+			RetryAfterTests.this.dispatcher.end(placement, Outcome.UNREACHABLE, NOW);
+			long retryMillis = RetryAfterTests.this.dispatcher.retryAfterMillis(RetryAfterTests.this.demand, NOW);
+			assertThat(retryMillis).isGreaterThan(0);
+			assertThat(retryMillis).isLessThan(LONGEST_MILLIS);
+		}
+
+	}
+
+}
