--- a/src/main/java/org/jaywood/replica/HeldPieces.java
+++ b/src/main/java/org/jaywood/replica/HeldPieces.java
@@ -1,5 +1,8 @@
 package org.jaywood.replica;
 
+import java.util.BitSet;
+import java.util.OptionalInt;
+
 import org.jspecify.annotations.Nullable;
 
 import org.jaywood.event.Event;
@@ -41,16 +44,23 @@
 	}
 
 	/**
-	 * A piece of a version.
+	 * The next of some pieces of a version.
+	 * @param wanted indexes of the pieces
 	 * @param waitMillis longest wait for a piece that is still on its way
-	 * @return the bytes, or null if they are not here
+	 * @return a piece, or null if none of them is here in time
 	 */
-	byte @Nullable [] piece(NamedWeights weights, int index, long waitMillis) throws InterruptedException {
+	@Nullable Piece next(NamedWeights weights, BitSet wanted, long waitMillis) throws InterruptedException {
+		if (wanted.isEmpty()) {
+			return null;
+		}
 		WeightCopy copy = copy(weights, waitMillis);
 		if (copy != null) {
-			return copy.await(index, waitMillis);
+			OptionalInt index = copy.awaitAny(wanted, waitMillis);
+			return index.isPresent() ? new Piece(index.getAsInt(), copy.piece(index.getAsInt())) : null;
 		}
-		return serving(weights) ? staged(weights, index) : null;
+		int first = wanted.nextSetBit(0);
+		byte[] staged = serving(weights) ? staged(weights, first) : null;
+		return (staged != null) ? new Piece(first, staged) : null;
 	}
 
 	private @Nullable WeightCopy copy(NamedWeights weights, long waitMillis) throws InterruptedException {
@@ -76,4 +86,13 @@
 		}
 	}
 
+	/**
+	 * A piece of weights.
+	 *
+	 * @param index number of the piece
+	 * @param bytes its content
+	 */
+	record Piece(int index, byte[] bytes) {
+	}
+
 }
--- a/src/main/java/org/jaywood/replica/PeerPieces.java
+++ b/src/main/java/org/jaywood/replica/PeerPieces.java
@@ -1,10 +1,17 @@
 package org.jaywood.replica;
 
 import java.io.IOException;
+import java.util.BitSet;
+import java.util.function.Predicate;
 
+import org.apache.hc.core5.http.HttpHeaders;
+import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
+import org.jspecify.annotations.Nullable;
 
+import org.jaywood.http.ClientConnection;
 import org.jaywood.http.ConnectionPool;
+import org.jaywood.http.UpstreamAnswer;
 import org.jaywood.http.WholeAnswer;
 import org.jaywood.routing.DigestReply;
 import org.jaywood.routing.NamedWeights;
@@ -22,6 +29,11 @@
 	/** Last segment of the path of a list of digests. */
 	static final String LIST = "list";
 
+	/** Last segment of the path of a stream of pieces. */
+	static final String STREAM = "pieces";
+
+	private static final long CONNECT_MILLIS = 400;
+
 	private static final long ANSWER_MARGIN_MILLIS = 1_000;
 
 	private final ConnectionPool pool;
@@ -35,11 +47,50 @@
 	}
 
 	/**
-	 * Asks for a piece, for which the peer may wait itself.
+	 * Receives pieces in the order in which they arrive at a peer, until all have come or
+	 * the peer has none for a while.
 	 * @param far whether the peer lies in another region
+	 * @param silenceMillis longest wait for each piece
+	 * @param receiver takes each piece and tells whether more are wanted
+	 * @throws ConnectionException if the peer cannot be reached
+	 * @throws IOException if the peer refuses, is silent or breaks off
 	 */
-	byte[] piece(Address agent, NamedWeights weights, int index, boolean far, long waitMillis) throws IOException {
-		return get(agent, path(weights) + index + "?wait=" + waitMillis + (far ? "&far=1" : ""), waitMillis);
+	void pieces(Address agent, NamedWeights weights, BitSet pieces, boolean far, long silenceMillis,
+			Predicate<HeldPieces.Piece> receiver) throws IOException {
+		String path = path(weights) + STREAM + "?pieces=" + PieceFrames.encodeSet(pieces) + "&wait=" + silenceMillis
+				+ (far ? "&far=1" : "");
+		ClientConnection connection = this.pool.acquire(agent, CONNECT_MILLIS);
+		boolean whole = false;
+		try {
+			BasicClassicHttpRequest request = new BasicClassicHttpRequest("GET", path);
+			request.setHeader(HttpHeaders.HOST, agent.toString());
+			connection.send(request, new byte[0]);
+			UpstreamAnswer answer = connection.receive(silenceMillis + ANSWER_MARGIN_MILLIS);
+			if (answer.status() != HttpStatus.SC_OK) {
+				throw new IOException(agent + " answered " + answer.status() + " to " + path);
+			}
+			boolean wanted = true;
+			HeldPieces.Piece piece = next(connection, answer, silenceMillis);
+			while (piece != null && wanted) {
+				wanted = receiver.test(piece);
+				piece = wanted ? next(connection, answer, silenceMillis) : piece;
+			}
+			whole = piece == null;
+		}
+		finally {
+			if (whole) {
+				this.pool.release(connection);
+			}
+			else {
+				connection.close();
+			}
+		}
+	}
+
+	private static HeldPieces.@Nullable Piece next(ClientConnection connection, UpstreamAnswer answer,
+			long silenceMillis) throws IOException {
+		connection.limit(silenceMillis + ANSWER_MARGIN_MILLIS);
+		return PieceFrames.read(answer.body());
 	}
 
 	/**
--- /dev/null
+++ b/src/main/java/org/jaywood/replica/PieceFrames.java
@@ -0,0 +1,85 @@
+package org.jaywood.replica;
+
+import java.io.DataInputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.ByteBuffer;
+import java.util.BitSet;
+import java.util.HexFormat;
+
+import org.jspecify.annotations.Nullable;
+
+import org.jaywood.wire.BadInputException;
+
+/**
+ * The format in which an agent sends pieces of weights one after the other: index and
+ * length as four bytes each, most significant first, then the bytes of the piece. Sets of
+ * indexes are hexadecimal, the lowest eight indexes in the first byte.
+ */
+final class PieceFrames {
+
+	/** Largest piece that is accepted. */
+	private static final int MAX_PIECE_BYTES = 16 * 1024 * 1024;
+
+	/** Largest set of indexes that is accepted, as hexadecimal digits. */
+	private static final int MAX_SET_DIGITS = 16 * 1024;
+
+	private static final int HEAD_BYTES = 2 * Integer.BYTES;
+
+	private PieceFrames() {
+	}
+
+	static byte[] encode(HeldPieces.Piece piece) {
+		return ByteBuffer.allocate(HEAD_BYTES + piece.bytes().length)
+			.putInt(piece.index())
+			.putInt(piece.bytes().length)
+			.put(piece.bytes())
+			.array();
+	}
+
+	/**
+	 * Reads the next piece.
+	 * @return the piece, or null at the end of the stream
+	 * @throws IOException if the stream ends within a piece or is malformed
+	 */
+	static HeldPieces.@Nullable Piece read(InputStream in) throws IOException {
+		byte[] head = in.readNBytes(HEAD_BYTES);
+		if (head.length == 0) {
+			return null;
+		}
+		if (head.length < HEAD_BYTES) {
+			throw new EOFException("the stream ends within the head of a piece");
+		}
+		ByteBuffer numbers = ByteBuffer.wrap(head);
+		int index = numbers.getInt();
+		int length = numbers.getInt();
+		if (index < 0 || length < 0 || length > MAX_PIECE_BYTES) {
+			throw new IOException("malformed piece: index " + index + ", " + length + " bytes");
+		}
+		byte[] bytes = new byte[length];
+		new DataInputStream(in).readFully(bytes);
+		return new HeldPieces.Piece(index, bytes);
+	}
+
+	static String encodeSet(BitSet indexes) {
+		return HexFormat.of().formatHex(indexes.toByteArray());
+	}
+
+	/**
+	 * Reads a set of indexes.
+	 * @throws BadInputException if it is malformed
+	 */
+	static BitSet parseSet(String text) {
+		if (text.length() > MAX_SET_DIGITS) {
+			throw new BadInputException(400, "too many pieces");
+		}
+		try {
+			return BitSet.valueOf(HexFormat.of().parseHex(text));
+		}
+		catch (IllegalArgumentException ex) {
+			throw new BadInputException(400, "not a set of pieces: " + text);
+		}
+	}
+
+}
--- a/src/main/java/org/jaywood/replica/Replica.java
+++ b/src/main/java/org/jaywood/replica/Replica.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.util.BitSet;
 
 import org.jspecify.annotations.Nullable;
 
@@ -120,16 +121,34 @@
 			sendList(exchange, this.pieces.list(weights, waitMillis));
 			return;
 		}
-		int index = Math.toIntExact(number(parts[2]));
-		byte[] piece = this.pieces.piece(weights, index, waitMillis);
+		if (!parts[2].equals(PeerPieces.STREAM)) {
+			throw new BadInputException(404, "no such part of weights: " + parts[2]);
+		}
+		sendPieces(exchange, weights, waitMillis);
+	}
+
+	/**
+	 * Sends the pieces asked for as they arrive here.
+	 */
+	private void sendPieces(Exchange exchange, NamedWeights weights, long waitMillis)
+			throws IOException, InterruptedException {
+		BitSet wanted = PieceFrames.parseSet(exchange.query().getOrDefault("pieces", ""));
+		boolean far = exchange.query().containsKey("far");
+		HeldPieces.Piece piece = this.pieces.next(weights, wanted, waitMillis);
 		if (piece == null) {
-			exchange.respondError(404, "piece " + index + " is not here");
+			exchange.respondError(404, "none of the pieces is here");
+			return;
 		}
-		else {
-			try (OutputStream out = exchange.stream(200, "application/octet-stream")) {
-				this.pacer.send(out, piece, exchange.query().containsKey("far"));
+		try (OutputStream out = exchange.stream(200, "application/octet-stream")) {
+			while (piece != null && !this.draining) {
+				this.pacer.send(out, PieceFrames.encode(piece), far);
+				wanted.clear(piece.index());
+				piece = this.pieces.next(weights, wanted, waitMillis);
 			}
 		}
+		catch (IOException ex) {
+			throw exchange.abort("peer " + exchange.clientHost() + " left: " + ex.getMessage());
+		}
 	}
 
 	private static void sendList(Exchange exchange, @Nullable PieceList list) throws IOException {
--- a/src/main/java/org/jaywood/replica/SourcePlan.java
+++ b/src/main/java/org/jaywood/replica/SourcePlan.java
@@ -1,5 +1,6 @@
 package org.jaywood.replica;
 
+import java.math.BigInteger;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
@@ -17,27 +18,42 @@
 import org.jaywood.routing.Upstream;
 
 /**
- * Decides from whom an agent asks for a piece. While engines serve the version already,
- * the near ones among them share the work. A new version spreads along a chain for each
- * piece: through all agents of the region of the origin, and from the first of each
- * region to the next region. So one copy leaves the origin, one crosses into each other
+ * Decides from whom an agent asks for a piece. The agents that lack a version pass each
+ * piece on along a binomial tree, in which they take turns to be the root: all agents of
+ * a region while no engine serves the version, those of a data centre afterwards. The
+ * root gets the piece from the origin, from the root of another region, or from an engine
+ * that serves the version. So one copy leaves the origin, one crosses into each other
  * region, and each agent sends about one copy, which takes the time in which its link
- * receives one.
+ * receives one. The number of agents between the origin and any other grows with the
+ * logarithm of their number, and so does the number of agents that one agent asks.
  */
 final class SourcePlan {
 
+	/** Engines that serve the version, which one agent asks for pieces. */
+	private static final int MAX_HOLDERS = 4;
+
+	/** Part of a list whose multiples spread evenly over it. */
+	private static final double GOLDEN_SHARE = 0.382;
+
+	/** Place of the agent that stands in for the root of a tree. */
+	private static final int DEPUTY_PLACE = 1;
+
 	private static final Hasher64 HASH = Hashing.xxh3_64();
 
 	private final Upstream own;
 
-	private final List<Upstream> engines;
-
 	private final NamedWeights target;
 
 	private final Map<String, List<Upstream>> byRegion;
 
 	private final String originRegion;
 
+	/** Engines that serve the version, the nearest first. */
+	private final List<Upstream> holders;
+
+	/** Engines that pass pieces on to each other, in a fixed order. */
+	private final List<Upstream> members;
+
 	/**
 	 * Creates a plan.
 	 * @param own the engine of this agent
@@ -47,26 +63,37 @@
 	 */
 	SourcePlan(Upstream own, List<Upstream> engines, NamedWeights target, String originRegion) {
 		this.own = own;
-		this.engines = engines.stream().filter((engine) -> !engine.id().equals(own.id())).toList();
 		this.target = target;
-		this.byRegion = Stream.concat(Stream.of(own), this.engines.stream())
+		List<Upstream> others = engines.stream().filter((engine) -> !engine.id().equals(own.id())).toList();
+		this.byRegion = Stream.concat(Stream.of(own), others.stream())
 			.sorted(Comparator.comparing(Upstream::dataCentre).thenComparing(Upstream::id))
 			.collect(Collectors.groupingBy(Upstream::region, TreeMap::new, Collectors.toList()));
 		this.originRegion = this.byRegion.containsKey(originRegion) ? originRegion
 				: this.byRegion.keySet().iterator().next();
+		this.holders = others.stream().filter(this::holds).sorted(nearest()).toList();
+		List<Upstream> region = this.byRegion.getOrDefault(own.region(), List.of());
+		this.members = this.holders.isEmpty() ? region : region.stream().filter(this::lacksHere).toList();
 	}
 
 	/**
 	 * Engines whose agents are asked for a piece, in order. After them comes the origin.
+	 * While the root is silent, the one at the next place gets the piece from elsewhere
+	 * and the others from there, so that they do not all turn to the origin.
 	 */
 	List<Upstream> sources(int index) {
-		List<Upstream> holders = this.engines.stream().filter(this::holds).sorted(nearest(index)).toList();
-		if (holders.isEmpty()) {
-			return predecessors(index);
+		List<Upstream> order = rotated(this.members, index);
+		int place = order.indexOf(this.own);
+		List<Upstream> sources = new ArrayList<>(ancestors(order, place));
+		if (place > DEPUTY_PLACE && !sources.contains(order.get(DEPUTY_PLACE))) {
+			sources.add(order.get(DEPUTY_PLACE));
+		}
+		if (!this.holders.isEmpty()) {
+			sources.addAll(holders(index));
 		}
-		Upstream collector = collector(index);
-		return collector.id().equals(this.own.id()) ? holders
-				: Stream.concat(Stream.of(collector), holders.stream()).toList();
+		else if (place <= DEPUTY_PLACE) {
+			sources.addAll(rootsBefore(index));
+		}
+		return sources;
 	}
 
 	/**
@@ -75,41 +102,49 @@
 	 * agent fetches nothing before it has the list.
 	 */
 	List<Upstream> listSources() {
-		List<Upstream> holders = this.engines.stream().filter(this::holds).sorted(nearest(0)).toList();
-		if (!holders.isEmpty()) {
-			return holders;
+		if (!this.holders.isEmpty()) {
+			return this.holders;
 		}
-		List<Upstream> members = rotated(this.own.region(), 0);
+		List<Upstream> region = this.byRegion.getOrDefault(this.own.region(), List.of());
 		List<Upstream> ancestors = new ArrayList<>();
-		for (int place = members.indexOf(this.own); place > 0;) {
+		for (int place = region.indexOf(this.own); place > 0;) {
 			place = (place - 1) / 2;
-			ancestors.add(members.get(place));
+			ancestors.add(region.get(place));
 		}
 		if (!this.own.region().equals(this.originRegion)) {
-			ancestors.add(rotated(this.originRegion, 0).getFirst());
+			ancestors.add(root(this.originRegion, 0));
 		}
 		return ancestors;
 	}
 
 	/**
-	 * Whether this agent is the one that fetches a piece from the origin.
+	 * Number of agents in the region of this one.
+	 */
+	int regionSize() {
+		return this.byRegion.getOrDefault(this.own.region(), List.of()).size();
+	}
+
+	/**
+	 * Agents above a place of a binomial tree, the nearest first. The parent of a place
+	 * is that number without its highest bit, so all agents of one place ask the agents
+	 * that lie powers of two before it.
 	 */
-	boolean fromOrigin(int index) {
-		return sources(index).isEmpty();
+	private static List<Upstream> ancestors(List<Upstream> order, int place) {
+		return Stream.iterate(place, (number) -> number > 0, (number) -> number - Integer.highestOneBit(number))
+			.map((number) -> order.get(number - Integer.highestOneBit(number)))
+			.toList();
 	}
 
 	/**
-	 * Agents before this one on the chain of a piece, the nearest first.
+	 * Roots of the regions that get a piece before this one, the nearest first.
 	 */
-	private List<Upstream> predecessors(int index) {
+	private List<Upstream> rootsBefore(int index) {
 		List<String> regions = regionOrder(index);
-		int position = regions.indexOf(this.own.region());
-		List<Upstream> ownRegion = rotated(this.own.region(), index);
-		List<Upstream> before = new ArrayList<>(ownRegion.subList(0, ownRegion.indexOf(this.own)).reversed());
-		for (int i = position - 1; i >= 0; i--) {
-			before.add(rotated(regions.get(i), index).getFirst());
-		}
-		return before;
+		return regions.subList(0, regions.indexOf(this.own.region()))
+			.reversed()
+			.stream()
+			.map((region) -> root(region, index))
+			.toList();
 	}
 
 	/**
@@ -124,27 +159,43 @@
 		return others;
 	}
 
+	private Upstream root(String region, int index) {
+		return rotated(this.byRegion.getOrDefault(region, List.of()), index).getFirst();
+	}
+
 	/**
-	 * Agents of a region in the order in which they pass a piece on. They take turns to
-	 * be the first one, which sends twice, and the last one, which sends nothing.
+	 * Engines in the order of the places that they take for a piece. From one piece to
+	 * the next they move on by a part of the list, so that nobody has several of the
+	 * first places, which send most, more often than others.
 	 */
-	private List<Upstream> rotated(String region, int index) {
-		List<Upstream> members = new ArrayList<>(this.byRegion.getOrDefault(region, List.of()));
-		Collections.rotate(members, index);
-		return members;
+	private static List<Upstream> rotated(List<Upstream> engines, int index) {
+		List<Upstream> order = new ArrayList<>(engines);
+		Collections.rotate(order, index * stride(engines.size()));
+		return order;
+	}
+
+	private static int stride(int size) {
+		int stride = Math.max(1, (int) Math.round(size * GOLDEN_SHARE));
+		while (!BigInteger.valueOf(stride).gcd(BigInteger.valueOf(size)).equals(BigInteger.ONE)) {
+			stride++;
+		}
+		return stride;
 	}
 
 	/**
-	 * The engine of this data centre that gets a piece from a holder and passes it on to
-	 * the others that lack it. These run no calls yet, so their links are free, whereas
-	 * the links of holders carry answers.
+	 * A few near engines that serve the version, which share the pieces of this agent.
 	 */
-	private Upstream collector(int index) {
-		return Stream.concat(Stream.of(this.own), this.engines.stream())
-			.filter((engine) -> engine.dataCentre().equals(this.own.dataCentre()))
-			.filter((engine) -> engine.id().equals(this.own.id()) || !holds(engine))
-			.min(Comparator.comparingLong((engine) -> HASH.hashCharsToLong(chunk(index) + "/" + engine.id())))
-			.orElse(this.own);
+	private List<Upstream> holders(int index) {
+		return rotated(this.holders.subList(0, Math.min(MAX_HOLDERS, this.holders.size())), index);
+	}
+
+	/**
+	 * Whether an engine of the data centre of this agent lacks the version. These run no
+	 * calls yet, so their links are free, whereas the links of holders carry answers.
+	 */
+	private boolean lacksHere(Upstream engine) {
+		return engine.dataCentre().equals(this.own.dataCentre())
+				&& (engine.id().equals(this.own.id()) || !holds(engine));
 	}
 
 	private boolean holds(Upstream engine) {
@@ -155,9 +206,14 @@
 			.isPresent();
 	}
 
-	private Comparator<Upstream> nearest(int index) {
+	/**
+	 * Near engines first; those of about the same distance by a hash, which differs
+	 * between agents.
+	 */
+	private Comparator<Upstream> nearest() {
+		String seed = this.target.model() + "/" + this.target.version() + "/" + this.own.id() + "/";
 		return Comparator.<Upstream>comparingInt(this::distance)
-			.thenComparingLong((engine) -> HASH.hashCharsToLong(chunk(index) + engine.id()));
+			.thenComparingLong((engine) -> HASH.hashCharsToLong(seed + engine.id()));
 	}
 
 	private int distance(Upstream engine) {
@@ -167,8 +223,4 @@
 		return engine.dataCentre().equals(this.own.dataCentre()) ? 0 : 1;
 	}
 
-	private String chunk(int index) {
-		return this.target.model() + "/" + this.target.version() + "/" + index;
-	}
-
 }
--- a/src/main/java/org/jaywood/replica/WeightCopy.java
+++ b/src/main/java/org/jaywood/replica/WeightCopy.java
@@ -2,29 +2,27 @@
 
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.BitSet;
 import java.util.HexFormat;
-import java.util.List;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutionException;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
-import java.util.stream.IntStream;
-
-import org.jspecify.annotations.Nullable;
+import java.util.concurrent.atomic.AtomicReferenceArray;
 
 /**
  * Verified pieces of one version of a model, as far as they have arrived. A piece whose
- * digest differs is never taken.
+ * digest differs is never taken. Safe for use by several threads.
  */
 final class WeightCopy {
 
 	private final PieceList list;
 
-	private final List<CompletableFuture<byte[]>> pieces;
+	private final AtomicReferenceArray<byte[]> pieces;
+
+	private final BitSet arrived = new BitSet();
 
 	WeightCopy(PieceList list) {
 		this.list = list;
-		this.pieces = IntStream.range(0, list.size()).mapToObj((index) -> new CompletableFuture<byte[]>()).toList();
+		this.pieces = new AtomicReferenceArray<>(list.size());
 	}
 
 	PieceList list() {
@@ -39,43 +37,53 @@
 		if (!digest(piece).equalsIgnoreCase(this.list.digests().get(index))) {
 			return false;
 		}
-		this.pieces.get(index).complete(piece);
+		synchronized (this) {
+			this.pieces.set(index, piece);
+			this.arrived.set(index);
+			notifyAll();
+		}
 		return true;
 	}
 
-	boolean has(int index) {
-		return this.pieces.get(index).isDone();
+	synchronized boolean has(int index) {
+		return this.arrived.get(index);
 	}
 
 	/**
-	 * Waits for a piece.
-	 * @return the piece, or null if it does not arrive in time
+	 * The pieces that have not arrived.
 	 */
-	byte @Nullable [] await(int index, long millis) throws InterruptedException {
-		try {
-			return this.pieces.get(index).get(millis, TimeUnit.MILLISECONDS);
-		}
-		catch (TimeoutException ex) {
-			return null;
-		}
-		catch (ExecutionException ex) {
-			throw new IllegalStateException(ex);
+	synchronized BitSet missing() {
+		BitSet missing = new BitSet();
+		missing.set(0, this.list.size());
+		missing.andNot(this.arrived);
+		return missing;
+	}
+
+	/**
+	 * Waits for one of some pieces.
+	 * @param wanted indexes of the pieces
+	 * @param millis longest wait
+	 * @return the first of them that has arrived, empty if none arrives in time
+	 */
+	synchronized OptionalInt awaitAny(BitSet wanted, long millis) throws InterruptedException {
+		long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+		long leftMillis = millis;
+		while (!this.arrived.intersects(wanted) && leftMillis > 0) {
+			wait(leftMillis);
+			leftMillis = TimeUnit.NANOSECONDS.toMillis(untilNanos - System.nanoTime());
 		}
+		return wanted.stream().filter(this.arrived::get).findFirst();
 	}
 
 	/**
 	 * A piece that has arrived.
 	 */
 	byte[] piece(int index) {
-		return this.pieces.get(index).join();
-	}
-
-	long arrived() {
-		return this.pieces.stream().filter(CompletableFuture::isDone).count();
+		return this.pieces.get(index);
 	}
 
-	boolean complete() {
-		return arrived() == this.pieces.size();
+	synchronized boolean complete() {
+		return this.arrived.cardinality() == this.list.size();
 	}
 
 	private static String digest(byte[] piece) {
--- a/src/test/java/org/jaywood/replica/HeldPiecesTests.java
+++ b/src/test/java/org/jaywood/replica/HeldPiecesTests.java
@@ -1,5 +1,7 @@
 package org.jaywood.replica;
 
+import java.util.BitSet;
+
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -15,6 +17,8 @@
 
 class HeldPiecesTests {
 
+	private static final BitSet FIRST = BitSet.valueOf(new long[] { 1 });
+
 	private final EventLog log = new EventLog("test");
 
 	private final Upstream own = Upstreams.engine("own", "kushiro-a", "doto", 1);
@@ -46,20 +50,20 @@
 
 		@Test
 		void aPieceOfTheVersionThatTheEngineServesIsPassedOn() throws Exception {
-			assertThat(HeldPiecesTests.this.pieces.piece(new NamedWeights("model", 1), 0, 0))
-				.isEqualTo(FakeEngine.piece(1, 0));
+			HeldPieces.Piece piece = HeldPiecesTests.this.pieces.next(new NamedWeights("model", 1), FIRST, 0);
+			assertThat(piece.bytes()).isEqualTo(FakeEngine.piece(1, 0));
 		}
 
 		@Test
 		void aPieceOfAVersionThatIsNotHereIsRefused() throws Exception {
-			assertThat(HeldPiecesTests.this.pieces.piece(new NamedWeights("model", 2), 0, 0)).isNull();
+			assertThat(HeldPiecesTests.this.pieces.next(new NamedWeights("model", 2), FIRST, 0)).isNull();
 		}
 
 		@Test
 		void anEmptyEngineHoldsNoVersion() throws Exception {
 			HeldPiecesTests.this.engine.restart();
 			HeldPiecesTests.this.monitor.refresh();
-			assertThat(HeldPiecesTests.this.pieces.piece(new NamedWeights("model", 1), 0, 0)).isNull();
+			assertThat(HeldPiecesTests.this.pieces.next(new NamedWeights("model", 1), FIRST, 0)).isNull();
 		}
 
 	}
--- /dev/null
+++ b/src/test/java/org/jaywood/replica/PieceScheduleTests.java
@@ -0,0 +1,139 @@
+package org.jaywood.replica;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.routing.NamedWeights;
+import org.jaywood.routing.Upstream;
+import org.jaywood.routing.Upstreams;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class PieceScheduleTests {
+
+	private static final int PIECES = 96;
+
+	private static final int PER_REGION = 90;
+
+	private static final NamedWeights NEW = new NamedWeights("model", 2);
+
+	/** Connections that the origin of a deployment bears. */
+	private static final int ORIGIN_BEARS = 48;
+
+	private final List<Upstream> engines = Stream.of("doto", "dohoku")
+		.flatMap((region) -> IntStream.range(0, PER_REGION)
+			.mapToObj((number) -> Upstreams.engine(region + number, region + "-a", region, 1)))
+		.toList();
+
+	private PieceSchedule schedule(Upstream own, List<Upstream> known) {
+		return new PieceSchedule(new SourcePlan(own, known, NEW, "dohoku"));
+	}
+
+	private static BitSet all() {
+		BitSet all = new BitSet();
+		all.set(0, PIECES);
+		return all;
+	}
+
+	/**
+	 * Guards against connections and requests that grow with the fleet or the number of
+	 * pieces.
+	 */
+	@Nested
+	class Bounds {
+
+		@Test
+		void fewRequestsCoverAllPieces() {
+			PieceSchedule schedule = schedule(PieceScheduleTests.this.engines.getLast(),
+					PieceScheduleTests.this.engines);
+			List<PieceRequest> requests = schedule.next(all(), (peer) -> true);
+			BitSet asked = new BitSet();
+			requests.forEach((request) -> asked.or(request.pieces()));
+			assertThat(requests.size()).isAtMost(13);
+			assertThat(asked.cardinality()).isAtLeast(PIECES - 3);
+		}
+
+		@Test
+		void aPieceIsAskedOfOneSourceAtATime() {
+			PieceSchedule schedule = schedule(PieceScheduleTests.this.engines.getFirst(),
+					PieceScheduleTests.this.engines);
+			BitSet first = new BitSet();
+			schedule.next(all(), (peer) -> true).forEach((request) -> first.or(request.pieces()));
+			schedule.next(all(), (peer) -> true)
+				.forEach((request) -> assertThat(request.pieces().intersects(first)).isFalse());
+		}
+
+		@Test
+		void theOriginIsNotFloodedWhileNoPeerCanBeReached() {
+			List<Upstream> small = PieceScheduleTests.this.engines.subList(0, 20);
+			long connections = small.stream()
+				.mapToLong((own) -> schedule(own, small).next(all(), (peer) -> false).size())
+				.sum();
+			assertThat(connections).isAtMost(ORIGIN_BEARS);
+		}
+
+	}
+
+	/**
+	 * Guards against pieces that never arrive because one source is silent or gone.
+	 */
+	@Nested
+	class Failures {
+
+		private final Upstream own = PieceScheduleTests.this.engines.getLast();
+
+		private final PieceSchedule schedule = schedule(this.own, PieceScheduleTests.this.engines);
+
+		@Test
+		void aSilentSourceIsFollowedByTheNextOne() {
+			List<String> asked = new ArrayList<>();
+			BitSet piece = new BitSet();
+			piece.set(7);
+			List<PieceRequest> requests = this.schedule.next(piece, (peer) -> true);
+			while (requests.getFirst() instanceof PieceRequest.FromPeer fromPeer) {
+				asked.add(fromPeer.peer().id());
+				this.schedule.onEnd(fromPeer, true, piece);
+				requests = this.schedule.next(piece, (peer) -> true);
+			}
+			assertThat(asked).containsNoDuplicates();
+			assertThat(asked).isNotEmpty();
+			assertThat(requests).containsExactly(new PieceRequest.FromOrigin(7));
+		}
+
+		@Test
+		void aSourceThatCannotBeReachedIsAskedAgainLater() {
+			BitSet piece = new BitSet();
+			piece.set(7);
+			PieceRequest first = this.schedule.next(piece, (peer) -> true).getFirst();
+			this.schedule.onEnd(first, false, piece);
+			assertThat(this.schedule.next(piece, (peer) -> true)).containsExactly(first);
+		}
+
+		@Test
+		void aFailureOfTheOriginBeginsAnew() {
+			BitSet piece = new BitSet();
+			piece.set(7);
+			PieceRequest origin = this.schedule.next(piece, (peer) -> false).getFirst();
+			this.schedule.onEnd(origin, true, piece);
+			assertThat(this.schedule.next(piece, (peer) -> true).getFirst()).isInstanceOf(PieceRequest.FromPeer.class);
+		}
+
+		@Test
+		void piecesThatArrivedAreNotAskedAgain() {
+			PieceRequest first = this.schedule.next(all(), (peer) -> true).getFirst();
+			BitSet missing = all();
+			missing.andNot(first.pieces());
+			this.schedule.onEnd(first, true, missing);
+			this.schedule.next(missing, (peer) -> true)
+				.forEach((request) -> assertThat(request.pieces().intersects(first.pieces())).isFalse());
+		}
+
+	}
+
+}
--- a/src/test/java/org/jaywood/replica/SourcePlanTests.java
+++ b/src/test/java/org/jaywood/replica/SourcePlanTests.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
@@ -135,6 +136,89 @@
 
 	}
 
+	/**
+	 * Guards against versions that arrive late in large regions, and against agents whose
+	 * connections or uploads grow with the fleet.
+	 */
+	@Nested
+	class LargeRegions {
+
+		private static final int PER_REGION = 90;
+
+		private static final int REGIONS = 3;
+
+		/** Leaves half of the time of a version to its loading. */
+		private static final int MOST_SENDS = PIECES * 5 / 4;
+
+		private final List<Upstream> engines = engines(PER_REGION);
+
+		private final Map<String, SourcePlan> plans = this.engines.stream()
+			.collect(Collectors.toMap(Upstream::id, (engine) -> plan(engine, this.engines, NEW)));
+
+		private int depth(Upstream engine, int index) {
+			int depth = 0;
+			List<Upstream> sources = this.plans.get(engine.id()).sources(index);
+			while (!sources.isEmpty()) {
+				depth++;
+				sources = this.plans.get(sources.getFirst().id()).sources(index);
+			}
+			return depth;
+		}
+
+		@Test
+		void aPiecePassesFewAgents() {
+			int deepest = this.engines.stream()
+				.flatMapToInt((engine) -> IntStream.range(0, PIECES).map((index) -> depth(engine, index)))
+				.max()
+				.orElseThrow();
+			assertThat(deepest).isAtMost(REGIONS - 1 + (int) Math.ceil(Math.log(PER_REGION) / Math.log(2)));
+		}
+
+		@Test
+		void anAgentAsksFewOthers() {
+			this.plans.values()
+				.forEach((plan) -> assertThat(IntStream.range(0, PIECES)
+					.mapToObj(plan::sources)
+					.filter((sources) -> !sources.isEmpty())
+					.map((sources) -> sources.getFirst().id())
+					.distinct()
+					.count()).isAtMost(REGIONS - 1 + (int) Math.ceil(Math.log(PER_REGION) / Math.log(2))));
+		}
+
+		@Test
+		void noAgentSendsMuchMoreThanACopy() {
+			Map<String, Integer> sends = new HashMap<>();
+			this.plans.values()
+				.forEach((plan) -> IntStream.range(0, PIECES)
+					.mapToObj(plan::sources)
+					.filter((sources) -> !sources.isEmpty())
+					.forEach((sources) -> sends.merge(sources.getFirst().id(), 1, Integer::sum)));
+			sends.values().forEach((count) -> assertThat(count).isAtMost(MOST_SENDS));
+		}
+
+	}
+
+	/**
+	 * Guards against a region that turns to the origin because one agent is silent.
+	 */
+	@Nested
+	class SilentRoot {
+
+		@Test
+		void oneOtherAgentStandsInForIt() {
+			List<Upstream> engines = engines(20);
+			List<Upstream> region = engines.stream().filter((engine) -> engine.region().equals("dohoku")).toList();
+			List<List<String>> sources = region.stream()
+				.map((engine) -> plan(engine, engines, NEW).sources(0).stream().map(Upstream::id).toList())
+				.toList();
+			List<List<String>> withoutRoot = sources.stream()
+				.map((ids) -> ids.stream().filter((id) -> !id.equals("dohoku0")).toList())
+				.toList();
+			assertThat(withoutRoot.stream().filter(List::isEmpty).count()).isEqualTo(2);
+		}
+
+	}
+
 	/**
 	 * Guards against engines that run calls losing their links to added ones.
 	 */
