--- a/src/test/java/org/jaywood/bench/SlowReadersIT.java
+++ b/src/test/java/org/jaywood/bench/SlowReadersIT.java
@@ -27,6 +27,7 @@
 import org.jaywood.wire.Json;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 /**
  * Guards memory of the router and the answers of normal callers while 200 others read 1
@@ -87,7 +88,9 @@
 			HttpResponse<byte[]> reply = installation.client()
 				.post(router.uri("/v1/completions"), Map.of("model", "pool", "prompt", "normal " + i, "max_tokens", 2),
 						Duration.ofSeconds(10));
-			assertThat(reply.statusCode()).isEqualTo(200);
+			assertWithMessage("call %s: %s", i, new String(reply.body(), StandardCharsets.UTF_8))
+				.that(reply.statusCode())
+				.isEqualTo(200);
 			assertThat(Json.tree(reply.body()).path("count").asInt()).isEqualTo(2);
 		}
 	}
