--- a/src/main/java/org/jaywood/gateway/CallTask.java
+++ b/src/main/java/org/jaywood/gateway/CallTask.java
@@ -17,6 +17,7 @@
 import org.jaywood.routing.Dispatcher;
 import org.jaywood.routing.Outcome;
 import org.jaywood.routing.Placement;
+import org.jaywood.routing.Ticket;
 
 /**
  * One call from its admission to its final answer: finds a place, hands the call over,
@@ -116,7 +117,7 @@
 			this.noPlaceReason = QUEUE_FULL;
 			return null;
 		}
-		Dispatcher.Ticket ticket = dispatcher.request(demand, nowMillis);
+		Ticket ticket = dispatcher.request(demand, nowMillis);
 		this.cancellation.attach(ticket.placement());
 		try {
 			return ticket.placement().get(Math.max(0, untilMillis - nowMillis), TimeUnit.MILLISECONDS);
@@ -136,7 +137,7 @@
 		}
 	}
 
-	private @Nullable Placement placedMeanwhile(Dispatcher.Ticket ticket) {
+	private @Nullable Placement placedMeanwhile(Ticket ticket) {
 		if (this.context.dispatcher().withdraw(ticket) || ticket.placement().isCancelled()) {
 			return null;
 		}
--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -1,19 +1,13 @@
 package org.jaywood.routing;
 
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
-import java.util.Set;
-import java.util.TreeSet;
-import java.util.concurrent.CompletableFuture;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
 
@@ -38,15 +32,6 @@
 	 */
 	private static final long MIN_RETRY_AFTER_MILLIS = 700;
 
-	/**
-	 * Calls that always may wait, whatever the forecast says, so that no freed place
-	 * idles.
-	 */
-	private static final int LEAST_QUEUE = 4;
-
-	/** Part of its wait that a call may be forecast to need, since forecasts err. */
-	private static final double FORECAST_SHARE = 0.8;
-
 	/** Callers that are refused together come back apart. */
 	private static final int RETRY_SPREAD_MILLIS = 600;
 
@@ -56,24 +41,20 @@
 
 	private final Map<String, UpstreamState> states = new HashMap<>();
 
-	private final Map<String, TreeSet<Ticket>> waiting = new HashMap<>();
+	private final WaitingCalls waiting = new WaitingCalls();
 
 	private final Map<String, ServiceRate> rates = new HashMap<>();
 
-	private final Map<String, WaitForecast> forecasts = new HashMap<>();
-
 	private @Nullable RouteTable table;
 
 	private @Nullable Fleet fleet;
 
 	private final UpstreamSubset subset;
 
-	private double followedShare = 1;
+	private FollowedEngines followed = FollowedEngines.NONE;
 
 	private final GatewayCount gateways = new GatewayCount();
 
-	private long sequence;
-
 	public Dispatcher(DispatchSettings settings) {
 		this.settings = settings;
 		this.policy = new PlacementPolicy(settings);
@@ -148,9 +129,7 @@
 	 * Asks for a place. The ticket completes at once if there is one.
 	 */
 	public synchronized Ticket request(Demand demand, long nowMillis) {
-		Ticket ticket = new Ticket(demand, this.sequence++, nowMillis);
-		TreeSet<Ticket> queue = this.waiting.computeIfAbsent(demand.service(), (key) -> new TreeSet<>(Ticket.ORDER));
-		queue.add(ticket);
+		Ticket ticket = this.waiting.add(demand, nowMillis);
 		placeWaiting(demand.service(), nowMillis);
 		return ticket;
 	}
@@ -160,12 +139,7 @@
 	 * @param waitMillis time for which it can wait
 	 */
 	public synchronized boolean worthWaiting(Demand demand, long waitMillis, long nowMillis) {
-		TreeSet<Ticket> queue = this.waiting.get(demand.service());
-		if (queue == null || queue.size() < LEAST_QUEUE) {
-			return true;
-		}
-		int ahead = queue.headSet(new Ticket(demand, this.sequence, nowMillis)).size();
-		return forecast(demand.service()).waitMillis(ahead, nowMillis) <= FORECAST_SHARE * waitMillis;
+		return this.waiting.worthWaiting(demand, waitMillis, nowMillis);
 	}
 
 	/**
@@ -173,8 +147,7 @@
 	 * @return whether the ticket had no place yet
 	 */
 	public synchronized boolean withdraw(Ticket ticket) {
-		TreeSet<Ticket> queue = this.waiting.get(ticket.demand.service());
-		return queue != null && queue.remove(ticket);
+		return this.waiting.remove(ticket);
 	}
 
 	/**
@@ -204,8 +177,7 @@
 	 */
 	public synchronized long retryAfterMillis(Demand demand, long nowMillis) {
 		Collection<UpstreamState> eligible = eligible(demand, nowMillis);
-		TreeSet<Ticket> queue = this.waiting.get(demand.service());
-		int ahead = (queue != null) ? queue.size() : 0;
+		int ahead = this.waiting.count(demand.service());
 		long byRate = Math.max(MIN_RETRY_AFTER_MILLIS, rate(demand.service()).retryAfterMillis(ahead + 1, nowMillis))
 				+ Math.floorMod(demand.callId().hashCode(), RETRY_SPREAD_MILLIS);
 		return eligible.stream()
@@ -240,7 +212,7 @@
 	 * Number of gateways that share the upstreams, empty while no agent tells.
 	 */
 	public synchronized OptionalInt toldGateways(long nowMillis) {
-		return this.gateways.told(this.states.values(), this.followedShare, nowMillis);
+		return this.gateways.told(this.states.values(), this.followed.share(), nowMillis);
 	}
 
 	/**
@@ -267,35 +239,13 @@
 			.toList();
 	}
 
-	/**
-	 * Chooses the engines to follow: a part of those that may get calls, and near ones.
-	 */
 	private void follow() {
 		if (this.table == null || this.fleet == null) {
 			return;
 		}
-		Map<String, List<Upstream>> engines = this.fleet.upstreams()
-			.entries()
-			.values()
-			.stream()
-			.filter((upstream) -> profile(upstream.service()) instanceof ServiceProfile.Engines)
-			.collect(Collectors.groupingBy(Upstream::service));
-		List<List<Upstream>> open = engines.values().stream().map(this::open).toList();
-		List<Upstream> chosen = open.stream().map(this.subset::of).flatMap(Set::stream).toList();
-		Stream<Upstream> near = engines.values().stream().map(this.subset::near).flatMap(Set::stream);
-		Set<String> ids = Stream.concat(chosen.stream(), near).map(Upstream::id).collect(Collectors.toSet());
-		int openCount = open.stream().mapToInt(List::size).sum();
-		this.followedShare = (openCount > 0) ? (double) chosen.size() / openCount : 1;
+		this.followed = FollowedEngines.choose(this.subset, this.table, this.fleet);
 		this.gateways.refresh();
-		this.states.values().forEach((state) -> state.follow(ids.contains(state.upstream().id())));
-	}
-
-	/**
-	 * The engines of a list that may get calls.
-	 */
-	private List<Upstream> open(List<Upstream> engines) {
-		Set<String> closed = Objects.requireNonNull(this.fleet).closedDataCentres();
-		return engines.stream().filter((engine) -> !engine.leaving() && !closed.contains(engine.dataCentre())).toList();
+		this.states.values().forEach((state) -> state.follow(this.followed.ids().contains(state.upstream().id())));
 	}
 
 	private static void learn(UpstreamHealth health, Outcome outcome, long nowMillis) {
@@ -315,10 +265,6 @@
 		return this.rates.computeIfAbsent(service, (key) -> new ServiceRate());
 	}
 
-	private WaitForecast forecast(String service) {
-		return this.forecasts.computeIfAbsent(service, (key) -> new WaitForecast());
-	}
-
 	private @Nullable ServiceProfile profile(String service) {
 		return (this.table != null) ? this.table.service(service).orElse(null) : null;
 	}
@@ -333,22 +279,16 @@
 	}
 
 	private void placeWaiting(long nowMillis) {
-		this.waiting.keySet().forEach((service) -> placeWaiting(service, nowMillis));
+		this.waiting.services().forEach((service) -> placeWaiting(service, nowMillis));
 	}
 
 	private void placeWaiting(String service, long nowMillis) {
-		TreeSet<Ticket> queue = this.waiting.get(service);
-		if (queue == null || queue.isEmpty()) {
-			return;
-		}
-		for (Ticket ticket : List.copyOf(queue)) {
-			Optional<PlacementPolicy.Candidate> chosen = choose(ticket.demand, nowMillis);
+		for (Ticket ticket : this.waiting.inOrder(service)) {
+			Optional<PlacementPolicy.Candidate> chosen = choose(ticket.demand(), nowMillis);
 			if (chosen.isPresent()) {
-				queue.remove(ticket);
 				place(ticket, chosen.get(), nowMillis);
 			}
-			else if (ticket.demand.tried().isEmpty() && ticket.demand.regions().isEmpty()
-					&& ticket.demand.weights().isEmpty()) {
+			else if (ticket.unbound()) {
 				// A later ticket finds no room either.
 				return;
 			}
@@ -366,43 +306,11 @@
 	private void place(Ticket ticket, PlacementPolicy.Candidate chosen, long nowMillis) {
 		UpstreamState state = chosen.state();
 		state.onSend(nowMillis);
-		forecast(ticket.demand.service()).recordPlaced(nowMillis);
+		this.waiting.removePlaced(ticket, nowMillis);
 		long reportAgeMillis = state.reportAgeMillis(nowMillis);
-		ticket.placement.complete(new Placement(state.upstream(), chosen.load(), chosen.capacity(), reportAgeMillis,
-				nowMillis - ticket.sinceMillis));
-	}
-
-	/**
-	 * Place in the queue of a service.
-	 */
-	public static final class Ticket {
-
-		private static final Comparator<Ticket> ORDER = Comparator.<Ticket, Demand.Rank>comparing(
-				(ticket) -> ticket.demand.rank())
-			.thenComparingInt((ticket) -> ticket.demand.priority())
-			.thenComparingLong((ticket) -> ticket.number);
-
-		private final Demand demand;
-
-		private final long number;
-
-		private final long sinceMillis;
-
-		private final CompletableFuture<Placement> placement = new CompletableFuture<>();
-
-		private Ticket(Demand demand, long number, long sinceMillis) {
-			this.demand = demand;
-			this.number = number;
-			this.sinceMillis = sinceMillis;
-		}
-
-		/**
-		 * Completes when the call has a place.
-		 */
-		public CompletableFuture<Placement> placement() {
-			return this.placement;
-		}
-
+		ticket.placement()
+			.complete(new Placement(state.upstream(), chosen.load(), chosen.capacity(), reportAgeMillis,
+					nowMillis - ticket.sinceMillis()));
 	}
 
 }
--- a/src/test/java/org/jaywood/routing/DispatcherTests.java
+++ b/src/test/java/org/jaywood/routing/DispatcherTests.java
@@ -23,7 +23,7 @@
 		this.dispatcher.onTable(Upstreams.table(), NOW);
 	}
 
-	private List<Dispatcher.Ticket> request(int count, boolean late) {
+	private List<Ticket> request(int count, boolean late) {
 		return IntStream.range(0, count)
 			.mapToObj((number) -> this.dispatcher.request(Upstreams.demand(Upstreams.POOL, late), NOW))
 			.toList();
@@ -59,9 +59,9 @@
 		void aFreedPlaceGoesToACallThatCanBeOnTime() {
 			DispatcherTests.this.dispatcher.onFleet(Upstreams.fleet(Upstreams.engine("a")), NOW);
 			DispatcherTests.this.dispatcher.onReport("a", report("a", 0, 0, false), NOW);
-			List<Dispatcher.Ticket> running = request(Upstreams.SLOTS + 1, false);
-			Dispatcher.Ticket late = request(1, true).getFirst();
-			Dispatcher.Ticket fresh = request(1, false).getFirst();
+			List<Ticket> running = request(Upstreams.SLOTS + 1, false);
+			Ticket late = request(1, true).getFirst();
+			Ticket fresh = request(1, false).getFirst();
 			DispatcherTests.this.dispatcher.end(running.getFirst().placement().getNow(null), Outcome.ANSWERED, NOW + 1);
 			assertThat(fresh.placement().isDone()).isTrue();
 			assertThat(late.placement().isDone()).isFalse();
@@ -71,7 +71,7 @@
 		void aWithdrawnCallGetsNoPlace() {
 			DispatcherTests.this.dispatcher.onFleet(Upstreams.fleet(Upstreams.engine("a")), NOW);
 			DispatcherTests.this.dispatcher.onReport("a", report("a", Upstreams.SLOTS, 1, false), NOW);
-			Dispatcher.Ticket waiting = request(1, false).getFirst();
+			Ticket waiting = request(1, false).getFirst();
 			assertThat(DispatcherTests.this.dispatcher.withdraw(waiting)).isTrue();
 			DispatcherTests.this.dispatcher.onReport("a", report("a", 0, 0, false), NOW + 1);
 			assertThat(waiting.placement().isDone()).isFalse();
@@ -281,10 +281,10 @@
 		void aCallThatHasRunInPartGetsAPlaceBeyondTheCapacity() {
 			DispatcherTests.this.dispatcher.onFleet(Upstreams.fleet(Upstreams.engine("a")), NOW);
 			DispatcherTests.this.dispatcher.onReport("a", report("a", Upstreams.SLOTS, 1, false), NOW);
-			Dispatcher.Ticket fresh = request(1, false).getFirst();
+			Ticket fresh = request(1, false).getFirst();
 			Demand started = new Demand("call", Upstreams.POOL, Set.of(), 1, Demand.Rank.STARTED, true,
 					OptionalLong.empty(), Set.of());
-			Dispatcher.Ticket resumed = DispatcherTests.this.dispatcher.request(started, NOW);
+			Ticket resumed = DispatcherTests.this.dispatcher.request(started, NOW);
 			assertThat(Upstreams.placed(resumed)).isPresent();
 			assertThat(Upstreams.placed(fresh)).isEmpty();
 		}
--- a/src/test/java/org/jaywood/routing/Upstreams.java
+++ b/src/test/java/org/jaywood/routing/Upstreams.java
@@ -72,7 +72,7 @@
 				service.equals(POOL), OptionalLong.empty(), Set.of());
 	}
 
-	static Optional<Placement> placed(Dispatcher.Ticket ticket) {
+	static Optional<Placement> placed(Ticket ticket) {
 		return Optional.ofNullable(ticket.placement().getNow(null));
 	}
 
