Let streams of pieces show that their sender is alive; ask few for lists of digests

Change: a peer that has no piece yet sends heartbeats, so the receiver is patient with it for 4 s, yet gives up a silent one after 1.5 s. Lists of digests spread along a tree of the agents that lack the version, and few holders are asked.

--- a/src/main/java/org/jaywood/replica/PeerPieces.java
+++ b/src/main/java/org/jaywood/replica/PeerPieces.java
@@ -1,13 +1,13 @@
 package org.jaywood.replica;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.util.BitSet;
 import java.util.function.Predicate;
 
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
-import org.jspecify.annotations.Nullable;
 
 import org.jaywood.http.ClientConnection;
 import org.jaywood.http.ConnectionPool;
@@ -34,6 +34,9 @@
 
 	private static final long CONNECT_MILLIS = 400;
 
+	/** A peer that streams pieces sends something several times in this time. */
+	private static final long SILENCE_MILLIS = 1_500;
+
 	private static final long ANSWER_MARGIN_MILLIS = 1_000;
 
 	private final ConnectionPool pool;
@@ -48,16 +51,16 @@
 
 	/**
 	 * Receives pieces in the order in which they arrive at a peer, until all have come or
-	 * the peer has none for a while.
+	 * the peer has got none for a while.
 	 * @param far whether the peer lies in another region
-	 * @param silenceMillis longest wait for each piece
+	 * @param patienceMillis longest wait for a piece that the peer is to get itself
 	 * @param receiver takes each piece and tells whether more are wanted
 	 * @throws ConnectionException if the peer cannot be reached
 	 * @throws IOException if the peer refuses, is silent or breaks off
 	 */
-	void pieces(Address agent, NamedWeights weights, BitSet pieces, boolean far, long silenceMillis,
+	void pieces(Address agent, NamedWeights weights, BitSet pieces, boolean far, long patienceMillis,
 			Predicate<HeldPieces.Piece> receiver) throws IOException {
-		String path = path(weights) + STREAM + "?pieces=" + PieceFrames.encodeSet(pieces) + "&wait=" + silenceMillis
+		String path = path(weights) + STREAM + "?pieces=" + PieceFrames.encodeSet(pieces) + "&wait=" + patienceMillis
 				+ (far ? "&far=1" : "");
 		ClientConnection connection = this.pool.acquire(agent, CONNECT_MILLIS);
 		boolean whole = false;
@@ -65,17 +68,11 @@
 			BasicClassicHttpRequest request = new BasicClassicHttpRequest("GET", path);
 			request.setHeader(HttpHeaders.HOST, agent.toString());
 			connection.send(request, new byte[0]);
-			UpstreamAnswer answer = connection.receive(silenceMillis + ANSWER_MARGIN_MILLIS);
+			UpstreamAnswer answer = connection.receive(SILENCE_MILLIS);
 			if (answer.status() != HttpStatus.SC_OK) {
 				throw new IOException(agent + " answered " + answer.status() + " to " + path);
 			}
-			boolean wanted = true;
-			HeldPieces.Piece piece = next(connection, answer, silenceMillis);
-			while (piece != null && wanted) {
-				wanted = receiver.test(piece);
-				piece = wanted ? next(connection, answer, silenceMillis) : piece;
-			}
-			whole = piece == null;
+			whole = receive(connection, answer.body(), receiver);
 		}
 		finally {
 			if (whole) {
@@ -87,10 +84,22 @@
 		}
 	}
 
-	private static HeldPieces.@Nullable Piece next(ClientConnection connection, UpstreamAnswer answer,
-			long silenceMillis) throws IOException {
-		connection.limit(silenceMillis + ANSWER_MARGIN_MILLIS);
-		return PieceFrames.read(answer.body());
+	/**
+	 * Reads pieces until the end of the stream, or until no more are wanted.
+	 * @return whether the end was reached
+	 */
+	private static boolean receive(ClientConnection connection, InputStream body, Predicate<HeldPieces.Piece> receiver)
+			throws IOException {
+		while (true) {
+			connection.limit(SILENCE_MILLIS);
+			HeldPieces.Piece frame = PieceFrames.read(body);
+			if (frame == null) {
+				return true;
+			}
+			if (!PieceFrames.isHeartbeat(frame) && !receiver.test(frame)) {
+				return false;
+			}
+		}
 	}
 
 	/**
--- a/src/main/java/org/jaywood/replica/PieceFrames.java
+++ b/src/main/java/org/jaywood/replica/PieceFrames.java
@@ -14,8 +14,10 @@
 
 /**
  * The format in which an agent sends pieces of weights one after the other: index and
- * length as four bytes each, most significant first, then the bytes of the piece. Sets of
- * indexes are hexadecimal, the lowest eight indexes in the first byte.
+ * length as four bytes each, most significant first, then the bytes of the piece. While
+ * no piece is there, heartbeats of an index below 0 and no bytes tell the receiver that
+ * the sender is alive. Sets of indexes are hexadecimal, the lowest eight indexes in the
+ * first byte.
  */
 final class PieceFrames {
 
@@ -27,9 +29,15 @@
 
 	private static final int HEAD_BYTES = 2 * Integer.BYTES;
 
+	private static final HeldPieces.Piece HEARTBEAT = new HeldPieces.Piece(-1, new byte[0]);
+
 	private PieceFrames() {
 	}
 
+	static byte[] encodeHeartbeat() {
+		return encode(HEARTBEAT);
+	}
+
 	static byte[] encode(HeldPieces.Piece piece) {
 		return ByteBuffer.allocate(HEAD_BYTES + piece.bytes().length)
 			.putInt(piece.index())
@@ -39,8 +47,15 @@
 	}
 
 	/**
-	 * Reads the next piece.
-	 * @return the piece, or null at the end of the stream
+	 * Whether a frame only tells that the sender is alive.
+	 */
+	static boolean isHeartbeat(HeldPieces.Piece frame) {
+		return frame.index() < 0;
+	}
+
+	/**
+	 * Reads the next frame.
+	 * @return the piece or heartbeat, or null at the end of the stream
 	 * @throws IOException if the stream ends within a piece or is malformed
 	 */
 	static HeldPieces.@Nullable Piece read(InputStream in) throws IOException {
@@ -54,7 +69,7 @@
 		ByteBuffer numbers = ByteBuffer.wrap(head);
 		int index = numbers.getInt();
 		int length = numbers.getInt();
-		if (index < 0 || length < 0 || length > MAX_PIECE_BYTES) {
+		if (length < 0 || length > ((index < 0) ? 0 : MAX_PIECE_BYTES)) {
 			throw new IOException("malformed piece: index " + index + ", " + length + " bytes");
 		}
 		byte[] bytes = new byte[length];
--- a/src/main/java/org/jaywood/replica/PieceRequest.java
+++ b/src/main/java/org/jaywood/replica/PieceRequest.java
@@ -17,9 +17,9 @@
 	 *
 	 * @param peer engine of the agent that is asked
 	 * @param pieces indexes of the pieces
-	 * @param silenceMillis longest wait for each of them
+	 * @param patienceMillis longest wait for a piece that the peer is to get itself
 	 */
-	record FromPeer(Upstream peer, BitSet pieces, long silenceMillis) implements PieceRequest {
+	record FromPeer(Upstream peer, BitSet pieces, long patienceMillis) implements PieceRequest {
 	}
 
 	/**
--- a/src/main/java/org/jaywood/replica/PieceSchedule.java
+++ b/src/main/java/org/jaywood/replica/PieceSchedule.java
@@ -30,11 +30,14 @@
 	/** Requests of one agent that fill its part of the link of the origin. */
 	private static final int MAX_ORIGIN_REQUESTS = 2;
 
-	/** Wait at the first source for a piece that is still on its way there. */
-	private static final long FIRST_SILENCE_MILLIS = 1_500;
+	/**
+	 * Wait at the first source for a piece that is still on its way there: longer than
+	 * the origin takes to send a copy.
+	 */
+	private static final long FIRST_PATIENCE_MILLIS = 4_000;
 
 	/** Wait at a later source, which should have the piece already. */
-	private static final long SILENCE_MILLIS = 700;
+	private static final long PATIENCE_MILLIS = 700;
 
 	private final Map<Integer, List<Upstream>> sources = new HashMap<>();
 
@@ -100,7 +103,7 @@
 			BitSet pieces = new BitSet();
 			pieces.set(index);
 			byPeer.put(peer.id(), new PieceRequest.FromPeer(peer, pieces,
-					(triedSources(index) == 0) ? FIRST_SILENCE_MILLIS : SILENCE_MILLIS));
+					(triedSources(index) == 0) ? FIRST_PATIENCE_MILLIS : PATIENCE_MILLIS));
 		}
 	}
 
--- a/src/main/java/org/jaywood/replica/Replica.java
+++ b/src/main/java/org/jaywood/replica/Replica.java
@@ -8,6 +8,7 @@
 
 import org.jaywood.event.Event;
 import org.jaywood.event.EventLog;
+import org.jaywood.feed.BootClock;
 import org.jaywood.http.ConnectionPool;
 import org.jaywood.routing.NamedWeights;
 import org.jaywood.wire.Address;
@@ -25,6 +26,9 @@
 	/** Interval of reports while nothing changes. */
 	private static final long REPORT_MILLIS = 450;
 
+	/** Interval at which a stream of pieces shows that this agent is alive. */
+	private static final long HEARTBEAT_MILLIS = 400;
+
 	private static final long MAX_WAIT_MILLIS = 5_000;
 
 	private final ReplicaSettings settings;
@@ -134,16 +138,18 @@
 			throws IOException, InterruptedException {
 		BitSet wanted = PieceFrames.parseSet(exchange.query().getOrDefault("pieces", ""));
 		boolean far = exchange.query().containsKey("far");
-		HeldPieces.Piece piece = this.pieces.next(weights, wanted, waitMillis);
-		if (piece == null) {
-			exchange.respondError(404, "none of the pieces is here");
-			return;
-		}
 		try (OutputStream out = exchange.stream(200, "application/octet-stream")) {
-			while (piece != null && !this.draining) {
+			long untilMillis = BootClock.nowMillis() + waitMillis;
+			while (!wanted.isEmpty() && BootClock.nowMillis() < untilMillis && !this.draining) {
+				HeldPieces.Piece piece = this.pieces.next(weights, wanted, HEARTBEAT_MILLIS);
+				if (piece == null) {
+					out.write(PieceFrames.encodeHeartbeat());
+					out.flush();
+					continue;
+				}
 				this.pacer.send(out, PieceFrames.encode(piece), far);
 				wanted.clear(piece.index());
-				piece = this.pieces.next(weights, wanted, waitMillis);
+				untilMillis = BootClock.nowMillis() + waitMillis;
 			}
 		}
 		catch (IOException ex) {
--- a/src/main/java/org/jaywood/replica/SourcePlan.java
+++ b/src/main/java/org/jaywood/replica/SourcePlan.java
@@ -98,20 +98,19 @@
 
 	/**
 	 * Engines whose agents are asked for the list of digests, in order. After them comes
-	 * the origin. Without holders the list spreads along a tree in each region, since an
-	 * agent fetches nothing before it has the list.
+	 * the origin. The list spreads along a tree of the agents that lack the version,
+	 * since an agent fetches nothing before it has the list.
 	 */
 	List<Upstream> listSources() {
-		if (!this.holders.isEmpty()) {
-			return this.holders;
-		}
-		List<Upstream> region = this.byRegion.getOrDefault(this.own.region(), List.of());
 		List<Upstream> ancestors = new ArrayList<>();
-		for (int place = region.indexOf(this.own); place > 0;) {
+		for (int place = this.members.indexOf(this.own); place > 0;) {
 			place = (place - 1) / 2;
-			ancestors.add(region.get(place));
+			ancestors.add(this.members.get(place));
+		}
+		if (!this.holders.isEmpty()) {
+			ancestors.addAll(holders(0));
 		}
-		if (!this.own.region().equals(this.originRegion)) {
+		else if (!this.own.region().equals(this.originRegion)) {
 			ancestors.add(root(this.originRegion, 0));
 		}
 		return ancestors;
--- /dev/null
+++ b/src/test/java/org/jaywood/replica/PeerPiecesTests.java
@@ -0,0 +1,147 @@
+package org.jaywood.replica;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.Failures;
+import org.jaywood.event.EventLog;
+import org.jaywood.http.ConnectionPool;
+import org.jaywood.routing.NamedWeights;
+import org.jaywood.wire.Address;
+import org.jaywood.wire.Exchange;
+import org.jaywood.wire.HttpPort;
+import org.jaywood.wire.Tasks;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class PeerPiecesTests {
+
+	private static final NamedWeights WEIGHTS = new NamedWeights("model", 2);
+
+	private static final HeldPieces.Piece PIECE = new HeldPieces.Piece(0, new byte[] { 1, 2, 3 });
+
+	/** Interval at which a peer shows that it is alive. */
+	private static final long HEARTBEAT_MILLIS = 400;
+
+	/** Time by which a silent peer must have been given up. */
+	private static final long GIVEN_UP_MILLIS = 3_000;
+
+	private final EventLog log = new EventLog("test");
+
+	private final PeerPieces peers = new PeerPieces(new ConnectionPool());
+
+	private final List<HeldPieces.Piece> received = new ArrayList<>();
+
+	private HttpPort port;
+
+	@AfterEach
+	void close() {
+		this.port.close();
+	}
+
+	private Address peer(Sender sender) {
+		this.port = HttpPort.open(new Address("127.0.0.1", 0), this.log)
+			.servedBy(Tasks.pool())
+			.route("GET", PeerPieces.PREFIX, (exchange) -> send(exchange, sender))
+			.start();
+		return new Address("127.0.0.1", this.port.address().port());
+	}
+
+	private static void send(Exchange exchange, Sender sender) throws IOException {
+		try (OutputStream out = exchange.stream(200, "application/octet-stream")) {
+			sender.send(out);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private void ask(Address peer) throws IOException {
+		BitSet first = new BitSet();
+		first.set(0);
+		this.peers.pieces(peer, WEIGHTS, first, false, 5_000, this.received::add);
+	}
+
+	private static void write(OutputStream out, byte[] bytes) throws IOException {
+		out.write(bytes);
+		out.flush();
+	}
+
+	/**
+	 * Guards against a slow but sound peer that is given up.
+	 */
+	@Nested
+	class Slow {
+
+		@Test
+		void heartbeatsKeepTheStreamOpen() throws Exception {
+			Address peer = peer((out) -> {
+				for (int i = 0; i < 6; i++) {
+					write(out, PieceFrames.encodeHeartbeat());
+					Thread.sleep(HEARTBEAT_MILLIS);
+				}
+				write(out, PieceFrames.encode(PIECE));
+			});
+			ask(peer);
+			assertThat(PeerPiecesTests.this.received.getFirst().bytes()).isEqualTo(PIECE.bytes());
+		}
+
+	}
+
+	/**
+	 * Guards against a peer that holds a transfer up for ever: by silence, or by bytes
+	 * that never become a piece.
+	 */
+	@Nested
+	class Stalled {
+
+		private void assertGivenUp(Sender sender) {
+			Address peer = peer(sender);
+			long sinceNanos = System.nanoTime();
+			Failures.thrownBy(IOException.class, () -> {
+				ask(peer);
+				return null;
+			});
+			assertThat(Duration.ofNanos(System.nanoTime() - sinceNanos).toMillis()).isLessThan(GIVEN_UP_MILLIS);
+		}
+
+		@Test
+		void silenceEndsTheRequest() {
+			assertGivenUp((out) -> {
+				write(out, PieceFrames.encodeHeartbeat());
+				Thread.sleep(2 * GIVEN_UP_MILLIS);
+			});
+		}
+
+		@Test
+		void aPieceThatNeverEndsEndsTheRequest() {
+			assertGivenUp((out) -> {
+				byte[] head = PieceFrames.encode(new HeldPieces.Piece(0, new byte[100_000]));
+				for (int offset = 0; offset < 100; offset++) {
+					out.write(head, offset, 1);
+					out.flush();
+					Thread.sleep(HEARTBEAT_MILLIS / 4);
+				}
+			});
+		}
+
+	}
+
+	/**
+	 * What a peer sends as the body of its answer.
+	 */
+	private interface Sender {
+
+		void send(OutputStream out) throws IOException, InterruptedException;
+
+	}
+
+}
--- a/src/test/java/org/jaywood/replica/SourcePlanTests.java
+++ b/src/test/java/org/jaywood/replica/SourcePlanTests.java
@@ -77,6 +77,40 @@
 
 	}
 
+	/**
+	 * Guards against added engines that ask everybody for a list which engines present at
+	 * the start do not have, and then all turn to the origin.
+	 */
+	@Nested
+	class ListsOfAddedEngines {
+
+		private final List<Upstream> engines = Stream
+			.concat(engines(20).stream(),
+					IntStream.range(0, 20)
+						.mapToObj((number) -> Upstreams.engine("added" + number, "doto-a", "doto", 0)))
+			.toList();
+
+		private List<Upstream> added() {
+			return this.engines.stream().filter((engine) -> engine.id().startsWith("added")).toList();
+		}
+
+		@Test
+		void anAddedEngineAsksFew() {
+			added().forEach((engine) -> assertThat(plan(engine, this.engines, SERVED).listSources().size())
+				.isAtMost(4 + (int) Math.ceil(Math.log(20) / Math.log(2))));
+		}
+
+		@Test
+		void oneOfADataCentreAsksAnEngineThatServes() {
+			long roots = added().stream()
+				.map((engine) -> plan(engine, this.engines, SERVED).listSources().getFirst())
+				.filter((source) -> !source.id().startsWith("added"))
+				.count();
+			assertThat(roots).isEqualTo(1);
+		}
+
+	}
+
 	/**
 	 * Guards against a version that spreads more slowly than one link carries it, crosses
 	 * the region links more often than needed, or never arrives.
