Bound the time of a whole request head and body, not of each read

A caller that sends a byte now and then held its connection and task as long as it liked (103 s until the test ended it): the time-out of the socket holds for each read alone. Heads have the time of the configuration's head limit, bodies that of its idle limit, as TimedInputStream gives it. Tests: RequestReaderTests.Trickle, both failed before; .Slow and PlatformIT.Leaving passed before.

--- a/src/main/java/org/jaywood/http/RequestReader.java
+++ b/src/main/java/org/jaywood/http/RequestReader.java
@@ -1,7 +1,6 @@
 package org.jaywood.http;
 
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
@@ -33,7 +32,7 @@
 
 	private final Socket socket;
 
-	private final InputStream in;
+	private final TimedInputStream in;
 
 	private final Http1Config config;
 
@@ -49,7 +48,7 @@
 	public RequestReader(Socket socket, int maxHeaderBytes) throws IOException {
 		SocketTuning.apply(socket);
 		this.socket = socket;
-		this.in = socket.getInputStream();
+		this.in = new TimedInputStream(socket);
 		this.config = Http1Config.custom()
 			.setMaxLineLength(maxHeaderBytes)
 			.setMaxHeaderCount(MAX_HEADERS)
@@ -69,7 +68,7 @@
 			return Arrival.BYTES;
 		}
 		try {
-			this.socket.setSoTimeout(Math.toIntExact(timeoutMillis));
+			this.in.limit(timeoutMillis, System.nanoTime());
 			return (this.buffer.fillBuffer(this.in) < 0) ? Arrival.CLOSED : Arrival.BYTES;
 		}
 		catch (SocketTimeoutException ex) {
@@ -81,7 +80,8 @@
 	}
 
 	/**
-	 * Reads a request whose first bytes have arrived.
+	 * Reads a request whose first bytes have arrived. Head and body have one limit of
+	 * time each, however slowly their bytes arrive.
 	 * @param limits bounds on size and time
 	 * @return the request, or null if the connection ended before its head
 	 * @throws BadInputException if the request is malformed, too large or too slow, with
@@ -90,12 +90,13 @@
 	 */
 	public @Nullable CallerRequest read(RequestLimits limits) throws IOException {
 		try {
-			this.socket.setSoTimeout(Math.toIntExact(limits.headTimeoutMillis()));
+			this.in.limit(limits.headTimeoutMillis(), System.nanoTime());
 			ClassicHttpRequest head = this.parser.parse(this.buffer, this.in);
 			if (head == null) {
 				return null;
 			}
 			checkHead(head, limits);
+			this.in.limit(limits.idleTimeoutMillis(), System.nanoTime());
 			return new CallerRequest(head, readBody(head, limits));
 		}
 		catch (SocketTimeoutException ex) {
--- /dev/null
+++ b/src/test/java/org/jaywood/http/RequestReaderTests.java
@@ -0,0 +1,126 @@
+package org.jaywood.http;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.Failures;
+import org.jaywood.wire.BadInputException;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class RequestReaderTests {
+
+	private static final long HEAD_MILLIS = 500;
+
+	private static final long IDLE_MILLIS = 800;
+
+	/** Interval between two bytes of a caller that never ends. */
+	private static final long TRICKLE_MILLIS = 100;
+
+	private static final RequestLimits LIMITS = new RequestLimits(16_384, 1_000_000, HEAD_MILLIS, IDLE_MILLIS);
+
+	private static final String HEAD = "POST /x HTTP/1.1\r\nHost: host\r\nContent-Length: 1000\r\n\r\n";
+
+	private Socket caller;
+
+	private Socket accepted;
+
+	@BeforeEach
+	void connect() throws IOException {
+		try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			this.caller = new Socket(server.getInetAddress(), server.getLocalPort());
+			this.accepted = server.accept();
+		}
+	}
+
+	@AfterEach
+	void close() throws IOException {
+		this.caller.close();
+		this.accepted.close();
+	}
+
+	/**
+	 * Guards against callers that hold a connection and its task for ever by a byte now
+	 * and then.
+	 */
+	@Nested
+	class Trickle {
+
+		private void trickle(String text) {
+			Thread.ofVirtual().start(() -> {
+				try {
+					for (byte letter : text.getBytes(StandardCharsets.US_ASCII)) {
+						RequestReaderTests.this.caller.getOutputStream().write(letter);
+						Thread.sleep(TRICKLE_MILLIS);
+					}
+				}
+				catch (IOException | InterruptedException ex) {
+					// The reader has closed the connection, which ends the trickle.
+				}
+			});
+		}
+
+		private void assertTimedOut(long limitMillis) throws IOException {
+			RequestReader reader = new RequestReader(RequestReaderTests.this.accepted, LIMITS.maxHeaderBytes());
+			long sinceNanos = System.nanoTime();
+			BadInputException failure = Failures.thrownBy(BadInputException.class, () -> {
+				reader.await(IDLE_MILLIS);
+				return reader.read(LIMITS);
+			});
+			assertThat(failure.status()).isEqualTo(408);
+			assertThat(Duration.ofNanos(System.nanoTime() - sinceNanos).toMillis()).isLessThan(limitMillis);
+		}
+
+		@Test
+		void aHeadThatNeverEndsIsRefusedInTime() throws Exception {
+			trickle("GET /" + "x".repeat(1_000));
+			assertTimedOut(HEAD_MILLIS + IDLE_MILLIS);
+		}
+
+		@Test
+		void aBodyThatNeverEndsIsRefusedInTime() throws Exception {
+			RequestReaderTests.this.caller.getOutputStream().write(HEAD.getBytes(StandardCharsets.US_ASCII));
+			trickle("x".repeat(1_000));
+			assertTimedOut(HEAD_MILLIS + 2 * IDLE_MILLIS);
+		}
+
+	}
+
+	/**
+	 * Guards against a slow but sound body that is cut.
+	 */
+	@Nested
+	class Slow {
+
+		@Test
+		void aBodyThatArrivesWithinItsTimeIsTaken() throws Exception {
+			RequestReader reader = new RequestReader(RequestReaderTests.this.accepted, LIMITS.maxHeaderBytes());
+			Thread.ofVirtual().start(() -> {
+				try {
+					RequestReaderTests.this.caller.getOutputStream()
+						.write(HEAD.replace("1000", "4").getBytes(StandardCharsets.US_ASCII));
+					for (int i = 0; i < 4; i++) {
+						Thread.sleep(TRICKLE_MILLIS);
+						RequestReaderTests.this.caller.getOutputStream().write('x');
+					}
+				}
+				catch (IOException | InterruptedException ex) {
+					throw new IllegalStateException(ex);
+				}
+			});
+			reader.await(IDLE_MILLIS);
+			assertThat(reader.read(LIMITS).body()).hasLength(4);
+		}
+
+	}
+
+}
--- a/src/test/java/org/jaywood/platform/PlatformIT.java
+++ b/src/test/java/org/jaywood/platform/PlatformIT.java
@@ -1,10 +1,12 @@
 package org.jaywood.platform;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -235,6 +237,43 @@
 
 	}
 
+	/**
+	 * Guards against calls that reach an engine although their callers have left.
+	 */
+	@Nested
+	class Leaving {
+
+		private static final int CALLERS = 20;
+
+		/** Longer than the time in which a call may still reach an engine. */
+		private static final long PAUSE_MILLIS = 700;
+
+		@Test
+		void callsOfCallersThatLeftDuringAPauseAreNotHandedOver() throws Exception {
+			PlatformIT.this.fleet.pause("gateway");
+			for (int number = 0; number < CALLERS; number++) {
+				try (Socket caller = new Socket(PlatformIT.this.front.host(), PlatformIT.this.front.port())) {
+					caller.getOutputStream().write(request("left-" + number).getBytes(StandardCharsets.US_ASCII));
+				}
+			}
+			Thread.sleep(PAUSE_MILLIS);
+			PlatformIT.this.fleet.resume("gateway");
+			assertThat(call(KEY)).isEqualTo(200);
+			Awaitility.await().pollDelay(Duration.ofMillis(PAUSE_MILLIS)).until(() -> true);
+			assertThat(PlatformIT.this.engine.calls()
+				.stream()
+				.map(FakePlatformEngine.Call::attempt)
+				.filter((id) -> id.startsWith("left-"))
+				.toList()).isEmpty();
+		}
+
+		private String request(String id) {
+			return "POST /calls/a HTTP/1.1\r\nHost: " + PlatformIT.this.front.host() + "\r\nX-Attempt-Id: " + id
+					+ "\r\nX-Deadline-Ms: 5000\r\nAuthorization: Bearer " + KEY + "\r\nContent-Length: 2\r\n\r\nhi";
+		}
+
+	}
+
 	/**
 	 * Guards against engines that load missing, spoilt or mixed weights.
 	 */
