Gather changes of upstreams for longer while they go on

While engines come or load, each gateway asked for changes 2.5 to 5 times a second. Now the pause doubles up to a second while changes go on, half of the time in which a leaving upstream must get no more calls. Test: FeedFollowerTests.changesThatGoOnAreGatheredForLonger (needs the new constructor; with the old pause about 13 calls in 4 s, worked out).

--- a/src/main/java/org/jaywood/feed/FeedFollower.java
+++ b/src/main/java/org/jaywood/feed/FeedFollower.java
@@ -24,8 +24,8 @@
 	private static final long MAX_BACKOFF_MILLIS = 400;
 
 	/**
-	 * Longest pause after a change before the next one is asked for, so that changes that
-	 * follow each other closely cost each process one call together.
+	 * Longest pause after a single change before the next one is asked for, so that
+	 * changes that follow each other closely cost each process one call together.
 	 */
 	private static final long GATHER_MILLIS = 400;
 
@@ -36,6 +36,8 @@
 
 	private final long waitMillis;
 
+	private final long maxGatherMillis;
+
 	private final Consumer<FeedView<T>> listener;
 
 	private final EventLog log;
@@ -52,6 +54,8 @@
 
 	private long regainedMillis = Long.MIN_VALUE;
 
+	private long gatherMillis = GATHER_MILLIS;
+
 	private volatile boolean reachable = true;
 
 	private volatile boolean closed;
@@ -59,15 +63,29 @@
 	private volatile @Nullable FeedView<T> view;
 
 	/**
-	 * Creates a follower.
+	 * Creates a follower that learns each change within half a second.
 	 * @param feed what to follow
 	 * @param waitMillis interval at which the store confirms that nothing changed
 	 * @param listener receives each new view, on the task of the follower
 	 * @param log log for lost and regained contact
 	 */
 	public FeedFollower(Feed<T> feed, long waitMillis, Consumer<FeedView<T>> listener, EventLog log) {
+		this(feed, waitMillis, GATHER_MILLIS, listener, log);
+	}
+
+	/**
+	 * Creates a follower.
+	 * @param feed what to follow
+	 * @param waitMillis interval at which the store confirms that nothing changed
+	 * @param maxGatherMillis longest pause after a change while changes go on
+	 * @param listener receives each new view, on the task of the follower
+	 * @param log log for lost and regained contact
+	 */
+	public FeedFollower(Feed<T> feed, long waitMillis, long maxGatherMillis, Consumer<FeedView<T>> listener,
+			EventLog log) {
 		this.feed = feed;
 		this.waitMillis = waitMillis;
+		this.maxGatherMillis = maxGatherMillis;
 		this.listener = listener;
 		this.log = log;
 		this.task = Thread.ofPlatform().daemon().name("follow-" + feed.name()).unstarted(this::run);
@@ -138,8 +156,12 @@
 		boolean waited = page.entries().isEmpty();
 		long nowMillis = BootClock.nowMillis();
 		accept(page, waited ? Math.min(nowMillis, askedMillis + this.waitMillis) : askedMillis, false);
-		if (!waited) {
-			pause(GATHER_MILLIS);
+		if (waited) {
+			this.gatherMillis = GATHER_MILLIS;
+		}
+		else {
+			pause(this.gatherMillis);
+			this.gatherMillis = Math.min(this.maxGatherMillis, 2 * this.gatherMillis);
 		}
 	}
 
--- a/src/main/java/org/jaywood/gateway/Gateway.java
+++ b/src/main/java/org/jaywood/gateway/Gateway.java
@@ -32,6 +32,12 @@
 	/** Interval for the upstreams; leaving ones get no calls two seconds later. */
 	private static final long UPSTREAMS_WAIT_MILLIS = 2_000;
 
+	/**
+	 * Pause while many upstreams come or change, in which changes are gathered; half of
+	 * the time in which a leaving upstream must get no more calls.
+	 */
+	private static final long UPSTREAMS_GATHER_MILLIS = 1_000;
+
 	private static final long DATA_CENTRES_WAIT_MILLIS = 3_900;
 
 	private static final long WEIGHTS_WAIT_MILLIS = 6_500;
@@ -88,7 +94,7 @@
 		this.followers = List.of(new FeedFollower<>(feeds.configuration(), CONFIGURATION_WAIT_MILLIS, (view) -> {
 			knowledge.onConfiguration(view);
 			this.subscriptions.onFleet();
-		}, log), new FeedFollower<>(feeds.upstreams(), UPSTREAMS_WAIT_MILLIS, (view) -> {
+		}, log), new FeedFollower<>(feeds.upstreams(), UPSTREAMS_WAIT_MILLIS, UPSTREAMS_GATHER_MILLIS, (view) -> {
 			knowledge.onUpstreams(view);
 			this.subscriptions.onFleet();
 		}, log), new FeedFollower<>(feeds.closedDataCentres(), DATA_CENTRES_WAIT_MILLIS, (view) -> {
--- a/src/test/java/org/jaywood/feed/FeedFollowerTests.java
+++ b/src/test/java/org/jaywood/feed/FeedFollowerTests.java
@@ -104,6 +104,19 @@
 			assertThat(restless.calls.get()).isLessThan(MAX_CALLS);
 		}
 
+		@Test
+		void changesThatGoOnAreGatheredForLonger() {
+			RestlessFeed restless = new RestlessFeed();
+			FeedFollower<String> busy = new FeedFollower<>(restless, WAIT_MILLIS, OBSERVED_MILLIS, (view) -> {
+			}, new EventLog("test"));
+			busy.start();
+			Awaitility.await()
+				.pollDelay(4 * OBSERVED_MILLIS, TimeUnit.MILLISECONDS)
+				.until(() -> restless.calls.get() > 1);
+			busy.close();
+			assertThat(restless.calls.get()).isAtMost(MAX_CALLS);
+		}
+
 	}
 
 	/**
