--- a/src/main/java/org/jaywood/gateway/CallTask.java
+++ b/src/main/java/org/jaywood/gateway/CallTask.java
@@ -53,6 +53,8 @@
 
 	private boolean mayHaveRun;
 
+	private boolean repeatReserved;
+
 	private String noPlaceReason = NO_PLACE;
 
 	private @Nullable BufferedAnswer failedAnswer;
@@ -162,7 +164,8 @@
 	 */
 	private boolean handOver(Placement placement) throws CallerGoneException {
 		this.context.metrics().waited(placement.waitedMillis());
-		boolean repeat = this.sends > 0;
+		boolean repeat = this.sends > 0 && !this.repeatReserved;
+		this.repeatReserved = false;
 		if (repeat && !this.context.budget(this.call.service()).tryTake(BootClock.nowMillis())) {
 			this.context.dispatcher().end(placement, Outcome.CANCELLED, BootClock.nowMillis());
 			giveUp("retry-budget");
@@ -176,11 +179,25 @@
 					placement.reportAgeMillis(), "waited", placement.waitedMillis(), "attempt", this.sends + 1,
 					"configuration", this.call.tableVersion());
 		HandOver handOver = new HandOver(this.context.pool(), this.context.protocol(), this.call, this.reply,
-				this.cancellation, this.cutter, this.context.metrics());
+				this.cancellation, this.cutter, this.context.metrics(), () -> reserveRepeat(placement));
 		HandOverResult result = handOver.run(placement.upstream(), weights);
 		return settle(placement, result);
 	}
 
+	/**
+	 * Reserves another attempt while an upstream is silent, if one is allowed and would
+	 * get a place at once. Otherwise the call stays where it may be running.
+	 */
+	private boolean reserveRepeat(Placement placement) {
+		long nowMillis = BootClock.nowMillis();
+		this.tried.add(placement.upstream().id());
+		noteStreamWeights(placement);
+		this.repeatReserved = this.sends + 1 < this.call.route().maxAttempts()
+				&& this.context.dispatcher().hasRoom(demand(), nowMillis)
+				&& this.context.budget(this.call.service()).tryTake(nowMillis);
+		return this.repeatReserved;
+	}
+
 	private boolean settle(Placement placement, HandOverResult result) throws CallerGoneException {
 		String upstream = placement.upstream().id();
 		return switch (result) {
--- a/src/main/java/org/jaywood/gateway/HandOver.java
+++ b/src/main/java/org/jaywood/gateway/HandOver.java
@@ -1,9 +1,12 @@
 package org.jaywood.gateway;
 
 import java.io.IOException;
+import java.io.InputStream;
+import java.net.SocketTimeoutException;
 import java.util.Arrays;
 import java.util.Locale;
 import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
 
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.Header;
@@ -30,12 +33,18 @@
 
 	private static final long CONNECT_MILLIS = 300;
 
-	/** Time for the head after which a repeatable call is tried elsewhere. */
+	/** Silence before the head after which a repeatable call is tried elsewhere. */
 	private static final long REPEATABLE_HEAD_MILLIS = 1_200;
 
 	/** Time for the next event after which a resumable stream is resumed elsewhere. */
 	private static final long RESUMABLE_GAP_MILLIS = 1_300;
 
+	/** Stands for the time of an event of which nothing has arrived. */
+	private static final long NO_PART = -1;
+
+	/** Interval at which a silent call asks again whether it may be tried elsewhere. */
+	private static final long RECHECK_MILLIS = 300;
+
 	/** Largest body that is read whole before its head is passed on. */
 	private static final int BUFFERED_BYTES = 256 * 1024;
 
@@ -58,8 +67,15 @@
 
 	private final GatewayMetrics metrics;
 
+	private final BooleanSupplier repeatElsewhere;
+
+	/**
+	 * Creates a hand-over.
+	 * @param repeatElsewhere reserves another attempt, if one is allowed and would get a
+	 * place at once
+	 */
 	HandOver(ConnectionPool pool, CallProtocol protocol, Call call, CallerReply reply, Cancellation cancellation,
-			EventCutter cutter, GatewayMetrics metrics) {
+			EventCutter cutter, GatewayMetrics metrics, BooleanSupplier repeatElsewhere) {
 		this.pool = pool;
 		this.protocol = protocol;
 		this.call = call;
@@ -67,6 +83,7 @@
 		this.cancellation = cancellation;
 		this.cutter = cutter;
 		this.metrics = metrics;
+		this.repeatElsewhere = repeatElsewhere;
 	}
 
 	/**
@@ -132,10 +149,60 @@
 		return deliver(connection, answer);
 	}
 
+	/**
+	 * Waits for the begin of the answer.
+	 * @throws IOException if the call is to be tried elsewhere, or its time is over
+	 */
+	private void awaitAnswer(ClientConnection connection) throws IOException {
+		long waitMillis = silenceMillis(REPEATABLE_HEAD_MILLIS);
+		while (!connection.awaitBytes(Math.min(waitMillis, remainingMillis()))) {
+			bearSilence();
+			waitMillis = RECHECK_MILLIS;
+		}
+	}
+
+	/**
+	 * Reads the next part of a stream.
+	 * @return number of bytes, or -1 at the end
+	 * @throws IOException if the call is to be tried elsewhere, or its time is over
+	 */
+	private int readPart(ClientConnection connection, InputStream body, byte[] part) throws IOException {
+		long waitMillis = silenceMillis(RESUMABLE_GAP_MILLIS);
+		while (true) {
+			connection.limit(Math.min(waitMillis, remainingMillis()));
+			try {
+				return body.read(part);
+			}
+			catch (SocketTimeoutException ex) {
+				bearSilence();
+				waitMillis = RECHECK_MILLIS;
+			}
+		}
+	}
+
+	/**
+	 * Decides what a silent upstream means. It keeps its call for as long as the call
+	 * cannot be tried elsewhere, since it may be running it.
+	 * @throws IOException if the call is to be tried elsewhere, or its time is over
+	 */
+	private void bearSilence() throws IOException {
+		if (this.call.remainingMillis(BootClock.nowMillis()) <= 0) {
+			throw new IOException("no answer within the time of the call");
+		}
+		if (this.call.route().policy().repeatable() && this.repeatElsewhere.getAsBoolean()) {
+			throw new IOException("silent, tried elsewhere");
+		}
+	}
+
+	private long silenceMillis(long repeatableMillis) {
+		return this.call.route().policy().repeatable() ? repeatableMillis : remainingMillis();
+	}
+
 	/**
 	 * Reads the answer to this call. Answers to earlier calls that come late are skipped.
 	 */
 	private UpstreamAnswer receiveOwn(ClientConnection connection) throws IOException {
+		awaitAnswer(connection);
 		long untilMillis = BootClock.nowMillis() + headTimeoutMillis();
 		for (int stray = 0; stray <= MAX_STRAY_ANSWERS; stray++) {
 			UpstreamAnswer answer = connection.receive(untilMillis - BootClock.nowMillis());
@@ -176,9 +243,9 @@
 	 */
 	private HandOverResult copyEvents(ClientConnection connection, UpstreamAnswer answer) throws IOException {
 		byte[] chunk = new byte[CHUNK_BYTES];
-		connection.limit(gapTimeoutMillis());
+		long partSinceMillis = NO_PART;
 		while (true) {
-			int length = answer.body().read(chunk);
+			int length = readPart(connection, answer.body(), chunk);
 			if (length < 0) {
 				break;
 			}
@@ -186,9 +253,16 @@
 			if (!this.cutter.continuous()) {
 				throw new IOException("the resumed stream does not go on behind event " + this.cutter.resumedAfter());
 			}
+			long nowMillis = BootClock.nowMillis();
 			if (whole.length > 0) {
 				this.reply.write(whole, whole.length);
-				connection.limit(gapTimeoutMillis());
+				partSinceMillis = NO_PART;
+			}
+			else if (partSinceMillis == NO_PART) {
+				partSinceMillis = nowMillis;
+			}
+			else if (nowMillis - partSinceMillis > silenceMillis(RESUMABLE_GAP_MILLIS)) {
+				throw new IOException("an event that does not end");
 			}
 		}
 		byte[] rest = this.cutter.rest();
@@ -263,13 +337,7 @@
 	}
 
 	private long headTimeoutMillis() {
-		return this.call.route().policy().repeatable() ? Math.min(REPEATABLE_HEAD_MILLIS, remainingMillis())
-				: remainingMillis();
-	}
-
-	private long gapTimeoutMillis() {
-		return this.call.route().policy().repeatable() ? Math.min(RESUMABLE_GAP_MILLIS, remainingMillis())
-				: remainingMillis();
+		return Math.min(silenceMillis(REPEATABLE_HEAD_MILLIS), remainingMillis());
 	}
 
 }
--- a/src/main/java/org/jaywood/http/ClientConnection.java
+++ b/src/main/java/org/jaywood/http/ClientConnection.java
@@ -155,6 +155,26 @@
 		}
 	}
 
+	/**
+	 * Waits for bytes that have not been read yet, or for the end of the connection.
+	 * @param timeoutMillis longest wait
+	 * @return whether a read would not block
+	 * @throws IOException if the connection breaks
+	 */
+	public boolean awaitBytes(long timeoutMillis) throws IOException {
+		if (this.inputBuffer.hasBufferedData()) {
+			return true;
+		}
+		try {
+			limit(timeoutMillis);
+			this.inputBuffer.fillBuffer(this.in);
+			return true;
+		}
+		catch (SocketTimeoutException ex) {
+			return false;
+		}
+	}
+
 	/**
 	 * Bounds the time within which all that is read until the next limit must arrive.
 	 */
--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -157,6 +157,13 @@
 		return !eligible(demand, nowMillis).isEmpty();
 	}
 
+	/**
+	 * Whether a call would get a place at once, before all that wait.
+	 */
+	public synchronized boolean hasRoom(Demand demand, long nowMillis) {
+		return choose(demand, nowMillis).isPresent();
+	}
+
 	/**
 	 * Ends a call at an upstream and gives its place to the next one.
 	 */
--- a/src/test/java/org/jaywood/gateway/MisbehavingUpstreamTests.java
+++ b/src/test/java/org/jaywood/gateway/MisbehavingUpstreamTests.java
@@ -26,6 +26,9 @@
 
 	private static final long PACE_MILLIS = 50;
 
+	/** Silence after which another upstream is wanted. */
+	private static final long SILENCE_MILLIS = 2_000;
+
 	private static String withDeadline(String request) {
 		return request.replaceFirst("X-Deadline-Ms: \\d+", "X-Deadline-Ms: " + DEADLINE_MILLIS);
 	}
@@ -136,6 +139,42 @@
 			assertThat(slow.requests()).hasSize(1);
 		}
 
+		@Test
+		void aSilentUpstreamKeepsItsCallWhileNoOtherCanTakeIt() throws IOException {
+			FakeUpstream silent = new FakeUpstream((request, number, out, socket) -> {
+				pause(SILENCE_MILLIS);
+				write(out, FakeUpstream.streamHead(request) + FakeUpstream.chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n");
+			});
+			String answer = exchange(start(silent), STREAM);
+			assertThat(answer).contains("id: 1\ndata: a\n\n");
+			assertThat(answer).endsWith("0\r\n\r\n");
+			assertThat(silent.requests()).hasSize(1);
+		}
+
+		@Test
+		void aStreamThatPausesGoesOnWhileNoOtherCanTakeIt() throws IOException {
+			FakeUpstream silent = new FakeUpstream((request, number, out, socket) -> {
+				write(out, FakeUpstream.streamHead(request) + FakeUpstream.chunk("id: 1\ndata: a\n\n"));
+				pause(SILENCE_MILLIS);
+				write(out, FakeUpstream.chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+			});
+			String answer = exchange(start(silent), STREAM);
+			assertThat(answer).contains("id: 2\ndata: b\n\n");
+			assertThat(answer).endsWith("0\r\n\r\n");
+			assertThat(silent.requests()).hasSize(1);
+		}
+
+		@Test
+		void aSilentUpstreamLosesItsCallToOneThatHasRoom() throws IOException {
+			FakeUpstream silent = new FakeUpstream((request, number, out, socket) -> pause(4 * SILENCE_MILLIS));
+			FakeUpstream sound = new FakeUpstream((request, number, out, socket) -> write(out,
+					FakeUpstream.streamHead(request) + FakeUpstream.chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n"));
+			Gateway gateway = start(silent, sound);
+			for (int call = 0; call < 4; call++) {
+				assertThat(exchange(gateway, STREAM)).endsWith("0\r\n\r\n");
+			}
+		}
+
 		private static void pause(long millis) throws IOException {
 			try {
 				Thread.sleep(millis);
