--- a/src/main/java/org/jaywood/replica/HeldPieces.java
+++ b/src/main/java/org/jaywood/replica/HeldPieces.java
@@ -63,6 +63,13 @@
 		return (staged != null) ? new Piece(first, staged) : null;
 	}
 
+	/**
+	 * Whether this agent has pieces of a version or is about to get them.
+	 */
+	boolean expects(NamedWeights weights) {
+		return serving(weights) || this.copies.copy(weights) != null;
+	}
+
 	private @Nullable WeightCopy copy(NamedWeights weights, long waitMillis) throws InterruptedException {
 		return serving(weights) ? this.copies.copy(weights) : this.copies.awaitCopy(weights, waitMillis);
 	}
--- a/src/main/java/org/jaywood/replica/Replica.java
+++ b/src/main/java/org/jaywood/replica/Replica.java
@@ -29,6 +29,9 @@
 	/** Interval at which a stream of pieces shows that this agent is alive. */
 	private static final long HEARTBEAT_MILLIS = 400;
 
+	/** Time in which this agent may still hear of a version that a peer asks for. */
+	private static final long UNKNOWN_VERSION_MILLIS = 1_200;
+
 	private static final long MAX_WAIT_MILLIS = 5_000;
 
 	private final ReplicaSettings settings;
@@ -139,8 +142,9 @@
 		BitSet wanted = PieceFrames.parseSet(exchange.query().getOrDefault("pieces", ""));
 		boolean far = exchange.query().containsKey("far");
 		try (OutputStream out = exchange.stream(200, "application/octet-stream")) {
-			long untilMillis = BootClock.nowMillis() + waitMillis;
-			while (!wanted.isEmpty() && BootClock.nowMillis() < untilMillis && !this.draining) {
+			long sinceMillis = BootClock.nowMillis();
+			while (!wanted.isEmpty() && !this.draining
+					&& BootClock.nowMillis() - sinceMillis < patienceMillis(weights, waitMillis)) {
 				HeldPieces.Piece piece = this.pieces.next(weights, wanted, HEARTBEAT_MILLIS);
 				if (piece == null) {
 					out.write(PieceFrames.encodeHeartbeat());
@@ -149,7 +153,7 @@
 				}
 				this.pacer.send(out, PieceFrames.encode(piece), far);
 				wanted.clear(piece.index());
-				untilMillis = BootClock.nowMillis() + waitMillis;
+				sinceMillis = BootClock.nowMillis();
 			}
 		}
 		catch (IOException ex) {
@@ -157,6 +161,10 @@
 		}
 	}
 
+	private long patienceMillis(NamedWeights weights, long waitMillis) {
+		return this.pieces.expects(weights) ? waitMillis : Math.min(waitMillis, UNKNOWN_VERSION_MILLIS);
+	}
+
 	private static void sendList(Exchange exchange, @Nullable PieceList list) throws IOException {
 		if (list == null) {
 			exchange.respondError(404, "no list of these weights");
--- a/src/main/java/org/jaywood/replica/Rollout.java
+++ b/src/main/java/org/jaywood/replica/Rollout.java
@@ -19,8 +19,11 @@
  */
 final class Rollout {
 
-	/** Age of a naming up to which a newer version takes its place at once. */
-	private static final long REPLACE_MILLIS = 2_000;
+	/**
+	 * Age of a naming up to which a newer version takes its place at once: about half of
+	 * the time of a transfer.
+	 */
+	private static final long REPLACE_MILLIS = 2_500;
 
 	/** Time after a naming at which the second half of the engines loads. */
 	private static final long SECOND_HALF_MILLIS = 6_100;
--- a/src/test/java/org/jaywood/replica/RolloutTests.java
+++ b/src/test/java/org/jaywood/replica/RolloutTests.java
@@ -45,6 +45,19 @@
 			assertThat(RolloutTests.this.rollout.versions()).containsExactly(version(3));
 		}
 
+		/**
+		 * Agents that decide differently have nothing to pass on to each other.
+		 */
+		@Test
+		void agentsThatLearnOfNamingsAtDifferentTimesDecideAlike() {
+			for (long delayMillis = -400; delayMillis <= 400; delayMillis += 100) {
+				Rollout agent = new Rollout();
+				agent.onNamed(version(2), NOW);
+				agent.onNamed(version(3), NOW + 2_000 + delayMillis);
+				assertThat(agent.versions()).containsExactly(version(3));
+			}
+		}
+
 		@Test
 		void anOlderNamingChangesNothing() {
 			RolloutTests.this.rollout.onNamed(version(3), NOW);
