--- a/src/main/java/org/jaywood/gateway/HandOver.java
+++ b/src/main/java/org/jaywood/gateway/HandOver.java
@@ -156,7 +156,7 @@
 	private void awaitAnswer(ClientConnection connection) throws IOException {
 		long waitMillis = silenceMillis(REPEATABLE_HEAD_MILLIS);
 		while (!connection.awaitBytes(Math.min(waitMillis, remainingMillis()))) {
-			bearSilence();
+			onSilence();
 			waitMillis = RECHECK_MILLIS;
 		}
 	}
@@ -174,7 +174,7 @@
 				return body.read(part);
 			}
 			catch (SocketTimeoutException ex) {
-				bearSilence();
+				onSilence();
 				waitMillis = RECHECK_MILLIS;
 			}
 		}
@@ -185,7 +185,7 @@
 	 * cannot be tried elsewhere, since it may be running it.
 	 * @throws IOException if the call is to be tried elsewhere, or its time is over
 	 */
-	private void bearSilence() throws IOException {
+	private void onSilence() throws IOException {
 		if (this.call.remainingMillis(BootClock.nowMillis()) <= 0) {
 			throw new IOException("no answer within the time of the call");
 		}
--- a/src/main/java/org/jaywood/replica/PeerPieces.java
+++ b/src/main/java/org/jaywood/replica/PeerPieces.java
@@ -53,14 +53,14 @@
 	 * Receives pieces in the order in which they arrive at a peer, until all have come or
 	 * the peer has got none for a while.
 	 * @param far whether the peer lies in another region
-	 * @param patienceMillis longest wait for a piece that the peer is to get itself
+	 * @param waitMillis longest wait for a piece that the peer is to get itself
 	 * @param receiver takes each piece and tells whether more are wanted
 	 * @throws ConnectionException if the peer cannot be reached
 	 * @throws IOException if the peer refuses, is silent or breaks off
 	 */
-	void pieces(Address agent, NamedWeights weights, BitSet pieces, boolean far, long patienceMillis,
+	void pieces(Address agent, NamedWeights weights, BitSet pieces, boolean far, long waitMillis,
 			Predicate<HeldPieces.Piece> receiver) throws IOException {
-		String path = path(weights) + STREAM + "?pieces=" + PieceFrames.encodeSet(pieces) + "&wait=" + patienceMillis
+		String path = path(weights) + STREAM + "?pieces=" + PieceFrames.encodeSet(pieces) + "&wait=" + waitMillis
 				+ (far ? "&far=1" : "");
 		ClientConnection connection = this.pool.acquire(agent, CONNECT_MILLIS);
 		boolean whole = false;
--- a/src/main/java/org/jaywood/replica/PieceFetcher.java
+++ b/src/main/java/org/jaywood/replica/PieceFetcher.java
@@ -184,7 +184,7 @@
 			Upstream peer = request.peer();
 			try {
 				PieceFetcher.this.peers.pieces(agent(peer), this.target, request.pieces(), isFar(peer),
-						request.patienceMillis(), (piece) -> accept(piece, peer.id()));
+						request.waitMillis(), (piece) -> accept(piece, peer.id()));
 				return true;
 			}
 			catch (ConnectionException ex) {
--- a/src/main/java/org/jaywood/replica/PieceRequest.java
+++ b/src/main/java/org/jaywood/replica/PieceRequest.java
@@ -17,9 +17,9 @@
 	 *
 	 * @param peer engine of the agent that is asked
 	 * @param pieces indexes of the pieces
-	 * @param patienceMillis longest wait for a piece that the peer is to get itself
+	 * @param waitMillis longest wait for a piece that the peer is to get itself
 	 */
-	record FromPeer(Upstream peer, BitSet pieces, long patienceMillis) implements PieceRequest {
+	record FromPeer(Upstream peer, BitSet pieces, long waitMillis) implements PieceRequest {
 	}
 
 	/**
--- a/src/main/java/org/jaywood/replica/PieceSchedule.java
+++ b/src/main/java/org/jaywood/replica/PieceSchedule.java
@@ -34,10 +34,10 @@
 	 * Wait at the first source for a piece that is still on its way there: longer than
 	 * the origin takes to send a copy.
 	 */
-	private static final long FIRST_PATIENCE_MILLIS = 4_000;
+	private static final long FIRST_WAIT_MILLIS = 4_000;
 
 	/** Wait at a later source, which should have the piece already. */
-	private static final long PATIENCE_MILLIS = 700;
+	private static final long LATER_WAIT_MILLIS = 700;
 
 	private final Map<Integer, List<Upstream>> sources = new HashMap<>();
 
@@ -103,7 +103,7 @@
 			BitSet pieces = new BitSet();
 			pieces.set(index);
 			byPeer.put(peer.id(), new PieceRequest.FromPeer(peer, pieces,
-					(triedSources(index) == 0) ? FIRST_PATIENCE_MILLIS : PATIENCE_MILLIS));
+					(triedSources(index) == 0) ? FIRST_WAIT_MILLIS : LATER_WAIT_MILLIS));
 		}
 	}
 
--- a/src/main/java/org/jaywood/replica/Replica.java
+++ b/src/main/java/org/jaywood/replica/Replica.java
@@ -144,7 +144,7 @@
 		try (OutputStream out = exchange.stream(200, "application/octet-stream")) {
 			long sinceMillis = BootClock.nowMillis();
 			while (!wanted.isEmpty() && !this.draining
-					&& BootClock.nowMillis() - sinceMillis < patienceMillis(weights, waitMillis)) {
+					&& BootClock.nowMillis() - sinceMillis < longestWaitMillis(weights, waitMillis)) {
 				HeldPieces.Piece piece = this.pieces.next(weights, wanted, HEARTBEAT_MILLIS);
 				if (piece == null) {
 					out.write(PieceFrames.encodeHeartbeat());
@@ -161,7 +161,7 @@
 		}
 	}
 
-	private long patienceMillis(NamedWeights weights, long waitMillis) {
+	private long longestWaitMillis(NamedWeights weights, long waitMillis) {
 		return this.pieces.expects(weights) ? waitMillis : Math.min(waitMillis, UNKNOWN_VERSION_MILLIS);
 	}
 
--- a/src/main/java/org/jaywood/replica/SourcePlan.java
+++ b/src/main/java/org/jaywood/replica/SourcePlan.java
@@ -36,7 +36,7 @@
 	private static final double GOLDEN_SHARE = 0.382;
 
 	/** Place of the agent that stands in for the root of a tree. */
-	private static final int DEPUTY_PLACE = 1;
+	private static final int STANDBY_PLACE = 1;
 
 	private static final Hasher64 HASH = Hashing.xxh3_64();
 
@@ -84,13 +84,13 @@
 		List<Upstream> order = rotated(this.members, index);
 		int place = order.indexOf(this.own);
 		List<Upstream> sources = new ArrayList<>(ancestors(order, place));
-		if (place > DEPUTY_PLACE && !sources.contains(order.get(DEPUTY_PLACE))) {
-			sources.add(order.get(DEPUTY_PLACE));
+		if (place > STANDBY_PLACE && !sources.contains(order.get(STANDBY_PLACE))) {
+			sources.add(order.get(STANDBY_PLACE));
 		}
 		if (!this.holders.isEmpty()) {
 			sources.addAll(holders(index));
 		}
-		else if (place <= DEPUTY_PLACE) {
+		else if (place <= STANDBY_PLACE) {
 			sources.addAll(rootsBefore(index));
 		}
 		return sources;
--- a/src/main/java/org/jaywood/router/CallRelay.java
+++ b/src/main/java/org/jaywood/router/CallRelay.java
@@ -29,6 +29,12 @@
 
 	private static final long MAX_POLL_MILLIS = 500;
 
+	/**
+	 * Time left below which a call that found its upstreams full is not handed over
+	 * again: a reply could come too late, and the outcome would be unknown.
+	 */
+	private static final long LEAST_ATTEMPT_MILLIS = 100;
+
 	/** Part of the remaining time kept for fencing a hand-over that gets no reply. */
 	private static final long FENCE_RESERVE_MILLIS = 1_000;
 
@@ -96,7 +102,7 @@
 		// The first hand-over and one after a wait are paced by the queue.
 		boolean retry = false;
 		boolean busy = !turn.running();
-		while (call.remainingMillis(this.clock.getAsLong()) > 0) {
+		while (call.remainingMillis(this.clock.getAsLong()) > (busy ? LEAST_ATTEMPT_MILLIS : 0)) {
 			long nowMillis = this.clock.getAsLong();
 			Optional<VmRecord> agent = this.chooser.choose(call, this.configuration.current(), excluded, nowMillis);
 			if (!turn.running() || agent.isEmpty() || (retry && !this.retries.tryTake(nowMillis))) {
