Look for the close of a caller before its call begins after a stall

Change: StallWatch tells by late ticks that the process did not run for a while; for 3 s from then on a connection looks for a close for 1 ms before it begins a call. Otherwise nothing is added to a call.

--- a/src/main/java/org/jaywood/gateway/ActiveCalls.java
+++ b/src/main/java/org/jaywood/gateway/ActiveCalls.java
@@ -12,6 +12,8 @@
 
 	private final CallAdmission admission;
 
+	private final StallWatch stalls = new StallWatch();
+
 	private volatile boolean draining;
 
 	ActiveCalls(CallAdmission admission) {
@@ -22,6 +24,10 @@
 		return this.admission;
 	}
 
+	StallWatch stalls() {
+		return this.stalls;
+	}
+
 	void add(CallerConnection connection) {
 		this.connections.add(connection);
 	}
--- a/src/main/java/org/jaywood/gateway/CallerConnection.java
+++ b/src/main/java/org/jaywood/gateway/CallerConnection.java
@@ -25,6 +25,9 @@
 	/** Limits until a configuration is known. */
 	private static final RequestLimits DEFAULT_LIMITS = new RequestLimits(16 * 1024, 4 * 1024 * 1024, 3_000, 15_000);
 
+	/** Wait that shows after a stall whether the caller has left meanwhile. */
+	private static final long LEFT_CHECK_MILLIS = 1;
+
 	/** Time for which a connection is read on after its last answer. */
 	private static final long LINGER_MILLIS = 1_000;
 
@@ -86,10 +89,17 @@
 
 	private boolean serve(CallerRequest request, RequestReader reader, ResponseWriter writer)
 			throws InterruptedException {
+		RequestReader.Arrival arrival = RequestReader.Arrival.NOTHING;
+		if (this.active.stalls().stalledLately(BootClock.nowMillis())) {
+			arrival = reader.await(LEFT_CHECK_MILLIS);
+		}
+		if (arrival == RequestReader.Arrival.CLOSED) {
+			this.context.metrics().counter("call.caller_gone").inc();
+			return false;
+		}
 		Cancellation cancellation = new Cancellation();
 		CallerReply reply = new CallerReply(writer, this.active.draining() || wantsClose(request));
 		Thread call = Thread.ofVirtual().start(() -> handle(request, reply, cancellation));
-		RequestReader.Arrival arrival = RequestReader.Arrival.NOTHING;
 		while (arrival == RequestReader.Arrival.NOTHING && (call.isAlive() || reply.reusable())) {
 			arrival = reader.await(limits().idleTimeoutMillis());
 			if (arrival == RequestReader.Arrival.NOTHING && !call.isAlive()) {
--- a/src/main/java/org/jaywood/gateway/Gateway.java
+++ b/src/main/java/org/jaywood/gateway/Gateway.java
@@ -189,6 +189,7 @@
 	}
 
 	private void tick(long nowMillis) {
+		this.active.stalls().tick(nowMillis);
 		this.context.knowledge().onTick(nowMillis);
 		this.context.dispatcher().tick(nowMillis);
 		this.ticks++;
