Log the progress of a transfer of weights each second

Hypotheses that they could not tell apart: agents wait for peers that wait themselves; agents crowd the origin for the same pieces; the pieces arrive, but slowly.

1306 TRANSFER_PROGRESS says each second of a transfer what is missing, what came from peers and from the origin, how long the origin took, and who is asked now.

--- a/src/main/java/org/jaywood/event/Event.java
+++ b/src/main/java/org/jaywood/event/Event.java
@@ -94,6 +94,10 @@
 	/** Pieces were laid beside the engine, or replaced where others lay. */
 	PIECES_STAGED(1305, Level.INFO, "{count} pieces of {model} {version} staged"),
 
+	/** A transfer of weights goes on. */
+	TRANSFER_PROGRESS(1306, Level.INFO,
+			"{manifest} after {millis} ms: {missing} pieces missing, {fromPeers} from peers, {fromOrigin} from the origin in {originMillis} ms at most"),
+
 	/** An engine serves the ordered weights. */
 	WEIGHTS_ACTIVATED(1401, Level.INFO, "engine serves {manifest}"),
 
--- a/src/main/java/org/jaywood/replica/PieceFetcher.java
+++ b/src/main/java/org/jaywood/replica/PieceFetcher.java
@@ -1,9 +1,12 @@
 package org.jaywood.replica;
 
 import java.io.IOException;
+import java.util.BitSet;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 
 import org.jspecify.annotations.Nullable;
@@ -38,6 +41,9 @@
 
 	private static final long ORIGIN_PAUSE_MILLIS = 150;
 
+	/** Interval of the log lines of a transfer. */
+	private static final long PROGRESS_MILLIS = 1_000;
+
 	private final FleetKnowledge fleet;
 
 	private final PeerPieces peers;
@@ -139,6 +145,12 @@
 
 		private final ChangeSignal ends = new ChangeSignal();
 
+		private final AtomicInteger receivedOfPeers = new AtomicInteger();
+
+		private final AtomicInteger receivedOfOrigin = new AtomicInteger();
+
+		private final AtomicLong originMillis = new AtomicLong();
+
 		Transfer(WeightCopy copy, Upstream own, BooleanSupplier wanted) {
 			this.copy = copy;
 			this.target = new NamedWeights(copy.list().model(), copy.list().version());
@@ -148,15 +160,32 @@
 
 		void run() throws InterruptedException {
 			long seen = -1;
+			long sinceMillis = BootClock.nowMillis();
+			long reportedMillis = sinceMillis;
 			while (!this.copy.complete() && this.wanted.getAsBoolean()) {
+				long nowMillis = BootClock.nowMillis();
 				if (this.ends.changes() != seen) {
 					seen = this.ends.changes();
-					begin(BootClock.nowMillis());
+					begin(nowMillis);
+				}
+				if (nowMillis - reportedMillis >= PROGRESS_MILLIS) {
+					reportedMillis = nowMillis;
+					report(nowMillis - sinceMillis);
 				}
 				this.ends.await(seen, WANTED_CHECK_MILLIS);
 			}
 		}
 
+		private synchronized void report(long millis) {
+			BitSet missing = this.copy.missing();
+			PieceFetcher.this.log.log(Event.TRANSFER_PROGRESS, "manifest",
+					this.target.model() + "/" + this.target.version(), "millis", millis, "missing",
+					missing.cardinality(), "fromPeers", this.receivedOfPeers.get(), "fromOrigin",
+					this.receivedOfOrigin.get(), "originMillis", this.originMillis.getAndSet(0), "pieces",
+					PieceFrames.encodeSet(missing), "askedOfOrigin",
+					PieceFrames.encodeSet(this.schedule.askedOfOrigin()), "askedOfPeers", this.schedule.askedOfPeers());
+		}
+
 		private synchronized void begin(long nowMillis) {
 			this.schedule.next(this.copy.missing(), (peer) -> reachable(peer, nowMillis))
 				.forEach((request) -> Tasks.pool().execute(() -> ask(request)));
@@ -184,7 +213,7 @@
 			Upstream peer = request.peer();
 			try {
 				PieceFetcher.this.peers.pieces(agent(peer), this.target, request.pieces(), isFar(peer),
-						request.waitMillis(), (piece) -> accept(piece, peer.id()));
+						request.waitMillis(), (piece) -> accept(piece, peer.id(), this.receivedOfPeers));
 				return true;
 			}
 			catch (ConnectionException ex) {
@@ -199,10 +228,12 @@
 		}
 
 		private boolean askOrigin(PieceRequest.FromOrigin request) {
+			long sinceMillis = BootClock.nowMillis();
 			try {
 				byte[] bytes = PieceFetcher.this.origin.piece(originAddress(), this.target.model(),
 						this.target.version(), request.index());
-				accept(new HeldPieces.Piece(request.index(), bytes), ORIGIN);
+				this.originMillis.accumulateAndGet(BootClock.nowMillis() - sinceMillis, Math::max);
+				accept(new HeldPieces.Piece(request.index(), bytes), ORIGIN, this.receivedOfOrigin);
 			}
 			catch (IOException | RuntimeException ex) {
 				logFailure(Integer.toString(request.index()), ORIGIN, ex);
@@ -218,9 +249,11 @@
 
 		/**
 		 * Takes a piece if it is the right one.
+		 * @param received count of the pieces that came from such sources
 		 * @return whether the copy is still wanted
 		 */
-		private boolean accept(HeldPieces.Piece piece, String source) {
+		private boolean accept(HeldPieces.Piece piece, String source, AtomicInteger received) {
+			received.incrementAndGet();
 			if (!this.copy.offer(piece.index(), piece.bytes())) {
 				PieceFetcher.this.log.log(Event.CHUNK_CORRUPT, "chunk", piece.index(), "source", source);
 			}
--- a/src/main/java/org/jaywood/replica/PieceSchedule.java
+++ b/src/main/java/org/jaywood/replica/PieceSchedule.java
@@ -49,6 +49,8 @@
 
 	private SourcePlan plan;
 
+	private final BitSet askedOfOrigin = new BitSet();
+
 	private int originRequests;
 
 	private int maxOriginRequests;
@@ -86,6 +88,7 @@
 			}
 			else if (this.originRequests < this.maxOriginRequests) {
 				this.originRequests++;
+				this.askedOfOrigin.set(index);
 				requests.add(new PieceRequest.FromOrigin(index));
 			}
 		});
@@ -125,11 +128,26 @@
 			}
 			case PieceRequest.FromOrigin fromOrigin -> {
 				this.originRequests--;
+				this.askedOfOrigin.clear(fromOrigin.index());
 				failed.stream().forEach(this.tried::remove);
 			}
 		}
 	}
 
+	/**
+	 * The pieces that are asked of the origin now.
+	 */
+	BitSet askedOfOrigin() {
+		return (BitSet) this.askedOfOrigin.clone();
+	}
+
+	/**
+	 * Ids of the engines whose agents are asked now.
+	 */
+	Set<String> askedOfPeers() {
+		return Set.copyOf(this.askedPeers);
+	}
+
 	private void skip(int index, Upstream peer) {
 		this.tried.put(index, sources(index).indexOf(peer) + 1);
 	}
