--- a/src/main/java/org/jaywood/event/Event.java
+++ b/src/main/java/org/jaywood/event/Event.java
@@ -98,6 +98,10 @@
 	TRANSFER_PROGRESS(1306, Level.INFO,
 			"{manifest} after {millis} ms: {missing} pieces missing, {fromPeers} from peers, {fromOrigin} from the origin in {originMillis} ms at most"),
 
+	/** A stream of pieces to a peer has ended. */
+	PIECES_SENT(1307, Level.INFO,
+			"{count} of {asked} pieces of {manifest} sent to {peer} in {millis} ms, {idleMillis} ms of them without a piece to send"),
+
 	/** An engine serves the ordered weights. */
 	WEIGHTS_ACTIVATED(1401, Level.INFO, "engine serves {manifest}"),
 
--- a/src/main/java/org/jaywood/replica/Replica.java
+++ b/src/main/java/org/jaywood/replica/Replica.java
@@ -141,8 +141,11 @@
 			throws IOException, InterruptedException {
 		BitSet wanted = PieceFrames.parseSet(exchange.query().getOrDefault("pieces", ""));
 		boolean far = exchange.query().containsKey("far");
+		int asked = wanted.cardinality();
+		long beginMillis = BootClock.nowMillis();
+		long idleMillis = 0;
 		try (OutputStream out = exchange.stream(200, "application/octet-stream")) {
-			long sinceMillis = BootClock.nowMillis();
+			long sinceMillis = beginMillis;
 			while (!wanted.isEmpty() && !this.draining
 					&& BootClock.nowMillis() - sinceMillis < longestWaitMillis(weights, waitMillis)) {
 				HeldPieces.Piece piece = this.pieces.next(weights, wanted, HEARTBEAT_MILLIS);
@@ -151,6 +154,7 @@
 					out.flush();
 					continue;
 				}
+				idleMillis += BootClock.nowMillis() - sinceMillis;
 				this.pacer.send(out, PieceFrames.encode(piece), far);
 				wanted.clear(piece.index());
 				sinceMillis = BootClock.nowMillis();
@@ -159,6 +163,11 @@
 		catch (IOException ex) {
 			throw exchange.abort("peer " + exchange.clientHost() + " left: " + ex.getMessage());
 		}
+		finally {
+			this.log.log(Event.PIECES_SENT, "count", asked - wanted.cardinality(), "asked", asked, "manifest",
+					weights.model() + "/" + weights.version(), "peer", exchange.clientHost(), "millis",
+					BootClock.nowMillis() - beginMillis, "idleMillis", idleMillis);
+		}
 	}
 
 	private long longestWaitMillis(NamedWeights weights, long waitMillis) {
