Ask peers for a piece in rounds, and the origin in turns

Cause: a piece that no peer had in time was asked of the origin only, for good, in the order of its number, one at a time. Idle connections of those that were done filled the 48 that the origin bears. Plans were made once for a transfer, so agents that began at different times waited for each other.

Change: peers are asked in rounds without end. The origin is asked by the root of the tree at once, by others after rounds in vain, with each round by twice as many, the ones with the first turns first; a failure of the origin begins the count anew. A piece asked of the origin is still asked of peers. Plans follow the list of engines. Connections to the origin are closed when nothing more is asked of it. Added engines give up an idle source after 1.5 s, since the version is served already.

--- a/src/main/java/org/jaywood/platform/PlatformEngine.java
+++ b/src/main/java/org/jaywood/platform/PlatformEngine.java
@@ -105,6 +105,11 @@
 		return reply.body();
 	}
 
+	@Override
+	public void release(Address origin) {
+		this.pool.forget(origin);
+	}
+
 	private WholeAnswer poll(String path) throws EngineUnavailableException {
 		try {
 			return this.pool.poll(this.engine, new BasicClassicHttpRequest("GET", path), ANSWER_MILLIS);
--- a/src/main/java/org/jaywood/replica/PieceFetcher.java
+++ b/src/main/java/org/jaywood/replica/PieceFetcher.java
@@ -41,6 +41,9 @@
 
 	private static final long ORIGIN_PAUSE_MILLIS = 150;
 
+	/** Shortest time between two plans of a transfer. */
+	private static final long REPLAN_MILLIS = 1_000;
+
 	/** Interval of the log lines of a transfer. */
 	private static final long PROGRESS_MILLIS = 1_000;
 
@@ -139,6 +142,8 @@
 
 		private final NamedWeights target;
 
+		private final Upstream own;
+
 		private final BooleanSupplier wanted;
 
 		private final PieceSchedule schedule;
@@ -151,10 +156,17 @@
 
 		private final AtomicLong originMillis = new AtomicLong();
 
+		private long plannedChanges;
+
+		private long plannedMillis;
+
 		Transfer(WeightCopy copy, Upstream own, BooleanSupplier wanted) {
 			this.copy = copy;
 			this.target = new NamedWeights(copy.list().model(), copy.list().version());
+			this.own = own;
 			this.wanted = wanted;
+			this.plannedChanges = PieceFetcher.this.fleet.changes().changes();
+			this.plannedMillis = BootClock.nowMillis();
 			this.schedule = new PieceSchedule(plan(this.target, own));
 		}
 
@@ -164,6 +176,7 @@
 			long reportedMillis = sinceMillis;
 			while (!this.copy.complete() && this.wanted.getAsBoolean()) {
 				long nowMillis = BootClock.nowMillis();
+				replan(nowMillis);
 				if (this.ends.changes() != seen) {
 					seen = this.ends.changes();
 					begin(nowMillis);
@@ -174,21 +187,44 @@
 				}
 				this.ends.await(seen, WANTED_CHECK_MILLIS);
 			}
+			releaseOrigin();
 		}
 
 		private synchronized void report(long millis) {
 			BitSet missing = this.copy.missing();
 			PieceFetcher.this.log.log(Event.TRANSFER_PROGRESS, "manifest",
-					this.target.model() + "/" + this.target.version(), "millis", millis, "missing",
-					missing.cardinality(), "fromPeers", this.receivedOfPeers.get(), "fromOrigin",
+					this.target.model() + "/" + this.target.version(), "engine", this.own.id(), "millis", millis,
+					"missing", missing.cardinality(), "fromPeers", this.receivedOfPeers.get(), "fromOrigin",
 					this.receivedOfOrigin.get(), "originMillis", this.originMillis.getAndSet(0), "pieces",
 					PieceFrames.encodeSet(missing), "askedOfOrigin",
 					PieceFrames.encodeSet(this.schedule.askedOfOrigin()), "askedOfPeers", this.schedule.askedOfPeers());
 		}
 
+		/**
+		 * Follows the list of engines while it changes: agents that plan by different
+		 * lists may wait for each other.
+		 */
+		private synchronized void replan(long nowMillis) {
+			long changes = PieceFetcher.this.fleet.changes().changes();
+			if (changes != this.plannedChanges && nowMillis - this.plannedMillis >= REPLAN_MILLIS) {
+				this.plannedChanges = changes;
+				this.plannedMillis = nowMillis;
+				PieceFetcher.this.fleet.own().ifPresent((own) -> this.schedule.follow(plan(this.target, own)));
+			}
+		}
+
 		private synchronized void begin(long nowMillis) {
 			this.schedule.next(this.copy.missing(), (peer) -> reachable(peer, nowMillis))
 				.forEach((request) -> Tasks.pool().execute(() -> ask(request)));
+			if (this.schedule.askedOfOrigin().isEmpty()) {
+				releaseOrigin();
+			}
+		}
+
+		private void releaseOrigin() {
+			PieceFetcher.this.fleet.origin()
+				.map(ServiceProfile.Origin::address)
+				.ifPresent(PieceFetcher.this.origin::release);
 		}
 
 		private void ask(PieceRequest request) {
@@ -238,15 +274,10 @@
 			catch (IOException | RuntimeException ex) {
 				logFailure(Integer.toString(request.index()), ORIGIN, ex);
 				pause();
-				replan();
 			}
 			return true;
 		}
 
-		private synchronized void replan() {
-			PieceFetcher.this.fleet.own().ifPresent((own) -> this.schedule.follow(plan(this.target, own)));
-		}
-
 		/**
 		 * Takes a piece if it is the right one.
 		 * @param received count of the pieces that came from such sources
--- a/src/main/java/org/jaywood/replica/PieceSchedule.java
+++ b/src/main/java/org/jaywood/replica/PieceSchedule.java
@@ -2,12 +2,16 @@
 
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 import org.jaywood.routing.Upstream;
 
@@ -16,8 +20,11 @@
  * that all agents of a large fleet lack at once: each asks few peers, and each of them
  * for all pieces that it is to pass on, so that neither the connections of an agent nor
  * those of the origin grow with the fleet. A piece that a source does not have in time is
- * asked of the next source of the plan, and of the origin after the last one. Not safe
- * for use by several threads.
+ * asked of the next source of the plan, and after the last one of the first one again: a
+ * source that lacks a piece now may have it later. The link of the origin is for the
+ * agents at the first places of the trees. Others turn to it after rounds in vain, those
+ * at lower places later, so that a piece leaves the origin a few times at most, also
+ * after an outage in which nobody got it. Not safe for use by several threads.
  */
 final class PieceSchedule {
 
@@ -36,23 +43,25 @@
 	 */
 	private static final long FIRST_WAIT_MILLIS = 4_000;
 
+	/** Wait at the first source for a piece that other engines have. */
+	private static final long SERVED_WAIT_MILLIS = 1_500;
+
 	/** Wait at a later source, which should have the piece already. */
 	private static final long LATER_WAIT_MILLIS = 700;
 
-	private final Map<Integer, List<Upstream>> sources = new HashMap<>();
+	/** Largest number of rounds that is told apart. */
+	private static final int MAX_ROUNDS = 16;
 
-	private final Map<Integer, Integer> tried = new HashMap<>();
+	private final Map<Integer, Sources> sources = new HashMap<>();
 
 	private final BitSet asked = new BitSet();
 
+	private final BitSet askedOfOrigin = new BitSet();
+
 	private final Set<String> askedPeers = new HashSet<>();
 
 	private SourcePlan plan;
 
-	private final BitSet askedOfOrigin = new BitSet();
-
-	private int originRequests;
-
 	private int maxOriginRequests;
 
 	PieceSchedule(SourcePlan plan) {
@@ -61,12 +70,11 @@
 	}
 
 	/**
-	 * Takes a plan made of newer knowledge.
+	 * Takes a plan made of newer knowledge. Rounds in vain go on counting.
 	 */
 	void follow(SourcePlan latest) {
 		this.plan = latest;
-		this.sources.clear();
-		this.tried.clear();
+		this.sources.replaceAll((index, known) -> known.follow(latest.sources(index), latest.originTurn(index)));
 		this.maxOriginRequests = Math.clamp(ORIGIN_CONNECTIONS / Math.max(1, latest.regionSize()), 1,
 				MAX_ORIGIN_REQUESTS);
 	}
@@ -77,24 +85,19 @@
 	 * @param reachable whether a peer may be asked
 	 */
 	List<PieceRequest> next(BitSet missing, Predicate<Upstream> reachable) {
+		List<PieceRequest> requests = new ArrayList<>(ofPeers(missing, reachable));
+		requests.addAll(ofOrigin(missing, reachable));
+		return requests;
+	}
+
+	private Collection<PieceRequest.FromPeer> ofPeers(BitSet missing, Predicate<Upstream> reachable) {
 		BitSet open = (BitSet) missing.clone();
 		open.andNot(this.asked);
-		List<PieceRequest> requests = new ArrayList<>();
 		Map<String, PieceRequest.FromPeer> byPeer = new HashMap<>();
-		open.stream().forEach((index) -> {
-			List<Upstream> left = sources(index).stream().skip(triedSources(index)).filter(reachable).toList();
-			if (!left.isEmpty()) {
-				askPeer(left.getFirst(), index, byPeer);
-			}
-			else if (this.originRequests < this.maxOriginRequests) {
-				this.originRequests++;
-				this.askedOfOrigin.set(index);
-				requests.add(new PieceRequest.FromOrigin(index));
-			}
-		});
-		requests.addAll(byPeer.values());
-		requests.forEach((request) -> this.asked.or(request.pieces()));
-		return requests;
+		open.stream()
+			.forEach((index) -> sources(index).next(reachable).ifPresent((peer) -> askPeer(peer, index, byPeer)));
+		byPeer.values().forEach((request) -> this.asked.or(request.pieces()));
+		return byPeer.values();
 	}
 
 	private void askPeer(Upstream peer, int index, Map<String, PieceRequest.FromPeer> byPeer) {
@@ -105,31 +108,55 @@
 		else if (this.askedPeers.size() < MAX_PEERS && this.askedPeers.add(peer.id())) {
 			BitSet pieces = new BitSet();
 			pieces.set(index);
-			byPeer.put(peer.id(), new PieceRequest.FromPeer(peer, pieces,
-					(triedSources(index) == 0) ? FIRST_WAIT_MILLIS : LATER_WAIT_MILLIS));
+			byPeer.put(peer.id(), new PieceRequest.FromPeer(peer, pieces, waitMillis(index)));
 		}
 	}
 
+	private long waitMillis(int index) {
+		if (!sources(index).isFirst()) {
+			return LATER_WAIT_MILLIS;
+		}
+		return this.plan.served() ? SERVED_WAIT_MILLIS : FIRST_WAIT_MILLIS;
+	}
+
+	/**
+	 * Pieces for the origin, first those for which it is the turn of this agent soonest.
+	 */
+	private List<PieceRequest.FromOrigin> ofOrigin(BitSet missing, Predicate<Upstream> reachable) {
+		BitSet open = (BitSet) missing.clone();
+		open.andNot(this.askedOfOrigin);
+		List<PieceRequest.FromOrigin> requests = open.stream()
+			.boxed()
+			.filter((index) -> sources(index).mayAskOrigin(reachable))
+			.sorted(Comparator.comparingInt((index) -> sources(index).originTurn()))
+			.limit(Math.max(0, this.maxOriginRequests - this.askedOfOrigin.cardinality()))
+			.map(PieceRequest.FromOrigin::new)
+			.toList();
+		requests.forEach((request) -> this.askedOfOrigin.set(request.index()));
+		return requests;
+	}
+
 	/**
 	 * Notes the end of a request.
 	 * @param reached whether the other process could be asked at all
 	 * @param missing pieces that have not arrived
 	 */
 	void onEnd(PieceRequest request, boolean reached, BitSet missing) {
-		this.asked.andNot(request.pieces());
-		BitSet failed = (BitSet) request.pieces().clone();
-		failed.and(missing);
 		switch (request) {
 			case PieceRequest.FromPeer fromPeer -> {
+				this.asked.andNot(fromPeer.pieces());
 				this.askedPeers.remove(fromPeer.peer().id());
 				if (reached) {
-					failed.stream().forEach((index) -> skip(index, fromPeer.peer()));
+					BitSet failed = (BitSet) fromPeer.pieces().clone();
+					failed.and(missing);
+					failed.stream().forEach((index) -> sources(index).skip(fromPeer.peer()));
 				}
 			}
 			case PieceRequest.FromOrigin fromOrigin -> {
-				this.originRequests--;
 				this.askedOfOrigin.clear(fromOrigin.index());
-				failed.stream().forEach(this.tried::remove);
+				if (missing.get(fromOrigin.index())) {
+					this.sources.values().forEach(Sources::onOriginFailure);
+				}
 			}
 		}
 	}
@@ -148,16 +175,77 @@
 		return Set.copyOf(this.askedPeers);
 	}
 
-	private void skip(int index, Upstream peer) {
-		this.tried.put(index, sources(index).indexOf(peer) + 1);
+	private Sources sources(int index) {
+		return this.sources.computeIfAbsent(index,
+				(key) -> new Sources(this.plan.sources(key), this.plan.originTurn(key), 0));
 	}
 
-	private int triedSources(int index) {
-		return this.tried.getOrDefault(index, 0);
-	}
+	/**
+	 * The sources of one piece, which are asked in rounds.
+	 */
+	private static final class Sources {
+
+		private final List<Upstream> peers;
+
+		private final int originTurn;
+
+		private int tried;
+
+		/** Rounds in vain since the origin last failed. */
+		private int rounds;
+
+		Sources(List<Upstream> peers, int originTurn, int rounds) {
+			this.peers = peers;
+			this.originTurn = originTurn;
+			this.rounds = rounds;
+		}
+
+		Sources follow(List<Upstream> latest, int latestTurn) {
+			boolean same = latest.equals(this.peers) && latestTurn == this.originTurn;
+			return same ? this : new Sources(latest, latestTurn, this.rounds);
+		}
+
+		int originTurn() {
+			return this.originTurn;
+		}
+
+		/**
+		 * Whether the peer to be asked next is the first one.
+		 */
+		boolean isFirst() {
+			return this.tried == 0;
+		}
+
+		/**
+		 * The next peer to ask, empty if none can be reached.
+		 */
+		Optional<Upstream> next(Predicate<Upstream> reachable) {
+			return Stream.concat(this.peers.stream().skip(this.tried), this.peers.stream().limit(this.tried))
+				.filter(reachable)
+				.findFirst();
+		}
+
+		void skip(Upstream peer) {
+			this.tried = this.peers.indexOf(peer) + 1;
+			if (this.tried >= this.peers.size()) {
+				this.tried = 0;
+				this.rounds = Math.min(this.rounds + 1, MAX_ROUNDS);
+			}
+		}
+
+		/**
+		 * Whether the origin may be asked: at once if no peer can be reached, else with
+		 * each round in vain by twice as many agents.
+		 */
+		boolean mayAskOrigin(Predicate<Upstream> reachable) {
+			boolean due = this.rounds > 0 && this.originTurn >> this.rounds == 0;
+			return due || this.peers.stream().noneMatch(reachable);
+		}
+
+		void onOriginFailure() {
+			this.rounds = 0;
+		}
 
-	private List<Upstream> sources(int index) {
-		return this.sources.computeIfAbsent(index, this.plan::sources);
 	}
 
 }
--- a/src/main/java/org/jaywood/replica/SourcePlan.java
+++ b/src/main/java/org/jaywood/replica/SourcePlan.java
@@ -96,6 +96,23 @@
 		return sources;
 	}
 
+	/**
+	 * Turn of this agent at the origin for a piece: 0 for the root of the tree in the
+	 * region of the origin, 1 for the one that stands in for it. The other regions
+	 * follow.
+	 */
+	int originTurn(int index) {
+		int place = rotated(this.members, index).indexOf(this.own);
+		return this.own.region().equals(this.originRegion) ? place : place + STANDBY_PLACE + 1;
+	}
+
+	/**
+	 * Whether engines serve the version already, so that all its pieces are there.
+	 */
+	boolean served() {
+		return !this.holders.isEmpty();
+	}
+
 	/**
 	 * Engines whose agents are asked for the list of digests, in order. After them comes
 	 * the origin. The list spreads along a tree of the agents that lack the version,
--- a/src/main/java/org/jaywood/replica/WeightOrigin.java
+++ b/src/main/java/org/jaywood/replica/WeightOrigin.java
@@ -20,4 +20,9 @@
 	 */
 	byte[] piece(Address origin, String model, long version, int index) throws IOException;
 
+	/**
+	 * Closes the connections that are kept to the origin, which bears few of them.
+	 */
+	void release(Address origin);
+
 }
--- a/src/test/java/org/jaywood/replica/EngineKeeperTests.java
+++ b/src/test/java/org/jaywood/replica/EngineKeeperTests.java
@@ -117,6 +117,11 @@
 	 */
 	private final class FakeOrigin implements WeightOrigin {
 
+		@Override
+		public void release(Address origin) {
+			// Nothing is kept open.
+		}
+
 		private final Map<Integer, Boolean> asked = new ConcurrentHashMap<>();
 
 		@Override
--- a/src/test/java/org/jaywood/replica/HeldPiecesTests.java
+++ b/src/test/java/org/jaywood/replica/HeldPiecesTests.java
@@ -73,6 +73,11 @@
 	 */
 	private static final class NoOrigin implements WeightOrigin {
 
+		@Override
+		public void release(Address origin) {
+			// Nothing is kept open.
+		}
+
 		@Override
 		public PieceList pieces(Address origin, String model, long version) {
 			throw new AssertionError("the origin is not asked here");
