Place calls last at engines whose reports come late

Closing a connection does not call back bytes that wait on a link.

Cause: a link with a queue of seconds delays each report, but they follow each other as often as ever, so the gateway took them for fresh. Reports now say when they were sent by the clock of their VM; the delay beyond the fastest of the last minutes is the queue on the way. Engines whose reports are older than 650 ms in all get calls only if no other one has room, and a silent call never moves to one.

DispatcherTests.LateReports: two of its three tests fail with the bound taken away (calls went to both engines; hasRoom was true). ReportDelayTests: clocks that differ, drift or are set anew.

--- a/src/main/java/org/jaywood/gateway/LoadSubscriptions.java
+++ b/src/main/java/org/jaywood/gateway/LoadSubscriptions.java
@@ -12,7 +12,7 @@
 import org.jaywood.http.BoundedLines;
 import org.jaywood.http.ClientConnection;
 import org.jaywood.http.UpstreamAnswer;
-import org.jaywood.routing.UpstreamReport;
+import org.jaywood.routing.TimedReport;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Json;
 import org.jaywood.wire.Tasks;
@@ -100,12 +100,14 @@
 			this.context.log().log(Event.AGENT_FOUND, "agent", agent);
 			for (byte[] line = lines.next(); line != null; line = lines.next()) {
 				connection.limit(SILENCE_MILLIS);
-				UpstreamReport report = Json.read(line, UpstreamReport.class);
+				TimedReport report = Json.read(line, TimedReport.class);
 				String id = this.idsByAddress.get(engine);
 				if (id == null) {
 					return;
 				}
-				this.context.dispatcher().onReport(id, report, BootClock.nowMillis());
+				long nowMillis = BootClock.nowMillis();
+				this.context.dispatcher().onDelay(id, report.sentMillis(), nowMillis);
+				this.context.dispatcher().onReport(id, report.report(), nowMillis);
 			}
 		}
 	}
--- a/src/main/java/org/jaywood/replica/EngineMonitor.java
+++ b/src/main/java/org/jaywood/replica/EngineMonitor.java
@@ -1,5 +1,6 @@
 package org.jaywood.replica;
 
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Objects;
 import java.util.Optional;
@@ -10,6 +11,7 @@
 import org.jaywood.event.Event;
 import org.jaywood.event.EventLog;
 import org.jaywood.feed.BootClock;
+import org.jaywood.routing.TimedReport;
 import org.jaywood.routing.Upstream;
 import org.jaywood.routing.UpstreamReport;
 import org.jaywood.wire.Json;
@@ -27,6 +29,8 @@
 	/** Interval while an engine with weights has nothing to do. */
 	private static final long IDLE_INTERVAL_MILLIS = 250;
 
+	private static final byte[] LINE_END = "}\n".getBytes(StandardCharsets.UTF_8);
+
 	private final FleetKnowledge fleet;
 
 	private final EngineControl engine;
@@ -41,7 +45,7 @@
 
 	private UpstreamReport published = new UpstreamReport("", 0, 0, false, 0, true, null);
 
-	private byte[] line = line(this.published);
+	private byte[] json = json(this.published);
 
 	private long changes;
 
@@ -99,7 +103,7 @@
 			wait(leftMillis);
 			leftMillis = untilMillis - BootClock.nowMillis();
 		}
-		return new Change(this.changes, this.line);
+		return new Change(this.changes, this.json);
 	}
 
 	private void run() {
@@ -153,7 +157,7 @@
 		UpstreamReport next = describe(report);
 		if (!next.equals(this.published)) {
 			this.published = next;
-			this.line = line(next);
+			this.json = json(next);
 			this.changes++;
 			notifyAll();
 		}
@@ -170,8 +174,8 @@
 				&& Objects.equals(before.weights(), now.weights());
 	}
 
-	private static byte[] line(UpstreamReport report) {
-		return (Json.text(report) + "\n").getBytes(StandardCharsets.UTF_8);
+	private static byte[] json(UpstreamReport report) {
+		return Json.text(report).getBytes(StandardCharsets.UTF_8);
 	}
 
 	private UpstreamReport describe(@Nullable EngineReport report) {
@@ -188,9 +192,23 @@
 	 * A report and the number of changes up to it.
 	 *
 	 * @param number number of changes
-	 * @param line the report as a line of JSON
+	 * @param json the report as JSON
 	 */
-	record Change(long number, byte[] line) {
+	record Change(long number, byte[] json) {
+
+		/**
+		 * The line to send, a {@link TimedReport}. The report is encoded once for all
+		 * gateways.
+		 */
+		byte[] line(long nowMillis) {
+			byte[] head = ("{\"sentMillis\":" + nowMillis + ",\"report\":").getBytes(StandardCharsets.UTF_8);
+			return ByteBuffer.allocate(head.length + this.json.length + LINE_END.length)
+				.put(head)
+				.put(this.json)
+				.put(LINE_END)
+				.array();
+		}
+
 	}
 
 }
--- a/src/main/java/org/jaywood/replica/Replica.java
+++ b/src/main/java/org/jaywood/replica/Replica.java
@@ -104,7 +104,7 @@
 			while (!this.draining) {
 				EngineMonitor.Change change = this.monitor.await(seen, REPORT_MILLIS);
 				seen = change.number();
-				out.write(change.line());
+				out.write(change.line(BootClock.nowMillis()));
 				out.flush();
 			}
 		}
--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -114,6 +114,17 @@
 		placeWaiting(nowMillis);
 	}
 
+	/**
+	 * Notes how long a report was under way.
+	 * @param sentMillis time of its sending by the clock of the agent
+	 */
+	public synchronized void onDelay(String upstreamId, long sentMillis, long nowMillis) {
+		UpstreamState state = this.states.get(upstreamId);
+		if (state != null) {
+			state.onDelay(sentMillis, nowMillis);
+		}
+	}
+
 	/**
 	 * Notes that the connection to the agent of an upstream has ended, so that its
 	 * silence says nothing about the upstream.
@@ -158,10 +169,11 @@
 	}
 
 	/**
-	 * Whether a call would get a place at once, before all that wait.
+	 * Whether a call would get a place at once, before all that wait, at an upstream that
+	 * is not slow itself.
 	 */
 	public synchronized boolean hasRoom(Demand demand, long nowMillis) {
-		return choose(demand, nowMillis).isPresent();
+		return choosePunctual(usable(demand, nowMillis), demand, nowMillis).isPresent();
 	}
 
 	/**
@@ -302,12 +314,30 @@
 		}
 	}
 
+	/**
+	 * Chooses an upstream with room. What is sent over a narrow link is under way for
+	 * long and cannot be called back, so upstreams whose reports come late are the last
+	 * choice.
+	 */
 	private Optional<PlacementPolicy.Candidate> choose(Demand demand, long nowMillis) {
-		List<UpstreamState> usable = eligible(demand, nowMillis).stream()
+		List<UpstreamState> usable = usable(demand, nowMillis);
+		return choosePunctual(usable, demand, nowMillis).or(() -> choose(usable, demand, nowMillis));
+	}
+
+	private Optional<PlacementPolicy.Candidate> choosePunctual(List<UpstreamState> usable, Demand demand,
+			long nowMillis) {
+		return choose(usable.stream().filter((state) -> state.punctual(nowMillis)).toList(), demand, nowMillis);
+	}
+
+	private Optional<PlacementPolicy.Candidate> choose(List<UpstreamState> candidates, Demand demand, long nowMillis) {
+		return this.policy.choose(candidates, demand, profile(demand.service()), gateways(nowMillis), nowMillis);
+	}
+
+	private List<UpstreamState> usable(Demand demand, long nowMillis) {
+		return eligible(demand, nowMillis).stream()
 			.filter((state) -> !state.health().paused(nowMillis))
 			.filter((state) -> state.responsive(nowMillis))
 			.toList();
-		return this.policy.choose(usable, demand, profile(demand.service()), gateways(nowMillis), nowMillis);
 	}
 
 	private void place(Ticket ticket, PlacementPolicy.Candidate chosen, long nowMillis) {
--- a/src/main/java/org/jaywood/routing/UpstreamState.java
+++ b/src/main/java/org/jaywood/routing/UpstreamState.java
@@ -14,6 +14,12 @@
 	/** A report is used for this long; without one, the own calls are extrapolated. */
 	private static final long REPORT_LIFETIME_MILLIS = 900;
 
+	/**
+	 * Age of a report from which its agent or the way from there is slow; a bit more than
+	 * the longest interval of reports.
+	 */
+	private static final long LATE_MILLIS = 650;
+
 	/** The number of gateways that an agent told counts for this long. */
 	private static final long GATEWAYS_LIFETIME_MILLIS = 3_000;
 
@@ -21,6 +27,8 @@
 
 	private final SendRate sendRate = new SendRate();
 
+	private final ReportDelay delay = new ReportDelay();
+
 	private Upstream upstream;
 
 	private long coldUntilMillis;
@@ -82,6 +90,17 @@
 		this.agentConnected = true;
 	}
 
+	void onDelay(long sentMillis, long nowMillis) {
+		this.delay.onReport(sentMillis, nowMillis);
+	}
+
+	/**
+	 * Whether the latest report came in time, or none is in use.
+	 */
+	boolean punctual(long nowMillis) {
+		return freshReport(nowMillis) == null || reportAgeMillis(nowMillis) + this.delay.millis() < LATE_MILLIS;
+	}
+
 	void onAgentLost() {
 		this.agentConnected = false;
 	}
--- a/src/test/java/org/jaywood/routing/DispatcherTests.java
+++ b/src/test/java/org/jaywood/routing/DispatcherTests.java
@@ -271,6 +271,53 @@
 
 	}
 
+	/**
+	 * Guards against calls that wait on a narrow link until their callers have left.
+	 */
+	@Nested
+	class LateReports {
+
+		private static final long DELAY = 2_000;
+
+		private final Demand demand = Upstreams.demand(Upstreams.POOL, false);
+
+		private void report(String id, long delayMillis, long nowMillis) {
+			DispatcherTests.this.dispatcher.onDelay(id, nowMillis - delayMillis, nowMillis);
+			DispatcherTests.this.dispatcher.onReport(id, DispatcherTests.report(id, 0, 0, false), nowMillis);
+		}
+
+		private void narrow(String id) {
+			report(id, 0, NOW - 1);
+			report(id, DELAY, NOW);
+		}
+
+		@Test
+		void callsGoToEnginesWhoseReportsComeInTime() {
+			DispatcherTests.this.dispatcher.onFleet(Upstreams.fleet(Upstreams.engine("a"), Upstreams.engine("b")), NOW);
+			narrow("a");
+			report("b", 0, NOW);
+			Set<String> chosen = request(Upstreams.SLOTS + 1, false).stream()
+				.map((ticket) -> ticket.placement().getNow(null).upstream().id())
+				.collect(Collectors.toSet());
+			assertThat(chosen).containsExactly("b");
+		}
+
+		@Test
+		void aSilentCallDoesNotMoveToALateEngine() {
+			DispatcherTests.this.dispatcher.onFleet(Upstreams.fleet(Upstreams.engine("a")), NOW);
+			narrow("a");
+			assertThat(DispatcherTests.this.dispatcher.hasRoom(this.demand, NOW)).isFalse();
+		}
+
+		@Test
+		void aLateEngineIsUsedBeforeACallIsRefused() {
+			DispatcherTests.this.dispatcher.onFleet(Upstreams.fleet(Upstreams.engine("a")), NOW);
+			narrow("a");
+			assertThat(Upstreams.placed(DispatcherTests.this.dispatcher.request(this.demand, NOW))).isPresent();
+		}
+
+	}
+
 	/**
 	 * Guards against a caller in the middle of its answer who waits behind new ones.
 	 */
--- /dev/null
+++ b/src/test/java/org/jaywood/routing/ReportDelayTests.java
@@ -0,0 +1,45 @@
+package org.jaywood.routing;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against clocks that differ, drift or are set anew and pass for slow links.
+ */
+class ReportDelayTests {
+
+	private static final long NOW = 10_000_000;
+
+	private final ReportDelay delay = new ReportDelay();
+
+	@Test
+	void clocksThatDifferAreNoDelay() {
+		this.delay.onReport(5, NOW);
+		this.delay.onReport(105, NOW + 100);
+		assertThat(this.delay.millis()).isEqualTo(0);
+	}
+
+	@Test
+	void aQueueOnTheWayIsADelay() {
+		this.delay.onReport(5, NOW);
+		this.delay.onReport(105, NOW + 2_100);
+		assertThat(this.delay.millis()).isEqualTo(2_000);
+	}
+
+	@Test
+	void clocksThatDriftAreNoDelay() {
+		for (long millis = 0; millis < 36_000_000; millis += 10_000) {
+			this.delay.onReport(millis - millis / 10_000, NOW + millis);
+		}
+		assertThat(this.delay.millis()).isLessThan(100);
+	}
+
+	@Test
+	void aClockSetAnewIsNoDelay() {
+		this.delay.onReport(1_000_000, NOW);
+		this.delay.onReport(5, NOW + 100);
+		assertThat(this.delay.millis()).isEqualTo(0);
+	}
+
+}
