Let receivers that take nothing hold up no others

Cause: an agent sends three pieces at once, and a write to a machine that is gone without a reset blocks for as long as TCP retries. Three of them stop all uploads. A piece that has been under way for 500 ms, where one of three takes 100 ms at most, no longer counts.

UploadPacerTests.receiversThatTakeNothingDoNotHoldUpTheOthers fails before (no piece sent within 3 s beside five stuck receivers).

--- a/src/main/java/org/jaywood/replica/UploadPacer.java
+++ b/src/main/java/org/jaywood/replica/UploadPacer.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
@@ -10,7 +12,8 @@
  * runs calls sends its answers over the same link, and a full queue there would delay
  * each of them by the time of all slices in it; beside an idle engine the slices may fill
  * the link. A few pieces are sent at once, so that a receiver whose link is busy does not
- * hold up the others.
+ * hold up the others. One that takes much longer than its part of the link allows does
+ * not count: it may be gone for good.
  */
 final class UploadPacer {
 
@@ -26,11 +29,15 @@
 
 	private static final int PIECES_AT_ONCE = 3;
 
+	/** Time after which a piece on its way no longer holds up others. */
+	private static final long STALLED_MILLIS = 500;
+
 	private final double linkBytesPerNano;
 
 	private final BooleanSupplier engineBusy;
 
-	private int active;
+	/** Pieces on their way. */
+	private final Set<Sending> active = new HashSet<>();
 
 	private int farWaiting;
 
@@ -51,7 +58,7 @@
 	 * @param far whether it goes to another region, where all agents wait for it
 	 */
 	void send(OutputStream out, byte[] piece, boolean far) throws IOException, InterruptedException {
-		begin(far);
+		Sending sending = begin(far);
 		try {
 			for (int offset = 0; offset < piece.length; offset += SLICE_BYTES) {
 				int length = Math.min(SLICE_BYTES, piece.length - offset);
@@ -61,28 +68,38 @@
 			}
 		}
 		finally {
-			end();
+			end(sending);
 		}
 	}
 
-	private synchronized void begin(boolean far) throws InterruptedException {
+	private synchronized Sending begin(boolean far) throws InterruptedException {
 		this.farWaiting += far ? 1 : 0;
 		try {
-			while (this.active >= PIECES_AT_ONCE || (!far && this.farWaiting > 0)) {
-				wait();
+			while (moving(System.nanoTime()) >= PIECES_AT_ONCE || (!far && this.farWaiting > 0)) {
+				wait(STALLED_MILLIS);
 			}
-			this.active++;
+			Sending sending = new Sending(System.nanoTime());
+			this.active.add(sending);
+			return sending;
 		}
 		finally {
 			this.farWaiting -= far ? 1 : 0;
+			notifyAll();
 		}
 	}
 
-	private synchronized void end() {
-		this.active--;
+	private synchronized void end(Sending sending) {
+		this.active.remove(sending);
 		notifyAll();
 	}
 
+	/**
+	 * Number of pieces on their way that are not stalled.
+	 */
+	private long moving(long nowNanos) {
+		return this.active.stream().filter((sending) -> !sending.stalled(nowNanos)).count();
+	}
+
 	/**
 	 * Takes the link for a slice.
 	 * @return time until the slice may be sent, in nanoseconds
@@ -97,4 +114,21 @@
 		return startNanos - nowNanos;
 	}
 
+	/**
+	 * A piece on its way.
+	 */
+	private static final class Sending {
+
+		private final long sinceNanos;
+
+		Sending(long sinceNanos) {
+			this.sinceNanos = sinceNanos;
+		}
+
+		boolean stalled(long nowNanos) {
+			return TimeUnit.NANOSECONDS.toMillis(nowNanos - this.sinceNanos) >= STALLED_MILLIS;
+		}
+
+	}
+
 }
--- a/src/test/java/org/jaywood/replica/UploadPacerTests.java
+++ b/src/test/java/org/jaywood/replica/UploadPacerTests.java
@@ -1,7 +1,15 @@
 package org.jaywood.replica;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InterruptedIOException;
+import java.io.OutputStream;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
 
@@ -42,4 +50,53 @@
 		assertThat(sendMillis(false)).isLessThan(Math.round(withoutLastSliceMillis / 0.9));
 	}
 
+	/**
+	 * Guards against receivers that are gone without a word and keep the turns of all
+	 * others.
+	 */
+	@Test
+	void receiversThatTakeNothingDoNotHoldUpTheOthers() throws Exception {
+		UploadPacer pacer = new UploadPacer(LINK_BYTES_PER_SECOND, () -> false);
+		CountDownLatch over = new CountDownLatch(1);
+		try (ExecutorService stuck = Executors.newVirtualThreadPerTaskExecutor()) {
+			IntStream.range(0, 5).forEach((number) -> stuck.submit(() -> {
+				pacer.send(new StuckStream(over), PIECE, false);
+				return null;
+			}));
+			Future<?> sound = stuck.submit(() -> {
+				pacer.send(new ByteArrayOutputStream(), PIECE, false);
+				return null;
+			});
+			try {
+				sound.get(3, TimeUnit.SECONDS);
+			}
+			finally {
+				over.countDown();
+			}
+		}
+	}
+
+	/**
+	 * Takes no byte until the test is over.
+	 */
+	private static final class StuckStream extends OutputStream {
+
+		private final CountDownLatch over;
+
+		StuckStream(CountDownLatch over) {
+			this.over = over;
+		}
+
+		@Override
+		public void write(int value) throws IOException {
+			try {
+				this.over.await();
+			}
+			catch (InterruptedException ex) {
+				throw new InterruptedIOException();
+			}
+		}
+
+	}
+
 }
