Fetch nothing for an engine that leaves

EngineKeeperTests.anEngineThatLeavesFetchesNothing fails before. An engine whose entry says that it stays after all is loaded as before (anEngineThatStaysAfterAllIsLoaded).

--- a/src/main/java/org/jaywood/replica/CopyKeeper.java
+++ b/src/main/java/org/jaywood/replica/CopyKeeper.java
@@ -102,7 +102,8 @@
 	}
 
 	/**
-	 * Fetches the first version that is missing.
+	 * Fetches the first version that is missing. An engine that leaves gets no more
+	 * calls, so what it lacks is left to the links of the others.
 	 * @return whether none is
 	 */
 	private boolean step() throws EngineUnavailableException, InterruptedException {
@@ -112,6 +113,9 @@
 		if (own.isEmpty() || profile.isEmpty() || report == null) {
 			return false;
 		}
+		if (own.get().leaving()) {
+			return true;
+		}
 		this.fleet.target().ifPresent((named) -> this.rollout.onNamed(named, BootClock.nowMillis()));
 		Optional<NamedWeights> missing = this.rollout.versions()
 			.stream()
@@ -130,7 +134,8 @@
 
 	private boolean isWanted(NamedWeights version) {
 		this.fleet.target().ifPresent((named) -> this.rollout.onNamed(named, BootClock.nowMillis()));
-		return !this.closed && this.rollout.versions().contains(version);
+		boolean stays = this.fleet.own().filter((own) -> !own.leaving()).isPresent();
+		return !this.closed && stays && this.rollout.versions().contains(version);
 	}
 
 	private void obtain(NamedWeights version, Upstream own) throws EngineUnavailableException, InterruptedException {
--- a/src/test/java/org/jaywood/replica/EngineKeeperTests.java
+++ b/src/test/java/org/jaywood/replica/EngineKeeperTests.java
@@ -2,6 +2,7 @@
 
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
@@ -16,6 +17,7 @@
 import org.jaywood.event.EventLog;
 import org.jaywood.http.ConnectionPool;
 import org.jaywood.routing.FleetDigest;
+import org.jaywood.routing.NamedWeights;
 import org.jaywood.routing.ServiceProfile;
 import org.jaywood.routing.Upstream;
 import org.jaywood.routing.Upstreams;
@@ -53,10 +55,14 @@
 	}
 
 	private void name(long version) {
+		name(version, this.own);
+	}
+
+	private void name(long version, Upstream entry) {
 		ServiceProfile.Engines profile = new ServiceProfile.Engines(Upstreams.POOL, 36, "model", FakeEngine.LAYERS,
 				300);
 		ServiceProfile.Origin origin = new ServiceProfile.Origin("origin", new Address("127.0.0.1", 2), "doto");
-		this.fleet.onDigest(FleetDigest.of(version, profile, origin, version, List.of(this.own)));
+		this.fleet.onDigest(FleetDigest.of(version, profile, origin, version, List.of(entry)));
 	}
 
 	private void start() {
@@ -112,6 +118,33 @@
 
 	}
 
+	/**
+	 * Guards against engines that leave and take the links of those that wait for a
+	 * version.
+	 */
+	@Nested
+	class Leaving {
+
+		@Test
+		void anEngineThatLeavesFetchesNothing() {
+			name(2, Upstreams.leaving(EngineKeeperTests.this.own));
+			start();
+			Awaitility.await()
+				.during(Duration.ofMillis(500))
+				.until(() -> EngineKeeperTests.this.copies.copy(new NamedWeights("model", 2)) == null);
+		}
+
+		@Test
+		void anEngineThatStaysAfterAllIsLoaded() {
+			name(2, Upstreams.leaving(EngineKeeperTests.this.own));
+			start();
+			name(2);
+			Awaitility.await().until(() -> !EngineKeeperTests.this.engine.loaded.isEmpty());
+			assertThat(EngineKeeperTests.this.engine.loaded.getFirst()).isEqualTo("2 whole");
+		}
+
+	}
+
 	/**
 	 * Origin that may spoil the first answer for a piece.
 	 */
--- a/src/test/java/org/jaywood/routing/Upstreams.java
+++ b/src/test/java/org/jaywood/routing/Upstreams.java
@@ -53,7 +53,7 @@
 		return new Upstream(id, DESK, new Address("10.0.1.1", 80), "kushiro-a", "doto", SLOTS, false, 0, 1, null);
 	}
 
-	static Upstream leaving(Upstream upstream) {
+	public static Upstream leaving(Upstream upstream) {
 		return new Upstream(upstream.id(), upstream.service(), upstream.address(), upstream.dataCentre(),
 				upstream.region(), upstream.slots(), true, 0, upstream.bornMillis(), upstream.weights());
 	}
