Pass by a source that has nothing to send after 1.5 s, whoever it is

Cause: an agent waited 4 s at the first source of a piece although that source had lost its pieces or planned otherwise. The 4 s kept agents from turning to the origin early; since the origin is asked in turns, that is bound to the rounds now: a round counts only after 4 s.

--- a/src/main/java/org/jaywood/replica/PieceFetcher.java
+++ b/src/main/java/org/jaywood/replica/PieceFetcher.java
@@ -214,7 +214,7 @@
 		}
 
 		private synchronized void begin(long nowMillis) {
-			this.schedule.next(this.copy.missing(), (peer) -> reachable(peer, nowMillis))
+			this.schedule.next(this.copy.missing(), (peer) -> reachable(peer, nowMillis), nowMillis)
 				.forEach((request) -> Tasks.pool().execute(() -> ask(request)));
 			if (this.schedule.askedOfOrigin().isEmpty()) {
 				releaseOrigin();
@@ -241,7 +241,7 @@
 		}
 
 		private synchronized void end(PieceRequest request, boolean reached) {
-			this.schedule.onEnd(request, reached, this.copy.missing());
+			this.schedule.onEnd(request, reached, this.copy.missing(), BootClock.nowMillis());
 			this.ends.raise();
 		}
 
--- a/src/main/java/org/jaywood/replica/PieceSchedule.java
+++ b/src/main/java/org/jaywood/replica/PieceSchedule.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -37,18 +38,17 @@
 	/** Requests of one agent that fill its part of the link of the origin. */
 	private static final int MAX_ORIGIN_REQUESTS = 2;
 
-	/**
-	 * Wait at the first source for a piece that is still on its way there: longer than
-	 * the origin takes to send a copy.
-	 */
-	private static final long FIRST_WAIT_MILLIS = 4_000;
-
-	/** Wait at the first source for a piece that other engines have. */
-	private static final long SERVED_WAIT_MILLIS = 1_500;
+	/** Wait at the first source, for a piece that may still be on its way there. */
+	private static final long FIRST_WAIT_MILLIS = 1_500;
 
 	/** Wait at a later source, which should have the piece already. */
 	private static final long LATER_WAIT_MILLIS = 700;
 
+	/**
+	 * Shortest time of a round in vain: longer than the origin takes to send a copy.
+	 */
+	private static final long ROUND_MILLIS = 4_000;
+
 	/** Largest number of rounds that is told apart. */
 	private static final int MAX_ROUNDS = 16;
 
@@ -84,7 +84,10 @@
 	 * @param missing pieces that have not arrived
 	 * @param reachable whether a peer may be asked
 	 */
-	List<PieceRequest> next(BitSet missing, Predicate<Upstream> reachable) {
+	List<PieceRequest> next(BitSet missing, Predicate<Upstream> reachable, long nowMillis) {
+		missing.stream()
+			.forEach((index) -> this.sources.computeIfAbsent(index,
+					(key) -> new Sources(this.plan.sources(key), this.plan.originTurn(key), 0, nowMillis)));
 		List<PieceRequest> requests = new ArrayList<>(ofPeers(missing, reachable));
 		requests.addAll(ofOrigin(missing, reachable));
 		return requests;
@@ -108,17 +111,11 @@
 		else if (this.askedPeers.size() < MAX_PEERS && this.askedPeers.add(peer.id())) {
 			BitSet pieces = new BitSet();
 			pieces.set(index);
-			byPeer.put(peer.id(), new PieceRequest.FromPeer(peer, pieces, waitMillis(index)));
+			byPeer.put(peer.id(), new PieceRequest.FromPeer(peer, pieces,
+					sources(index).isFirst() ? FIRST_WAIT_MILLIS : LATER_WAIT_MILLIS));
 		}
 	}
 
-	private long waitMillis(int index) {
-		if (!sources(index).isFirst()) {
-			return LATER_WAIT_MILLIS;
-		}
-		return this.plan.served() ? SERVED_WAIT_MILLIS : FIRST_WAIT_MILLIS;
-	}
-
 	/**
 	 * Pieces for the origin, first those for which it is the turn of this agent soonest.
 	 */
@@ -141,7 +138,7 @@
 	 * @param reached whether the other process could be asked at all
 	 * @param missing pieces that have not arrived
 	 */
-	void onEnd(PieceRequest request, boolean reached, BitSet missing) {
+	void onEnd(PieceRequest request, boolean reached, BitSet missing, long nowMillis) {
 		switch (request) {
 			case PieceRequest.FromPeer fromPeer -> {
 				this.asked.andNot(fromPeer.pieces());
@@ -149,13 +146,13 @@
 				if (reached) {
 					BitSet failed = (BitSet) fromPeer.pieces().clone();
 					failed.and(missing);
-					failed.stream().forEach((index) -> sources(index).skip(fromPeer.peer()));
+					failed.stream().forEach((index) -> sources(index).skip(fromPeer.peer(), nowMillis));
 				}
 			}
 			case PieceRequest.FromOrigin fromOrigin -> {
 				this.askedOfOrigin.clear(fromOrigin.index());
 				if (missing.get(fromOrigin.index())) {
-					this.sources.values().forEach(Sources::onOriginFailure);
+					this.sources.values().forEach((known) -> known.onOriginFailure(nowMillis));
 				}
 			}
 		}
@@ -176,8 +173,7 @@
 	}
 
 	private Sources sources(int index) {
-		return this.sources.computeIfAbsent(index,
-				(key) -> new Sources(this.plan.sources(key), this.plan.originTurn(key), 0));
+		return Objects.requireNonNull(this.sources.get(index), "sources of a piece that was missing");
 	}
 
 	/**
@@ -194,15 +190,18 @@
 		/** Rounds in vain since the origin last failed. */
 		private int rounds;
 
-		Sources(List<Upstream> peers, int originTurn, int rounds) {
+		private long roundSinceMillis;
+
+		Sources(List<Upstream> peers, int originTurn, int rounds, long roundSinceMillis) {
 			this.peers = peers;
 			this.originTurn = originTurn;
 			this.rounds = rounds;
+			this.roundSinceMillis = roundSinceMillis;
 		}
 
 		Sources follow(List<Upstream> latest, int latestTurn) {
 			boolean same = latest.equals(this.peers) && latestTurn == this.originTurn;
-			return same ? this : new Sources(latest, latestTurn, this.rounds);
+			return same ? this : new Sources(latest, latestTurn, this.rounds, this.roundSinceMillis);
 		}
 
 		int originTurn() {
@@ -225,10 +224,14 @@
 				.findFirst();
 		}
 
-		void skip(Upstream peer) {
+		void skip(Upstream peer, long nowMillis) {
 			this.tried = this.peers.indexOf(peer) + 1;
-			if (this.tried >= this.peers.size()) {
-				this.tried = 0;
+			if (this.tried < this.peers.size()) {
+				return;
+			}
+			this.tried = 0;
+			if (nowMillis - this.roundSinceMillis >= ROUND_MILLIS) {
+				this.roundSinceMillis = nowMillis;
 				this.rounds = Math.min(this.rounds + 1, MAX_ROUNDS);
 			}
 		}
@@ -242,8 +245,9 @@
 			return due || this.peers.stream().noneMatch(reachable);
 		}
 
-		void onOriginFailure() {
+		void onOriginFailure(long nowMillis) {
 			this.rounds = 0;
+			this.roundSinceMillis = nowMillis;
 		}
 
 	}
--- a/src/main/java/org/jaywood/replica/SourcePlan.java
+++ b/src/main/java/org/jaywood/replica/SourcePlan.java
@@ -106,13 +106,6 @@
 		return this.own.region().equals(this.originRegion) ? place : place + STANDBY_PLACE + 1;
 	}
 
-	/**
-	 * Whether engines serve the version already, so that all its pieces are there.
-	 */
-	boolean served() {
-		return !this.holders.isEmpty();
-	}
-
 	/**
 	 * Engines whose agents are asked for the list of digests, in order. After them comes
 	 * the origin. The list spreads along a tree of the agents that lack the version,
--- a/src/test/java/org/jaywood/replica/OriginOutageTests.java
+++ b/src/test/java/org/jaywood/replica/OriginOutageTests.java
@@ -1,12 +1,17 @@
 package org.jaywood.replica;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.Random;
 import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 import org.jaywood.routing.NamedWeights;
 import org.jaywood.routing.Upstream;
@@ -23,11 +28,16 @@
 	/** Time of a version from its naming, less the time in which engines load it. */
 	private static final long TRANSFER_MILLIS = 8_000 - 3_000;
 
-	private static List<Upstream> engines() {
-		return Stream.of("doto", "dohoku", "donan", "doo")
-			.flatMap((region) -> IntStream.range(0, PER_REGION)
-				.mapToObj((number) -> Upstreams.engine(region + number, region + "-a", region, 1)))
-			.toList();
+	private final List<Upstream> engines = Stream.of("doto", "dohoku", "donan", "doo")
+		.flatMap((region) -> IntStream.range(0, PER_REGION)
+			.mapToObj((number) -> Upstreams.engine(region + number, region + "-a", region, 1)))
+		.toList();
+
+	/**
+	 * Seeds of the short run; more with the system property {@code seeds}.
+	 */
+	static LongStream seeds() {
+		return LongStream.rangeClosed(1, Long.getLong("seeds", 12));
 	}
 
 	/**
@@ -40,7 +50,7 @@
 		@ParameterizedTest
 		@CsvSource({ "500, 2_000", "500, 6_000", "500, 30_000", "1_300, 6_000", "2_400, 6_000", "0, 6_000" })
 		void theVersionArrivesSoonAfterTheOriginIsBack(long awayMillis, long outageMillis) {
-			TransferSimulation simulation = new TransferSimulation(engines(), NEW, "dohoku");
+			TransferSimulation simulation = new TransferSimulation(OriginOutageTests.this.engines, NEW, "dohoku");
 			long backMillis = awayMillis + outageMillis;
 			simulation.takeOriginAway(awayMillis, backMillis);
 			simulation.run(backMillis + TRANSFER_MILLIS);
@@ -51,4 +61,43 @@
 
 	}
 
+	/**
+	 * Guards against transfers that do not end when troubles overlap: an origin that is
+	 * away, agents that lose all pieces one after the other, and agents that do not know
+	 * of each other yet.
+	 */
+	@Nested
+	class Troubles {
+
+		private static final long TROUBLES_MILLIS = 10_000;
+
+		private static final int RESTARTS = 20;
+
+		private static final int UNKNOWN = 10;
+
+		@ParameterizedTest
+		@MethodSource("org.jaywood.replica.OriginOutageTests#seeds")
+		void theVersionArrivesSoonAfterTheLastOne(long seed) {
+			Random random = new Random(seed);
+			List<Upstream> engines = OriginOutageTests.this.engines;
+			TransferSimulation simulation = new TransferSimulation(engines, NEW, "dohoku");
+			long awayMillis = random.nextLong(TROUBLES_MILLIS / 2);
+			simulation.takeOriginAway(awayMillis, awayMillis + random.nextLong(TROUBLES_MILLIS / 2));
+			List<Upstream> shuffled = new ArrayList<>(engines);
+			Collections.shuffle(shuffled, random);
+			shuffled.subList(0, random.nextInt(RESTARTS)).forEach((engine) -> {
+				long stopMillis = random.nextLong(TROUBLES_MILLIS - 2_000);
+				simulation.restart(engine, stopMillis, stopMillis + random.nextLong(2_000));
+			});
+			List<Upstream> known = shuffled.subList(UNKNOWN, shuffled.size());
+			known.subList(0, UNKNOWN)
+				.forEach((engine) -> simulation.know(engine, known, random.nextLong(TROUBLES_MILLIS)));
+			simulation.run(TROUBLES_MILLIS + TRANSFER_MILLIS);
+			assertWithMessage(simulation.describe()).that(simulation.complete()).isTrue();
+			assertWithMessage(simulation.describe()).that(simulation.originPieces())
+				.isAtMost(3 * TransferSimulation.PIECES);
+		}
+
+	}
+
 }
--- a/src/test/java/org/jaywood/replica/PieceScheduleTests.java
+++ b/src/test/java/org/jaywood/replica/PieceScheduleTests.java
@@ -21,6 +21,11 @@
 
 	private static final int PIECES = 96;
 
+	private static final long NOW = 1_000;
+
+	/** Time in which the origin sends a copy, and a bit more. */
+	private static final long ROUND_MILLIS = 4_000;
+
 	private static final int PER_REGION = 90;
 
 	private static final NamedWeights NEW = new NamedWeights("model", 2);
@@ -54,7 +59,7 @@
 		void fewRequestsCoverAllPieces() {
 			PieceSchedule schedule = schedule(PieceScheduleTests.this.engines.getLast(),
 					PieceScheduleTests.this.engines);
-			List<PieceRequest> requests = schedule.next(all(), (peer) -> true);
+			List<PieceRequest> requests = schedule.next(all(), (peer) -> true, NOW);
 			BitSet asked = new BitSet();
 			requests.forEach((request) -> asked.or(request.pieces()));
 			assertThat(requests.size()).isAtMost(13);
@@ -66,8 +71,8 @@
 			PieceSchedule schedule = schedule(PieceScheduleTests.this.engines.getFirst(),
 					PieceScheduleTests.this.engines);
 			BitSet first = new BitSet();
-			schedule.next(all(), (peer) -> true).forEach((request) -> first.or(request.pieces()));
-			schedule.next(all(), (peer) -> true)
+			schedule.next(all(), (peer) -> true, NOW).forEach((request) -> first.or(request.pieces()));
+			schedule.next(all(), (peer) -> true, NOW)
 				.forEach((request) -> assertThat(request.pieces().intersects(first)).isFalse());
 		}
 
@@ -75,7 +80,7 @@
 		void theOriginIsNotFloodedWhileNoPeerCanBeReached() {
 			List<Upstream> small = PieceScheduleTests.this.engines.subList(0, 20);
 			long connections = small.stream()
-				.mapToLong((own) -> schedule(own, small).next(all(), (peer) -> false).size())
+				.mapToLong((own) -> schedule(own, small).next(all(), (peer) -> false, NOW).size())
 				.sum();
 			assertThat(connections).isAtMost(ORIGIN_BEARS);
 		}
@@ -96,11 +101,13 @@
 
 		private List<String> askedUntilOrigin(PieceSchedule schedule) {
 			List<String> asked = new ArrayList<>();
-			List<PieceRequest> requests = schedule.next(this.piece, (peer) -> true);
+			long nowMillis = NOW;
+			List<PieceRequest> requests = schedule.next(this.piece, (peer) -> true, nowMillis);
 			while (requests.size() == 1 && requests.getFirst() instanceof PieceRequest.FromPeer fromPeer) {
 				asked.add(fromPeer.peer().id());
-				schedule.onEnd(fromPeer, true, this.piece);
-				requests = schedule.next(this.piece, (peer) -> true);
+				nowMillis += ROUND_MILLIS;
+				schedule.onEnd(fromPeer, true, this.piece, nowMillis);
+				requests = schedule.next(this.piece, (peer) -> true, nowMillis);
 			}
 			assertThat(requests).contains(new PieceRequest.FromOrigin(7));
 			return asked;
@@ -125,6 +132,15 @@
 			assertThat(agentsByRounds).containsExactly(0, 1L, 1, 1L, 2, 2L, 3, 4L, 4, 8L, 5, 16L, 6, 32L, 7, 26L);
 		}
 
+		@Test
+		void quickRoundsDoNotCount() {
+			for (int asked = 0; asked < 100; asked++) {
+				List<PieceRequest> requests = this.schedule.next(this.piece, (peer) -> true, NOW);
+				assertThat(requests).hasSize(1);
+				this.schedule.onEnd(requests.getFirst(), true, this.piece, NOW);
+			}
+		}
+
 		@Test
 		void peersAreStillAskedForAPieceThatTheOriginIsAskedFor() {
 			askedUntilOrigin(this.schedule);
@@ -135,27 +151,28 @@
 		void aSourceThatCannotBeReachedIsAskedAgainLater() {
 			BitSet piece = new BitSet();
 			piece.set(7);
-			PieceRequest first = this.schedule.next(piece, (peer) -> true).getFirst();
-			this.schedule.onEnd(first, false, piece);
-			assertThat(this.schedule.next(piece, (peer) -> true)).containsExactly(first);
+			PieceRequest first = this.schedule.next(piece, (peer) -> true, NOW).getFirst();
+			this.schedule.onEnd(first, false, piece, NOW);
+			assertThat(this.schedule.next(piece, (peer) -> true, NOW)).containsExactly(first);
 		}
 
 		@Test
 		void aFailureOfTheOriginBeginsAnew() {
 			BitSet piece = new BitSet();
 			piece.set(7);
-			PieceRequest origin = this.schedule.next(piece, (peer) -> false).getFirst();
-			this.schedule.onEnd(origin, true, piece);
-			assertThat(this.schedule.next(piece, (peer) -> true).getFirst()).isInstanceOf(PieceRequest.FromPeer.class);
+			PieceRequest origin = this.schedule.next(piece, (peer) -> false, NOW).getFirst();
+			this.schedule.onEnd(origin, true, piece, NOW);
+			assertThat(this.schedule.next(piece, (peer) -> true, NOW).getFirst())
+				.isInstanceOf(PieceRequest.FromPeer.class);
 		}
 
 		@Test
 		void piecesThatArrivedAreNotAskedAgain() {
-			PieceRequest first = this.schedule.next(all(), (peer) -> true).getFirst();
+			PieceRequest first = this.schedule.next(all(), (peer) -> true, NOW).getFirst();
 			BitSet missing = all();
 			missing.andNot(first.pieces());
-			this.schedule.onEnd(first, true, missing);
-			this.schedule.next(missing, (peer) -> true)
+			this.schedule.onEnd(first, true, missing, NOW);
+			this.schedule.next(missing, (peer) -> true, NOW)
 				.forEach((request) -> assertThat(request.pieces().intersects(first.pieces())).isFalse());
 		}
 
--- a/src/test/java/org/jaywood/replica/TransferSimulation.java
+++ b/src/test/java/org/jaywood/replica/TransferSimulation.java
@@ -273,6 +273,9 @@
 			if (!running()) {
 				this.streams.forEach((stream) -> stream.receiver.endLater(stream.request, true, 0));
 				this.streams.clear();
+				TransferSimulation.this.agents.values()
+					.forEach((agent) -> agent.streams.removeIf((stream) -> stream.receiver == this));
+				TransferSimulation.this.atOrigin.removeIf((request) -> request.agent == this);
 				this.ends.clear();
 				this.arrived.clear();
 				this.schedule = new PieceSchedule(plan(this.engine, this.engines));
@@ -314,7 +317,7 @@
 			this.ends.removeAll(due);
 			if (!this.idle && !missing().isEmpty()) {
 				this.idle = true;
-				this.schedule.next(missing(), this::reachable).forEach(this::begin);
+				this.schedule.next(missing(), this::reachable, now).forEach(this::begin);
 			}
 		}
 
@@ -323,7 +326,7 @@
 			if (end.request() instanceof PieceRequest.FromPeer fromPeer && !end.reached()) {
 				this.unreachableSinceMillis.put(fromPeer.peer().id(), TransferSimulation.this.nowMillis);
 			}
-			this.schedule.onEnd(end.request(), end.reached(), missing());
+			this.schedule.onEnd(end.request(), end.reached(), missing(), TransferSimulation.this.nowMillis);
 			if (end.request() instanceof PieceRequest.FromOrigin fromOrigin && missing().get(fromOrigin.index())) {
 				this.schedule.follow(plan(this.engine, this.engines));
 			}
