--- a/src/main/java/org/jaywood/replica/HeldPieces.java
+++ b/src/main/java/org/jaywood/replica/HeldPieces.java
@@ -59,7 +59,11 @@
 			return index.isPresent() ? new Piece(index.getAsInt(), copy.piece(index.getAsInt())) : null;
 		}
 		int first = wanted.nextSetBit(0);
-		byte[] staged = serving(weights) ? staged(weights, first) : null;
+		boolean serving = serving(weights);
+		byte[] staged = serving ? staged(weights, first) : null;
+		if (serving && staged == null) {
+			this.copies.awaitCopy(weights, waitMillis);
+		}
 		return (staged != null) ? new Piece(first, staged) : null;
 	}
 
--- a/src/test/java/org/jaywood/replica/HeldPiecesTests.java
+++ b/src/test/java/org/jaywood/replica/HeldPiecesTests.java
@@ -1,6 +1,7 @@
 package org.jaywood.replica;
 
 import java.util.BitSet;
+import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -68,6 +69,25 @@
 
 	}
 
+	/**
+	 * Guards against a stream of heartbeats without a pause, which takes the processor
+	 * and the link.
+	 */
+	@Nested
+	class Missing {
+
+		private static final long WAIT_MILLIS = 300;
+
+		@Test
+		void aPieceThatIsNotBesideTheServingEngineIsWaitedFor() throws Exception {
+			BitSet second = BitSet.valueOf(new long[] { 2 });
+			long sinceNanos = System.nanoTime();
+			assertThat(HeldPiecesTests.this.pieces.next(new NamedWeights("model", 1), second, WAIT_MILLIS)).isNull();
+			assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sinceNanos)).isAtLeast(WAIT_MILLIS);
+		}
+
+	}
+
 	/**
 	 * Origin that does not answer.
 	 */
