End a stream of pieces over a narrow link after a piece

Cause: a piece now and then keeps a stream open, and all its other pieces wait for that peer. The sender knows how long a piece takes: one that takes 600 ms, three times what one of three at once takes on a link of full speed, ends the stream, and the peer goes on with the next source. The sending is taken out of Replica into PieceSender.

PieceSenderTests.aStreamOverANarrowLinkEndsAfterAPiece; the loop before would have sent all 20 (by reading, the class is new).

--- a/src/main/java/org/jaywood/replica/Replica.java
+++ b/src/main/java/org/jaywood/replica/Replica.java
@@ -26,9 +26,6 @@
 	/** Interval of reports while nothing changes. */
 	private static final long REPORT_MILLIS = 450;
 
-	/** Interval at which a stream of pieces shows that this agent is alive. */
-	private static final long HEARTBEAT_MILLIS = 400;
-
 	/** Time in which this agent may still hear of a version that a peer asks for. */
 	private static final long UNKNOWN_VERSION_MILLIS = 1_200;
 
@@ -140,25 +137,12 @@
 	private void sendPieces(Exchange exchange, NamedWeights weights, long waitMillis)
 			throws IOException, InterruptedException {
 		BitSet wanted = PieceFrames.parseSet(exchange.query().getOrDefault("pieces", ""));
-		boolean far = exchange.query().containsKey("far");
 		int asked = wanted.cardinality();
 		long beginMillis = BootClock.nowMillis();
-		long idleMillis = 0;
+		PieceSender sender = new PieceSender((indexes, millis) -> this.pieces.next(weights, indexes, millis),
+				this.pacer, exchange.query().containsKey("far"));
 		try (OutputStream out = exchange.stream(200, "application/octet-stream")) {
-			long sinceMillis = beginMillis;
-			while (!wanted.isEmpty() && !this.draining
-					&& BootClock.nowMillis() - sinceMillis < longestWaitMillis(weights, waitMillis)) {
-				HeldPieces.Piece piece = this.pieces.next(weights, wanted, HEARTBEAT_MILLIS);
-				if (piece == null) {
-					out.write(PieceFrames.encodeHeartbeat());
-					out.flush();
-					continue;
-				}
-				idleMillis += BootClock.nowMillis() - sinceMillis;
-				this.pacer.send(out, PieceFrames.encode(piece), far);
-				wanted.clear(piece.index());
-				sinceMillis = BootClock.nowMillis();
-			}
+			sender.send(out, wanted, longestWaitMillis(weights, waitMillis), () -> !this.draining);
 		}
 		catch (IOException ex) {
 			throw exchange.abort("peer " + exchange.clientHost() + " left: " + ex.getMessage());
@@ -166,7 +150,7 @@
 		finally {
 			this.log.log(Event.PIECES_SENT, "count", asked - wanted.cardinality(), "asked", asked, "manifest",
 					weights.model() + "/" + weights.version(), "peer", exchange.clientHost(), "millis",
-					BootClock.nowMillis() - beginMillis, "idleMillis", idleMillis);
+					BootClock.nowMillis() - beginMillis, "idleMillis", sender.idleMillis());
 		}
 	}
 
--- a/src/main/java/org/jaywood/replica/UploadPacer.java
+++ b/src/main/java/org/jaywood/replica/UploadPacer.java
@@ -56,8 +56,9 @@
 	/**
 	 * Sends a piece in its turn.
 	 * @param far whether it goes to another region, where all agents wait for it
+	 * @return time that it took since its turn came, in milliseconds
 	 */
-	void send(OutputStream out, byte[] piece, boolean far) throws IOException, InterruptedException {
+	long send(OutputStream out, byte[] piece, boolean far) throws IOException, InterruptedException {
 		Sending sending = begin(far);
 		try {
 			for (int offset = 0; offset < piece.length; offset += SLICE_BYTES) {
@@ -66,6 +67,7 @@
 				out.write(piece, offset, length);
 				out.flush();
 			}
+			return sending.millis(System.nanoTime());
 		}
 		finally {
 			end(sending);
@@ -125,8 +127,12 @@
 			this.sinceNanos = sinceNanos;
 		}
 
+		long millis(long nowNanos) {
+			return TimeUnit.NANOSECONDS.toMillis(nowNanos - this.sinceNanos);
+		}
+
 		boolean stalled(long nowNanos) {
-			return TimeUnit.NANOSECONDS.toMillis(nowNanos - this.sinceNanos) >= STALLED_MILLIS;
+			return millis(nowNanos) >= STALLED_MILLIS;
 		}
 
 	}
--- /dev/null
+++ b/src/test/java/org/jaywood/replica/PieceSenderTests.java
@@ -0,0 +1,111 @@
+package org.jaywood.replica;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.util.BitSet;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+class PieceSenderTests {
+
+	private static final int PIECES = 20;
+
+	private static final long WAIT_MILLIS = 1_000;
+
+	private final UploadPacer pacer = new UploadPacer(0, () -> false);
+
+	private final BitSet wanted = new BitSet();
+
+	PieceSenderTests() {
+		this.wanted.set(0, PIECES);
+	}
+
+	private void send(PieceSender.PieceSource source, OutputStream out) throws Exception {
+		new PieceSender(source, this.pacer, false).send(out, this.wanted, WAIT_MILLIS, () -> true);
+	}
+
+	private static HeldPieces.Piece first(BitSet indexes) {
+		return new HeldPieces.Piece(indexes.nextSetBit(0), new byte[1_000]);
+	}
+
+	/**
+	 * Guards against agents that wait for a peer on a narrow link although others have
+	 * the pieces.
+	 */
+	@Nested
+	class NarrowLinks {
+
+		@Test
+		void aStreamOverANarrowLinkEndsAfterAPiece() throws Exception {
+			send((indexes, millis) -> first(indexes), new NarrowStream(800));
+			assertThat(PieceSenderTests.this.wanted.cardinality()).isEqualTo(PIECES - 1);
+		}
+
+		@Test
+		void aStreamOverASoundLinkSendsAll() throws Exception {
+			send((indexes, millis) -> first(indexes), new NarrowStream(60));
+			assertThat(PieceSenderTests.this.wanted.isEmpty()).isTrue();
+		}
+
+	}
+
+	/**
+	 * Guards against streams that stay open without a piece, and against peers that pass
+	 * for frozen while they wait.
+	 */
+	@Nested
+	class WithoutPieces {
+
+		@Test
+		void theStreamShowsThatItIsAliveAndEnds() throws Exception {
+			ByteArrayOutputStream out = new ByteArrayOutputStream();
+			send((indexes, millis) -> {
+				Thread.sleep(millis);
+				return null;
+			}, out);
+			InputStream frames = new ByteArrayInputStream(out.toByteArray());
+			int heartbeats = 0;
+			for (HeldPieces.Piece frame = PieceFrames.read(frames); frame != null; frame = PieceFrames.read(frames)) {
+				assertThat(PieceFrames.isHeartbeat(frame)).isTrue();
+				heartbeats++;
+			}
+			assertThat(heartbeats).isAtLeast((int) (WAIT_MILLIS / PieceSender.HEARTBEAT_MILLIS));
+		}
+
+	}
+
+	/**
+	 * Takes a while for each write.
+	 */
+	private static final class NarrowStream extends OutputStream {
+
+		private final long writeMillis;
+
+		NarrowStream(long writeMillis) {
+			this.writeMillis = writeMillis;
+		}
+
+		@Override
+		public void write(int value) throws IOException {
+			throw new IOException("not used");
+		}
+
+		@Override
+		public void write(byte[] bytes, int offset, int length) throws IOException {
+			try {
+				Thread.sleep(this.writeMillis);
+			}
+			catch (InterruptedException ex) {
+				throw new IOException(ex);
+			}
+		}
+
+	}
+
+}
