Soak gateways and replicas as processes while troubles overlap

Callers keep their connections until the gateway ends them; planned stops and starts of gateways, kills and pauses of replicas, configurations, versions and outages of the store come in seeded series and overlap. It fails for a cut or foreign answer, a call that ran and was refused or cut, a spoilt load, and service or the last version not back 12 s after the last trouble.

--- a/src/test/java/org/jaywood/platform/FakePlatformEngine.java
+++ b/src/test/java/org/jaywood/platform/FakePlatformEngine.java
@@ -48,6 +48,8 @@
 
 	private volatile long sequence;
 
+	private volatile long gapMillis;
+
 	FakePlatformEngine(String id, Address listen, EventLog log) {
 		this.id = id;
 		this.port = HttpPort.open(listen, log)
@@ -61,6 +63,13 @@
 			.start();
 	}
 
+	/**
+	 * Sets the time between the two events of an answer.
+	 */
+	void pauseBetweenEvents(long millis) {
+		this.gapMillis = millis;
+	}
+
 	List<Call> calls() {
 		return this.calls;
 	}
@@ -95,7 +104,7 @@
 		return List.of(Map.of("Name", MODEL, "Version", this.version, "Adapters", List.of()));
 	}
 
-	private void call(Exchange exchange) throws IOException {
+	private void call(Exchange exchange) throws IOException, InterruptedException {
 		String attempt = Objects.requireNonNull(exchange.header("X-Attempt-Id"));
 		boolean misdirected = !this.id.equals(exchange.header("X-Expect-Instance"));
 		exchange.setHeader("X-Attempt-Id", attempt);
@@ -109,6 +118,7 @@
 		try (OutputStream out = exchange.stream(200, "text/event-stream")) {
 			out.write("id: 1\ndata: one\n\n".getBytes(StandardCharsets.US_ASCII));
 			out.flush();
+			Thread.sleep(this.gapMillis);
 			out.write("id: 2\ndata: two\n\n".getBytes(StandardCharsets.US_ASCII));
 		}
 	}
--- /dev/null
+++ b/src/test/java/org/jaywood/platform/PlatformProcesses.java
@@ -0,0 +1,222 @@
+package org.jaywood.platform;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+
+import org.awaitility.Awaitility;
+
+import org.jaywood.bench.ProcessFleet;
+import org.jaywood.event.EventLog;
+import org.jaywood.wire.Address;
+
+/**
+ * Gateways and replicas as real processes on loopback addresses, against stand-ins of the
+ * platform's store and engines. The first engine is also the origin of weights.
+ */
+final class PlatformProcesses implements AutoCloseable {
+
+	static final String KEY = "key-1";
+
+	/** Bound on revoked keys in the settings of the processes. */
+	static final long REVOKE_MILLIS = 5_000;
+
+	/** Bound on configurations in the settings of the processes. */
+	static final long CONFIGURATION_MILLIS = 2_000;
+
+	private static final int FIRST_PORT = 7700;
+
+	private static final int LAST_PORT = 7715;
+
+	/**
+	 * More than one caller sends in a second, so that no call waits for a cold engine.
+	 */
+	private static final int COLD_PER_SECOND = 10_000;
+
+	private static final int FIRST_ENGINE = 50;
+
+	private static final int FIRST_GATEWAY = 3;
+
+	private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+	private final ProcessFleet fleet;
+
+	private final FakeMetadataStore store;
+
+	private final List<FakePlatformEngine> engines;
+
+	private final int gateways;
+
+	PlatformProcesses(int gateways, int engines, EventLog log) throws IOException {
+		this.gateways = gateways;
+		this.fleet = new ProcessFleet();
+		this.store = new FakeMetadataStore(this.fleet.address(0, 0, 1, 7000), log);
+		this.engines = IntStream.range(0, engines)
+			.mapToObj((number) -> new FakePlatformEngine("engine-" + number, engineAddress(number), log))
+			.toList();
+		this.store.put("config", "main", configuration(1, List.of(KEY)));
+		IntStream.range(0, engines)
+			.forEach((number) -> this.store.put("servers", "engine-" + number, engine(number).entry("pool")));
+	}
+
+	/**
+	 * Starts all processes and waits until the gateways are ready.
+	 */
+	PlatformProcesses start() throws IOException {
+		for (int number = 0; number < this.gateways; number++) {
+			startGateway(number);
+		}
+		for (int number = 0; number < this.engines.size(); number++) {
+			startReplica(number);
+		}
+		IntStream.range(0, this.gateways).forEach(this::awaitReady);
+		return this;
+	}
+
+	void startGateway(int number) throws IOException {
+		this.fleet.start(gateway(number), "gateway", "--node-file",
+				settings(gateway(number), front(number).host(), number).toString());
+	}
+
+	void startReplica(int number) throws IOException {
+		this.fleet.start(replica(number), "replica", "--node-file",
+				settings(replica(number), engineAddress(number).host(), 0).toString());
+	}
+
+	static String gateway(int number) {
+		return "gateway-" + number;
+	}
+
+	static String replica(int number) {
+		return "replica-" + number;
+	}
+
+	ProcessFleet fleet() {
+		return this.fleet;
+	}
+
+	FakeMetadataStore store() {
+		return this.store;
+	}
+
+	List<FakePlatformEngine> engines() {
+		return this.engines;
+	}
+
+	FakePlatformEngine engine(int number) {
+		return this.engines.get(number);
+	}
+
+	Address front(int gateway) {
+		return this.fleet.address(0, 0, FIRST_GATEWAY + gateway, 8005);
+	}
+
+	/**
+	 * Name of the host in the routes, whichever gateway is called.
+	 */
+	String host() {
+		return front(0).host();
+	}
+
+	Map<String, Object> configuration(long version, List<String> keys) {
+		Map<String, Object> route = Map.of("Name", "work", "Host", host(), "PathPrefix", "/calls/", "Service", "pool",
+				"Kind", "streaming", "Resumable", true, "TimeoutMs", 5_000, "TargetLatencyMs", 400, "Priority", 1,
+				"MaxAttempts", 2);
+		Map<String, Object> pool = Map.of("Name", "pool", "ColdPerS", COLD_PER_SECOND, "Engine",
+				Map.of("layers", 16, "Models", List.of(Map.of("Name", FakePlatformEngine.MODEL, "WarmS", 0.1))));
+		Map<String, Object> origin = Map.of("Name", "origin", "Origin", engineAddress(0).toString(), "Zone", "zone-a");
+		return Map.of("Version", version, "Routes", List.of(route), "Services", List.of(pool, origin), "Tenants",
+				List.of(Map.of("Name", "workspace-1", "ApiKeys", keys)), "Limits", Map.of("MaxHeaderBytes", 16_384,
+						"MaxBodyBytes", 1_000_000, "HeaderTimeoutMs", 3_000, "IdleTimeoutMs", 15_000));
+	}
+
+	void nameVersion(long version) {
+		this.store.put("versions", FakePlatformEngine.MODEL,
+				Map.of("Model", FakePlatformEngine.MODEL, "Version", version));
+	}
+
+	/**
+	 * Status of the readiness of a gateway, 0 if it does not answer.
+	 */
+	int readiness(int gateway) {
+		try {
+			return this.client
+				.send(HttpRequest.newBuilder(URI.create("http://" + ready(gateway) + "/ready")).build(),
+						HttpResponse.BodyHandlers.discarding())
+				.statusCode();
+		}
+		catch (IOException ex) {
+			return 0;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return 0;
+		}
+	}
+
+	void awaitReady(int gateway) {
+		Awaitility.await().atMost(Duration.ofSeconds(20)).until(() -> readiness(gateway) == 200);
+	}
+
+	private Address ready(int gateway) {
+		return this.fleet.address(0, 0, FIRST_GATEWAY + gateway, 8002);
+	}
+
+	private Address engineAddress(int number) {
+		return this.fleet.address(0, 0, FIRST_ENGINE + number, 8000);
+	}
+
+	private Path settings(String name, String host, int gateway) throws IOException {
+		Path file = Files.createTempFile("jaywood-" + name, ".toml");
+		String text = """
+				Node = "%s"
+				Ip = "%s"
+				Zone = "zone-a"
+				Region = "region-a"
+				PortRange = [%d, %d]
+				app = "%s"
+				Service = "pool"
+				Unknown = "ignored"
+				[Zones]
+				zone-a = "region-a"
+				[Listen]
+				Front = "%s"
+				ReadyAddress = "%s"
+				[Limits]
+				LinkMbps = 1000.0
+				[Bounds]
+				GraceS = 8
+				ConfigMs = %d
+				StrictRevoke = true
+				RevokeMs = %d
+				RetryBudgetRatio = 0.2
+				BudgetWindowS = 10
+				BudgetExtra = 100
+				ColdOverage = 1.5
+				ColdSlack = 5
+				version_ms = 8000
+				[Platform]
+				Address = "%s"
+				""".formatted(name, host, FIRST_PORT, LAST_PORT, new Address(host, 8000), front(gateway),
+				ready(gateway), CONFIGURATION_MILLIS, REVOKE_MILLIS, this.fleet.address(0, 0, 1, 7000));
+		Files.writeString(file, text);
+		file.toFile().deleteOnExit();
+		return file;
+	}
+
+	@Override
+	public void close() {
+		this.fleet.close();
+		this.engines.forEach(FakePlatformEngine::close);
+		this.store.close();
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/jaywood/platform/SoakIT.java
@@ -0,0 +1,185 @@
+package org.jaywood.platform;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
+
+import org.awaitility.Awaitility;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import org.jaywood.event.EventLog;
+import org.jaywood.platform.FakeMetadataStore.Fault;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/**
+ * Gateways and replicas under callers that keep their connections, while planned stops,
+ * kills of replicas, pauses, configurations, versions and outages of the store overlap.
+ * System properties set the seeds and sizes of longer runs.
+ */
+class SoakIT {
+
+	private static final int GATEWAYS = Integer.getInteger("soak.gateways", 2);
+
+	private static final int ENGINES = Integer.getInteger("soak.engines", 3);
+
+	private static final int CALLERS = Integer.getInteger("soak.callers", 12);
+
+	private static final int TROUBLES = 9;
+
+	private static final long TROUBLES_MILLIS = 14_000;
+
+	private static final long GAP_MILLIS = 60;
+
+	/** Time within which all is well again after the last trouble. */
+	private static final Duration RECOVERY = Duration.ofSeconds(12);
+
+	private final AtomicBoolean open = new AtomicBoolean(true);
+
+	private final AtomicLong configuration = new AtomicLong(1);
+
+	private final AtomicLong version = new AtomicLong(1);
+
+	static LongStream seeds() {
+		long first = Long.getLong("soak.first", 1);
+		return LongStream.range(first, first + Long.getLong("soak.seeds", 2));
+	}
+
+	@ParameterizedTest
+	@MethodSource("seeds")
+	void noCallIsCutMixedOrRunAfterARefusal(long seed) throws Exception {
+		try (PlatformProcesses processes = new PlatformProcesses(GATEWAYS, ENGINES, new EventLog("soak")).start();
+				ExecutorService tasks = Executors.newCachedThreadPool()) {
+			processes.engines().forEach((engine) -> engine.pauseBetweenEvents(GAP_MILLIS));
+			List<SoakCaller> callers = IntStream.range(0, CALLERS)
+				.mapToObj((number) -> new SoakCaller(IntStream.range(0, GATEWAYS).mapToObj(processes::front).toList(),
+						processes.host(), seed * CALLERS + number, this.open::get))
+				.toList();
+			try {
+				callers.forEach(tasks::submit);
+				trouble(processes, tasks, new Random(seed));
+				awaitRecovery(processes, callers);
+			}
+			finally {
+				this.open.set(false);
+			}
+			tasks.shutdown();
+			assertThat(tasks.awaitTermination(10, TimeUnit.SECONDS)).isTrue();
+			check(processes, callers);
+		}
+	}
+
+	private void trouble(PlatformProcesses processes, ExecutorService tasks, Random random) throws Exception {
+		List<Future<?>> troubles = new ArrayList<>();
+		for (int number = 0; number < TROUBLES; number++) {
+			long atMillis = random.nextLong(TROUBLES_MILLIS);
+			int kind = random.nextInt(6);
+			int target = random.nextInt(Math.max(GATEWAYS, ENGINES));
+			troubles.add(tasks.submit(() -> {
+				Thread.sleep(atMillis);
+				trouble(processes, kind, target);
+				return null;
+			}));
+		}
+		for (Future<?> each : troubles) {
+			each.get(60, TimeUnit.SECONDS);
+		}
+	}
+
+	private void trouble(PlatformProcesses processes, int kind, int target) throws Exception {
+		switch (kind) {
+			case 0 -> stopAndStart(processes, target % GATEWAYS);
+			case 1 -> killReplica(processes, target % ENGINES);
+			case 2 -> pauseReplica(processes, target % ENGINES);
+			case 3 -> processes.store()
+				.put("config", "main",
+						processes.configuration(this.configuration.incrementAndGet(), List.of(PlatformProcesses.KEY)));
+			case 4 -> processes.nameVersion(this.version.incrementAndGet());
+			default -> {
+				processes.store().fail(Fault.BUSY);
+				Thread.sleep(1_500);
+				processes.store().fail(Fault.NONE);
+			}
+		}
+	}
+
+	/**
+	 * One gateway at a time, so that callers find another one.
+	 */
+	private synchronized void stopAndStart(PlatformProcesses processes, int gateway) throws Exception {
+		processes.fleet().terminate(PlatformProcesses.gateway(gateway));
+		assertThat(processes.fleet().awaitExit(PlatformProcesses.gateway(gateway), 9_000)).isEqualTo(0);
+		processes.startGateway(gateway);
+		processes.awaitReady(gateway);
+	}
+
+	private void killReplica(PlatformProcesses processes, int engine) throws Exception {
+		synchronized (processes.engine(engine)) {
+			processes.fleet().kill(PlatformProcesses.replica(engine));
+			processes.startReplica(engine);
+		}
+	}
+
+	private void pauseReplica(PlatformProcesses processes, int engine) throws Exception {
+		synchronized (processes.engine(engine)) {
+			processes.fleet().pause(PlatformProcesses.replica(engine));
+			Thread.sleep(1_200);
+			processes.fleet().resume(PlatformProcesses.replica(engine));
+		}
+	}
+
+	private void awaitRecovery(PlatformProcesses processes, List<SoakCaller> callers) {
+		List<Integer> before = callers.stream().map((caller) -> caller.outcomes().size()).toList();
+		Awaitility.await("service after the troubles")
+			.atMost(RECOVERY)
+			.until(() -> IntStream.range(0, callers.size())
+				.allMatch((number) -> callers.get(number)
+					.outcomes()
+					.stream()
+					.skip(before.get(number))
+					.anyMatch((outcome) -> outcome.status() == 200)));
+		if (this.version.get() > 1) {
+			Awaitility.await("version " + this.version)
+				.atMost(RECOVERY)
+				.until(() -> processes.engines()
+					.stream()
+					.allMatch((engine) -> engine.loads().contains(this.version + " whole")));
+		}
+	}
+
+	private static void check(PlatformProcesses processes, List<SoakCaller> callers) {
+		Set<String> run = processes.engines()
+			.stream()
+			.flatMap((engine) -> engine.calls().stream())
+			.map(FakePlatformEngine.Call::attempt)
+			.collect(Collectors.toSet());
+		List<SoakCaller.Outcome> outcomes = callers.stream().flatMap((caller) -> caller.outcomes().stream()).toList();
+		List<SoakCaller.Outcome> wrong = outcomes.stream()
+			.filter((outcome) -> outcome.status() == 200 && outcome.fault() != null)
+			.toList();
+		assertWithMessage("answers cut or not their own").that(wrong).isEmpty();
+		List<SoakCaller.Outcome> broken = outcomes.stream()
+			.filter((outcome) -> outcome.status() != 200 && run.contains(outcome.attempt()))
+			.toList();
+		assertWithMessage("run and then refused or cut").that(broken).isEmpty();
+		processes.engines()
+			.forEach((engine) -> assertThat(engine.loads().stream().filter((load) -> load.endsWith("spoilt")).toList())
+				.isEmpty());
+		System.out.println("soak: "
+				+ outcomes.stream().collect(Collectors.groupingBy(SoakCaller.Outcome::status, Collectors.counting())));
+	}
+
+}
