--- a/src/main/java/org/jaywood/replica/PieceSchedule.java
+++ b/src/main/java/org/jaywood/replica/PieceSchedule.java
@@ -224,13 +224,18 @@
 				.findFirst();
 		}
 
+		/**
+		 * Goes on to the peer behind one that does not have the piece. A round is over
+		 * behind the last peer that can be reached.
+		 */
 		void skip(Upstream peer, long nowMillis) {
-			this.tried = this.peers.indexOf(peer) + 1;
-			if (this.tried < this.peers.size()) {
+			int position = this.peers.indexOf(peer) + 1;
+			if (position == 0) {
 				return;
 			}
-			this.tried = 0;
-			if (nowMillis - this.roundSinceMillis >= ROUND_MILLIS) {
+			boolean over = position <= this.tried || position == this.peers.size();
+			this.tried = position % this.peers.size();
+			if (over && nowMillis - this.roundSinceMillis >= ROUND_MILLIS) {
 				this.roundSinceMillis = nowMillis;
 				this.rounds = Math.min(this.rounds + 1, MAX_ROUNDS);
 			}
--- a/src/test/java/org/jaywood/replica/PieceScheduleTests.java
+++ b/src/test/java/org/jaywood/replica/PieceScheduleTests.java
@@ -4,6 +4,7 @@
 import java.util.BitSet;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -132,6 +133,26 @@
 			assertThat(agentsByRounds).containsExactly(0, 1L, 1, 1L, 2, 2L, 3, 4L, 4, 8L, 5, 16L, 6, 32L, 7, 26L);
 		}
 
+		@Test
+		void aRoundEndsAlsoWhileTheLastSourceCannotBeReached() {
+			List<String> sources = askedUntilOrigin(schedule(this.own, PieceScheduleTests.this.engines)).stream()
+				.distinct()
+				.toList();
+			Predicate<Upstream> reachable = (peer) -> !peer.id().equals(sources.getLast());
+			long nowMillis = NOW;
+			for (int asked = 0; asked < 10 * sources.size(); asked++) {
+				List<PieceRequest> requests = this.schedule.next(this.piece, reachable, nowMillis);
+				nowMillis += ROUND_MILLIS;
+				for (PieceRequest request : requests) {
+					if (request instanceof PieceRequest.FromOrigin) {
+						return;
+					}
+					this.schedule.onEnd(request, true, this.piece, nowMillis);
+				}
+			}
+			throw new AssertionError("the origin is never asked");
+		}
+
 		@Test
 		void quickRoundsDoNotCount() {
 			for (int asked = 0; asked < 100; asked++) {
