Take reports that are long under way for late or silent ones

Cause: 650 ms of age and delay together let calls through while the queue grows, and a late engine was still used when no other had room. A delay of 250 ms now counts as late, and one of 900 ms as an agent that is silent: a call would wait behind the same queue.

--- a/src/main/java/org/jaywood/routing/UpstreamState.java
+++ b/src/main/java/org/jaywood/routing/UpstreamState.java
@@ -20,6 +20,9 @@
 	 */
 	private static final long LATE_MILLIS = 650;
 
+	/** Delay of a report from which calls would notice the queue on the way. */
+	private static final long LATE_DELAY_MILLIS = 250;
+
 	/** The number of gateways that an agent told counts for this long. */
 	private static final long GATEWAYS_LIFETIME_MILLIS = 3_000;
 
@@ -98,7 +101,8 @@
 	 * Whether the latest report came in time, or none is in use.
 	 */
 	boolean punctual(long nowMillis) {
-		return freshReport(nowMillis) == null || reportAgeMillis(nowMillis) + this.delay.millis() < LATE_MILLIS;
+		long ageMillis = reportAgeMillis(nowMillis) + this.delay.millis();
+		return freshReport(nowMillis) == null || (ageMillis < LATE_MILLIS && this.delay.millis() < LATE_DELAY_MILLIS);
 	}
 
 	void onAgentLost() {
@@ -107,11 +111,16 @@
 
 	/**
 	 * Whether the agent says that the upstream answers, or says nothing because it is not
-	 * connected. An agent that is connected and silent shares the fate of its VM.
+	 * connected. An agent that is connected and silent shares the fate of its VM, and a
+	 * report that was under way for as long is no better than silence: a call would wait
+	 * behind the same queue.
 	 */
 	boolean responsive(long nowMillis) {
 		UpstreamReport fresh = freshReport(nowMillis);
-		return (fresh != null) ? fresh.reachable() : !this.agentConnected;
+		if (fresh == null) {
+			return !this.agentConnected;
+		}
+		return fresh.reachable() && reportAgeMillis(nowMillis) + this.delay.millis() < REPORT_LIFETIME_MILLIS;
 	}
 
 	/**
