--- a/src/main/java/org/jaywood/replica/CopyKeeper.java
+++ b/src/main/java/org/jaywood/replica/CopyKeeper.java
@@ -42,6 +42,9 @@
 
 	private final Map<NamedWeights, WeightCopy> copies = new ConcurrentHashMap<>();
 
+	/** Raised when a copy is begun. */
+	private final ChangeSignal begun = new ChangeSignal();
+
 	private volatile boolean closed;
 
 	CopyKeeper(FleetKnowledge fleet, EngineControl engine, EngineMonitor monitor, Rollout rollout, PieceFetcher fetcher,
@@ -76,9 +79,11 @@
 	 */
 	@Nullable WeightCopy awaitCopy(NamedWeights weights, long waitMillis) throws InterruptedException {
 		long untilMillis = BootClock.nowMillis() + waitMillis;
+		long seen = this.begun.changes();
 		WeightCopy copy = copy(weights);
 		while (copy == null && BootClock.nowMillis() < untilMillis) {
-			Thread.sleep(PAUSE_MILLIS);
+			this.begun.await(seen, untilMillis - BootClock.nowMillis());
+			seen = this.begun.changes();
 			copy = copy(weights);
 		}
 		return copy;
@@ -149,6 +154,7 @@
 			takeStaged(copy);
 			this.copies.keySet().removeIf((other) -> other.version() < version.version() - 1);
 			this.copies.put(version, copy);
+			this.begun.raise();
 		}
 		long sinceMillis = BootClock.nowMillis();
 		this.fetcher.fetch(copy, own, () -> isWanted(version));
