Go on with a transfer while the own entry has lapsed

Read as a newcomer: since engines that leave fetch nothing, a transfer also ended when the entry of its engine was missing, as it is at times while the store is away. It ends for an entry that says that the engine leaves only.

--- a/src/main/java/org/jaywood/replica/CopyKeeper.java
+++ b/src/main/java/org/jaywood/replica/CopyKeeper.java
@@ -139,8 +139,8 @@
 
 	private boolean isWanted(NamedWeights version) {
 		this.fleet.target().ifPresent((named) -> this.rollout.onNamed(named, BootClock.nowMillis()));
-		boolean stays = this.fleet.own().filter((own) -> !own.leaving()).isPresent();
-		return !this.closed && stays && this.rollout.versions().contains(version);
+		boolean leaves = this.fleet.own().filter(Upstream::leaving).isPresent();
+		return !this.closed && !leaves && this.rollout.versions().contains(version);
 	}
 
 	private void obtain(NamedWeights version, Upstream own) throws EngineUnavailableException, InterruptedException {
--- a/src/test/java/org/jaywood/replica/OriginOutageTests.java
+++ b/src/test/java/org/jaywood/replica/OriginOutageTests.java
@@ -91,7 +91,7 @@
 			});
 			List<Upstream> known = shuffled.subList(UNKNOWN, shuffled.size());
 			known.subList(0, UNKNOWN)
-				.forEach((engine) -> simulation.know(engine, known, random.nextLong(TROUBLES_MILLIS)));
+				.forEach((engine) -> simulation.planBy(engine, known, random.nextLong(TROUBLES_MILLIS)));
 			simulation.run(TROUBLES_MILLIS + TRANSFER_MILLIS);
 			assertWithMessage(simulation.describe()).that(simulation.complete()).isTrue();
 			assertWithMessage(simulation.describe()).that(simulation.originPieces())
--- a/src/test/java/org/jaywood/replica/TransferSimulation.java
+++ b/src/test/java/org/jaywood/replica/TransferSimulation.java
@@ -92,7 +92,7 @@
 	/**
 	 * Lets an agent plan by another list of engines than the others.
 	 */
-	void know(Upstream engine, List<Upstream> engines, long untilMillis) {
+	void planBy(Upstream engine, List<Upstream> engines, long untilMillis) {
 		Agent agent = this.agents.get(engine.id());
 		agent.schedule = new PieceSchedule(plan(engine, engines));
 		agent.knowsAllMillis = untilMillis;
@@ -140,7 +140,7 @@
 			this.atOrigin.clear();
 		}
 		sendFromOrigin();
-		this.agents.values().forEach(Agent::liveOrDie);
+		this.agents.values().forEach(Agent::stopOrStart);
 		this.agents.values().forEach(Agent::send);
 		this.agents.values().forEach(Agent::proceed);
 	}
@@ -269,7 +269,7 @@
 			this.ends.add(new End(request, reached, TransferSimulation.this.nowMillis + inMillis));
 		}
 
-		private void liveOrDie() {
+		private void stopOrStart() {
 			if (!running()) {
 				this.streams.forEach((stream) -> stream.receiver.endLater(stream.request, true, 0));
 				this.streams.clear();
