Count misdirected arrivals against the retry budget

Cause: an answer 421 is no attempt of the route, rightly, but was no repeat for the retry budget either, so a call could arrive at engine after engine for nothing. GatewayTests.aMisdirectedCallThatIsSentOnTakesFromTheRetryBudget failed before (two arrivals with a budget of nothing).

--- a/src/main/java/org/jaywood/gateway/CallTask.java
+++ b/src/main/java/org/jaywood/gateway/CallTask.java
@@ -57,6 +57,9 @@
 
 	private String noPlaceReason = NO_PLACE;
 
+	/** Whether the call has arrived at an upstream, which may have refused it. */
+	private boolean arrived;
+
 	private @Nullable BufferedAnswer failedAnswer;
 
 	private OptionalLong streamWeights = OptionalLong.empty();
@@ -164,7 +167,7 @@
 	 */
 	private boolean handOver(Placement placement) throws CallerGoneException {
 		this.context.metrics().waited(placement.waitedMillis());
-		boolean repeat = this.sends > 0 && !this.repeatReserved;
+		boolean repeat = this.arrived && !this.repeatReserved;
 		this.repeatReserved = false;
 		if (repeat && !this.context.budget(this.call.service()).tryTake(BootClock.nowMillis())) {
 			this.context.dispatcher().end(placement, Outcome.CANCELLED, BootClock.nowMillis());
@@ -214,6 +217,7 @@
 			case HandOverResult.Failed failed -> {
 				end(placement, Outcome.FAILED);
 				this.sends++;
+				this.arrived = true;
 				this.mayHaveRun = true;
 				this.failedAnswer = failed.answer();
 				this.tried.add(upstream);
@@ -223,6 +227,7 @@
 			case HandOverResult.NotRun notRun -> {
 				end(placement, notRun.outcome());
 				this.sends += (notRun.sent() && notRun.outcome() != Outcome.MISDIRECTED) ? 1 : 0;
+				this.arrived |= notRun.sent();
 				this.tried.add(upstream);
 				logBroken(upstream, notRun.reason());
 				yield false;
@@ -230,6 +235,7 @@
 			case HandOverResult.Broken broken -> {
 				end(placement, broken.outcome());
 				this.sends++;
+				this.arrived = true;
 				this.mayHaveRun = true;
 				this.tried.add(upstream);
 				this.cutter.dropPartial();
--- a/src/test/java/org/jaywood/gateway/GatewayFixture.java
+++ b/src/test/java/org/jaywood/gateway/GatewayFixture.java
@@ -49,13 +49,17 @@
 	private final List<AutoCloseable> open = new ArrayList<>();
 
 	Gateway start(FakeUpstream... upstreams) {
+		return start(settings(), upstreams);
+	}
+
+	Gateway start(GatewaySettings settings, FakeUpstream... upstreams) {
 		List<Upstream> entries = new ArrayList<>();
 		for (FakeUpstream upstream : upstreams) {
 			this.open.add(upstream);
 			entries.add(new Upstream("i-" + entries.size(), "desk", upstream.address(), "dc", "region", 8, false, 0, 1,
 					null));
 		}
-		Gateway gateway = new Gateway(settings(), new PlatformCalls(),
+		Gateway gateway = new Gateway(settings, new PlatformCalls(),
 				new GatewayFeeds(new FixedFeed<>("config", List.of(table())), new FixedFeed<>("servers", entries),
 						new FixedFeed<>("closed", List.of()), new FixedFeed<NamedWeights>("weights", List.of())),
 				new EventLog("gateway"));
@@ -65,9 +69,13 @@
 	}
 
 	static GatewaySettings settings() {
+		return settings(0.2, 100);
+	}
+
+	static GatewaySettings settings(double retryRatio, int retryExtra) {
 		return new GatewaySettings("gateway", new Address("127.0.0.1", 0), new Address("127.0.0.1", 0), "/ready",
 				new Address("127.0.0.1", 0), 1, new DispatchSettings("gateway", "region", "dc", 1.5, 5, 2_200, 7_000),
-				0.2, 100, 10_000, 3_400, 1_800, 8_000);
+				retryRatio, retryExtra, 10_000, 3_400, 1_800, 8_000);
 	}
 
 	private static RouteTable table() {
--- a/src/test/java/org/jaywood/gateway/GatewayTests.java
+++ b/src/test/java/org/jaywood/gateway/GatewayTests.java
@@ -94,6 +94,21 @@
 			assertThat(answer).startsWith("HTTP/1.1 200");
 		}
 
+		/**
+		 * Guards against calls that arrive at upstream after upstream beyond the retry
+		 * budget because each refuses them as another incarnation.
+		 */
+		@Test
+		void aMisdirectedCallThatIsSentOnTakesFromTheRetryBudget() throws IOException {
+			FakeUpstream.Script other = (request, number, out, socket) -> write(out,
+					FakeUpstream.answer(request, 421, "", ""));
+			FakeUpstream first = new FakeUpstream(other);
+			FakeUpstream second = new FakeUpstream(other);
+			String answer = exchange(start(settings(0, 0), first, second), SAFE);
+			assertThat(first.requests().size() + second.requests().size()).isEqualTo(1);
+			assertThat(answer).startsWith("HTTP/1.1 503");
+		}
+
 		@Test
 		void aCallThatNoUpstreamRanIsRefusedAsNotRun() throws IOException {
 			FakeUpstream full = new FakeUpstream((request, number, out, socket) -> write(out,
