--- /dev/null
+++ b/src/test/java/org/jaywood/gateway/SilentUpstreamTests.java
@@ -0,0 +1,169 @@
+package org.jaywood.gateway;
+
+import java.io.IOException;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against an answer that is cut because its sound upstream fell silent for a
+ * moment and the upstream that was asked instead failed.
+ */
+class SilentUpstreamTests extends GatewayFixture {
+
+	/** Silence of a sound upstream, longer than that after which another is asked. */
+	private static final long SILENCE_MILLIS = 2_300;
+
+	private static void pause() throws IOException {
+		try {
+			Thread.sleep(SILENCE_MILLIS);
+		}
+		catch (InterruptedException ex) {
+			throw new IOException(ex);
+		}
+	}
+
+	/**
+	 * Starts a gateway before two upstreams of which the first one asked follows one
+	 * script and the other one another.
+	 */
+	private Gateway start(FakeUpstream.Script first, FakeUpstream.Script second) throws IOException {
+		AtomicInteger calls = new AtomicInteger();
+		FakeUpstream.Script script = (request, number, out, socket) -> {
+			FakeUpstream.Script own = (calls.getAndIncrement() == 0) ? first : second;
+			own.answer(request, number, out, socket);
+		};
+		return start(new FakeUpstream(script), new FakeUpstream(script));
+	}
+
+	/**
+	 * A stream that had begun when its upstream fell silent.
+	 */
+	@Nested
+	class WithinAStream {
+
+		private static final FakeUpstream.Script SILENT = (request, number, out, socket) -> {
+			write(out, FakeUpstream.streamHead(request) + FakeUpstream.chunk("id: 1\ndata: a\n\n"));
+			pause();
+			write(out, FakeUpstream.chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+		};
+
+		private void assertWholeBeside(FakeUpstream.Script other) throws IOException {
+			String answer = exchange(start(SILENT, other), STREAM);
+			assertThat(answer).contains("id: 1\ndata: a\n\n");
+			assertThat(answer).contains("id: 2\ndata: b\n\n");
+			assertThat(answer).endsWith("0\r\n\r\n");
+			assertThat(answer.split("id: 2", -1)).hasLength(2);
+		}
+
+		@Test
+		void isWholeThoughTheOtherUpstreamFails() throws IOException {
+			assertWholeBeside(
+					(request, number, out, socket) -> write(out, FakeUpstream.answer(request, 500, "", "failed")));
+		}
+
+		@Test
+		void isWholeThoughTheOtherUpstreamRefuses() throws IOException {
+			assertWholeBeside((request, number, out, socket) -> write(out,
+					FakeUpstream.answer(request, 503, "X-Not-Executed: 1\r\n", "")));
+		}
+
+		@Test
+		void isWholeThoughTheOtherUpstreamResets() throws IOException {
+			assertWholeBeside((request, number, out, socket) -> {
+				socket.setSoLinger(true, 0);
+				socket.close();
+			});
+		}
+
+		@Test
+		void isWholeThoughTheOtherUpstreamEndsAfterItsHead() throws IOException {
+			assertWholeBeside((request, number, out, socket) -> {
+				write(out, FakeUpstream.streamHead(request));
+				socket.close();
+			});
+		}
+
+		@Test
+		void isWholeThoughTheOtherUpstreamIsSilent() throws IOException {
+			assertWholeBeside((request, number, out, socket) -> {
+				pause();
+				pause();
+			});
+		}
+
+		@Test
+		void isWholeThoughTheSilenceFallsWithinAnEvent() throws IOException {
+			FakeUpstream.Script silent = (request, number, out, socket) -> {
+				write(out, FakeUpstream.streamHead(request) + FakeUpstream.chunk("id: 1\ndata: a\n\nid: 2\n"));
+				pause();
+				write(out, FakeUpstream.chunk("data: b\n\n") + "0\r\n\r\n");
+			};
+			String answer = exchange(start(silent,
+					(request, number, out, socket) -> write(out, FakeUpstream.answer(request, 500, "", "failed"))),
+					STREAM);
+			assertThat(answer).contains("id: 1\ndata: a\n\n");
+			assertThat(answer).contains("id: 2\ndata: b\n\n");
+			assertThat(answer).endsWith("0\r\n\r\n");
+		}
+
+	}
+
+	/**
+	 * A call that had no answer yet when its upstream fell silent.
+	 */
+	@Nested
+	class BeforeTheAnswer {
+
+		private static final FakeUpstream.Script SILENT = (request, number, out, socket) -> {
+			pause();
+			write(out, FakeUpstream.answer(request, 200, "", "done"));
+		};
+
+		@Test
+		void isAnsweredThoughTheOtherUpstreamFails() throws IOException {
+			Gateway gateway = start(SILENT,
+					(request, number, out, socket) -> write(out, FakeUpstream.answer(request, 500, "", "failed")));
+			String answer = exchange(gateway, SAFE);
+			assertThat(answer).startsWith("HTTP/1.1 200");
+			assertThat(answer).endsWith("done");
+		}
+
+		@Test
+		void isAnsweredThoughTheOtherUpstreamResets() throws IOException {
+			Gateway gateway = start(SILENT, (request, number, out, socket) -> {
+				socket.setSoLinger(true, 0);
+				socket.close();
+			});
+			assertThat(exchange(gateway, SAFE)).endsWith("done");
+		}
+
+	}
+
+	/**
+	 * An upstream that stays silent.
+	 */
+	@Nested
+	class ForGood {
+
+		@Test
+		void losesItsStreamToTheOneThatGoesOn() throws IOException {
+			FakeUpstream.Script silent = (request, number, out, socket) -> {
+				write(out, FakeUpstream.streamHead(request) + FakeUpstream.chunk("id: 1\ndata: a\n\nid: 2\nda"));
+				pause();
+				pause();
+			};
+			String answer = exchange(
+					start(silent, (request, number, out, socket) -> write(out,
+							FakeUpstream.streamHead(request) + FakeUpstream.chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n")),
+					STREAM);
+			assertThat(answer).contains("id: 2\ndata: b\n\n");
+			assertThat(answer).endsWith("0\r\n\r\n");
+		}
+
+	}
+
+}
