Leave a silent upstream only once another one has answered

Cause: silence was taken for failure. The connection was reset first and a place looked for later; if the second engine refused, failed, reset or was silent too, nothing was left to go on with. Class of fault: work given up before its replacement is certain. Change: HandOver sends the call to a second upstream beside the silent one and listens to both in turn; the first that answers, or brings the next whole event, keeps the call, the other one is ended then. A break of either leaves the other. The place beside is taken in one step with the question for it (Dispatcher.placeAtOnce), where room was found first and asked for later. An event that does not end is silence too. Why it works: there is no moment at which the call belongs to nobody who may answer it. After: SilentUpstreamTests 9 of 9, with GatewayTests, MisbehavingUpstreamTests, DispatcherTests 79 of 79. EventCutter reads one run now, so its test of a partial event that was broken off has lost its subject; GatewayTests.aBrokenStreamGoesOnBehindTheLastWholeEvent and SilentUpstreamTests.losesItsStreamToTheOneThatGoesOn hold the same.

--- a/src/main/java/org/jaywood/gateway/Cancellation.java
+++ b/src/main/java/org/jaywood/gateway/Cancellation.java
@@ -1,5 +1,7 @@
 package org.jaywood.gateway;
 
+import java.util.HashSet;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 import org.jspecify.annotations.Nullable;
@@ -8,13 +10,13 @@
 
 /**
  * Lets the reader of a caller's connection end the work on its call from outside: a wait
- * for a place or the exchange with an upstream, whichever is under way.
+ * for a place and the exchanges with upstreams.
  */
 final class Cancellation {
 
-	private boolean cancelled;
+	private final Set<ClientConnection> connections = new HashSet<>();
 
-	private @Nullable ClientConnection connection;
+	private boolean cancelled;
 
 	private @Nullable CompletableFuture<?> wait;
 
@@ -27,24 +29,26 @@
 	 */
 	synchronized void cancel() {
 		this.cancelled = true;
-		if (this.connection != null) {
-			this.connection.abort();
-		}
+		this.connections.forEach(ClientConnection::abort);
 		if (this.wait != null) {
 			this.wait.cancel(false);
 		}
 	}
 
 	/**
-	 * Names the exchange that is to be cut.
+	 * Names an exchange that is to be cut.
 	 */
 	synchronized void attach(ClientConnection exchange) {
-		this.connection = exchange;
+		this.connections.add(exchange);
 		if (this.cancelled) {
 			exchange.abort();
 		}
 	}
 
+	synchronized void detach(ClientConnection exchange) {
+		this.connections.remove(exchange);
+	}
+
 	synchronized void attach(CompletableFuture<?> future) {
 		this.wait = future;
 		if (this.cancelled) {
@@ -52,8 +56,7 @@
 		}
 	}
 
-	synchronized void detach() {
-		this.connection = null;
+	synchronized void detachWait() {
 		this.wait = null;
 	}
 
--- a/src/main/java/org/jaywood/gateway/EventCutter.java
+++ b/src/main/java/org/jaywood/gateway/EventCutter.java
@@ -9,32 +9,52 @@
 
 /**
  * Cuts the bytes of an event stream behind its last whole event, since an upstream may
- * stop within one, and notes the id of the last event passed on. Used by one thread.
+ * stop within one, and notes the id of the last event. Of a stream that may be resumed it
+ * accepts only events with ids that go on. One cutter reads one run of a stream. Used by
+ * one thread.
  */
 final class EventCutter {
 
 	private static final String ID_FIELD = "id:";
 
+	private static final String COMMENT = ":";
+
 	/** Largest event; nobody could go on behind a longer one without holding it whole. */
 	private static final int MAX_EVENT_BYTES = 256 * 1024;
 
 	/** Bytes before a position that tell whether an event ends there. */
 	private static final int END_BYTES = 2;
 
+	private final boolean numbered;
+
+	private final boolean resumed;
+
 	private final ByteArrayOutputStream partial = new ByteArrayOutputStream();
 
 	private byte[] tail = new byte[0];
 
 	private @Nullable String lastId;
 
-	private @Nullable String firstId;
+	private boolean eventSeen;
 
-	private @Nullable String resumedAfter;
+	/**
+	 * Creates a cutter.
+	 * @param numbered whether each event must have an id that goes on behind the one
+	 * before, as in a stream that may be resumed
+	 * @param resumedAfter id of the event behind which the run begins, or null if it
+	 * begins the stream
+	 */
+	EventCutter(boolean numbered, @Nullable String resumedAfter) {
+		this.numbered = numbered;
+		this.resumed = resumedAfter != null;
+		this.lastId = resumedAfter;
+	}
 
 	/**
 	 * Takes bytes of the stream.
 	 * @return the events that are whole now, possibly none
-	 * @throws IOException if an event is too large to be held
+	 * @throws IOException if an event is too large to be held, or does not go on behind
+	 * the one before
 	 */
 	byte[] append(byte[] bytes, int length) throws IOException {
 		int end = endOfLastEvent(bytes, length);
@@ -47,7 +67,7 @@
 		this.partial.reset();
 		this.tail = new byte[0];
 		hold(bytes, end, length - end);
-		noteIds(whole);
+		this.lastId = followIds(whole);
 		return whole;
 	}
 
@@ -68,42 +88,18 @@
 	}
 
 	/**
-	 * Drops the bytes of an event that will not be completed.
+	 * Id of the last whole event, or of the one behind which the run begins, or null if
+	 * there was none.
 	 */
-	void dropPartial() {
-		this.partial.reset();
-		this.tail = new byte[0];
-		this.firstId = null;
-		this.resumedAfter = this.lastId;
-	}
-
-	/**
-	 * Id of the last event before the stream was resumed, or null if it was not.
-	 */
-	@Nullable String resumedAfter() {
-		return this.resumedAfter;
-	}
-
-	/**
-	 * Whether the events since the stream was resumed go on where it was broken off.
-	 */
-	boolean continuous() {
-		if (this.resumedAfter == null || this.firstId == null) {
-			return true;
-		}
-		try {
-			return Long.parseLong(this.firstId) == Long.parseLong(this.resumedAfter) + 1;
-		}
-		catch (NumberFormatException ex) {
-			return !this.firstId.equals(this.resumedAfter);
-		}
+	@Nullable String lastId() {
+		return this.lastId;
 	}
 
 	/**
-	 * Id of the last whole event, or null if there was none with an id.
+	 * Whether the run has brought an event.
 	 */
-	@Nullable String lastId() {
-		return this.lastId;
+	boolean eventSeen() {
+		return this.eventSeen;
 	}
 
 	/**
@@ -127,14 +123,51 @@
 		return joined;
 	}
 
-	private void noteIds(byte[] whole) {
-		new String(whole, StandardCharsets.ISO_8859_1).lines()
-			.filter((line) -> line.startsWith(ID_FIELD))
-			.map((line) -> line.substring(ID_FIELD.length()).strip())
-			.forEach((id) -> {
-				this.firstId = (this.firstId != null) ? this.firstId : id;
-				this.lastId = id;
-			});
+	/**
+	 * Follows the ids of whole events.
+	 * @return the id of the last one
+	 */
+	private @Nullable String followIds(byte[] whole) throws IOException {
+		String last = this.lastId;
+		String id = null;
+		boolean inEvent = false;
+		for (String line : new String(whole, StandardCharsets.ISO_8859_1).lines().toList()) {
+			if (line.startsWith(ID_FIELD)) {
+				id = line.substring(ID_FIELD.length()).strip();
+			}
+			inEvent |= !line.isEmpty() && !line.startsWith(COMMENT);
+			if (line.isEmpty() && inEvent) {
+				checkFollows(last, id);
+				last = (id != null) ? id : last;
+				id = null;
+				inEvent = false;
+				this.eventSeen = true;
+			}
+		}
+		return last;
+	}
+
+	private void checkFollows(@Nullable String last, @Nullable String id) throws IOException {
+		if (!this.numbered) {
+			return;
+		}
+		if (last != null && id != null && !this.eventSeen && !follows(last, id)) {
+			throw new IOException("event " + id + " does not go on behind event " + last);
+		}
+	}
+
+	/**
+	 * Whether an event goes on behind another one. Nothing may be missing where a stream
+	 * was resumed.
+	 */
+	private boolean follows(String last, String id) {
+		try {
+			long step = Long.parseLong(id) - Long.parseLong(last);
+			return (this.resumed && !this.eventSeen) ? step == 1 : step > 0;
+		}
+		catch (NumberFormatException ex) {
+			return !id.equals(last);
+		}
 	}
 
 }
--- a/src/main/java/org/jaywood/gateway/HandOverResult.java
+++ b/src/main/java/org/jaywood/gateway/HandOverResult.java
@@ -42,6 +42,12 @@
 	record Broken(String reason, Outcome outcome) implements HandOverResult {
 	}
 
+	/**
+	 * Another upstream answered, or the silent one went on, before this one did.
+	 */
+	record Superseded() implements HandOverResult {
+	}
+
 	/**
 	 * The caller is gone.
 	 */
--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -169,11 +169,12 @@
 	}
 
 	/**
-	 * Whether a call would get a place at once, before all that wait, at an upstream that
-	 * is not slow itself.
+	 * Gives a call a place at once, before all that wait, at an upstream that is not slow
+	 * itself.
 	 */
-	public synchronized boolean hasRoom(Demand demand, long nowMillis) {
-		return choosePunctual(usable(demand, nowMillis), demand, nowMillis).isPresent();
+	public synchronized Optional<Placement> placeAtOnce(Demand demand, long nowMillis) {
+		return choosePunctual(usable(demand, nowMillis), demand, nowMillis)
+			.map((chosen) -> take(chosen, nowMillis, nowMillis));
 	}
 
 	/**
@@ -341,13 +342,15 @@
 	}
 
 	private void place(Ticket ticket, PlacementPolicy.Candidate chosen, long nowMillis) {
+		this.waiting.removePlaced(ticket, nowMillis);
+		ticket.placement().complete(take(chosen, ticket.sinceMillis(), nowMillis));
+	}
+
+	private static Placement take(PlacementPolicy.Candidate chosen, long sinceMillis, long nowMillis) {
 		UpstreamState state = chosen.state();
 		state.onSend(nowMillis);
-		this.waiting.removePlaced(ticket, nowMillis);
-		long reportAgeMillis = state.reportAgeMillis(nowMillis);
-		ticket.placement()
-			.complete(new Placement(state.upstream(), chosen.load(), chosen.capacity(), reportAgeMillis,
-					nowMillis - ticket.sinceMillis()));
+		return new Placement(state.upstream(), chosen.load(), chosen.capacity(), state.reportAgeMillis(nowMillis),
+				nowMillis - sinceMillis);
 	}
 
 }
