Go on with a broken stream only behind events that follow

Cause: a resumed stream was taken for sound unless its first id was wrong. Bytes without an id were never looked at, the type of the answer neither, and the end of its body was the end of the stream even if no event had come. Change: of a stream that may be resumed only events with an id that goes on are passed on, in the first run too, where a head within a body without a length looked like an event; a resumed answer must have the type that the caller was told, bring an event, and not end within one. Events before a wrong one still reach the caller, so that another engine can go on behind them. Why it works: nothing reaches the caller but events that follow the last one it has.

--- a/src/main/java/org/jaywood/gateway/Attempt.java
+++ b/src/main/java/org/jaywood/gateway/Attempt.java
@@ -186,9 +186,12 @@
 
 	private byte[] rest() throws IOException {
 		byte[] rest = this.cutter.rest();
-		if (rest.length > 0 && answer().length() == Framing.UNTIL_CLOSE) {
+		if (rest.length > 0 && (this.resumed != null || answer().length() == Framing.UNTIL_CLOSE)) {
 			throw new IOException("the stream ended within an event");
 		}
+		if (this.resumed != null && !this.cutter.eventSeen()) {
+			throw new IOException("the resumed stream ended without an event");
+		}
 		return rest;
 	}
 
@@ -198,6 +201,9 @@
 			throw new AttemptEndedException(
 					new HandOverResult.Broken("status " + received.status() + " to a resumed stream", Outcome.FAILED));
 		}
+		if (!progress.sameType(received.head())) {
+			throw new IOException("an answer of another type to a resumed stream");
+		}
 	}
 
 	/**
--- a/src/main/java/org/jaywood/gateway/EventCutter.java
+++ b/src/main/java/org/jaywood/gateway/EventCutter.java
@@ -37,6 +37,8 @@
 
 	private boolean eventSeen;
 
+	private @Nullable String violation;
+
 	/**
 	 * Creates a cutter.
 	 * @param numbered whether each event must have an id that goes on behind the one
@@ -52,11 +54,13 @@
 
 	/**
 	 * Takes bytes of the stream.
-	 * @return the events that are whole now, possibly none
+	 * @return the events that are whole now, possibly none; those before one that does
+	 * not go on behind them are returned first
 	 * @throws IOException if an event is too large to be held, or does not go on behind
 	 * the one before
 	 */
 	byte[] append(byte[] bytes, int length) throws IOException {
+		requireSound();
 		int end = endOfLastEvent(bytes, length);
 		if (end == 0) {
 			hold(bytes, 0, length);
@@ -67,8 +71,11 @@
 		this.partial.reset();
 		this.tail = new byte[0];
 		hold(bytes, end, length - end);
-		this.lastId = followIds(whole);
-		return whole;
+		int sound = followIds(new String(whole, StandardCharsets.ISO_8859_1));
+		if (sound == 0) {
+			requireSound();
+		}
+		return Arrays.copyOf(whole, sound);
 	}
 
 	private void hold(byte[] bytes, int offset, int length) throws IOException {
@@ -82,8 +89,10 @@
 
 	/**
 	 * Bytes behind the last whole event.
+	 * @throws IOException if an event did not go on behind the one before
 	 */
-	byte[] rest() {
+	byte[] rest() throws IOException {
+		requireSound();
 		return this.partial.toByteArray();
 	}
 
@@ -125,35 +134,53 @@
 
 	/**
 	 * Follows the ids of whole events.
-	 * @return the id of the last one
+	 * @return length of the events that go on one behind the other
 	 */
-	private @Nullable String followIds(byte[] whole) throws IOException {
-		String last = this.lastId;
+	private int followIds(String whole) {
+		int begin = 0;
 		String id = null;
 		boolean inEvent = false;
-		for (String line : new String(whole, StandardCharsets.ISO_8859_1).lines().toList()) {
+		for (int at = 0; at < whole.length();) {
+			int next = whole.indexOf('\n', at) + 1;
+			String line = whole.substring(at, next).strip();
+			at = next;
 			if (line.startsWith(ID_FIELD)) {
 				id = line.substring(ID_FIELD.length()).strip();
 			}
 			inEvent |= !line.isEmpty() && !line.startsWith(COMMENT);
 			if (line.isEmpty() && inEvent) {
-				checkFollows(last, id);
-				last = (id != null) ? id : last;
+				this.violation = violation(id);
+				if (this.violation != null) {
+					return begin;
+				}
+				this.lastId = (id != null) ? id : this.lastId;
+				this.eventSeen = true;
+				begin = next;
 				id = null;
 				inEvent = false;
-				this.eventSeen = true;
 			}
 		}
-		return last;
+		return whole.length();
 	}
 
-	private void checkFollows(@Nullable String last, @Nullable String id) throws IOException {
+	private void requireSound() throws IOException {
+		if (this.violation != null) {
+			throw new IOException(this.violation);
+		}
+	}
+
+	/**
+	 * What is wrong with an event of this id, or null if it goes on behind the last one.
+	 */
+	private @Nullable String violation(@Nullable String id) {
+		String last = this.lastId;
 		if (!this.numbered) {
-			return;
+			return null;
 		}
-		if (last != null && id != null && !this.eventSeen && !follows(last, id)) {
-			throw new IOException("event " + id + " does not go on behind event " + last);
+		if (id == null) {
+			return "an event without an id";
 		}
+		return (last == null || follows(last, id)) ? null : "event " + id + " does not go on behind event " + last;
 	}
 
 	/**
--- /dev/null
+++ b/src/test/java/org/jaywood/gateway/ResumedStreamTests.java
@@ -0,0 +1,139 @@
+package org.jaywood.gateway;
+
+import java.io.IOException;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against a broken stream that ends as complete, or contains the text of an error,
+ * because the upstream that was to go on with it did not.
+ */
+class ResumedStreamTests extends GatewayFixture {
+
+	private static final String FIRST_EVENT = "id: 1\ndata: a\n\n";
+
+	private static final String ERROR_TEXT = "internal error";
+
+	/**
+	 * The answer to a stream that breaks off behind its first event and is resumed by an
+	 * upstream that follows a script.
+	 */
+	private String answerResumedBy(FakeUpstream.Script resumed) throws IOException {
+		FakeUpstream.Script script = (request, number, out, socket) -> {
+			if (request.header("last-event-id").isEmpty()) {
+				write(out, FakeUpstream.streamHead(request) + FakeUpstream.chunk(FIRST_EVENT));
+				socket.close();
+			}
+			else {
+				resumed.answer(request, number, out, socket);
+			}
+		};
+		return exchange(start(new FakeUpstream(script), new FakeUpstream(script)), STREAM);
+	}
+
+	private void assertCutBehindTheFirstEvent(FakeUpstream.Script resumed) throws IOException {
+		String answer = answerResumedBy(resumed);
+		assertThat(answer).contains(FIRST_EVENT);
+		assertThat(answer).doesNotContain(ERROR_TEXT);
+		assertThat(answer).doesNotContain("HTTP/1.1 5");
+		assertThat(answer.split("id: ", -1)).hasLength(2);
+		assertThat(answer).doesNotContain("\r\n0\r\n");
+	}
+
+	/**
+	 * The other upstream answers with an error, said so or not.
+	 */
+	@Nested
+	class AnsweredWithAnError {
+
+		@Test
+		void ofAFailureNothingIsPassedOn() throws IOException {
+			assertCutBehindTheFirstEvent(
+					(request, number, out, socket) -> write(out, FakeUpstream.answer(request, 500, "", ERROR_TEXT)));
+		}
+
+		@Test
+		void ofATextThatIsSaidToBeGoodNothingIsPassedOn() throws IOException {
+			assertCutBehindTheFirstEvent((request, number, out, socket) -> write(out,
+					FakeUpstream.answer(request, 200, "Content-Type: text/plain\r\n", ERROR_TEXT)));
+		}
+
+		@Test
+		void ofATextInPlaceOfEventsNothingIsPassedOn() throws IOException {
+			assertCutBehindTheFirstEvent((request, number, out, socket) -> write(out,
+					FakeUpstream.streamHead(request) + FakeUpstream.chunk(ERROR_TEXT) + "0\r\n\r\n"));
+		}
+
+		@Test
+		void ofATextThatLooksLikeAnEventNothingIsPassedOn() throws IOException {
+			assertCutBehindTheFirstEvent((request, number, out, socket) -> write(out,
+					FakeUpstream.streamHead(request) + FakeUpstream.chunk(ERROR_TEXT + "\n\n") + "0\r\n\r\n"));
+		}
+
+		@Test
+		void ofAHeadWithinTheStreamNothingIsPassedOn() throws IOException {
+			assertCutBehindTheFirstEvent((request, number, out, socket) -> write(out,
+					FakeUpstream.streamHead(request)
+							+ FakeUpstream.chunk("HTTP/1.1 500 Error\r\nContent-Length: 14\r\n\r\n" + ERROR_TEXT)
+							+ "0\r\n\r\n"));
+		}
+
+	}
+
+	/**
+	 * The other upstream ends its answer too early.
+	 */
+	@Nested
+	class EndedEarly {
+
+		@Test
+		void anEmptyBodyIsNotTheEndOfTheStream() throws IOException {
+			assertCutBehindTheFirstEvent((request, number, out, socket) -> write(out,
+					FakeUpstream.answer(request, 200, "Content-Type: text/event-stream\r\n", "")));
+		}
+
+		@Test
+		void aPartOfAnEventIsNotTheEndOfTheStream() throws IOException {
+			assertCutBehindTheFirstEvent((request, number, out, socket) -> write(out,
+					FakeUpstream.streamHead(request) + FakeUpstream.chunk("data: b\n") + "0\r\n\r\n"));
+		}
+
+		@Test
+		void anEventThatLeavesOneOutIsNotPassedOn() throws IOException {
+			assertCutBehindTheFirstEvent((request, number, out, socket) -> write(out,
+					FakeUpstream.streamHead(request) + FakeUpstream.chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n"));
+		}
+
+	}
+
+	/**
+	 * A head of an error within the body of the first upstream, whose end only its
+	 * connection shows.
+	 */
+	@Nested
+	class ForeignBytesInTheFirstRun {
+
+		@Test
+		void areNotPassedOn() throws IOException {
+			FakeUpstream.Script script = (request, number, out, socket) -> {
+				write(out, FakeUpstream.streamHead(request).replace("Transfer-Encoding: chunked\r\n", ""));
+				if (request.header("last-event-id").isEmpty()) {
+					write(out, FIRST_EVENT + "HTTP/1.1 500 Error\r\n\r\n" + ERROR_TEXT + "\r\n\r\n");
+				}
+				else {
+					write(out, "id: 2\ndata: b\n\n");
+				}
+				socket.close();
+			};
+			String answer = exchange(start(new FakeUpstream(script), new FakeUpstream(script)), STREAM);
+			assertThat(answer).contains("id: 2\ndata: b\n\n");
+			assertThat(answer).doesNotContain("HTTP/1.1 500");
+			assertThat(answer).doesNotContain(ERROR_TEXT);
+		}
+
+	}
+
+}
