Go on elsewhere only with answers that can be resumed

Cause: whether a call may be sent again looked at its policy, not at whether its answer had begun. Evidence: GatewayTests.LargeAnswers failed before (three requests for two calls). Change: a call whose answer has begun is repeated only if its stream may be resumed; otherwise it is cut at once. After: passes.

--- a/src/main/java/org/jaywood/gateway/CallAttempts.java
+++ b/src/main/java/org/jaywood/gateway/CallAttempts.java
@@ -261,6 +261,9 @@
 		if (this.mayHaveRun && !policy.repeatable()) {
 			return "not-repeatable";
 		}
+		if (this.reply.begun() && policy != RepeatPolicy.RESUMABLE_STREAM) {
+			return "not-resumable";
+		}
 		if (this.sends >= this.call.route().maxAttempts()) {
 			return "attempts";
 		}
--- a/src/test/java/org/jaywood/gateway/GatewayTests.java
+++ b/src/test/java/org/jaywood/gateway/GatewayTests.java
@@ -197,6 +197,36 @@
 
 	}
 
+	/**
+	 * Guards against a large plain answer that broke off and is joined with the answer of
+	 * another upstream.
+	 */
+	@Nested
+	class LargeAnswers {
+
+		private static final int LINES = 200_000;
+
+		@Test
+		void aBrokenOneIsNotGoneOnWith() throws IOException {
+			FakeUpstream.Script script = (request, number, out, socket) -> {
+				String whole = FakeUpstream.answer(request, 200, "", "z\n\n".repeat(LINES));
+				write(out, request.header("x-expect-instance").equals("i-0") ? whole
+						: whole.substring(0, whole.length() / 2));
+				socket.close();
+			};
+			FakeUpstream first = new FakeUpstream(script);
+			FakeUpstream second = new FakeUpstream(script);
+			Gateway gateway = start(first, second);
+			for (int call = 1; call <= 2; call++) {
+				String answer = exchange(gateway, SAFE);
+				long received = answer.substring(answer.indexOf("\r\n\r\n")).chars().filter((c) -> c == 'z').count();
+				assertThat(answer.endsWith("\r\n0\r\n\r\n")).isEqualTo(received == LINES);
+				assertThat(first.requests().size() + second.requests().size()).isEqualTo(call);
+			}
+		}
+
+	}
+
 	/**
 	 * Guards against work for a caller that has left.
 	 */
