Take a repeated refusal for no answer to a later request

What callers saw (report of another operator): a faulty engine wrote an earlier refusal once more on a kept connection; callers were told "not run, try again" of a request that ran (REFUSED), or it ran at a second engine (TWICE). Cause: answers are told apart by the id of their call. An id comes twice on a connection where a call is sent on to another incarnation at the same address after 421, or where a caller uses its id again: the copy then looks like the answer to the second request. Change: a connection remembers the calls that were refused on it (the last 32) and is not used for one of them again. Why it works: on a connection on which an id was never refused no refusal of that id can be a copy.

--- a/src/main/java/org/jaywood/gateway/HandOver.java
+++ b/src/main/java/org/jaywood/gateway/HandOver.java
@@ -263,7 +263,8 @@
 		Upstream upstream = placement.upstream();
 		ClientConnection connection;
 		try {
-			connection = this.context.pool().acquire(upstream.address(), Math.min(CONNECT_MILLIS, remainingMillis()));
+			connection = this.context.pool()
+				.acquire(upstream.address(), this.call.id(), Math.min(CONNECT_MILLIS, remainingMillis()));
 		}
 		catch (ConnectionException ex) {
 			HandOverResult result = new HandOverResult.NotRun(Outcome.UNREACHABLE, false,
@@ -306,6 +307,9 @@
 	private void end(Attempt attempt, HandOverResult result) {
 		ClientConnection connection = attempt.connection();
 		this.cancellation.detach(connection);
+		if (result instanceof HandOverResult.NotRun) {
+			connection.noteRefused(this.call.id());
+		}
 		boolean reusable = result instanceof HandOverResult.Delivered || result instanceof HandOverResult.Failed
 				|| result instanceof HandOverResult.NotRun;
 		if (reusable && !this.cancellation.cancelled()) {
--- a/src/main/java/org/jaywood/http/ClientConnection.java
+++ b/src/main/java/org/jaywood/http/ClientConnection.java
@@ -4,6 +4,8 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
@@ -38,6 +40,9 @@
 	/** Wait that shows whether the other side has sent or closed already. */
 	private static final long STALE_CHECK_MILLIS = 1;
 
+	/** Refused exchanges that are remembered. */
+	private static final int MAX_REFUSED = 32;
+
 	/** Taken off the announced idle limit, so that no request meets the close. */
 	private static final long KEEP_ALIVE_MARGIN_MILLIS = 1_000;
 
@@ -72,6 +77,8 @@
 
 	private boolean used;
 
+	private final Deque<String> refused = new ArrayDeque<>();
+
 	private ClientConnection(Address address, Socket socket) throws IOException {
 		this.address = address;
 		this.socket = socket;
@@ -107,6 +114,24 @@
 		return this.used;
 	}
 
+	/**
+	 * Notes that the other side refused an exchange here. It may write that refusal once
+	 * more, which would look like the answer to another exchange of the same id.
+	 */
+	public void noteRefused(String exchangeId) {
+		this.refused.add(exchangeId);
+		if (this.refused.size() > MAX_REFUSED) {
+			this.refused.poll();
+		}
+	}
+
+	/**
+	 * Whether the other side refused an exchange of this id here lately.
+	 */
+	boolean refused(String exchangeId) {
+		return this.refused.contains(exchangeId);
+	}
+
 	/**
 	 * Sends a request, head and body in one write where they fit.
 	 * @throws ConnectionException if not all of it could be written
--- a/src/main/java/org/jaywood/http/ConnectionPool.java
+++ b/src/main/java/org/jaywood/http/ConnectionPool.java
@@ -48,7 +48,25 @@
 	 * @throws ConnectionException if none can be opened
 	 */
 	public ClientConnection acquire(Address address, long connectMillis) throws ConnectionException {
-		ClientConnection kept = takeIdle(address, ConnectionPool::usable);
+		return acquire(address, connectMillis, ConnectionPool::usable);
+	}
+
+	/**
+	 * Takes an idle connection on which the other side has not refused this exchange
+	 * before, or opens one.
+	 * @param address the other process
+	 * @param exchangeId id that the answer will bear
+	 * @param connectMillis time for opening
+	 * @return a connection without bytes that belong to an earlier exchange
+	 * @throws ConnectionException if none can be opened
+	 */
+	public ClientConnection acquire(Address address, String exchangeId, long connectMillis) throws ConnectionException {
+		return acquire(address, connectMillis, (connection) -> !connection.refused(exchangeId) && usable(connection));
+	}
+
+	private ClientConnection acquire(Address address, long connectMillis, Predicate<ClientConnection> check)
+			throws ConnectionException {
+		ClientConnection kept = takeIdle(address, check);
 		if (kept != null) {
 			return kept;
 		}
