Answer a call that met an unexpected error, and free its place

Cause: any RuntimeException or error within a call closed its connection, and the call held its place at the upstream for good, so that after as many errors as it has places it got no calls any more. Change: CallTask answers 503 (not run) if nothing was sent and 502 if it was; HandOver ends each attempt on the way out; Dispatcher takes a ticket back that it could not place.

--- a/src/main/java/org/jaywood/gateway/CallTask.java
+++ b/src/main/java/org/jaywood/gateway/CallTask.java
@@ -12,6 +12,11 @@
  */
 final class CallTask implements Runnable {
 
+	/** Reason of an answer to a call that met an unexpected error. */
+	private static final String ERROR = "error";
+
+	private static final long ERROR_RETRY_MILLIS = 1_000;
+
 	private final GatewayContext context;
 
 	private final Call call;
@@ -40,6 +45,30 @@
 		catch (CallerGoneException ex) {
 			logGone();
 		}
+		catch (RuntimeException | Error ex) {
+			answerError(ex);
+		}
+	}
+
+	/**
+	 * Answers a call that met an unexpected error, as truthfully as any other.
+	 */
+	private void answerError(Throwable error) {
+		this.context.log()
+			.log(Event.HANDLER_FAILED, "method", this.call.request().head().getMethod(), "path",
+					this.call.request().head().getRequestUri(), "error", error);
+		try {
+			if (this.reply.begun()) {
+				giveUp(ERROR);
+			}
+			else {
+				refuse(this.attempts.mayHaveRun() ? new CallFailure.Unknown(ERROR, false)
+						: new CallFailure.NotRun(ERROR, ERROR_RETRY_MILLIS));
+			}
+		}
+		catch (CallerGoneException ex) {
+			logGone();
+		}
 	}
 
 	private void serve() throws CallerGoneException {
--- a/src/main/java/org/jaywood/gateway/HandOver.java
+++ b/src/main/java/org/jaywood/gateway/HandOver.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 
+import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.HttpStatus;
 import org.jspecify.annotations.Nullable;
 
@@ -275,12 +276,12 @@
 		Attempt attempt = new Attempt(placement, connection, this.context.protocol(), this.call,
 				this.reply.begun() ? this.progress : null);
 		this.cancellation.attach(connection);
+		ClassicHttpRequest request = request(attempt);
 		try {
 			if (this.cancellation.cancelled()) {
 				throw new IOException("the caller is gone");
 			}
-			connection.send(UpstreamRequest.of(this.call, this.context.protocol(),
-					head(upstream, this.attempts.weights(BootClock.nowMillis()))), this.call.request().body());
+			connection.send(request, this.call.request().body());
 			return attempt;
 		}
 		catch (IOException ex) {
@@ -290,10 +291,18 @@
 		}
 	}
 
-	private HandOverHead head(Upstream upstream, OptionalLong weights) {
-		return new HandOverHead(upstream.id(), weights, remainingMillis(),
-				(this.call.workspace() != null) ? this.call.workspace().name() : null, this.call.urgency(),
-				this.reply.begun() ? this.progress.lastId() : null);
+	private ClassicHttpRequest request(Attempt attempt) {
+		try {
+			OptionalLong weights = this.attempts.weights(BootClock.nowMillis());
+			return UpstreamRequest.of(this.call, this.context.protocol(),
+					new HandOverHead(attempt.placement().upstream().id(), weights, remainingMillis(),
+							(this.call.workspace() != null) ? this.call.workspace().name() : null, this.call.urgency(),
+							this.reply.begun() ? this.progress.lastId() : null));
+		}
+		catch (RuntimeException | Error ex) {
+			end(attempt, new HandOverResult.NotRun(Outcome.CANCELLED, false, "error of the gateway"));
+			throw ex;
+		}
 	}
 
 	private void dropStandby() {
--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -141,7 +141,13 @@
 	 */
 	public synchronized Ticket request(Demand demand, long nowMillis) {
 		Ticket ticket = this.waiting.add(demand, nowMillis);
-		placeWaiting(demand.service(), nowMillis);
+		try {
+			placeWaiting(demand.service(), nowMillis);
+		}
+		catch (RuntimeException | Error ex) {
+			this.waiting.remove(ticket);
+			throw ex;
+		}
 		return ticket;
 	}
 
--- a/src/test/java/org/jaywood/gateway/GatewayFixture.java
+++ b/src/test/java/org/jaywood/gateway/GatewayFixture.java
@@ -53,13 +53,17 @@
 	}
 
 	Gateway start(GatewaySettings settings, FakeUpstream... upstreams) {
+		return start(settings, new PlatformCalls(), upstreams);
+	}
+
+	Gateway start(GatewaySettings settings, CallProtocol protocol, FakeUpstream... upstreams) {
 		List<Upstream> entries = new ArrayList<>();
 		for (FakeUpstream upstream : upstreams) {
 			this.open.add(upstream);
 			entries.add(new Upstream("i-" + entries.size(), "desk", upstream.address(), "dc", "region", 8, false, 0, 1,
 					null));
 		}
-		Gateway gateway = new Gateway(settings, new PlatformCalls(),
+		Gateway gateway = new Gateway(settings, protocol,
 				new GatewayFeeds(new FixedFeed<>("config", List.of(table())), new FixedFeed<>("servers", entries),
 						new FixedFeed<>("closed", List.of()), new FixedFeed<NamedWeights>("weights", List.of())),
 				new EventLog("gateway"));
