--- a/src/test/java/org/jaywood/platform/FakePlatformEngine.java
+++ b/src/test/java/org/jaywood/platform/FakePlatformEngine.java
@@ -10,6 +10,7 @@
 import java.util.Objects;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -50,6 +51,8 @@
 
 	private volatile long gapMillis;
 
+	private volatile long silentUntilNanos = System.nanoTime();
+
 	FakePlatformEngine(String id, Address listen, EventLog log) {
 		this.id = id;
 		this.port = HttpPort.open(listen, log)
@@ -70,6 +73,17 @@
 		this.gapMillis = millis;
 	}
 
+	/**
+	 * Lets all answers pause for a time and go on then, as a sound engine may.
+	 */
+	void fallSilent(long millis) {
+		this.silentUntilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+	}
+
+	private void awaitEndOfSilence() throws InterruptedException {
+		TimeUnit.NANOSECONDS.sleep(this.silentUntilNanos - System.nanoTime());
+	}
+
 	List<Call> calls() {
 		return this.calls;
 	}
@@ -116,9 +130,13 @@
 				String.valueOf(exchange.header("Authorization"))));
 		exchange.setHeader("X-Response-Seal", "seal-" + attempt);
 		try (OutputStream out = exchange.stream(200, "text/event-stream")) {
-			out.write("id: 1\ndata: one\n\n".getBytes(StandardCharsets.US_ASCII));
-			out.flush();
+			if (!"1".equals(exchange.header("Last-Event-Id"))) {
+				awaitEndOfSilence();
+				out.write("id: 1\ndata: one\n\n".getBytes(StandardCharsets.US_ASCII));
+				out.flush();
+			}
 			Thread.sleep(this.gapMillis);
+			awaitEndOfSilence();
 			out.write("id: 2\ndata: two\n\n".getBytes(StandardCharsets.US_ASCII));
 		}
 	}
--- a/src/test/java/org/jaywood/platform/PlatformProcesses.java
+++ b/src/test/java/org/jaywood/platform/PlatformProcesses.java
@@ -29,6 +29,9 @@
 	/** Bound on revoked keys in the settings of the processes. */
 	static final long REVOKE_MILLIS = 5_000;
 
+	/** Time for which callers may keep a connection idle. */
+	static final long IDLE_MILLIS = 15_000;
+
 	/** Bound on configurations in the settings of the processes. */
 	static final long CONFIGURATION_MILLIS = 2_000;
 
@@ -127,6 +130,10 @@
 	}
 
 	Map<String, Object> configuration(long version, List<String> keys) {
+		return configuration(version, keys, IDLE_MILLIS);
+	}
+
+	Map<String, Object> configuration(long version, List<String> keys, long idleMillis) {
 		Map<String, Object> route = Map.of("Name", "work", "Host", host(), "PathPrefix", "/calls/", "Service", "pool",
 				"Kind", "streaming", "Resumable", true, "TimeoutMs", 5_000, "TargetLatencyMs", 400, "Priority", 1,
 				"MaxAttempts", 2);
@@ -135,7 +142,7 @@
 		Map<String, Object> origin = Map.of("Name", "origin", "Origin", engineAddress(0).toString(), "Zone", "zone-a");
 		return Map.of("Version", version, "Routes", List.of(route), "Services", List.of(pool, origin), "Tenants",
 				List.of(Map.of("Name", "workspace-1", "ApiKeys", keys)), "Limits", Map.of("MaxHeaderBytes", 16_384,
-						"MaxBodyBytes", 1_000_000, "HeaderTimeoutMs", 3_000, "IdleTimeoutMs", 15_000));
+						"MaxBodyBytes", 1_000_000, "HeaderTimeoutMs", 3_000, "IdleTimeoutMs", idleMillis));
 	}
 
 	void nameVersion(long version) {
--- a/src/test/java/org/jaywood/platform/SoakIT.java
+++ b/src/test/java/org/jaywood/platform/SoakIT.java
@@ -27,8 +27,8 @@
 
 /**
  * Gateways and replicas under callers that keep their connections, while planned stops,
- * kills of replicas, pauses, configurations, versions and outages of the store overlap.
- * System properties set the seeds and sizes of longer runs.
+ * kills of replicas, pauses, configurations, versions, silences of engines and outages of
+ * the store overlap. System properties set the seeds and sizes of longer runs.
  */
 class SoakIT {
 
@@ -44,6 +44,12 @@
 
 	private static final long GAP_MILLIS = 60;
 
+	/** Silence of a sound engine. */
+	private static final long SILENCE_MILLIS = 2_000;
+
+	/** Idle limit of some configurations; callers rest for less. */
+	private static final long SHORT_IDLE_MILLIS = 1_000;
+
 	/** Time within which all is well again after the last trouble. */
 	private static final Duration RECOVERY = Duration.ofSeconds(12);
 
@@ -86,7 +92,7 @@
 		List<Future<?>> troubles = new ArrayList<>();
 		for (int number = 0; number < TROUBLES; number++) {
 			long atMillis = random.nextLong(TROUBLES_MILLIS);
-			int kind = random.nextInt(6);
+			int kind = random.nextInt(8);
 			int target = random.nextInt(Math.max(GATEWAYS, ENGINES));
 			troubles.add(tasks.submit(() -> {
 				Thread.sleep(atMillis);
@@ -107,6 +113,10 @@
 			case 3 -> processes.store()
 				.put("config", "main",
 						processes.configuration(this.configuration.incrementAndGet(), List.of(PlatformProcesses.KEY)));
+			case 6 -> processes.engine(target % ENGINES).fallSilent(SILENCE_MILLIS);
+			case 7 -> processes.store()
+				.put("config", "main", processes.configuration(this.configuration.incrementAndGet(),
+						List.of(PlatformProcesses.KEY), SHORT_IDLE_MILLIS));
 			case 4 -> processes.nameVersion(this.version.incrementAndGet());
 			default -> {
 				processes.store().fail(Fault.BUSY);
