Confirm a view soon after a change

Cause: a view counts as current from the begin of the wait that a change ended, up to 1.9 s before; then the follower paused up to 0.4 s and waited another 1.9 s for its confirmation, together more than the 3.4 s for which a key is accepted. Evidence: FeedFollowerTests.Confirmation failed before (age 2,199 ms at a wait of 1,000 ms, bound two waits). Change: behind a change the next wait is 300 ms. It costs one more call to the store a change. After: 7 of 7 tests of the follower.

--- a/src/main/java/org/jaywood/feed/FeedFollower.java
+++ b/src/main/java/org/jaywood/feed/FeedFollower.java
@@ -29,6 +29,12 @@
 	 */
 	private static final long GATHER_MILLIS = 400;
 
+	/**
+	 * Longest wait behind a change. A change ends a wait before the store could say that
+	 * nothing else changed, and the view is as old as the begin of that wait until then.
+	 */
+	private static final long CONFIRM_WAIT_MILLIS = 300;
+
 	/** A shorter gap in answers is an ordinary retry. */
 	private static final long OUTAGE_MILLIS = 600;
 
@@ -56,6 +62,8 @@
 
 	private long gatherMillis = GATHER_MILLIS;
 
+	private boolean unconfirmed;
+
 	private volatile boolean reachable = true;
 
 	private volatile boolean closed;
@@ -151,11 +159,13 @@
 			accept(page, askedMillis, true);
 			return;
 		}
-		FeedPage<T> page = this.feed.watch(this.revision, this.waitMillis);
+		long wantedMillis = this.unconfirmed ? Math.min(CONFIRM_WAIT_MILLIS, this.waitMillis) : this.waitMillis;
+		FeedPage<T> page = this.feed.watch(this.revision, wantedMillis);
 		// An empty answer is given at the end of the wait, not at its beginning.
 		boolean waited = page.entries().isEmpty();
 		long nowMillis = BootClock.nowMillis();
-		accept(page, waited ? Math.min(nowMillis, askedMillis + this.waitMillis) : askedMillis, false);
+		this.unconfirmed = !waited;
+		accept(page, waited ? Math.min(nowMillis, askedMillis + wantedMillis) : askedMillis, false);
 		if (waited) {
 			this.gatherMillis = GATHER_MILLIS;
 		}
--- a/src/main/java/org/jaywood/gateway/CallAttempts.java
+++ b/src/main/java/org/jaywood/gateway/CallAttempts.java
@@ -264,12 +264,12 @@
 		if (this.reply.begun() && policy != RepeatPolicy.RESUMABLE_STREAM) {
 			return "not-resumable";
 		}
-		if (this.sends >= this.call.route().maxAttempts()) {
-			return "attempts";
-		}
 		if (this.call.remainingMillis(nowMillis) <= 0) {
 			return "timeout";
 		}
+		if (this.sends >= this.call.route().maxAttempts()) {
+			return "attempts";
+		}
 		return (this.tried.size() > MAX_TRIED) ? "tries" : null;
 	}
 
--- a/src/test/java/org/jaywood/feed/FeedFollowerTests.java
+++ b/src/test/java/org/jaywood/feed/FeedFollowerTests.java
@@ -119,6 +119,66 @@
 
 	}
 
+	/**
+	 * Guards against calls that are refused for want of a current view because a change
+	 * ended a wait for its confirmation and the next one takes as long again.
+	 */
+	@Nested
+	class Confirmation {
+
+		private static final long LONG_WAIT_MILLIS = 1_000;
+
+		private static final long OBSERVED_MILLIS = 3 * LONG_WAIT_MILLIS;
+
+		@Test
+		void aChangeAtTheEndOfAWaitDoesNotDoubleTheAgeOfTheView() throws InterruptedException {
+			FeedFollower<String> late = new FeedFollower<>(new LateChangeFeed(), LONG_WAIT_MILLIS, (view) -> {
+			}, new EventLog("test")).start();
+			Awaitility.await().until(() -> late.view() != null);
+			long untilMillis = BootClock.nowMillis() + OBSERVED_MILLIS;
+			long oldestMillis = 0;
+			while (BootClock.nowMillis() < untilMillis) {
+				oldestMillis = Math.max(oldestMillis, BootClock.nowMillis() - late.view().confirmedMillis());
+				Thread.sleep(5);
+			}
+			late.close();
+			assertThat(oldestMillis).isLessThan(2 * LONG_WAIT_MILLIS);
+		}
+
+	}
+
+	/**
+	 * Feed with one change, shortly before the end of the first wait.
+	 */
+	private static final class LateChangeFeed implements Feed<String> {
+
+		private boolean changed;
+
+		@Override
+		public String name() {
+			return "late";
+		}
+
+		@Override
+		public FeedPage<String> list() {
+			return new FeedPage<>(1, List.of());
+		}
+
+		@Override
+		public FeedPage<String> watch(long revision, long waitMillis) throws FeedException {
+			try {
+				Thread.sleep(this.changed ? waitMillis : waitMillis * 9 / 10);
+			}
+			catch (InterruptedException ex) {
+				throw new FeedException("interrupted", ex);
+			}
+			List<FeedEntry<String>> entries = this.changed ? List.of() : List.of(new FeedEntry<>("a", "1"));
+			this.changed = true;
+			return new FeedPage<>(2, entries);
+		}
+
+	}
+
 	/**
 	 * Feed that always has a change.
 	 */
