Report connections that the gateway ends on an unanswered request

What operators saw: nothing. Change: event 1608 with the cause (idle limit, planned stop, last answer, overdue answer, incomplete answer) and the counter connection_unanswered, for connections that this process ends with a request read but not answered in full, or bytes unread. Callers that leave by themselves are not reported. Tests: ConnectionReportTests, 4 of 4; written with the event, so not seen to fail before.

--- a/src/main/java/org/jaywood/event/Event.java
+++ b/src/main/java/org/jaywood/event/Event.java
@@ -151,6 +151,10 @@
 	/** An answer that had begun could not be completed. */
 	CALL_CUT(1606, Level.WARNING, "answer to {request} cut behind event {lastEvent}: {reason}"),
 
+	/** A connection of a caller was ended on a request without a complete answer. */
+	CONNECTION_ENDED_UNANSWERED(1608, Level.WARNING,
+			"connection of a caller ended by {cause} without an answer: request read {read}, {unread} bytes unread"),
+
 	/** Log lines were dropped because too many were written at once. */
 	LOG_LINES_DROPPED(1006, Level.WARNING, "{count} log lines dropped"),
 
--- a/src/main/java/org/jaywood/gateway/CallerConnection.java
+++ b/src/main/java/org/jaywood/gateway/CallerConnection.java
@@ -41,6 +41,12 @@
 
 	private volatile long closeAtMillis = Long.MAX_VALUE;
 
+	/** Whether a request has been read whole and its answer is not complete. */
+	private volatile boolean unanswered;
+
+	/** Why this process ends the connection, or null while it does not. */
+	private volatile @Nullable String endCause;
+
 	CallerConnection(GatewayContext context, ActiveCalls active, Socket socket) {
 		this.context = context;
 		this.active = active;
@@ -51,12 +57,7 @@
 	public void run() {
 		this.active.add(this);
 		try (Socket open = this.socket) {
-			RequestReader reader = new RequestReader(open, limits().maxHeaderBytes());
-			ResponseWriter writer = new ResponseWriter(open.getOutputStream());
-			boolean more = true;
-			while (more) {
-				more = next(reader, writer);
-			}
+			serveRequests(open);
 		}
 		catch (IOException ex) {
 			this.context.metrics().counter("connection.broken").inc();
@@ -69,8 +70,39 @@
 		}
 	}
 
+	private void serveRequests(Socket open) throws IOException, InterruptedException {
+		RequestReader reader = new RequestReader(open, limits().maxHeaderBytes());
+		ResponseWriter writer = new ResponseWriter(open.getOutputStream());
+		try {
+			boolean more = true;
+			while (more) {
+				more = next(reader, writer);
+			}
+		}
+		finally {
+			reportUnanswered(reader.unreadBytes());
+		}
+	}
+
+	/**
+	 * Reports that this process, not the caller, ends the connection while a request has
+	 * no complete answer.
+	 */
+	private void reportUnanswered(int unreadBytes) {
+		String cause = this.endCause;
+		if (cause != null && (this.unanswered || unreadBytes > 0)) {
+			this.context.metrics().counter("connection.unanswered").inc();
+			this.context.log()
+				.log(Event.CONNECTION_ENDED_UNANSWERED, "cause", cause, "read", this.unanswered, "unread", unreadBytes);
+		}
+	}
+
 	private boolean next(RequestReader reader, ResponseWriter writer) throws IOException, InterruptedException {
-		if (reader.await(limits().idleTimeoutMillis()) != RequestReader.Arrival.BYTES) {
+		RequestReader.Arrival arrival = reader.await(limits().idleTimeoutMillis());
+		if (arrival == RequestReader.Arrival.NOTHING) {
+			this.endCause = "idle limit";
+		}
+		if (arrival != RequestReader.Arrival.BYTES) {
 			return false;
 		}
 		this.busy.set(true);
@@ -97,6 +129,7 @@
 			this.context.metrics().counter("call.caller_gone").inc();
 			return false;
 		}
+		this.unanswered = true;
 		Cancellation cancellation = new Cancellation();
 		CallerReply reply = new CallerReply(writer, this.active.draining() || wantsClose(request));
 		Thread call = Thread.ofVirtual().start(() -> handle(request, reply, cancellation));
@@ -110,6 +143,12 @@
 			cancellation.cancel();
 		}
 		call.join();
+		if (arrival == RequestReader.Arrival.NOTHING) {
+			this.endCause = "idle limit";
+		}
+		else if (arrival == RequestReader.Arrival.BYTES && !reply.reusable()) {
+			this.endCause = "last answer";
+		}
 		return arrival == RequestReader.Arrival.BYTES && reply.reusable();
 	}
 
@@ -118,6 +157,7 @@
 			admit(request, reply, cancellation);
 		}
 		catch (CallerGoneException ex) {
+			this.unanswered = false;
 			this.context.metrics().counter("call.caller_gone").inc();
 		}
 		catch (RuntimeException | Error ex) {
@@ -126,6 +166,7 @@
 						"error", ex);
 		}
 		finally {
+			this.unanswered = this.unanswered && !reply.complete() && !cancellation.cancelled();
 			if (!reply.reusable()) {
 				endOutput(reply.complete());
 			}
@@ -164,7 +205,7 @@
 				this.closeAtMillis = BootClock.nowMillis() + LINGER_MILLIS;
 			}
 			else {
-				this.socket.close();
+				close("incomplete answer");
 			}
 		}
 		catch (IOException ex) {
@@ -188,7 +229,7 @@
 	 */
 	void closeIfOverdue(long nowMillis) {
 		if (nowMillis >= this.closeAtMillis) {
-			close();
+			close("overdue answer");
 		}
 	}
 
@@ -197,7 +238,7 @@
 	 */
 	void closeIfIdle() {
 		if (!this.busy.get() && !requestArrived()) {
-			close();
+			close("planned stop");
 		}
 	}
 
@@ -215,7 +256,8 @@
 		return this.busy.get();
 	}
 
-	void close() {
+	private void close(String cause) {
+		this.endCause = cause;
 		try {
 			this.socket.close();
 		}
--- a/src/main/java/org/jaywood/http/RequestReader.java
+++ b/src/main/java/org/jaywood/http/RequestReader.java
@@ -79,6 +79,21 @@
 		}
 	}
 
+	/**
+	 * Bytes that have arrived and belong to no request that was read. Bytes that the
+	 * socket holds count only while it is open.
+	 */
+	public int unreadBytes() {
+		int bufferedBytes = this.buffer.length();
+		try {
+			return bufferedBytes + this.in.available();
+		}
+		catch (IOException ex) {
+			// The socket is closed, so that only the buffer can be counted.
+			return bufferedBytes;
+		}
+	}
+
 	/**
 	 * Reads a request whose first bytes have arrived. Head and body have one limit of
 	 * time each, however slowly their bytes arrive.
--- /dev/null
+++ b/src/test/java/org/jaywood/gateway/ConnectionReportTests.java
@@ -0,0 +1,58 @@
+package org.jaywood.gateway;
+
+import java.time.Duration;
+
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against a connection that this process ends on a request without a trace, and
+ * against blaming it for callers that left.
+ */
+class ConnectionReportTests extends ConnectionFixture {
+
+	@Test
+	void aRequestBehindTheLastAnswerIsReported() throws Exception {
+		configure(5_000);
+		serve();
+		send("GET /x HTTP/1.1\r\nHost: host\r\nConnection: close\r\n\r\n" + request("/x"));
+		assertThat(answer()).startsWith("HTTP/1.1 404");
+		Awaitility.await().until(() -> unanswered() == 1);
+	}
+
+	@Test
+	void aCallerThatLeavesWithinItsRequestIsNotReported() throws Exception {
+		configure(5_000);
+		Thread serving = serve();
+		send("GET /x HTTP/1.1\r\nHost:");
+		this.caller.close();
+		serving.join();
+		assertThat(unanswered()).isEqualTo(0);
+	}
+
+	@Test
+	void aCallerThatLeavesBeforeItsAnswerIsNotReported() throws Exception {
+		configure(5_000);
+		Thread serving = serve();
+		send(request("/held"));
+		this.protocol.reached().await();
+		this.caller.close();
+		Awaitility.await().pollDelay(Duration.ofMillis(50)).until(() -> true);
+		this.protocol.released().countDown();
+		serving.join();
+		assertThat(unanswered()).isEqualTo(0);
+	}
+
+	@Test
+	void answeredRequestsAreNotReported() throws Exception {
+		configure(500);
+		Thread serving = serve();
+		send(request("/x"));
+		assertThat(answer()).startsWith("HTTP/1.1 404");
+		serving.join();
+		assertThat(unanswered()).isEqualTo(0);
+	}
+
+}
--- /dev/null
+++ b/src/test/java/org/jaywood/gateway/ScriptedCalls.java
@@ -0,0 +1,79 @@
+package org.jaywood.gateway;
+
+import java.util.concurrent.CountDownLatch;
+
+import org.apache.hc.core5.http.ClassicHttpRequest;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+
+import org.jaywood.platform.PlatformCalls;
+
+/**
+ * Protocol whose reading of a call is scripted by its path: {@code /slow} takes
+ * {@value #SLOW_MILLIS} ms, {@code /held} lasts until it is released, {@code /error}
+ * throws.
+ */
+final class ScriptedCalls implements CallProtocol {
+
+	static final long SLOW_MILLIS = 700;
+
+	private final PlatformCalls protocol = new PlatformCalls();
+
+	private final CountDownLatch reached = new CountDownLatch(1);
+
+	private final CountDownLatch released = new CountDownLatch(1);
+
+	/**
+	 * Ended once a held call is being read.
+	 */
+	CountDownLatch reached() {
+		return this.reached;
+	}
+
+	/**
+	 * Ends the wait of held calls when counted down.
+	 */
+	CountDownLatch released() {
+		return this.released;
+	}
+
+	@Override
+	public CallHead read(ClassicHttpRequest request) {
+		try {
+			switch (request.getRequestUri()) {
+				case "/slow" -> Thread.sleep(SLOW_MILLIS);
+				case "/held" -> {
+					this.reached.countDown();
+					this.released.await();
+				}
+				case "/error" -> throw new IllegalStateException("scripted failure");
+				default -> {
+				}
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		return this.protocol.read(request);
+	}
+
+	@Override
+	public boolean forwards(String name, boolean keysRequired) {
+		return this.protocol.forwards(name, keysRequired);
+	}
+
+	@Override
+	public void write(ClassicHttpRequest request, HandOverHead head) {
+		this.protocol.write(request, head);
+	}
+
+	@Override
+	public AnswerHead read(ClassicHttpResponse response) {
+		return this.protocol.read(response);
+	}
+
+	@Override
+	public void writeRetryAfter(ClassicHttpResponse response, long millis) {
+		this.protocol.writeRetryAfter(response, millis);
+	}
+
+}
