Count the rest of a connection from the end of its answer

Cause: the wait for the next request began when the call began, with the whole limit, and its end ended the connection once the call was over. Evidence: CallerRestTests.theRestCountsFromTheEndOfTheAnswer failed before (closed). Change: the task of the call notes when its answer ended. The reader waits in slices of at most 2 s and ends the connection only if the rest is over, and only after one more look that began behind its end and found nothing. Why it works: no wait that began earlier can end the rest. A stall of the process does not either, since the last look follows it.

--- a/src/main/java/org/jaywood/gateway/CallerConnection.java
+++ b/src/main/java/org/jaywood/gateway/CallerConnection.java
@@ -28,6 +28,15 @@
 	/** Wait that shows after a stall whether the caller has left meanwhile. */
 	private static final long LEFT_CHECK_MILLIS = 1;
 
+	/** Last look at a connection whose time is over. */
+	private static final long LAST_LOOK_MILLIS = 1;
+
+	/** Longest wait after which limits are looked at again. */
+	private static final long WAIT_SLICE_MILLIS = 2_000;
+
+	/** Stands for the begin of a rest while a call is under way. */
+	private static final long CALL_UNDER_WAY = Long.MAX_VALUE;
+
 	/** Time for which a connection is read on after its last answer. */
 	private static final long LINGER_MILLIS = 1_000;
 
@@ -41,6 +50,9 @@
 
 	private volatile long closeAtMillis = Long.MAX_VALUE;
 
+	/** Boot time at which the connection became idle. */
+	private volatile long idleSinceMillis = BootClock.nowMillis();
+
 	/** Whether a request has been read whole and its answer is not complete. */
 	private volatile boolean unanswered;
 
@@ -97,12 +109,31 @@
 		}
 	}
 
-	private boolean next(RequestReader reader, ResponseWriter writer) throws IOException, InterruptedException {
-		RequestReader.Arrival arrival = reader.await(limits().idleTimeoutMillis());
+	/**
+	 * Waits for the first bytes of the next request, through a call that is under way and
+	 * the rest behind it. A rest is over only if nothing has arrived after its end, so
+	 * that a stall of the process shortens none.
+	 */
+	private RequestReader.Arrival awaitRequest(RequestReader reader) {
+		RequestReader.Arrival arrival = RequestReader.Arrival.NOTHING;
+		long leftMillis = Long.MAX_VALUE;
+		while (arrival == RequestReader.Arrival.NOTHING && leftMillis > 0) {
+			leftMillis = idleEndMillis() - BootClock.nowMillis();
+			arrival = reader.await(Math.clamp(leftMillis, LAST_LOOK_MILLIS, WAIT_SLICE_MILLIS));
+		}
 		if (arrival == RequestReader.Arrival.NOTHING) {
 			this.endCause = "idle limit";
 		}
-		if (arrival != RequestReader.Arrival.BYTES) {
+		return arrival;
+	}
+
+	private long idleEndMillis() {
+		long sinceMillis = this.idleSinceMillis;
+		return (sinceMillis == CALL_UNDER_WAY) ? Long.MAX_VALUE : sinceMillis + limits().idleTimeoutMillis();
+	}
+
+	private boolean next(RequestReader reader, ResponseWriter writer) throws IOException, InterruptedException {
+		if (awaitRequest(reader) != RequestReader.Arrival.BYTES) {
 			return false;
 		}
 		this.busy.set(true);
@@ -130,23 +161,18 @@
 			return false;
 		}
 		this.unanswered = true;
+		this.idleSinceMillis = CALL_UNDER_WAY;
 		Cancellation cancellation = new Cancellation();
 		CallerReply reply = new CallerReply(writer, this.active.draining() || wantsClose(request));
 		Thread call = Thread.ofVirtual().start(() -> handle(request, reply, cancellation));
-		while (arrival == RequestReader.Arrival.NOTHING && (call.isAlive() || reply.reusable())) {
-			arrival = reader.await(limits().idleTimeoutMillis());
-			if (arrival == RequestReader.Arrival.NOTHING && !call.isAlive()) {
-				break;
-			}
+		if (arrival == RequestReader.Arrival.NOTHING) {
+			arrival = awaitRequest(reader);
 		}
 		if (arrival == RequestReader.Arrival.CLOSED) {
 			cancellation.cancel();
 		}
 		call.join();
-		if (arrival == RequestReader.Arrival.NOTHING) {
-			this.endCause = "idle limit";
-		}
-		else if (arrival == RequestReader.Arrival.BYTES && !reply.reusable()) {
+		if (arrival == RequestReader.Arrival.BYTES && !reply.reusable()) {
 			this.endCause = "last answer";
 		}
 		return arrival == RequestReader.Arrival.BYTES && reply.reusable();
@@ -171,6 +197,7 @@
 				endOutput(reply.complete());
 			}
 			else {
+				this.idleSinceMillis = BootClock.nowMillis();
 				this.busy.set(false);
 			}
 		}
--- /dev/null
+++ b/src/test/java/org/jaywood/gateway/CallerRestTests.java
@@ -0,0 +1,33 @@
+package org.jaywood.gateway;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against a rest that is shortened by the call before it.
+ */
+class CallerRestTests extends ConnectionFixture {
+
+	@Test
+	void theRestCountsFromTheEndOfTheAnswer() throws Exception {
+		configure(1_000);
+		serve();
+		send(request("/slow"));
+		assertThat(answer()).startsWith("HTTP/1.1 404");
+		pause(600);
+		send(request("/x"));
+		assertThat(answer()).startsWith("HTTP/1.1 404");
+	}
+
+	@Test
+	void aRestThatIsOverClosesTheConnection() throws Exception {
+		configure(500);
+		serve();
+		send(request("/slow"));
+		assertThat(answer()).startsWith("HTTP/1.1 404");
+		assertThat(answer()).isEmpty();
+		assertThat(unanswered()).isEqualTo(0);
+	}
+
+}
--- a/src/test/java/org/jaywood/gateway/ConnectionFixture.java
+++ b/src/test/java/org/jaywood/gateway/ConnectionFixture.java
@@ -7,9 +7,11 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 
+import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 
@@ -88,6 +90,10 @@
 		this.caller.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
 	}
 
+	static void pause(long millis) {
+		Awaitility.await().pollDelay(Duration.ofMillis(millis)).until(() -> true);
+	}
+
 	static String request(String path) {
 		return "GET " + path + " HTTP/1.1\r\nHost: host\r\n\r\n";
 	}
--- a/src/test/java/org/jaywood/gateway/ConnectionReportTests.java
+++ b/src/test/java/org/jaywood/gateway/ConnectionReportTests.java
@@ -1,7 +1,5 @@
 package org.jaywood.gateway;
 
-import java.time.Duration;
-
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.Test;
 
@@ -39,7 +37,7 @@
 		send(request("/held"));
 		this.protocol.reached().await();
 		this.caller.close();
-		Awaitility.await().pollDelay(Duration.ofMillis(50)).until(() -> true);
+		pause(50);
 		this.protocol.released().countDown();
 		serving.join();
 		assertThat(unanswered()).isEqualTo(0);
