Let limits of a new configuration reach open connections

Cause: a wait that had begun kept its limit, and the header limit was that of the moment at which the connection was opened. A header line beyond the limit was answered 400 instead of 431, since the parser reports it as another error than the buffer. Evidence: on CallerLimitsTests.aLimitThatIsRaisedHoldsForTheRestUnderWay and aHeaderLimitThatIsRaisedHoldsForOpenConnections failed, the tests of lowered limits passed. Change: the longest idle limit seen since the wait began holds for a rest, so a lowered limit holds from the next rest on: the caller may know only the limit of before. The reader takes the header limit with each request and moves bytes that it has buffered to a buffer of that limit. Both errors of the parser are 431. After: CallerLimitsTests 4 of 4.

--- a/src/main/java/org/jaywood/gateway/CallerConnection.java
+++ b/src/main/java/org/jaywood/gateway/CallerConnection.java
@@ -112,13 +112,16 @@
 	/**
 	 * Waits for the first bytes of the next request, through a call that is under way and
 	 * the rest behind it. A rest is over only if nothing has arrived after its end, so
-	 * that a stall of the process shortens none.
+	 * that a stall of the process shortens none. The longest idle limit that was in force
+	 * since the wait began holds, since the caller may know that one only.
 	 */
 	private RequestReader.Arrival awaitRequest(RequestReader reader) {
 		RequestReader.Arrival arrival = RequestReader.Arrival.NOTHING;
 		long leftMillis = Long.MAX_VALUE;
+		long limitMillis = 0;
 		while (arrival == RequestReader.Arrival.NOTHING && leftMillis > 0) {
-			leftMillis = idleEndMillis() - BootClock.nowMillis();
+			limitMillis = Math.max(limitMillis, limits().idleTimeoutMillis());
+			leftMillis = idleEndMillis(limitMillis) - BootClock.nowMillis();
 			arrival = reader.await(Math.clamp(leftMillis, LAST_LOOK_MILLIS, WAIT_SLICE_MILLIS));
 		}
 		if (arrival == RequestReader.Arrival.NOTHING) {
@@ -127,9 +130,9 @@
 		return arrival;
 	}
 
-	private long idleEndMillis() {
+	private long idleEndMillis(long limitMillis) {
 		long sinceMillis = this.idleSinceMillis;
-		return (sinceMillis == CALL_UNDER_WAY) ? Long.MAX_VALUE : sinceMillis + limits().idleTimeoutMillis();
+		return (sinceMillis == CALL_UNDER_WAY) ? Long.MAX_VALUE : sinceMillis + limitMillis;
 	}
 
 	private boolean next(RequestReader reader, ResponseWriter writer) throws IOException, InterruptedException {
--- a/src/main/java/org/jaywood/http/RequestReader.java
+++ b/src/main/java/org/jaywood/http/RequestReader.java
@@ -1,5 +1,6 @@
 package org.jaywood.http;
 
+import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -11,6 +12,7 @@
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.MessageConstraintException;
+import org.apache.hc.core5.http.RequestHeaderFieldsTooLargeException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultHttpRequestParser;
 import org.apache.hc.core5.http.impl.io.SessionInputBufferImpl;
@@ -34,28 +36,48 @@
 
 	private final TimedInputStream in;
 
-	private final Http1Config config;
+	private Http1Config config;
 
-	private final SessionInputBufferImpl buffer;
-
-	private final DefaultHttpRequestParser parser;
+	private SessionInputBufferImpl buffer;
 
 	/**
 	 * Creates a reader.
 	 * @param socket connection of the caller
-	 * @param maxHeaderBytes longest header line
+	 * @param maxHeaderBytes longest header line until the first request
 	 */
 	public RequestReader(Socket socket, int maxHeaderBytes) throws IOException {
 		SocketTuning.apply(socket);
 		this.socket = socket;
 		this.in = new TimedInputStream(socket);
-		this.config = Http1Config.custom()
+		this.config = config(maxHeaderBytes);
+		this.buffer = new SessionInputBufferImpl(BUFFER_BYTES, maxHeaderBytes);
+	}
+
+	private static Http1Config config(int maxHeaderBytes) {
+		return Http1Config.custom()
 			.setMaxLineLength(maxHeaderBytes)
 			.setMaxHeaderCount(MAX_HEADERS)
 			.setMaxEmptyLineCount(1)
 			.build();
+	}
+
+	/**
+	 * Takes over a limit that a newer configuration sets, without losing bytes that have
+	 * been read already: the buffer has its limit for good.
+	 */
+	private void limitHeader(int maxHeaderBytes) throws IOException {
+		if (maxHeaderBytes == this.config.getMaxLineLength()) {
+			return;
+		}
+		byte[] unread = new byte[this.buffer.length()];
+		if (unread.length > 0) {
+			this.buffer.read(unread, this.in);
+		}
+		this.config = config(maxHeaderBytes);
 		this.buffer = new SessionInputBufferImpl(BUFFER_BYTES, maxHeaderBytes);
-		this.parser = new DefaultHttpRequestParser(this.config);
+		if (unread.length > 0) {
+			this.buffer.fillBuffer(new ByteArrayInputStream(unread));
+		}
 	}
 
 	/**
@@ -105,8 +127,9 @@
 	 */
 	public @Nullable CallerRequest read(RequestLimits limits) throws IOException {
 		try {
+			limitHeader(limits.maxHeaderBytes());
 			this.in.limit(limits.headTimeoutMillis(), System.nanoTime());
-			ClassicHttpRequest head = this.parser.parse(this.buffer, this.in);
+			ClassicHttpRequest head = new DefaultHttpRequestParser(this.config).parse(this.buffer, this.in);
 			if (head == null) {
 				return null;
 			}
@@ -117,7 +140,7 @@
 		catch (SocketTimeoutException ex) {
 			throw new BadInputException(HttpStatus.SC_REQUEST_TIMEOUT, "the request did not arrive in time");
 		}
-		catch (MessageConstraintException ex) {
+		catch (MessageConstraintException | RequestHeaderFieldsTooLargeException ex) {
 			throw new BadInputException(HttpStatus.SC_REQUEST_HEADER_FIELDS_TOO_LARGE, "the header is too large");
 		}
 		catch (HttpException ex) {
