--- /dev/null
+++ b/src/test/java/org/jaywood/http/TimedInputStreamTests.java
@@ -0,0 +1,94 @@
+package org.jaywood.http;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.Failures;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against a message that has arrived whole and is still treated as late, because
+ * the process did not run until its time was over.
+ */
+class TimedInputStreamTests {
+
+	private Socket sender;
+
+	private Socket accepted;
+
+	private TimedInputStream in;
+
+	@BeforeEach
+	void connect() throws IOException {
+		try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			this.sender = new Socket(server.getInetAddress(), server.getLocalPort());
+			this.accepted = server.accept();
+		}
+		this.in = new TimedInputStream(this.accepted);
+	}
+
+	@AfterEach
+	void close() throws IOException {
+		this.sender.close();
+		this.accepted.close();
+	}
+
+	private void arrive(String text) throws IOException {
+		int presentBytes = this.accepted.getInputStream().available();
+		this.sender.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+		Awaitility.await().until(() -> this.accepted.getInputStream().available() == presentBytes + text.length());
+	}
+
+	private void expire() {
+		this.in.limit(1, System.nanoTime() - Duration.ofSeconds(1).toNanos());
+	}
+
+	private void assertTimedOut() {
+		Failures.thrownBy(SocketTimeoutException.class, () -> this.in.read(new byte[10], 0, 10));
+	}
+
+	@Test
+	void bytesThatHaveArrivedAreReadThoughTheTimeIsOver() throws IOException {
+		arrive("abc");
+		expire();
+		assertThat(this.in.read()).isEqualTo('a');
+		assertThat(this.in.read(new byte[10], 0, 10)).isEqualTo(2);
+		assertTimedOut();
+	}
+
+	@Test
+	void bytesThatArriveLaterAreNotWaitedFor() throws IOException {
+		arrive("abc");
+		expire();
+		assertThat(this.in.read(new byte[2], 0, 2)).isEqualTo(2);
+		arrive("def");
+		assertThat(this.in.read(new byte[10], 0, 10)).isEqualTo(1);
+		assertTimedOut();
+	}
+
+	@Test
+	void nothingThatHasArrivedIsATimeOut() {
+		expire();
+		assertTimedOut();
+	}
+
+	@Test
+	void theEndOfTheConnectionIsSeenThoughTheTimeIsOver() throws IOException {
+		this.sender.shutdownOutput();
+		Awaitility.await().pollDelay(Duration.ofMillis(50)).until(() -> true);
+		expire();
+		assertThat(this.in.read(new byte[10], 0, 10)).isEqualTo(-1);
+	}
+
+}
