Let only its own task end an idle connection of a caller

Cause: the drain closed connections from its own thread. Bytes that the reader had taken, but that were not yet marked as a call, were lost; a connection that had just been accepted was closed before its first request; one in the queue of the port was reset; and the drain waited only for connections known to be busy. Whether an answer was the last one was decided when its request arrived. Change: the stop sets the time at which idle connections end; each reader, and the acceptor, learn of it within 2 s, before that time, and end by themselves: a connection only if nothing has arrived after its end, and not within 1 s of its accept or last answer, the port once its queue is empty. A connection counts as open from its accept on, and the drain waits until none is open, by a condition instead of a poll. "Connection: close" is decided when the head is written. Tests: CallerConnectionTests is written anew. aConnectionWithAnUnreadRequestIsNotIdle is replaced by aRequestThatHasArrivedIsAnsweredAsTheLastOne, which also wants the answer, aConnectionWithoutARequestIsClosed by anIdleConnectionEndsAtItsTime, which also bounds the time; both tested the method that is gone. A connection that completes between the last look at the queue and the close of the port is still reset.

--- a/src/main/java/org/jaywood/gateway/ActiveCalls.java
+++ b/src/main/java/org/jaywood/gateway/ActiveCalls.java
@@ -3,6 +3,8 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
+import org.jaywood.feed.BootClock;
+
 /**
  * Open connections of callers, which the process watches over and ends when it stops.
  */
@@ -14,7 +16,7 @@
 
 	private final StallWatch stalls = new StallWatch();
 
-	private volatile boolean draining;
+	private volatile long idleEndMillis = Long.MAX_VALUE;
 
 	ActiveCalls(CallAdmission admission) {
 		this.admission = admission;
@@ -32,8 +34,24 @@
 		this.connections.add(connection);
 	}
 
-	void remove(CallerConnection connection) {
+	synchronized void remove(CallerConnection connection) {
 		this.connections.remove(connection);
+		notifyAll();
+	}
+
+	/**
+	 * Waits until no connection is open. Idle ones count, since only their own task knows
+	 * whether a request has arrived.
+	 * @return whether that was so within the time
+	 */
+	synchronized boolean awaitNone(long timeoutMillis) throws InterruptedException {
+		long untilMillis = BootClock.nowMillis() + timeoutMillis;
+		long leftMillis = timeoutMillis;
+		while (!this.connections.isEmpty() && leftMillis > 0) {
+			wait(leftMillis);
+			leftMillis = untilMillis - BootClock.nowMillis();
+		}
+		return this.connections.isEmpty();
 	}
 
 	int open() {
@@ -48,19 +66,27 @@
 	 * Whether each answer is the last one of its connection.
 	 */
 	boolean draining() {
-		return this.draining;
+		return this.idleEndMillis != Long.MAX_VALUE;
 	}
 
-	void drain() {
-		this.draining = true;
+	/**
+	 * Boot time at which idle connections and the port end, far ahead unless the process
+	 * stops.
+	 */
+	long idleEndMillis() {
+		return this.idleEndMillis;
 	}
 
-	void closeOverdue(long nowMillis) {
-		this.connections.forEach((connection) -> connection.closeIfOverdue(nowMillis));
+	/**
+	 * Begins a planned stop.
+	 * @param idleEndMillis boot time from which on idle connections end
+	 */
+	void drain(long idleEndMillis) {
+		this.idleEndMillis = idleEndMillis;
 	}
 
-	void closeIdle() {
-		this.connections.forEach(CallerConnection::closeIfIdle);
+	void closeOverdue(long nowMillis) {
+		this.connections.forEach((connection) -> connection.closeIfOverdue(nowMillis));
 	}
 
 }
--- a/src/main/java/org/jaywood/gateway/CallerConnection.java
+++ b/src/main/java/org/jaywood/gateway/CallerConnection.java
@@ -31,8 +31,18 @@
 	/** Last look at a connection whose time is over. */
 	private static final long LAST_LOOK_MILLIS = 1;
 
-	/** Longest wait after which limits are looked at again. */
-	private static final long WAIT_SLICE_MILLIS = 2_000;
+	/**
+	 * Longest wait after which limits and a planned stop are looked at again. It is
+	 * shorter than the time between the begin of a stop and the end of idle connections,
+	 * so that each connection learns of it before.
+	 */
+	static final long WAIT_SLICE_MILLIS = 2_000;
+
+	/**
+	 * Shortest rest of a connection during a planned stop: the time that callers allow a
+	 * new connection, whose first request may be on its way.
+	 */
+	private static final long SHORTEST_REST_MILLIS = 1_000;
 
 	/** Stands for the begin of a rest while a call is under way. */
 	private static final long CALL_UNDER_WAY = Long.MAX_VALUE;
@@ -48,7 +58,9 @@
 
 	private final AtomicBoolean busy = new AtomicBoolean();
 
-	private volatile long closeAtMillis = Long.MAX_VALUE;
+	private long closeAtMillis = Long.MAX_VALUE;
+
+	private boolean overdueSeen;
 
 	/** Boot time at which the connection became idle. */
 	private volatile long idleSinceMillis = BootClock.nowMillis();
@@ -59,15 +71,24 @@
 	/** Why this process ends the connection, or null while it does not. */
 	private volatile @Nullable String endCause;
 
-	CallerConnection(GatewayContext context, ActiveCalls active, Socket socket) {
+	private CallerConnection(GatewayContext context, ActiveCalls active, Socket socket) {
 		this.context = context;
 		this.active = active;
 		this.socket = socket;
 	}
 
+	/**
+	 * Serves a connection that was accepted. It counts as open from now on, before its
+	 * task runs.
+	 */
+	static Thread start(GatewayContext context, ActiveCalls active, Socket socket) {
+		CallerConnection connection = new CallerConnection(context, active, socket);
+		active.add(connection);
+		return Thread.ofVirtual().start(connection);
+	}
+
 	@Override
 	public void run() {
-		this.active.add(this);
 		try (Socket open = this.socket) {
 			serveRequests(open);
 		}
@@ -113,7 +134,8 @@
 	 * Waits for the first bytes of the next request, through a call that is under way and
 	 * the rest behind it. A rest is over only if nothing has arrived after its end, so
 	 * that a stall of the process shortens none. The longest idle limit that was in force
-	 * since the wait began holds, since the caller may know that one only.
+	 * since the wait began holds, since the caller may know that one only. No other task
+	 * ends an idle connection, so that none can end on bytes that were just read.
 	 */
 	private RequestReader.Arrival awaitRequest(RequestReader reader) {
 		RequestReader.Arrival arrival = RequestReader.Arrival.NOTHING;
@@ -121,18 +143,22 @@
 		long limitMillis = 0;
 		while (arrival == RequestReader.Arrival.NOTHING && leftMillis > 0) {
 			limitMillis = Math.max(limitMillis, limits().idleTimeoutMillis());
-			leftMillis = idleEndMillis(limitMillis) - BootClock.nowMillis();
+			leftMillis = restEndMillis(limitMillis) - BootClock.nowMillis();
 			arrival = reader.await(Math.clamp(leftMillis, LAST_LOOK_MILLIS, WAIT_SLICE_MILLIS));
 		}
 		if (arrival == RequestReader.Arrival.NOTHING) {
-			this.endCause = "idle limit";
+			this.endCause = this.active.draining() ? "planned stop" : "idle limit";
 		}
 		return arrival;
 	}
 
-	private long idleEndMillis(long limitMillis) {
+	private long restEndMillis(long limitMillis) {
 		long sinceMillis = this.idleSinceMillis;
-		return (sinceMillis == CALL_UNDER_WAY) ? Long.MAX_VALUE : sinceMillis + limitMillis;
+		if (sinceMillis == CALL_UNDER_WAY) {
+			return Long.MAX_VALUE;
+		}
+		long stopMillis = Math.max(this.active.idleEndMillis(), sinceMillis + SHORTEST_REST_MILLIS);
+		return Math.min(sinceMillis + limitMillis, stopMillis);
 	}
 
 	private boolean next(RequestReader reader, ResponseWriter writer) throws IOException, InterruptedException {
@@ -166,7 +192,7 @@
 		this.unanswered = true;
 		this.idleSinceMillis = CALL_UNDER_WAY;
 		Cancellation cancellation = new Cancellation();
-		CallerReply reply = new CallerReply(writer, this.active.draining() || wantsClose(request));
+		CallerReply reply = new CallerReply(writer, () -> this.active.draining() || wantsClose(request));
 		Thread call = Thread.ofVirtual().start(() -> handle(request, reply, cancellation));
 		if (arrival == RequestReader.Arrival.NOTHING) {
 			arrival = awaitRequest(reader);
@@ -214,9 +240,7 @@
 		Call call = decision.call();
 		CallFailure failure = decision.failure();
 		if (call != null) {
-			this.closeAtMillis = call.endMillis() + LINGER_MILLIS;
-			new CallTask(this.context, call, reply, cancellation).run();
-			this.closeAtMillis = Long.MAX_VALUE;
+			serve(call, reply, cancellation);
 		}
 		else if (failure != null) {
 			this.context.refusals()
@@ -224,6 +248,16 @@
 		}
 	}
 
+	private void serve(Call call, CallerReply reply, Cancellation cancellation) {
+		closeAt(call.endMillis() + LINGER_MILLIS);
+		try {
+			new CallTask(this.context, call, reply, cancellation).run();
+		}
+		finally {
+			closeAt(Long.MAX_VALUE);
+		}
+	}
+
 	/**
 	 * Ends the reply side. A complete answer is followed by an orderly close, so that the
 	 * caller receives all of it; a partial one is cut.
@@ -232,7 +266,7 @@
 		try {
 			if (complete) {
 				this.socket.shutdownOutput();
-				this.closeAtMillis = BootClock.nowMillis() + LINGER_MILLIS;
+				closeAt(BootClock.nowMillis() + LINGER_MILLIS);
 			}
 			else {
 				close("incomplete answer");
@@ -244,7 +278,7 @@
 	}
 
 	private void reject(ResponseWriter writer, BadInputException failure) throws IOException {
-		CallerReply reply = new CallerReply(writer, true);
+		CallerReply reply = new CallerReply(writer, () -> true);
 		this.context.refusals()
 			.refuse(reply, "", BootClock.nowMillis(),
 					new CallFailure.Forbidden(failure.status(), String.valueOf(failure.getMessage())));
@@ -253,33 +287,22 @@
 		this.socket.getInputStream().skip(limits().maxBodyBytes());
 	}
 
-	/**
-	 * Closes the connection if its answer is overdue, which is so only while the caller
-	 * does not read, or after its last answer.
-	 */
-	void closeIfOverdue(long nowMillis) {
-		if (nowMillis >= this.closeAtMillis) {
-			close("overdue answer");
-		}
+	private synchronized void closeAt(long millis) {
+		this.closeAtMillis = millis;
+		this.overdueSeen = false;
 	}
 
 	/**
-	 * Closes the connection unless a request is under way or has arrived unread.
+	 * Closes the connection if its answer is overdue, which is so only while the caller
+	 * does not read, or after its last answer. It is closed by the second call that finds
+	 * it overdue, since the answer may have been held up by a stall of the process.
 	 */
-	void closeIfIdle() {
-		if (!this.busy.get() && !requestArrived()) {
-			close("planned stop");
-		}
-	}
-
-	private boolean requestArrived() {
-		try {
-			return this.socket.getInputStream().available() > 0;
-		}
-		catch (IOException ex) {
-			// The connection has ended already.
-			return false;
+	synchronized void closeIfOverdue(long nowMillis) {
+		boolean overdue = nowMillis >= this.closeAtMillis;
+		if (overdue && this.overdueSeen) {
+			close("overdue answer");
 		}
+		this.overdueSeen = overdue;
 	}
 
 	boolean busy() {
--- a/src/main/java/org/jaywood/gateway/CallerListener.java
+++ b/src/main/java/org/jaywood/gateway/CallerListener.java
@@ -2,27 +2,32 @@
 
 import java.io.IOException;
 import java.net.ServerSocket;
-import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.time.Duration;
 
 import org.jaywood.event.Event;
-import org.jaywood.event.EventLog;
+import org.jaywood.feed.BootClock;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.WireException;
 
 /**
- * Port for callers. Each connection gets a task of its own.
+ * Port for callers. Each connection gets a task of its own. The port closes by itself
+ * when idle connections end, behind the last connection that waits in its queue.
  */
-final class CallerListener implements AutoCloseable {
+final class CallerListener {
 
 	private static final int BACKLOG = 512;
 
+	/** Look at the queue once the port is to close. */
+	private static final long LAST_LOOK_MILLIS = 1;
+
 	private final ServerSocket server;
 
 	private final GatewayContext context;
 
 	private final ActiveCalls active;
 
-	private volatile boolean closed;
+	private final Thread acceptor = Thread.ofPlatform().daemon().name("accept").unstarted(this::accept);
 
 	CallerListener(Address address, GatewayContext context, ActiveCalls active) {
 		this.context = context;
@@ -38,7 +43,7 @@
 	}
 
 	CallerListener start() {
-		Thread.ofPlatform().daemon().name("accept").start(this::accept);
+		this.acceptor.start();
 		return this;
 	}
 
@@ -46,24 +51,40 @@
 		return this.server.getLocalPort();
 	}
 
+	/**
+	 * Waits until the port has closed and all its connections count as open.
+	 * @return whether that was so within the time
+	 */
+	boolean awaitClosed(long timeoutMillis) throws InterruptedException {
+		return this.acceptor.join(Duration.ofMillis(Math.max(0, timeoutMillis)));
+	}
+
 	private void accept() {
-		EventLog log = this.context.log();
-		while (!this.closed) {
-			try {
-				Socket socket = this.server.accept();
-				Thread.ofVirtual().start(new CallerConnection(this.context, this.active, socket));
-			}
-			catch (IOException | RuntimeException ex) {
-				if (!this.closed) {
-					log.log(Event.TASK_FAILED, "task", "accept", "error", ex);
-				}
-			}
+		boolean accepted = false;
+		long leftMillis = Long.MAX_VALUE;
+		while (accepted || leftMillis > 0) {
+			leftMillis = this.active.idleEndMillis() - BootClock.nowMillis();
+			accepted = acceptWithin(Math.clamp(leftMillis, LAST_LOOK_MILLIS, CallerConnection.WAIT_SLICE_MILLIS));
+		}
+		close();
+	}
+
+	private boolean acceptWithin(long millis) {
+		try {
+			this.server.setSoTimeout(Math.toIntExact(millis));
+			CallerConnection.start(this.context, this.active, this.server.accept());
+			return true;
+		}
+		catch (SocketTimeoutException ex) {
+			return false;
+		}
+		catch (IOException | RuntimeException ex) {
+			this.context.log().log(Event.TASK_FAILED, "task", "accept", "error", ex);
+			return false;
 		}
 	}
 
-	@Override
-	public void close() {
-		this.closed = true;
+	private void close() {
 		try {
 			this.server.close();
 		}
--- a/src/main/java/org/jaywood/gateway/CallerReply.java
+++ b/src/main/java/org/jaywood/gateway/CallerReply.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.Locale;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.Header;
@@ -23,15 +24,22 @@
 
 	private final ResponseWriter writer;
 
+	private final BooleanSupplier closeWanted;
+
 	private boolean closing;
 
 	private boolean begun;
 
 	private boolean complete;
 
-	CallerReply(ResponseWriter writer, boolean closing) {
+	/**
+	 * Creates a reply.
+	 * @param closeWanted whether it is to be the last one of its connection; asked when
+	 * its head is written
+	 */
+	CallerReply(ResponseWriter writer, BooleanSupplier closeWanted) {
 		this.writer = writer;
-		this.closing = closing;
+		this.closeWanted = closeWanted;
 	}
 
 	static boolean concernsConnection(String name) {
@@ -126,6 +134,7 @@
 	}
 
 	private void markConnection(ClassicHttpResponse head) {
+		this.closing |= this.closeWanted.getAsBoolean();
 		if (this.closing) {
 			head.setHeader(HttpHeaders.CONNECTION, "close");
 		}
--- a/src/main/java/org/jaywood/gateway/Gateway.java
+++ b/src/main/java/org/jaywood/gateway/Gateway.java
@@ -57,7 +57,7 @@
 	/** Time before the forced end at which the process ends by itself. */
 	private static final long END_MARGIN_MILLIS = 500;
 
-	private static final long DRAIN_POLL_MILLIS = 50;
+	private static final double MILLIS_PER_SECOND = 1_000;
 
 	private final GatewaySettings settings;
 
@@ -74,7 +74,7 @@
 	private final ScheduledExecutorService timer = Executors
 		.newSingleThreadScheduledExecutor(Thread.ofPlatform().daemon().name("tick").factory());
 
-	private @Nullable CallerListener listener;
+	private volatile @Nullable CallerListener listener;
 
 	private @Nullable HttpPort readyPort;
 
@@ -143,26 +143,23 @@
 	}
 
 	/**
-	 * Ends the process without cutting a call: new callers go elsewhere first, then idle
-	 * connections close, and each call gets its answer.
+	 * Ends the process without cutting a call: new callers go elsewhere first, then the
+	 * port and idle connections end by themselves, and each call gets its answer.
 	 */
 	public void drain(long nowMillis) throws InterruptedException {
-		long endMillis = BootClock.nowMillis() + this.settings.graceMillis() - END_MARGIN_MILLIS;
+		long sinceMillis = BootClock.nowMillis();
+		long endMillis = sinceMillis + this.settings.graceMillis() - END_MARGIN_MILLIS;
 		this.context.log().log(Event.PROCESS_DRAINING, "role", "gateway", "inFlight", this.active.busy());
 		this.draining = true;
-		this.active.drain();
-		Thread.sleep(UNREADY_MILLIS);
-		if (this.listener != null) {
-			this.listener.close();
-		}
-		this.active.closeIdle();
-		while (this.active.busy() > 0 && BootClock.nowMillis() < endMillis) {
-			Thread.sleep(DRAIN_POLL_MILLIS);
-			this.active.closeIdle();
+		this.active.drain(sinceMillis + UNREADY_MILLIS);
+		CallerListener port = this.listener;
+		if (port != null) {
+			port.awaitClosed(endMillis - BootClock.nowMillis());
 		}
+		this.active.awaitNone(endMillis - BootClock.nowMillis());
 		this.context.log()
 			.log(Event.PROCESS_STOPPED, "role", "gateway", "seconds",
-					(BootClock.nowMillis() - endMillis + this.settings.graceMillis() - END_MARGIN_MILLIS) / 1000.0);
+					(BootClock.nowMillis() - sinceMillis) / MILLIS_PER_SECOND);
 	}
 
 	/**
--- a/src/test/java/org/jaywood/gateway/CallerConnectionTests.java
+++ b/src/test/java/org/jaywood/gateway/CallerConnectionTests.java
@@ -1,53 +1,131 @@
 package org.jaywood.gateway;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
+import java.net.ConnectException;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 
-import org.awaitility.Awaitility;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
 
-import org.jaywood.event.EventLog;
-import org.jaywood.platform.PlatformCalls;
+import org.jaywood.Failures;
+import org.jaywood.feed.BootClock;
+import org.jaywood.wire.Address;
 
 import static com.google.common.truth.Truth.assertThat;
 
 /**
- * Guards against a request that is cut without an answer because its bytes arrive in the
- * instant in which a stopping process closes its idle connections.
+ * Guards against requests that are cut by a planned stop.
  */
 class CallerConnectionTests {
 
-	private static CallerConnection connection(Socket accepted) {
-		PlatformCalls protocol = new PlatformCalls();
-		GatewayContext context = GatewayContext.create(GatewayFixture.settings(), protocol, new EventLog("test"));
-		return new CallerConnection(context, new ActiveCalls(new CallAdmission(protocol, 1_000, 1_000)), accepted);
-	}
+	/**
+	 * Guards against an idle connection that is closed by another task than its reader,
+	 * on bytes that the reader has taken already.
+	 */
+	@Nested
+	class Connections extends ConnectionFixture {
+
+		@RepeatedTest(20)
+		void aRequestThatHasArrivedIsAnsweredAsTheLastOne() throws Exception {
+			configure(5_000);
+			this.active.drain(BootClock.nowMillis());
+			send(request("/x"));
+			serve();
+			String answer = answer();
+			assertThat(answer).startsWith("HTTP/1.1 404");
+			assertThat(answer).contains("Connection: close");
+			assertThat(unanswered()).isEqualTo(0);
+		}
+
+		@Test
+		void aConnectionThatWasJustAcceptedGetsAMoment() throws Exception {
+			configure(5_000);
+			this.active.drain(BootClock.nowMillis() - 1_000);
+			serve();
+			pause(300);
+			send(request("/x"));
+			assertThat(answer()).startsWith("HTTP/1.1 404");
+		}
+
+		@Test
+		void anIdleConnectionEndsAtItsTime() throws Exception {
+			configure(60_000);
+			serve();
+			send(request("/x"));
+			assertThat(answer()).startsWith("HTTP/1.1 404");
+			long sinceNanos = System.nanoTime();
+			this.active.drain(BootClock.nowMillis() + 2_600);
+			assertThat(answer()).isEmpty();
+			Duration lasted = Duration.ofNanos(System.nanoTime() - sinceNanos);
+			assertThat(lasted).isAtLeast(Duration.ofMillis(2_500));
+			assertThat(lasted).isLessThan(Duration.ofMillis(3_600));
+		}
+
+		@Test
+		void theLastAnswerSaysSoThoughItsRequestCameBeforeTheStop() throws Exception {
+			configure(5_000);
+			serve();
+			send(request("/held"));
+			this.protocol.reached().await();
+			this.active.drain(BootClock.nowMillis() + 5_000);
+			this.protocol.released().countDown();
+			assertThat(answer()).contains("Connection: close");
+		}
+
+		@Test
+		void theStopWaitsForConnectionsThatSeemIdle() throws Exception {
+			configure(5_000);
+			serve();
+			assertThat(this.active.busy()).isEqualTo(0);
+			assertThat(this.active.awaitNone(100)).isFalse();
+			this.caller.close();
+			assertThat(this.active.awaitNone(5_000)).isTrue();
+		}
 
-	@Test
-	void aConnectionWithAnUnreadRequestIsNotIdle() throws IOException {
-		try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-				Socket caller = new Socket(server.getInetAddress(), server.getLocalPort());
-				Socket accepted = server.accept()) {
-			CallerConnection connection = connection(accepted);
-			caller.getOutputStream().write("GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
-			Awaitility.await().until(() -> accepted.getInputStream().available() > 0);
-			connection.closeIfIdle();
-			assertThat(accepted.isClosed()).isFalse();
+		@Test
+		void anOverdueConnectionIsClosedOnlyIfItStillIsAfterAnotherInterval() throws Exception {
+			configure(60_000);
+			Thread serving = serve();
+			send("GET /x HTTP/1.1\r\nHost: host\r\nConnection: close\r\n\r\n");
+			assertThat(answer()).startsWith("HTTP/1.1 404");
+			assertThat(answer()).isEmpty();
+			pause(50);
+			this.active.closeOverdue(BootClock.nowMillis() + 10_000);
+			assertThat(this.accepted.isClosed()).isFalse();
+			this.active.closeOverdue(BootClock.nowMillis() + 10_000);
+			assertThat(serving.join(Duration.ofSeconds(5))).isTrue();
 		}
+
 	}
 
-	@Test
-	void aConnectionWithoutARequestIsClosed() throws IOException {
-		try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-				Socket caller = new Socket(server.getInetAddress(), server.getLocalPort());
-				Socket accepted = server.accept()) {
-			CallerConnection connection = connection(accepted);
-			connection.closeIfIdle();
-			assertThat(caller.getInputStream().read()).isEqualTo(-1);
+	/**
+	 * Guards against a connection in the queue of the port that is reset when the port
+	 * closes.
+	 */
+	@Nested
+	class Port extends ConnectionFixture {
+
+		@Test
+		void aConnectionInTheQueueIsAnsweredBeforeThePortCloses() throws Exception {
+			configure(5_000);
+			CallerListener listener = new CallerListener(new Address("127.0.0.1", 0), this.context, this.active);
+			int port = listener.port();
+			connect(port);
+			send(request("/x"));
+			this.active.drain(BootClock.nowMillis());
+			listener.start();
+			assertThat(listener.awaitClosed(5_000)).isTrue();
+			assertThat(answer()).startsWith("HTTP/1.1 404");
+			Failures.thrownBy(ConnectException.class, () -> openAndClose(port));
+		}
+
+		private Void openAndClose(int port) throws IOException {
+			new Socket("127.0.0.1", port).close();
+			return null;
 		}
+
 	}
 
 }
--- a/src/test/java/org/jaywood/gateway/ConnectionFixture.java
+++ b/src/test/java/org/jaywood/gateway/ConnectionFixture.java
@@ -57,6 +57,19 @@
 			this.caller = new Socket(server.getInetAddress(), server.getLocalPort());
 			this.accepted = server.accept();
 		}
+		prepareCaller();
+	}
+
+	/**
+	 * Connects the caller to a port instead.
+	 */
+	void connect(int port) throws IOException {
+		this.caller.close();
+		this.caller = new Socket("127.0.0.1", port);
+		prepareCaller();
+	}
+
+	private void prepareCaller() throws IOException {
 		this.caller.setSoTimeout(READ_MILLIS);
 		this.answers = new BufferedReader(
 				new InputStreamReader(this.caller.getInputStream(), StandardCharsets.ISO_8859_1));
@@ -83,7 +96,7 @@
 	}
 
 	Thread serve() {
-		return Thread.ofVirtual().start(new CallerConnection(this.context, this.active, this.accepted));
+		return CallerConnection.start(this.context, this.active, this.accepted);
 	}
 
 	void send(String text) throws IOException {
