Answer callers when an unexpected error comes before the hand-over

Cause: any RuntimeException or Error while a request was read or judged ended the connection. A malformed chunk did too, since the parser reports it as an error of the connection. A decision is a sealed type, either a call or its refusal, so that a decision without either cannot happen, and so is what reading a request brings. Why it works: every way out of reading and deciding is a value that is answered. Errors within CallTask, where the call may have run, are not part of this change.

--- a/src/main/java/org/jaywood/gateway/CallAdmission.java
+++ b/src/main/java/org/jaywood/gateway/CallAdmission.java
@@ -57,7 +57,8 @@
 	 */
 	Decision decide(CallerRequest request, @Nullable RouteTable table, long confirmedMillis, long nowMillis) {
 		if (table == null) {
-			return Decision.refuse(new CallFailure.NotRun("configuration-unknown", UNKNOWN_CONFIGURATION_RETRY_MILLIS));
+			return new Decision.Refused(
+					new CallFailure.NotRun("configuration-unknown", UNKNOWN_CONFIGURATION_RETRY_MILLIS));
 		}
 		long ageMillis = nowMillis - confirmedMillis;
 		CallHead head = this.protocol.read(request.head());
@@ -68,20 +69,21 @@
 		}
 		boolean keyNeeded = table.keysRequired() && !route.open();
 		if (!keyNeeded) {
-			return new Decision(call(request, head, route, null, table, nowMillis), null);
+			return new Decision.Admitted(call(request, head, route, null, table, nowMillis));
 		}
 		if (ageMillis > this.keyLifetimeMillis) {
-			return Decision.refuse(new CallFailure.NotRun("configuration-stale", STALE_CONFIGURATION_RETRY_MILLIS));
+			return new Decision.Refused(
+					new CallFailure.NotRun("configuration-stale", STALE_CONFIGURATION_RETRY_MILLIS));
 		}
 		Workspace workspace = (head.key() != null) ? table.workspace(head.key()).orElse(null) : null;
 		if (workspace == null) {
 			return absent(HttpStatus.SC_UNAUTHORIZED, "unknown-key", ageMillis);
 		}
-		return new Decision(call(request, head, route, workspace, table, nowMillis), null);
+		return new Decision.Admitted(call(request, head, route, workspace, table, nowMillis));
 	}
 
 	private Decision absent(int status, String reason, long ageMillis) {
-		return Decision.refuse((ageMillis <= this.routeLifetimeMillis) ? new CallFailure.Forbidden(status, reason)
+		return new Decision.Refused((ageMillis <= this.routeLifetimeMillis) ? new CallFailure.Forbidden(status, reason)
 				: new CallFailure.NotRun("configuration-stale", STALE_CONFIGURATION_RETRY_MILLIS));
 	}
 
@@ -103,14 +105,23 @@
 
 	/**
 	 * Either a call or the reason against it.
-	 *
-	 * @param call the call, or null
-	 * @param failure the final answer, or null
 	 */
-	record Decision(@Nullable Call call, @Nullable CallFailure failure) {
+	sealed interface Decision {
+
+		/**
+		 * The call is allowed.
+		 *
+		 * @param call the call
+		 */
+		record Admitted(Call call) implements Decision {
+		}
 
-		static Decision refuse(CallFailure failure) {
-			return new Decision(null, failure);
+		/**
+		 * The call is not handed over.
+		 *
+		 * @param failure its final answer
+		 */
+		record Refused(CallFailure failure) implements Decision {
 		}
 
 	}
--- a/src/main/java/org/jaywood/gateway/CallerConnection.java
+++ b/src/main/java/org/jaywood/gateway/CallerConnection.java
@@ -4,6 +4,7 @@
 import java.net.Socket;
 import java.util.concurrent.atomic.AtomicBoolean;
 
+import org.apache.hc.core5.http.HttpStatus;
 import org.jspecify.annotations.Nullable;
 
 import org.jaywood.event.Event;
@@ -50,6 +51,9 @@
 	/** Time for which a connection is read on after its last answer. */
 	private static final long LINGER_MILLIS = 1_000;
 
+	/** Answer to a request on which an unexpected error came before its hand-over. */
+	private static final CallFailure ERROR_NOT_RUN = new CallFailure.NotRun("internal-error", 1_000);
+
 	private final GatewayContext context;
 
 	private final ActiveCalls active;
@@ -166,19 +170,47 @@
 			return false;
 		}
 		this.busy.set(true);
+		try {
+			return switch (read(reader)) {
+				case Reading.Whole whole -> serve(whole.request(), reader, writer);
+				case Reading.Failed failed -> {
+					reject(writer, failed.failure());
+					yield false;
+				}
+				case Reading.CallerLeft left -> false;
+			};
+		}
+		finally {
+			this.busy.set(false);
+		}
+	}
+
+	/**
+	 * Reads a request. A failure other than the end of the connection is one that the
+	 * caller is told of.
+	 */
+	private Reading read(RequestReader reader) throws IOException {
 		try {
 			CallerRequest request = reader.read(limits());
-			return request != null && serve(request, reader, writer);
+			return (request != null) ? new Reading.Whole(request) : new Reading.CallerLeft();
 		}
 		catch (BadInputException ex) {
-			reject(writer, ex);
-			return false;
+			return new Reading.Failed(new CallFailure.Forbidden(ex.status(), String.valueOf(ex.getMessage())));
 		}
-		finally {
-			this.busy.set(false);
+		catch (RuntimeException ex) {
+			logReadFailure(ex);
+			return new Reading.Failed(new CallFailure.Forbidden(HttpStatus.SC_BAD_REQUEST, "malformed request"));
+		}
+		catch (Error ex) {
+			logReadFailure(ex);
+			return new Reading.Failed(ERROR_NOT_RUN);
 		}
 	}
 
+	private void logReadFailure(Throwable failure) {
+		this.context.log().log(Event.HANDLER_FAILED, "method", "reading", "path", "of a request", "error", failure);
+	}
+
 	private boolean serve(CallerRequest request, RequestReader reader, ResponseWriter writer)
 			throws InterruptedException {
 		RequestReader.Arrival arrival = RequestReader.Arrival.NOTHING;
@@ -216,9 +248,7 @@
 			this.context.metrics().counter("call.caller_gone").inc();
 		}
 		catch (RuntimeException | Error ex) {
-			this.context.log()
-				.log(Event.HANDLER_FAILED, "method", request.head().getMethod(), "path", request.head().getRequestUri(),
-						"error", ex);
+			logFailure(request, ex);
 		}
 		finally {
 			this.unanswered = this.unanswered && !reply.complete() && !cancellation.cancelled();
@@ -234,20 +264,45 @@
 
 	private void admit(CallerRequest request, CallerReply reply, Cancellation cancellation) throws CallerGoneException {
 		long nowMillis = BootClock.nowMillis();
+		switch (decide(request, nowMillis)) {
+			case CallAdmission.Decision.Admitted admitted -> serve(admitted.call(), reply, cancellation);
+			case CallAdmission.Decision.Refused refused ->
+				this.context.refusals().refuse(reply, callId(request), nowMillis, refused.failure());
+		}
+	}
+
+	/**
+	 * Decides on a request. No upstream has heard of it yet, so an unexpected error is
+	 * answered as not run.
+	 */
+	private CallAdmission.Decision decide(CallerRequest request, long nowMillis) {
 		Knowledge knowledge = this.context.knowledge();
-		CallAdmission.Decision decision = this.active.admission()
-			.decide(request, knowledge.table(), knowledge.confirmedMillis(), nowMillis);
-		Call call = decision.call();
-		CallFailure failure = decision.failure();
-		if (call != null) {
-			serve(call, reply, cancellation);
+		try {
+			return this.active.admission().decide(request, knowledge.table(), knowledge.confirmedMillis(), nowMillis);
 		}
-		else if (failure != null) {
-			this.context.refusals()
-				.refuse(reply, this.context.protocol().read(request.head()).callId(), nowMillis, failure);
+		catch (RuntimeException | Error ex) {
+			logFailure(request, ex);
+			return new CallAdmission.Decision.Refused(ERROR_NOT_RUN);
 		}
 	}
 
+	private String callId(CallerRequest request) {
+		try {
+			return this.context.protocol().read(request.head()).callId();
+		}
+		catch (RuntimeException ex) {
+			// The id is for the log only, and the refusal must still be sent.
+			logFailure(request, ex);
+			return "";
+		}
+	}
+
+	private void logFailure(CallerRequest request, Throwable failure) {
+		this.context.log()
+			.log(Event.HANDLER_FAILED, "method", request.head().getMethod(), "path", request.head().getRequestUri(),
+					"error", failure);
+	}
+
 	private void serve(Call call, CallerReply reply, Cancellation cancellation) {
 		closeAt(call.endMillis() + LINGER_MILLIS);
 		try {
@@ -277,11 +332,9 @@
 		}
 	}
 
-	private void reject(ResponseWriter writer, BadInputException failure) throws IOException {
+	private void reject(ResponseWriter writer, CallFailure failure) throws IOException {
 		CallerReply reply = new CallerReply(writer, () -> true);
-		this.context.refusals()
-			.refuse(reply, "", BootClock.nowMillis(),
-					new CallFailure.Forbidden(failure.status(), String.valueOf(failure.getMessage())));
+		this.context.refusals().refuse(reply, "", BootClock.nowMillis(), failure);
 		this.socket.shutdownOutput();
 		this.socket.setSoTimeout((int) LINGER_MILLIS);
 		this.socket.getInputStream().skip(limits().maxBodyBytes());
@@ -333,4 +386,31 @@
 		return (request.head().getFirstHeader(name) != null) ? request.head().getFirstHeader(name).getValue() : null;
 	}
 
+	/**
+	 * What reading a request has brought.
+	 */
+	private sealed interface Reading {
+
+		/**
+		 * The whole request.
+		 *
+		 * @param request the request
+		 */
+		record Whole(CallerRequest request) implements Reading {
+		}
+
+		/**
+		 * No request that can be served.
+		 *
+		 * @param failure answer to the caller, behind which the connection ends
+		 */
+		record Failed(CallFailure failure) implements Reading {
+		}
+
+		/** The caller ended the connection before a request. */
+		record CallerLeft() implements Reading {
+		}
+
+	}
+
 }
--- a/src/main/java/org/jaywood/http/RequestReader.java
+++ b/src/main/java/org/jaywood/http/RequestReader.java
@@ -11,8 +11,10 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.MalformedChunkCodingException;
 import org.apache.hc.core5.http.MessageConstraintException;
 import org.apache.hc.core5.http.RequestHeaderFieldsTooLargeException;
+import org.apache.hc.core5.http.TruncatedChunkException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultHttpRequestParser;
 import org.apache.hc.core5.http.impl.io.SessionInputBufferImpl;
@@ -143,7 +145,10 @@
 		catch (MessageConstraintException | RequestHeaderFieldsTooLargeException ex) {
 			throw new BadInputException(HttpStatus.SC_REQUEST_HEADER_FIELDS_TOO_LARGE, "the header is too large");
 		}
-		catch (HttpException ex) {
+		catch (TruncatedChunkException ex) {
+			throw ex;
+		}
+		catch (HttpException | MalformedChunkCodingException ex) {
 			throw new BadInputException(HttpStatus.SC_BAD_REQUEST, "malformed request: " + ex.getMessage());
 		}
 	}
--- a/src/test/java/org/jaywood/gateway/CallAdmissionTests.java
+++ b/src/test/java/org/jaywood/gateway/CallAdmissionTests.java
@@ -37,6 +37,14 @@
 		return new CallerRequest(head, new byte[0]);
 	}
 
+	private static Call call(CallAdmission.Decision decision) {
+		return ((CallAdmission.Decision.Admitted) decision).call();
+	}
+
+	private static CallFailure failure(CallAdmission.Decision decision) {
+		return ((CallAdmission.Decision.Refused) decision).failure();
+	}
+
 	/**
 	 * Guards against a key that runs calls after it was taken away, and against a gateway
 	 * that denies what it only has not learned yet.
@@ -48,30 +56,30 @@
 		void aKeyIsAcceptedWhileTheConfigurationIsKnownToBeInForce() {
 			CallAdmission.Decision decision = CallAdmissionTests.this.admission.decide(request("/a/", "key-1", 6_000),
 					CallAdmissionTests.this.table, NOW - KEY_LIFETIME, NOW);
-			assertThat(decision.call()).isNotNull();
+			assertThat(decision).isInstanceOf(CallAdmission.Decision.Admitted.class);
 		}
 
 		@Test
 		void aKeyIsRefusedAsNotRunOnceThatIsTooOld() {
 			CallAdmission.Decision decision = CallAdmissionTests.this.admission.decide(request("/a/", "key-1", 6_000),
 					CallAdmissionTests.this.table, NOW - KEY_LIFETIME - 1, NOW);
-			assertThat(decision.failure()).isInstanceOf(CallFailure.NotRun.class);
+			assertThat(failure(decision)).isInstanceOf(CallFailure.NotRun.class);
 		}
 
 		@Test
 		void anUnknownRouteOrKeyIsDeniedOnlyByACurrentConfiguration() {
-			assertThat(CallAdmissionTests.this.admission
-				.decide(request("/b/", "key-1", 6_000), CallAdmissionTests.this.table, NOW, NOW)
-				.failure()).isInstanceOf(CallFailure.Forbidden.class);
-			assertThat(CallAdmissionTests.this.admission
-				.decide(request("/b/", "key-1", 6_000), CallAdmissionTests.this.table, NOW - 2_000, NOW)
-				.failure()).isInstanceOf(CallFailure.NotRun.class);
+			assertThat(failure(CallAdmissionTests.this.admission.decide(request("/b/", "key-1", 6_000),
+					CallAdmissionTests.this.table, NOW, NOW)))
+				.isInstanceOf(CallFailure.Forbidden.class);
+			assertThat(failure(CallAdmissionTests.this.admission.decide(request("/b/", "key-1", 6_000),
+					CallAdmissionTests.this.table, NOW - 2_000, NOW)))
+				.isInstanceOf(CallFailure.NotRun.class);
 		}
 
 		@Test
 		void withoutAConfigurationNothingIsDenied() {
 			assertThat(
-					CallAdmissionTests.this.admission.decide(request("/a/", "key-1", 6_000), null, NOW, NOW).failure())
+					failure(CallAdmissionTests.this.admission.decide(request("/a/", "key-1", 6_000), null, NOW, NOW)))
 				.isInstanceOf(CallFailure.NotRun.class);
 		}
 
@@ -88,12 +96,10 @@
 		void aShorterDeadlineThanUsualShowsACallerThatCameBack() {
 			CallAdmissionTests.this.admission.decide(request("/a/", "key-1", 6_042), CallAdmissionTests.this.table, NOW,
 					NOW);
-			Call returned = CallAdmissionTests.this.admission
-				.decide(request("/a/", "key-1", 5_000), CallAdmissionTests.this.table, NOW, NOW)
-				.call();
-			Call fresh = CallAdmissionTests.this.admission
-				.decide(request("/a/", "key-1", 6_036), CallAdmissionTests.this.table, NOW, NOW)
-				.call();
+			Call returned = call(CallAdmissionTests.this.admission.decide(request("/a/", "key-1", 5_000),
+					CallAdmissionTests.this.table, NOW, NOW));
+			Call fresh = call(CallAdmissionTests.this.admission.decide(request("/a/", "key-1", 6_036),
+					CallAdmissionTests.this.table, NOW, NOW));
 			assertThat(returned.late()).isTrue();
 			assertThat(fresh.late()).isFalse();
 		}
--- /dev/null
+++ b/src/test/java/org/jaywood/gateway/CallerErrorTests.java
@@ -0,0 +1,111 @@
+package org.jaywood.gateway;
+
+import java.io.FilterInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against an unexpected error that ends the connection of a caller without an
+ * answer.
+ */
+class CallerErrorTests extends ConnectionFixture {
+
+	@Test
+	void anErrorBeforeTheHandOverIsAnsweredAsNotRun() throws Exception {
+		configure(5_000);
+		serve();
+		send(request("/error"));
+		String answer = answer();
+		assertThat(answer).startsWith("HTTP/1.1 503");
+		assertThat(answer).contains("Retry-After: ");
+		send(request("/x"));
+		assertThat(answer()).startsWith("HTTP/1.1 404");
+	}
+
+	@Test
+	void aMalformedChunkIsAnsweredAsMalformed() throws Exception {
+		configure(5_000);
+		serve();
+		send("POST /x HTTP/1.1\r\nHost: host\r\nTransfer-Encoding: chunked\r\n\r\nno-length\r\n");
+		assertThat(answer()).startsWith("HTTP/1.1 400");
+	}
+
+	@Test
+	void aTruncatedChunkIsTheCallersEnd() throws Exception {
+		configure(5_000);
+		Thread serving = serve();
+		send("POST /x HTTP/1.1\r\nHost: host\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab");
+		this.caller.shutdownOutput();
+		assertThat(answer()).isEmpty();
+		serving.join();
+		assertThat(unanswered()).isEqualTo(0);
+	}
+
+	@Test
+	void anErrorOfTheParserIsAnsweredAsMalformed() throws Exception {
+		assertThat(answerWhenReadingThrows(new IllegalArgumentException("scripted failure")))
+			.startsWith("HTTP/1.1 400");
+	}
+
+	@Test
+	void anErrorOfTheProcessWhileReadingIsAnsweredAsNotRun() throws Exception {
+		String answer = answerWhenReadingThrows(new OutOfMemoryError("scripted failure"));
+		assertThat(answer).startsWith("HTTP/1.1 503");
+		assertThat(answer).contains("Retry-After: ");
+	}
+
+	private String answerWhenReadingThrows(Throwable failure) throws Exception {
+		configure(5_000);
+		try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+				FailingSocket failing = new FailingSocket(failure)) {
+			failing.connect(server.getLocalSocketAddress());
+			take(server.accept());
+			CallerConnection.start(this.context, this.active, failing);
+			send("GET /x HTTP/1.1\r\n");
+			return answer();
+		}
+	}
+
+	/**
+	 * Socket whose second read throws.
+	 */
+	private static final class FailingSocket extends Socket {
+
+		private final Throwable failure;
+
+		private final AtomicBoolean read = new AtomicBoolean();
+
+		FailingSocket(Throwable failure) {
+			this.failure = failure;
+		}
+
+		@Override
+		public InputStream getInputStream() throws IOException {
+			return new FilterInputStream(super.getInputStream()) {
+
+				@Override
+				public int read(byte[] bytes, int offset, int length) throws IOException {
+					if (!FailingSocket.this.read.compareAndSet(false, true)) {
+						switch (FailingSocket.this.failure) {
+							case Error error -> throw error;
+							case RuntimeException exception -> throw exception;
+							default -> throw new IOException(FailingSocket.this.failure);
+						}
+					}
+					return super.read(bytes, offset, length);
+				}
+
+			};
+		}
+
+	}
+
+}
--- a/src/test/java/org/jaywood/gateway/ConnectionFixture.java
+++ b/src/test/java/org/jaywood/gateway/ConnectionFixture.java
@@ -64,8 +64,15 @@
 	 * Connects the caller to a port instead.
 	 */
 	void connect(int port) throws IOException {
+		take(new Socket("127.0.0.1", port));
+	}
+
+	/**
+	 * Takes another socket for that of the caller.
+	 */
+	void take(Socket other) throws IOException {
 		this.caller.close();
-		this.caller = new Socket("127.0.0.1", port);
+		this.caller = other;
 		prepareCaller();
 	}
 
