--- a/src/main/java/org/jaywood/gateway/CallerConnection.java
+++ b/src/main/java/org/jaywood/gateway/CallerConnection.java
@@ -4,6 +4,7 @@
 import java.net.Socket;
 import java.util.concurrent.atomic.AtomicBoolean;
 
+import org.apache.hc.core5.http.HttpStatus;
 import org.jspecify.annotations.Nullable;
 
 import org.jaywood.event.Event;
@@ -28,9 +29,31 @@
 	/** Wait that shows after a stall whether the caller has left meanwhile. */
 	private static final long LEFT_CHECK_MILLIS = 1;
 
+	/** Last look at a connection whose time is over. */
+	private static final long LAST_LOOK_MILLIS = 1;
+
+	/**
+	 * Longest wait after which limits and a planned stop are looked at again. It is
+	 * shorter than the time between the begin of a stop and the end of idle connections,
+	 * so that each connection learns of it before.
+	 */
+	static final long WAIT_SLICE_MILLIS = 2_000;
+
+	/**
+	 * Shortest rest of a connection during a planned stop: the time that callers allow a
+	 * new connection, whose first request may be on its way.
+	 */
+	private static final long SHORTEST_REST_MILLIS = 1_000;
+
+	/** Stands for the begin of a rest while a call is under way. */
+	private static final long CALL_UNDER_WAY = Long.MAX_VALUE;
+
 	/** Time for which a connection is read on after its last answer. */
 	private static final long LINGER_MILLIS = 1_000;
 
+	/** Answer to a request on which an unexpected error came before its hand-over. */
+	private static final CallFailure ERROR_NOT_RUN = new CallFailure.NotRun("internal-error", 1_000);
+
 	private final GatewayContext context;
 
 	private final ActiveCalls active;
@@ -39,24 +62,39 @@
 
 	private final AtomicBoolean busy = new AtomicBoolean();
 
-	private volatile long closeAtMillis = Long.MAX_VALUE;
+	private long closeAtMillis = Long.MAX_VALUE;
+
+	private boolean overdueSeen;
+
+	/** Boot time at which the connection became idle. */
+	private volatile long idleSinceMillis = BootClock.nowMillis();
 
-	CallerConnection(GatewayContext context, ActiveCalls active, Socket socket) {
+	/** Whether a request has been read whole and its answer is not complete. */
+	private volatile boolean unanswered;
+
+	/** Why this process ends the connection, or null while it does not. */
+	private volatile @Nullable String endCause;
+
+	private CallerConnection(GatewayContext context, ActiveCalls active, Socket socket) {
 		this.context = context;
 		this.active = active;
 		this.socket = socket;
 	}
 
+	/**
+	 * Serves a connection that was accepted. It counts as open from now on, before its
+	 * task runs.
+	 */
+	static Thread start(GatewayContext context, ActiveCalls active, Socket socket) {
+		CallerConnection connection = new CallerConnection(context, active, socket);
+		active.add(connection);
+		return Thread.ofVirtual().start(connection);
+	}
+
 	@Override
 	public void run() {
-		this.active.add(this);
 		try (Socket open = this.socket) {
-			RequestReader reader = new RequestReader(open, limits().maxHeaderBytes());
-			ResponseWriter writer = new ResponseWriter(open.getOutputStream());
-			boolean more = true;
-			while (more) {
-				more = next(reader, writer);
-			}
+			serveRequests(open);
 		}
 		catch (IOException ex) {
 			this.context.metrics().counter("connection.broken").inc();
@@ -69,24 +107,110 @@
 		}
 	}
 
+	private void serveRequests(Socket open) throws IOException, InterruptedException {
+		RequestReader reader = new RequestReader(open, limits().maxHeaderBytes());
+		ResponseWriter writer = new ResponseWriter(open.getOutputStream());
+		try {
+			boolean more = true;
+			while (more) {
+				more = next(reader, writer);
+			}
+		}
+		finally {
+			reportUnanswered(reader.unreadBytes());
+		}
+	}
+
+	/**
+	 * Reports that this process, not the caller, ends the connection while a request has
+	 * no complete answer.
+	 */
+	private void reportUnanswered(int unreadBytes) {
+		String cause = this.endCause;
+		if (cause != null && (this.unanswered || unreadBytes > 0)) {
+			this.context.metrics().counter("connection.unanswered").inc();
+			this.context.log()
+				.log(Event.CONNECTION_ENDED_UNANSWERED, "cause", cause, "read", this.unanswered, "unread", unreadBytes);
+		}
+	}
+
+	/**
+	 * Waits for the first bytes of the next request, through a call that is under way and
+	 * the rest behind it. A rest is over only if nothing has arrived after its end, so
+	 * that a stall of the process shortens none. The longest idle limit that was in force
+	 * since the wait began holds, since the caller may know that one only. No other task
+	 * ends an idle connection, so that none can end on bytes that were just read.
+	 */
+	private RequestReader.Arrival awaitRequest(RequestReader reader) {
+		RequestReader.Arrival arrival = RequestReader.Arrival.NOTHING;
+		long leftMillis = Long.MAX_VALUE;
+		long limitMillis = 0;
+		while (arrival == RequestReader.Arrival.NOTHING && leftMillis > 0) {
+			limitMillis = Math.max(limitMillis, limits().idleTimeoutMillis());
+			leftMillis = restEndMillis(limitMillis) - BootClock.nowMillis();
+			arrival = reader.await(Math.clamp(leftMillis, LAST_LOOK_MILLIS, WAIT_SLICE_MILLIS));
+		}
+		if (arrival == RequestReader.Arrival.NOTHING) {
+			this.endCause = this.active.draining() ? "planned stop" : "idle limit";
+		}
+		return arrival;
+	}
+
+	private long restEndMillis(long limitMillis) {
+		long sinceMillis = this.idleSinceMillis;
+		if (sinceMillis == CALL_UNDER_WAY) {
+			return Long.MAX_VALUE;
+		}
+		long stopMillis = Math.max(this.active.idleEndMillis(), sinceMillis + SHORTEST_REST_MILLIS);
+		return Math.min(sinceMillis + limitMillis, stopMillis);
+	}
+
 	private boolean next(RequestReader reader, ResponseWriter writer) throws IOException, InterruptedException {
-		if (reader.await(limits().idleTimeoutMillis()) != RequestReader.Arrival.BYTES) {
+		if (awaitRequest(reader) != RequestReader.Arrival.BYTES) {
 			return false;
 		}
 		this.busy.set(true);
+		try {
+			return switch (read(reader)) {
+				case Reading.Whole whole -> serve(whole.request(), reader, writer);
+				case Reading.Failed failed -> {
+					reject(writer, failed.failure());
+					yield false;
+				}
+				case Reading.CallerLeft left -> false;
+			};
+		}
+		finally {
+			this.busy.set(false);
+		}
+	}
+
+	/**
+	 * Reads a request. A failure other than the end of the connection is one that the
+	 * caller is told of.
+	 */
+	private Reading read(RequestReader reader) throws IOException {
 		try {
 			CallerRequest request = reader.read(limits());
-			return request != null && serve(request, reader, writer);
+			return (request != null) ? new Reading.Whole(request) : new Reading.CallerLeft();
 		}
 		catch (BadInputException ex) {
-			reject(writer, ex);
-			return false;
+			return new Reading.Failed(new CallFailure.Forbidden(ex.status(), String.valueOf(ex.getMessage())));
 		}
-		finally {
-			this.busy.set(false);
+		catch (RuntimeException ex) {
+			logReadFailure(ex);
+			return new Reading.Failed(new CallFailure.Forbidden(HttpStatus.SC_BAD_REQUEST, "malformed request"));
+		}
+		catch (Error ex) {
+			logReadFailure(ex);
+			return new Reading.Failed(ERROR_NOT_RUN);
 		}
 	}
 
+	private void logReadFailure(Throwable failure) {
+		this.context.log().log(Event.HANDLER_FAILED, "method", "reading", "path", "of a request", "error", failure);
+	}
+
 	private boolean serve(CallerRequest request, RequestReader reader, ResponseWriter writer)
 			throws InterruptedException {
 		RequestReader.Arrival arrival = RequestReader.Arrival.NOTHING;
@@ -97,19 +221,21 @@
 			this.context.metrics().counter("call.caller_gone").inc();
 			return false;
 		}
+		this.unanswered = true;
+		this.idleSinceMillis = CALL_UNDER_WAY;
 		Cancellation cancellation = new Cancellation();
-		CallerReply reply = new CallerReply(writer, this.active.draining() || wantsClose(request));
+		CallerReply reply = new CallerReply(writer, () -> this.active.draining() || wantsClose(request));
 		Thread call = Thread.ofVirtual().start(() -> handle(request, reply, cancellation));
-		while (arrival == RequestReader.Arrival.NOTHING && (call.isAlive() || reply.reusable())) {
-			arrival = reader.await(limits().idleTimeoutMillis());
-			if (arrival == RequestReader.Arrival.NOTHING && !call.isAlive()) {
-				break;
-			}
+		if (arrival == RequestReader.Arrival.NOTHING) {
+			arrival = awaitRequest(reader);
 		}
 		if (arrival == RequestReader.Arrival.CLOSED) {
 			cancellation.cancel();
 		}
 		call.join();
+		if (arrival == RequestReader.Arrival.BYTES && !reply.reusable()) {
+			this.endCause = "last answer";
+		}
 		return arrival == RequestReader.Arrival.BYTES && reply.reusable();
 	}
 
@@ -118,18 +244,19 @@
 			admit(request, reply, cancellation);
 		}
 		catch (CallerGoneException ex) {
+			this.unanswered = false;
 			this.context.metrics().counter("call.caller_gone").inc();
 		}
 		catch (RuntimeException | Error ex) {
-			this.context.log()
-				.log(Event.HANDLER_FAILED, "method", request.head().getMethod(), "path", request.head().getRequestUri(),
-						"error", ex);
+			logFailure(request, ex);
 		}
 		finally {
+			this.unanswered = this.unanswered && !reply.complete() && !cancellation.cancelled();
 			if (!reply.reusable()) {
 				endOutput(reply.complete());
 			}
 			else {
+				this.idleSinceMillis = BootClock.nowMillis();
 				this.busy.set(false);
 			}
 		}
@@ -137,19 +264,52 @@
 
 	private void admit(CallerRequest request, CallerReply reply, Cancellation cancellation) throws CallerGoneException {
 		long nowMillis = BootClock.nowMillis();
+		switch (decide(request, nowMillis)) {
+			case CallAdmission.Decision.Admitted admitted -> serve(admitted.call(), reply, cancellation);
+			case CallAdmission.Decision.Refused refused ->
+				this.context.refusals().refuse(reply, callId(request), nowMillis, refused.failure());
+		}
+	}
+
+	/**
+	 * Decides on a request. No upstream has heard of it yet, so an unexpected error is
+	 * answered as not run.
+	 */
+	private CallAdmission.Decision decide(CallerRequest request, long nowMillis) {
 		Knowledge knowledge = this.context.knowledge();
-		CallAdmission.Decision decision = this.active.admission()
-			.decide(request, knowledge.table(), knowledge.confirmedMillis(), nowMillis);
-		Call call = decision.call();
-		CallFailure failure = decision.failure();
-		if (call != null) {
-			this.closeAtMillis = call.endMillis() + LINGER_MILLIS;
+		try {
+			return this.active.admission().decide(request, knowledge.table(), knowledge.confirmedMillis(), nowMillis);
+		}
+		catch (RuntimeException | Error ex) {
+			logFailure(request, ex);
+			return new CallAdmission.Decision.Refused(ERROR_NOT_RUN);
+		}
+	}
+
+	private String callId(CallerRequest request) {
+		try {
+			return this.context.protocol().read(request.head()).callId();
+		}
+		catch (RuntimeException ex) {
+			// The id is for the log only, and the refusal must still be sent.
+			logFailure(request, ex);
+			return "";
+		}
+	}
+
+	private void logFailure(CallerRequest request, Throwable failure) {
+		this.context.log()
+			.log(Event.HANDLER_FAILED, "method", request.head().getMethod(), "path", request.head().getRequestUri(),
+					"error", failure);
+	}
+
+	private void serve(Call call, CallerReply reply, Cancellation cancellation) {
+		closeAt(call.endMillis() + LINGER_MILLIS);
+		try {
 			new CallTask(this.context, call, reply, cancellation).run();
-			this.closeAtMillis = Long.MAX_VALUE;
 		}
-		else if (failure != null) {
-			this.context.refusals()
-				.refuse(reply, this.context.protocol().read(request.head()).callId(), nowMillis, failure);
+		finally {
+			closeAt(Long.MAX_VALUE);
 		}
 	}
 
@@ -161,10 +321,10 @@
 		try {
 			if (complete) {
 				this.socket.shutdownOutput();
-				this.closeAtMillis = BootClock.nowMillis() + LINGER_MILLIS;
+				closeAt(BootClock.nowMillis() + LINGER_MILLIS);
 			}
 			else {
-				this.socket.close();
+				close("incomplete answer");
 			}
 		}
 		catch (IOException ex) {
@@ -172,50 +332,38 @@
 		}
 	}
 
-	private void reject(ResponseWriter writer, BadInputException failure) throws IOException {
-		CallerReply reply = new CallerReply(writer, true);
-		this.context.refusals()
-			.refuse(reply, "", BootClock.nowMillis(),
-					new CallFailure.Forbidden(failure.status(), String.valueOf(failure.getMessage())));
+	private void reject(ResponseWriter writer, CallFailure failure) throws IOException {
+		CallerReply reply = new CallerReply(writer, () -> true);
+		this.context.refusals().refuse(reply, "", BootClock.nowMillis(), failure);
 		this.socket.shutdownOutput();
 		this.socket.setSoTimeout((int) LINGER_MILLIS);
 		this.socket.getInputStream().skip(limits().maxBodyBytes());
 	}
 
-	/**
-	 * Closes the connection if its answer is overdue, which is so only while the caller
-	 * does not read, or after its last answer.
-	 */
-	void closeIfOverdue(long nowMillis) {
-		if (nowMillis >= this.closeAtMillis) {
-			close();
-		}
+	private synchronized void closeAt(long millis) {
+		this.closeAtMillis = millis;
+		this.overdueSeen = false;
 	}
 
 	/**
-	 * Closes the connection unless a request is under way or has arrived unread.
+	 * Closes the connection if its answer is overdue, which is so only while the caller
+	 * does not read, or after its last answer. It is closed by the second call that finds
+	 * it overdue, since the answer may have been held up by a stall of the process.
 	 */
-	void closeIfIdle() {
-		if (!this.busy.get() && !requestArrived()) {
-			close();
-		}
-	}
-
-	private boolean requestArrived() {
-		try {
-			return this.socket.getInputStream().available() > 0;
-		}
-		catch (IOException ex) {
-			// The connection has ended already.
-			return false;
+	synchronized void closeIfOverdue(long nowMillis) {
+		boolean overdue = nowMillis >= this.closeAtMillis;
+		if (overdue && this.overdueSeen) {
+			close("overdue answer");
 		}
+		this.overdueSeen = overdue;
 	}
 
 	boolean busy() {
 		return this.busy.get();
 	}
 
-	void close() {
+	private void close(String cause) {
+		this.endCause = cause;
 		try {
 			this.socket.close();
 		}
@@ -238,4 +386,31 @@
 		return (request.head().getFirstHeader(name) != null) ? request.head().getFirstHeader(name).getValue() : null;
 	}
 
+	/**
+	 * What reading a request has brought.
+	 */
+	private sealed interface Reading {
+
+		/**
+		 * The whole request.
+		 *
+		 * @param request the request
+		 */
+		record Whole(CallerRequest request) implements Reading {
+		}
+
+		/**
+		 * No request that can be served.
+		 *
+		 * @param failure answer to the caller, behind which the connection ends
+		 */
+		record Failed(CallFailure failure) implements Reading {
+		}
+
+		/** The caller ended the connection before a request. */
+		record CallerLeft() implements Reading {
+		}
+
+	}
+
 }
--- a/src/main/java/org/jaywood/http/RequestReader.java
+++ b/src/main/java/org/jaywood/http/RequestReader.java
@@ -1,5 +1,6 @@
 package org.jaywood.http;
 
+import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -10,7 +11,10 @@
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.MalformedChunkCodingException;
 import org.apache.hc.core5.http.MessageConstraintException;
+import org.apache.hc.core5.http.RequestHeaderFieldsTooLargeException;
+import org.apache.hc.core5.http.TruncatedChunkException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultHttpRequestParser;
 import org.apache.hc.core5.http.impl.io.SessionInputBufferImpl;
@@ -34,28 +38,48 @@
 
 	private final TimedInputStream in;
 
-	private final Http1Config config;
+	private Http1Config config;
 
-	private final SessionInputBufferImpl buffer;
-
-	private final DefaultHttpRequestParser parser;
+	private SessionInputBufferImpl buffer;
 
 	/**
 	 * Creates a reader.
 	 * @param socket connection of the caller
-	 * @param maxHeaderBytes longest header line
+	 * @param maxHeaderBytes longest header line until the first request
 	 */
 	public RequestReader(Socket socket, int maxHeaderBytes) throws IOException {
 		SocketTuning.apply(socket);
 		this.socket = socket;
 		this.in = new TimedInputStream(socket);
-		this.config = Http1Config.custom()
+		this.config = config(maxHeaderBytes);
+		this.buffer = new SessionInputBufferImpl(BUFFER_BYTES, maxHeaderBytes);
+	}
+
+	private static Http1Config config(int maxHeaderBytes) {
+		return Http1Config.custom()
 			.setMaxLineLength(maxHeaderBytes)
 			.setMaxHeaderCount(MAX_HEADERS)
 			.setMaxEmptyLineCount(1)
 			.build();
+	}
+
+	/**
+	 * Takes over a limit that a newer configuration sets, without losing bytes that have
+	 * been read already: the buffer has its limit for good.
+	 */
+	private void limitHeader(int maxHeaderBytes) throws IOException {
+		if (maxHeaderBytes == this.config.getMaxLineLength()) {
+			return;
+		}
+		byte[] unread = new byte[this.buffer.length()];
+		if (unread.length > 0) {
+			this.buffer.read(unread, this.in);
+		}
+		this.config = config(maxHeaderBytes);
 		this.buffer = new SessionInputBufferImpl(BUFFER_BYTES, maxHeaderBytes);
-		this.parser = new DefaultHttpRequestParser(this.config);
+		if (unread.length > 0) {
+			this.buffer.fillBuffer(new ByteArrayInputStream(unread));
+		}
 	}
 
 	/**
@@ -79,6 +103,21 @@
 		}
 	}
 
+	/**
+	 * Bytes that have arrived and belong to no request that was read. Bytes that the
+	 * socket holds count only while it is open.
+	 */
+	public int unreadBytes() {
+		int bufferedBytes = this.buffer.length();
+		try {
+			return bufferedBytes + this.in.available();
+		}
+		catch (IOException ex) {
+			// The socket is closed, so that only the buffer can be counted.
+			return bufferedBytes;
+		}
+	}
+
 	/**
 	 * Reads a request whose first bytes have arrived. Head and body have one limit of
 	 * time each, however slowly their bytes arrive.
@@ -90,8 +129,9 @@
 	 */
 	public @Nullable CallerRequest read(RequestLimits limits) throws IOException {
 		try {
+			limitHeader(limits.maxHeaderBytes());
 			this.in.limit(limits.headTimeoutMillis(), System.nanoTime());
-			ClassicHttpRequest head = this.parser.parse(this.buffer, this.in);
+			ClassicHttpRequest head = new DefaultHttpRequestParser(this.config).parse(this.buffer, this.in);
 			if (head == null) {
 				return null;
 			}
@@ -102,10 +142,13 @@
 		catch (SocketTimeoutException ex) {
 			throw new BadInputException(HttpStatus.SC_REQUEST_TIMEOUT, "the request did not arrive in time");
 		}
-		catch (MessageConstraintException ex) {
+		catch (MessageConstraintException | RequestHeaderFieldsTooLargeException ex) {
 			throw new BadInputException(HttpStatus.SC_REQUEST_HEADER_FIELDS_TOO_LARGE, "the header is too large");
 		}
-		catch (HttpException ex) {
+		catch (TruncatedChunkException ex) {
+			throw ex;
+		}
+		catch (HttpException | MalformedChunkCodingException ex) {
 			throw new BadInputException(HttpStatus.SC_BAD_REQUEST, "malformed request: " + ex.getMessage());
 		}
 	}
