Give calls only to the youngest entry of an address

Cause: an engine that loses power leaves its entry behind until its heartbeats are missed. Gateways that start meanwhile list it beside the entry of the next incarnation at the same address and took both for engines. The entry of before has no report, so it looks idle and draws calls, which the engine refuses with 421. Where it was the one followed at that address, the reports of the new incarnation were dropped too. Agents already took the youngest entry only (FleetDigest).

From 35.2 s on gateways list 145 entries of which 74 were there before the loss of power; 53 of those drew all calls that got 421, each placed without a report, and no call to them was answered. Three of the four tests of DispatcherTests.PowerLoss failed before (aLapse too: an entry missing after an outage was kept beside its successor); the fourth passes before and bounds the change: an entry of a service that no configuration names takes no address.

Change: Fleet.current leaves out entries at whose address a younger incarnation of the same service is listed. The dispatcher and the choice of followed engines use it.

--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.stream.Collectors;
 
 import org.jspecify.annotations.Nullable;
@@ -75,7 +76,7 @@
 	 */
 	public synchronized void onFleet(Fleet latest, long nowMillis) {
 		this.fleet = latest;
-		Map<String, Upstream> entries = latest.upstreams().entries();
+		Map<String, Upstream> entries = latest.current();
 		entries.values().forEach((entry) -> {
 			UpstreamState state = this.states.get(entry.id());
 			if (state == null || state.upstream().bornMillis() != entry.bornMillis()) {
@@ -87,10 +88,12 @@
 		});
 		long graceEndMillis = latest.upstreams().regainedMillis() + this.settings.lapseMillis();
 		boolean lapse = latest.upstreams().regainedMillis() != Long.MIN_VALUE && nowMillis < graceEndMillis;
+		Set<Fleet.Place> taken = entries.values().stream().map(Fleet.Place::of).collect(Collectors.toSet());
 		this.states.values()
 			.stream()
 			.filter((state) -> !entries.containsKey(state.upstream().id()))
-			.forEach((state) -> state.keepMissingUntil(lapse ? graceEndMillis : nowMillis));
+			.forEach((state) -> state.keepMissingUntil(
+					(lapse && !taken.contains(Fleet.Place.of(state.upstream()))) ? graceEndMillis : nowMillis));
 		this.states.values().removeIf((state) -> !state.present(nowMillis) && state.inFlight() == 0);
 		follow();
 		placeWaiting(nowMillis);
--- a/src/main/java/org/jaywood/routing/Fleet.java
+++ b/src/main/java/org/jaywood/routing/Fleet.java
@@ -3,8 +3,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 
 import org.jaywood.feed.FeedView;
+import org.jaywood.wire.Address;
 
 /**
  * What is known of upstreams, closed data centres and named weights at one moment.
@@ -15,6 +18,34 @@
  */
 public record Fleet(FeedView<Upstream> upstreams, Set<String> closedDataCentres, Map<String, List<NamedSince>> named) {
 
+	/**
+	 * The upstreams by id, without entries at whose address a younger incarnation of the
+	 * same service runs. One that lost power leaves such an entry behind until its
+	 * heartbeats are missed, and the younger incarnation refuses calls meant for it.
+	 */
+	Map<String, Upstream> current() {
+		Map<Place, Long> youngest = this.upstreams.entries()
+			.values()
+			.stream()
+			.collect(Collectors.toMap(Place::of, Upstream::bornMillis, Math::max));
+		return this.upstreams.entries()
+			.values()
+			.stream()
+			.filter((entry) -> entry.bornMillis() >= youngest.getOrDefault(Place.of(entry), Long.MIN_VALUE))
+			.collect(Collectors.toMap(Upstream::id, Function.identity()));
+	}
+
+	/**
+	 * What successive incarnations of one upstream share.
+	 */
+	record Place(String service, Address address) {
+
+		static Place of(Upstream upstream) {
+			return new Place(upstream.service(), upstream.address());
+		}
+
+	}
+
 	/**
 	 * A named version.
 	 *
--- a/src/main/java/org/jaywood/routing/FollowedEngines.java
+++ b/src/main/java/org/jaywood/routing/FollowedEngines.java
@@ -23,8 +23,7 @@
 	 * not, so that their agents keep a gateway.
 	 */
 	static FollowedEngines choose(UpstreamSubset subset, RouteTable table, Fleet fleet) {
-		Map<String, List<Upstream>> engines = fleet.upstreams()
-			.entries()
+		Map<String, List<Upstream>> engines = fleet.current()
 			.values()
 			.stream()
 			.filter((upstream) -> table.service(upstream.service())
--- a/src/test/java/org/jaywood/routing/DispatcherTests.java
+++ b/src/test/java/org/jaywood/routing/DispatcherTests.java
@@ -223,6 +223,62 @@
 
 	}
 
+	/**
+	 * Guards against calls to the incarnation that an engine had before it lost power.
+	 */
+	@Nested
+	class PowerLoss {
+
+		private final Upstream before = born("before", 5);
+
+		private final Upstream after = born("after", 9);
+
+		private Upstream born(String id, long bornMillis) {
+			Upstream engine = Upstreams.engine("same");
+			return new Upstream(id, engine.service(), engine.address(), engine.dataCentre(), engine.region(),
+					engine.slots(), false, 0, bornMillis, engine.weights());
+		}
+
+		private Set<String> chosen() {
+			return request(Upstreams.SLOTS, false).stream()
+				.map(Upstreams::placed)
+				.flatMap(Optional::stream)
+				.map((placement) -> placement.upstream().id())
+				.collect(Collectors.toSet());
+		}
+
+		@Test
+		void callsGoToTheYoungestEntryOfAnAddress() {
+			DispatcherTests.this.dispatcher.onFleet(Upstreams.fleet(this.before, this.after), NOW);
+			assertThat(chosen()).containsExactly("after");
+		}
+
+		@Test
+		void theReportsOfAnAddressBelongToItsYoungestEntry() {
+			DispatcherTests.this.dispatcher.onFleet(Upstreams.fleet(born("x", 5), born("y", 9)), NOW);
+			assertThat(DispatcherTests.this.dispatcher.followed().values()).containsExactly("y");
+			DispatcherTests.this.dispatcher.onFleet(Upstreams.fleet(born("x", 11), born("y", 9)), NOW + 1);
+			assertThat(DispatcherTests.this.dispatcher.followed().values()).containsExactly("x");
+		}
+
+		@Test
+		void anEntryIsNotKeptOverALapseOnceAYoungerOneHasItsAddress() {
+			DispatcherTests.this.dispatcher.onFleet(Upstreams.fleet(this.before), NOW);
+			Fleet regained = new Fleet(Upstreams.view(NOW + 1, this.after), Set.of(), Map.of());
+			DispatcherTests.this.dispatcher.onFleet(regained, NOW + 1);
+			assertThat(chosen()).containsExactly("after");
+		}
+
+		@Test
+		void anEntryOfAnotherServiceTakesNoAddress() {
+			Upstream other = new Upstream("other", "unknown", this.before.address(), "kushiro-a", "doto", 4, false, 0,
+					100, null);
+			DispatcherTests.this.dispatcher.onFleet(Upstreams.fleet(this.before, other), NOW);
+			assertThat(chosen()).containsExactly("before");
+		}
+
+	}
+
 	/**
 	 * Guards against a cold engine that several gateways overrun together.
 	 */
