--- a/src/main/java/org/jaywood/routing/RetryBudget.java
+++ b/src/main/java/org/jaywood/routing/RetryBudget.java
@@ -24,6 +24,19 @@
 		this.refilledMillis = nowMillis;
 	}
 
+	/**
+	 * A budget of a process that has just started. It holds one retry at the most, as an
+	 * advance on its floor: a full one would let processes that restart spend their
+	 * bursts twice within a window.
+	 */
+	static RetryBudget started(double share, double floorPerSecond, double capacity, long nowMillis) {
+		RetryBudget budget = new RetryBudget(share, floorPerSecond, capacity, nowMillis);
+		budget.tokens = Math.min(1, capacity);
+		budget.refilledMillis = nowMillis
+				+ ((floorPerSecond > 0) ? Math.round(1_000 * budget.tokens / floorPerSecond) : 0);
+		return budget;
+	}
+
 	/**
 	 * Changes the part that does not depend on calls. What is left above a smaller
 	 * capacity is lost; a larger one fills with time.
@@ -47,9 +60,11 @@
 	 * @return whether a retry is allowed
 	 */
 	public synchronized boolean tryTake(long nowMillis) {
-		double earned = Math.max(0, nowMillis - this.refilledMillis) * this.floorPerSecond / 1_000;
-		this.tokens = Math.min(this.capacity, this.tokens + earned);
-		this.refilledMillis = nowMillis;
+		if (nowMillis > this.refilledMillis) {
+			double earned = (nowMillis - this.refilledMillis) * this.floorPerSecond / 1_000;
+			this.tokens = Math.min(this.capacity, this.tokens + earned);
+			this.refilledMillis = nowMillis;
+		}
 		if (this.tokens < 1) {
 			return false;
 		}
