Let calls earn retries however many gateways there are

With more than some 50 gateways no call was ever sent again: at the planned 370 gateways the part of one of the fixed allowance is 0.13 of a retry, tokens were capped there, and a retry takes a whole one.

Cause: the share that calls earn filled the same capacity as the part of the fixed allowance. RetryBudgetsTests.callsEarnRetriesHoweverManyGatewaysThereAre failed before: 370 gateways, 100 calls at this one, a fifth of which may be retried, and no retry was allowed.

Change: below a capacity of one, calls fill up to one retry beside it, and the floor does not (theFloorOfManyGatewaysSavesNoRetries, which passes before too). From a capacity of one on nothing changes. Calls saved up at very many gateways may add one retry each to a window, which the unused fifth of the calls' share covers from 25 calls per gateway and window on; planned are about 150.

--- a/src/main/java/org/jaywood/routing/RetryBudget.java
+++ b/src/main/java/org/jaywood/routing/RetryBudget.java
@@ -14,6 +14,12 @@
 
 	private double tokens;
 
+	/**
+	 * Part of a retry that calls have earned beyond a capacity of less than one. Without
+	 * it, a gateway among very many could never retry.
+	 */
+	private double spare;
+
 	private long refilledMillis;
 
 	public RetryBudget(double share, double floorPerSecond, double capacity, long nowMillis) {
@@ -45,13 +51,16 @@
 		this.floorPerSecond = latestFloorPerSecond;
 		this.capacity = latestCapacity;
 		this.tokens = Math.min(this.tokens, latestCapacity);
+		this.spare = Math.min(this.spare, spareCapacity());
 	}
 
 	/**
 	 * Notes a call, which earns a share of a retry.
 	 */
 	public synchronized void recordCall() {
-		this.tokens = Math.min(this.capacity, this.tokens + this.share);
+		double sum = this.tokens + this.share;
+		this.tokens = Math.min(this.capacity, sum);
+		this.spare = Math.min(spareCapacity(), this.spare + sum - this.tokens);
 	}
 
 	/**
@@ -65,11 +74,17 @@
 			this.tokens = Math.min(this.capacity, this.tokens + earned);
 			this.refilledMillis = nowMillis;
 		}
-		if (this.tokens < 1) {
+		if (this.tokens + this.spare < 1) {
 			return false;
 		}
-		this.tokens -= 1;
+		double fromSpare = Math.min(1, this.spare);
+		this.spare -= fromSpare;
+		this.tokens -= 1 - fromSpare;
 		return true;
 	}
 
+	private double spareCapacity() {
+		return (this.capacity < 1) ? 1 : 0;
+	}
+
 }
--- a/src/test/java/org/jaywood/routing/RetryBudgetsTests.java
+++ b/src/test/java/org/jaywood/routing/RetryBudgetsTests.java
@@ -10,6 +10,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -30,6 +31,25 @@
 
 	private static final int WINDOW_STEPS = WINDOW_MILLIS / STEP_MILLIS;
 
+	/** Guards against fleets of so many gateways that none of them may ever retry. */
+	@Test
+	void callsEarnRetriesHoweverManyGatewaysThereAre() {
+		RetryBudgets budgets = new RetryBudgets(RATIO, EXTRA, WINDOW_MILLIS);
+		budgets.resize(OptionalInt.of(370), 370, 0);
+		RetryBudget budget = budgets.of("service", 0);
+		IntStream.range(0, 100).forEach((call) -> budget.recordCall());
+		assertThat(budget.tryTake(0)).isTrue();
+	}
+
+	/** Guards against retries that many gateways save up while there are no calls. */
+	@Test
+	void theFloorOfManyGatewaysSavesNoRetries() {
+		RetryBudgets budgets = new RetryBudgets(RATIO, EXTRA, WINDOW_MILLIS);
+		budgets.resize(OptionalInt.of(370), 370, 0);
+		RetryBudget budget = budgets.of("service", 0);
+		assertThat(budget.tryTake(10 * WINDOW_MILLIS)).isFalse();
+	}
+
 	/**
 	 * Plays a fleet whose calls all ask for retries while gateways join, are killed, lose
 	 * power together and are cut off in part, and while what agents tell comes late.
