--- a/src/main/java/org/jaywood/routing/RetryBudget.java
+++ b/src/main/java/org/jaywood/routing/RetryBudget.java
@@ -14,6 +14,12 @@
 
 	private double tokens;
 
+	/**
+	 * Part of a retry that calls have earned beyond a capacity of less than one. Without
+	 * it, a gateway among very many could never retry.
+	 */
+	private double spare;
+
 	private long refilledMillis;
 
 	public RetryBudget(double share, double floorPerSecond, double capacity, long nowMillis) {
@@ -24,6 +30,19 @@
 		this.refilledMillis = nowMillis;
 	}
 
+	/**
+	 * A budget of a process that has just started. It holds one retry at the most, as an
+	 * advance on its floor: a full one would let processes that restart spend their
+	 * bursts twice within a window.
+	 */
+	static RetryBudget started(double share, double floorPerSecond, double capacity, long nowMillis) {
+		RetryBudget budget = new RetryBudget(share, floorPerSecond, capacity, nowMillis);
+		budget.tokens = Math.min(1, capacity);
+		budget.refilledMillis = nowMillis
+				+ ((floorPerSecond > 0) ? Math.round(1_000 * budget.tokens / floorPerSecond) : 0);
+		return budget;
+	}
+
 	/**
 	 * Changes the part that does not depend on calls. What is left above a smaller
 	 * capacity is lost; a larger one fills with time.
@@ -32,13 +51,16 @@
 		this.floorPerSecond = latestFloorPerSecond;
 		this.capacity = latestCapacity;
 		this.tokens = Math.min(this.tokens, latestCapacity);
+		this.spare = Math.min(this.spare, spareCapacity());
 	}
 
 	/**
 	 * Notes a call, which earns a share of a retry.
 	 */
 	public synchronized void recordCall() {
-		this.tokens = Math.min(this.capacity, this.tokens + this.share);
+		double sum = this.tokens + this.share;
+		this.tokens = Math.min(this.capacity, sum);
+		this.spare = Math.min(spareCapacity(), this.spare + sum - this.tokens);
 	}
 
 	/**
@@ -47,14 +69,22 @@
 	 * @return whether a retry is allowed
 	 */
 	public synchronized boolean tryTake(long nowMillis) {
-		double earned = Math.max(0, nowMillis - this.refilledMillis) * this.floorPerSecond / 1_000;
-		this.tokens = Math.min(this.capacity, this.tokens + earned);
-		this.refilledMillis = nowMillis;
-		if (this.tokens < 1) {
+		if (nowMillis > this.refilledMillis) {
+			double earned = (nowMillis - this.refilledMillis) * this.floorPerSecond / 1_000;
+			this.tokens = Math.min(this.capacity, this.tokens + earned);
+			this.refilledMillis = nowMillis;
+		}
+		if (this.tokens + this.spare < 1) {
 			return false;
 		}
-		this.tokens -= 1;
+		double fromSpare = Math.min(1, this.spare);
+		this.spare -= fromSpare;
+		this.tokens -= 1 - fromSpare;
 		return true;
 	}
 
+	private double spareCapacity() {
+		return (this.capacity < 1) ? 1 : 0;
+	}
+
 }
