Let only progress decide between two upstreams

A head alone, a comment or an empty line of the second upstream ended the sound first one; a stray or an interim answer, or half a head, began a limit of 1.2 s that ended a sound upstream; a head that trickled at the second one held up the events of the first; a comment now and then kept a stalled stream from being asked for elsewhere; silence within a plain body asked nobody. Change: an answer counts once a plain body is whole (or larger than may be held), or an event of a stream has come; the reply begins only then. Heads are read in steps, by a parser that keeps what has arrived, with a bound on interim answers. ResumedStreamTests has a test of the type of a resumed answer now, which nothing guarded.

--- a/src/main/java/org/jaywood/gateway/Attempt.java
+++ b/src/main/java/org/jaywood/gateway/Attempt.java
@@ -1,5 +1,6 @@
 package org.jaywood.gateway;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.SocketTimeoutException;
 
@@ -19,8 +20,8 @@
  */
 final class Attempt {
 
-	/** Longest time between the first byte of a head and its end. */
-	private static final long HEAD_MILLIS = 1_200;
+	/** Time for the body of an answer that is not passed on as it comes. */
+	private static final long SIDE_BODY_MILLIS = 500;
 
 	/** Largest body that is read whole before its head is passed on. */
 	private static final int BUFFERED_BYTES = 256 * 1024;
@@ -30,8 +31,6 @@
 
 	private static final int CHUNK_BYTES = 8 * 1024;
 
-	private static final byte[] NOTHING = new byte[0];
-
 	private final Placement placement;
 
 	private final ClientConnection connection;
@@ -48,10 +47,18 @@
 
 	private @Nullable UpstreamAnswer answer;
 
-	private byte[] pending = NOTHING;
+	private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+
+	private int eventsTaken;
+
+	private int strayAnswers;
 
 	private boolean ended;
 
+	private boolean timedOut;
+
+	private boolean settled;
+
 	/**
 	 * Creates an attempt whose request has been sent.
 	 * @param resumed what the caller has of the stream that this attempt goes on with, or
@@ -86,102 +93,144 @@
 	}
 
 	/**
-	 * Waits for an answer that can be passed on.
-	 * @return whether its head has arrived
+	 * Waits until the caller can be told more: a plain answer whose body is whole or too
+	 * large to be held, an event of a stream, or its end. A head alone is no answer,
+	 * since what follows may never come.
+	 * @return whether it has arrived; {@link #take} gives it
 	 * @throws AttemptEndedException if the upstream has not run the call, or failed
-	 * @throws IOException if the connection breaks
+	 * @throws IOException if the answer breaks or does not go on as it should
 	 */
-	boolean awaitAnswer(long waitMillis) throws IOException {
-		if (this.answer != null) {
+	boolean awaitProgress(long waitMillis) throws IOException {
+		if (hasProgress()) {
 			return true;
 		}
-		if (!this.connection.awaitBytes(waitMillis)) {
+		if (!awaitHead(waitMillis)) {
 			return false;
 		}
-		UpstreamAnswer received = receiveOwn();
-		AnswerHead head = this.protocol.read(received.head());
-		if (head.misdirected() || head.notRun()) {
-			Outcome outcome = head.misdirected() ? Outcome.MISDIRECTED : Outcome.REJECTED;
-			readWhole(received);
-			throw new AttemptEndedException(new HandOverResult.NotRun(outcome, true, "status " + received.status()));
-		}
-		if (this.resumed != null) {
-			requireResumption(received, this.resumed);
+		if (streaming()) {
+			readEvents(waitMillis);
 		}
-		else if (received.status() >= HttpStatus.SC_SERVER_ERROR) {
-			throw new AttemptEndedException(
-					new HandOverResult.Failed(new BufferedAnswer(received.head(), readWhole(received))));
+		else {
+			this.pending.write(chunk(), 0, read(waitMillis));
 		}
-		this.answer = received;
-		return true;
+		return hasProgress();
+	}
+
+	private boolean hasProgress() {
+		return this.ended || this.cutter.events() > this.eventsTaken || this.pending.size() > BUFFERED_BYTES;
 	}
 
 	/**
-	 * Waits for events of a stream.
-	 * @return the whole events that have arrived, possibly none
-	 * @throws AttemptEndedException if the upstream has not run the call, or failed
-	 * @throws IOException if the stream breaks or does not go on as it should
+	 * Whether the answer is a stream of events, of which whole ones are passed on as they
+	 * come.
 	 */
-	byte[] awaitEvents(long waitMillis) throws IOException {
-		if (this.pending.length > 0) {
-			byte[] events = this.pending;
-			this.pending = NOTHING;
-			return events;
-		}
-		if (!awaitAnswer(waitMillis)) {
-			return NOTHING;
-		}
-		byte[] bytes = (this.chunk != null) ? this.chunk : new byte[CHUNK_BYTES];
-		this.chunk = bytes;
+	boolean streaming() {
+		return this.call.route().policy().streaming() && answer().status() == HttpStatus.SC_OK;
+	}
+
+	private void readEvents(long waitMillis) throws IOException {
+		int length = read(waitMillis);
+		this.pending.writeBytes(this.ended ? rest() : this.cutter.append(chunk(), length));
+	}
+
+	/**
+	 * Reads what arrives of the body within a time.
+	 * @return number of bytes, 0 if there were none
+	 */
+	private int read(long waitMillis) throws IOException {
 		this.connection.limit(waitMillis);
 		try {
-			int length = answer().body().read(bytes);
+			int length = answer().body().read(chunk());
 			this.ended = length < 0;
-			return this.ended ? rest() : this.cutter.append(bytes, length);
+			return Math.max(0, length);
 		}
 		catch (SocketTimeoutException ex) {
-			return NOTHING;
+			this.timedOut = true;
+			return 0;
 		}
 	}
 
+	private byte[] chunk() {
+		byte[] bytes = (this.chunk != null) ? this.chunk : new byte[CHUNK_BYTES];
+		this.chunk = bytes;
+		return bytes;
+	}
+
 	/**
-	 * Waits for the next whole event and keeps it for {@link #awaitEvents}.
-	 * @return whether one has arrived
-	 * @throws IOException as {@link #awaitEvents}
+	 * Takes what can be passed on: whole events, or the bytes of a plain body so far.
 	 */
-	boolean awaitNextEvent(long waitMillis) throws IOException {
-		this.pending = awaitEvents(waitMillis);
-		return this.pending.length > 0;
+	byte[] take() {
+		byte[] bytes = this.pending.toByteArray();
+		this.pending.reset();
+		this.eventsTaken = this.cutter.events();
+		return bytes;
 	}
 
 	/**
-	 * Whether the stream has come to its end.
+	 * Whether the answer has come to its end.
 	 */
 	boolean ended() {
 		return this.ended;
 	}
 
 	/**
-	 * Id of the last whole event.
+	 * Notes that the attempt has been ended by the gateway.
+	 * @return whether it had not been before
 	 */
-	@Nullable String lastId() {
-		return this.cutter.lastId();
+	boolean settle() {
+		boolean first = !this.settled;
+		this.settled = true;
+		return first;
+	}
+
+	/**
+	 * Whether the head of an answer that can be passed on has arrived.
+	 */
+	boolean answered() {
+		return this.answer != null;
+	}
+
+	/**
+	 * Whether the connection can carry another exchange as far as this one tells. The end
+	 * of a body is not certain to have been read whole once a read of it timed out.
+	 */
+	boolean leavesConnectionClean() {
+		return !this.timedOut;
 	}
 
 	/**
-	 * Reads a body whole if it is not large.
-	 * @return the body, or its first bytes, which are more than may be held
+	 * Id of the last whole event.
 	 */
-	byte[] readBuffered(long timeoutMillis) throws IOException {
-		this.connection.limit(timeoutMillis);
-		return readUpTo(answer(), BUFFERED_BYTES);
+	@Nullable String lastId() {
+		return this.cutter.lastId();
 	}
 
 	/**
-	 * Whether bytes are the whole of a body that was read by {@link #readBuffered}.
+	 * Waits for a head of an answer that can be passed on.
 	 */
-	static boolean whole(byte[] body) {
-		return body.length <= BUFFERED_BYTES;
+	private boolean awaitHead(long waitMillis) throws IOException {
+		if (this.answer != null) {
+			return true;
+		}
+		UpstreamAnswer received = receiveOwn(waitMillis);
+		if (received == null) {
+			return false;
+		}
+		AnswerHead head = this.protocol.read(received.head());
+		if (head.misdirected() || head.notRun()) {
+			Outcome outcome = head.misdirected() ? Outcome.MISDIRECTED : Outcome.REJECTED;
+			readWhole(received);
+			throw new AttemptEndedException(new HandOverResult.NotRun(outcome, true, "status " + received.status()));
+		}
+		if (this.resumed != null) {
+			requireResumption(received, this.resumed);
+		}
+		else if (received.status() >= HttpStatus.SC_SERVER_ERROR) {
+			throw new AttemptEndedException(
+					new HandOverResult.Failed(new BufferedAnswer(received.head(), readWhole(received))));
+		}
+		this.answer = received;
+		return true;
 	}
 
 	private byte[] rest() throws IOException {
@@ -189,13 +238,13 @@
 		if (rest.length > 0 && (this.resumed != null || answer().length() == Framing.UNTIL_CLOSE)) {
 			throw new IOException("the stream ended within an event");
 		}
-		if (this.resumed != null && !this.cutter.eventSeen()) {
+		if (this.resumed != null && this.cutter.events() == 0) {
 			throw new IOException("the resumed stream ended without an event");
 		}
 		return rest;
 	}
 
-	private static void requireResumption(UpstreamAnswer received, StreamProgress progress) throws IOException {
+	private void requireResumption(UpstreamAnswer received, StreamProgress progress) throws IOException {
 		if (received.status() != HttpStatus.SC_OK) {
 			readWhole(received);
 			throw new AttemptEndedException(
@@ -207,40 +256,42 @@
 	}
 
 	/**
-	 * Reads the answer to this call. Answers to earlier calls that come late are skipped.
+	 * Reads the head of the answer to this call as far as it arrives. Answers to earlier
+	 * calls that come late are skipped.
+	 * @return the answer, or null if it has not arrived within the time
 	 */
-	private UpstreamAnswer receiveOwn() throws IOException {
-		long nowMillis = BootClock.nowMillis();
-		long untilMillis = nowMillis + headMillis(nowMillis);
-		for (int stray = 0; stray <= MAX_STRAY_ANSWERS; stray++) {
-			UpstreamAnswer received = this.connection.receive(untilMillis - BootClock.nowMillis());
-			String id = this.protocol.read(received.head()).callId();
-			if (id == null && this.connection.used()) {
-				throw new IOException("an answer without an id, which may belong to an earlier call");
-			}
-			if (id == null || id.equals(this.call.id())) {
-				return received;
-			}
-			readWhole(received);
+	private @Nullable UpstreamAnswer receiveOwn(long waitMillis) throws IOException {
+		UpstreamAnswer received = this.connection.receiveWithin(waitMillis);
+		if (received == null) {
+			return null;
 		}
-		throw new IOException("only answers to other calls");
-	}
-
-	private long headMillis(long nowMillis) {
-		long leftMillis = Math.max(1, this.call.remainingMillis(nowMillis));
-		return this.call.route().policy().repeatable() ? Math.min(HEAD_MILLIS, leftMillis) : leftMillis;
+		String id = this.protocol.read(received.head()).callId();
+		if (id == null && this.connection.used()) {
+			throw new IOException("an answer without an id, which may belong to an earlier call");
+		}
+		if (id == null || id.equals(this.call.id())) {
+			return received;
+		}
+		readWhole(received);
+		if (++this.strayAnswers > MAX_STRAY_ANSWERS) {
+			throw new IOException("only answers to other calls");
+		}
+		return null;
 	}
 
-	private static byte[] readWhole(UpstreamAnswer received) throws IOException {
-		byte[] body = readUpTo(received, BUFFERED_BYTES);
-		if (!whole(body)) {
+	/**
+	 * Reads a body that is not passed on as it comes. A call that may run twice does not
+	 * wait long for it.
+	 */
+	private byte[] readWhole(UpstreamAnswer received) throws IOException {
+		long leftMillis = Math.max(1, this.call.remainingMillis(BootClock.nowMillis()));
+		this.connection
+			.limit(this.call.route().policy().repeatable() ? Math.min(SIDE_BODY_MILLIS, leftMillis) : leftMillis);
+		byte[] body = received.body().readNBytes(BUFFERED_BYTES + 1);
+		if (body.length > BUFFERED_BYTES) {
 			throw new IOException("body of status " + received.status() + " exceeds " + BUFFERED_BYTES + " bytes");
 		}
 		return body;
 	}
 
-	private static byte[] readUpTo(UpstreamAnswer received, int limitBytes) throws IOException {
-		return received.body().readNBytes(limitBytes + 1);
-	}
-
 }
--- a/src/main/java/org/jaywood/gateway/CallAttempts.java
+++ b/src/main/java/org/jaywood/gateway/CallAttempts.java
@@ -48,6 +48,9 @@
 
 	private final Set<String> tried = new HashSet<>();
 
+	/** Upstreams whose attempt took a retry from the budget. */
+	private final Set<String> retried = new HashSet<>();
+
 	private int sends;
 
 	private boolean mayHaveRun;
@@ -172,7 +175,7 @@
 	Optional<Placement> placeBeside(Placement silent, long nowMillis) {
 		this.tried.add(silent.upstream().id());
 		noteStreamWeights(silent);
-		if (this.sends + 1 >= this.call.route().maxAttempts()) {
+		if (this.sends + 1 >= this.call.route().maxAttempts() || this.tried.size() > MAX_TRIED) {
 			return Optional.empty();
 		}
 		Optional<Placement> place = this.context.dispatcher()
@@ -184,6 +187,7 @@
 
 	private boolean takeRetry(Placement placement, long nowMillis) {
 		if (this.context.budget(this.call.service()).tryTake(nowMillis)) {
+			this.retried.add(placement.upstream().id());
 			return true;
 		}
 		this.context.dispatcher().end(placement, Outcome.CANCELLED, nowMillis);
@@ -212,6 +216,9 @@
 			case HandOverResult.NotRun notRun -> {
 				this.sends += (notRun.sent() && notRun.outcome() != Outcome.MISDIRECTED) ? 1 : 0;
 				this.arrived |= notRun.sent();
+				if (!notRun.sent() && this.retried.remove(upstream)) {
+					this.context.budget(this.call.service()).giveBack();
+				}
 				logBroken(upstream, notRun.reason());
 			}
 			case HandOverResult.Failed failed -> {
--- a/src/main/java/org/jaywood/gateway/EventCutter.java
+++ b/src/main/java/org/jaywood/gateway/EventCutter.java
@@ -35,7 +35,7 @@
 
 	private @Nullable String lastId;
 
-	private boolean eventSeen;
+	private int events;
 
 	private @Nullable String violation;
 
@@ -105,10 +105,10 @@
 	}
 
 	/**
-	 * Whether the run has brought an event.
+	 * Number of whole events so far. Comments and empty lines are none.
 	 */
-	boolean eventSeen() {
-		return this.eventSeen;
+	int events() {
+		return this.events;
 	}
 
 	/**
@@ -154,7 +154,7 @@
 					return begin;
 				}
 				this.lastId = (id != null) ? id : this.lastId;
-				this.eventSeen = true;
+				this.events++;
 				begin = next;
 				id = null;
 				inEvent = false;
@@ -190,7 +190,7 @@
 	private boolean follows(String last, String id) {
 		try {
 			long step = Long.parseLong(id) - Long.parseLong(last);
-			return (this.resumed && !this.eventSeen) ? step == 1 : step > 0;
+			return (this.resumed && this.events == 0) ? step == 1 : step > 0;
 		}
 		catch (NumberFormatException ex) {
 			return !id.equals(last);
--- a/src/main/java/org/jaywood/gateway/HandOver.java
+++ b/src/main/java/org/jaywood/gateway/HandOver.java
@@ -5,9 +5,9 @@
 import java.util.OptionalLong;
 
 import org.apache.hc.core5.http.ClassicHttpRequest;
-import org.apache.hc.core5.http.HttpStatus;
 import org.jspecify.annotations.Nullable;
 
+import org.jaywood.event.Event;
 import org.jaywood.feed.BootClock;
 import org.jaywood.http.ClientConnection;
 import org.jaywood.http.ConnectionException;
@@ -39,11 +39,17 @@
 	/** Interval at which a silent call asks again for a place beside. */
 	private static final long RECHECK_MILLIS = 300;
 
+	/**
+	 * Time in which a second upstream takes a request, while the first one is not heard.
+	 */
+	private static final long BESIDE_SEND_MILLIS = 200;
+
+	/** Reason of an attempt that met an unexpected error. */
+	private static final String ERROR = "error of the gateway";
+
 	/** Time for which each of two upstreams is listened to in turn. */
 	private static final long TURN_MILLIS = 20;
 
-	private static final int CHUNK_BYTES = 8 * 1024;
-
 	private final GatewayContext context;
 
 	private final Call call;
@@ -82,7 +88,7 @@
 	HandOverResult run(Placement placement) {
 		Attempt first;
 		try {
-			first = start(placement);
+			first = start(placement, remainingMillis());
 		}
 		catch (AttemptEndedException ex) {
 			return ex.result();
@@ -112,7 +118,7 @@
 			}
 		}
 		catch (RuntimeException | Error ex) {
-			end(current, new HandOverResult.Broken("error of the gateway", Outcome.CANCELLED));
+			end(current, new HandOverResult.Broken(ERROR, Outcome.CANCELLED));
 			throw ex;
 		}
 		finally {
@@ -131,32 +137,41 @@
 				dropStandby();
 				throw new IOException("no answer within the time of the call");
 			}
-			return this.reply.begun() ? passEvents(attempt, nowMillis) : awaitAnswer(attempt, nowMillis);
+			boolean progress = attempt.awaitProgress(waitMillis(nowMillis));
+			if (progress) {
+				dropStandby();
+				noteSpoken();
+			}
+			return (progress || (this.reply.begun() && attempt.answered())) ? pass(attempt) : null;
 		}
 		catch (IOException ex) {
 			return failure(ex);
 		}
 	}
 
-	private @Nullable HandOverResult awaitAnswer(Attempt attempt, long nowMillis) throws IOException {
-		if (attempt.awaitAnswer(waitMillis(nowMillis))) {
-			dropStandby();
-			return deliver(attempt);
-		}
-		return null;
-	}
-
-	private @Nullable HandOverResult passEvents(Attempt attempt, long nowMillis) throws IOException {
-		byte[] events = attempt.awaitEvents(waitMillis(nowMillis));
-		if (events.length > 0) {
-			dropStandby();
-			pass(attempt, events);
+	/**
+	 * Passes on what an attempt has brought.
+	 * @return how the attempt ended, or null if it goes on
+	 */
+	private @Nullable HandOverResult pass(Attempt attempt) throws IOException {
+		UpstreamAnswer answer = attempt.answer();
+		byte[] bytes = attempt.take();
+		if (!this.reply.begun()) {
+			this.context.metrics().firstByte(BootClock.nowMillis() - this.call.arrivedMillis());
+			if (attempt.ended() && !attempt.streaming()) {
+				this.reply.pass(new BufferedAnswer(answer.head(), bytes));
+				return new HandOverResult.Delivered(answer.status());
+			}
+			this.progress.begin(answer.head());
+			this.reply.begin(answer.head());
 		}
+		this.progress.passed(attempt.lastId());
+		this.reply.write(bytes, bytes.length);
 		if (!attempt.ended()) {
 			return null;
 		}
 		this.reply.finish();
-		return new HandOverResult.Delivered(HttpStatus.SC_OK);
+		return new HandOverResult.Delivered(answer.status());
 	}
 
 	/**
@@ -170,7 +185,7 @@
 			return current;
 		}
 		try {
-			if (!speaks(beside)) {
+			if (!beside.awaitProgress(TURN_MILLIS)) {
 				return current;
 			}
 		}
@@ -179,88 +194,49 @@
 			end(beside, failure(ex));
 			return current;
 		}
+		catch (RuntimeException | Error ex) {
+			logError(ex);
+			this.standby = null;
+			end(beside, new HandOverResult.Broken(ERROR, Outcome.CANCELLED));
+			return current;
+		}
 		this.standby = null;
 		end(current, new HandOverResult.Broken("silent, answered elsewhere", Outcome.BROKEN));
 		noteSpoken();
 		return beside;
 	}
 
-	/**
-	 * Whether an attempt has what the caller waits for: an answer, or the next event.
-	 */
-	private boolean speaks(Attempt beside) throws IOException {
-		if (!this.reply.begun()) {
-			return beside.awaitAnswer(TURN_MILLIS);
-		}
-		return beside.awaitNextEvent(TURN_MILLIS);
-	}
-
 	private void askBeside(Attempt current) {
 		long nowMillis = BootClock.nowMillis();
 		if (nowMillis < this.askMillis || this.cancellation.cancelled()) {
 			return;
 		}
+		if (this.reply.begun() && this.call.route().policy() != RepeatPolicy.RESUMABLE_STREAM) {
+			this.askMillis = Long.MAX_VALUE;
+			return;
+		}
 		this.askMillis = nowMillis + RECHECK_MILLIS;
-		Optional<Placement> place = this.attempts.placeBeside(current.placement(), nowMillis);
-		if (place.isPresent()) {
-			try {
-				this.standby = start(place.get());
-			}
-			catch (AttemptEndedException ex) {
-				// Its end has been noted; the silent upstream keeps the call.
-				this.standby = null;
+		try {
+			Optional<Placement> place = this.attempts.placeBeside(current.placement(), nowMillis);
+			if (place.isPresent()) {
+				this.standby = start(place.get(), BESIDE_SEND_MILLIS);
 			}
 		}
-	}
-
-	private @Nullable HandOverResult deliver(Attempt attempt) throws IOException {
-		UpstreamAnswer answer = attempt.answer();
-		if (this.call.route().policy().streaming() && answer.status() == HttpStatus.SC_OK) {
-			noteFirstByte();
-			this.progress.begin(answer.head());
-			this.reply.begin(answer.head());
-			noteSpoken();
-			return null;
-		}
-		byte[] body = attempt.readBuffered(remainingMillis());
-		noteFirstByte();
-		if (Attempt.whole(body)) {
-			this.reply.pass(new BufferedAnswer(answer.head(), body));
-			return new HandOverResult.Delivered(answer.status());
+		catch (AttemptEndedException ex) {
+			// Its end has been noted; the silent upstream keeps the call.
+			this.standby = null;
 		}
-		this.reply.begin(answer.head());
-		this.reply.write(body, body.length);
-		copyRest(answer);
-		this.reply.finish();
-		return new HandOverResult.Delivered(answer.status());
-	}
-
-	private void noteFirstByte() {
-		this.context.metrics().firstByte(BootClock.nowMillis() - this.call.arrivedMillis());
-	}
-
-	private void copyRest(UpstreamAnswer answer) throws IOException {
-		byte[] chunk = new byte[CHUNK_BYTES];
-		while (true) {
-			int length = answer.body().read(chunk);
-			if (length < 0) {
-				return;
-			}
-			this.reply.write(chunk, length);
+		catch (RuntimeException | Error ex) {
+			logError(ex);
 		}
 	}
 
-	private void pass(Attempt attempt, byte[] events) throws CallerGoneException {
-		this.progress.passed(attempt.lastId());
-		this.reply.write(events, events.length);
-		noteSpoken();
-	}
-
 	/**
 	 * Sends the call to an upstream.
+	 * @param sendMillis longest time in which the upstream takes the request
 	 * @throws AttemptEndedException if that fails; the attempt has been ended
 	 */
-	private Attempt start(Placement placement) throws AttemptEndedException {
+	private Attempt start(Placement placement, long sendMillis) throws AttemptEndedException {
 		Upstream upstream = placement.upstream();
 		ClientConnection connection;
 		try {
@@ -281,7 +257,7 @@
 			if (this.cancellation.cancelled()) {
 				throw new IOException("the caller is gone");
 			}
-			connection.send(request, this.call.request().body());
+			connection.send(request, this.call.request().body(), Math.min(sendMillis, remainingMillis()));
 			return attempt;
 		}
 		catch (IOException ex) {
@@ -300,7 +276,7 @@
 							this.reply.begun() ? this.progress.lastId() : null));
 		}
 		catch (RuntimeException | Error ex) {
-			end(attempt, new HandOverResult.NotRun(Outcome.CANCELLED, false, "error of the gateway"));
+			end(attempt, new HandOverResult.NotRun(Outcome.CANCELLED, false, ERROR));
 			throw ex;
 		}
 	}
@@ -314,20 +290,34 @@
 	}
 
 	private void end(Attempt attempt, HandOverResult result) {
+		if (!attempt.settle()) {
+			return;
+		}
 		ClientConnection connection = attempt.connection();
 		this.cancellation.detach(connection);
+		try {
+			this.attempts.ended(attempt.placement(), result);
+		}
+		catch (RuntimeException | Error ex) {
+			logError(ex);
+		}
 		if (result instanceof HandOverResult.NotRun) {
 			connection.noteRefused(this.call.id());
 		}
-		boolean reusable = result instanceof HandOverResult.Delivered || result instanceof HandOverResult.Failed
+		boolean read = result instanceof HandOverResult.Delivered || result instanceof HandOverResult.Failed
 				|| result instanceof HandOverResult.NotRun;
-		if (reusable && !this.cancellation.cancelled()) {
+		if (read && attempt.leavesConnectionClean() && !this.cancellation.cancelled()) {
 			this.context.pool().release(connection);
 		}
 		else {
 			connection.abort();
 		}
-		this.attempts.ended(attempt.placement(), result);
+	}
+
+	private void logError(Throwable error) {
+		this.context.log()
+			.log(Event.HANDLER_FAILED, "method", this.call.request().head().getMethod(), "path",
+					this.call.request().head().getRequestUri(), "error", error);
 	}
 
 	private HandOverResult failure(IOException cause) {
--- a/src/main/java/org/jaywood/http/ClientConnection.java
+++ b/src/main/java/org/jaywood/http/ClientConnection.java
@@ -22,6 +22,7 @@
 import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParser;
 import org.apache.hc.core5.http.impl.io.SessionInputBufferImpl;
 import org.apache.hc.core5.http.impl.io.SessionOutputBufferImpl;
+import org.jspecify.annotations.Nullable;
 
 import org.jaywood.wire.Address;
 
@@ -40,6 +41,12 @@
 	/** Wait that shows whether the other side has sent or closed already. */
 	private static final long STALE_CHECK_MILLIS = 1;
 
+	/** Size up to which a body fits the buffers of any connection. */
+	private static final int UNWATCHED_BYTES = 4 * 1024;
+
+	/** Interim answers before one final answer. */
+	private static final int MAX_INTERIM_ANSWERS = 32;
+
 	/** Refused exchanges that are remembered. */
 	private static final int MAX_REFUSED = 32;
 
@@ -77,6 +84,10 @@
 
 	private boolean used;
 
+	private @Nullable DefaultHttpResponseParser parser;
+
+	private int interimAnswers;
+
 	private final Deque<String> refused = new ArrayDeque<>();
 
 	private ClientConnection(Address address, Socket socket) throws IOException {
@@ -153,6 +164,35 @@
 		}
 	}
 
+	/**
+	 * Sends a request within a time. A socket has no limit for writes, so the connection
+	 * is reset if the other side does not take the request in time.
+	 * @throws ConnectionException if not all of it could be written in time
+	 */
+	public void send(ClassicHttpRequest request, byte[] body, long timeoutMillis) throws ConnectionException {
+		if (body.length <= UNWATCHED_BYTES) {
+			send(request, body);
+			return;
+		}
+		Thread limit = Thread.ofVirtual().start(() -> abortAfter(timeoutMillis));
+		try {
+			send(request, body);
+		}
+		finally {
+			limit.interrupt();
+		}
+	}
+
+	private void abortAfter(long millis) {
+		try {
+			Thread.sleep(millis);
+			abort();
+		}
+		catch (InterruptedException ex) {
+			// The request has been written.
+		}
+	}
+
 	/**
 	 * Reads the head of the answer to the request that was sent last. Interim answers are
 	 * skipped.
@@ -161,25 +201,59 @@
 	 * @throws ConnectionException if no well-formed head arrives in time
 	 */
 	public UpstreamAnswer receive(long timeoutMillis) throws ConnectionException {
+		UpstreamAnswer answer = receiveWithin(timeoutMillis);
+		if (answer == null) {
+			throw failure("no answer from ", new SocketTimeoutException("no whole head within the time"));
+		}
+		return answer;
+	}
+
+	/**
+	 * Reads the head of the answer to the request that was sent last, as far as it
+	 * arrives. Interim answers are skipped.
+	 * @param timeoutMillis longest wait
+	 * @return the answer, or null if its head is not whole yet; the next call goes on
+	 * @throws ConnectionException if the head is malformed or the connection breaks
+	 */
+	public @Nullable UpstreamAnswer receiveWithin(long timeoutMillis) throws ConnectionException {
 		try {
 			limit(timeoutMillis);
-			DefaultHttpResponseParser parser = new DefaultHttpResponseParser(CONFIG);
-			ClassicHttpResponse head = parser.parse(this.inputBuffer, this.in);
+			ClassicHttpResponse head = parse();
 			while (head != null && head.getCode() < HttpStatus.SC_OK) {
-				head = parser.parse(this.inputBuffer, this.in);
+				if (++this.interimAnswers > MAX_INTERIM_ANSWERS) {
+					throw new IOException("only interim answers");
+				}
+				head = parse();
 			}
 			if (head == null) {
 				throw new IOException("closed without an answer");
 			}
+			this.parser = null;
+			this.interimAnswers = 0;
 			long length = hasNoBody(head) ? 0 : Framing.lengthOf(head);
 			noteKeepAlive(head, length);
 			return new UpstreamAnswer(head, length, Framing.body(length, this.inputBuffer, this.in, CONFIG));
 		}
+		catch (SocketTimeoutException ex) {
+			return null;
+		}
 		catch (IOException | HttpException | IllegalArgumentException ex) {
 			throw failure("no answer from ", ex);
 		}
 	}
 
+	/**
+	 * Parses a head with the parser that holds what has arrived of it.
+	 */
+	private @Nullable ClassicHttpResponse parse() throws IOException, HttpException {
+		DefaultHttpResponseParser present = this.parser;
+		if (present == null) {
+			present = new DefaultHttpResponseParser(CONFIG);
+			this.parser = present;
+		}
+		return present.parse(this.inputBuffer, this.in);
+	}
+
 	/**
 	 * Waits for bytes that have not been read yet, or for the end of the connection.
 	 * @param timeoutMillis longest wait
--- a/src/main/java/org/jaywood/routing/RetryBudget.java
+++ b/src/main/java/org/jaywood/routing/RetryBudget.java
@@ -83,6 +83,13 @@
 		return true;
 	}
 
+	/**
+	 * Gives back a retry that was taken and not sent.
+	 */
+	public synchronized void giveBack() {
+		this.tokens = Math.min(Math.max(1, this.capacity), this.tokens + 1);
+	}
+
 	private double spareCapacity() {
 		return (this.capacity < 1) ? 1 : 0;
 	}
--- a/src/test/java/org/jaywood/gateway/FakeUpstream.java
+++ b/src/test/java/org/jaywood/gateway/FakeUpstream.java
@@ -15,6 +15,8 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 
+import org.jspecify.annotations.Nullable;
+
 import org.jaywood.wire.Address;
 
 /**
@@ -24,20 +26,29 @@
 
 	private final ServerSocket server;
 
-	private final Script script;
+	private final @Nullable Script script;
 
 	private final List<Request> requests = new CopyOnWriteArrayList<>();
 
+	private final List<Socket> unread = new CopyOnWriteArrayList<>();
+
 	private final CountDownLatch callerGone = new CountDownLatch(1);
 
 	private volatile boolean reset;
 
-	FakeUpstream(Script script) throws IOException {
+	FakeUpstream(@Nullable Script script) throws IOException {
 		this.script = script;
 		this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
 		Thread.ofVirtual().start(this::accept);
 	}
 
+	/**
+	 * An upstream that takes connections and reads nothing.
+	 */
+	static FakeUpstream stopped() throws IOException {
+		return new FakeUpstream(null);
+	}
+
 	Address address() {
 		return new Address("127.0.0.1", this.server.getLocalPort());
 	}
@@ -75,7 +86,12 @@
 		try {
 			while (true) {
 				Socket socket = this.server.accept();
-				Thread.ofVirtual().start(() -> serve(socket));
+				if (this.script != null) {
+					Thread.ofVirtual().start(() -> serve(socket, this.script));
+				}
+				else {
+					this.unread.add(socket);
+				}
 			}
 		}
 		catch (IOException ex) {
@@ -83,7 +99,7 @@
 		}
 	}
 
-	private void serve(Socket socket) {
+	private void serve(Socket socket, Script answers) {
 		try (socket) {
 			BufferedReader in = new BufferedReader(
 					new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
@@ -94,7 +110,7 @@
 					return;
 				}
 				this.requests.add(request);
-				this.script.answer(request, this.requests.size(), socket.getOutputStream(), socket);
+				answers.answer(request, this.requests.size(), socket.getOutputStream(), socket);
 			}
 		}
 		catch (IOException ex) {
--- a/src/test/java/org/jaywood/gateway/GatewayFixture.java
+++ b/src/test/java/org/jaywood/gateway/GatewayFixture.java
@@ -88,7 +88,7 @@
 						route("stream", RepeatPolicy.RESUMABLE_STREAM)),
 				Map.of("desk", new ServiceProfile.Plain("desk")),
 				new KeyRing(true, Map.of("key-1", new Workspace("workspace-1", OptionalInt.empty(), Set.of()))),
-				new RequestLimits(16_384, 10_000, 3_000, 15_000));
+				new RequestLimits(16_384, 16_000_000, 3_000, 15_000));
 	}
 
 	private static Route route(String name, RepeatPolicy policy) {
--- a/src/test/java/org/jaywood/gateway/ResumedStreamTests.java
+++ b/src/test/java/org/jaywood/gateway/ResumedStreamTests.java
@@ -61,6 +61,12 @@
 					FakeUpstream.answer(request, 200, "Content-Type: text/plain\r\n", ERROR_TEXT)));
 		}
 
+		@Test
+		void ofEventsOfAnotherTypeNothingIsPassedOn() throws IOException {
+			assertCutBehindTheFirstEvent((request, number, out, socket) -> write(out,
+					FakeUpstream.answer(request, 200, "Content-Type: text/plain\r\n", "id: 2\ndata: x\n\n")));
+		}
+
 		@Test
 		void ofATextInPlaceOfEventsNothingIsPassedOn() throws IOException {
 			assertCutBehindTheFirstEvent((request, number, out, socket) -> write(out,
--- a/src/test/java/org/jaywood/gateway/UnexpectedErrorTests.java
+++ b/src/test/java/org/jaywood/gateway/UnexpectedErrorTests.java
@@ -5,6 +5,7 @@
 
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 import org.jaywood.platform.PlatformCalls;
@@ -28,7 +29,7 @@
 	@Test
 	void aCallThatWasNotSentIsRefusedAsNotRun() throws IOException {
 		FakeUpstream upstream = upstream();
-		Gateway gateway = start(settings(), new FailingProtocol(CALLS, 0), upstream);
+		Gateway gateway = start(settings(), new FailingProtocol(1, CALLS, 1, 0), upstream);
 		for (int call = 0; call < CALLS; call++) {
 			String answer = exchange(gateway, UNSAFE);
 			assertThat(answer).startsWith("HTTP/1.1 503");
@@ -40,13 +41,55 @@
 
 	@Test
 	void theResultOfACallThatWasSentIsUnknown() throws IOException {
-		Gateway gateway = start(settings(), new FailingProtocol(0, CALLS), upstream());
+		Gateway gateway = start(settings(), new FailingProtocol(1, 0, 1, CALLS), upstream());
 		for (int call = 0; call < CALLS; call++) {
 			assertThat(exchange(gateway, UNSAFE)).startsWith("HTTP/1.1 502");
 		}
 		assertThat(exchange(gateway, UNSAFE)).startsWith("HTTP/1.1 200");
 	}
 
+	/**
+	 * An error that concerns an upstream asked beside a silent one.
+	 */
+	@Nested
+	class BesideASilentUpstream {
+
+		private String answerWhenFailing(int failingWrite, int failingRead) throws IOException {
+			AtomicInteger calls = new AtomicInteger();
+			FakeUpstream.Script script = (request, number, out, socket) -> {
+				if (calls.getAndIncrement() == 0) {
+					pause();
+					write(out, FakeUpstream.answer(request, 200, "", "done"));
+				}
+				else {
+					write(out, FakeUpstream.answer(request, 500, "", "failed"));
+				}
+			};
+			return exchange(start(settings(), new FailingProtocol(failingWrite, 1, failingRead, 1),
+					new FakeUpstream(script), new FakeUpstream(script)), SAFE);
+		}
+
+		private static void pause() throws IOException {
+			try {
+				Thread.sleep(2_000);
+			}
+			catch (InterruptedException ex) {
+				throw new IOException(ex);
+			}
+		}
+
+		@Test
+		void leavesTheCallToTheSilentOneIfItCannotBeSent() throws IOException {
+			assertThat(answerWhenFailing(2, Integer.MAX_VALUE)).endsWith("done");
+		}
+
+		@Test
+		void leavesTheCallToTheSilentOneIfItsAnswerCannotBeRead() throws IOException {
+			assertThat(answerWhenFailing(Integer.MAX_VALUE, 1)).endsWith("done");
+		}
+
+	}
+
 	/**
 	 * Protocol that fails for a number of calls, before they are sent or after.
 	 */
@@ -54,13 +97,27 @@
 
 		private final PlatformCalls calls = new PlatformCalls();
 
-		private final AtomicInteger failingWrites;
+		private final AtomicInteger writes = new AtomicInteger();
+
+		private final AtomicInteger reads = new AtomicInteger();
 
-		private final AtomicInteger failingReads;
+		private final int firstWrite;
+
+		private final int failingWrites;
+
+		private final int firstRead;
+
+		private final int failingReads;
+
+		FailingProtocol(int firstWrite, int failingWrites, int firstRead, int failingReads) {
+			this.firstWrite = firstWrite;
+			this.failingWrites = failingWrites;
+			this.firstRead = firstRead;
+			this.failingReads = failingReads;
+		}
 
-		FailingProtocol(int failingWrites, int failingReads) {
-			this.failingWrites = new AtomicInteger(failingWrites);
-			this.failingReads = new AtomicInteger(failingReads);
+		private static boolean fails(int number, int first, int count) {
+			return number >= first && number - first < count;
 		}
 
 		@Override
@@ -75,7 +132,7 @@
 
 		@Override
 		public void write(ClassicHttpRequest request, HandOverHead head) {
-			if (this.failingWrites.getAndDecrement() > 0) {
+			if (fails(this.writes.incrementAndGet(), this.firstWrite, this.failingWrites)) {
 				throw new IllegalStateException("cannot write");
 			}
 			this.calls.write(request, head);
@@ -83,7 +140,7 @@
 
 		@Override
 		public AnswerHead read(ClassicHttpResponse response) {
-			if (this.failingReads.getAndDecrement() > 0) {
+			if (fails(this.reads.incrementAndGet(), this.firstRead, this.failingReads)) {
 				throw new IllegalStateException("cannot read");
 			}
 			return this.calls.read(response);
