Handle SIGHUP before anything is read

Cause: the handler was installed behind the reading of the settings and the building of the process; until then the signal has its default action. Change: a command says whether SIGHUP concerns it; then the handler is installed before its options are parsed. A signal that comes before the file is watched is passed on then. Other commands leave the signal as it is.

--- a/src/main/java/org/jaywood/cli/Command.java
+++ b/src/main/java/org/jaywood/cli/Command.java
@@ -10,6 +10,13 @@
 	 */
 	String name();
 
+	/**
+	 * Whether SIGHUP tells the process that its settings may have changed.
+	 */
+	default boolean reloads() {
+		return false;
+	}
+
 	/**
 	 * Runs the command.
 	 * @return exit status
--- a/src/main/java/org/jaywood/cli/GatewayCommand.java
+++ b/src/main/java/org/jaywood/cli/GatewayCommand.java
@@ -22,6 +22,11 @@
 		return "gateway";
 	}
 
+	@Override
+	public boolean reloads() {
+		return true;
+	}
+
 	@Override
 	public int run() throws Exception {
 		PlatformSettings settings = this.file.read();
--- a/src/main/java/org/jaywood/cli/Jaywood.java
+++ b/src/main/java/org/jaywood/cli/Jaywood.java
@@ -6,6 +6,7 @@
 import java.util.function.Function;
 import java.util.logging.Level;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
@@ -64,6 +65,9 @@
 	}
 
 	public int run(String... args) {
+		if (Stream.of(args).map(this.commands::get).anyMatch((command) -> command != null && command.reloads())) {
+			ReloadSignal.install();
+		}
 		JCommander parser = parser();
 		try {
 			if (args.length > 1 && List.of(args).contains("--help") && this.commands.containsKey(args[0])) {
--- a/src/main/java/org/jaywood/cli/ReplicaCommand.java
+++ b/src/main/java/org/jaywood/cli/ReplicaCommand.java
@@ -22,6 +22,11 @@
 		return "replica";
 	}
 
+	@Override
+	public boolean reloads() {
+		return true;
+	}
+
 	@Override
 	public int run() throws Exception {
 		PlatformSettings settings = this.file.read();
--- a/src/main/java/org/jaywood/cli/SettingsFileOptions.java
+++ b/src/main/java/org/jaywood/cli/SettingsFileOptions.java
@@ -7,7 +7,6 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import org.jspecify.annotations.Nullable;
-import sun.misc.Signal;
 
 import org.jaywood.event.BoundedOutput;
 import org.jaywood.event.Event;
@@ -44,10 +43,10 @@
 	}
 
 	/**
-	 * Notes changes of the file. Without a handler the signal would end the process.
+	 * Notes changes of the file.
 	 */
 	void watch(EventLog log) {
-		Signal.handle(new Signal("HUP"), (signal) -> reload(log));
+		ReloadSignal.handledBy(() -> reload(log));
 	}
 
 	private synchronized void reload(EventLog log) {
--- /dev/null
+++ b/src/test/java/org/jaywood/cli/ReloadSignalTests.java
@@ -0,0 +1,60 @@
+package org.jaywood.cli;
+
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import sun.misc.Signal;
+import sun.misc.SignalHandler;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against a process that SIGHUP ends while it starts.
+ */
+class ReloadSignalTests {
+
+	private static final Signal SIGNAL = new Signal("HUP");
+
+	private SignalHandler before;
+
+	@BeforeEach
+	void removeHandler() {
+		this.before = Signal.handle(SIGNAL, SignalHandler.SIG_DFL);
+	}
+
+	@AfterEach
+	void restoreHandler() {
+		Signal.handle(SIGNAL, this.before);
+	}
+
+	@Test
+	void theSignalIsHandledBeforeTheSettingsAreRead() {
+		for (String command : new String[] { "gateway", "replica" }) {
+			int status = new Jaywood(Map.of()).run(command, "--node-file", "/nonexistent/settings.toml");
+			assertThat(status).isEqualTo(1);
+			assertThat(Signal.handle(SIGNAL, SignalHandler.SIG_DFL)).isNotEqualTo(SignalHandler.SIG_DFL);
+		}
+	}
+
+	@Test
+	void aSignalBeforeTheFileIsWatchedIsPassedOn() {
+		new Jaywood(Map.of()).run("gateway", "--node-file", "/nonexistent/settings.toml");
+		SignalHandler installed = Signal.handle(SIGNAL, SignalHandler.SIG_DFL);
+		AtomicInteger reloads = new AtomicInteger();
+		installed.handle(SIGNAL);
+		ReloadSignal.handledBy(reloads::incrementAndGet);
+		assertThat(reloads.get()).isEqualTo(1);
+		installed.handle(SIGNAL);
+		assertThat(reloads.get()).isEqualTo(2);
+	}
+
+	@Test
+	void otherCommandsLeaveTheSignalAsItIs() {
+		new Jaywood(Map.of()).run("validate", "/nonexistent/deployment.yaml");
+		assertThat(Signal.handle(SIGNAL, SignalHandler.SIG_DFL)).isEqualTo(SignalHandler.SIG_DFL);
+	}
+
+}
