Take only IP numbers of four parts as addresses

What callers saw: none so far; report of another operator of entries with a port out of range. Cause: the host was any text of digits and dots, so 300.1.2.3, 1.2.3 or "..." were addresses, and each connection to one looked up a name first. Ports were read with a sign and in digits of other scripts. Change: the host has four decimal parts of 0 to 255 without leading zeros, the port one to five digits. Why it works: a host of this form is never looked up.

--- a/src/main/java/org/jaywood/wire/Address.java
+++ b/src/main/java/org/jaywood/wire/Address.java
@@ -2,6 +2,8 @@
 
 import java.net.InetSocketAddress;
 import java.net.URI;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonValue;
@@ -9,29 +11,36 @@
 /**
  * IP number and port of a process, written {@code ip:port}.
  *
- * @param host IP number
+ * @param host IP number of four decimal parts, so that no name is ever looked up
  * @param port TCP port, 0 to 65535 (0 lets the system choose when listening)
  */
 public record Address(String host, int port) implements Comparable<Address> {
 
+	private static final int MAX_PORT = 65_535;
+
+	private static final String PART = "(?:25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])";
+
+	private static final Pattern HOST = Pattern.compile("(?:" + PART + "\\.){3}" + PART);
+
+	private static final Pattern ADDRESS = Pattern.compile("([0-9.]+):([0-9]{1,5})");
+
 	public Address {
-		if (!host.matches("[0-9.]+") || port < 0 || port > 65535) {
-			throw new BadInputException(400, "not an address of the form ip:port: " + host + ":" + port);
+		if (!HOST.matcher(host).matches() || port < 0 || port > MAX_PORT) {
+			throw malformed(host + ":" + port);
 		}
 	}
 
 	@JsonCreator
 	public static Address parse(String text) {
-		int colon = text.lastIndexOf(':');
-		try {
-			if (colon > 0) {
-				return new Address(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
-			}
+		Matcher parts = ADDRESS.matcher(text);
+		if (!parts.matches()) {
+			throw malformed(text);
 		}
-		catch (NumberFormatException ex) {
-			// Reported below with the whole text.
-		}
-		throw new BadInputException(400, "not an address of the form ip:port: " + text);
+		return new Address(parts.group(1), Integer.parseInt(parts.group(2)));
+	}
+
+	private static BadInputException malformed(String text) {
+		return new BadInputException(400, "not an address of the form ip:port: " + text);
 	}
 
 	public InetSocketAddress socketAddress() {
