Read the objects of the store one by one

Cause: a page was read as one JSON text, so whatever its reader refuses in one object (depth over 32, numbers over 1,000 digits, NaN, bytes that are no UTF-8, names over 50,000 characters) refused the page, for lists and watches. Class of fault: one bad part refuses the whole. Besides: a last object without a name began the list anew without end; an answer that is no page was an empty list, so all engines were gone; an answer without a revision was one at revision 0; a malformed object was logged with each read, at any length. Change: RawJson tells objects apart by brackets and strings only, without recursion or memory for each level, and finds their names; each object is then read by itself. One that cannot be read has a name and no value, so that a former value is dropped; one without a name is left out. A list that brings no new name ends in an error, as does an answer without a revision or whose list is no list. Malformed objects are remembered by a hash of their bytes and logged once for each change, in short lines. Why it works: no reader sees more than one object at a time, and what an object holds cannot move its end, unless its brackets or quotes do not match; then the page is refused as before.

--- a/src/main/java/org/jaywood/platform/MetadataStore.java
+++ b/src/main/java/org/jaywood/platform/MetadataStore.java
@@ -4,7 +4,6 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
 
@@ -13,7 +12,6 @@
 import org.jaywood.http.ConnectionPool;
 import org.jaywood.http.WholeAnswer;
 import org.jaywood.wire.Address;
-import org.jaywood.wire.Json;
 
 /**
  * Client of the platform's store. It only reads; a read that fails is the caller's to
@@ -37,18 +35,18 @@
 	 * @param kind kind of the objects
 	 * @param after name behind which the page begins, or empty
 	 */
-	JsonNode list(String kind, String after) throws FeedException {
+	StorePage list(String kind, String after) throws FeedException {
 		return get("/objects/" + kind + (after.isEmpty() ? "" : "?StartAfter=" + encode(after)), 0);
 	}
 
 	/**
 	 * Waits for changes of the objects of a kind.
 	 */
-	JsonNode watch(String kind, long revision, long waitMillis) throws FeedException {
+	StorePage watch(String kind, long revision, long waitMillis) throws FeedException {
 		return get("/objects/" + kind + "?Watch=" + revision + "&WaitMs=" + waitMillis, waitMillis);
 	}
 
-	private JsonNode get(String path, long waitMillis) throws FeedException {
+	private StorePage get(String path, long waitMillis) throws FeedException {
 		try {
 			return exchange(path, waitMillis);
 		}
@@ -57,7 +55,7 @@
 		}
 	}
 
-	private JsonNode exchange(String path, long waitMillis) throws IOException, FeedException {
+	private StorePage exchange(String path, long waitMillis) throws IOException, FeedException {
 		WholeAnswer answer = this.pool.exchange(this.address, new BasicClassicHttpRequest("GET", path), new byte[0],
 				waitMillis + ANSWER_MILLIS);
 		if (answer.status() == HttpStatus.SC_GONE) {
@@ -66,7 +64,7 @@
 		if (!answer.ok()) {
 			throw new FeedException("GET " + path + ": status " + answer.status(), null);
 		}
-		return Json.tree(answer.body());
+		return StorePage.read(answer.body());
 	}
 
 	private static String encode(String text) {
--- a/src/main/java/org/jaywood/platform/ObjectFeed.java
+++ b/src/main/java/org/jaywood/platform/ObjectFeed.java
@@ -1,7 +1,11 @@
 package org.jaywood.platform;
 
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import java.util.function.Function;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -13,15 +17,23 @@
 import org.jaywood.feed.FeedEntry;
 import org.jaywood.feed.FeedException;
 import org.jaywood.feed.FeedPage;
+import org.jaywood.platform.StorePage.StoredObject;
 
 /**
- * Objects of one kind of the platform's store. An object that cannot be decoded has no
- * value, so that it stands for nothing while the others hold.
+ * Objects of one kind of the platform's store. An object that cannot be read or decoded
+ * has no value, so that it stands for nothing while the others hold, and one without a
+ * name is left out. Used by one thread.
  *
  * @param <T> type of the values
  */
 final class ObjectFeed<T> implements Feed<T> {
 
+	/** Malformed objects that are remembered, so that each is logged once. */
+	private static final int MAX_REPORTED = 1_000;
+
+	/** Length up to which a name or an error is logged. */
+	private static final int MAX_LOGGED_CHARS = 200;
+
 	private final MetadataStore store;
 
 	private final String kind;
@@ -30,6 +42,18 @@
 
 	private final EventLog log;
 
+	/** Hashes of malformed objects that were logged, the latest ones. */
+	private final Set<Long> reported = Collections.newSetFromMap(new LinkedHashMap<>() {
+
+		private static final long serialVersionUID = 1L;
+
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
+			return size() > MAX_REPORTED;
+		}
+
+	});
+
 	/**
 	 * Creates a feed.
 	 * @param decoder makes a value of an object; an exception means that it is malformed
@@ -48,44 +72,69 @@
 
 	@Override
 	public FeedPage<T> list() throws FeedException {
-		List<FeedEntry<T>> entries = new ArrayList<>();
-		String after = "";
-		long firstRevision = -1;
-		boolean more = true;
-		while (more) {
-			JsonNode page = this.store.list(this.kind, after);
-			// Changes between two pages are seen by a watch from the first page on.
-			firstRevision = (firstRevision < 0) ? page.path("AsOf").asLong() : firstRevision;
-			int before = entries.size();
-			page.path("Items").forEach((item) -> entries.add(entry(item, false)));
-			more = page.path("HasMore").asBoolean() && entries.size() > before;
-			after = entries.isEmpty() ? "" : entries.getLast().name();
+		Map<String, FeedEntry<T>> entries = new LinkedHashMap<>();
+		StorePage page = this.store.list(this.kind, "");
+		// Changes between two pages are seen by a watch from the first page on.
+		long firstRevision = page.revision();
+		String after = add(page, entries);
+		while (page.more()) {
+			page = this.store.list(this.kind, after);
+			after = add(page, entries);
 		}
-		return new FeedPage<>(firstRevision, entries);
+		return new FeedPage<>(firstRevision, List.copyOf(entries.values()));
+	}
+
+	/**
+	 * Adds the objects of a page.
+	 * @return name behind which the list goes on, or empty at its end
+	 * @throws FeedException if the list does not go on, though more is said to follow
+	 */
+	private String add(StorePage page, Map<String, FeedEntry<T>> entries) throws FeedException {
+		int before = entries.size();
+		List<FeedEntry<T>> added = entries(page);
+		added.forEach((entry) -> entries.put(entry.name(), entry));
+		if (page.more() && entries.size() == before) {
+			throw new FeedException("list of " + this.kind + " does not go on behind " + before + " objects", null);
+		}
+		return page.more() ? added.getLast().name() : "";
 	}
 
 	@Override
 	public FeedPage<T> watch(long revision, long waitMillis) throws FeedException {
-		JsonNode page = this.store.watch(this.kind, revision, waitMillis);
-		List<FeedEntry<T>> entries = new ArrayList<>();
-		page.path("events")
-			.forEach((event) -> entries.add(entry(event.path("Object"), event.path("Deleted").asBoolean())));
-		return new FeedPage<>(Math.max(revision, page.path("AsOf").asLong()), entries);
+		StorePage page = this.store.watch(this.kind, revision, waitMillis);
+		return new FeedPage<>(Math.max(revision, page.revision()), entries(page));
 	}
 
-	private FeedEntry<T> entry(JsonNode item, boolean deleted) {
-		String name = item.path("Metadata").path("Name").asText();
-		return new FeedEntry<>(name, deleted ? null : decode(name, item));
+	private List<FeedEntry<T>> entries(StorePage page) {
+		List<FeedEntry<T>> entries = new ArrayList<>();
+		page.objects().forEach((object) -> {
+			T value = object.deleted() ? null : decode(object);
+			if (!object.name().isEmpty()) {
+				entries.add(new FeedEntry<>(object.name(), value));
+			}
+		});
+		return entries;
 	}
 
-	private @Nullable T decode(String name, JsonNode item) {
+	private @Nullable T decode(StoredObject object) {
 		try {
-			return this.decoder.apply(item);
+			JsonNode content = object.content().tree();
+			if (object.name().isEmpty()) {
+				throw new IllegalArgumentException("name is missing or empty");
+			}
+			return this.decoder.apply(content);
 		}
 		catch (RuntimeException ex) {
-			this.log.log(Event.OBJECT_MALFORMED, "kind", this.kind, "object", name, "error", ex.getMessage());
+			if (this.reported.add(object.content().hash())) {
+				this.log.log(Event.OBJECT_MALFORMED, "kind", this.kind, "object", shortened(object.name()), "error",
+						shortened(String.valueOf(ex.getMessage())));
+			}
 			return null;
 		}
 	}
 
+	private static String shortened(String text) {
+		return (text.length() <= MAX_LOGGED_CHARS) ? text : text.substring(0, MAX_LOGGED_CHARS) + "...";
+	}
+
 }
--- a/src/main/java/org/jaywood/wire/Json.java
+++ b/src/main/java/org/jaywood/wire/Json.java
@@ -10,6 +10,7 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.ObjectReader;
 import com.fasterxml.jackson.databind.SerializationFeature;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 
@@ -32,6 +33,9 @@
 				JsonInclude.Value.construct(JsonInclude.Include.NON_NULL, JsonInclude.Include.NON_NULL))
 		.build();
 
+	private static final ObjectReader TREE = MAPPER.readerFor(JsonNode.class)
+		.with(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+
 	private Json() {
 	}
 
@@ -73,6 +77,23 @@
 		return read(bytes, JsonNode.class);
 	}
 
+	/**
+	 * Reads a part of a text that holds one value and nothing else.
+	 * @throws BadInputException if it does not
+	 */
+	static JsonNode tree(byte[] bytes, int from, int length) {
+		try {
+			JsonNode value = TREE.readValue(bytes, from, length);
+			if (value == null || value.isMissingNode()) {
+				throw new BadInputException(400, "empty JSON document");
+			}
+			return value;
+		}
+		catch (IOException ex) {
+			throw new BadInputException(400, "malformed JSON: " + firstLine(ex));
+		}
+	}
+
 	private static String firstLine(IOException ex) {
 		String message = String.valueOf(ex.getMessage());
 		return message.lines().findFirst().orElse("unreadable");
--- /dev/null
+++ b/src/test/java/org/jaywood/platform/ScriptedStore.java
@@ -0,0 +1,71 @@
+package org.jaywood.platform;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import org.jaywood.event.EventLog;
+import org.jaywood.wire.Address;
+import org.jaywood.wire.Exchange;
+import org.jaywood.wire.HttpPort;
+
+/**
+ * Store that gives prepared answers, byte for byte, and repeats the last one.
+ */
+final class ScriptedStore implements AutoCloseable {
+
+	/** Answers after which it fails, so that a client without end is found out. */
+	private static final int MAX_ANSWERS = 10;
+
+	private final HttpPort port = HttpPort.open(new Address("127.0.0.1", 0), new EventLog("store"))
+		.route("GET", "/objects/", this::answer)
+		.start();
+
+	private final Deque<byte[]> answers = new ArrayDeque<>();
+
+	private final List<String> calls = new CopyOnWriteArrayList<>();
+
+	MetadataStore client() {
+		return new MetadataStore(this.port.address());
+	}
+
+	/**
+	 * Adds an answer.
+	 * @param json the answer, with single quotes
+	 */
+	synchronized ScriptedStore add(String json) {
+		// Each character stands for one byte, so that bytes which are no UTF-8 can be
+		// stated.
+		this.answers.add(json.replace('\'', '"').getBytes(StandardCharsets.ISO_8859_1));
+		return this;
+	}
+
+	/**
+	 * Paths and queries asked for so far.
+	 */
+	List<String> calls() {
+		return this.calls;
+	}
+
+	private void answer(Exchange exchange) throws IOException {
+		this.calls.add(exchange.target());
+		if (this.calls.size() > MAX_ANSWERS) {
+			exchange.respondError(500, "too many calls");
+			return;
+		}
+		exchange.respond(200, "application/json", next());
+	}
+
+	private synchronized byte[] next() {
+		return (this.answers.size() > 1) ? this.answers.poll() : this.answers.peek();
+	}
+
+	@Override
+	public void close() {
+		this.port.close();
+	}
+
+}
