Refuse numbers of the store's objects that cannot be

What callers saw: none so far; report of another operator of entries with numbers too large and ports out of range. Cause: numbers beyond 64 or 32 bits were cut to their low bits, so that was version 1; times of any size were added to the present and ran over; slots of 0 or two thousand million named an engine to use; texts and objects counted as 0 or as a key. Limits that a configuration leaves out were 0, which closes every connection at once. Change: NumberFields reads each number within bounds, and one out of them makes the object malformed. Limits that are left out are those of RequestLimits.DEFAULTS, which CallerConnection states a second time so far. Port 0 and hosts of the network 0 name no upstream and no origin, and keys are strings that are not empty. Why it works: nothing is narrowed without a check, and no sum with the present can run over.

--- a/src/main/java/org/jaywood/http/RequestLimits.java
+++ b/src/main/java/org/jaywood/http/RequestLimits.java
@@ -9,4 +9,8 @@
  * @param idleTimeoutMillis time for which a connection may stay idle
  */
 public record RequestLimits(int maxHeaderBytes, int maxBodyBytes, long headTimeoutMillis, long idleTimeoutMillis) {
+
+	/** Limits until a configuration states others. */
+	public static final RequestLimits DEFAULTS = new RequestLimits(16 * 1024, 4 * 1024 * 1024, 3_000, 15_000);
+
 }
--- a/src/main/java/org/jaywood/platform/ObjectDecoders.java
+++ b/src/main/java/org/jaywood/platform/ObjectDecoders.java
@@ -32,6 +32,17 @@
 
 	private static final Set<String> STATES = Set.of("ready", "draining");
 
+	/** More calls at once than any upstream runs. */
+	private static final int MAX_SLOTS = 65_536;
+
+	/** Longest time that an object may state, so that it can be added to the present. */
+	private static final long MAX_MILLIS = 24L * 60 * 60 * 1_000;
+
+	/** Largest weight, rank, rate, or number of attempts or layers. */
+	private static final int MAX_COUNT = 1_000_000;
+
+	private static final long MILLIS_PER_SECOND = 1_000;
+
 	private final Map<String, String> regions;
 
 	/**
@@ -50,10 +61,21 @@
 		List<Route> routes = stream(spec.path("Routes")).map(this::route).toList();
 		Map<String, ServiceProfile> services = new HashMap<>();
 		spec.path("Services").forEach((node) -> services.put(text(node, "Name"), service(node)));
-		JsonNode limits = spec.path("Limits");
-		return new RouteTable(requiredLong(spec, "Version"), routes, services, keys(spec.path("Tenants")),
-				new RequestLimits(limits.path("MaxHeaderBytes").asInt(), limits.path("MaxBodyBytes").asInt(),
-						limits.path("HeaderTimeoutMs").asLong(), limits.path("IdleTimeoutMs").asLong()));
+		return new RouteTable(NumberFields.required(spec, "Version"), routes, services, keys(spec.path("Tenants")),
+				limits(spec.path("Limits")));
+	}
+
+	/**
+	 * Decodes the limits. One that is left out has its default; 0 would refuse or close
+	 * everything.
+	 */
+	private static RequestLimits limits(JsonNode node) {
+		RequestLimits defaults = RequestLimits.DEFAULTS;
+		return new RequestLimits(
+				NumberFields.optionalInt(node, "MaxHeaderBytes", 1, Integer.MAX_VALUE, defaults.maxHeaderBytes()),
+				NumberFields.optionalInt(node, "MaxBodyBytes", 0, Integer.MAX_VALUE, defaults.maxBodyBytes()),
+				NumberFields.optional(node, "HeaderTimeoutMs", 1, MAX_MILLIS, defaults.headTimeoutMillis()),
+				NumberFields.optional(node, "IdleTimeoutMs", 1, MAX_MILLIS, defaults.idleTimeoutMillis()));
 	}
 
 	private static KeyRing keys(JsonNode tenants) {
@@ -61,21 +83,34 @@
 		tenants.forEach((node) -> {
 			Workspace workspace = new Workspace(text(node, "Name"), optionalInt(node.path("Priority")),
 					strings(node.path("AllowedRegions")));
-			node.path("ApiKeys").forEach((key) -> workspacesByKey.put(key.asText(), workspace));
+			stream(node.path("ApiKeys")).filter((key) -> key.isTextual() && !key.asText().isEmpty())
+				.forEach((key) -> workspacesByKey.put(key.asText(), workspace));
 		});
 		return new KeyRing(!tenants.isEmpty(), workspacesByKey);
 	}
 
 	private Route route(JsonNode node) {
-		List<ServiceShare> shares = node.path("TrafficSplit").isEmpty()
-				? List.of(new ServiceShare(text(node, "Service"), 1))
-				: stream(node.path("TrafficSplit"))
-					.map((share) -> new ServiceShare(text(share, "Service"), share.path("Weight").asInt()))
-					.toList();
 		return new Route(text(node, "Name"), text(node, "Host"), text(node, "PathPrefix"), policy(node),
-				node.path("TimeoutMs").asLong(), node.path("TargetLatencyMs").asLong(), node.path("Priority").asInt(),
-				shares, Math.max(1, node.path("MaxAttempts").asInt(1)), node.path("Public").asBoolean(),
-				strings(node.path("AllowedRegions")));
+				NumberFields.optional(node, "TimeoutMs", 0, MAX_MILLIS, 0),
+				NumberFields.optional(node, "TargetLatencyMs", 0, MAX_MILLIS, 0),
+				NumberFields.optionalInt(node, "Priority", 0, MAX_COUNT, 0), shares(node),
+				Math.max(1, NumberFields.optionalInt(node, "MaxAttempts", 0, MAX_COUNT, 1)),
+				node.path("Public").asBoolean(), strings(node.path("AllowedRegions")));
+	}
+
+	private static List<ServiceShare> shares(JsonNode route) {
+		JsonNode split = route.path("TrafficSplit");
+		if (split.isEmpty()) {
+			return List.of(new ServiceShare(text(route, "Service"), 1));
+		}
+		List<ServiceShare> shares = stream(split)
+			.map((share) -> new ServiceShare(text(share, "Service"),
+					NumberFields.optionalInt(share, "Weight", 0, MAX_COUNT, 0)))
+			.toList();
+		if (shares.stream().mapToLong(ServiceShare::weight).sum() > Integer.MAX_VALUE) {
+			throw new IllegalArgumentException("sum of weights is too large");
+		}
+		return shares;
 	}
 
 	private static RepeatPolicy policy(JsonNode node) {
@@ -90,7 +125,7 @@
 	private ServiceProfile service(JsonNode node) {
 		String name = text(node, "Name");
 		if (node.hasNonNull("Origin")) {
-			return new ServiceProfile.Origin(name, Address.parse(text(node, "Origin")),
+			return new ServiceProfile.Origin(name, address(node, "Origin"),
 					this.regions.getOrDefault(node.path("Zone").asText(), ""));
 		}
 		JsonNode engine = node.path("Engine");
@@ -98,8 +133,10 @@
 			return new ServiceProfile.Plain(name);
 		}
 		JsonNode model = engine.path("Models").path(0);
-		return new ServiceProfile.Engines(name, node.path("ColdPerS").asDouble(), text(model, "Name"),
-				engine.path("layers").asInt(), Math.round(model.path("WarmS").asDouble() * 1000));
+		return new ServiceProfile.Engines(name, NumberFields.optionalDouble(node, "ColdPerS", 0, MAX_COUNT, 0),
+				text(model, "Name"), NumberFields.optionalInt(engine, "layers", 0, MAX_COUNT, 0),
+				Math.round(NumberFields.optionalDouble(model, "WarmS", 0, MAX_MILLIS / MILLIS_PER_SECOND, 0)
+						* MILLIS_PER_SECOND));
 	}
 
 	/**
@@ -116,9 +153,27 @@
 		if (region == null) {
 			throw new IllegalArgumentException("unknown zone " + zone);
 		}
-		return new Upstream(text(object.path("Metadata"), "Name"), text(spec, "Service"),
-				Address.parse(text(spec, "Address")), zone, region, Math.toIntExact(requiredLong(spec, "Slots")),
-				state.equals("draining"), spec.path("ColdLeftMs").asLong(), spec.path("born").asLong(), weights(spec));
+		return new Upstream(text(object.path("Metadata"), "Name"), text(spec, "Service"), address(spec, "Address"),
+				zone, region, (int) NumberFields.required(spec, "Slots", 1, MAX_SLOTS), state.equals("draining"),
+				coldMillis(spec), NumberFields.optional(spec, "born", 0, NumberFields.MAX_EXACT, 0), weights(spec));
+	}
+
+	/**
+	 * Decodes how much longer an upstream is cold; a time that has passed is 0.
+	 */
+	private static long coldMillis(JsonNode spec) {
+		return Math.max(0, NumberFields.optional(spec, "ColdLeftMs", -MAX_MILLIS, MAX_MILLIS, 0));
+	}
+
+	/**
+	 * Decodes an address to which connections can be opened.
+	 */
+	private static Address address(JsonNode node, String field) {
+		Address address = Address.parse(text(node, field));
+		if (address.port() == 0 || address.host().startsWith("0.")) {
+			throw new IllegalArgumentException(field + " cannot be reached: " + address);
+		}
+		return address;
 	}
 
 	/**
@@ -133,9 +188,9 @@
 		// Reports of engines that hold only some layers state the range that they hold.
 		JsonNode layers = node.path("layers");
 		JsonNode range = layers.isArray() ? layers.path(0) : layers;
-		int from = range.path("From").asInt(0);
-		int to = range.path("To").asInt(range.isObject() ? 0 : Integer.MAX_VALUE);
-		return new LoadedWeights(text(model, "Name"), requiredLong(model, "Version"), from, to);
+		int from = NumberFields.optionalInt(range, "From", 0, Integer.MAX_VALUE, 0);
+		int to = NumberFields.optionalInt(range, "To", 0, Integer.MAX_VALUE, range.isObject() ? 0 : Integer.MAX_VALUE);
+		return new LoadedWeights(text(model, "Name"), NumberFields.required(model, "Version"), from, to);
 	}
 
 	/**
@@ -143,7 +198,7 @@
 	 */
 	NamedWeights namedWeights(JsonNode object) {
 		JsonNode spec = object.path("Spec");
-		return new NamedWeights(text(spec, "Model"), requiredLong(spec, "Version"));
+		return new NamedWeights(text(spec, "Model"), NumberFields.required(spec, "Version"));
 	}
 
 	/**
@@ -175,12 +230,4 @@
 		return value.asText();
 	}
 
-	private static long requiredLong(JsonNode node, String field) {
-		JsonNode value = node.path(field);
-		if (!value.isIntegralNumber()) {
-			throw new IllegalArgumentException(field + " is missing or not a whole number");
-		}
-		return value.asLong();
-	}
-
 }
--- a/src/test/java/org/jaywood/platform/ObjectDecodersTests.java
+++ b/src/test/java/org/jaywood/platform/ObjectDecodersTests.java
@@ -6,8 +6,11 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.jaywood.Failures;
+import org.jaywood.http.RequestLimits;
 import org.jaywood.routing.RepeatPolicy;
 import org.jaywood.routing.Route;
 import org.jaywood.routing.RouteTable;
@@ -57,6 +60,56 @@
 					"{'Service':'pool','Address':'10.0.0.1:80','Zone':'kushiro-a','Slots':'x','State':'ready'}")));
 		}
 
+		@Test
+		void whatIsLeftOutHasADefault() {
+			Upstream upstream = ObjectDecodersTests.this.decoders.upstream(engineWith("'Slots':1"));
+			assertThat(upstream.coldMillis()).isEqualTo(0);
+			assertThat(upstream.loaded().isPresent()).isFalse();
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "'Slots':0", "'Slots':-1", "'Slots':2147483647", "'Slots':18446744073709551620",
+				"'Slots':1.5", "'Slots':'16'", "'Slots':16,'born':18446744073709551617", "'Slots':16,'born':-1",
+				"'Slots':16,'born':'7'", "'Slots':16,'ColdLeftMs':9223372036854775807",
+				"'Slots':16,'ColdLeftMs':18446744073709551617", "'Slots':16,'ColdLeftMs':1e400",
+				"'Slots':16,'ColdLeftMs':'250'",
+				"'Slots':16,'Models':[{'Name':'m','Version':18446744073709551617}],'layers':{'From':0,'To':16}",
+				"'Slots':16,'Models':[{'Name':'m','Version':-1}],'layers':{'From':0,'To':16}",
+				"'Slots':16,'Models':[{'Name':'m','Version':1}],'layers':{'From':4294967296,'To':16}",
+				"'Slots':16,'Models':[{'Name':'m','Version':1}],'layers':{'From':0,'To':4294967312}" })
+		void refusesNumbersThatCannotBe(String fields) {
+			Failures.thrownBy(IllegalArgumentException.class,
+					() -> ObjectDecodersTests.this.decoders.upstream(engineWith(fields)));
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "10.0.0.1:0", "0.0.0.0:80", "10.0.0.1:65536", "300.1.2.3:80", "1.2.3:80", "...:80",
+				"engine:80" })
+		void refusesAddressesThatNobodyCanReach(String address) {
+			Failures.thrownBy(RuntimeException.class, () -> ObjectDecodersTests.this.decoders.upstream(entry(
+					"{'Service':'pool','Address':'" + address + "','Zone':'kushiro-a','State':'ready','Slots':16}")));
+		}
+
+		private static JsonNode engineWith(String fields) {
+			return entry(
+					"{'Service':'pool','Address':'10.0.0.1:80','Zone':'kushiro-a','State':'ready'," + fields + "}");
+		}
+
+	}
+
+	/**
+	 * Guards against named versions that are another number than was written.
+	 */
+	@Nested
+	class NamedVersions {
+
+		@ParameterizedTest
+		@ValueSource(strings = { "18446744073709551617", "9223372036854775807", "-1", "1.5", "'2'" })
+		void refusesNumbersThatCannotBe(String version) {
+			Failures.thrownBy(IllegalArgumentException.class, () -> ObjectDecodersTests.this.decoders
+				.namedWeights(entry("{'Model':'m','Version':" + version + "}")));
+		}
+
 	}
 
 	/**
@@ -93,6 +146,57 @@
 				.isFalse();
 		}
 
+		@Test
+		void limitsThatAreLeftOutAreTheDefaults() {
+			assertThat(ObjectDecodersTests.this.decoders.configuration(entry("{'Version':1}")).limits())
+				.isEqualTo(RequestLimits.DEFAULTS);
+			RequestLimits some = ObjectDecodersTests.this.decoders
+				.configuration(entry("{'Version':1,'Limits':{'IdleTimeoutMs':4}}"))
+				.limits();
+			assertThat(some.idleTimeoutMillis()).isEqualTo(4);
+			assertThat(some.maxHeaderBytes()).isEqualTo(RequestLimits.DEFAULTS.maxHeaderBytes());
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "'MaxHeaderBytes':4294967297", "'MaxBodyBytes':-1", "'HeaderTimeoutMs':0",
+				"'IdleTimeoutMs':18446744073709551617", "'IdleTimeoutMs':'15000'" })
+		void refusesLimitsThatCannotBe(String limit) {
+			Failures.thrownBy(IllegalArgumentException.class, () -> ObjectDecodersTests.this.decoders
+				.configuration(entry("{'Version':1,'Limits':{" + limit + "}}")));
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "'TimeoutMs':9223372036854775807", "'TimeoutMs':18446744073709551617",
+				"'TimeoutMs':-1", "'TargetLatencyMs':1e400", "'Priority':4294967296", "'MaxAttempts':4294967298",
+				"'TrafficSplit':[{'Service':'x','Weight':4294967297}]", "'TrafficSplit':[{'Service':'x','Weight':-1}]",
+				"'TrafficSplit':[{'Service':'x','Weight':2147483647},{'Service':'y','Weight':1}]" })
+		void refusesNumbersOfRoutesThatCannotBe(String field) {
+			Failures.thrownBy(IllegalArgumentException.class,
+					() -> ObjectDecodersTests.this.decoders.configuration(
+							entry("{'Version':1,'Routes':[{'Name':'r','Host':'h','PathPrefix':'/','Kind':'safe',"
+									+ "'Service':'x'," + field + "}]}")));
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "{'Name':'x','ColdPerS':1e400,'Engine':{'Models':[{'Name':'m'}]}}",
+				"{'Name':'x','ColdPerS':-1,'Engine':{'Models':[{'Name':'m'}]}}",
+				"{'Name':'x','Engine':{'layers':4294967312,'Models':[{'Name':'m'}]}}",
+				"{'Name':'x','Engine':{'Models':[{'Name':'m','WarmS':1e400}]}}",
+				"{'Name':'o','Origin':'10.0.0.9:0','Zone':'kushiro-a'}" })
+		void refusesNumbersOfServicesThatCannotBe(String service) {
+			Failures.thrownBy(IllegalArgumentException.class, () -> ObjectDecodersTests.this.decoders
+				.configuration(entry("{'Version':1,'Services':[" + service + "]}")));
+		}
+
+		@Test
+		void aKeyIsAString() {
+			RouteTable odd = ObjectDecodersTests.this.decoders
+				.configuration(entry("{'Version':1,'Tenants':[{'Name':'t','ApiKeys':[{},null,7,'']}]}"));
+			assertThat(odd.workspace("").isPresent()).isFalse();
+			assertThat(odd.workspace("null").isPresent()).isFalse();
+			assertThat(odd.keysRequired()).isTrue();
+		}
+
 		@Test
 		void anUnknownKindMayRunOnceOnly() {
 			RouteTable odd = ObjectDecodersTests.this.decoders.configuration(entry("{'Version':1,'Routes':[{'Name':'r',"
