Keep following after errors, and pass a failed view on again

What callers saw (report of another operator): machines that read the list of engines ended, or stopped following it. Cause: FeedFollower, LoadSubscriptions, FleetSync and EngineMonitor caught exceptions only, FleetSync not even these around its loop, so an error such as StackOverflowError ended their task for good while the process went on. Evidence, failed before: FeedFollowerTests.Errors 3 of 4, FleetSyncTests.Errors, LoadSubscriptionsTests, EngineMonitorTests 1 of 2. A view whose listener failed is passed on again before the next answer is asked for, and the next view counts as listed if that one was. FleetSync takes an error of one gateway or of the store for a failed read, so that the next source is asked. EngineMonitor encodes a report before it counts as published. Why it works: each loop has one place that catches whatever leaves a round, and state moves on only behind what can throw. After: FeedFollowerTests 10, FleetSyncTests 4, EngineMonitorTests 2 and LoadSubscriptionsTests 1, all pass. By reading, without a test: EngineKeeper, CopyKeeper, Gateway.tick and CallerListener still catch exceptions only.

--- a/src/main/java/org/jaywood/feed/FeedFollower.java
+++ b/src/main/java/org/jaywood/feed/FeedFollower.java
@@ -56,6 +56,9 @@
 
 	private long gatherMillis = GATHER_MILLIS;
 
+	/** Whether the listener took the latest view. */
+	private boolean delivered = true;
+
 	private volatile boolean reachable = true;
 
 	private volatile boolean closed;
@@ -136,14 +139,17 @@
 				pause(backoffMillis);
 				backoffMillis = Math.min(MAX_BACKOFF_MILLIS, backoffMillis * 2);
 			}
-			catch (RuntimeException ex) {
-				this.log.log(Event.TASK_FAILED, "task", "follow-" + this.feed.name(), "error", ex);
-				pause(MAX_BACKOFF_MILLIS);
+			catch (RuntimeException | Error ex) {
+				pauseAfterError(ex);
 			}
 		}
 	}
 
 	private void step() throws FeedException {
+		FeedView<T> latest = this.view;
+		if (latest != null && !this.delivered) {
+			deliver(latest);
+		}
 		long askedMillis = BootClock.nowMillis();
 		if (this.revision < 0) {
 			FeedPage<T> page = this.feed.list();
@@ -171,10 +177,27 @@
 		page.entries().forEach(this::apply);
 		this.revision = page.revision();
 		this.confirmedMillis = Math.max(this.confirmedMillis, currentMillis);
+		FeedView<T> before = this.view;
+		boolean listedBefore = before != null && !this.delivered && before.listed();
 		FeedView<T> next = new FeedView<>(Map.copyOf(this.entries), this.revision, this.confirmedMillis,
-				this.regainedMillis, listed);
+				this.regainedMillis, listed || listedBefore);
 		this.view = next;
-		this.listener.accept(next);
+		deliver(next);
+	}
+
+	/**
+	 * Passes on a view. One whose listener failed is passed on again before the next
+	 * answer is asked for, and its changes are part of the next one.
+	 */
+	private void deliver(FeedView<T> next) {
+		this.delivered = false;
+		try {
+			this.listener.accept(next);
+			this.delivered = true;
+		}
+		catch (RuntimeException | Error ex) {
+			pauseAfterError(ex);
+		}
 	}
 
 	private void apply(FeedEntry<T> entry) {
@@ -205,6 +228,11 @@
 		}
 	}
 
+	private void pauseAfterError(Throwable error) {
+		this.log.log(Event.TASK_FAILED, "task", "follow-" + this.feed.name(), "error", error);
+		pause(MAX_BACKOFF_MILLIS);
+	}
+
 	private void pause(long millis) {
 		try {
 			Thread.sleep(millis / 2 + ThreadLocalRandom.current().nextLong(millis / 2 + 1));
--- a/src/main/java/org/jaywood/gateway/LoadSubscriptions.java
+++ b/src/main/java/org/jaywood/gateway/LoadSubscriptions.java
@@ -65,17 +65,10 @@
 		boolean lost = false;
 		while (this.idsByAddress.containsKey(engine)) {
 			try {
-				receive(engine, agent);
+				lost = !receive(engine, agent, lost) || lost;
 			}
-			catch (IOException | RuntimeException ex) {
-				if (!lost) {
-					this.context.log().log(Event.AGENT_LOST, "agent", agent, "error", ex.getMessage());
-				}
-				lost = true;
-			}
-			String id = this.idsByAddress.get(engine);
-			if (id != null) {
-				this.context.dispatcher().onAgentLost(id);
+			catch (RuntimeException | Error ex) {
+				this.context.log().log(Event.TASK_FAILED, "task", "follow-" + engine, "error", ex);
 			}
 			try {
 				Thread.sleep(backoffMillis / 2 + ThreadLocalRandom.current().nextLong(backoffMillis));
@@ -88,6 +81,34 @@
 		this.tasks.remove(engine);
 	}
 
+	/**
+	 * Receives reports until the agent is lost.
+	 * @param lost whether its loss was logged before
+	 * @return whether the agent ended the stream itself
+	 */
+	private boolean receive(Address engine, Address agent, boolean lost) {
+		try {
+			receive(engine, agent);
+			return true;
+		}
+		catch (IOException | RuntimeException ex) {
+			if (!lost) {
+				this.context.log().log(Event.AGENT_LOST, "agent", agent, "error", ex.getMessage());
+			}
+			return false;
+		}
+		finally {
+			noteLost(engine);
+		}
+	}
+
+	private void noteLost(Address engine) {
+		String id = this.idsByAddress.get(engine);
+		if (id != null) {
+			this.context.dispatcher().onAgentLost(id);
+		}
+	}
+
 	private void receive(Address engine, Address agent) throws IOException {
 		try (ClientConnection connection = ClientConnection.open(agent, CONNECT_MILLIS)) {
 			BasicClassicHttpRequest request = new BasicClassicHttpRequest("GET",
--- a/src/main/java/org/jaywood/replica/EngineMonitor.java
+++ b/src/main/java/org/jaywood/replica/EngineMonitor.java
@@ -111,7 +111,7 @@
 			try {
 				refresh();
 			}
-			catch (RuntimeException ex) {
+			catch (RuntimeException | Error ex) {
 				this.log.log(Event.TASK_FAILED, "task", "monitor-engine", "error", ex);
 			}
 			try {
@@ -156,8 +156,8 @@
 		}
 		UpstreamReport next = describe(report);
 		if (!next.equals(this.published)) {
-			this.published = next;
 			this.json = json(next);
+			this.published = next;
 			this.changes++;
 			notifyAll();
 		}
--- a/src/main/java/org/jaywood/replica/FleetSync.java
+++ b/src/main/java/org/jaywood/replica/FleetSync.java
@@ -99,6 +99,20 @@
 			catch (InterruptedException ex) {
 				return;
 			}
+			catch (RuntimeException | Error ex) {
+				this.log.log(Event.TASK_FAILED, "task", "fleet-sync", "error", ex);
+				this.closed = this.closed || interruptedWhilePausing();
+			}
+		}
+	}
+
+	private static boolean interruptedWhilePausing() {
+		try {
+			Thread.sleep(PAUSE_MILLIS);
+			return false;
+		}
+		catch (InterruptedException ex) {
+			return true;
 		}
 	}
 
@@ -125,8 +139,8 @@
 			this.fleet.onContact(this.informedMillis);
 			return true;
 		}
-		catch (IOException | RuntimeException ex) {
-			doubt(gateway, String.valueOf(ex.getMessage()));
+		catch (IOException | RuntimeException | Error ex) {
+			doubt(gateway, ex.toString());
 			return false;
 		}
 	}
@@ -152,10 +166,9 @@
 			}
 			this.storeLost = false;
 		}
-		catch (FeedException | RuntimeException ex) {
+		catch (FeedException | RuntimeException | Error ex) {
 			if (!this.storeLost) {
-				this.log.log(Event.FEED_LOST, "feed", "store", "revision", this.fleet.content(), "error",
-						ex.getMessage());
+				this.log.log(Event.FEED_LOST, "feed", "store", "revision", this.fleet.content(), "error", ex);
 			}
 			this.storeLost = true;
 		}
--- a/src/test/java/org/jaywood/feed/FeedFollowerTests.java
+++ b/src/test/java/org/jaywood/feed/FeedFollowerTests.java
@@ -3,11 +3,14 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
 
 import org.awaitility.Awaitility;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -83,6 +86,79 @@
 
 	}
 
+	/**
+	 * Guards against an error that ends the following for good, or loses a change.
+	 */
+	@Nested
+	class Errors {
+
+		private final List<FeedView<String>> taken = new CopyOnWriteArrayList<>();
+
+		private final Deque<Throwable> failures = new ConcurrentLinkedDeque<>();
+
+		private final ScriptedFeed feed = new ScriptedFeed();
+
+		private final FeedFollower<String> follower = new FeedFollower<>(this.feed, WAIT_MILLIS, this::take,
+				new EventLog("test"));
+
+		private void take(FeedView<String> view) {
+			Throwable failure = this.failures.poll();
+			if (failure instanceof Error error) {
+				throw error;
+			}
+			if (failure instanceof RuntimeException unchecked) {
+				throw unchecked;
+			}
+			this.taken.add(view);
+		}
+
+		@AfterEach
+		void stop() {
+			this.follower.close();
+		}
+
+		@Test
+		void anErrorOfTheFeedDoesNotEndTheFollowing() {
+			this.feed.add(new StackOverflowError("odd object"));
+			this.feed.add(new FeedPage<>(5, List.of(new FeedEntry<>("a", "1"))));
+			this.follower.start();
+			Awaitility.await().until(() -> !this.taken.isEmpty());
+			assertThat(this.taken.getFirst().entries()).containsExactly("a", "1");
+		}
+
+		@Test
+		void anErrorOfTheListenerDoesNotLoseTheChange() {
+			this.failures.add(new StackOverflowError("listener"));
+			this.failures.add(new IllegalStateException("listener"));
+			this.feed.add(new FeedPage<>(5, List.of(new FeedEntry<>("a", "1"))));
+			this.feed.add(new FeedPage<>(6, List.of(new FeedEntry<>("b", "2"))));
+			this.follower.start();
+			Awaitility.await().until(() -> !this.taken.isEmpty());
+			assertThat(this.taken.getFirst().entries()).containsExactly("a", "1", "b", "2");
+			assertThat(this.taken.getFirst().listed()).isTrue();
+		}
+
+		@Test
+		void aChangeWhoseListenerFailedIsPassedOnBeforeTheNextAnswer() {
+			this.failures.add(new IllegalStateException("listener"));
+			this.feed.add(new FeedPage<>(5, List.of(new FeedEntry<>("a", "1"))));
+			this.follower.start();
+			Awaitility.await().until(() -> !this.taken.isEmpty());
+			assertThat(this.taken.getFirst().entries()).containsExactly("a", "1");
+		}
+
+		@Test
+		void aListenerThatAlwaysFailsDoesNotEndTheFollowing() {
+			IntStream.range(0, 100).forEach((number) -> this.failures.add(new IllegalStateException("listener")));
+			this.feed.add(new FeedPage<>(5, List.of(new FeedEntry<>("a", "1"))));
+			this.feed.add(new FeedPage<>(6, List.of(new FeedEntry<>("b", "2"))));
+			this.follower.start();
+			Awaitility.await().until(() -> this.feed.calls.size() >= 2);
+			assertThat(this.feed.calls.subList(0, 2)).containsExactly("list", "watch").inOrder();
+		}
+
+	}
+
 	/**
 	 * Guards against a fleet that starts and costs each process one call for each entry.
 	 */
@@ -180,6 +256,9 @@
 			if (answer instanceof FeedException failure) {
 				throw failure;
 			}
+			if (answer instanceof Error error) {
+				throw error;
+			}
 			if (answer == null) {
 				throw new FeedException("no more answers", null);
 			}
--- /dev/null
+++ b/src/test/java/org/jaywood/gateway/LoadSubscriptionsTests.java
@@ -0,0 +1,97 @@
+package org.jaywood.gateway;
+
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import org.jaywood.event.EventLog;
+import org.jaywood.feed.BootClock;
+import org.jaywood.feed.FeedView;
+import org.jaywood.platform.PlatformCalls;
+import org.jaywood.routing.DispatchSettings;
+import org.jaywood.routing.Upstream;
+import org.jaywood.routing.Upstreams;
+import org.jaywood.wire.Address;
+import org.jaywood.wire.HttpPort;
+
+/**
+ * Guards against an error that ends the following of an agent for good, after which its
+ * engine counts as silent.
+ */
+class LoadSubscriptionsTests {
+
+	private static final Address ANY_PORT = new Address("127.0.0.1", 0);
+
+	private final AtomicInteger connections = new AtomicInteger();
+
+	private final HttpPort agent = HttpPort.open(ANY_PORT, new EventLog("agent"))
+		.route("GET", LoadSubscriptions.PATH, (exchange) -> {
+			this.connections.incrementAndGet();
+			exchange.respond(200, "application/json", new byte[0]);
+		})
+		.start();
+
+	private final GatewayContext context = GatewayContext
+		.create(new GatewaySettings("gateway", ANY_PORT, ANY_PORT, "/ready", ANY_PORT, this.agent.address().port(),
+				new DispatchSettings("gateway", "doto", "kushiro-a", 1.5, 5, 2_200, 7_000), 0.2, 100, 10_000, 3_400,
+				1_800, 8_000), new PlatformCalls(), new EventLog("test"));
+
+	private final LoadSubscriptions subscriptions = new LoadSubscriptions(this.context);
+
+	private final FailingHandler handler = new FailingHandler();
+
+	private final Logger logger = Logger.getLogger("org.jaywood");
+
+	@AfterEach
+	void stop() {
+		this.logger.removeHandler(this.handler);
+		this.subscriptions.close();
+		this.agent.close();
+	}
+
+	@Test
+	void anErrorDoesNotEndTheFollowingOfAnAgent() {
+		Upstream engine = new Upstream("i-1", Upstreams.POOL, new Address("127.0.0.1", 80), "kushiro-a", "doto", 4,
+				false, 0, 1, null);
+		long nowMillis = BootClock.nowMillis();
+		this.context.knowledge()
+			.onConfiguration(new FeedView<>(Map.of("main", Upstreams.table()), 1, nowMillis, Long.MIN_VALUE, true));
+		this.context.knowledge()
+			.onUpstreams(new FeedView<>(Map.of(engine.id(), engine), 1, nowMillis, Long.MIN_VALUE, true));
+		this.logger.addHandler(this.handler);
+		this.subscriptions.onFleet();
+		Awaitility.await().until(() -> this.connections.get() > 1);
+	}
+
+	/**
+	 * Log handler that fails once an agent was found, within the task that follows it.
+	 */
+	private static final class FailingHandler extends Handler {
+
+		private boolean failed;
+
+		@Override
+		public synchronized void publish(LogRecord line) {
+			if (!this.failed && line.getMessage().contains("AGENT_FOUND")) {
+				this.failed = true;
+				throw new StackOverflowError("unexpected");
+			}
+		}
+
+		@Override
+		public void flush() {
+		}
+
+		@Override
+		public void close() {
+		}
+
+	}
+
+}
--- a/src/test/java/org/jaywood/replica/EngineMonitorTests.java
+++ b/src/test/java/org/jaywood/replica/EngineMonitorTests.java
@@ -28,12 +28,21 @@
 	private final FleetKnowledge fleet = new FleetKnowledge(new ReplicaSettings("vm", this.own.address(),
 			new Address("127.0.0.1", 1), Upstreams.POOL, "doto", "kushiro-a", 0, 8_000), this.log);
 
+	@Test
+	void theWatchGoesOnAfterAnUnexpectedException() {
+		theWatchGoesOnAfter(new IllegalStateException("unexpected"));
+	}
+
 	@Test
 	void theWatchGoesOnAfterAnUnexpectedError() {
+		theWatchGoesOnAfter(new StackOverflowError("unexpected"));
+	}
+
+	private void theWatchGoesOnAfter(Throwable failure) {
 		this.fleet
 			.onDigest(FleetDigest.of(1, new ServiceProfile.Engines(Upstreams.POOL, 36, "model", FakeEngine.LAYERS, 300),
 					null, 1, List.of(this.own)));
-		EngineMonitor monitor = new EngineMonitor(this.fleet, new FailingEngine(), "engine", this.log);
+		EngineMonitor monitor = new EngineMonitor(this.fleet, new FailingEngine(failure), "engine", this.log);
 		monitor.start();
 		try {
 			Awaitility.await().until(() -> monitor.latest() != null);
@@ -50,10 +59,19 @@
 
 		private final AtomicInteger asked = new AtomicInteger();
 
+		private final Throwable failure;
+
+		FailingEngine(Throwable failure) {
+			this.failure = failure;
+		}
+
 		@Override
 		public EngineReport report() {
 			if (this.asked.incrementAndGet() == 1) {
-				throw new IllegalStateException("unexpected");
+				if (this.failure instanceof Error error) {
+					throw error;
+				}
+				throw new IllegalStateException(this.failure);
 			}
 			return new EngineReport(1, 0, 0, false, 0, new LoadedWeights("model", 1, 0, FakeEngine.LAYERS));
 		}
--- a/src/test/java/org/jaywood/replica/FleetSyncTests.java
+++ b/src/test/java/org/jaywood/replica/FleetSyncTests.java
@@ -126,6 +126,33 @@
 
 	}
 
+	/**
+	 * Guards against an error that ends the task, after which the agent learns nothing
+	 * more.
+	 */
+	@Nested
+	class Errors {
+
+		@Test
+		void anErrorDoesNotEndTheTask() {
+			AtomicInteger reads = new AtomicInteger();
+			FleetSync alone = new FleetSync(FleetSyncTests.this.settings, FleetSyncTests.this.fleet,
+					new ReplicaFeeds(new LostFeed<>(() -> {
+						reads.incrementAndGet();
+						throw new StackOverflowError("odd object");
+					}), new LostFeed<>(), new LostFeed<>()), new PeerPieces(new ConnectionPool()),
+					FleetSyncTests.this.log)
+				.start();
+			try {
+				Awaitility.await().until(() -> reads.get() > 1);
+			}
+			finally {
+				alone.close();
+			}
+		}
+
+	}
+
 	/**
 	 * Feed of a store that does not answer.
 	 *
