Publish what the gateway knows until the dispatcher has taken it

Cause: Knowledge noted a view, a configuration or a version as known before it passed it to the dispatcher. When that threw, the same view later differed in nothing, so the dispatcher kept the former engines, routes and versions until another change came. Evidence: KnowledgeTests.FailedPublications, 4 of 4 failed before. Change: what is not published is noted as such before anything can throw and published with the next view of any kind. A view of several named versions is published once, and at the first view of weights agents no longer get the first version for a moment. Why it works: the note is taken back only behind the dispatcher's return. After: KnowledgeTests 15 of 15.

--- a/src/main/java/org/jaywood/gateway/Knowledge.java
+++ b/src/main/java/org/jaywood/gateway/Knowledge.java
@@ -42,6 +42,12 @@
 
 	private final DigestBoard digests = new DigestBoard();
 
+	/** Whether the dispatcher lacks the configuration in force. */
+	private boolean tableUnpublished;
+
+	/** Whether the dispatcher lacks what is known of upstreams and weights. */
+	private boolean fleetUnpublished;
+
 	private long changes;
 
 	private boolean weightsKnown;
@@ -96,53 +102,68 @@
 			}
 			if (present == null || latest.version() > present.version()) {
 				this.table = latest;
+				this.tableUnpublished = true;
 				this.log.log(Event.CONFIGURATION_IN_FORCE, "generation", latest.version(), "source", "store");
-				this.dispatcher.onTable(latest, BootClock.nowMillis());
-				this.changes++;
-				refreshDigests(BootClock.nowMillis());
 			}
+			publishTable(latest);
 			this.confirmedMillis = view.confirmedMillis();
 		});
 	}
 
+	/**
+	 * Passes the configuration on, unless the dispatcher has it. An error leaves it to
+	 * the next view.
+	 */
+	private void publishTable(RouteTable latest) {
+		if (this.tableUnpublished) {
+			this.dispatcher.onTable(latest, BootClock.nowMillis());
+			this.changes++;
+			refreshDigests(BootClock.nowMillis());
+			this.tableUnpublished = false;
+		}
+	}
+
 	synchronized void onUpstreams(FeedView<Upstream> view) {
 		FeedView<Upstream> present = this.upstreams;
 		this.upstreams = view;
 		if (present == null || !present.entries().equals(view.entries())
 				|| present.regainedMillis() != view.regainedMillis()) {
+			this.fleetUnpublished = true;
 			this.log.log(Event.UPSTREAMS_CHANGED, "revision", view.revision(), "count", view.entries().size(),
 					"leaving", view.entries().values().stream().filter(Upstream::leaving).count());
-			publish();
 		}
+		publishFleet();
 	}
 
 	synchronized void onClosedDataCentres(FeedView<String> view) {
 		Set<String> closed = Set.copyOf(view.entries().values());
 		if (!closed.equals(this.closedDataCentres)) {
 			this.closedDataCentres = closed;
+			this.fleetUnpublished = true;
 			this.log.log(Event.DATA_CENTRES_CLOSED, "revision", view.revision(), "dataCentres", closed);
-			publish();
 		}
+		publishFleet();
 	}
 
 	synchronized void onWeights(FeedView<NamedWeights> view) {
 		if (!this.weightsKnown) {
 			this.weightsKnown = true;
-			publish();
+			this.fleetUnpublished = true;
 		}
 		this.weightsRevision = view.revision();
 		long sinceMillis = namedSinceMillis(view, BootClock.nowMillis());
-		this.weightsView = view;
 		view.entries().values().forEach((weights) -> {
 			if (weights.version() > version(weights.model())) {
 				List<Fleet.NamedSince> namings = new ArrayList<>(this.named.getOrDefault(weights.model(), List.of()));
 				namings.add(new Fleet.NamedSince(weights.version(), sinceMillis));
 				this.named.put(weights.model(), List.copyOf(namings));
+				this.fleetUnpublished = true;
 				this.log.log(Event.WEIGHTS_NAMED, "model", weights.model(), "version", weights.version(), "revision",
 						view.revision());
-				publish();
 			}
 		});
+		this.weightsView = view;
+		publishFleet();
 	}
 
 	/**
@@ -219,13 +240,21 @@
 			.orElse(FleetDigest.FIRST_VERSION);
 	}
 
-	private void publish() {
+	/**
+	 * Passes upstreams, closed data centres and named weights on, unless the dispatcher
+	 * has them. An error leaves them to the next view.
+	 */
+	private void publishFleet() {
+		if (!this.fleetUnpublished) {
+			return;
+		}
 		this.changes++;
 		refreshDigests(BootClock.nowMillis());
 		if (this.upstreams != null) {
 			this.dispatcher.onFleet(new Fleet(this.upstreams, this.closedDataCentres, Map.copyOf(this.named)),
 					BootClock.nowMillis());
 		}
+		this.fleetUnpublished = false;
 	}
 
 	private void refreshDigests(long nowMillis) {
--- a/src/test/java/org/jaywood/gateway/KnowledgeTests.java
+++ b/src/test/java/org/jaywood/gateway/KnowledgeTests.java
@@ -1,7 +1,9 @@
 package org.jaywood.gateway;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -9,16 +11,20 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
+import org.jaywood.Failures;
 import org.jaywood.event.EventLog;
 import org.jaywood.feed.BootClock;
 import org.jaywood.feed.FeedView;
+import org.jaywood.http.RequestLimits;
 import org.jaywood.routing.DigestReply;
 import org.jaywood.routing.DispatchSettings;
 import org.jaywood.routing.Dispatcher;
+import org.jaywood.routing.KeyRing;
 import org.jaywood.routing.NamedWeights;
 import org.jaywood.routing.RouteTable;
 import org.jaywood.routing.Upstream;
 import org.jaywood.routing.Upstreams;
+import org.jaywood.wire.Address;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -189,4 +195,116 @@
 
 	}
 
+	/**
+	 * Guards against knowledge that the dispatcher never gets, since an error met the
+	 * first attempt and the same view counts as known.
+	 */
+	@Nested
+	class FailedPublications {
+
+		private final Upstream added = Upstreams.engine("b", "kushiro-a", "doto", 1);
+
+		private final FailingMap entries = new FailingMap(
+				Map.of(KnowledgeTests.this.engine.id(), KnowledgeTests.this.engine, this.added.id(), this.added));
+
+		private final FeedView<Upstream> upstreams = new FeedView<>(this.entries, 2, BootClock.nowMillis(),
+				Long.MIN_VALUE, false);
+
+		private Set<Address> followed() {
+			return KnowledgeTests.this.dispatcher.followed().keySet();
+		}
+
+		private void fails(Runnable change) {
+			Failures.thrownBy(StackOverflowError.class, () -> {
+				change.run();
+				return null;
+			});
+		}
+
+		@Test
+		void upstreamsThatTheDispatcherDidNotTakeAreOfferedAgain() {
+			this.entries.failContainsKey = true;
+			fails(() -> KnowledgeTests.this.knowledge.onUpstreams(this.upstreams));
+			assertThat(followed()).doesNotContain(this.added.address());
+			KnowledgeTests.this.knowledge.onUpstreams(this.upstreams);
+			assertThat(followed()).contains(this.added.address());
+		}
+
+		@Test
+		void closedDataCentresThatTheDispatcherDidNotTakeAreOfferedAgain() {
+			KnowledgeTests.this.knowledge.onUpstreams(this.upstreams);
+			FeedView<String> closed = new FeedView<>(Map.of("kushiro-a", "kushiro-a"), 3, BootClock.nowMillis(),
+					Long.MIN_VALUE, false);
+			this.entries.failContainsKey = true;
+			fails(() -> KnowledgeTests.this.knowledge.onClosedDataCentres(closed));
+			int asked = this.entries.asked;
+			KnowledgeTests.this.knowledge.onClosedDataCentres(closed);
+			assertThat(this.entries.asked).isGreaterThan(asked);
+		}
+
+		@Test
+		void weightsThatTheDispatcherDidNotTakeAreOfferedAgain() {
+			KnowledgeTests.this.knowledge.onUpstreams(this.upstreams);
+			onWeights(1, BootClock.nowMillis(), Long.MIN_VALUE);
+			this.entries.failContainsKey = true;
+			fails(() -> onWeights(2, BootClock.nowMillis(), Long.MIN_VALUE));
+			int asked = this.entries.asked;
+			onWeights(2, BootClock.nowMillis(), Long.MIN_VALUE);
+			assertThat(this.entries.asked).isGreaterThan(asked);
+		}
+
+		@Test
+		void aConfigurationThatTheDispatcherDidNotTakeIsOfferedAgain() {
+			KnowledgeTests.this.knowledge.onUpstreams(this.upstreams);
+			RouteTable latest = new RouteTable(2, List.of(), Map.of(), new KeyRing(false, Map.of()),
+					RequestLimits.DEFAULTS);
+			FeedView<RouteTable> view = new FeedView<>(Map.of("main", latest), 3, BootClock.nowMillis(), Long.MIN_VALUE,
+					false);
+			this.entries.failValues = true;
+			fails(() -> KnowledgeTests.this.knowledge.onConfiguration(view));
+			assertThat(followed()).contains(this.added.address());
+			KnowledgeTests.this.knowledge.onConfiguration(view);
+			assertThat(followed()).isEmpty();
+		}
+
+	}
+
+	/**
+	 * Map that fails a question of the dispatcher.
+	 */
+	private static final class FailingMap extends HashMap<String, Upstream> {
+
+		private static final long serialVersionUID = 1L;
+
+		private boolean failContainsKey;
+
+		private boolean failValues;
+
+		private int asked;
+
+		FailingMap(Map<String, Upstream> entries) {
+			super(entries);
+		}
+
+		@Override
+		public boolean containsKey(Object key) {
+			this.asked++;
+			if (this.failContainsKey) {
+				this.failContainsKey = false;
+				throw new StackOverflowError("unexpected");
+			}
+			return super.containsKey(key);
+		}
+
+		@Override
+		public Collection<Upstream> values() {
+			if (this.failValues) {
+				this.failValues = false;
+				throw new StackOverflowError("unexpected");
+			}
+			return super.values();
+		}
+
+	}
+
 }
