--- a/src/main/java/org/jaywood/gateway/CallerConnection.java
+++ b/src/main/java/org/jaywood/gateway/CallerConnection.java
@@ -23,9 +23,6 @@
  */
 final class CallerConnection implements Runnable {
 
-	/** Limits until a configuration is known. */
-	private static final RequestLimits DEFAULT_LIMITS = new RequestLimits(16 * 1024, 4 * 1024 * 1024, 3_000, 15_000);
-
 	/** Wait that shows after a stall whether the caller has left meanwhile. */
 	private static final long LEFT_CHECK_MILLIS = 1;
 
@@ -375,7 +372,7 @@
 
 	private RequestLimits limits() {
 		RouteTable table = this.context.knowledge().table();
-		return (table != null) ? table.limits() : DEFAULT_LIMITS;
+		return (table != null) ? table.limits() : RequestLimits.DEFAULTS;
 	}
 
 	private static boolean wantsClose(CallerRequest request) {
