Wait for the end of warm-up calls before tests count calls

What was seen: StreamCreditIT counted 2 calls at the agent instead of 1, or 1 in flight instead of 0 while a stream waits for credit; LeavingIT may have stopped an agent before both of its calls ran (by reading). Cause: a wrong expectation. A stream that waits for credit has no place at its engine. While the engine is cold and empty, the agent sends it warm-up calls; they take a place and are counted as any other, which is right, since they hold memory of the engine. Right before each failure the engine reported "cold" with 0 in flight and no call but the stream, and the agent 1 call; the next question found one more. That the one more was a warm-up call was not logged; nothing else sends calls there. Change: both tests of StreamCreditIT wait until the agent has seen its engine warm, after the stream has used up its credit, so the engine is still cold when the stream begins; the checks of 0 in flight, 0 bytes and exactly 1 call stay as they were. The wait is a further check: an engine whose only stream waits for credit must turn warm. LeavingIT.routerAndAgentLeaveTogetherWithoutCuttingCalls waits before its calls, so that 2 in flight are those two.

--- a/src/test/java/org/jaywood/agent/LeavingIT.java
+++ b/src/test/java/org/jaywood/agent/LeavingIT.java
@@ -62,6 +62,7 @@
 				ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor()) {
 			Member agent = installation.agentsOf("pool").getFirst();
 			Member router = installation.routers().getFirst();
+			SmallInstallation.awaitWarm(installation, agent);
 			List<Future<Boolean>> calls = IntStream.range(0, 2)
 				.mapToObj((number) -> callers.submit(() -> whole(installation, router, number)))
 				.toList();
--- a/src/test/java/org/jaywood/agent/StreamCreditIT.java
+++ b/src/test/java/org/jaywood/agent/StreamCreditIT.java
@@ -35,6 +35,7 @@
 			Handed handed = router.handOver(router.nextAttempt(), "slow",
 					Json.bytes(Map.of("prompt", "slow", "max_tokens", TOKENS)), Map.of());
 			awaitNoCredit(installation, agent);
+			SmallInstallation.awaitWarm(installation, agent);
 			assertThat(SmallInstallation.status(installation, agent).path("memoryBytes").asLong(-1)).isEqualTo(0);
 			assertThat(SmallInstallation.status(installation, agent).path("inFlight").asInt(-1)).isEqualTo(0);
 			assertThat(SmallInstallation.record(installation, agent).path("runs").path(handed.requestId()).asInt())
@@ -63,6 +64,7 @@
 			Handed handed = router.handOver(router.nextAttempt(), "slow",
 					Json.bytes(Map.of("prompt", "slow", "max_tokens", TOKENS)), Map.of());
 			awaitNoCredit(installation, agent);
+			SmallInstallation.awaitWarm(installation, agent);
 			assertThat(installation.state(agent).path("inFlight").asInt(-1)).isEqualTo(0);
 			String manifest = installation.addWeights("2", 262_144, 32_768);
 			installation.apply(installation.deployment("2", manifest));
