Place calls last at engines that calls sent before have not reached

Cause: only the way back was watched. Such an engine reports no load, since nothing reaches it, and so draws more calls: i-af6d914cf5 got 62 from six gateways in 2.5 s.

Change: a gateway knows when it placed the calls that an engine holds. A report with fewer calls than this gateway alone sent 0.7 to 3 s before shows that some have not arrived; for 2 s the engine is then treated as one whose reports come late: the last choice, and none for a silent call. An answer that a slow caller still reads can look alike for a moment, so the engine is not excluded. DispatcherTests.LateReports.anEngineThatCallsDoNotReachIsTheLastChoice fails with the comparison taken out; anEngineThatRunsItsCallsStaysTheFirstChoice passes either way. Calls of the first 0.7 s to such an engine are not prevented.

--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -186,7 +186,7 @@
 	public synchronized void end(Placement placement, Outcome outcome, long nowMillis) {
 		UpstreamState state = this.states.get(placement.upstream().id());
 		if (state != null && state.upstream().bornMillis() == placement.upstream().bornMillis()) {
-			state.onEnd();
+			state.onEnd(placement.placedMillis());
 			learn(state.health(), outcome, nowMillis);
 		}
 		if (outcome == Outcome.ANSWERED) {
@@ -320,8 +320,8 @@
 
 	/**
 	 * Chooses an upstream with room. What is sent over a narrow link is under way for
-	 * long and cannot be called back, so upstreams whose reports come late are the last
-	 * choice.
+	 * long and cannot be called back, so upstreams whose reports come late or lack calls
+	 * that were sent are the last choice.
 	 */
 	private Optional<PlacementPolicy.Candidate> choose(Demand demand, long nowMillis) {
 		List<UpstreamState> usable = usable(demand, nowMillis);
@@ -353,7 +353,7 @@
 		UpstreamState state = chosen.state();
 		state.onSend(nowMillis);
 		return new Placement(state.upstream(), chosen.load(), chosen.capacity(), state.reportAgeMillis(nowMillis),
-				nowMillis - sinceMillis);
+				nowMillis - sinceMillis, nowMillis);
 	}
 
 }
--- a/src/main/java/org/jaywood/routing/Placement.java
+++ b/src/main/java/org/jaywood/routing/Placement.java
@@ -9,6 +9,8 @@
  * @param capacity calls that it may hold
  * @param reportAgeMillis age of the report that decided, or -1 if there was none
  * @param waitedMillis time for which the call waited for its place
+ * @param placedMillis time of the decision
  */
-public record Placement(Upstream upstream, double load, double capacity, long reportAgeMillis, long waitedMillis) {
+public record Placement(Upstream upstream, double load, double capacity, long reportAgeMillis, long waitedMillis,
+		long placedMillis) {
 }
--- a/src/main/java/org/jaywood/routing/UpstreamState.java
+++ b/src/main/java/org/jaywood/routing/UpstreamState.java
@@ -26,12 +26,22 @@
 	/** The number of gateways that an agent told counts for this long. */
 	private static final long GATEWAYS_LIFETIME_MILLIS = 3_000;
 
+	/**
+	 * Time for which the way to an engine counts as slow after calls were held up on it;
+	 * calls given up there meanwhile no longer show it.
+	 */
+	private static final long HELD_UP_MILLIS = 2_000;
+
 	private final UpstreamHealth health = new UpstreamHealth();
 
 	private final SendRate sendRate = new SendRate();
 
 	private final ReportDelay delay = new ReportDelay();
 
+	private final CallsUnderWay underWay = new CallsUnderWay();
+
+	private long heldUpUntilMillis = Long.MIN_VALUE;
+
 	private Upstream upstream;
 
 	private long coldUntilMillis;
@@ -91,6 +101,9 @@
 		this.reportedMillis = nowMillis;
 		this.inFlightAtReport = this.inFlight;
 		this.agentConnected = true;
+		if (latest.reachable() && this.underWay.heldUp(latest.load(), nowMillis)) {
+			this.heldUpUntilMillis = nowMillis + HELD_UP_MILLIS;
+		}
 	}
 
 	void onDelay(long sentMillis, long nowMillis) {
@@ -98,9 +111,13 @@
 	}
 
 	/**
-	 * Whether the latest report came in time, or none is in use.
+	 * Whether the latest report came in time, or none is in use, and calls lately reached
+	 * the upstream.
 	 */
 	boolean punctual(long nowMillis) {
+		if (nowMillis < this.heldUpUntilMillis) {
+			return false;
+		}
 		long ageMillis = reportAgeMillis(nowMillis) + this.delay.millis();
 		return freshReport(nowMillis) == null || (ageMillis < LATE_MILLIS && this.delay.millis() < LATE_DELAY_MILLIS);
 	}
@@ -186,10 +203,12 @@
 	void onSend(long nowMillis) {
 		this.inFlight++;
 		this.sendRate.record(nowMillis);
+		this.underWay.add(nowMillis);
 	}
 
-	void onEnd() {
+	void onEnd(long placedMillis) {
 		this.inFlight--;
+		this.underWay.remove(placedMillis);
 	}
 
 	int sentWithinSecond(long nowMillis) {
--- a/src/test/java/org/jaywood/routing/DispatcherTests.java
+++ b/src/test/java/org/jaywood/routing/DispatcherTests.java
@@ -370,6 +370,36 @@
 			assertThat(chosen).containsExactly("b");
 		}
 
+		/**
+		 * Places three calls at an engine and has it report some of them a while later.
+		 * @return the engine of the next call
+		 */
+		private String chosenOnceReported(int running) {
+			long laterMillis = NOW + 800;
+			DispatcherTests.this.dispatcher.onFleet(Upstreams.fleet(Upstreams.engine("a")), NOW);
+			report("a", 0, NOW);
+			request(3, false);
+			DispatcherTests.this.dispatcher.onFleet(Upstreams.fleet(Upstreams.engine("a"), Upstreams.engine("b")),
+					laterMillis);
+			DispatcherTests.this.dispatcher.onReport("a", DispatcherTests.report("a", running, 0, false), laterMillis);
+			DispatcherTests.this.dispatcher.onReport("b", DispatcherTests.report("b", Upstreams.SLOTS, 0, false),
+					laterMillis);
+			return Upstreams.placed(DispatcherTests.this.dispatcher.request(this.demand, laterMillis))
+				.orElseThrow()
+				.upstream()
+				.id();
+		}
+
+		@Test
+		void anEngineThatCallsDoNotReachIsTheLastChoice() {
+			assertThat(chosenOnceReported(0)).isEqualTo("b");
+		}
+
+		@Test
+		void anEngineThatRunsItsCallsStaysTheFirstChoice() {
+			assertThat(chosenOnceReported(3)).isEqualTo("a");
+		}
+
 		@Test
 		void aSilentCallDoesNotMoveToALateEngine() {
 			DispatcherTests.this.dispatcher.onFleet(Upstreams.fleet(Upstreams.engine("a")), NOW);
