--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -355,7 +355,7 @@
 		Placement placement = take(chosen, ticket.sinceMillis(), nowMillis);
 		if (!ticket.placement().complete(placement)) {
 			// Its caller has left meanwhile.
-			chosen.state().onEnd();
+			chosen.state().onEnd(nowMillis);
 		}
 	}
 
