--- a/src/main/java/org/jaywood/cli/ReloadSignal.java
+++ b/src/main/java/org/jaywood/cli/ReloadSignal.java
@@ -35,7 +35,10 @@
 		}
 	}
 
-	private static synchronized void receive() {
+	/**
+	 * Does what the signal asks for, or keeps it until it can be done.
+	 */
+	static synchronized void receive() {
 		if (reload != null) {
 			reload.run();
 		}
--- a/src/test/java/org/jaywood/cli/ReloadSignalTests.java
+++ b/src/test/java/org/jaywood/cli/ReloadSignalTests.java
@@ -42,19 +42,20 @@
 	@Test
 	void aSignalBeforeTheFileIsWatchedIsPassedOn() {
 		new Jaywood(Map.of()).run("gateway", "--node-file", "/nonexistent/settings.toml");
-		SignalHandler installed = Signal.handle(SIGNAL, SignalHandler.SIG_DFL);
 		AtomicInteger reloads = new AtomicInteger();
-		installed.handle(SIGNAL);
+		ReloadSignal.receive();
 		ReloadSignal.handledBy(reloads::incrementAndGet);
 		assertThat(reloads.get()).isEqualTo(1);
-		installed.handle(SIGNAL);
+		ReloadSignal.receive();
 		assertThat(reloads.get()).isEqualTo(2);
 	}
 
 	@Test
 	void otherCommandsLeaveTheSignalAsItIs() {
+		// A process that was started with the signal ignored keeps ignoring it.
+		SignalHandler untouched = Signal.handle(SIGNAL, SignalHandler.SIG_DFL);
 		new Jaywood(Map.of()).run("validate", "/nonexistent/deployment.yaml");
-		assertThat(Signal.handle(SIGNAL, SignalHandler.SIG_DFL)).isEqualTo(SignalHandler.SIG_DFL);
+		assertThat(Signal.handle(SIGNAL, SignalHandler.SIG_DFL)).isEqualTo(untouched);
 	}
 
 }
