--- a/src/test/java/org/jaywood/replica/FleetSyncTests.java
+++ b/src/test/java/org/jaywood/replica/FleetSyncTests.java
@@ -28,9 +28,7 @@
 
 class FleetSyncTests {
 
-	private static final Address NEAR = new Address("127.0.0.1", 17_411);
-
-	private static final Address FAR = new Address("127.0.0.1", 17_412);
+	private static final Address ANY_PORT = new Address("127.0.0.1", 0);
 
 	private final EventLog log = new EventLog("test");
 
@@ -49,17 +47,17 @@
 
 	private volatile @Nullable DigestReply far;
 
-	private final HttpPort nearPort = HttpPort.open(NEAR, this.log)
+	private final HttpPort nearPort = HttpPort.open(ANY_PORT, this.log)
 		.route("GET", "/v1/fleet", (exchange) -> exchange.respondJson(200, this.near))
 		.start();
 
-	private final HttpPort farPort = HttpPort.open(FAR, this.log)
+	private final HttpPort farPort = HttpPort.open(ANY_PORT, this.log)
 		.route("GET", "/v1/fleet", (exchange) -> exchange.respondJson(200, this.far))
 		.start();
 
 	FleetSyncTests() {
-		this.sync.onGateway(NEAR, "kushiro-a");
-		this.sync.onGateway(FAR, "donan-a");
+		this.sync.onGateway(this.nearPort.address(), "kushiro-a");
+		this.sync.onGateway(this.farPort.address(), "donan-a");
 	}
 
 	@AfterEach
