Log what had arrived of a failed attempt, the shared parts of its prompt and whether an engine ended

Change: the adapter decodes the ids of all parts but the last (bounded, malformed entries left out); event 1604 names them and the progress of the attempt; event 1406 says whether connections are refused, and the start time of the incarnation. Nothing else is decided by them yet. Tests: PromptPrefixTests.

--- a/src/main/java/org/jaywood/gateway/Attempt.java
+++ b/src/main/java/org/jaywood/gateway/Attempt.java
@@ -189,6 +189,13 @@
 		return first;
 	}
 
+	/**
+	 * Returns what has arrived of the answer.
+	 */
+	AttemptProgress progress() {
+		return new AttemptProgress(this.response != null, this.framer.events());
+	}
+
 	/**
 	 * Whether the head of a response that can be forwarded has arrived.
 	 */
--- /dev/null
+++ b/src/main/java/org/jaywood/gateway/AttemptProgress.java
@@ -0,0 +1,24 @@
+package org.jaywood.gateway;
+
+/**
+ * What an attempt has received of its answer.
+ *
+ * @param headReceived whether the head of the response has arrived
+ * @param events number of complete events that have arrived
+ */
+record AttemptProgress(boolean headReceived, int events) {
+
+	/** Nothing has arrived. */
+	static final AttemptProgress NONE = new AttemptProgress(false, 0);
+
+	/**
+	 * Returns the progress in a few words, for the log.
+	 */
+	String describe() {
+		if (!this.headReceived) {
+			return "nothing";
+		}
+		return (this.events == 0) ? "head" : this.events + " events";
+	}
+
+}
--- a/src/main/java/org/jaywood/gateway/AttemptRunner.java
+++ b/src/main/java/org/jaywood/gateway/AttemptRunner.java
@@ -247,7 +247,7 @@
 		catch (ConnectionException ex) {
 			AttemptResult result = new AttemptResult.NotRun(Outcome.UNREACHABLE, false,
 					String.valueOf(ex.getMessage()));
-			this.attempts.onEnded(placement, result);
+			this.attempts.onEnded(placement, result, AttemptProgress.NONE);
 			throw new AttemptEndedException(result);
 		}
 		Attempt attempt = new Attempt(placement, connection, this.context.protocol(), this.call,
@@ -297,7 +297,7 @@
 		ClientConnection connection = attempt.connection();
 		this.cancellation.detach(connection);
 		try {
-			this.attempts.onEnded(attempt.placement(), result);
+			this.attempts.onEnded(attempt.placement(), result, attempt.progress());
 		}
 		catch (RuntimeException | Error ex) {
 			logError(ex);
--- a/src/main/java/org/jaywood/gateway/Call.java
+++ b/src/main/java/org/jaywood/gateway/Call.java
@@ -24,10 +24,11 @@
  * @param deadlineMillis boot time by which it must have its final response
  * @param late whether its target had passed before it arrived
  * @param tableVersion version of the configuration that allowed it
+ * @param sharedParts ids of the parts of its prompt that other prompts may share
  */
 record Call(String id, BufferedRequest request, Route route, String service, @Nullable Workspace workspace,
 		boolean keysRequired, long arrivedMillis, long onTimeUntilMillis, long deadlineMillis, boolean late,
-		long tableVersion) {
+		long tableVersion, Set<String> sharedParts) {
 
 	private static final int QUEUE_PRIORITY_STEP = 2;
 
@@ -74,7 +75,7 @@
 	Call withDeadlineAtMost(long maxDeadlineMillis) {
 		return new Call(this.id, this.request, this.route, this.service, this.workspace, this.keysRequired,
 				this.arrivedMillis, this.onTimeUntilMillis, Math.min(this.deadlineMillis, maxDeadlineMillis), this.late,
-				this.tableVersion);
+				this.tableVersion, this.sharedParts);
 	}
 
 	long remainingMillis(long nowMillis) {
--- a/src/main/java/org/jaywood/gateway/CallAdmission.java
+++ b/src/main/java/org/jaywood/gateway/CallAdmission.java
@@ -98,7 +98,8 @@
 		boolean late = spentMillis > route.targetMillis() * LATE_TARGET_SHARE;
 		long deadlineMillis = nowMillis + Math.min(timeoutMillis, route.timeoutMillis());
 		return new Call(head.callId(), request, route, route.serviceFor(head.callId()), workspace, table.keysRequired(),
-				nowMillis, nowMillis + route.targetMillis() - spentMillis, deadlineMillis, late, table.version());
+				nowMillis, nowMillis + route.targetMillis() - spentMillis, deadlineMillis, late, table.version(),
+				head.sharedParts());
 	}
 
 	private static String hostName(String host) {
--- a/src/main/java/org/jaywood/gateway/CallAttempts.java
+++ b/src/main/java/org/jaywood/gateway/CallAttempts.java
@@ -207,8 +207,9 @@
 
 	/**
 	 * Records the result of an attempt and ends its placement.
+	 * @param progress what it has received of its answer
 	 */
-	void onEnded(Placement placement, AttemptResult result) {
+	void onEnded(Placement placement, AttemptResult result, AttemptProgress progress) {
 		String upstream = placement.upstream().id();
 		this.context.dispatcher().recordEnd(placement, outcome(result), BootClock.nowMillis());
 		this.triedUpstreams.add(upstream);
@@ -222,25 +223,25 @@
 				if (!notRun.sent() && this.retriedUpstreams.remove(upstream)) {
 					this.context.budget(this.call.service()).refund();
 				}
-				logFailed(upstream, notRun.reason());
+				logFailed(upstream, notRun.reason(), progress);
 			}
 			case AttemptResult.Failed failed -> {
 				this.failedResponse = failed.response();
-				onMayHaveRun(upstream, "status " + failed.response().head().getCode());
+				onMayHaveRun(upstream, "status " + failed.response().head().getCode(), progress);
 			}
 			case AttemptResult.Indeterminate indeterminate -> {
 				pinStreamVersion(placement);
-				onMayHaveRun(upstream, indeterminate.reason());
+				onMayHaveRun(upstream, indeterminate.reason(), progress);
 			}
-			case AttemptResult.Superseded superseded -> onMayHaveRun(upstream, "another upstream answered");
+			case AttemptResult.Superseded superseded -> onMayHaveRun(upstream, "another upstream answered", progress);
 		}
 	}
 
-	private void onMayHaveRun(String upstream, String reason) {
+	private void onMayHaveRun(String upstream, String reason, AttemptProgress progress) {
 		this.attemptsSent++;
 		this.reachedUpstream = true;
 		this.mayHaveRun = true;
-		logFailed(upstream, reason);
+		logFailed(upstream, reason, progress);
 	}
 
 	private static Outcome outcome(AttemptResult result) {
@@ -307,11 +308,11 @@
 					"configuration", this.call.tableVersion());
 	}
 
-	private void logFailed(String upstream, String reason) {
+	private void logFailed(String upstream, String reason, AttemptProgress progress) {
 		this.context.metrics().counter("call.hand_over_failed").inc();
 		this.context.log()
 			.log(Event.HAND_OVER_FAILED, "request", this.call.id(), "upstream", upstream, "reason", reason, "sends",
-					this.attemptsSent);
+					this.attemptsSent, "received", progress.describe(), "parts", this.call.sharedParts());
 	}
 
 }
--- a/src/main/java/org/jaywood/gateway/CallHead.java
+++ b/src/main/java/org/jaywood/gateway/CallHead.java
@@ -1,6 +1,7 @@
 package org.jaywood.gateway;
 
 import java.util.OptionalLong;
+import java.util.Set;
 
 import org.jspecify.annotations.Nullable;
 
@@ -10,6 +11,7 @@
  * @param callId id that the caller gave this sending of the call
  * @param key key of the caller, or null
  * @param timeoutMillis time for which the caller waits, counted from sending
+ * @param sharedParts ids of the parts of the prompt that other prompts may share
  */
-public record CallHead(String callId, @Nullable String key, OptionalLong timeoutMillis) {
+public record CallHead(String callId, @Nullable String key, OptionalLong timeoutMillis, Set<String> sharedParts) {
 }
--- a/src/main/java/org/jaywood/http/ConnectionException.java
+++ b/src/main/java/org/jaywood/http/ConnectionException.java
@@ -1,6 +1,7 @@
 package org.jaywood.http;
 
 import java.io.IOException;
+import java.net.ConnectException;
 
 /**
  * Failure of a connection to another process.
@@ -9,6 +10,8 @@
 
 	private static final long serialVersionUID = 1L;
 
+	private static final String REFUSED_MESSAGE = "refused";
+
 	private final boolean requestSent;
 
 	/**
@@ -29,4 +32,13 @@
 		return this.requestSent;
 	}
 
+	/**
+	 * Whether no process accepts connections at the address, although its VM runs.
+	 */
+	public boolean refused() {
+		// The JDK has one class for all failures to connect.
+		return getCause() instanceof ConnectException cause
+				&& String.valueOf(cause.getMessage()).contains(REFUSED_MESSAGE);
+	}
+
 }
--- a/src/main/java/org/jaywood/platform/PlatformCalls.java
+++ b/src/main/java/org/jaywood/platform/PlatformCalls.java
@@ -1,5 +1,6 @@
 package org.jaywood.platform;
 
+import java.util.Arrays;
 import java.util.Locale;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -39,6 +40,9 @@
 
 	private static final String LAST_EVENT_ID = "Last-Event-Id";
 
+	/** Parts of the prompt, of which the last one belongs to the request itself. */
+	private static final String PROMPT_PREFIX = "X-Prompt-Prefix";
+
 	private static final String NOT_EXECUTED = "X-Not-Executed";
 
 	private static final String BEARER = "Bearer ";
@@ -52,7 +56,8 @@
 	@Override
 	public CallHead read(ClassicHttpRequest request) {
 		String id = headerValue(request, ATTEMPT_ID);
-		return new CallHead((id != null) ? id : "", bearerKey(request), parseMillis(headerValue(request, DEADLINE)));
+		return new CallHead((id != null) ? id : "", bearerKey(request), parseMillis(headerValue(request, DEADLINE)),
+				sharedParts(request));
 	}
 
 	@Override
@@ -89,6 +94,11 @@
 		response.setHeader(HttpHeaders.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", millis / MILLIS_PER_SECOND));
 	}
 
+	private static Set<String> sharedParts(ClassicHttpRequest request) {
+		Header[] lines = request.getHeaders(PROMPT_PREFIX);
+		return PromptPrefix.sharedParts(Arrays.stream(lines).map(Header::getValue).toList());
+	}
+
 	private static @Nullable String bearerKey(ClassicHttpRequest request) {
 		String authorization = headerValue(request, HttpHeaders.AUTHORIZATION);
 		boolean bearer = authorization != null && authorization.regionMatches(true, 0, BEARER, 0, BEARER.length());
--- a/src/main/java/org/jaywood/platform/PlatformEngineClient.java
+++ b/src/main/java/org/jaywood/platform/PlatformEngineClient.java
@@ -12,6 +12,7 @@
 import org.jspecify.annotations.Nullable;
 
 import org.jaywood.http.BufferedResponse;
+import org.jaywood.http.ConnectionException;
 import org.jaywood.http.ConnectionPool;
 import org.jaywood.replica.ChunkManifest;
 import org.jaywood.replica.EngineControl;
@@ -118,7 +119,8 @@
 					RESPONSE_TIMEOUT_MILLIS);
 		}
 		catch (IOException | RuntimeException ex) {
-			throw new EngineUnavailableException("GET " + path + ": " + ex.getMessage(), ex);
+			boolean ended = ex instanceof ConnectionException failure && failure.refused();
+			throw new EngineUnavailableException("GET " + path + ": " + ex.getMessage(), ex, ended);
 		}
 	}
 
--- a/src/main/java/org/jaywood/replica/EngineMonitor.java
+++ b/src/main/java/org/jaywood/replica/EngineMonitor.java
@@ -138,13 +138,22 @@
 		}
 		catch (EngineUnavailableException ex) {
 			if (!this.engineLost) {
-				this.log.log(Event.ENGINE_LOST, "address", this.address, "error", ex.getMessage());
+				this.log.log(Event.ENGINE_LOST, "address", this.address, "error", ex.getMessage(), "ended", ex.ended(),
+						"born", lastBornMillis());
 			}
 			this.engineLost = true;
 			publish(null);
 		}
 	}
 
+	/**
+	 * Returns the start time of the engine as last reported, or 0 before its first
+	 * report.
+	 */
+	private synchronized long lastBornMillis() {
+		return (this.latestReport != null) ? this.latestReport.bornMillis() : 0;
+	}
+
 	private synchronized void publish(@Nullable EngineReport report) {
 		if (!requiresSameOrders(this.latestReport, report)) {
 			this.serviceState.changes().raise();
