--- a/src/test/java/org/jaywood/platform/FakePlatformEngine.java
+++ b/src/test/java/org/jaywood/platform/FakePlatformEngine.java
@@ -11,9 +11,11 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.IntStream;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.jspecify.annotations.Nullable;
 
 import org.jaywood.event.EventLog;
 import org.jaywood.wire.Address;
@@ -24,6 +26,7 @@
 /**
  * Fake of one of the platform's engines and of the origin of its weights: it answers
  * calls with a stream of two events, stores staged weights and loads them when ordered.
+ * It can be crashed by a part of a prompt, and then starts again.
  */
 final class FakePlatformEngine implements AutoCloseable {
 
@@ -33,11 +36,18 @@
 
 	private static final int LAYERS = 16;
 
+	/** Time for which a crashed engine is down. */
+	private static final long DOWN_MILLIS = 1_000;
+
 	private static final int MAX_BODY_BYTES = 1 << 20;
 
 	private final String id;
 
-	private final HttpPort port;
+	private final Address listen;
+
+	private final EventLog log;
+
+	private volatile HttpPort port;
 
 	private final Map<Integer, byte[]> staged = new ConcurrentHashMap<>();
 
@@ -49,13 +59,30 @@
 
 	private volatile long sequence;
 
+	private volatile long bornMillis = 1;
+
+	private volatile @Nullable String crashingPart;
+
+	private volatile Runnable onRestart = () -> {
+	};
+
+	private final List<Long> crashNanos = new CopyOnWriteArrayList<>();
+
+	private final AtomicBoolean crashed = new AtomicBoolean();
+
 	private volatile long eventIntervalMillis;
 
 	private volatile long suspendedUntilNanos = System.nanoTime();
 
 	FakePlatformEngine(String id, Address listen, EventLog log) {
 		this.id = id;
-		this.port = HttpPort.open(listen, log)
+		this.listen = listen;
+		this.log = log;
+		this.port = open();
+	}
+
+	private HttpPort open() {
+		return HttpPort.open(this.listen, this.log)
 			.route("GET", "/report", (exchange) -> exchange.respondJson(200, report()))
 			.route("PUT", "/stage-put/", this::stage)
 			.route("GET", "/stage-get/", this::staged)
@@ -66,6 +93,47 @@
 			.start();
 	}
 
+	/**
+	 * Has the engine crash when it begins to answer a call whose prompt has a part.
+	 * @param restarted run when the engine has started again
+	 */
+	void crashOn(String part, Runnable restarted) {
+		this.crashingPart = part;
+		this.onRestart = restarted;
+	}
+
+	/**
+	 * Crashes the engine and starts it again after a while.
+	 */
+	void crash() {
+		if (this.crashed.compareAndSet(false, true)) {
+			this.crashNanos.add(System.nanoTime());
+			Thread.ofVirtual().start(this::restart);
+		}
+	}
+
+	private void restart() {
+		try {
+			this.port.close();
+			Thread.sleep(DOWN_MILLIS);
+			this.bornMillis++;
+			this.sequence = 0;
+			this.port = open();
+			this.crashed.set(false);
+			this.onRestart.run();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	/**
+	 * Returns the times at which the engine crashed.
+	 */
+	List<Long> crashNanos() {
+		return this.crashNanos;
+	}
+
 	/**
 	 * Sets the time between the two events of an answer.
 	 */
@@ -105,13 +173,14 @@
 
 	Map<String, Object> entry(String service) {
 		return Map.of("Service", service, "Address", this.port.address().toString(), "Zone", "zone-a", "Version", "1",
-				"Slots", 16, "State", "ready", "ColdLeftMs", 0, "Sequence", 1, "born", 1, "Models", models());
+				"Slots", 16, "State", "ready", "ColdLeftMs", 0, "Sequence", 1, "born", this.bornMillis, "Models",
+				models());
 	}
 
 	private Object report() {
 		return Map.of("Stage", "both", "Models", models(), "layers",
 				List.of(Map.of("From", 0, "To", LAYERS, "Version", this.version)), "Busy", false, "Sequence",
-				this.sequence, "Queued", 0, "Running", 0, "born", 1);
+				this.sequence, "Queued", 0, "Running", 0, "born", this.bornMillis);
 	}
 
 	private List<Object> models() {
@@ -127,9 +196,16 @@
 			return;
 		}
 		this.executedCalls.add(new Call(attempt, String.valueOf(exchange.header("X-Tenant")),
-				String.valueOf(exchange.header("Authorization"))));
+				String.valueOf(exchange.header("Authorization")), System.nanoTime()));
 		exchange.setHeader("X-Response-Seal", "seal-" + attempt);
+		boolean crashing = this.crashingPart != null
+				&& String.valueOf(exchange.header("X-Prompt-Prefix")).contains(this.crashingPart);
 		try (OutputStream out = exchange.stream(200, "text/event-stream")) {
+			if (crashing) {
+				out.flush();
+				crash();
+				Thread.sleep(DOWN_MILLIS);
+			}
 			if (!"1".equals(exchange.header("Last-Event-Id"))) {
 				awaitEndOfSuspension();
 				out.write("id: 1\ndata: one\n\n".getBytes(StandardCharsets.US_ASCII));
@@ -201,8 +277,9 @@
 	 * @param attempt id of the attempt
 	 * @param workspace workspace that the gateway sent
 	 * @param authorization key of the caller, which the gateway must not forward
+	 * @param arrivedNanos time of its arrival
 	 */
-	record Call(String attempt, String workspace, String authorization) {
+	record Call(String attempt, String workspace, String authorization, long arrivedNanos) {
 	}
 
 }
--- a/src/test/java/org/jaywood/platform/PlatformProcesses.java
+++ b/src/test/java/org/jaywood/platform/PlatformProcesses.java
@@ -67,8 +67,14 @@
 			.mapToObj((number) -> new FakePlatformEngine("engine-" + number, engineAddress(number), log))
 			.toList();
 		this.store.put("config", "main", configuration(1, List.of(KEY)));
-		IntStream.range(0, engines)
-			.forEach((number) -> this.store.put("servers", "engine-" + number, engine(number).entry("pool")));
+		IntStream.range(0, engines).forEach(this::publishEngine);
+	}
+
+	/**
+	 * Puts the entry of an engine into the store, as it does after its start.
+	 */
+	void publishEngine(int number) {
+		this.store.put("servers", "engine-" + number, engine(number).entry("pool"));
 	}
 
 	/**
