End a block of parts by a trial of one call of one gateway

Now one call with the parts is sent 60 s after the last end of an engine, and one more after 10 minutes; whichever gateway creates an object for it in the store has the lease, so that there is one trial over all gateways and none while the store is away. An engine that answers ends the block everywhere; the holder deletes the object. The caller of a refused call is told when the next trial is due. Two trials stay below the three calls with a bad part that may reach engines later.

--- a/src/main/java/org/jaywood/cli/GatewayCommand.java
+++ b/src/main/java/org/jaywood/cli/GatewayCommand.java
@@ -6,6 +6,7 @@
 import org.jaywood.event.EventLog;
 import org.jaywood.gateway.Gateway;
 import org.jaywood.platform.PlatformCalls;
+import org.jaywood.platform.PlatformFeeds;
 import org.jaywood.platform.PlatformSettings;
 
 /**
@@ -31,7 +32,8 @@
 	public int run() throws Exception {
 		PlatformSettings settings = this.file.read();
 		EventLog log = this.file.log(settings);
-		Gateway gateway = new Gateway(settings.gateway(), new PlatformCalls(), this.file.feeds(settings, log).gateway(),
+		PlatformFeeds feeds = this.file.feeds(settings, log);
+		Gateway gateway = new Gateway(settings.gateway(), new PlatformCalls(), feeds.gateway(), feeds.trialLeases(),
 				log);
 		this.file.logChangesOnSignal(log);
 		return Daemon.run(gateway::start, gateway::drain);
--- a/src/main/java/org/jaywood/cli/RehearseCommand.java
+++ b/src/main/java/org/jaywood/cli/RehearseCommand.java
@@ -76,7 +76,7 @@
 			PlatformFeeds feeds = new PlatformFeeds(new MetadataStoreClient(settings.store()), settings.regions(), log);
 			PlatformEngineClient engine = new PlatformEngineClient(settings.replica().engine());
 			new Replica(settings.replica(), engine, engine, feeds.replica(), log).start();
-			new Gateway(settings.gateway(), new PlatformCalls(), feeds.gateway(), log).start();
+			new Gateway(settings.gateway(), new PlatformCalls(), feeds.gateway(), feeds.trialLeases(), log).start();
 			awaitFirstAnswer(settings.gateway().callerAddress());
 			call(settings.gateway().callerAddress());
 		}
--- a/src/main/java/org/jaywood/event/Event.java
+++ b/src/main/java/org/jaywood/event/Event.java
@@ -167,6 +167,12 @@
 	/** A part that had been in calls under which engines ended is sound. */
 	PART_SOUND(1611, Level.INFO, "part {part} is sound: an engine goes on with its answer to a call with it"),
 
+	/**
+	 * One gateway may send one call with blocked parts, to see whether an engine
+	 * survives.
+	 */
+	PART_TRIAL(1612, Level.INFO, "trial {number} of the parts {parts}: made by this gateway {granted}"),
+
 	/** Log lines were dropped because too many were written at once. */
 	LOG_LINES_DROPPED(1006, Level.WARNING, "{count} log lines dropped"),
 
--- a/src/main/java/org/jaywood/gateway/CallAttempts.java
+++ b/src/main/java/org/jaywood/gateway/CallAttempts.java
@@ -76,6 +76,9 @@
 
 	private long brokenMillis;
 
+	/** Whether the call is a trial of blocked parts, which is sent once. */
+	private boolean trial;
+
 	private @Nullable BufferedUpstreamResponse failedResponse;
 
 	private String answeringUpstream = "";
@@ -130,7 +133,7 @@
 	 * @return the placement, or null if there is none in time or the caller is gone
 	 */
 	@Nullable Placement awaitPlacement(long nowMillis) {
-		if (blocked()) {
+		if (blocked() && !takeTrial()) {
 			this.noPlacementReason = BLOCKED_PARTS;
 			return null;
 		}
@@ -193,11 +196,16 @@
 		return null;
 	}
 
+	private boolean takeTrial() {
+		this.trial = this.attemptsSent == 0 && this.context.screen().takeTrial(this.call.sharedParts());
+		return this.trial;
+	}
+
 	/**
 	 * Whether the call may not be sent because parts of its prompt crash engines.
 	 */
 	boolean blocked() {
-		return this.context.screen().blocking(this.call.sharedParts()).isPresent();
+		return !this.trial && this.context.screen().blocking(this.call.sharedParts()).isPresent();
 	}
 
 	/**
@@ -205,6 +213,9 @@
 	 * on.
 	 */
 	void onStarted(Attempt attempt) {
+		if (this.trial) {
+			return;
+		}
 		this.context.screen().watch(attempt, this.call.sharedParts(), attempt.connection()::abort);
 	}
 
@@ -227,7 +238,7 @@
 	Optional<Placement> placeHedge(Placement silent, long nowMillis) {
 		this.triedUpstreams.add(silent.upstream().id());
 		pinStreamVersion(silent);
-		if (blocked() || this.attemptsSent + 1 >= this.call.route().maxAttempts()
+		if (blocked() || this.trial || this.attemptsSent + 1 >= this.call.route().maxAttempts()
 				|| this.triedUpstreams.size() > MAX_TRIED_UPSTREAMS) {
 			return Optional.empty();
 		}
@@ -340,7 +351,7 @@
 		if (this.call.remainingMillis(nowMillis) <= 0) {
 			return "timeout";
 		}
-		if (this.attemptsSent >= this.call.route().maxAttempts()) {
+		if (this.attemptsSent >= (this.trial ? 1 : this.call.route().maxAttempts())) {
 			return "attempts";
 		}
 		if (this.triedUpstreams.size() > MAX_TRIED_UPSTREAMS) {
@@ -393,8 +404,7 @@
 	 */
 	long retryAfterMillis(long nowMillis) {
 		return this.context.screen()
-			.blocking(this.call.sharedParts())
-			.map((blocked) -> blocked.retryAfterMillis(nowMillis))
+			.retryAfterMillis(this.call.sharedParts(), nowMillis)
 			.orElseGet(() -> this.context.dispatcher().retryAfterMillis(requirements(), nowMillis));
 	}
 
--- a/src/main/java/org/jaywood/gateway/Gateway.java
+++ b/src/main/java/org/jaywood/gateway/Gateway.java
@@ -78,6 +78,8 @@
 
 	private final SnapshotService snapshotService;
 
+	private final PartTrialRunner partTrials;
+
 	private final ScheduledExecutorService timer = Executors
 		.newSingleThreadScheduledExecutor(Thread.ofPlatform().daemon().name("tick").factory());
 
@@ -91,12 +93,14 @@
 
 	private int ticks;
 
-	public Gateway(GatewaySettings settings, CallProtocol protocol, GatewayFeeds feeds, EventLog log) {
+	public Gateway(GatewaySettings settings, CallProtocol protocol, GatewayFeeds feeds, TrialLeases trialLeases,
+			EventLog log) {
 		this.settings = settings;
 		this.context = GatewayContext.create(settings, protocol, log);
 		this.connections = new CallerConnections(
 				new CallAdmission(protocol, settings.keyLifetimeMillis(), settings.routeLifetimeMillis()));
 		this.subscriptions = new LoadSubscriptions(this.context);
+		this.partTrials = new PartTrialRunner(this.context.screen(), trialLeases, log);
 		StoreCache storeCache = this.context.storeCache();
 		this.watchers = List.of(new FeedWatcher<>(feeds.configuration(), CONFIGURATION_POLL_MILLIS, (view) -> {
 			storeCache.onConfiguration(view);
@@ -206,6 +210,7 @@
 			this.connections.closeOverdue(nowMillis);
 			this.context.resizeBudgets(nowMillis);
 			this.context.screen().onTick(nowMillis);
+			this.partTrials.onTick();
 		}
 	}
 
--- /dev/null
+++ b/src/main/java/org/jaywood/gateway/PartTrialRunner.java
@@ -0,0 +1,74 @@
+package org.jaywood.gateway;
+
+import java.io.IOException;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import org.jaywood.event.Event;
+import org.jaywood.event.EventLog;
+import org.jaywood.feed.BootClock;
+import org.jaywood.routing.PartScreen;
+import org.jaywood.routing.Trial;
+
+/**
+ * Acquires and releases the leases of trials of blocked parts. Without the store there
+ * are no trials.
+ */
+final class PartTrialRunner {
+
+	private final PartScreen screen;
+
+	private final TrialLeases leases;
+
+	private final EventLog log;
+
+	private final AtomicBoolean busy = new AtomicBoolean();
+
+	PartTrialRunner(PartScreen screen, TrialLeases leases, EventLog log) {
+		this.screen = screen;
+		this.leases = leases;
+		this.log = log;
+	}
+
+	/**
+	 * Requests what is due on a task of its own, since the store may be slow.
+	 */
+	void onTick() {
+		if (this.screen.hasTrialWork(BootClock.nowMillis()) && this.busy.compareAndSet(false, true)) {
+			Thread.ofVirtual().start(this::run);
+		}
+	}
+
+	private void run() {
+		try {
+			this.screen.takeReleasedTrials().forEach(this::release);
+			this.screen.takeDueTrials(BootClock.nowMillis()).forEach(this::acquire);
+		}
+		catch (RuntimeException | Error ex) {
+			this.log.log(Event.TASK_FAILED, "task", "part-trials", "error", ex);
+		}
+		finally {
+			this.busy.set(false);
+		}
+	}
+
+	private void acquire(Trial trial) {
+		try {
+			boolean granted = this.leases.tryAcquire(trial.leaseName());
+			this.screen.onTrialDecided(trial, granted);
+			this.log.log(Event.PART_TRIAL, "parts", trial.parts(), "number", trial.number(), "granted", granted);
+		}
+		catch (IOException ex) {
+			this.log.log(Event.TASK_FAILED, "task", "part-trials", "error", ex);
+		}
+	}
+
+	private void release(Trial trial) {
+		try {
+			this.leases.release(trial.leaseName());
+		}
+		catch (IOException ex) {
+			this.log.log(Event.TASK_FAILED, "task", "part-trials", "error", ex);
+		}
+	}
+
+}
--- a/src/main/java/org/jaywood/platform/MetadataStoreClient.java
+++ b/src/main/java/org/jaywood/platform/MetadataStoreClient.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
@@ -12,10 +13,10 @@
 import org.jaywood.http.BufferedResponse;
 import org.jaywood.http.ConnectionPool;
 import org.jaywood.wire.Address;
+import org.jaywood.wire.Json;
 
 /**
- * Client of the platform's store. It only reads, and leaves it to the caller to repeat a
- * failed read.
+ * Client of the platform's store. It leaves it to the caller to repeat what failed.
  */
 public final class MetadataStoreClient {
 
@@ -47,6 +48,35 @@
 		return fetchPage("/objects/" + kind + "?Watch=" + revision + "&WaitMs=" + waitMillis, waitMillis);
 	}
 
+	/**
+	 * Creates an object without content.
+	 * @return whether it was created; false if it exists
+	 * @throws IOException if the store does not say; it may have created the object
+	 */
+	boolean create(String kind, String name) throws IOException {
+		BasicClassicHttpRequest request = new BasicClassicHttpRequest("POST", "/objects/" + kind);
+		request.setHeader("Content-Type", "application/json");
+		byte[] object = Json.bytes(Map.of("Metadata", Map.of("Name", name), "Spec", Map.of()));
+		BufferedResponse response = this.pool.exchange(this.address, request, object, RESPONSE_TIMEOUT_MILLIS);
+		boolean created = response.ok() || response.status() == HttpStatus.SC_CREATED;
+		if (!created && response.status() != HttpStatus.SC_CONFLICT) {
+			throw new IOException("POST " + kind + "/" + name + ": status " + response.status());
+		}
+		return created;
+	}
+
+	/**
+	 * Deletes an object, if it exists.
+	 */
+	void delete(String kind, String name) throws IOException {
+		BufferedResponse response = this.pool.exchange(this.address,
+				new BasicClassicHttpRequest("DELETE", "/objects/" + kind + "/" + name), new byte[0],
+				RESPONSE_TIMEOUT_MILLIS);
+		if (response.status() >= HttpStatus.SC_REDIRECTION && response.status() != HttpStatus.SC_NOT_FOUND) {
+			throw new IOException("DELETE " + kind + "/" + name + ": status " + response.status());
+		}
+	}
+
 	private StorePage fetchPage(String path, long waitMillis) throws FeedException {
 		try {
 			return exchange(path, waitMillis);
--- a/src/main/java/org/jaywood/platform/PlatformFeeds.java
+++ b/src/main/java/org/jaywood/platform/PlatformFeeds.java
@@ -4,10 +4,12 @@
 
 import org.jaywood.event.EventLog;
 import org.jaywood.gateway.GatewayFeeds;
+import org.jaywood.gateway.TrialLeases;
 import org.jaywood.replica.ReplicaFeeds;
 
 /**
- * Creates the feeds of the kinds of objects that jaywood watches in the platform's store.
+ * Creates the feeds of the kinds of objects that jaywood watches in the platform's store,
+ * and the leases that it writes there.
  */
 public final class PlatformFeeds {
 
@@ -34,6 +36,10 @@
 				new ObjectFeed<>(this.store, "versions", this.decoders::targetVersion, this.log));
 	}
 
+	public TrialLeases trialLeases() {
+		return new StoreTrialLeases(this.store);
+	}
+
 	public ReplicaFeeds replica() {
 		return new ReplicaFeeds(new ObjectFeed<>(this.store, "config", this.decoders::configuration, this.log),
 				new ObjectFeed<>(this.store, "servers", this.decoders::upstream, this.log),
--- a/src/main/java/org/jaywood/routing/BlockedParts.java
+++ b/src/main/java/org/jaywood/routing/BlockedParts.java
@@ -20,11 +20,15 @@
 	/**
 	 * Returns the time in milliseconds until the block may end. A young one may end at
 	 * once, when another gateway says that the parts are sound.
+	 * @param trialMillis boot time of the next trial, {@link Long#MAX_VALUE} if there is
+	 * none
 	 */
-	public long retryAfterMillis(long nowMillis) {
-		long ageMillis = nowMillis - this.lastEndMillis;
-		return (ageMillis < YOUNG_MILLIS) ? YOUNG_RETRY_MILLIS
-				: Math.max(YOUNG_RETRY_MILLIS, CrashEvidence.LIFETIME_MILLIS - ageMillis);
+	long retryAfterMillis(long trialMillis, long nowMillis) {
+		if (nowMillis - this.lastEndMillis < YOUNG_MILLIS) {
+			return YOUNG_RETRY_MILLIS;
+		}
+		long endMillis = Math.min(trialMillis, this.lastEndMillis + CrashEvidence.LIFETIME_MILLIS);
+		return Math.max(YOUNG_RETRY_MILLIS, endMillis - nowMillis);
 	}
 
 	/**
--- a/src/main/java/org/jaywood/routing/PartScreen.java
+++ b/src/main/java/org/jaywood/routing/PartScreen.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -47,6 +48,10 @@
 
 	private Set<BlockedParts> knownBlocked = Set.of();
 
+	private final PartTrials trials = new PartTrials();
+
+	private final List<Trial> releasedTrials = new ArrayList<>();
+
 	/**
 	 * Creates a screen.
 	 * @param evidence table that is shared with agents and other gateways
@@ -168,12 +173,63 @@
 		this.watches.remove(key);
 	}
 
+	/**
+	 * Whether leases of trials have to be requested or released.
+	 */
+	public synchronized boolean hasTrialWork(long nowMillis) {
+		return !this.releasedTrials.isEmpty()
+				|| this.evidence.blocked().stream().anyMatch((each) -> nowMillis >= this.trials.dueMillis(each));
+	}
+
+	/**
+	 * Returns the trials whose leases have to be requested now.
+	 */
+	public synchronized List<Trial> takeDueTrials(long nowMillis) {
+		return this.trials.due(this.evidence.blocked(), nowMillis);
+	}
+
+	/**
+	 * Records whether this gateway has the lease of a trial, or another one has.
+	 */
+	public synchronized void onTrialDecided(Trial trial, boolean granted) {
+		this.trials.onLeaseDecided(trial, granted);
+	}
+
+	/**
+	 * Takes a trial for a call with blocked parts.
+	 * @return whether the call is the trial, so that it may be sent once
+	 */
+	public synchronized boolean takeTrial(Set<String> parts) {
+		return this.trials.take(parts);
+	}
+
+	/**
+	 * Returns trials whose parts are no longer blocked, so that their leases have to be
+	 * released.
+	 */
+	public synchronized List<Trial> takeReleasedTrials() {
+		List<Trial> released = List.copyOf(this.releasedTrials);
+		this.releasedTrials.clear();
+		return released;
+	}
+
+	/**
+	 * Returns the time in milliseconds after which a call with blocked parts may be sent,
+	 * or empty if its parts are not blocked.
+	 */
+	public synchronized OptionalLong retryAfterMillis(Set<String> parts, long nowMillis) {
+		return blocking(parts).stream()
+			.mapToLong((blocked) -> blocked.retryAfterMillis(this.trials.dueMillis(blocked), nowMillis))
+			.findFirst();
+	}
+
 	/**
 	 * Does the periodic work.
 	 */
 	public synchronized void onTick(long nowMillis) {
 		this.brokenAttempts.removeIf((attempt) -> nowMillis - attempt.brokenMillis() > END_REPORT_TIMEOUT_MILLIS);
 		this.evidence.expire(nowMillis);
+		this.releasedTrials.addAll(this.trials.releaseUnblocked(this.evidence.blocked()));
 	}
 
 	/**
--- a/src/test/java/org/jaywood/gateway/GatewayFixture.java
+++ b/src/test/java/org/jaywood/gateway/GatewayFixture.java
@@ -46,6 +46,19 @@
 	static final String STREAM = "POST /stream/x HTTP/1.1\r\nHost: host\r\nX-Attempt-Id: call-1\r\n"
 			+ "X-Deadline-Ms: 6000\r\nAuthorization: Bearer key-1\r\nContent-Length: 2\r\n\r\nhi";
 
+	private static final TrialLeases NO_TRIALS = new TrialLeases() {
+
+		@Override
+		public boolean tryAcquire(String name) {
+			return false;
+		}
+
+		@Override
+		public void release(String name) {
+		}
+
+	};
+
 	private final List<AutoCloseable> open = new ArrayList<>();
 
 	Gateway start(FakeUpstream... upstreams) {
@@ -66,7 +79,7 @@
 		Gateway gateway = new Gateway(settings, protocol,
 				new GatewayFeeds(new FixedFeed<>("config", List.of(table())), new FixedFeed<>("servers", entries),
 						new FixedFeed<>("closed", List.of()), new FixedFeed<ModelVersion>("weights", List.of())),
-				new EventLog("gateway"));
+				NO_TRIALS, new EventLog("gateway"));
 		gateway.start();
 		Awaitility.await().until(gateway::ready);
 		return gateway;
--- a/src/test/java/org/jaywood/platform/FakeMetadataStore.java
+++ b/src/test/java/org/jaywood/platform/FakeMetadataStore.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.TreeMap;
 
+import com.fasterxml.jackson.databind.JsonNode;
+
 import org.jaywood.event.EventLog;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Exchange;
@@ -20,6 +22,8 @@
 
 	private static final String PATH_PREFIX = "/objects/";
 
+	private static final int MAX_OBJECT_BYTES = 1 << 16;
+
 	private static final long SILENT_DELAY_MILLIS = 30_000;
 
 	private final Map<String, Map<String, Entry>> entriesByKind = new TreeMap<>();
@@ -35,7 +39,11 @@
 	private Fault fault = Fault.NONE;
 
 	FakeMetadataStore(Address listen, EventLog log) {
-		this.port = HttpPort.open(listen, log).route("GET", PATH_PREFIX, this::handle).start();
+		this.port = HttpPort.open(listen, log)
+			.route("GET", PATH_PREFIX, this::handle)
+			.route("POST", PATH_PREFIX, this::create)
+			.route("DELETE", PATH_PREFIX, this::delete)
+			.start();
 	}
 
 	synchronized void put(String kind, String name, Object spec) {
@@ -68,6 +76,35 @@
 		notifyAll();
 	}
 
+	Address address() {
+		return this.port.address();
+	}
+
+	private synchronized void create(Exchange exchange) throws IOException {
+		String kind = exchange.path().substring(PATH_PREFIX.length());
+		JsonNode object = exchange.readJson(JsonNode.class, MAX_OBJECT_BYTES);
+		String name = object.path("Metadata").path("Name").asText();
+		if (this.fault != Fault.NONE) {
+			exchange.respondJson(this.fault.status, Map.of());
+		}
+		else if (this.entriesByKind.getOrDefault(kind, Map.of()).containsKey(name)) {
+			exchange.respondJson(409, Map.of());
+		}
+		else {
+			put(kind, name, object.path("Spec"));
+			exchange.respondJson(201, Map.of());
+		}
+	}
+
+	private synchronized void delete(Exchange exchange) throws IOException {
+		String[] kindAndName = exchange.path().substring(PATH_PREFIX.length()).split("/");
+		boolean exists = this.entriesByKind.getOrDefault(kindAndName[0], Map.of()).containsKey(kindAndName[1]);
+		if (exists) {
+			delete(kindAndName[0], kindAndName[1]);
+		}
+		exchange.respondJson(exists ? 200 : 404, Map.of());
+	}
+
 	private void handle(Exchange exchange) throws IOException, InterruptedException {
 		String kind = exchange.path().substring(PATH_PREFIX.length());
 		Response response = exchange.query().containsKey("Watch")
