Reject messages that break off within their head, a chunk header or the trailers

Cause: the parsers of HttpCore take the end of the connection for the end of the line and of the head; the JDK's server does so too. Change: MessageInputBuffer, used by both readers of HttpCore (responses to gateways and agents, requests of callers), fails when the connection ends within such lines. Ports on the JDK's server answer 411 to a POST or PUT without a stated length; Jetty parses strictly, and the JDK's client fails by itself.

--- a/src/main/java/org/jaywood/http/ClientConnection.java
+++ b/src/main/java/org/jaywood/http/ClientConnection.java
@@ -20,7 +20,6 @@
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultHttpRequestWriter;
 import org.apache.hc.core5.http.impl.io.DefaultHttpResponseParser;
-import org.apache.hc.core5.http.impl.io.SessionInputBufferImpl;
 import org.apache.hc.core5.http.impl.io.SessionOutputBufferImpl;
 import org.jspecify.annotations.Nullable;
 
@@ -76,7 +75,7 @@
 
 	private final OutputStream out;
 
-	private final SessionInputBufferImpl inputBuffer = new SessionInputBufferImpl(BUFFER_BYTES, MAX_LINE_BYTES);
+	private final MessageInputBuffer inputBuffer = new MessageInputBuffer(BUFFER_BYTES, MAX_LINE_BYTES);
 
 	private final SessionOutputBufferImpl outputBuffer = new SessionOutputBufferImpl(BUFFER_BYTES);
 
--- a/src/main/java/org/jaywood/http/RequestReader.java
+++ b/src/main/java/org/jaywood/http/RequestReader.java
@@ -17,7 +17,6 @@
 import org.apache.hc.core5.http.TruncatedChunkException;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.io.DefaultHttpRequestParser;
-import org.apache.hc.core5.http.impl.io.SessionInputBufferImpl;
 import org.jspecify.annotations.Nullable;
 
 import org.jaywood.wire.BadInputException;
@@ -40,7 +39,7 @@
 
 	private Http1Config config;
 
-	private SessionInputBufferImpl buffer;
+	private MessageInputBuffer buffer;
 
 	/**
 	 * Creates a reader.
@@ -52,7 +51,7 @@
 		this.socket = socket;
 		this.in = new DeadlineInputStream(socket);
 		this.config = config(maxHeaderBytes);
-		this.buffer = new SessionInputBufferImpl(BUFFER_BYTES, maxHeaderBytes);
+		this.buffer = new MessageInputBuffer(BUFFER_BYTES, maxHeaderBytes);
 	}
 
 	private static Http1Config config(int maxHeaderBytes) {
@@ -76,7 +75,7 @@
 			this.buffer.read(unread, this.in);
 		}
 		this.config = config(maxHeaderBytes);
-		this.buffer = new SessionInputBufferImpl(BUFFER_BYTES, maxHeaderBytes);
+		this.buffer = new MessageInputBuffer(BUFFER_BYTES, maxHeaderBytes);
 		if (unread.length > 0) {
 			this.buffer.fillBuffer(new ByteArrayInputStream(unread));
 		}
--- a/src/main/java/org/jaywood/wire/HttpPort.java
+++ b/src/main/java/org/jaywood/wire/HttpPort.java
@@ -37,6 +37,8 @@
 		setPropertyIfAbsent("jdk.httpserver.maxConnections", "12000");
 	}
 
+	private static final int LENGTH_REQUIRED = 411;
+
 	private final HttpServer server;
 
 	private final ExecutorService defaultExecutor = Executors.newVirtualThreadPerTaskExecutor();
@@ -51,10 +53,14 @@
 
 	private final Consumer<Exchange> interceptor;
 
-	private final Runnable abortConnection;
+	/**
+	 * Closes the connection of the current request, or null if the server does so itself
+	 * when a handler throws an exception, as that of the JDK does.
+	 */
+	private final @Nullable Runnable abortConnection;
 
 	private HttpPort(HttpServer server, EventLog log, @Nullable Credential credential, Consumer<Exchange> interceptor,
-			Runnable abort) {
+			@Nullable Runnable abort) {
 		this.server = server;
 		this.log = log;
 		this.credential = credential;
@@ -74,8 +80,7 @@
 	public static HttpPort open(Address address, EventLog log, @Nullable Credential credential,
 			Consumer<Exchange> interceptor) {
 		try {
-			return new HttpPort(HttpServer.create(address.socketAddress(), 1024), log, credential, interceptor, () -> {
-			});
+			return new HttpPort(HttpServer.create(address.socketAddress(), 1024), log, credential, interceptor, null);
 		}
 		catch (IOException ex) {
 			throw new WireException("cannot listen on " + address + ": " + ex.getMessage(), ex);
@@ -92,8 +97,8 @@
 	 * handler throws an exception.
 	 */
 	public static HttpPort forServer(HttpServer server, EventLog log) {
-		return forServer(server, log, () -> {
-		});
+		return new HttpPort(server, log, null, (exchange) -> {
+		}, null);
 	}
 
 	/**
@@ -139,7 +144,9 @@
 			serve(http);
 		}
 		catch (IOException ex) {
-			this.abortConnection.run();
+			if (this.abortConnection != null) {
+				this.abortConnection.run();
+			}
 			throw ex;
 		}
 	}
@@ -151,6 +158,9 @@
 				exchange.respondError(401, "missing or wrong credential");
 				return;
 			}
+			if (this.abortConnection == null) {
+				requireLength(exchange);
+			}
 			this.interceptor.accept(exchange);
 			findHandler(exchange).handle(exchange);
 		}
@@ -170,6 +180,19 @@
 		}
 	}
 
+	/**
+	 * Rejects a request that should have a body and does not state its length. The JDK's
+	 * server takes the end of the connection for the end of the head, so that the request
+	 * may have broken off before that header.
+	 */
+	private static void requireLength(Exchange exchange) {
+		boolean mayHaveBody = exchange.method().equals("POST") || exchange.method().equals("PUT");
+		boolean hasLength = exchange.header("Content-Length") != null || exchange.header("Transfer-Encoding") != null;
+		if (mayHaveBody && !hasLength) {
+			throw new BadInputException(LENGTH_REQUIRED, "the length of the body is not stated");
+		}
+	}
+
 	private static void respondFailure(Exchange exchange, int status, RuntimeException failure) throws IOException {
 		if (exchange.responseStarted()) {
 			throw new IOException("response already started", failure);
--- a/src/test/java/org/jaywood/http/RequestReaderTests.java
+++ b/src/test/java/org/jaywood/http/RequestReaderTests.java
@@ -11,6 +11,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.jaywood.Failures;
 import org.jaywood.wire.BadInputException;
@@ -96,6 +98,28 @@
 
 	}
 
+	/**
+	 * Guards against a request that breaks off within its head or its last chunk and is
+	 * taken as whole.
+	 */
+	@Nested
+	class TruncatedRequest {
+
+		@ParameterizedTest
+		@ValueSource(strings = { "GET /a HTTP/1.1\r\nHost: a\r\n", "GET /a HTTP/1.1\r\nHost: a",
+				"GET /a HTTP/1.1\r\nHost: a\r\n\r", "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 1",
+				"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0",
+				"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n" })
+		void requestThatBreaksOffIsNotRead(String text) throws Exception {
+			RequestReader reader = new RequestReader(RequestReaderTests.this.accepted, LIMITS.maxHeaderBytes());
+			RequestReaderTests.this.caller.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+			RequestReaderTests.this.caller.shutdownOutput();
+			reader.awaitRequest(IDLE_TIMEOUT_MILLIS);
+			assertThat(Failures.thrownBy(IOException.class, () -> reader.read(LIMITS))).isNotNull();
+		}
+
+	}
+
 	/**
 	 * Guards against the rejection of a slow but complete body.
 	 */
