Treat a stream that ends within an event, or without one and without framing, as broken off

What callers saw: a chunked stream, or one with a length, that ended inside an event was forwarded as complete, part of the event included; one that ended with its connection before any event became an empty, complete answer. Cause: only streams without framing were checked for a partial event, since a last chunk was taken for the word of the engine. Change: a partial event at the end of an event stream is a break whatever the framing; so is a connection that ends before the first event. Bodies that end with their connection are forwarded whole, as before.

--- a/src/main/java/org/jaywood/gateway/Attempt.java
+++ b/src/main/java/org/jaywood/gateway/Attempt.java
@@ -277,9 +277,14 @@
 	 */
 	private byte[] bytesAtEnd() throws IOException {
 		byte[] remaining = this.framer.remainingBytes();
-		if (remaining.length > 0 && (this.progressToResume != null || response().length() == Framing.UNTIL_CLOSE)) {
+		boolean unframed = response().length() == Framing.UNTIL_CLOSE;
+		if (remaining.length > 0
+				&& (unframed || this.progressToResume != null || StreamProgress.hasEvents(response()))) {
 			throw new IOException("the stream ended after " + remaining.length + " bytes of an incomplete event");
 		}
+		if (unframed && this.framer.events() == 0) {
+			throw new IOException("the connection ended before the first event of the stream");
+		}
 		if (this.progressToResume != null && this.framer.events() == 0) {
 			throw new IOException(
 					"the resumed stream ended without an event after event id " + this.progressToResume.lastEventId());
--- a/src/main/java/org/jaywood/gateway/StreamProgress.java
+++ b/src/main/java/org/jaywood/gateway/StreamProgress.java
@@ -7,12 +7,16 @@
 import org.apache.hc.core5.http.HttpHeaders;
 import org.jspecify.annotations.Nullable;
 
+import org.jaywood.http.StreamedResponse;
+
 /**
  * How much of a stream the caller has received, over all upstreams that ran a part of it.
  * Confined to the task of the call.
  */
 final class StreamProgress {
 
+	private static final String EVENT_STREAM = "text/event-stream";
+
 	private @Nullable String mediaType;
 
 	private @Nullable String lastEventId;
@@ -46,6 +50,13 @@
 		return mediaType(head).equals(this.mediaType);
 	}
 
+	/**
+	 * Whether a response says that its body consists of events.
+	 */
+	static boolean hasEvents(StreamedResponse response) {
+		return mediaType(response.head()).equals(EVENT_STREAM);
+	}
+
 	private static String mediaType(ClassicHttpResponse head) {
 		Header type = head.getFirstHeader(HttpHeaders.CONTENT_TYPE);
 		String value = (type != null) ? String.valueOf(type.getValue()) : "";
