Send no calls to an engine that says that it leaves or wants a pause

Rules: no request reaches an engine later than the drain time after this gateway has passed on its notice of leaving, in touch or not; at most two reach one that turned a call away with 503 and Retry-After, from half a second after until the end of that time. Cause: neither header was read; a notice in the list comes later, and a refusal led to a backoff of 60 ms. Change: the adapter decodes both (malformed, negative and dated values are ignored with a line in 10 s at most; of several the longest counts; ten minutes at most). A notice belongs to one incarnation, outlives its entry in the list and ends with the incarnation; a response with 421 may be of another engine at the address and says nothing. A paused engine is no candidate; the last answer of the engine wins, since it knows its state best. After a pause it takes 2 s to its full load. Queued calls that no engine may run any more are refused at once, with the time until the first pause ends. Neither header of an engine reaches callers. Agents and other gateways are not told: each engine says it in every answer, and the list follows. The engine of the soak sends both.

--- a/src/main/java/org/jaywood/event/Event.java
+++ b/src/main/java/org/jaywood/event/Event.java
@@ -173,6 +173,16 @@
 	 */
 	PART_TRIAL(1612, Level.INFO, "trial {number} of the parts {parts}: made by this gateway {granted}"),
 
+	/** An upstream has said in a response that it leaves; it gets no more calls. */
+	UPSTREAM_LEAVING(1613, Level.INFO, "{upstream} leaves, as it says in its response to {request}"),
+
+	/** An upstream has said in a response that it wants no calls for a while. */
+	UPSTREAM_PAUSED(1614, Level.INFO,
+			"{upstream} gets no calls for {millis} ms, as it says in its response to {request}"),
+
+	/** An upstream sent a header about itself with a value that is not understood. */
+	UPSTREAM_HEADER_IGNORED(1615, Level.WARNING, "{upstream} sent a header that is not understood: {header}"),
+
 	/** Log lines were dropped because too many were written at once. */
 	LOG_LINES_DROPPED(1006, Level.WARNING, "{count} log lines dropped"),
 
--- a/src/main/java/org/jaywood/gateway/Attempt.java
+++ b/src/main/java/org/jaywood/gateway/Attempt.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.SocketTimeoutException;
+import java.util.function.Consumer;
 
 import org.apache.hc.core5.http.HttpStatus;
 import org.jspecify.annotations.Nullable;
@@ -47,6 +48,8 @@
 
 	private final @Nullable StreamProgress progressToResume;
 
+	private final Consumer<ResponseHead> headObserver;
+
 	private final EventStreamFramer framer;
 
 	private byte @Nullable [] readBuffer;
@@ -73,14 +76,16 @@
 	 * Creates an attempt; its request is sent afterwards on its connection.
 	 * @param progressToResume what the caller has received of the stream that this
 	 * attempt continues, or null if it begins the response
+	 * @param headObserver is told the head of the response to this call
 	 */
 	Attempt(Placement placement, ClientConnection connection, CallProtocol protocol, Call call,
-			@Nullable StreamProgress progressToResume) {
+			@Nullable StreamProgress progressToResume, Consumer<ResponseHead> headObserver) {
 		this.placement = placement;
 		this.connection = connection;
 		this.protocol = protocol;
 		this.call = call;
 		this.progressToResume = progressToResume;
+		this.headObserver = headObserver;
 		this.framer = new EventStreamFramer(call.route().policy().retryable(),
 				(progressToResume != null) ? progressToResume.lastEventId() : null);
 	}
@@ -255,6 +260,7 @@
 			return false;
 		}
 		ResponseHead head = this.protocol.read(received.head());
+		this.headObserver.accept(head);
 		if (head.misdirected() || head.notRun()) {
 			Outcome outcome = head.misdirected() ? Outcome.MISDIRECTED : Outcome.REFUSED;
 			bufferBody(received);
--- a/src/main/java/org/jaywood/gateway/AttemptRunner.java
+++ b/src/main/java/org/jaywood/gateway/AttemptRunner.java
@@ -254,7 +254,8 @@
 			throw new AttemptEndedException(result);
 		}
 		Attempt attempt = new Attempt(placement, connection, this.context.protocol(), this.call,
-				this.response.committed() ? this.progress : null);
+				this.response.committed() ? this.progress : null,
+				(head) -> this.context.notices().onResponse(this.call, placement, head, BootClock.nowMillis()));
 		this.cancellation.attach(connection);
 		this.attempts.onStarted(attempt);
 		ClassicHttpRequest request = request(attempt);
--- a/src/main/java/org/jaywood/gateway/CallProtocol.java
+++ b/src/main/java/org/jaywood/gateway/CallProtocol.java
@@ -21,6 +21,11 @@
 	 */
 	boolean forwards(String name, boolean keysRequired);
 
+	/**
+	 * Whether a header of an upstream's response is forwarded to the caller.
+	 */
+	boolean returns(String name);
+
 	/**
 	 * Adds the gateway's own headers to the request of an attempt.
 	 */
--- a/src/main/java/org/jaywood/gateway/CallerConnection.java
+++ b/src/main/java/org/jaywood/gateway/CallerConnection.java
@@ -227,7 +227,8 @@
 		this.unanswered = true;
 		this.idleSinceMillis = CALL_IN_PROGRESS;
 		Cancellation cancellation = new Cancellation();
-		CallerResponse response = new CallerResponse(writer, () -> this.connections.draining() || wantsClose(request));
+		CallerResponse response = new CallerResponse(writer, this.context.protocol()::returns,
+				() -> this.connections.draining() || wantsClose(request));
 		Thread call = Thread.ofVirtual().start(() -> handle(request, response, cancellation));
 		if (readiness == RequestReader.Readiness.TIMED_OUT) {
 			readiness = awaitRequest(reader);
@@ -344,7 +345,7 @@
 	}
 
 	private void respondAndClose(ResponseWriter writer, CallFailure failure) throws IOException {
-		CallerResponse response = new CallerResponse(writer, () -> true);
+		CallerResponse response = new CallerResponse(writer, this.context.protocol()::returns, () -> true);
 		this.context.errorResponder().respond(response, "", BootClock.nowMillis(), failure);
 		this.socket.shutdownOutput();
 		this.socket.setSoTimeout((int) LINGER_MILLIS);
--- a/src/main/java/org/jaywood/gateway/CallerResponse.java
+++ b/src/main/java/org/jaywood/gateway/CallerResponse.java
@@ -4,6 +4,7 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.Header;
@@ -24,6 +25,8 @@
 
 	private final ResponseWriter writer;
 
+	private final Predicate<String> returnedHeaders;
+
 	private final BooleanSupplier closeRequested;
 
 	private boolean closing;
@@ -34,11 +37,13 @@
 
 	/**
 	 * Creates a response.
+	 * @param returnedHeaders whether a header of an upstream, by name, is forwarded
 	 * @param closeRequested whether the connection is to be closed after it; evaluated
 	 * when its head is written
 	 */
-	CallerResponse(ResponseWriter writer, BooleanSupplier closeRequested) {
+	CallerResponse(ResponseWriter writer, Predicate<String> returnedHeaders, BooleanSupplier closeRequested) {
 		this.writer = writer;
+		this.returnedHeaders = returnedHeaders;
 		this.closeRequested = closeRequested;
 	}
 
@@ -140,10 +145,10 @@
 		}
 	}
 
-	private static ClassicHttpResponse copy(ClassicHttpResponse upstreamHead) {
+	private ClassicHttpResponse copy(ClassicHttpResponse upstreamHead) {
 		ClassicHttpResponse head = new BasicClassicHttpResponse(upstreamHead.getCode(), upstreamHead.getReasonPhrase());
 		for (Header header : upstreamHead.getHeaders()) {
-			if (!isHopByHop(header.getName())) {
+			if (!isHopByHop(header.getName()) && this.returnedHeaders.test(header.getName())) {
 				head.addHeader(header);
 			}
 		}
--- a/src/main/java/org/jaywood/gateway/GatewayContext.java
+++ b/src/main/java/org/jaywood/gateway/GatewayContext.java
@@ -22,11 +22,12 @@
  * @param log log of the process
  * @param budgets retry budgets of the services
  * @param screen keeps calls from being sent that crash engines
+ * @param notices acts on what upstreams say about themselves
  * @param evidenceExchange exchanges with agents what the screen knows
  */
 record GatewayContext(GatewaySettings settings, CallProtocol protocol, Dispatcher dispatcher, StoreCache storeCache,
 		ConnectionPool pool, GatewayMetrics metrics, ErrorResponder errorResponder, EventLog log, RetryBudgets budgets,
-		PartScreen screen, EvidenceExchange evidenceExchange) {
+		PartScreen screen, NoticeHandler notices, EvidenceExchange evidenceExchange) {
 
 	static GatewayContext create(GatewaySettings settings, CallProtocol protocol, EventLog log) {
 		Dispatcher dispatcher = new Dispatcher(settings.dispatch());
@@ -35,7 +36,8 @@
 		return new GatewayContext(settings, protocol, dispatcher, new StoreCache(dispatcher, log), new ConnectionPool(),
 				metrics, new ErrorResponder(protocol, metrics, log), log,
 				new RetryBudgets(settings.retryRatio(), settings.retryWindowExtra(), settings.retryWindowMillis()),
-				new PartScreen(evidence, new ScreenLog(log, metrics)), new EvidenceExchange(evidence));
+				new PartScreen(evidence, new ScreenLog(log, metrics)), new NoticeHandler(dispatcher, metrics, log),
+				new EvidenceExchange(evidence));
 	}
 
 	/**
--- a/src/main/java/org/jaywood/gateway/ResponseHead.java
+++ b/src/main/java/org/jaywood/gateway/ResponseHead.java
@@ -1,5 +1,7 @@
 package org.jaywood.gateway;
 
+import java.util.OptionalLong;
+
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -8,6 +10,10 @@
  * @param callId id of the call that the response belongs to, or null if it has none
  * @param notRun whether the upstream states that it has not run the call and never will
  * @param misdirected whether another incarnation responds, or one with other weights
+ * @param leaving whether the upstream states that it leaves
+ * @param pauseMillis time for which the upstream wants no calls, or empty
+ * @param problem what is wrong with these two headers, for the log, or null
  */
-public record ResponseHead(@Nullable String callId, boolean notRun, boolean misdirected) {
+public record ResponseHead(@Nullable String callId, boolean notRun, boolean misdirected, boolean leaving,
+		OptionalLong pauseMillis, @Nullable String problem) {
 }
--- a/src/main/java/org/jaywood/platform/PlatformCalls.java
+++ b/src/main/java/org/jaywood/platform/PlatformCalls.java
@@ -68,6 +68,11 @@
 		return !GATEWAY_HEADERS.contains(name.toLowerCase(Locale.ROOT));
 	}
 
+	@Override
+	public boolean returns(String name) {
+		return !EngineNotice.isNotice(name);
+	}
+
 	@Override
 	public void write(ClassicHttpRequest request, AttemptHeaders head) {
 		request.setHeader(DEADLINE, Long.toString(head.remainingMillis()));
@@ -85,8 +90,9 @@
 	@Override
 	public ResponseHead read(ClassicHttpResponse response) {
 		boolean misdirected = response.getCode() == HttpStatus.SC_MISDIRECTED_REQUEST;
+		EngineNotice notice = EngineNotice.read(response);
 		return new ResponseHead(headerValue(response, ATTEMPT_ID), misdirected || response.containsHeader(NOT_EXECUTED),
-				misdirected);
+				misdirected, notice.leaving(), notice.pauseMillis(), notice.problem());
 	}
 
 	@Override
--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -57,6 +57,8 @@
 
 	private SubscribedEngines subscribedEngines = SubscribedEngines.NONE;
 
+	private final UpstreamNotices notices = new UpstreamNotices();
+
 	private final GatewayCountEstimator gatewayCount = new GatewayCountEstimator();
 
 	public Dispatcher(DispatchSettings settings) {
@@ -142,6 +144,25 @@
 		}
 	}
 
+	/**
+	 * Records that an upstream has said in a response that it leaves. It gets no more
+	 * calls, whatever the list of upstreams says.
+	 * @return whether that is news
+	 */
+	public synchronized boolean onLeaving(Upstream upstream, long nowMillis) {
+		boolean news = this.notices.onLeaving(upstream);
+		refuseUnplaceable(upstream.service(), nowMillis);
+		return news;
+	}
+
+	/**
+	 * Records that an upstream has said in a response that it wants no calls for a while.
+	 */
+	public synchronized void onPause(Upstream upstream, long pauseMillis, long nowMillis) {
+		this.notices.onPause(upstream, pauseMillis, nowMillis);
+		refuseUnplaceable(upstream.service(), nowMillis);
+	}
+
 	/**
 	 * Queues a call for placement. Its placement is complete on return if an upstream has
 	 * free capacity.
@@ -175,10 +196,28 @@
 	}
 
 	/**
-	 * Whether an upstream exists that may run a call, with or without free capacity.
+	 * Whether an upstream exists that may run a call now, with or without free capacity.
 	 */
 	public synchronized boolean hasEligibleUpstream(CallRequirements requirements, long nowMillis) {
-		return !eligible(requirements, nowMillis).isEmpty();
+		return eligible(requirements, nowMillis).stream().anyMatch((state) -> !paused(state, nowMillis));
+	}
+
+	private boolean paused(UpstreamState state, long nowMillis) {
+		return this.notices.pauseLeftMillis(state.upstream(), nowMillis) > 0;
+	}
+
+	/**
+	 * Takes calls out of the queue that no upstream may run any more.
+	 */
+	private void refuseUnplaceable(String service, long nowMillis) {
+		this.queue.inOrder(service)
+			.stream()
+			.filter((queuedCall) -> !hasEligibleUpstream(queuedCall.requirements(), nowMillis))
+			.toList()
+			.forEach((queuedCall) -> {
+				this.queue.remove(queuedCall);
+				queuedCall.placement().cancel(false);
+			});
 	}
 
 	/**
@@ -216,7 +255,9 @@
 				completionRate(requirements.service()).retryAfterMillis(queued + 1, nowMillis))
 				+ Math.floorMod(requirements.callId().hashCode(), RETRY_AFTER_SPREAD_MILLIS);
 		return eligible.stream()
-			.mapToLong((state) -> Math.max(byRateMillis, state.health().ejectionLeftMillis(nowMillis)))
+			.mapToLong((state) -> Math.max(byRateMillis,
+					Math.max(state.health().ejectionLeftMillis(nowMillis),
+							this.notices.pauseLeftMillis(state.upstream(), nowMillis))))
 			.min()
 			.orElse(byRateMillis);
 	}
@@ -316,6 +357,7 @@
 		return this.policy
 			.eligible(this.states.values().stream(), requirements, this.fleet, profile(requirements.service()),
 					nowMillis)
+			.filter((state) -> !this.notices.leaving(state.upstream()))
 			.toList();
 	}
 
@@ -361,6 +403,7 @@
 	private List<UpstreamState> available(CallRequirements requirements, long nowMillis) {
 		return eligible(requirements, nowMillis).stream()
 			.filter((state) -> !state.health().ejected(nowMillis))
+			.filter((state) -> state.inFlight() < this.notices.maxInFlight(state.upstream(), nowMillis))
 			.filter((state) -> state.responsive(nowMillis))
 			.toList();
 	}
--- a/src/test/java/org/jaywood/gateway/ScriptedCalls.java
+++ b/src/test/java/org/jaywood/gateway/ScriptedCalls.java
@@ -60,6 +60,11 @@
 		return this.protocol.forwards(name, keysRequired);
 	}
 
+	@Override
+	public boolean returns(String name) {
+		return this.protocol.returns(name);
+	}
+
 	@Override
 	public void write(ClassicHttpRequest request, AttemptHeaders headers) {
 		this.protocol.write(request, headers);
--- a/src/test/java/org/jaywood/gateway/UnexpectedErrorTests.java
+++ b/src/test/java/org/jaywood/gateway/UnexpectedErrorTests.java
@@ -130,6 +130,11 @@
 			return this.calls.forwards(name, keysRequired);
 		}
 
+		@Override
+		public boolean returns(String name) {
+			return this.calls.returns(name);
+		}
+
 		@Override
 		public void write(ClassicHttpRequest request, AttemptHeaders headers) {
 			if (fails(this.writes.incrementAndGet(), this.firstWrite, this.failingWrites)) {
--- a/src/test/java/org/jaywood/platform/FakePlatformEngine.java
+++ b/src/test/java/org/jaywood/platform/FakePlatformEngine.java
@@ -6,6 +6,7 @@
 import java.util.Arrays;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.ConcurrentHashMap;
@@ -72,6 +73,10 @@
 
 	private volatile long eventIntervalMillis;
 
+	private volatile boolean leaving;
+
+	private volatile long pausedUntilNanos = System.nanoTime();
+
 	private volatile long suspendedUntilNanos = System.nanoTime();
 
 	FakePlatformEngine(String id, Address listen, EventLog log) {
@@ -141,6 +146,28 @@
 		this.eventIntervalMillis = millis;
 	}
 
+	/**
+	 * Sets whether the engine says in all its answers that it leaves.
+	 */
+	void setLeaving(boolean leaving) {
+		this.leaving = leaving;
+	}
+
+	/**
+	 * Has the engine turn calls away for a time, with a request for a pause of that time.
+	 */
+	void requestPause(long millis) {
+		this.pausedUntilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+	}
+
+	/**
+	 * Starts the engine again under its id, without a notice of leaving.
+	 */
+	void restartAfterLeaving() {
+		this.bornMillis++;
+		this.leaving = false;
+	}
+
 	/**
 	 * Suspends all answers for a time, as a healthy engine may.
 	 */
@@ -195,6 +222,16 @@
 			exchange.respond(421, "text/plain", new byte[0]);
 			return;
 		}
+		if (this.leaving) {
+			exchange.setHeader("Server-Leaving", "1");
+		}
+		long pauseMillis = TimeUnit.NANOSECONDS.toMillis(this.pausedUntilNanos - System.nanoTime());
+		if (pauseMillis > 0) {
+			exchange.setHeader("X-Not-Executed", "1");
+			exchange.setHeader("Retry-After", String.format(Locale.ROOT, "%.3f", pauseMillis / 1_000.0));
+			exchange.respond(503, "text/plain", new byte[0]);
+			return;
+		}
 		this.executedCalls.add(new Call(attempt, String.valueOf(exchange.header("X-Tenant")),
 				String.valueOf(exchange.header("Authorization")), System.nanoTime()));
 		exchange.setHeader("X-Response-Seal", "seal-" + attempt);
--- a/src/test/java/org/jaywood/platform/SoakIT.java
+++ b/src/test/java/org/jaywood/platform/SoakIT.java
@@ -28,8 +28,8 @@
 /**
  * Runs gateways and replicas with callers that keep their connections, while graceful
  * shutdowns, kills of replicas, stalls, new configurations, new target versions,
- * suspended answers of engines and outages of the store overlap. System properties set
- * the seeds and sizes of longer runs.
+ * suspended answers of engines, engines that leave or ask for a pause, and outages of the
+ * store overlap. System properties set the seeds and sizes of longer runs.
  */
 class SoakIT {
 
@@ -48,6 +48,12 @@
 	/** Time for which a healthy engine suspends its answers. */
 	private static final long SUSPENSION_MILLIS = 2_000;
 
+	/** Time for which an engine asks to get no calls. */
+	private static final long PAUSE_MILLIS = 1_500;
+
+	/** Time for which an engine says that it leaves. */
+	private static final long LEAVING_MILLIS = 2_000;
+
 	/** Idle time-out of some configurations; callers stay idle for less. */
 	private static final long SHORT_IDLE_TIMEOUT_MILLIS = 1_000;
 
@@ -94,7 +100,7 @@
 		List<Future<?>> faults = new ArrayList<>();
 		for (int number = 0; number < FAULT_COUNT; number++) {
 			long atMillis = random.nextLong(FAULT_PERIOD_MILLIS);
-			int kind = random.nextInt(8);
+			int kind = random.nextInt(10);
 			int target = random.nextInt(Math.max(GATEWAYS, ENGINES));
 			faults.add(tasks.submit(() -> {
 				Thread.sleep(atMillis);
@@ -119,6 +125,8 @@
 			case 7 -> processes.store()
 				.put("config", "main", processes.configuration(this.configuration.incrementAndGet(),
 						List.of(PlatformProcesses.KEY), SHORT_IDLE_TIMEOUT_MILLIS));
+			case 8 -> processes.engine(target % ENGINES).requestPause(PAUSE_MILLIS);
+			case 9 -> leaveAndRestart(processes, target % ENGINES);
 			case 4 -> processes.setTargetVersion(this.version.incrementAndGet());
 			default -> {
 				processes.store().setFault(Fault.BUSY);
@@ -145,6 +153,15 @@
 		}
 	}
 
+	private void leaveAndRestart(PlatformProcesses processes, int engine) throws Exception {
+		synchronized (processes.engine(engine)) {
+			processes.engine(engine).setLeaving(true);
+			Thread.sleep(LEAVING_MILLIS);
+			processes.engine(engine).restartAfterLeaving();
+			processes.publishEngine(engine);
+		}
+	}
+
 	private void stallReplica(PlatformProcesses processes, int engine) throws Exception {
 		synchronized (processes.engine(engine)) {
 			processes.fleet().pause(PlatformProcesses.replica(engine));
