--- a/src/main/java/org/jaywood/gateway/AttemptRunner.java
+++ b/src/main/java/org/jaywood/gateway/AttemptRunner.java
@@ -167,7 +167,7 @@
 			this.response.begin(received.head());
 		}
 		if (attempt.becomesProven(BootClock.nowMillis())) {
-			this.attempts.onProven(attempt);
+			this.attempts.screen().onProven(attempt);
 		}
 		this.progress.onEventsForwarded(attempt.lastEventId());
 		this.response.write(bytes, bytes.length);
@@ -257,7 +257,7 @@
 				this.response.committed() ? this.progress : null,
 				(head) -> this.context.notices().onResponse(this.call, placement, head, BootClock.nowMillis()));
 		this.cancellation.attach(connection);
-		this.attempts.onStarted(attempt);
+		this.attempts.screen().onStarted(attempt);
 		ClassicHttpRequest request = request(attempt);
 		try {
 			if (this.cancellation.cancelled()) {
@@ -301,7 +301,7 @@
 		}
 		ClientConnection connection = attempt.connection();
 		this.cancellation.detach(connection);
-		this.attempts.unwatch(attempt);
+		this.attempts.screen().onEnded(attempt);
 		try {
 			this.attempts.onEnded(attempt.placement(), result, attempt.progress());
 		}
@@ -331,7 +331,7 @@
 		if (cause instanceof CallerGoneException || this.cancellation.cancelled()) {
 			return new AttemptResult.CallerGone();
 		}
-		if (this.attempts.blocked()) {
+		if (this.attempts.screen().blocked()) {
 			return new AttemptResult.Indeterminate(CallAttempts.BLOCKED_PARTS, Outcome.CANCELLED);
 		}
 		return (cause instanceof AttemptEndedException ended) ? ended.result()
--- a/src/main/java/org/jaywood/gateway/CallAttempts.java
+++ b/src/main/java/org/jaywood/gateway/CallAttempts.java
@@ -46,9 +46,6 @@
 	/** Reason why a call is not sent to a second engine. */
 	private static final String ENGINE_ENDED = "engine-ended";
 
-	/** Longest wait for the report that an engine has ended. */
-	private static final long END_REPORT_WAIT_MILLIS = 600;
-
 	private final GatewayContext context;
 
 	private final Call call;
@@ -57,6 +54,8 @@
 
 	private final Cancellation cancellation;
 
+	private final CallScreen screen;
+
 	private final Set<String> triedUpstreams = new HashSet<>();
 
 	/** Upstreams whose attempt was charged to the retry budget. */
@@ -71,14 +70,6 @@
 
 	private String noPlacementReason = NO_PLACEMENT;
 
-	/** Attempt that broke before its answer went on, or null. */
-	private @Nullable Placement brokenPlacement;
-
-	private long brokenMillis;
-
-	/** Whether the call is a trial of blocked parts, which is sent once. */
-	private boolean trial;
-
 	private @Nullable BufferedUpstreamResponse failedResponse;
 
 	private String answeringUpstream = "";
@@ -90,6 +81,14 @@
 		this.call = call;
 		this.response = response;
 		this.cancellation = cancellation;
+		this.screen = new CallScreen(context.screen(), call);
+	}
+
+	/**
+	 * Returns whether the call may be sent, in view of the parts of its prompt.
+	 */
+	CallScreen screen() {
+		return this.screen;
 	}
 
 	/**
@@ -133,7 +132,7 @@
 	 * @return the placement, or null if there is none in time or the caller is gone
 	 */
 	@Nullable Placement awaitPlacement(long nowMillis) {
-		if (blocked() && !takeTrial()) {
+		if (this.screen.blocked() && !(this.attemptsSent == 0 && this.screen.takeTrial())) {
 			this.noPlacementReason = BLOCKED_PARTS;
 			return null;
 		}
@@ -185,7 +184,7 @@
 	 */
 	@Nullable String tryBegin(Placement placement, long nowMillis) {
 		this.context.metrics().recordWait(placement.waitedMillis());
-		if (blocked()) {
+		if (this.screen.blocked()) {
 			this.context.dispatcher().recordEnd(placement, Outcome.CANCELLED, nowMillis);
 			return BLOCKED_PARTS;
 		}
@@ -196,41 +195,6 @@
 		return null;
 	}
 
-	private boolean takeTrial() {
-		this.trial = this.attemptsSent == 0 && this.context.screen().takeTrial(this.call.sharedParts());
-		return this.trial;
-	}
-
-	/**
-	 * Whether the call may not be sent because parts of its prompt crash engines.
-	 */
-	boolean blocked() {
-		return !this.trial && this.context.screen().blocking(this.call.sharedParts()).isPresent();
-	}
-
-	/**
-	 * Has an attempt cancelled if parts of the prompt are blocked before its answer goes
-	 * on.
-	 */
-	void onStarted(Attempt attempt) {
-		if (this.trial) {
-			return;
-		}
-		this.context.screen().watch(attempt, this.call.sharedParts(), attempt.connection()::abort);
-	}
-
-	void unwatch(Attempt attempt) {
-		this.context.screen().unwatch(attempt);
-	}
-
-	/**
-	 * Records that the upstream of an attempt survives the call.
-	 */
-	void onProven(Attempt attempt) {
-		unwatch(attempt);
-		this.context.screen().onProven(this.call.sharedParts(), BootClock.nowMillis());
-	}
-
 	/**
 	 * Places a hedged attempt, if another attempt is allowed and an upstream has free
 	 * capacity now.
@@ -238,7 +202,7 @@
 	Optional<Placement> placeHedge(Placement silent, long nowMillis) {
 		this.triedUpstreams.add(silent.upstream().id());
 		pinStreamVersion(silent);
-		if (blocked() || this.trial || this.attemptsSent + 1 >= this.call.route().maxAttempts()
+		if (this.screen.blocked() || this.screen.trial() || this.attemptsSent + 1 >= this.call.route().maxAttempts()
 				|| this.triedUpstreams.size() > MAX_TRIED_UPSTREAMS) {
 			return Optional.empty();
 		}
@@ -293,23 +257,13 @@
 			}
 			case AttemptResult.Indeterminate indeterminate -> {
 				pinStreamVersion(placement);
-				onBroken(placement, indeterminate, progress);
+				this.screen.onIndeterminate(placement, indeterminate.outcome(), progress);
 				onMayHaveRun(upstream, indeterminate.reason(), progress);
 			}
 			case AttemptResult.Superseded superseded -> onMayHaveRun(upstream, "another upstream answered", progress);
 		}
 	}
 
-	private void onBroken(Placement placement, AttemptResult.Indeterminate result, AttemptProgress progress) {
-		if (result.outcome() != Outcome.INDETERMINATE || progress.proven()) {
-			return;
-		}
-		this.brokenPlacement = placement;
-		this.brokenMillis = BootClock.nowMillis();
-		this.context.screen()
-			.onBroken(placement.upstream(), this.call.sharedParts(), progress.headReceived(), this.brokenMillis);
-	}
-
 	private void onMayHaveRun(String upstream, String reason, AttemptProgress progress) {
 		this.attemptsSent++;
 		this.reachedUpstream = true;
@@ -351,35 +305,13 @@
 		if (this.call.remainingMillis(nowMillis) <= 0) {
 			return "timeout";
 		}
-		if (this.attemptsSent >= (this.trial ? 1 : this.call.route().maxAttempts())) {
+		if (this.attemptsSent >= (this.screen.trial() ? 1 : this.call.route().maxAttempts())) {
 			return "attempts";
 		}
 		if (this.triedUpstreams.size() > MAX_TRIED_UPSTREAMS) {
 			return "tries";
 		}
-		return mayRetryAfterBreak(nowMillis) ? null : ENGINE_ENDED;
-	}
-
-	/**
-	 * Whether the call may be sent again after an attempt broke: not if its engine has
-	 * ended and the call may be the cause. Waits for the report of the engine's agent if
-	 * that matters.
-	 */
-	private boolean mayRetryAfterBreak(long nowMillis) {
-		Placement broken = this.brokenPlacement;
-		if (broken == null || this.call.sharedParts().isEmpty()) {
-			return true;
-		}
-		this.brokenPlacement = null;
-		long waitMillis = Math.min(END_REPORT_WAIT_MILLIS, this.call.remainingMillis(nowMillis));
-		try {
-			return this.context.screen()
-				.awaitMayRetry(broken.upstream(), this.call.sharedParts(), this.brokenMillis, waitMillis, nowMillis);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-			return false;
-		}
+		return this.screen.mayRetry(nowMillis) ? null : ENGINE_ENDED;
 	}
 
 	/**
@@ -403,8 +335,7 @@
 	 * is refused now.
 	 */
 	long retryAfterMillis(long nowMillis) {
-		return this.context.screen()
-			.retryAfterMillis(this.call.sharedParts(), nowMillis)
+		return this.screen.retryAfterMillis(nowMillis)
 			.orElseGet(() -> this.context.dispatcher().retryAfterMillis(requirements(), nowMillis));
 	}
 
--- a/src/main/java/org/jaywood/routing/CrashEvidence.java
+++ b/src/main/java/org/jaywood/routing/CrashEvidence.java
@@ -1,17 +1,13 @@
 package org.jaywood.routing;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -29,18 +25,6 @@
  */
 public final class CrashEvidence {
 
-	/** Engines that end under calls with a part before it is blocked. */
-	public static final int ENDS_BEFORE_BLOCK = 3;
-
-	/** The same while other parts may be the cause as well. */
-	static final int MAX_ENDS_BEFORE_BLOCK = 5;
-
-	/**
-	 * Weight from which a part stands out. A part that is alone in all calls under which
-	 * an engine ended has a weight of 1 for it.
-	 */
-	private static final double CLEAR_WEIGHT = 1;
-
 	/**
 	 * Time for which an answer shows that a part is sound. A part may turn bad, for
 	 * example with other weights.
@@ -64,7 +48,7 @@
 
 	private static final int MAX_NAME_CHARS = 200;
 
-	private final Map<Crash, Entry> crashes = new LinkedHashMap<>();
+	private final Map<CrashAnalysis.Crash, Entry> crashes = new LinkedHashMap<>();
 
 	private final Map<String, Entry> soundParts = new LinkedHashMap<>();
 
@@ -96,7 +80,7 @@
 		if (suspects.isEmpty() || engine.length() > MAX_NAME_CHARS || nowMillis - endMillis > LIFETIME_MILLIS) {
 			return false;
 		}
-		Crash crash = new Crash(engine, Set.copyOf(suspects), begun);
+		CrashAnalysis.Crash crash = new CrashAnalysis.Crash(engine, Set.copyOf(suspects), begun);
 		Entry known = this.crashes.get(crash);
 		if (known != null) {
 			this.crashes.put(crash, known.atMost(endMillis));
@@ -242,7 +226,7 @@
 	 * Removes a sound part from the suspects of the calls.
 	 */
 	private void removeParts(String part) {
-		Map<Crash, Entry> affected = this.crashes.entrySet()
+		Map<CrashAnalysis.Crash, Entry> affected = this.crashes.entrySet()
 			.stream()
 			.filter((each) -> each.getKey().parts().contains(part) && provenFor(part, each.getValue().millis()))
 			.collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
@@ -253,7 +237,7 @@
 				.filter((each) -> !each.equals(part))
 				.collect(Collectors.toUnmodifiableSet());
 			if (!remaining.isEmpty()) {
-				this.crashes.merge(new Crash(crash.engine(), remaining, crash.begun()), entry,
+				this.crashes.merge(new CrashAnalysis.Crash(crash.engine(), remaining, crash.begun()), entry,
 						(known, added) -> known.atMost(added.millis()));
 			}
 		});
@@ -274,7 +258,7 @@
 		if (this.crashes.size() < MAX_CRASHES) {
 			return true;
 		}
-		Optional<Crash> oldest = this.crashes.entrySet()
+		Optional<CrashAnalysis.Crash> oldest = this.crashes.entrySet()
 			.stream()
 			.filter((each) -> blocking(each.getKey().parts()).isEmpty())
 			.min(Comparator.comparingLong((each) -> each.getValue().millis()))
@@ -283,124 +267,22 @@
 		return oldest.isPresent();
 	}
 
-	/**
-	 * Finds the parts that explain the ends of engines best.
-	 */
 	private void findBlocked() {
-		Set<String> explainedEngines = new HashSet<>();
-		List<BlockedParts> found = new ArrayList<>();
-		explain(likelyCauses(), ENDS_BEFORE_BLOCK, explainedEngines, found);
-		explain(this.crashes.keySet(), MAX_ENDS_BEFORE_BLOCK, explainedEngines, found);
-		this.blocked = List.copyOf(found);
-	}
-
-	/**
-	 * Returns, for each end of an engine, the calls whose answer it had begun, or all
-	 * calls if there is none.
-	 */
-	private List<Crash> likelyCauses() {
-		Set<String> enginesWithBegun = this.crashes.keySet()
-			.stream()
-			.filter(Crash::begun)
-			.map(Crash::engine)
-			.collect(Collectors.toSet());
-		return this.crashes.keySet()
-			.stream()
-			.filter((crash) -> crash.begun() || !enginesWithBegun.contains(crash.engine()))
-			.toList();
-	}
-
-	/**
-	 * Blocks the parts that explain most ends, one after the other. An end that a part
-	 * explains does not speak against the parts beside it.
-	 * @param candidates calls that may be the cause
-	 * @param minEnds ends of engines that a part must explain
-	 * @param explainedEngines incarnations whose end is explained
-	 */
-	private void explain(Collection<Crash> candidates, int minEnds, Set<String> explainedEngines,
-			List<BlockedParts> found) {
-		while (true) {
-			List<Suspect> suspects = suspects(
-					candidates.stream().filter((crash) -> !explainedEngines.contains(crash.engine())).toList(),
-					minEnds);
-			if (suspects.isEmpty() || !standsOut(suspects.getFirst(), suspects)) {
-				return;
-			}
-			Suspect best = suspects.getFirst();
-			found.add(new BlockedParts(best.parts(), best.engines().size(), lastEndMillis(best)));
-			explainedEngines.addAll(best.engines());
-		}
-	}
-
-	private static boolean standsOut(Suspect best, List<Suspect> suspects) {
-		return best.engines().size() >= MAX_ENDS_BEFORE_BLOCK
-				|| (best.weight() >= CLEAR_WEIGHT && suspects.stream().noneMatch(best::hasRival));
-	}
-
-	/**
-	 * Returns the parts under which enough engines ended, the most likely cause first.
-	 */
-	private static List<Suspect> suspects(Collection<Crash> crashes, int minEnds) {
-		Map<String, List<Crash>> crashesByPart = new TreeMap<>();
-		crashes.forEach((crash) -> crash.parts()
-			.forEach((part) -> crashesByPart.computeIfAbsent(part, (key) -> new ArrayList<>()).add(crash)));
-		Map<String, Long> callsByEngine = crashes.stream()
-			.collect(Collectors.groupingBy(Crash::engine, Collectors.counting()));
-		return crashesByPart.values()
-			.stream()
-			.map((ofPart) -> suspect(ofPart, callsByEngine))
-			.filter((suspect) -> suspect.engines().size() >= minEnds)
-			.sorted(Comparator.comparingInt((Suspect suspect) -> suspect.engines().size())
-				.thenComparingDouble(Suspect::weight)
-				.reversed())
+		List<CrashAnalysis.Cause> causes = new CrashAnalysis(this.crashes.keySet()).causes();
+		this.blocked = causes.stream()
+			.map((cause) -> new BlockedParts(cause.parts(), cause.engines().size(), lastEndMillis(cause)))
 			.toList();
 	}
 
-	private static Suspect suspect(List<Crash> ofPart, Map<String, Long> callsByEngine) {
-		Map<String, Set<String>> partsByEngine = new HashMap<>();
-		ofPart.forEach((crash) -> partsByEngine.computeIfAbsent(crash.engine(), (key) -> new HashSet<>())
-			.addAll(crash.parts()));
-		Set<String> common = new HashSet<>(partsByEngine.values().iterator().next());
-		partsByEngine.values().forEach(common::retainAll);
-		double weight = partsByEngine.keySet()
-			.stream()
-			.sorted()
-			.mapToDouble((engine) -> 1.0 / callsByEngine.getOrDefault(engine, 1L))
-			.sum();
-		return new Suspect(Set.copyOf(common), Set.copyOf(partsByEngine.keySet()), weight);
-	}
-
-	private long lastEndMillis(Suspect suspect) {
+	private long lastEndMillis(CrashAnalysis.Cause cause) {
 		return this.crashes.entrySet()
 			.stream()
-			.filter((each) -> suspect.engines().contains(each.getKey().engine()))
+			.filter((each) -> cause.engines().contains(each.getKey().engine()))
 			.mapToLong((each) -> each.getValue().millis())
 			.max()
 			.orElse(Long.MIN_VALUE);
 	}
 
-	/**
-	 * A part under which enough engines ended.
-	 *
-	 * @param parts the part, and those that were beside it in a call at each of the ends:
-	 * it is not known which of them is the cause
-	 * @param engines incarnations of the engines that ended
-	 * @param weight sum over the engines of the share that this part has in the calls
-	 * that may be the cause
-	 */
-	private record Suspect(Set<String> parts, Set<String> engines, double weight) {
-
-		/**
-		 * Whether another part was at as many ends, some of them the same, in other
-		 * calls, so that one end more has to tell which of the two is the cause.
-		 */
-		boolean hasRival(Suspect other) {
-			return !other.parts.equals(this.parts) && other.engines.size() >= this.engines.size()
-					&& other.engines.stream().anyMatch(this.engines::contains);
-		}
-
-	}
-
 	/**
 	 * Change of a table: a call under which an engine ended, or a sound part.
 	 *
@@ -429,23 +311,11 @@
 
 	}
 
-	/**
-	 * Call under which an engine ended.
-	 *
-	 * @param engine incarnation of the engine
-	 * @param parts parts that may be the cause
-	 * @param begun whether the engine had begun to answer the call
-	 */
-	private record Crash(String engine, Set<String> parts, boolean begun) {
-	}
-
 	/**
 	 * Boot time of what happened and sequence number of the change that recorded it.
 	 */
 	private record Entry(long millis, long sequence) {
 
-		static final Entry NONE = new Entry(Long.MIN_VALUE, 0);
-
 		/**
 		 * Returns the entry with the earlier of two times. Ages lack the time that
 		 * messages were in transit, so the later one has been told over more processes.
