--- a/src/main/java/org/jaywood/routing/CrashEvidence.java
+++ b/src/main/java/org/jaywood/routing/CrashEvidence.java
@@ -16,9 +16,8 @@
 
 /**
  * Calls under which engines ended, and the parts of prompts that they point to. A part is
- * blocked once {@value #ENDS_BEFORE_BLOCK} engines have ended under calls with it of
- * which none had brought an answer, or later while other parts fit as well. A part of
- * which any gateway has seen an answer that went on is sound, whatever ended beside it.
+ * blocked once it explains enough ends ({@link CrashAnalysis}). A part of which any
+ * gateway has seen an answer that went on is sound, whatever ended beside it.
  * <p>
  * Tables merge in any order and with any repetition of messages, so that gateways and
  * agents reach the same result. Safe for use by several threads.
--- a/src/main/java/org/jaywood/routing/PartScreen.java
+++ b/src/main/java/org/jaywood/routing/PartScreen.java
@@ -31,6 +31,9 @@
 	 */
 	private static final long RUNNING_REPORT_DELAY_MILLIS = 250;
 
+	/** Time for which the last report of an agent that has fallen silent is kept. */
+	private static final long REPORT_LIFETIME_MILLIS = 60_000;
+
 	/** Broken attempts that wait for a report; further ones are not counted. */
 	private static final int MAX_BROKEN_ATTEMPTS = 1_024;
 
@@ -228,6 +231,7 @@
 	 */
 	public synchronized void onTick(long nowMillis) {
 		this.brokenAttempts.removeIf((attempt) -> nowMillis - attempt.brokenMillis() > END_REPORT_TIMEOUT_MILLIS);
+		this.latestReports.values().removeIf((report) -> nowMillis - report.millis() > REPORT_LIFETIME_MILLIS);
 		this.evidence.expire(nowMillis);
 		this.releasedTrials.addAll(this.trials.releaseUnblocked(this.evidence.blocked()));
 	}
