--- a/review/standin/OutdatedDownload.java
+++ b/review/standin/OutdatedDownload.java
@@ -10,12 +10,12 @@
 
 	private static final double DOWN_SECONDS = 0.95;
 
-	private static final double ORIGIN_DOWN_SECONDS = 6;
+	private static final double ORIGIN_DOWN_SECONDS = 5.95;
 
 	/** Times after the return of the machines at which the next versions are named. */
 	private static final double NEXT_VERSION_SECONDS = 5;
 
-	private static final double LAST_VERSION_SECONDS = 5.8;
+	private static final double LAST_VERSION_SECONDS = 5.4;
 
 	private static final double RECOVERY_SECONDS = 12;
 
@@ -41,6 +41,7 @@
 			deployment.killProcesses();
 			deployment.engines().forEach(Engine::losePower);
 			Pause.seconds(DOWN_SECONDS);
+			double originDownSeconds = trace.nowSeconds();
 			if (trouble) {
 				deployment.origin().stop();
 				trace.say("the origin is down");
@@ -53,7 +54,7 @@
 			deployment.nameVersion(2);
 			Pause.seconds(LAST_VERSION_SECONDS - NEXT_VERSION_SECONDS);
 			deployment.nameVersion(3);
-			Pause.seconds(ORIGIN_DOWN_SECONDS - LAST_VERSION_SECONDS);
+			Pause.seconds(originDownSeconds + ORIGIN_DOWN_SECONDS - trace.nowSeconds());
 			if (trouble) {
 				deployment.origin().start();
 				trace.say("the origin is up");
--- a/review/standin/SpoiltWhileSuspended.java
+++ b/review/standin/SpoiltWhileSuspended.java
@@ -20,7 +20,7 @@
 	/** Share of the staged chunks that turn bad. */
 	private static final double BAD_SHARE = 0.06;
 
-	private static final double SUSPENDED_SECONDS = 4;
+	private static final double SUSPENDED_SECONDS = 3.95;
 
 	private static final double ENGINE_LEAD_SECONDS = 0.05;
 
@@ -66,7 +66,7 @@
 		Pause.seconds(0.1);
 		List<Integer> indexes = new ArrayList<>(IntStream.range(0, Weights.CHUNKS).boxed().toList());
 		Collections.shuffle(indexes, new Random());
-		engine.spoilStaged(indexes.subList(0, (int) Math.ceil(BAD_SHARE * Weights.CHUNKS)).stream().sorted().toList());
+		engine.spoilStaged(indexes.subList(0, (int) (BAD_SHARE * Weights.CHUNKS)).stream().sorted().toList());
 		Pause.seconds(SUSPENDED_SECONDS - 0.1 - ENGINE_LEAD_SECONDS);
 		engine.resume();
 		Pause.seconds(ENGINE_LEAD_SECONDS);
