Order a load only while all comparisons of staged chunks are young

Cause: the replica compared the staged chunks one by one and then ordered the load, whatever time had passed since the first comparison. A suspension of the VM between them makes it old, and so do slow reads without any disruption: 40 ms for a read or write are 7.7 s for 96 chunks.

Change: each comparison has a time by the boot clock, which counts a suspension. An order is sent only while the oldest one is at most 1 s old, and its response is awaited for 0.8 s, so that another pass over all chunks follows in time if the engine accepts it late. Else all are compared again, and 1308 says why.

Not closed: a suspension of the whole VM in the moment between the sending of an order and its acceptance by the engine beside the replica.

--- a/src/main/java/org/jaywood/event/Event.java
+++ b/src/main/java/org/jaywood/event/Event.java
@@ -95,7 +95,7 @@
 	WEIGHTS_NAMED(1304, Level.INFO, "target version of {model} set to {version} at revision {revision}"),
 
 	/** Chunks were staged at the engine, or replaced other staged ones. */
-	PIECES_STAGED(1305, Level.INFO, "{count} chunks of {model} {version} staged"),
+	PIECES_STAGED(1305, Level.INFO, "{count} chunks of {model} {version} staged in {millis} ms"),
 
 	/** A download of weights is in progress. */
 	TRANSFER_PROGRESS(1306, Level.INFO,
@@ -105,6 +105,20 @@
 	PIECES_SENT(1307, Level.INFO,
 			"{count} of {asked} chunks of {manifest} sent to {peer} in {millis} ms, {idleMillis} ms of them without a chunk to send"),
 
+	/**
+	 * A load waits, since a staged chunk may have turned bad since it was compared: all
+	 * are compared again.
+	 */
+	LOAD_POSTPONED(1308, Level.INFO,
+			"load of {model} {version} waits: oldest comparison of a staged chunk {ageMillis} ms old, limit {limitMillis} ms"),
+
+	/**
+	 * An engine accepted an order long after its staged chunks were compared; some may
+	 * have turned bad in between.
+	 */
+	LOAD_DOUBTFUL(1309, Level.WARNING,
+			"load of {model} {version} accepted up to {ageMillis} ms after its chunks were compared"),
+
 	/** An engine serves the ordered weights. */
 	WEIGHTS_ACTIVATED(1401, Level.INFO, "engine serves {manifest}"),
 
--- a/src/main/java/org/jaywood/platform/PlatformEngineClient.java
+++ b/src/main/java/org/jaywood/platform/PlatformEngineClient.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonProperty;
 import com.fasterxml.jackson.databind.JsonNode;
 import org.apache.hc.core5.http.HttpStatus;
@@ -19,6 +20,7 @@
 import org.jaywood.replica.EngineControl;
 import org.jaywood.replica.EngineReport;
 import org.jaywood.replica.EngineUnavailableException;
+import org.jaywood.replica.LoadOrder;
 import org.jaywood.replica.WeightOrigin;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Json;
@@ -31,8 +33,10 @@
 
 	private static final long RESPONSE_TIMEOUT_MILLIS = 1_500;
 
-	/** Limits on a report, and on a response to an order or a written chunk. */
-	private static final ResponseLimits STATUS_LIMITS = new ResponseLimits(RESPONSE_TIMEOUT_MILLIS, 64 * 1024);
+	/** Size of a report, and of a response to an order or a written chunk. */
+	private static final int MAX_STATUS_BYTES = 64 * 1024;
+
+	private static final ResponseLimits STATUS_LIMITS = new ResponseLimits(RESPONSE_TIMEOUT_MILLIS, MAX_STATUS_BYTES);
 
 	private static final ResponseLimits MANIFEST_LIMITS = new ResponseLimits(RESPONSE_TIMEOUT_MILLIS, 4 * 1024 * 1024);
 
@@ -84,9 +88,12 @@
 	}
 
 	@Override
-	public boolean orderLoad(String model, long version, long sequence) throws EngineUnavailableException {
-		byte[] order = Json.bytes(new Order("start", model, version, "wait", sequence));
-		BufferedResponse response = exchangeWithEngine("POST", "/order", order, STATUS_LIMITS);
+	public boolean orderLoad(LoadOrder order, long sequence, long timeoutMillis) throws EngineUnavailableException {
+		boolean whole = order.takesWholeModel();
+		byte[] body = Json.bytes(new Order("start", order.version().model(), order.version().version(), "wait",
+				whole ? null : 0, whole ? null : order.toLayer(), sequence));
+		BufferedResponse response = exchangeWithEngine("POST", "/order", body,
+				new ResponseLimits(timeoutMillis, MAX_STATUS_BYTES));
 		return response.status() == HttpStatus.SC_OK || response.status() == HttpStatus.SC_ACCEPTED;
 	}
 
@@ -163,10 +170,12 @@
 	}
 
 	/**
-	 * Order to load the staged weights.
+	 * Order to load the staged weights. Without layers it is for all of them.
 	 */
+	@JsonInclude(JsonInclude.Include.NON_NULL)
 	private record Order(@JsonProperty("Op") String op, @JsonProperty("Model") String model,
 			@JsonProperty("Version") long version, @JsonProperty("StartMode") String mode,
+			@JsonProperty("From") @Nullable Integer fromLayer, @JsonProperty("To") @Nullable Integer toLayer,
 			@JsonProperty("Precondition") long sequence) {
 	}
 
--- a/src/main/java/org/jaywood/replica/EngineControl.java
+++ b/src/main/java/org/jaywood/replica/EngineControl.java
@@ -25,10 +25,14 @@
 	byte @Nullable [] readStaged(String model, int index) throws EngineUnavailableException;
 
 	/**
-	 * Orders the engine to load the staged weights after its running calls.
+	 * Orders the engine to load staged weights. Layers of a version that it holds in part
+	 * load beside its calls, else it loads after its running calls.
 	 * @param sequence number of orders that the engine must have accepted before this one
+	 * @param timeoutMillis time for the response
 	 * @return whether it accepted the order or serves the version already
+	 * @throws EngineUnavailableException if there was no response in time; the engine may
+	 * have accepted the order, or accept it later
 	 */
-	boolean orderLoad(String model, long version, long sequence) throws EngineUnavailableException;
+	boolean orderLoad(LoadOrder order, long sequence, long timeoutMillis) throws EngineUnavailableException;
 
 }
--- a/src/main/java/org/jaywood/replica/EngineReconciler.java
+++ b/src/main/java/org/jaywood/replica/EngineReconciler.java
@@ -1,8 +1,6 @@
 package org.jaywood.replica;
 
-import java.util.Arrays;
 import java.util.Optional;
-import java.util.stream.IntStream;
 
 import org.jspecify.annotations.Nullable;
 
@@ -17,8 +15,7 @@
 
 /**
  * Reconciles the engine with the target version: after a new target version, after a
- * restart, and when the engine has no weights. Staged chunks may become corrupt in the
- * staging area, so they are compared with the verified ones right before each load order.
+ * restart, and when the engine has no weights.
  */
 final class EngineReconciler {
 
@@ -30,7 +27,7 @@
 
 	private final ServiceState serviceState;
 
-	private final EngineControl engine;
+	private final WeightsLoader loader;
 
 	private final DownloadManager downloads;
 
@@ -46,10 +43,10 @@
 
 	private volatile boolean closed;
 
-	EngineReconciler(ServiceState serviceState, EngineControl engine, Rollout rollout, DownloadManager downloads,
+	EngineReconciler(ServiceState serviceState, WeightsLoader loader, Rollout rollout, DownloadManager downloads,
 			EngineMonitor monitor, EventLog log) {
 		this.serviceState = serviceState;
-		this.engine = engine;
+		this.loader = loader;
 		this.rollout = rollout;
 		this.downloads = downloads;
 		this.monitor = monitor;
@@ -91,13 +88,14 @@
 	private void reconcile() throws EngineUnavailableException, InterruptedException {
 		Optional<ModelVersion> targetVersion = this.serviceState.target();
 		Optional<Upstream> ownEngine = this.serviceState.ownEngine();
+		Optional<ServiceProfile.Engines> profile = this.serviceState.profile();
 		EngineReport report = this.monitor.latestReport();
-		if (targetVersion.isEmpty() || ownEngine.isEmpty() || report == null) {
+		if (targetVersion.isEmpty() || ownEngine.isEmpty() || profile.isEmpty() || report == null) {
 			return;
 		}
 		this.rollout.onTargetVersion(targetVersion.get(), BootClock.nowMillis());
 		ModelVersion target = this.rollout.target();
-		if (serves(report, target)) {
+		if (report.serves(target, profile.get().layers())) {
 			onTargetServed(target);
 			this.rollout.onServed(target);
 			return;
@@ -108,7 +106,10 @@
 		}
 		WeightsDownload download = this.downloads.findDownload(target);
 		if (download != null && download.isComplete() && mayLoadNow(target, ownEngine.get(), report)) {
-			stageAndLoad(download, target);
+			boolean accepted = this.loader.load(download, profile.get().layers());
+			if (accepted) {
+				this.monitor.refresh();
+			}
 		}
 	}
 
@@ -121,11 +122,6 @@
 				|| this.rollout.mayLoad(target, ownEngine, this.serviceState.engines(), BootClock.nowMillis());
 	}
 
-	private boolean serves(EngineReport report, ModelVersion target) {
-		int layers = this.serviceState.profile().map(ServiceProfile.Engines::layers).orElse(Integer.MAX_VALUE);
-		return report.serves(target, layers);
-	}
-
 	private void onTargetServed(ModelVersion target) {
 		if (!target.equals(this.servedVersion)) {
 			this.servedVersion = target;
@@ -133,32 +129,6 @@
 		}
 	}
 
-	private void stageAndLoad(WeightsDownload download, ModelVersion target) throws EngineUnavailableException {
-		int replaced = 0;
-		for (int index : IntStream.range(0, download.chunkManifest().size()).toArray()) {
-			byte[] staged = this.engine.readStaged(target.model(), index);
-			if (!Arrays.equals(staged, download.chunkAt(index))) {
-				this.engine.writeStaged(target.model(), index, download.chunkAt(index));
-				replaced++;
-			}
-		}
-		this.log.log(Event.PIECES_STAGED, "count", replaced, "model", target.model(), "version", target.version());
-		EngineReport report = this.engine.report();
-		if (report.orderInProgress() || serves(report, target)) {
-			return;
-		}
-		boolean accepted = this.engine.orderLoad(target.model(), target.version(), report.sequence());
-		if (accepted) {
-			this.log.log(Event.ORDER_ACCEPTED, "model", target.model(), "version", target.version(), "sequence",
-					report.sequence());
-			this.monitor.refresh();
-		}
-		else {
-			this.log.log(Event.ORDER_FAILED, "order", "load " + target, "error",
-					"refused at sequence " + report.sequence());
-		}
-	}
-
 	private void delayAfterFailure() {
 		try {
 			Thread.sleep(PENDING_CHECK_MILLIS * 2);
--- a/src/main/java/org/jaywood/replica/Replica.java
+++ b/src/main/java/org/jaywood/replica/Replica.java
@@ -77,7 +77,8 @@
 		Rollout rollout = new Rollout();
 		this.downloads = new DownloadManager(serviceState, engine, this.monitor, rollout, downloader, log);
 		this.localChunks = new LocalChunks(this.downloads, engine, this.monitor, log);
-		this.reconciler = new EngineReconciler(serviceState, engine, rollout, this.downloads, this.monitor, log);
+		WeightsLoader loader = new WeightsLoader(engine, BootClock::nowMillis, log);
+		this.reconciler = new EngineReconciler(serviceState, loader, rollout, this.downloads, this.monitor, log);
 	}
 
 	public void start() {
--- /dev/null
+++ b/src/main/java/org/jaywood/replica/WeightsLoader.java
@@ -0,0 +1,136 @@
+package org.jaywood.replica;
+
+import java.util.function.LongSupplier;
+
+import org.jaywood.event.Event;
+import org.jaywood.event.EventLog;
+import org.jaywood.routing.ModelVersion;
+
+/**
+ * Stages the weights of a download at the engine and orders it to load them. An engine
+ * takes the staged chunks as they are when it accepts the order, and they may turn bad at
+ * any time. So an order is sent only while each comparison of a staged chunk is young,
+ * however the time since has passed: by slow reads, a suspension of the VM or an order
+ * that had no response. Else the chunks are compared again. An engine that reads too
+ * slowly for the whole model loads it in several orders, a few layers each.
+ */
+final class WeightsLoader {
+
+	/**
+	 * Longest time for which a chunk may have been bad when the engine takes it (rule
+	 * WHOLE of the platform).
+	 */
+	static final long MAX_BAD_MILLIS = 3_000;
+
+	/** Age of the oldest comparison up to which an order may be sent. */
+	static final long MAX_AGE_AT_ORDER_MILLIS = 1_000;
+
+	/**
+	 * Time for the response to an order. With the age of the comparisons and another
+	 * comparison of all chunks it stays below {@link #MAX_BAD_MILLIS}, since an engine
+	 * may accept an order after its response is no longer awaited.
+	 */
+	static final long ORDER_TIMEOUT_MILLIS = 800;
+
+	/** Time for comparing the chunks of one order to an engine that reads slowly. */
+	private static final long MAX_PASS_MILLIS = 700;
+
+	/** Passes in a row that were too slow, after which an order is for fewer layers. */
+	private static final int MAX_SLOW_PASSES = 2;
+
+	private final EngineControl engine;
+
+	private final StagingVerifier verifier;
+
+	private final LongSupplier bootClockMillis;
+
+	private final EventLog log;
+
+	/** Largest number of layers for one order. */
+	private int layersPerOrder = Integer.MAX_VALUE;
+
+	private int slowPasses;
+
+	/**
+	 * Creates a loader.
+	 * @param bootClockMillis clock that goes on while the VM is suspended
+	 */
+	WeightsLoader(EngineControl engine, LongSupplier bootClockMillis, EventLog log) {
+		this.engine = engine;
+		this.verifier = new StagingVerifier(engine, bootClockMillis);
+		this.bootClockMillis = bootClockMillis;
+		this.log = log;
+	}
+
+	/**
+	 * Stages a complete download and orders the engine to load it, or its next layers,
+	 * unless it loads or serves it already, or the comparisons have become too old
+	 * meanwhile.
+	 * @param modelLayers number of layers of the model, 0 if it is not known
+	 * @return whether the engine accepted an order
+	 * @throws EngineUnavailableException if the engine did not respond in time; it may
+	 * have accepted an order all the same
+	 */
+	boolean load(WeightsDownload download, int modelLayers) throws EngineUnavailableException, InterruptedException {
+		ChunkManifest manifest = download.chunkManifest();
+		ModelVersion version = new ModelVersion(manifest.model(), manifest.version());
+		EngineReport before = this.engine.report();
+		LoadOrder order = LoadOrder.next(version, before.weights(), modelLayers, this.layersPerOrder);
+		StagingVerifier.Verification verification = this.verifier.verify(download, order.firstChunk(manifest.size()),
+				order.endChunk(manifest.size()));
+		this.log.log(Event.PIECES_STAGED, "count", verification.replacedCount(), "model", version.model(), "version",
+				version.version(), "millis", verification.passMillis(), "connections", verification.connections(),
+				"layers", order.heldLayers() + "-" + order.toLayer());
+		EngineReport report = this.engine.report();
+		if (report.orderInProgress() || report.serves(version, modelLayers)) {
+			return false;
+		}
+		long ageMillis = ageMillis(verification);
+		if (ageMillis > MAX_AGE_AT_ORDER_MILLIS) {
+			onTooOld(order, verification, ageMillis);
+			return false;
+		}
+		boolean accepted = this.engine.orderLoad(order, report.sequence(), ORDER_TIMEOUT_MILLIS);
+		onAnswered(order, report.sequence(), accepted, ageMillis(verification));
+		return accepted;
+	}
+
+	private long ageMillis(StagingVerifier.Verification verification) {
+		return this.bootClockMillis.getAsLong() - verification.oldestMillis();
+	}
+
+	/**
+	 * Has the next order be for as many layers as the engine reads in time, after passes
+	 * in a row that were too slow although they replaced nothing.
+	 */
+	private void onTooOld(LoadOrder order, StagingVerifier.Verification verification, long ageMillis) {
+		this.slowPasses = (verification.replacedCount() == 0) ? this.slowPasses + 1 : 0;
+		if (this.slowPasses >= MAX_SLOW_PASSES) {
+			this.slowPasses = 0;
+			long layersInTime = order.layers() * MAX_PASS_MILLIS / Math.max(1, verification.passMillis());
+			this.layersPerOrder = Math.clamp(layersInTime, 1, Math.max(1, order.layers() / 2));
+		}
+		this.log.log(Event.LOAD_POSTPONED, "model", order.version().model(), "version", order.version().version(),
+				"ageMillis", ageMillis, "limitMillis", MAX_AGE_AT_ORDER_MILLIS, "passMillis", verification.passMillis(),
+				"layersPerOrder", Math.min(this.layersPerOrder, order.modelLayers()));
+	}
+
+	private void onAnswered(LoadOrder order, long sequence, boolean accepted, long ageMillis) {
+		this.slowPasses = 0;
+		if (order.toLayer() == order.modelLayers()) {
+			this.layersPerOrder = Integer.MAX_VALUE;
+		}
+		ModelVersion version = order.version();
+		if (!accepted) {
+			this.log.log(Event.ORDER_FAILED, "order", "load " + version, "error", "refused at sequence " + sequence);
+			return;
+		}
+		this.log.log(Event.ORDER_ACCEPTED, "model", version.model(), "version", version.version(), "sequence", sequence,
+				"ageMillis", ageMillis);
+		if (ageMillis > MAX_BAD_MILLIS) {
+			this.log.log(Event.LOAD_DOUBTFUL, "model", version.model(), "version", version.version(), "ageMillis",
+					ageMillis);
+		}
+	}
+
+}
--- a/src/test/java/org/jaywood/platform/EndlessBodyTests.java
+++ b/src/test/java/org/jaywood/platform/EndlessBodyTests.java
@@ -13,6 +13,8 @@
 import org.jaywood.event.EventLog;
 import org.jaywood.feed.FeedException;
 import org.jaywood.replica.EngineUnavailableException;
+import org.jaywood.replica.LoadOrder;
+import org.jaywood.routing.ModelVersion;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.DaemonThreads;
 import org.jaywood.wire.Exchange;
@@ -73,7 +75,8 @@
 
 		@Test
 		void responseToAnOrderIsBounded() {
-			Failures.thrownBy(EngineUnavailableException.class, () -> this.client.orderLoad("model", 1, 0));
+			Failures.thrownBy(EngineUnavailableException.class,
+					() -> this.client.orderLoad(new LoadOrder(new ModelVersion("model", 1), 0, 16, 16), 0, 1_500));
 			assertKeptAtMost(64 * 1024);
 		}
 
--- a/src/test/java/org/jaywood/platform/FakePlatformEngine.java
+++ b/src/test/java/org/jaywood/platform/FakePlatformEngine.java
@@ -3,13 +3,10 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -20,7 +17,6 @@
 
 import org.jaywood.event.EventLog;
 import org.jaywood.wire.Address;
-import org.jaywood.wire.Digests;
 import org.jaywood.wire.Exchange;
 import org.jaywood.wire.HttpPort;
 
@@ -33,15 +29,11 @@
 
 	static final String MODEL = "model";
 
-	static final int CHUNKS = 4;
-
 	private static final int LAYERS = 16;
 
 	/** Time for which a crashed engine is down. */
 	private static final long DOWN_MILLIS = 1_000;
 
-	private static final int MAX_BODY_BYTES = 1 << 20;
-
 	private final String id;
 
 	private final Address listen;
@@ -50,14 +42,20 @@
 
 	private volatile HttpPort port;
 
-	private final Map<Integer, byte[]> staged = new ConcurrentHashMap<>();
+	private final FakeStagingArea staging;
 
 	private final List<Call> executedCalls = new CopyOnWriteArrayList<>();
 
 	private final List<String> loadOrders = new CopyOnWriteArrayList<>();
 
+	private final List<FakeStagingArea.Load> loads = new CopyOnWriteArrayList<>();
+
+	private volatile long orderDelayMillis;
+
 	private volatile long version = 1;
 
+	private volatile int heldLayers = LAYERS;
+
 	private volatile long sequence;
 
 	private volatile long bornMillis = 1;
@@ -83,9 +81,14 @@
 
 	private volatile long floodUntilNanos = System.nanoTime();
 
-	FakePlatformEngine(String id, Address listen, EventLog log) {
+	/**
+	 * Starts an engine that serves version 1.
+	 * @param staging its staging area, which also has the weights of the origin
+	 */
+	FakePlatformEngine(String id, Address listen, FakeStagingArea staging, EventLog log) {
 		this.id = id;
 		this.listen = listen;
+		this.staging = staging;
 		this.log = log;
 		this.port = open();
 	}
@@ -93,11 +96,11 @@
 	private HttpPort open() {
 		return HttpPort.open(this.listen, this.log)
 			.route("GET", "/report", (exchange) -> exchange.respondJson(200, report()))
-			.route("PUT", "/stage-put/", this::stage)
-			.route("GET", "/stage-get/", this::staged)
+			.route("PUT", "/stage-put/", this.staging::write)
+			.route("GET", "/stage-get/", this.staging::read)
 			.route("POST", "/order", this::order)
-			.route("GET", "/manifest/", this::manifest)
-			.route("GET", "/piece/", this::chunk)
+			.route("GET", "/manifest/", this.staging::sendManifest)
+			.route("GET", "/piece/", this.staging::sendChunk)
 			.route("*", "/calls/", this::call)
 			.start();
 	}
@@ -205,10 +208,39 @@
 	}
 
 	/**
-	 * Corrupts a staged chunk.
+	 * Returns what was loaded by each accepted order.
+	 */
+	List<FakeStagingArea.Load> loads() {
+		return this.loads;
+	}
+
+	/**
+	 * Whether the engine holds all layers of a version.
 	 */
-	void corruptStaged(int index) {
-		this.staged.put(index, new byte[] { 1 });
+	boolean holds(long wholeVersion) {
+		return this.version == wholeVersion && this.heldLayers == LAYERS;
+	}
+
+	FakeStagingArea staging() {
+		return this.staging;
+	}
+
+	/**
+	 * Crashes the engine and starts it again at once: it serves nothing, and its staged
+	 * chunks are kept.
+	 */
+	void restartWithoutWeights() {
+		this.bornMillis++;
+		this.sequence = 0;
+		this.version = 0;
+		this.heldLayers = 0;
+	}
+
+	/**
+	 * Has each order wait before the engine accepts or refuses it.
+	 */
+	void setOrderDelayMillis(long millis) {
+		this.orderDelayMillis = millis;
 	}
 
 	Map<String, Object> entry(String service) {
@@ -218,13 +250,15 @@
 	}
 
 	private Object report() {
-		return Map.of("Stage", "both", "Models", models(), "layers",
-				List.of(Map.of("From", 0, "To", LAYERS, "Version", this.version)), "Busy", false, "Sequence",
-				this.sequence, "Queued", 0, "Running", 0, "born", this.bornMillis);
+		List<Object> layers = (this.version == 0) ? List.of()
+				: List.of(Map.of("From", 0, "To", this.heldLayers, "Version", this.version));
+		return Map.of("Stage", "both", "Models", models(), "layers", layers, "Busy", false, "Sequence", this.sequence,
+				"Queued", 0, "Running", 0, "born", this.bornMillis);
 	}
 
 	private List<Object> models() {
-		return List.of(Map.of("Name", MODEL, "Version", this.version, "Adapters", List.of()));
+		return (this.version == 0) ? List.of()
+				: List.of(Map.of("Name", MODEL, "Version", this.version, "Adapters", List.of()));
 	}
 
 	private void call(Exchange exchange) throws IOException, InterruptedException {
@@ -271,53 +305,31 @@
 		}
 	}
 
-	private void stage(Exchange exchange) throws IOException {
-		this.staged.put((int) exchange.queryLong("SampleCount", 0), exchange.readBody(MAX_BODY_BYTES));
-		exchange.respondJson(200, Map.of());
-	}
-
-	private void staged(Exchange exchange) throws IOException {
-		byte[] chunk = this.staged.get((int) exchange.queryLong("SampleCount", 0));
-		if (chunk == null) {
-			exchange.respondError(404, "not here");
+	private void order(Exchange exchange) throws IOException, InterruptedException {
+		JsonNode order = exchange.readJson(JsonNode.class, FakeStagingArea.MAX_BODY_BYTES);
+		Thread.sleep(this.orderDelayMillis);
+		if (accept(order)) {
+			exchange.respondJson(202, Map.of());
 		}
 		else {
-			exchange.respond(200, "application/octet-stream", chunk);
+			exchange.respondError(409, "another sequence");
 		}
 	}
 
-	private synchronized void order(Exchange exchange) throws IOException {
-		JsonNode order = exchange.readJson(JsonNode.class, MAX_BODY_BYTES);
+	private synchronized boolean accept(JsonNode order) {
 		if (order.path("Precondition").asLong() != this.sequence) {
-			exchange.respondError(409, "another sequence");
-			return;
+			return false;
 		}
 		long orderedVersion = order.path("Version").asLong();
-		boolean complete = IntStream.range(0, CHUNKS)
-			.allMatch((index) -> Arrays.equals(this.staged.get(index), bytes(orderedVersion, index)));
+		int firstLayer = (orderedVersion == this.version) ? this.heldLayers : 0;
+		int endLayer = order.path("To").asInt(LAYERS);
+		FakeStagingArea.Load load = this.staging.load(orderedVersion, firstLayer, endLayer, LAYERS);
 		this.sequence++;
 		this.version = orderedVersion;
-		this.loadOrders.add(orderedVersion + (complete ? " whole" : " corrupt"));
-		exchange.respondJson(202, Map.of());
-	}
-
-	private void manifest(Exchange exchange) throws IOException {
-		long requestedVersion = exchange.queryLong("Version", 1);
-		List<String> digests = IntStream.range(0, CHUNKS).mapToObj((index) -> digest(requestedVersion, index)).toList();
-		exchange.respondJson(200, Map.of("Model", MODEL, "Version", requestedVersion, "Digests", digests));
-	}
-
-	private void chunk(Exchange exchange) throws IOException {
-		exchange.respond(200, "application/octet-stream",
-				bytes(exchange.queryLong("Version", 1), (int) exchange.queryLong("SampleCount", 0)));
-	}
-
-	private static String digest(long version, int index) {
-		return HexFormat.of().formatHex(Digests.newSha256().digest(bytes(version, index)));
-	}
-
-	private static byte[] bytes(long version, int index) {
-		return ("piece " + index + " of version " + version).getBytes(StandardCharsets.US_ASCII);
+		this.heldLayers = endLayer;
+		this.loads.add(load);
+		this.loadOrders.add(orderedVersion + (load.badAgesMillis().isEmpty() ? " whole" : " corrupt"));
+		return true;
 	}
 
 	@Override
--- a/src/test/java/org/jaywood/platform/PlatformIT.java
+++ b/src/test/java/org/jaywood/platform/PlatformIT.java
@@ -209,7 +209,7 @@
 
 		@Test
 		void corruptStagedChunksAreReplaced() {
-			PlatformIT.this.engine.corruptStaged(1);
+			PlatformIT.this.engine.staging().stage(1, new byte[] { 1 });
 			PlatformIT.this.processes.setTargetVersion(2);
 			Awaitility.await()
 				.atMost(Duration.ofSeconds(12))
--- a/src/test/java/org/jaywood/platform/PlatformProcesses.java
+++ b/src/test/java/org/jaywood/platform/PlatformProcesses.java
@@ -42,6 +42,9 @@
 	/** Largest body of a call in the configuration. */
 	static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
 
+	/** Number of chunks of the weights where a test states none. */
+	private static final int CHUNKS = 4;
+
 	private static final int FIRST_PORT = 7700;
 
 	private static final int LAST_PORT = 7715;
@@ -73,11 +76,21 @@
 	private List<String> gatewayArguments = List.of();
 
 	PlatformProcesses(int gateways, int engines, EventLog log) throws IOException {
+		this(gateways, engines, CHUNKS, 0, log);
+	}
+
+	/**
+	 * Creates the fakes.
+	 * @param chunks number of chunks of the weights
+	 * @param chunkBytes size of each chunk, at least; the content makes up the rest
+	 */
+	PlatformProcesses(int gateways, int engines, int chunks, int chunkBytes, EventLog log) throws IOException {
 		this.gateways = gateways;
 		this.fleet = new ProcessFleet();
 		this.store = new FakeMetadataStore(this.fleet.address(0, 0, 1, 7000), log);
 		this.engines = IntStream.range(0, engines)
-			.mapToObj((number) -> new FakePlatformEngine("engine-" + number, engineAddress(number), log))
+			.mapToObj((number) -> new FakePlatformEngine("engine-" + number, engineAddress(number),
+					new FakeStagingArea(chunks, chunkBytes), log))
 			.toList();
 		this.store.put("config", "main", configuration(1, List.of(KEY)));
 		IntStream.range(0, engines).forEach(this::publishEngine);
--- a/src/test/java/org/jaywood/replica/EngineMonitorTests.java
+++ b/src/test/java/org/jaywood/replica/EngineMonitorTests.java
@@ -115,7 +115,7 @@
 		}
 
 		@Override
-		public boolean orderLoad(String model, long version, long sequence) {
+		public boolean orderLoad(LoadOrder order, long sequence, long timeoutMillis) {
 			return true;
 		}
 
--- a/src/test/java/org/jaywood/replica/EngineReachabilityTests.java
+++ b/src/test/java/org/jaywood/replica/EngineReachabilityTests.java
@@ -151,7 +151,7 @@
 		}
 
 		@Override
-		public boolean orderLoad(String model, long version, long sequence) {
+		public boolean orderLoad(LoadOrder order, long sequence, long timeoutMillis) {
 			return true;
 		}
 
--- a/src/test/java/org/jaywood/replica/EngineReconcilerTests.java
+++ b/src/test/java/org/jaywood/replica/EngineReconcilerTests.java
@@ -1,10 +1,7 @@
 package org.jaywood.replica;
 
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -15,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 
 import org.jaywood.event.EventLog;
+import org.jaywood.feed.BootClock;
 import org.jaywood.http.ConnectionPool;
 import org.jaywood.routing.ModelVersion;
 import org.jaywood.routing.RoutingFixtures;
@@ -45,8 +43,9 @@
 			new ChunkDownloader(this.serviceState, new PeerClient(new ConnectionPool()), new FakeOrigin(), 1, this.log),
 			this.log);
 
-	private final EngineReconciler reconciler = new EngineReconciler(this.serviceState, this.engine, this.rollout,
-			this.downloads, this.monitor, this.log);
+	private final EngineReconciler reconciler = new EngineReconciler(this.serviceState,
+			new WeightsLoader(this.engine, BootClock::nowMillis, this.log), this.rollout, this.downloads, this.monitor,
+			this.log);
 
 	@AfterEach
 	void stop() {
@@ -190,7 +189,7 @@
 		public ChunkManifest fetchManifest(Address origin, String model, long version) {
 			List<String> digests = new ArrayList<>();
 			for (int index = 0; index < FakeEngine.CHUNKS; index++) {
-				digests.add(digest(FakeEngine.chunk(version, index)));
+				digests.add(FakeEngine.digest(version, index));
 			}
 			return new ChunkManifest(model, version, 0, digests);
 		}
@@ -202,15 +201,6 @@
 					: FakeEngine.chunk(manifest.version(), index);
 		}
 
-		private static String digest(byte[] bytes) {
-			try {
-				return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes));
-			}
-			catch (NoSuchAlgorithmException ex) {
-				throw new IllegalStateException(ex);
-			}
-		}
-
 	}
 
 }
--- a/src/test/java/org/jaywood/replica/FakeEngine.java
+++ b/src/test/java/org/jaywood/replica/FakeEngine.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -11,6 +12,7 @@
 import org.jspecify.annotations.Nullable;
 
 import org.jaywood.routing.LoadedWeights;
+import org.jaywood.wire.Digests;
 
 /**
  * Engine that keeps staged chunks and loads them at once.
@@ -46,6 +48,10 @@
 		return ("chunk " + version + " " + index).getBytes(StandardCharsets.UTF_8);
 	}
 
+	static String digest(long version, int index) {
+		return HexFormat.of().formatHex(Digests.newSha256().digest(chunk(version, index)));
+	}
+
 	void restart() {
 		this.weights = null;
 		this.sequence = 0;
@@ -75,7 +81,8 @@
 	}
 
 	@Override
-	public boolean orderLoad(String model, long version, long expectedSequence) {
+	public boolean orderLoad(LoadOrder order, long expectedSequence, long timeoutMillis) {
+		long version = order.version().version();
 		throwOnce(this.nextOrderError);
 		this.lastOrderSequence = expectedSequence;
 		if (expectedSequence != this.sequence) {
@@ -89,7 +96,7 @@
 			stagedChunks.put(index, new String(bytes, StandardCharsets.UTF_8));
 		}
 		this.sequence++;
-		this.weights = new LoadedWeights(model, version, 0, LAYERS);
+		this.weights = new LoadedWeights("model", version, 0, LAYERS);
 		this.loadResults.add(version + (expectedChunks.equals(stagedChunks) ? " whole" : " corrupt"));
 		return true;
 	}
