Measure the wait of LocalChunksTests by the clock that limits it

Cause: DownloadManager.awaitDownload waits until its deadline by the boot clock in whole milliseconds, the test measured by System.nanoTime; a wait that begins at 0.9 ms and ends at the full millisecond of its deadline is 299.1 ms long. The test now reads the same clock before and after; the bound of 300 ms is as before, and no wait by that clock can be shorter.

--- a/src/test/java/org/jaywood/replica/LocalChunksTests.java
+++ b/src/test/java/org/jaywood/replica/LocalChunksTests.java
@@ -1,13 +1,13 @@
 package org.jaywood.replica;
 
 import java.util.BitSet;
-import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 import org.jaywood.event.EventLog;
+import org.jaywood.feed.BootClock;
 import org.jaywood.http.ConnectionPool;
 import org.jaywood.routing.ModelVersion;
 import org.jaywood.routing.RoutingFixtures;
@@ -86,10 +86,10 @@
 		@Test
 		void nextChunkWaitsWhenChunkIsNotStaged() throws Exception {
 			BitSet second = BitSet.valueOf(new long[] { 2 });
-			long startNanos = System.nanoTime();
+			long startMillis = BootClock.nowMillis();
 			assertThat(LocalChunksTests.this.localChunks.nextChunk(new ModelVersion("model", 1), second, WAIT_MILLIS))
 				.isNull();
-			assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos)).isAtLeast(WAIT_MILLIS);
+			assertThat(BootClock.nowMillis() - startMillis).isAtLeast(WAIT_MILLIS);
 		}
 
 	}
