Order no load of an engine that restarted since its chunks were compared

Callers would see: calls answered with layers whose chunks were missing when the engine took them (WHOLE).

Cause: an engine that starts again without its staged chunks (loss of power) counts its orders from 0, as the engine before may have. Nothing compared the incarnation of the engine before and after the comparisons, so the order fitted.

Evidence: WeightsLoaderTests.RestartedEngine failed before the change: load of version 2 with all 4 chunks missing.

Change: the state of the engine is requested before and after the comparisons; another time of birth or number of orders has all chunks compared again, and 1409 says so.

Result: passes. Open: a restart in the milliseconds between the second report and the order.

--- a/src/main/java/org/jaywood/event/Event.java
+++ b/src/main/java/org/jaywood/event/Event.java
@@ -143,6 +143,13 @@
 	/** The engine accepted an order to load weights. */
 	ORDER_ACCEPTED(1408, Level.INFO, "order to load {model} {version} accepted after sequence {sequence}"),
 
+	/**
+	 * The engine started again while its staged chunks were compared; it may have lost
+	 * them, so they are compared again.
+	 */
+	ENGINE_RESTARTED(1409, Level.INFO,
+			"engine born at {born} instead of {previous}: its staged chunks are compared again"),
+
 	/** An admitted call ended without its whole answer. */
 	CALL_BROKEN(1501, Level.WARNING, "call {request} ended without its whole answer: {error}"),
 
--- a/src/main/java/org/jaywood/replica/WeightsLoader.java
+++ b/src/main/java/org/jaywood/replica/WeightsLoader.java
@@ -11,8 +11,9 @@
  * takes the staged chunks as they are when it accepts the order, and they may turn bad at
  * any time. So an order is sent only while each comparison of a staged chunk is young,
  * however the time since has passed: by slow reads, a suspension of the VM or an order
- * that had no response. Else the chunks are compared again. An engine that reads too
- * slowly for the whole model loads it in several orders, a few layers each.
+ * that had no response, and only to the incarnation of the engine that was asked. Else
+ * the chunks are compared again. An engine that reads too slowly for the whole model
+ * loads it in several orders, a few layers each.
  */
 final class WeightsLoader {
 
@@ -82,7 +83,12 @@
 				version.version(), "millis", verification.passMillis(), "connections", verification.connections(),
 				"layers", order.heldLayers() + "-" + order.toLayer());
 		EngineReport report = this.engine.report();
-		if (report.orderInProgress() || report.serves(version, modelLayers)) {
+		if (report.bornMillis() != before.bornMillis()) {
+			this.log.log(Event.ENGINE_RESTARTED, "born", report.bornMillis(), "previous", before.bornMillis());
+			return false;
+		}
+		boolean orderAccepted = report.orderInProgress() || report.sequence() != before.sequence();
+		if (orderAccepted || report.serves(version, modelLayers)) {
 			return false;
 		}
 		long ageMillis = ageMillis(verification);
--- a/src/test/java/org/jaywood/replica/WeightsLoaderTests.java
+++ b/src/test/java/org/jaywood/replica/WeightsLoaderTests.java
@@ -120,6 +120,22 @@
 
 	}
 
+	@Nested
+	class RestartedEngine {
+
+		@Test
+		void thatLostItsStagedChunksAfterTheComparisonsIsStagedAgain() throws Exception {
+			AtomicInteger reports = new AtomicInteger();
+			WeightsLoaderTests.this.engine.beforeReport(() -> {
+				if (reports.incrementAndGet() == 2) {
+					WeightsLoaderTests.this.engine.restartWithoutStagedChunks();
+				}
+			});
+			loadUntilAccepted(2);
+		}
+
+	}
+
 	@Nested
 	class UnansweredOrder {
 
