Load engines in time that respond slowly to every request

Callers would see: an engine that takes 400 ms for each response never gets another version. Left over by: the comparisons of one layer alone took 1.2 s, since each pass began with one connection and added others, and the state of the engine another 0.4 s, over the limit of 1 s.

Change: a pass begins with as many connections as the last one needed. An order of a single layer, which can't be made smaller, may be sent up to 1.8 s after its oldest comparison: with 0.4 s to connect and 0.8 s for the response that is the 3 s of the rule.

--- a/src/main/java/org/jaywood/replica/StagingVerifier.java
+++ b/src/main/java/org/jaywood/replica/StagingVerifier.java
@@ -37,6 +37,9 @@
 	 */
 	private int maxConnections = MAX_CONNECTIONS;
 
+	/** Connections with which the next pass begins: as many as the last one needed. */
+	private int firstConnections = 1;
+
 	/**
 	 * Creates a verifier.
 	 * @param bootClockMillis clock that goes on while the VM is suspended
@@ -56,6 +59,7 @@
 			throws EngineUnavailableException, InterruptedException {
 		try {
 			Verification verification = new Pass(download, firstChunk, endChunk).run();
+			this.firstConnections = (verification.passMillis() > TARGET_PASS_MILLIS) ? verification.connections() : 1;
 			this.maxConnections = Math.min(MAX_CONNECTIONS, this.maxConnections + 1);
 			return verification;
 		}
@@ -116,6 +120,9 @@
 
 		Verification run() throws EngineUnavailableException, InterruptedException {
 			try (ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
+				for (int i = 1; i < StagingVerifier.this.firstConnections; i++) {
+					addHelper(executor);
+				}
 				compareUntilDone(executor);
 				for (int i = 0; i < helperCount(); i++) {
 					awaitHelper(i);
@@ -201,8 +208,17 @@
 		private synchronized void addHelperIfSlow(ExecutorService executor) {
 			long elapsedMillis = StagingVerifier.this.bootClockMillis.getAsLong() - this.startMillis;
 			long restMillis = elapsedMillis * (this.endIndex - this.nextIndex) / this.comparedCount;
-			if (elapsedMillis + restMillis > TARGET_PASS_MILLIS && this.nextIndex < this.endIndex
-					&& 1 + this.helpers.size() < this.connectionLimit) {
+			if (elapsedMillis + restMillis > TARGET_PASS_MILLIS) {
+				addHelper(executor);
+			}
+		}
+
+		/**
+		 * Adds a thread if there is a chunk for it and its connection is within the
+		 * limit.
+		 */
+		private synchronized void addHelper(ExecutorService executor) {
+			if (this.nextIndex < this.endIndex && 1 + this.helpers.size() < this.connectionLimit) {
 				this.helpers.add(executor.submit(() -> {
 					compareUntilDone(executor);
 					return null;
--- a/src/main/java/org/jaywood/replica/WeightsLoader.java
+++ b/src/main/java/org/jaywood/replica/WeightsLoader.java
@@ -26,6 +26,13 @@
 	/** Age of the oldest comparison up to which an order may be sent. */
 	static final long MAX_AGE_AT_ORDER_MILLIS = 1_000;
 
+	/**
+	 * The same for an order of a single layer, which cannot be made smaller for an engine
+	 * that responds slowly. With the time for the response it stays below
+	 * {@link #MAX_BAD_MILLIS}.
+	 */
+	static final long MAX_AGE_AT_SMALLEST_ORDER_MILLIS = 1_800;
+
 	/**
 	 * Time for the response to an order. With the age of the comparisons and another
 	 * comparison of all chunks it stays below {@link #MAX_BAD_MILLIS}, since an engine
@@ -92,7 +99,7 @@
 			return false;
 		}
 		long ageMillis = ageMillis(verification);
-		if (ageMillis > MAX_AGE_AT_ORDER_MILLIS) {
+		if (ageMillis > maxAgeMillis(order)) {
 			onTooOld(order, verification, ageMillis);
 			return false;
 		}
@@ -101,6 +108,10 @@
 		return accepted;
 	}
 
+	private static long maxAgeMillis(LoadOrder order) {
+		return (order.layers() == 1) ? MAX_AGE_AT_SMALLEST_ORDER_MILLIS : MAX_AGE_AT_ORDER_MILLIS;
+	}
+
 	private long ageMillis(StagingVerifier.Verification verification) {
 		return this.bootClockMillis.getAsLong() - verification.oldestMillis();
 	}
@@ -117,7 +128,7 @@
 			this.layersPerOrder = Math.clamp(layersInTime, 1, Math.max(1, order.layers() / 2));
 		}
 		this.log.log(Event.LOAD_POSTPONED, "model", order.version().model(), "version", order.version().version(),
-				"ageMillis", ageMillis, "limitMillis", MAX_AGE_AT_ORDER_MILLIS, "passMillis", verification.passMillis(),
+				"ageMillis", ageMillis, "limitMillis", maxAgeMillis(order), "passMillis", verification.passMillis(),
 				"layersPerOrder", Math.min(this.layersPerOrder, order.modelLayers()));
 	}
 
--- a/src/test/java/org/jaywood/platform/WholeLoadsIT.java
+++ b/src/test/java/org/jaywood/platform/WholeLoadsIT.java
@@ -146,6 +146,16 @@
 			assertLoadedWhole(2);
 		}
 
+		@Test
+		void engineThatTakesLongForEachResponseIsLoadedWhole() throws Exception {
+			WholeLoadsIT.this.staging.setAccessMillis(400, false);
+			WholeLoadsIT.this.engine.setReportDelayMillis(400);
+			WholeLoadsIT.this.processes.setTargetVersion(2);
+			awaitAccesses(STAGING_ACCESSES / 4);
+			spoilSome();
+			assertLoadedWhole(2);
+		}
+
 		@Test
 		void chunksThatTurnBadWhileTheOrderWaitsAreNotLoaded() throws Exception {
 			WholeLoadsIT.this.engine.setOrderDelayMillis(4_000);
