Stage no other version while an order without a response may be accepted

Found by reading, among the paths on which an order is accepted long after its comparisons.

Cause: after an order without a response, a newer target version was staged at once over the chunks of the order, which the engine may still accept.

Evidence: WeightsLoaderTests.UnansweredOrder. thatIsAcceptedLateFindsTheChunksOfItsVersion failed before the change: the engine accepted the order for version 2 with chunks of version 3 staged.

Change: the order without a response is repeated until the engine answers or its number of orders or incarnation changes; an accepted repetition has the engine refuse the first one by its sequence. After 15 s it counts as lost.

Result: passes, and an order that is lost and then refused does not keep out the next version. Open: a replica that is killed after sending an order knows nothing of it when it starts again.

--- a/src/main/java/org/jaywood/replica/WeightsLoader.java
+++ b/src/main/java/org/jaywood/replica/WeightsLoader.java
@@ -2,6 +2,8 @@
 
 import java.util.function.LongSupplier;
 
+import org.jspecify.annotations.Nullable;
+
 import org.jaywood.event.Event;
 import org.jaywood.event.EventLog;
 import org.jaywood.routing.ModelVersion;
@@ -59,6 +61,9 @@
 
 	private int slowPasses;
 
+	/** Last order that had no response, until it is known whether it was accepted. */
+	private @Nullable UnansweredOrder unansweredOrder;
+
 	/**
 	 * Creates a loader.
 	 * @param bootClockMillis clock that goes on while the VM is suspended
@@ -73,16 +78,18 @@
 	/**
 	 * Stages a complete download and orders the engine to load it, or its next layers,
 	 * unless it loads or serves it already, or the comparisons have become too old
-	 * meanwhile.
+	 * meanwhile. While the engine may still accept an earlier order that had no response,
+	 * that order is repeated instead: staging another version would spoil it.
 	 * @param modelLayers number of layers of the model, 0 if it is not known
 	 * @return whether the engine accepted an order
 	 * @throws EngineUnavailableException if the engine did not respond in time; it may
 	 * have accepted an order all the same
 	 */
-	boolean load(WeightsDownload download, int modelLayers) throws EngineUnavailableException, InterruptedException {
+	boolean load(WeightsDownload target, int modelLayers) throws EngineUnavailableException, InterruptedException {
+		EngineReport before = this.engine.report();
+		WeightsDownload download = downloadToLoad(target, before);
 		ChunkManifest manifest = download.chunkManifest();
 		ModelVersion version = new ModelVersion(manifest.model(), manifest.version());
-		EngineReport before = this.engine.report();
 		LoadOrder order = LoadOrder.next(version, before.weights(), modelLayers, this.layersPerOrder);
 		StagingVerifier.Verification verification = this.verifier.verify(download, order.firstChunk(manifest.size()),
 				order.endChunk(manifest.size()));
@@ -103,11 +110,37 @@
 			onTooOld(order, verification, ageMillis);
 			return false;
 		}
-		boolean accepted = this.engine.orderLoad(order, report.sequence(), ORDER_TIMEOUT_MILLIS);
+		boolean accepted = sendOrder(order, download, report);
 		onAnswered(order, report.sequence(), accepted, ageMillis(verification));
 		return accepted;
 	}
 
+	/**
+	 * Returns the target, or the download of an order that the engine may still accept.
+	 */
+	private WeightsDownload downloadToLoad(WeightsDownload target, EngineReport report) {
+		UnansweredOrder order = this.unansweredOrder;
+		if (order == null || !order.mayBeAccepted(report, this.bootClockMillis.getAsLong())) {
+			this.unansweredOrder = null;
+			return target;
+		}
+		return order.download();
+	}
+
+	/**
+	 * Sends an order. One that is refused says nothing of an earlier one without a
+	 * response; one that is accepted has the engine refuse that.
+	 */
+	private boolean sendOrder(LoadOrder order, WeightsDownload download, EngineReport report)
+			throws EngineUnavailableException {
+		UnansweredOrder earlierOrder = this.unansweredOrder;
+		this.unansweredOrder = new UnansweredOrder(download, report.bornMillis(), report.sequence(),
+				this.bootClockMillis.getAsLong());
+		boolean accepted = this.engine.orderLoad(order, report.sequence(), ORDER_TIMEOUT_MILLIS);
+		this.unansweredOrder = accepted ? null : earlierOrder;
+		return accepted;
+	}
+
 	private static long maxAgeMillis(LoadOrder order) {
 		return (order.layers() == 1) ? MAX_AGE_AT_SMALLEST_ORDER_MILLIS : MAX_AGE_AT_ORDER_MILLIS;
 	}
@@ -150,4 +183,27 @@
 		}
 	}
 
+	/**
+	 * Order whose response is not known.
+	 *
+	 * @param download what it is to load
+	 * @param bornMillis start time of the engine that it was sent to
+	 * @param sequence number of orders that the engine had accepted
+	 * @param sentMillis time at which it was sent, by the boot clock
+	 */
+	private record UnansweredOrder(WeightsDownload download, long bornMillis, long sequence, long sentMillis) {
+
+		/** Time after which an order without a response counts as lost. */
+		private static final long MAX_WAIT_MILLIS = 15_000;
+
+		/**
+		 * Whether an engine in this state may still accept the order.
+		 */
+		boolean mayBeAccepted(EngineReport report, long nowMillis) {
+			return report.bornMillis() == this.bornMillis && report.sequence() == this.sequence
+					&& nowMillis - this.sentMillis < MAX_WAIT_MILLIS;
+		}
+
+	}
+
 }
--- a/src/test/java/org/jaywood/replica/WeightsLoaderTests.java
+++ b/src/test/java/org/jaywood/replica/WeightsLoaderTests.java
@@ -3,11 +3,13 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
+import org.jaywood.Failures;
 import org.jaywood.event.EventLog;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -153,6 +155,49 @@
 			loadUntilAccepted(2);
 		}
 
+		@Test
+		void thatIsLostAndThenRefusedDoesNotKeepOutTheNextVersion() throws Exception {
+			AtomicInteger orders = new AtomicInteger();
+			WeightsLoaderTests.this.engine.onOrder((acceptance) -> {
+				if (orders.incrementAndGet() == 1) {
+					throw new EngineUnavailableException("no response", null);
+				}
+				return orders.get() > 4 && acceptance.run();
+			});
+			Failures.thrownBy(EngineUnavailableException.class, () -> load(2));
+			for (int i = 0; i < MAX_LOADS; i++) {
+				load(3);
+				suspend(5_000);
+			}
+			assertThat(WeightsLoaderTests.this.engine.loads().getFirst().version()).isEqualTo(3);
+		}
+
+		@Test
+		void thatIsAcceptedLateFindsTheChunksOfItsVersion() throws Exception {
+			AtomicReference<AgeingEngine.Acceptance> late = new AtomicReference<>();
+			WeightsLoaderTests.this.engine.onOrder((acceptance) -> {
+				if (late.get() == null) {
+					late.set(acceptance);
+					throw new EngineUnavailableException("no response", null);
+				}
+				return acceptance.run();
+			});
+			Failures.thrownBy(EngineUnavailableException.class, () -> load(2));
+			AtomicInteger reads = new AtomicInteger();
+			WeightsLoaderTests.this.engine.beforeRead((index) -> {
+				if (reads.incrementAndGet() == AgeingEngine.CHUNKS) {
+					late.get().run();
+				}
+			});
+			for (int i = 0; i < MAX_LOADS && WeightsLoaderTests.this.engine.loads().size() < 2; i++) {
+				load(3);
+			}
+			assertThat(WeightsLoaderTests.this.engine.loads().stream().map(AgeingEngine.Load::version).toList())
+				.containsExactly(2L, 3L)
+				.inOrder();
+			assertThat(WeightsLoaderTests.this.engine.loads().stream().allMatch(AgeingEngine.Load::allowed)).isTrue();
+		}
+
 	}
 
 }
