--- a/src/main/java/org/jaywood/replica/ChunkManifest.java
+++ b/src/main/java/org/jaywood/replica/ChunkManifest.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 
+import org.jaywood.routing.ModelVersion;
+
 /**
  * Digests of the chunks of one version of a model.
  *
@@ -22,6 +24,13 @@
 		return (this.chunkBytes > 0) ? Math.min(this.chunkBytes, MAX_CHUNK_BYTES) : MAX_CHUNK_BYTES;
 	}
 
+	/**
+	 * Returns the version whose chunks are listed.
+	 */
+	ModelVersion modelVersion() {
+		return new ModelVersion(this.model, this.version);
+	}
+
 	public int size() {
 		return this.digests.size();
 	}
--- a/src/main/java/org/jaywood/replica/LoadOrder.java
+++ b/src/main/java/org/jaywood/replica/LoadOrder.java
@@ -39,7 +39,14 @@
 	 * Whether the engine takes the whole model with this order.
 	 */
 	public boolean takesWholeModel() {
-		return this.heldLayers == 0 && this.toLayer == this.modelLayers;
+		return this.heldLayers == 0 && completesModel();
+	}
+
+	/**
+	 * Whether the engine holds the whole model after this order.
+	 */
+	boolean completesModel() {
+		return this.toLayer == this.modelLayers;
 	}
 
 	/**
--- a/src/main/java/org/jaywood/replica/WeightsLoader.java
+++ b/src/main/java/org/jaywood/replica/WeightsLoader.java
@@ -42,12 +42,6 @@
 	 */
 	static final long ORDER_TIMEOUT_MILLIS = 800;
 
-	/** Time for comparing the chunks of one order to an engine that reads slowly. */
-	private static final long MAX_PASS_MILLIS = 700;
-
-	/** Passes in a row that were too slow, after which an order is for fewer layers. */
-	private static final int MAX_SLOW_PASSES = 2;
-
 	private final EngineControl engine;
 
 	private final StagingVerifier verifier;
@@ -56,10 +50,7 @@
 
 	private final EventLog log;
 
-	/** Largest number of layers for one order. */
-	private int layersPerOrder = Integer.MAX_VALUE;
-
-	private int slowPasses;
+	private final OrderSize orderSize = new OrderSize();
 
 	/** Last order that had no response, until it is known whether it was accepted. */
 	private @Nullable UnansweredOrder unansweredOrder;
@@ -88,26 +79,12 @@
 	boolean load(WeightsDownload target, int modelLayers) throws EngineUnavailableException, InterruptedException {
 		EngineReport before = this.engine.report();
 		WeightsDownload download = downloadToLoad(target, before);
-		ChunkManifest manifest = download.chunkManifest();
-		ModelVersion version = new ModelVersion(manifest.model(), manifest.version());
-		LoadOrder order = LoadOrder.next(version, before.weights(), modelLayers, this.layersPerOrder);
-		StagingVerifier.Verification verification = this.verifier.verify(download, order.firstChunk(manifest.size()),
-				order.endChunk(manifest.size()));
-		this.log.log(Event.PIECES_STAGED, "count", verification.replacedCount(), "model", version.model(), "version",
-				version.version(), "millis", verification.passMillis(), "connections", verification.connections(),
-				"layers", order.heldLayers() + "-" + order.toLayer());
+		LoadOrder order = LoadOrder.next(download.chunkManifest().modelVersion(), before.weights(), modelLayers,
+				this.orderSize.maxLayers());
+		StagingVerifier.Verification verification = stage(download, order);
 		EngineReport report = this.engine.report();
-		if (report.bornMillis() != before.bornMillis()) {
-			this.log.log(Event.ENGINE_RESTARTED, "born", report.bornMillis(), "previous", before.bornMillis());
-			return false;
-		}
-		boolean orderAccepted = report.orderInProgress() || report.sequence() != before.sequence();
-		if (orderAccepted || report.serves(version, modelLayers)) {
-			return false;
-		}
-		long ageMillis = ageMillis(verification);
-		if (ageMillis > maxAgeMillis(order)) {
-			onTooOld(order, verification, ageMillis);
+		if (!isUnchanged(before, report) || report.serves(order.version(), modelLayers)
+				|| isTooOld(order, verification)) {
 			return false;
 		}
 		boolean accepted = sendOrder(order, download, report);
@@ -127,18 +104,43 @@
 		return order.download();
 	}
 
+	private StagingVerifier.Verification stage(WeightsDownload download, LoadOrder order)
+			throws EngineUnavailableException, InterruptedException {
+		int chunks = download.chunkManifest().size();
+		StagingVerifier.Verification verification = this.verifier.verify(download, order.firstChunk(chunks),
+				order.endChunk(chunks));
+		this.log.log(Event.PIECES_STAGED, "count", verification.replacedCount(), "model", order.version().model(),
+				"version", order.version().version(), "millis", verification.passMillis(), "connections",
+				verification.connections(), "layers", order.heldLayers() + "-" + order.toLayer());
+		return verification;
+	}
+
 	/**
-	 * Sends an order. One that is refused says nothing of an earlier one without a
-	 * response; one that is accepted has the engine refuse that.
+	 * Whether the engine is the same incarnation as before the comparisons, and has
+	 * accepted no order since.
 	 */
-	private boolean sendOrder(LoadOrder order, WeightsDownload download, EngineReport report)
-			throws EngineUnavailableException {
-		UnansweredOrder earlierOrder = this.unansweredOrder;
-		this.unansweredOrder = new UnansweredOrder(download, report.bornMillis(), report.sequence(),
-				this.bootClockMillis.getAsLong());
-		boolean accepted = this.engine.orderLoad(order, report.sequence(), ORDER_TIMEOUT_MILLIS);
-		this.unansweredOrder = accepted ? null : earlierOrder;
-		return accepted;
+	private boolean isUnchanged(EngineReport before, EngineReport report) {
+		if (report.bornMillis() != before.bornMillis()) {
+			this.log.log(Event.ENGINE_RESTARTED, "born", report.bornMillis(), "previous", before.bornMillis());
+			return false;
+		}
+		return report.sequence() == before.sequence() && !report.orderInProgress();
+	}
+
+	/**
+	 * Whether the comparisons are too old for the order. The next one may be smaller
+	 * then.
+	 */
+	private boolean isTooOld(LoadOrder order, StagingVerifier.Verification verification) {
+		long ageMillis = ageMillis(verification);
+		if (ageMillis <= maxAgeMillis(order)) {
+			return false;
+		}
+		this.orderSize.onTooSlow(order, verification);
+		this.log.log(Event.LOAD_POSTPONED, "model", order.version().model(), "version", order.version().version(),
+				"ageMillis", ageMillis, "limitMillis", maxAgeMillis(order), "passMillis", verification.passMillis(),
+				"layersPerOrder", Math.min(this.orderSize.maxLayers(), order.modelLayers()));
+		return true;
 	}
 
 	private static long maxAgeMillis(LoadOrder order) {
@@ -150,26 +152,21 @@
 	}
 
 	/**
-	 * Has the next order be for as many layers as the engine reads in time, after passes
-	 * in a row that were too slow although they replaced nothing.
+	 * Sends an order. One that is refused says nothing of an earlier one without a
+	 * response; one that is accepted has the engine refuse that.
 	 */
-	private void onTooOld(LoadOrder order, StagingVerifier.Verification verification, long ageMillis) {
-		this.slowPasses = (verification.replacedCount() == 0) ? this.slowPasses + 1 : 0;
-		if (this.slowPasses >= MAX_SLOW_PASSES) {
-			this.slowPasses = 0;
-			long layersInTime = order.layers() * MAX_PASS_MILLIS / Math.max(1, verification.passMillis());
-			this.layersPerOrder = Math.clamp(layersInTime, 1, Math.max(1, order.layers() / 2));
-		}
-		this.log.log(Event.LOAD_POSTPONED, "model", order.version().model(), "version", order.version().version(),
-				"ageMillis", ageMillis, "limitMillis", maxAgeMillis(order), "passMillis", verification.passMillis(),
-				"layersPerOrder", Math.min(this.layersPerOrder, order.modelLayers()));
+	private boolean sendOrder(LoadOrder order, WeightsDownload download, EngineReport report)
+			throws EngineUnavailableException {
+		UnansweredOrder earlierOrder = this.unansweredOrder;
+		this.unansweredOrder = new UnansweredOrder(download, report.bornMillis(), report.sequence(),
+				this.bootClockMillis.getAsLong());
+		boolean accepted = this.engine.orderLoad(order, report.sequence(), ORDER_TIMEOUT_MILLIS);
+		this.unansweredOrder = accepted ? null : earlierOrder;
+		return accepted;
 	}
 
 	private void onAnswered(LoadOrder order, long sequence, boolean accepted, long ageMillis) {
-		this.slowPasses = 0;
-		if (order.toLayer() == order.modelLayers()) {
-			this.layersPerOrder = Integer.MAX_VALUE;
-		}
+		this.orderSize.onAnswered(order);
 		ModelVersion version = order.version();
 		if (!accepted) {
 			this.log.log(Event.ORDER_FAILED, "order", "load " + version, "error", "refused at sequence " + sequence);
