--- a/src/main/java/org/jaywood/event/Event.java
+++ b/src/main/java/org/jaywood/event/Event.java
@@ -204,6 +204,13 @@
 	/** An upstream sent a header about itself with a value that is not understood. */
 	UPSTREAM_HEADER_IGNORED(1615, Level.WARNING, "{upstream} sent a header that is not understood: {header}"),
 
+	/**
+	 * An attempt of a caller that left was ended, and its connection to the upstream
+	 * reset.
+	 */
+	ATTEMPT_ABANDONED(1616, Level.INFO,
+			"attempt of {request} at {upstream} closed {millis} ms after it was placed, its caller left"),
+
 	/** Log lines were dropped because too many were written at once. */
 	LOG_LINES_DROPPED(1006, Level.WARNING, "{count} log lines dropped"),
 
--- a/src/main/java/org/jaywood/gateway/AttemptRunner.java
+++ b/src/main/java/org/jaywood/gateway/AttemptRunner.java
@@ -335,9 +335,19 @@
 		}
 		else {
 			connection.abort();
+			if (this.cancellation.cancelled()) {
+				logAbandoned(attempt.placement(), BootClock.nowMillis());
+			}
 		}
 	}
 
+	private void logAbandoned(Placement placement, long nowMillis) {
+		this.context.log()
+			.log(Event.ATTEMPT_ABANDONED, "request", this.call.id(), "upstream", placement.upstream().id(), "millis",
+					nowMillis - placement.placedMillis(), "silentMillis", placement.activity().silenceMillis(nowMillis),
+					"agentSilentMillis", this.context.dispatcher().agentSilenceMillis(placement.upstream(), nowMillis));
+	}
+
 	private void logError(Throwable error) {
 		this.context.log()
 			.log(Event.HANDLER_FAILED, "method", this.call.request().head().getMethod(), "path",
--- a/src/main/java/org/jaywood/routing/AttemptActivity.java
+++ b/src/main/java/org/jaywood/routing/AttemptActivity.java
@@ -68,7 +68,7 @@
 	 * Returns the time in milliseconds for which the upstream has been awaited, 0 if it
 	 * is not.
 	 */
-	synchronized long silenceMillis(long nowMillis) {
+	public synchronized long silenceMillis(long nowMillis) {
 		return this.awaited ? nowMillis - this.awaitedSinceMillis : 0;
 	}
 
--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -236,6 +236,15 @@
 		return state != null && this.policy.quiet(state, nowMillis);
 	}
 
+	/**
+	 * Returns the time in milliseconds since the latest report of the agent of an
+	 * upstream, -1 if none has come.
+	 */
+	public synchronized long agentSilenceMillis(Upstream upstream, long nowMillis) {
+		UpstreamState state = this.states.get(upstream.id());
+		return (state != null) ? state.agentSilenceMillis(nowMillis) : -1;
+	}
+
 	/**
 	 * Records the end of a call at an upstream and places queued calls on the freed
 	 * capacity.
--- a/src/main/java/org/jaywood/routing/UpstreamState.java
+++ b/src/main/java/org/jaywood/routing/UpstreamState.java
@@ -185,6 +185,13 @@
 		return (freshReport(nowMillis) != null) ? nowMillis - this.reportedMillis : -1;
 	}
 
+	/**
+	 * Returns the time in milliseconds since the latest report, -1 if there is none.
+	 */
+	long agentSilenceMillis(long nowMillis) {
+		return (this.report != null) ? nowMillis - this.reportedMillis : -1;
+	}
+
 	/**
 	 * Whether this gateway subscribes to the reports of the upstream's agent.
 	 */
