--- a/src/test/java/org/jaywood/gateway/GatewayFixture.java
+++ b/src/test/java/org/jaywood/gateway/GatewayFixture.java
@@ -76,8 +76,7 @@
 			entries.add(new Upstream("i-" + entries.size(), "desk", upstream.address(), "dc", "region", 8, false, 0, 1,
 					null));
 		}
-		return start(settings, protocol, new ServiceProfile.Plain("desk"), entries,
-				new FixedFeed<>("weights", List.of()));
+		return start(settings, protocol, new ServiceProfile.Plain("desk"), entries, noTargetVersions());
 	}
 
 	Gateway start(GatewaySettings settings, CallProtocol protocol, ServiceProfile profile, List<Upstream> entries,
@@ -91,6 +90,10 @@
 		return gateway;
 	}
 
+	static Feed<ModelVersion> noTargetVersions() {
+		return new FixedFeed<>("weights", List.of());
+	}
+
 	static GatewaySettings settings() {
 		return settings(0.2, 100);
 	}
