Place no calls on a VM whose agent is given up for its silence

Cause: an agent without reports for 1.5 s was given up, and then counted like an agent that is not connected, which says nothing about its engine. The class: knowledge that is lost was taken for knowledge that all is well. Change: the gateway tells an agent whose connection was closed or refused from one from which nothing came.

--- a/src/main/java/org/jaywood/gateway/LoadSubscriptions.java
+++ b/src/main/java/org/jaywood/gateway/LoadSubscriptions.java
@@ -1,6 +1,7 @@
 package org.jaywood.gateway;
 
 import java.io.IOException;
+import java.net.SocketTimeoutException;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
@@ -13,6 +14,7 @@
 import org.jaywood.feed.BootClock;
 import org.jaywood.http.ClientConnection;
 import org.jaywood.http.StreamedResponse;
+import org.jaywood.routing.AgentLoss;
 import org.jaywood.routing.EvidenceMessage;
 import org.jaywood.routing.TimedReport;
 import org.jaywood.routing.UpstreamReport;
@@ -92,26 +94,34 @@
 	 * @return whether the stream ended without an error
 	 */
 	private boolean receive(Address engine, Address agent, boolean lost) {
+		AgentLoss loss = AgentLoss.CLOSED;
 		try {
 			receive(engine, agent);
 			return true;
 		}
 		catch (IOException | RuntimeException ex) {
+			loss = lossBy(ex);
 			if (!lost) {
-				this.context.log().log(Event.AGENT_LOST, "agent", agent, "error", ex.getMessage());
+				this.context.log().log(Event.AGENT_LOST, "agent", agent, "error", ex.getMessage(), "loss", loss);
 			}
 			return false;
 		}
 		finally {
-			onAgentLost(engine);
+			onAgentLost(engine, loss);
 			this.context.evidenceExchange().relay().onDisconnected(agent);
 		}
 	}
 
-	private void onAgentLost(Address engine) {
+	private static AgentLoss lossBy(Exception failure) {
+		boolean timedOut = failure instanceof SocketTimeoutException
+				|| failure.getCause() instanceof SocketTimeoutException;
+		return timedOut ? AgentLoss.SILENT : AgentLoss.CLOSED;
+	}
+
+	private void onAgentLost(Address engine, AgentLoss loss) {
 		String id = this.upstreamIds.get(engine);
 		if (id != null) {
-			this.context.dispatcher().onAgentLost(id);
+			this.context.dispatcher().onAgentLost(id, loss);
 		}
 	}
 
--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -131,13 +131,13 @@
 	}
 
 	/**
-	 * Records that the connection to the agent of an upstream has ended, so that missing
-	 * reports say nothing about the upstream.
+	 * Records that the connection to the agent of an upstream has ended. After
+	 * {@link AgentLoss#CLOSED} missing reports say nothing about the upstream.
 	 */
-	public synchronized void onAgentLost(String upstreamId) {
+	public synchronized void onAgentLost(String upstreamId, AgentLoss loss) {
 		UpstreamState state = this.states.get(upstreamId);
 		if (state != null) {
-			state.onAgentLost();
+			state.onAgentLost(loss);
 		}
 	}
 
--- a/src/main/java/org/jaywood/routing/UpstreamActivity.java
+++ b/src/main/java/org/jaywood/routing/UpstreamActivity.java
@@ -75,7 +75,10 @@
 					(attempt) -> conditions.alone() || overdue(attempt, SINGLE_ATTEMPT_FACTOR, conditions, nowMillis));
 	}
 
-	private boolean progressedAfter(long sinceMillis) {
+	/**
+	 * Whether an attempt has made progress since a time.
+	 */
+	boolean progressedAfter(long sinceMillis) {
 		return this.lastProgressMillis > sinceMillis
 				|| this.running.stream().anyMatch((attempt) -> attempt.lastProgressMillis() > sinceMillis);
 	}
--- a/src/main/java/org/jaywood/routing/UpstreamState.java
+++ b/src/main/java/org/jaywood/routing/UpstreamState.java
@@ -82,7 +82,7 @@
 
 	private int inFlightAtReport;
 
-	private boolean agentConnected;
+	private AgentContact agentContact = AgentContact.NONE;
 
 	private boolean subscribed;
 
@@ -130,7 +130,7 @@
 		this.firstReportedMillis = Math.min(this.firstReportedMillis, nowMillis);
 		this.recentGateways.record(Math.max(1, latest.gateways()), nowMillis);
 		this.inFlightAtReport = this.inFlight;
-		this.agentConnected = true;
+		this.agentContact = AgentContact.CONNECTED;
 		if (latest.reachable() && this.inTransitCalls.hasUndelivered(latest.load(), nowMillis)) {
 			this.slowPathUntilMillis = nowMillis + SLOW_PATH_MILLIS;
 		}
@@ -153,20 +153,27 @@
 				|| (ageMillis < TIMELY_REPORT_AGE_MILLIS && this.reportDelay.millis() < TIMELY_REPORT_DELAY_MILLIS);
 	}
 
-	void onAgentLost() {
-		this.agentConnected = false;
+	void onAgentLost(AgentLoss loss) {
+		this.agentContact = switch (loss) {
+			case CLOSED -> AgentContact.NONE;
+			case SILENT -> AgentContact.SILENT;
+		};
 	}
 
 	/**
 	 * Whether the agent reports that the upstream answers, or does not report because it
-	 * is not connected. A connected agent that is silent shows that its VM does not run,
-	 * and a report that was in transit for as long is no better than silence: a call
-	 * would wait in the same queue.
+	 * is not connected. An agent that is silent shows that its VM does not run, unless
+	 * attempts there go on, and a report that was in transit for as long is no better
+	 * than silence: a call would wait in the same queue.
 	 */
 	boolean responsive(long nowMillis) {
 		UpstreamReport fresh = freshReport(nowMillis);
 		if (fresh == null) {
-			return !this.agentConnected;
+			return switch (this.agentContact) {
+				case NONE -> true;
+				case CONNECTED -> false;
+				case SILENT -> this.activity.progressedAfter(nowMillis - REPORT_LIFETIME_MILLIS);
+			};
 		}
 		return fresh.reachable() && reportAgeMillis(nowMillis) + this.reportDelay.millis() < REPORT_LIFETIME_MILLIS;
 	}
@@ -201,7 +208,7 @@
 
 	void setSubscribed(boolean latest) {
 		this.subscribed = latest;
-		this.agentConnected = this.agentConnected && latest;
+		this.agentContact = latest ? this.agentContact : AgentContact.NONE;
 	}
 
 	/**
@@ -288,4 +295,20 @@
 		return this.sendRate.countInWindow(nowMillis);
 	}
 
+	/**
+	 * Connection to the agent of the upstream.
+	 */
+	private enum AgentContact {
+
+		/** There is none, and it says nothing about the upstream. */
+		NONE,
+
+		/** The agent reports, or has done so until lately. */
+		CONNECTED,
+
+		/** The agent has stopped to report, or cannot be reached. */
+		SILENT
+
+	}
+
 }
--- a/src/test/java/org/jaywood/routing/DispatcherTests.java
+++ b/src/test/java/org/jaywood/routing/DispatcherTests.java
@@ -356,11 +356,22 @@
 				.isEmpty();
 		}
 
+		@Test
+		void engineOfAnAgentGivenUpForItsSilenceGetsNoCalls() {
+			DispatcherTests.this.dispatcher.onFleet(RoutingFixtures.fleet(RoutingFixtures.engine("a")), NOW);
+			DispatcherTests.this.dispatcher.onReport("a", report("a", 0, 0, false), NOW);
+			DispatcherTests.this.dispatcher.onAgentLost("a", AgentLoss.SILENT);
+			CallRequirements requirements = RoutingFixtures.requirements(RoutingFixtures.ENGINE_SERVICE, false);
+			assertThat(RoutingFixtures
+				.placementOf(DispatcherTests.this.dispatcher.enqueue(requirements, NOW + TIME_WITHOUT_REPORTS_MILLIS)))
+				.isEmpty();
+		}
+
 		@Test
 		void engineWithDisconnectedAgentStillGetsCalls() {
 			DispatcherTests.this.dispatcher.onFleet(RoutingFixtures.fleet(RoutingFixtures.engine("a")), NOW);
 			DispatcherTests.this.dispatcher.onReport("a", report("a", 0, 0, false), NOW);
-			DispatcherTests.this.dispatcher.onAgentLost("a");
+			DispatcherTests.this.dispatcher.onAgentLost("a", AgentLoss.CLOSED);
 			CallRequirements requirements = RoutingFixtures.requirements(RoutingFixtures.ENGINE_SERVICE, false);
 			assertThat(RoutingFixtures
 				.placementOf(DispatcherTests.this.dispatcher.enqueue(requirements, NOW + TIME_WITHOUT_REPORTS_MILLIS)))
