Move calls off a silent VM ahead of the queue, and answer those that find no place

Cause: silence of an attempt was all that counted. A stream was sent on after 1.5 s, only if an engine had free capacity at that moment, which queued calls take first, and otherwise waited until its caller left. The reports of the agent, whose absence tells a suspended VM from a slow engine, had no part in it. Change: a VM from which neither reports nor progress of any attempt have come for 650 ms is silent. Its calls wait for a second engine ahead of those that were never placed; after 1.5 s without one the attempt is closed and the call gets one more wait, then its answer (502, or the end of the stream), in time for its caller to try again. New calls avoid a VM whose own attempts say the same. A stall of the gateway itself is told apart by its ticks. The first attempt goes on until another one makes progress, as before. HedgePlacement takes these decisions out of AttemptRunner.

--- a/src/main/java/org/jaywood/gateway/AttemptRunner.java
+++ b/src/main/java/org/jaywood/gateway/AttemptRunner.java
@@ -12,10 +12,8 @@
 import org.jaywood.http.ClientConnection;
 import org.jaywood.http.ConnectionException;
 import org.jaywood.http.StreamedResponse;
-import org.jaywood.routing.HedgeDelay;
 import org.jaywood.routing.Outcome;
 import org.jaywood.routing.Placement;
-import org.jaywood.routing.RetryPolicy;
 import org.jaywood.routing.Upstream;
 import org.jaywood.wire.MemoryUse;
 
@@ -29,15 +27,15 @@
 
 	private static final long CONNECT_TIMEOUT_MILLIS = 300;
 
-	/** Interval at which it is decided again whether to place a hedged attempt. */
-	private static final long HEDGE_CHECK_INTERVAL_MILLIS = 300;
-
 	/**
 	 * Time-out for sending the request of a hedged attempt. The first attempt is not
 	 * polled meanwhile.
 	 */
 	private static final long HEDGE_SEND_TIMEOUT_MILLIS = 200;
 
+	/** Reason of an attempt that was ended since nothing comes from its VM. */
+	private static final String SILENT_VM = "silent with its VM";
+
 	/** Reason of an attempt that ended with an unexpected error of the gateway. */
 	private static final String INTERNAL_ERROR = "error of the gateway";
 
@@ -70,9 +68,7 @@
 
 	private @Nullable Attempt hedge;
 
-	private long silentSinceMillis;
-
-	private long nextHedgeMillis;
+	private final HedgePlacement hedgePlacement;
 
 	/**
 	 * Creates a runner.
@@ -87,6 +83,7 @@
 		this.cancellation = cancellation;
 		this.progress = progress;
 		this.attempts = attempts;
+		this.hedgePlacement = new HedgePlacement(context, call, response, attempts);
 	}
 
 	/**
@@ -101,7 +98,7 @@
 		catch (AttemptEndedException ex) {
 			return ex.result();
 		}
-		restartHedgeDelay();
+		this.hedgePlacement.restart(BootClock.nowMillis());
 		return relay(first);
 	}
 
@@ -122,7 +119,7 @@
 				}
 				this.hedge = null;
 				current = next;
-				restartHedgeDelay();
+				this.hedgePlacement.restart(BootClock.nowMillis());
 			}
 		}
 		catch (RuntimeException | Error ex) {
@@ -131,6 +128,7 @@
 		}
 		finally {
 			cancelHedge();
+			this.hedgePlacement.leaveQueue(BootClock.nowMillis());
 		}
 	}
 
@@ -146,11 +144,14 @@
 				throw new IOException("no answer within the time of the call");
 			}
 			this.attempts.requireTimelyBegin(attempt, nowMillis);
+			if (this.hedge == null && this.hedgePlacement.hopeless(attempt.placement())) {
+				throw new AttemptEndedException(new AttemptResult.Indeterminate(SILENT_VM, Outcome.SILENT));
+			}
 			boolean progressed = attempt.awaitProgress(pollTimeoutMillis(attempt, nowMillis));
 			if (progressed) {
 				attempt.placement().activity().onProgress(BootClock.nowMillis());
 				cancelHedge();
-				restartHedgeDelay();
+				this.hedgePlacement.restart(BootClock.nowMillis());
 			}
 			return (progressed || (this.response.committed() && attempt.hasResponse())) ? forward(attempt) : null;
 		}
@@ -218,24 +219,16 @@
 		}
 		this.hedge = null;
 		end(current, new AttemptResult.Indeterminate("silent, answered elsewhere", Outcome.SILENT));
-		restartHedgeDelay();
+		this.hedgePlacement.restart(BootClock.nowMillis());
 		return second;
 	}
 
 	private void startHedge(Attempt current) {
-		long nowMillis = BootClock.nowMillis();
-		if (nowMillis < this.nextHedgeMillis || this.cancellation.cancelled()) {
+		if (this.cancellation.cancelled()) {
 			return;
 		}
-		boolean quiet = this.context.dispatcher().isQuiet(current.placement(), nowMillis);
-		long dueMillis = hedgeDueMillis(quiet);
-		if (nowMillis < dueMillis) {
-			this.nextHedgeMillis = Math.min(dueMillis, nowMillis + HEDGE_CHECK_INTERVAL_MILLIS);
-			return;
-		}
-		this.nextHedgeMillis = nowMillis + HEDGE_CHECK_INTERVAL_MILLIS;
 		try {
-			Optional<Placement> placement = this.attempts.placeHedge(current.placement(), nowMillis);
+			Optional<Placement> placement = this.hedgePlacement.poll(current.placement(), BootClock.nowMillis());
 			if (placement.isPresent()) {
 				this.hedge = start(placement.get(), HEDGE_SEND_TIMEOUT_MILLIS);
 			}
@@ -365,30 +358,9 @@
 				: new AttemptResult.Indeterminate(String.valueOf(cause.getMessage()), Outcome.INDETERMINATE);
 	}
 
-	/**
-	 * Restarts the delay after which a hedged attempt is started, since the attempt with
-	 * the call has made progress.
-	 */
-	private void restartHedgeDelay() {
-		this.silentSinceMillis = BootClock.nowMillis();
-		this.nextHedgeMillis = hedgeDueMillis(true);
-	}
-
-	/**
-	 * Returns the time from which a hedged attempt may start.
-	 * @param quiet whether all attempts at the upstream have gone quiet
-	 */
-	private long hedgeDueMillis(boolean quiet) {
-		RetryPolicy policy = this.call.route().policy();
-		OptionalLong delayMillis = this.response.committed() ? HedgeDelay.withinAnswerMillis(policy)
-				: HedgeDelay.beforeAnswerMillis(policy, quiet, this.call.remainingMillis(this.silentSinceMillis),
-						this.call.onTimeUntilMillis() - this.silentSinceMillis);
-		return delayMillis.isPresent() ? this.silentSinceMillis + delayMillis.getAsLong() : Long.MAX_VALUE;
-	}
-
 	private long pollTimeoutMillis(Attempt attempt, long nowMillis) {
 		long leftMillis = Math.max(1, this.call.remainingMillis(nowMillis));
-		long pollMillis = (this.hedge != null) ? POLL_MILLIS : Math.max(1, this.nextHedgeMillis - nowMillis);
+		long pollMillis = (this.hedge != null) ? POLL_MILLIS : this.hedgePlacement.checkInMillis(nowMillis);
 		long checkMillis = attempt.hasResponse() ? MAX_POLL_MILLIS : BEGIN_CHECK_INTERVAL_MILLIS;
 		return Math.min(leftMillis, Math.min(pollMillis, checkMillis));
 	}
--- a/src/main/java/org/jaywood/gateway/CallAttempts.java
+++ b/src/main/java/org/jaywood/gateway/CallAttempts.java
@@ -71,6 +71,9 @@
 	/** Whether an upstream has received the call, even if it refused it. */
 	private boolean reachedUpstream;
 
+	/** Whether nothing comes from the VM on which the call was placed. */
+	private boolean moved;
+
 	private String noPlacementReason = NO_PLACEMENT;
 
 	private @Nullable BufferedUpstreamResponse failedResponse;
@@ -203,10 +206,7 @@
 	 * capacity now.
 	 */
 	Optional<Placement> placeHedge(Placement silent, long nowMillis) {
-		this.triedUpstreams.add(silent.upstream().id());
-		pinStreamVersion(silent);
-		if (this.screen.blocked() || this.screen.trial() || this.attemptsSent + 1 >= this.call.route().maxAttempts()
-				|| this.triedUpstreams.size() > MAX_TRIED_UPSTREAMS) {
+		if (!mayHedge(silent)) {
 			return Optional.empty();
 		}
 		Optional<Placement> placement = this.context.dispatcher()
@@ -216,6 +216,51 @@
 		return placement;
 	}
 
+	/**
+	 * Queues a hedged attempt of a call whose VM is silent, if another attempt is
+	 * allowed. Its retry is taken from the budget.
+	 * @return the queued call, or null if no attempt is allowed now
+	 */
+	@Nullable QueuedCall queueHedge(Placement silent, long nowMillis) {
+		this.moved = true;
+		return (mayHedge(silent) && this.context.budget(this.call.service()).tryAcquire(nowMillis))
+				? this.context.dispatcher().enqueue(requirements(), nowMillis) : null;
+	}
+
+	/**
+	 * Takes the placement of a queued hedge that has ended its wait.
+	 * @return empty if no upstream may run it any more
+	 */
+	Optional<Placement> takeHedge(QueuedCall queuedCall, long nowMillis) {
+		if (queuedCall.placement().isCancelled() || this.screen.blocked()) {
+			dequeueHedge(queuedCall, nowMillis);
+			return Optional.empty();
+		}
+		Placement placement = queuedCall.placement().join();
+		this.retriedUpstreams.add(placement.upstream().id());
+		this.context.metrics().counter("call.moved").inc();
+		logPlaced(placement, this.attemptsSent + 2);
+		return Optional.of(placement);
+	}
+
+	/**
+	 * Ends the wait of a queued hedge, which is not sent.
+	 */
+	void dequeueHedge(QueuedCall queuedCall, long nowMillis) {
+		Placement placement = dequeueOrTakePlacement(queuedCall);
+		if (placement != null) {
+			this.context.dispatcher().recordEnd(placement, Outcome.CANCELLED, nowMillis);
+		}
+		this.context.budget(this.call.service()).refund();
+	}
+
+	private boolean mayHedge(Placement silent) {
+		this.triedUpstreams.add(silent.upstream().id());
+		pinStreamVersion(silent);
+		return !this.screen.blocked() && !this.screen.trial() && this.attemptsSent + 1 < this.call.route().maxAttempts()
+				&& this.triedUpstreams.size() <= MAX_TRIED_UPSTREAMS;
+	}
+
 	private boolean tryAcquireRetry(Placement placement, long nowMillis) {
 		if (this.context.budget(this.call.service()).tryAcquire(nowMillis)) {
 			this.retriedUpstreams.add(placement.upstream().id());
@@ -341,6 +386,9 @@
 		if (this.response.committed()) {
 			return CallRequirements.QueueClass.STARTED;
 		}
+		if (this.moved) {
+			return CallRequirements.QueueClass.MOVED;
+		}
 		return this.call.late() ? CallRequirements.QueueClass.LATE : CallRequirements.QueueClass.ON_TIME;
 	}
 
@@ -357,8 +405,8 @@
 		this.context.log()
 			.log(Event.CALL_PLACED, "request", this.call.id(), "route", this.call.route().name(), "upstream",
 					placement.upstream().id(), "load", placement.load(), "capacity", placement.capacity(), "reportAge",
-					placement.reportAgeMillis(), "waited", placement.waitedMillis(), "attempt", attempt,
-					"configuration", this.call.tableVersion());
+					placement.reportAgeMillis(), "waited", placement.waitedMillis(), "attempt", attempt, "moved",
+					this.moved, "configuration", this.call.tableVersion());
 	}
 
 	private void logFailed(String upstream, String reason, AttemptProgress progress) {
--- a/src/main/java/org/jaywood/routing/CallRequirements.java
+++ b/src/main/java/org/jaywood/routing/CallRequirements.java
@@ -26,11 +26,22 @@
 		/** It has partly run: its caller has received the beginning of an answer. */
 		STARTED,
 
+		/** It was placed on a VM from which nothing comes any more. */
+		MOVED,
+
 		/** It can still be answered in time. */
 		ON_TIME,
 
 		/** Its time target has passed. */
-		LATE
+		LATE;
+
+		/**
+		 * Whether calls of this class were sent to an upstream before, so that their
+		 * callers have waited longest.
+		 */
+		boolean sentBefore() {
+			return this == STARTED || this == MOVED;
+		}
 
 	}
 
--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -33,6 +33,9 @@
 	 */
 	private static final long MAX_WAIT_AT_ENGINE_MILLIS = 800;
 
+	/** Time without a tick in which this process has stalled. */
+	private static final long STALL_MILLIS = 250;
+
 	/** Range over which the retries of callers that are refused together are spread. */
 	private static final int RETRY_AFTER_SPREAD_MILLIS = 600;
 
@@ -58,6 +61,11 @@
 
 	private final GatewayCountEstimator gatewayCount = new GatewayCountEstimator();
 
+	private long lastTickMillis = Long.MIN_VALUE / 2;
+
+	/** Time since which this process has run without a stall. */
+	private long runningSinceMillis = Long.MIN_VALUE / 2;
+
 	public Dispatcher(DispatchSettings settings) {
 		this.settings = settings;
 		this.policy = new PlacementPolicy(settings);
@@ -236,6 +244,21 @@
 		return state != null && this.policy.quiet(state, nowMillis);
 	}
 
+	/**
+	 * Whether nothing comes from the VM of a placement, neither reports of its agent nor
+	 * progress of any attempt of this gateway there: it is suspended or cut off. While
+	 * this process itself has just stalled, that is not known.
+	 */
+	public synchronized boolean isVmSilent(Placement placement, long nowMillis) {
+		UpstreamState state = this.states.get(placement.upstream().id());
+		return state != null && isVmSilent(state, nowMillis);
+	}
+
+	private boolean isVmSilent(UpstreamState state, long nowMillis) {
+		boolean stalled = nowMillis - this.lastTickMillis >= STALL_MILLIS;
+		return !stalled && state.vmSilent(this.runningSinceMillis, nowMillis);
+	}
+
 	/**
 	 * Returns the time in milliseconds since the latest report of the agent of an
 	 * upstream, -1 if none has come.
@@ -304,6 +327,10 @@
 	 * the end of an ejection.
 	 */
 	public synchronized void onTick(long nowMillis) {
+		if (nowMillis - this.lastTickMillis >= STALL_MILLIS) {
+			this.runningSinceMillis = nowMillis;
+		}
+		this.lastTickMillis = nowMillis;
 		placeQueued(nowMillis);
 	}
 
@@ -419,6 +446,7 @@
 			.filter((state) -> !state.health().ejected(nowMillis))
 			.filter((state) -> state.inFlight() < this.notices.maxInFlight(state.upstream(), nowMillis))
 			.filter((state) -> state.responsive(nowMillis))
+			.filter((state) -> state.inFlight() == 0 || !isVmSilent(state, nowMillis))
 			.toList();
 	}
 
--- a/src/main/java/org/jaywood/routing/HedgeDelay.java
+++ b/src/main/java/org/jaywood/routing/HedgeDelay.java
@@ -19,6 +19,15 @@
 	 */
 	private static final long MAX_STREAM_MILLIS = 1_500;
 
+	/**
+	 * Longest silence of a VM after which its calls are given up. What is left of the two
+	 * seconds is for one more wait in the queue.
+	 */
+	private static final long MAX_SILENT_VM_MILLIS = 1_500;
+
+	/** Share of the time left after which a call on a silent VM is given up. */
+	private static final double SILENT_VM_TIME_LEFT_SHARE = 2 / 3.0;
+
 	/** Shortest silence; many sound answers take as long. */
 	private static final long MIN_MILLIS = 250;
 
@@ -54,6 +63,17 @@
 		return OptionalLong.of(Math.clamp(delayMillis, MIN_MILLIS, maxMillis));
 	}
 
+	/**
+	 * Returns the silence in milliseconds from which a call at a VM from which nothing
+	 * comes, reports of its agent included, is not worth waiting for: its caller can
+	 * still try again.
+	 * @param timeLeftMillis time left until the deadline of the call when it fell silent
+	 */
+	public static long giveUpMillis(RetryPolicy policy, long timeLeftMillis) {
+		long byDeadlineMillis = Math.round(timeLeftMillis * SILENT_VM_TIME_LEFT_SHARE);
+		return policy.streaming() ? MAX_SILENT_VM_MILLIS : Math.min(byDeadlineMillis, MAX_SILENT_VM_MILLIS);
+	}
+
 	/**
 	 * Returns the silence in milliseconds from which an answer that has begun is resumed
 	 * elsewhere, empty if it cannot be. The second upstream has to prepare the whole
--- a/src/main/java/org/jaywood/routing/PlacementPolicy.java
+++ b/src/main/java/org/jaywood/routing/PlacementPolicy.java
@@ -26,8 +26,8 @@
 	 */
 	private static final double ENGINE_QUEUE_CALLS = 1;
 
-	/** Calls that an upstream may hold beyond its capacity if they have partly run. */
-	private static final double STARTED_RESERVE_CALLS = 2;
+	/** Calls that an upstream may hold beyond its capacity if they were sent before. */
+	private static final double SENT_BEFORE_RESERVE_CALLS = 2;
 
 	/** Calls that a plain upstream may hold for each of its slots. */
 	private static final double PLAIN_CALLS_PER_SLOT = 2;
@@ -111,14 +111,12 @@
 	Optional<Candidate> choose(Collection<UpstreamState> candidates, CallRequirements requirements,
 			@Nullable ServiceProfile profile, FleetSize fleetSize, long nowMillis) {
 		double bestShare = candidates.stream().mapToDouble((state) -> state.health().failureShare()).min().orElse(0);
-		double reserveCalls = (requirements.queueClass() == CallRequirements.QueueClass.STARTED) ? STARTED_RESERVE_CALLS
-				: 0;
+		double reserveCalls = requirements.queueClass().sentBefore() ? SENT_BEFORE_RESERVE_CALLS : 0;
 		List<Candidate> evaluated = preferSubscribed(candidates, requirements, profile).stream()
 			.filter((state) -> withinColdLimit(state, profile, fleetSize.divisor(), nowMillis))
 			.map((state) -> evaluate(state, profile, bestShare, fleetSize.gateways(), nowMillis))
 			.toList();
-		boolean mayWait = profile instanceof ServiceProfile.Engines
-				&& requirements.queueClass() != CallRequirements.QueueClass.STARTED
+		boolean mayWait = profile instanceof ServiceProfile.Engines && !requirements.queueClass().sentBefore()
 				&& evaluated.stream().anyMatch((candidate) -> !candidate.quiet());
 		return evaluated.stream()
 			.filter((candidate) -> candidate.load() < candidate.capacity() + reserveCalls)
--- a/src/main/java/org/jaywood/routing/QueuedCall.java
+++ b/src/main/java/org/jaywood/routing/QueuedCall.java
@@ -4,8 +4,9 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * Call in the queue of a service. Started calls come first, then those that can be on
- * time, then late ones, each by priority and arrival.
+ * Call in the queue of a service. Started calls come first, then those that were placed
+ * on a VM that does not run any more, those that can be on time, and late ones, each by
+ * priority and arrival.
  */
 public final class QueuedCall {
 
--- a/src/main/java/org/jaywood/routing/UpstreamState.java
+++ b/src/main/java/org/jaywood/routing/UpstreamState.java
@@ -28,6 +28,12 @@
 	 */
 	private static final long TIMELY_REPORT_DELAY_MILLIS = 250;
 
+	/**
+	 * Time without a sign of a VM after which it is silent. Agents report more often, and
+	 * so does each attempt that runs.
+	 */
+	private static final long VM_SILENCE_MILLIS = 650;
+
 	/** Lifetime of the number of gateways that an agent reported. */
 	private static final long GATEWAYS_LIFETIME_MILLIS = 3_000;
 
@@ -178,6 +184,17 @@
 		return fresh.reachable() && reportAgeMillis(nowMillis) + this.reportDelay.millis() < REPORT_LIFETIME_MILLIS;
 	}
 
+	/**
+	 * Whether neither reports nor progress of attempts have come from the VM for a while.
+	 * @param listeningSinceMillis time since which this process would have seen them
+	 */
+	boolean vmSilent(long listeningSinceMillis, long nowMillis) {
+		long sinceMillis = nowMillis - VM_SILENCE_MILLIS;
+		return this.agentContact != AgentContact.NONE
+				&& Math.max(this.reportedMillis, listeningSinceMillis) <= sinceMillis
+				&& !this.activity.progressedAfter(sinceMillis);
+	}
+
 	/**
 	 * Returns the latest report, or null if there is none or it is stale.
 	 */
