Give each gateway its share of what an engine has free, until a report shows the rest

Cause: a report shows a call some 400 ms after it was sent, and each gateway fills what the report shows as free. The class: a shared capacity that each party takes whole by an old view. Change: FreeShare. A gateway may have the calls that it had when a report was true, and its part of what was free then, at least one. An end of a call makes room at once; a single gateway fills all.

--- a/src/main/java/org/jaywood/routing/PlacementPolicy.java
+++ b/src/main/java/org/jaywood/routing/PlacementPolicy.java
@@ -120,6 +120,7 @@
 				&& evaluated.stream().anyMatch((candidate) -> !candidate.quiet());
 		return evaluated.stream()
 			.filter((candidate) -> candidate.load() < candidate.capacity() + reserveCalls)
+			.filter((candidate) -> candidate.state().withinFreeShare(candidate.capacity() + reserveCalls, nowMillis))
 			.filter((candidate) -> !(mayWait && candidate.quiet() && candidate.state().inFlight() >= MAX_QUIET_CALLS))
 			.min(Comparator.comparing(Candidate::quiet).thenComparingDouble(Candidate::cost));
 	}
--- a/src/main/java/org/jaywood/routing/UpstreamState.java
+++ b/src/main/java/org/jaywood/routing/UpstreamState.java
@@ -64,6 +64,8 @@
 
 	private final InTransitCalls inTransitCalls = new InTransitCalls();
 
+	private final FreeShare freeShare = new FreeShare();
+
 	private final UpstreamActivity activity = new UpstreamActivity();
 
 	private long slowPathUntilMillis = Long.MIN_VALUE;
@@ -137,6 +139,7 @@
 		this.recentGateways.record(Math.max(1, latest.gateways()), nowMillis);
 		this.inFlightAtReport = this.inFlight;
 		this.agentContact = AgentContact.CONNECTED;
+		this.freeShare.onReport(latest.load(), latest.gateways(), nowMillis);
 		if (latest.reachable() && this.inTransitCalls.hasUndelivered(latest.load(), nowMillis)) {
 			this.slowPathUntilMillis = nowMillis + SLOW_PATH_MILLIS;
 		}
@@ -272,6 +275,16 @@
 		return Math.max(this.inFlight, fresh.load() + this.inFlight - this.inFlightAtReport);
 	}
 
+	/**
+	 * Whether this gateway may send another call before a report shows those that it and
+	 * the other gateways have sent lately: each takes its share of the capacity that
+	 * reports have shown as free, and one call at least.
+	 * @param capacityCalls calls that the upstream may hold
+	 */
+	boolean withinFreeShare(double capacityCalls, long nowMillis) {
+		return freshReport(nowMillis) == null || this.inFlight < this.freeShare.maxOwnCalls(capacityCalls);
+	}
+
 	int inFlight() {
 		return this.inFlight;
 	}
@@ -280,6 +293,7 @@
 		this.inFlight++;
 		this.sendRate.record(nowMillis);
 		this.inTransitCalls.add(nowMillis);
+		this.freeShare.onOwnCalls(this.inFlight, nowMillis);
 		return this.activity.begin(nowMillis);
 	}
 
@@ -290,6 +304,7 @@
 	void onEnd(Placement placement, Outcome outcome, ServicePace pace, long nowMillis) {
 		this.inFlight--;
 		this.inTransitCalls.remove(placement.placedMillis());
+		this.freeShare.onOwnCalls(this.inFlight, nowMillis);
 		this.activity.end(placement.activity(), outcome, conditions(pace, nowMillis), nowMillis);
 	}
 
