--- a/src/test/java/org/jaywood/platform/FakePlatformEngine.java
+++ b/src/test/java/org/jaywood/platform/FakePlatformEngine.java
@@ -75,6 +75,9 @@
 
 	private volatile boolean leaving;
 
+	/** Values of the headers that name a limit, in each response. */
+	private volatile List<String> limitHeaders = List.of();
+
 	private volatile long pausedUntilNanos = System.nanoTime();
 
 	private volatile long suspendedUntilNanos = System.nanoTime();
@@ -162,6 +165,14 @@
 		this.leaving = leaving;
 	}
 
+	/**
+	 * Sets the limits on calls a second that the engine names in its responses, none if
+	 * it names no limit.
+	 */
+	void setLimitHeaders(String... values) {
+		this.limitHeaders = List.of(values);
+	}
+
 	/**
 	 * Has the engine turn calls away for a time, with a request for a pause of that time.
 	 */
@@ -286,6 +297,7 @@
 		if (this.leaving) {
 			exchange.setHeader("Server-Leaving", "1");
 		}
+		this.limitHeaders.forEach((value) -> exchange.setHeader("Server-Limit", value));
 		long pauseMillis = TimeUnit.NANOSECONDS.toMillis(this.pausedUntilNanos - System.nanoTime());
 		if (pauseMillis > 0) {
 			exchange.setHeader("X-Not-Executed", "1");
