Send one call at a time to an engine that calls did not reach, until one begins soon

The same cause as with suspended VMs, on the way to an engine instead of in it: what is not known to arrive is left there in numbers. Cause: a path on which calls were undelivered counted as slow for 2 s and then as sound. After 2 s without calls such an engine reports load 0, its reports come on time, and nothing is in flight that would show the path. Change: the doubt ends with evidence, a call placed later that begins within 1 s. Until then one call of a gateway at a time is on its way there.

--- a/src/main/java/org/jaywood/routing/AttemptActivity.java
+++ b/src/main/java/org/jaywood/routing/AttemptActivity.java
@@ -6,6 +6,8 @@
  */
 public final class AttemptActivity {
 
+	private final long placedMillis;
+
 	private long awaitedSinceMillis;
 
 	private boolean awaited;
@@ -19,9 +21,14 @@
 	private int progressCount;
 
 	AttemptActivity(long placedMillis) {
+		this.placedMillis = placedMillis;
 		this.awaitedSinceMillis = placedMillis;
 	}
 
+	long placedMillis() {
+		return this.placedMillis;
+	}
+
 	/**
 	 * Records that the request has been sent. From now on the upstream is awaited.
 	 */
--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -447,6 +447,7 @@
 			.filter((state) -> state.inFlight() < this.notices.maxInFlight(state.upstream(), nowMillis))
 			.filter((state) -> state.responsive(nowMillis))
 			.filter((state) -> state.inFlight() == 0 || !isVmSilent(state, nowMillis))
+			.filter(UpstreamState::trustsPath)
 			.toList();
 	}
 
--- a/src/main/java/org/jaywood/routing/UpstreamActivity.java
+++ b/src/main/java/org/jaywood/routing/UpstreamActivity.java
@@ -24,10 +24,19 @@
 	 */
 	private static final long QUIET_AFTER_END_MILLIS = 500;
 
+	/**
+	 * Longest time from the sending of an attempt to its first progress over a path that
+	 * is not slow, with an engine at capacity.
+	 */
+	private static final long SOON_MILLIS = 1_000;
+
 	private final List<AttemptActivity> running = new ArrayList<>();
 
 	private long lastProgressMillis = Long.MIN_VALUE / 2;
 
+	/** Time of placement of the latest ended attempt that had begun soon. */
+	private long lastSoonPlacedMillis = Long.MIN_VALUE;
+
 	private long quietUntilMillis = Long.MIN_VALUE;
 
 	AttemptActivity begin(long nowMillis) {
@@ -47,6 +56,9 @@
 			this.quietUntilMillis = nowMillis + QUIET_AFTER_END_MILLIS;
 		}
 		this.running.remove(attempt);
+		if (begunSoon(attempt)) {
+			this.lastSoonPlacedMillis = Math.max(this.lastSoonPlacedMillis, attempt.placedMillis());
+		}
 		this.lastProgressMillis = Math.max(this.lastProgressMillis,
 				responded ? nowMillis : attempt.lastProgressMillis());
 	}
@@ -75,6 +87,25 @@
 					(attempt) -> conditions.alone() || overdue(attempt, SINGLE_ATTEMPT_FACTOR, conditions, nowMillis));
 	}
 
+	/**
+	 * Whether an attempt that was placed since a time has begun soon after its sending.
+	 */
+	boolean begunSoonSince(long placedMillis) {
+		return this.lastSoonPlacedMillis >= placedMillis || this.running.stream()
+			.anyMatch((attempt) -> attempt.placedMillis() >= placedMillis && begunSoon(attempt));
+	}
+
+	private static boolean begunSoon(AttemptActivity attempt) {
+		return attempt.begun() && attempt.firstDelayMillis() <= SOON_MILLIS;
+	}
+
+	/**
+	 * Returns the running attempts that have not begun.
+	 */
+	long notBegunCount() {
+		return this.running.stream().filter((attempt) -> !attempt.begun()).count();
+	}
+
 	/**
 	 * Whether an attempt has made progress since a time.
 	 */
--- a/src/main/java/org/jaywood/routing/UpstreamState.java
+++ b/src/main/java/org/jaywood/routing/UpstreamState.java
@@ -34,6 +34,8 @@
 	 */
 	private static final long VM_SILENCE_MILLIS = 650;
 
+	private static final long NEVER_MILLIS = Long.MIN_VALUE;
+
 	/** Lifetime of the number of gateways that an agent reported. */
 	private static final long GATEWAYS_LIFETIME_MILLIS = 3_000;
 
@@ -70,6 +72,9 @@
 
 	private long slowPathUntilMillis = Long.MIN_VALUE;
 
+	/** Time at which calls on the path were last found undelivered. */
+	private long pathDoubtedMillis = NEVER_MILLIS;
+
 	private Upstream upstream;
 
 	private final boolean startedCold;
@@ -142,6 +147,7 @@
 		this.freeShare.onReport(latest.load(), latest.gateways(), nowMillis);
 		if (latest.reachable() && this.inTransitCalls.hasUndelivered(latest.load(), nowMillis)) {
 			this.slowPathUntilMillis = nowMillis + SLOW_PATH_MILLIS;
+			this.pathDoubtedMillis = nowMillis;
 		}
 	}
 
@@ -275,6 +281,16 @@
 		return Math.max(this.inFlight, fresh.load() + this.inFlight - this.inFlightAtReport);
 	}
 
+	/**
+	 * Whether a call may be sent although calls on the path were undelivered: once one
+	 * that was placed later has begun soon, or to find that out, if no other is on its
+	 * way. An engine behind a narrow path looks idle once its last calls are answered.
+	 */
+	boolean trustsPath() {
+		return this.pathDoubtedMillis == NEVER_MILLIS || this.activity.begunSoonSince(this.pathDoubtedMillis)
+				|| this.activity.notBegunCount() == 0;
+	}
+
 	/**
 	 * Whether this gateway may send another call before a report shows those that it and
 	 * the other gateways have sent lately: each takes its share of the capacity that
