Keep the limit that an engine names, over all gateways together

Cause: no gateway read the header. The class: a limit on a shared engine that no gateway kept by itself, as with engines that have just started. Change: EngineNotice decodes the limit, of responses of any status. In routing it is one mechanism with the limit of cold engines: SendRate counts the calls of this gateway, SendWindow is what it may send in a time, its share of the limit by the number of gateways that the agent reports; all windows hold, so the strictest decides. Calls are spaced evenly, those sent before count for 4 s, gateways begin one after the other by a phase of their own, a limit of 0 leaves one call in 4 s of all gateways. The stricter value counts while the order of responses is not known; a limit ends with a response without one to a call sent after it was last named, and the load returns over 2 s. A call without a share in time is refused at once (rate-limited), to return when the next share is free. 1617 and 1618, upstream_limited and upstream_limit_ended.

--- a/src/main/java/org/jaywood/event/Event.java
+++ b/src/main/java/org/jaywood/event/Event.java
@@ -211,6 +211,13 @@
 	ATTEMPT_ABANDONED(1616, Level.INFO,
 			"attempt of {request} at {upstream} closed {millis} ms after it was placed, its caller left"),
 
+	/** An upstream names in a response the calls that it takes from all gateways. */
+	UPSTREAM_LIMITED(1617, Level.INFO,
+			"{upstream} takes {perSecond} calls a second from all gateways, as it says in its response to {request}"),
+
+	/** An upstream no longer names a limit in its responses. */
+	UPSTREAM_LIMIT_ENDED(1618, Level.INFO, "{upstream} names no limit any more, in its response to {request}"),
+
 	/** Log lines were dropped because too many were written at once. */
 	LOG_LINES_DROPPED(1006, Level.WARNING, "{count} log lines dropped"),
 
--- a/src/main/java/org/jaywood/gateway/CallAttempts.java
+++ b/src/main/java/org/jaywood/gateway/CallAttempts.java
@@ -40,6 +40,9 @@
 	/** Reason of a refusal without a wait, since the wait would be too long. */
 	private static final String QUEUE_FULL = "queue-full";
 
+	/** Reason of a refusal because all engines are limited to fewer calls. */
+	private static final String RATE_LIMITED = "rate-limited";
+
 	/** Reason of a refusal because parts of the prompt crash engines. */
 	static final String BLOCKED_PARTS = "blocked-parts";
 
@@ -149,6 +152,10 @@
 		}
 		long deadlineMillis = (this.attemptsSent == 0) ? QueueDeadline.queueDeadlineMillis(this.call, nowMillis)
 				: Math.min(this.call.deadlineMillis(), nowMillis + MAX_RETRY_WAIT_MILLIS);
+		if (dispatcher.isRateLimited(requirements, deadlineMillis - nowMillis, nowMillis)) {
+			this.noPlacementReason = RATE_LIMITED;
+			return null;
+		}
 		if (this.attemptsSent == 0 && !dispatcher.isWaitFeasible(requirements, deadlineMillis - nowMillis, nowMillis)) {
 			this.noPlacementReason = QUEUE_FULL;
 			return null;
--- a/src/main/java/org/jaywood/gateway/ResponseHead.java
+++ b/src/main/java/org/jaywood/gateway/ResponseHead.java
@@ -4,6 +4,8 @@
 
 import org.jspecify.annotations.Nullable;
 
+import org.jaywood.routing.LimitNotice;
+
 /**
  * Headers of an upstream's response that the gateway evaluates, decoded by the protocol.
  *
@@ -12,8 +14,9 @@
  * @param misdirected whether another incarnation responds, or one with other weights
  * @param leaving whether the upstream states that it leaves
  * @param pauseMillis time for which the upstream wants no calls, or empty
- * @param problem what is wrong with these two headers, for the log, or null
+ * @param limit what the upstream states about the calls that it takes
+ * @param problem what is wrong with these three headers, for the log, or null
  */
 public record ResponseHead(@Nullable String callId, boolean notRun, boolean misdirected, boolean leaving,
-		OptionalLong pauseMillis, @Nullable String problem) {
+		OptionalLong pauseMillis, LimitNotice limit, @Nullable String problem) {
 }
--- a/src/main/java/org/jaywood/platform/PlatformCalls.java
+++ b/src/main/java/org/jaywood/platform/PlatformCalls.java
@@ -92,7 +92,7 @@
 		boolean misdirected = response.getCode() == HttpStatus.SC_MISDIRECTED_REQUEST;
 		EngineNotice notice = EngineNotice.read(response);
 		return new ResponseHead(headerValue(response, ATTEMPT_ID), misdirected || response.containsHeader(NOT_EXECUTED),
-				misdirected, notice.leaving(), notice.pauseMillis(), notice.problem());
+				misdirected, notice.leaving(), notice.pauseMillis(), notice.limit(), notice.problem());
 	}
 
 	@Override
--- a/src/main/java/org/jaywood/routing/CallQueue.java
+++ b/src/main/java/org/jaywood/routing/CallQueue.java
@@ -80,10 +80,17 @@
 		if (queue.size() < MIN_QUEUE_CALLS) {
 			return true;
 		}
-		int ahead = queue.headSet(new QueuedCall(requirements, this.nextSequence, nowMillis)).size();
+		int ahead = countAhead(requirements, nowMillis);
 		return waitEstimator(requirements.service()).waitMillis(ahead, nowMillis) <= MAX_FORECAST_SHARE * waitMillis;
 	}
 
+	/**
+	 * Returns the queued calls that are placed before another one that is queued now.
+	 */
+	int countAhead(CallRequirements requirements, long nowMillis) {
+		return queue(requirements.service()).headSet(new QueuedCall(requirements, this.nextSequence, nowMillis)).size();
+	}
+
 	private TreeSet<QueuedCall> queue(String service) {
 		return this.queues.computeIfAbsent(service, (key) -> new TreeSet<>(QueuedCall.ORDER));
 	}
--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -68,7 +68,7 @@
 
 	public Dispatcher(DispatchSettings settings) {
 		this.settings = settings;
-		this.policy = new PlacementPolicy(settings);
+		this.policy = new PlacementPolicy(settings, this.notices);
 		this.subset = new UpstreamSubset(settings.gateway(), settings.dataCentre());
 	}
 
@@ -168,6 +168,15 @@
 		refuseUnplaceable(upstream.service(), nowMillis);
 	}
 
+	/**
+	 * Records what a response of an upstream says about the calls that it takes from all
+	 * gateways together.
+	 * @param placedMillis time at which the call of the response was placed
+	 */
+	public synchronized LimitChange onLimit(Upstream upstream, LimitNotice notice, long placedMillis, long nowMillis) {
+		return this.notices.onLimit(upstream, notice, placedMillis, nowMillis);
+	}
+
 	/**
 	 * Queues a call for placement. Its placement is complete on return if an upstream has
 	 * free capacity.
@@ -192,6 +201,26 @@
 		return this.queue.isWaitFeasible(requirements, waitMillis, nowMillis);
 	}
 
+	/**
+	 * Whether limits leave no share for a call, behind those that are queued before it,
+	 * within the time that it can wait.
+	 * @param waitMillis time for which it can wait
+	 */
+	public synchronized boolean isRateLimited(CallRequirements requirements, long waitMillis, long nowMillis) {
+		int ahead = this.queue.countAhead(requirements, nowMillis);
+		long missing = ahead + 1;
+		for (UpstreamState state : eligible(requirements, nowMillis)) {
+			missing -= Math.min(missing, this.policy.callsWithin(waitMillis, state, profile(requirements.service()),
+					this.gatewayCount.divisor(nowMillis), nowMillis));
+		}
+		return missing > 0;
+	}
+
+	private long sendWaitMillis(UpstreamState state, long nowMillis) {
+		return this.policy.sendWaitMillis(state, profile(state.upstream().service()),
+				this.gatewayCount.divisor(nowMillis), nowMillis);
+	}
+
 	/**
 	 * Removes a call from the queue.
 	 * @return whether the call had not been placed
@@ -296,7 +325,8 @@
 		return eligible.stream()
 			.mapToLong((state) -> Math.max(byRateMillis,
 					Math.max(state.health().ejectionLeftMillis(nowMillis),
-							this.notices.pauseLeftMillis(state.upstream(), nowMillis))))
+							Math.max(this.notices.pauseLeftMillis(state.upstream(), nowMillis),
+									sendWaitMillis(state, nowMillis)))))
 			.min()
 			.orElse(byRateMillis);
 	}
--- a/src/main/java/org/jaywood/routing/UpstreamNotices.java
+++ b/src/main/java/org/jaywood/routing/UpstreamNotices.java
@@ -3,11 +3,13 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 
+import org.jspecify.annotations.Nullable;
+
 /**
- * What upstreams have said about themselves in their responses: that they leave, or that
- * they want no calls for a while. A notice belongs to one incarnation and outlives its
- * entry in the list of upstreams, which may be older. Not safe for use by several
- * threads.
+ * What upstreams have said about themselves in their responses: that they leave, that
+ * they want no calls for a while, or how many calls they take. A notice belongs to one
+ * incarnation and outlives its entry in the list of upstreams, which may be older. Not
+ * safe for use by several threads.
  */
 final class UpstreamNotices {
 
@@ -36,7 +38,7 @@
 	 */
 	boolean onLeaving(Upstream upstream) {
 		Notice known = notice(upstream);
-		this.notices.put(Incarnation.of(upstream), new Notice(true, known.pausedUntilMillis()));
+		this.notices.put(Incarnation.of(upstream), new Notice(true, known.pausedUntilMillis(), known.limit()));
 		return !known.leaving();
 	}
 
@@ -47,7 +49,48 @@
 	 */
 	void onPause(Upstream upstream, long pauseMillis, long nowMillis) {
 		long untilMillis = nowMillis + Math.clamp(pauseMillis, 0, MAX_PAUSE_MILLIS);
-		this.notices.put(Incarnation.of(upstream), new Notice(notice(upstream).leaving(), untilMillis));
+		Notice known = notice(upstream);
+		this.notices.put(Incarnation.of(upstream), new Notice(known.leaving(), untilMillis, known.limit()));
+	}
+
+	/**
+	 * Records what a response says about a limit. A limit ends with the first response
+	 * without one to a call that was sent after it was last named, and then the load
+	 * returns as after a pause.
+	 * @param placedMillis time at which the call of the response was sent
+	 */
+	LimitChange onLimit(Upstream upstream, LimitNotice latest, long placedMillis, long nowMillis) {
+		Notice known = notice(upstream);
+		NamedLimit knownLimit = known.limit();
+		return switch (latest) {
+			case LimitNotice.Unreadable unreadable -> LimitChange.NONE;
+			case LimitNotice.Limited limited -> {
+				NamedLimit limit = NamedLimit.after(knownLimit, limited.callsPerSecond(), placedMillis, nowMillis);
+				this.notices.put(Incarnation.of(upstream),
+						new Notice(known.leaving(), known.pausedUntilMillis(), limit));
+				yield limitChange(knownLimit, limit);
+			}
+			case LimitNotice.None none when knownLimit != null && knownLimit.isOlderThanCallSentAt(placedMillis) -> {
+				this.notices.put(Incarnation.of(upstream),
+						new Notice(known.leaving(), Math.max(known.pausedUntilMillis(), nowMillis), null));
+				yield LimitChange.ENDED;
+			}
+			case LimitNotice.None none -> LimitChange.NONE;
+		};
+	}
+
+	private static LimitChange limitChange(@Nullable NamedLimit before, NamedLimit after) {
+		if (before == null) {
+			return LimitChange.BEGUN;
+		}
+		return (before.callsPerSecond() == after.callsPerSecond()) ? LimitChange.NONE : LimitChange.CHANGED;
+	}
+
+	/**
+	 * Returns the limit that an upstream names, or null if it names none.
+	 */
+	@Nullable NamedLimit limit(Upstream upstream) {
+		return notice(upstream).limit();
 	}
 
 	boolean leaving(Upstream upstream) {
@@ -93,11 +136,11 @@
 	/**
 	 * What one incarnation has said.
 	 */
-	private record Notice(boolean leaving, long pausedUntilMillis) {
+	private record Notice(boolean leaving, long pausedUntilMillis, @Nullable NamedLimit limit) {
 
 		static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
 
-		static final Notice NONE = new Notice(false, NEVER_MILLIS);
+		static final Notice NONE = new Notice(false, NEVER_MILLIS, null);
 
 	}
 
--- a/src/main/java/org/jaywood/routing/UpstreamState.java
+++ b/src/main/java/org/jaywood/routing/UpstreamState.java
@@ -248,9 +248,9 @@
 	}
 
 	/**
-	 * Returns the number of gateways by which the limit of a cold engine is divided.
-	 * While the agent of an engine that started has just begun to report, it knows only
-	 * some of the gateways.
+	 * Returns the number of gateways by which a limit on all calls is divided. While the
+	 * agent of an engine that started has just begun to report, it knows only some of the
+	 * gateways.
 	 * @param gatewayCount number of gateways of the fleet, used while the agent does not
 	 * report its own or knows only some
 	 */
@@ -339,8 +339,11 @@
 		return new UpstreamActivity.Conditions(pace, mayQueue, fresh != null && fresh.load() <= 1);
 	}
 
-	int sentInWindow(long nowMillis) {
-		return this.sendRate.countInWindow(nowMillis);
+	/**
+	 * Returns the time in milliseconds until another call fits a window, 0 if it does.
+	 */
+	long sendWaitMillis(SendWindow window, long nowMillis) {
+		return this.sendRate.waitMillis(window, nowMillis);
 	}
 
 	/**
--- a/src/test/java/org/jaywood/platform/EngineNoticeTests.java
+++ b/src/test/java/org/jaywood/platform/EngineNoticeTests.java
@@ -8,6 +8,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import org.jaywood.routing.LimitNotice;
+
 import static com.google.common.truth.Truth.assertThat;
 
 /**
@@ -81,4 +83,48 @@
 
 	}
 
+	/**
+	 * An engine that names a limit.
+	 */
+	@Nested
+	class Limit {
+
+		@ParameterizedTest
+		@ValueSource(ints = { 200, 404, 429, 500, 503 })
+		void anyResponseCanNameIt(int status) {
+			assertThat(read(status, "server-limit", "2.9").limit()).isEqualTo(new LimitNotice.Limited(2.9));
+		}
+
+		@Test
+		void zeroIsALimit() {
+			assertThat(read(200, "Server-Limit", "0").limit()).isEqualTo(new LimitNotice.Limited(0));
+		}
+
+		@Test
+		void responseWithoutTheHeaderNamesNone() {
+			assertThat(read(200, "Server").limit()).isEqualTo(new LimitNotice.None());
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "", "-1", "NaN", "1e400", "1e2", "Infinity", "2, 3", "0x1" })
+		void otherValuesAreIgnored(String value) {
+			EngineNotice notice = read(200, "Server-Limit", value);
+			assertThat(notice.limit()).isEqualTo(new LimitNotice.Unreadable());
+			assertThat(notice.problem()).isNotNull();
+		}
+
+		@Test
+		void strictestOfSeveralValidValuesCounts() {
+			EngineNotice notice = read(200, "Server-Limit", "3", "1.5", "x");
+			assertThat(notice.limit()).isEqualTo(new LimitNotice.Limited(1.5));
+			assertThat(notice.problem()).isNotNull();
+		}
+
+		@Test
+		void callersDoNotGetIt() {
+			assertThat(new PlatformCalls().returns("Server-Limit")).isFalse();
+		}
+
+	}
+
 }
