--- a/src/main/java/org/jaywood/routing/UpstreamState.java
+++ b/src/main/java/org/jaywood/routing/UpstreamState.java
@@ -72,7 +72,9 @@
 
 	private long slowPathUntilMillis = Long.MIN_VALUE;
 
-	/** Time at which calls on the path were last found undelivered. */
+	/**
+	 * Time at which calls on the path were last found undelivered, or a report came late.
+	 */
 	private long pathDoubtedMillis = NEVER_MILLIS;
 
 	private Upstream upstream;
@@ -153,6 +155,9 @@
 
 	void onReportDelay(long sentMillis, long nowMillis) {
 		this.reportDelay.onReport(sentMillis, nowMillis);
+		if (this.reportDelay.millis() >= TIMELY_REPORT_DELAY_MILLIS) {
+			this.pathDoubtedMillis = nowMillis;
+		}
 	}
 
 	/**
@@ -282,9 +287,10 @@
 	}
 
 	/**
-	 * Whether a call may be sent although calls on the path were undelivered: once one
-	 * that was placed later has begun soon, or to find that out, if no other is on its
-	 * way. An engine behind a narrow path looks idle once its last calls are answered.
+	 * Whether a call may be sent although the path was slow: once one that was placed
+	 * later has begun soon, or to find that out, if no other is on its way. An engine
+	 * behind a narrow path looks idle once its last calls are answered, and the path to
+	 * it may be narrow when that from there no longer is.
 	 */
 	boolean trustsPath() {
 		return this.pathDoubtedMillis == NEVER_MILLIS || this.activity.begunSoonSince(this.pathDoubtedMillis)
--- a/src/test/java/org/jaywood/routing/SlowPathTests.java
+++ b/src/test/java/org/jaywood/routing/SlowPathTests.java
@@ -75,4 +75,24 @@
 		assertThat(placed(calls)).hasSize(2);
 	}
 
+	@Test
+	void aLateReportCastsDoubtOnThePathToTheEngineToo() {
+		Dispatcher other = new Dispatcher(RoutingFixtures.settings());
+		other.onRouteTable(RoutingFixtures.table(), NOW);
+		other.onFleet(RoutingFixtures.fleet(RoutingFixtures.engine("a")), NOW);
+		UpstreamReport idle = new UpstreamReport("a", 0, 0, false, 1, true, 0, new LoadedWeights("model", 1, 0, 16));
+		other.onReportDelay("a", NOW, NOW);
+		other.onReport("a", idle, NOW);
+		other.onReportDelay("a", NOW, NOW + 400);
+		other.onReport("a", idle, NOW + 400);
+		other.onReportDelay("a", NOW + 500, NOW + 500);
+		other.onReport("a", idle, NOW + 500);
+		long placed = IntStream.range(0, 3)
+			.mapToObj((number) -> other.enqueue(RoutingFixtures.requirements(RoutingFixtures.ENGINE_SERVICE, false),
+					NOW + 500))
+			.filter((call) -> RoutingFixtures.placementOf(call).isPresent())
+			.count();
+		assertThat(placed).isEqualTo(1);
+	}
+
 }
