--- a/src/test/java/org/jaywood/routing/NamedLimitFleetTests.java
+++ b/src/test/java/org/jaywood/routing/NamedLimitFleetTests.java
@@ -65,6 +65,16 @@
 		assertThat(simulation.maxInWindow(NAMED_MILLIS + CONTACT_MILLIS)).isAtMost(allowedCalls(2.5));
 	}
 
+	@Test
+	void gatewaysThatTheAgentDoesNotCountDoNotRaiseTheSum() {
+		Simulation simulation = new Simulation(4, 1);
+		simulation.run(NAMED_MILLIS, null);
+		simulation.run(4_000, 2.5);
+		simulation.disconnect(2);
+		simulation.run(25_000, 2.5);
+		assertThat(simulation.maxInWindow(NAMED_MILLIS + CONTACT_MILLIS)).isAtMost(allowedCalls(2.5));
+	}
+
 	@Test
 	void halfACallASecondIsSharedByFourGatewaysOneAfterTheOther() {
 		Simulation simulation = new Simulation(4, 1);
@@ -196,6 +206,14 @@
 			assertThat(placed(1, NOW + 2_000)).isEqualTo(0);
 		}
 
+		@Test
+		void limitOfColdEnginesHoldsUnderALaxerOne() {
+			limit(10_000, NOW, NOW);
+			int coldCalls = (int) ((36 * 1.5 + 5) * 0.9);
+			long placed = IntStream.range(0, 20).mapToLong((step) -> placed(5, NOW + 1_000 + step)).sum();
+			assertThat(placed).isAtMost(coldCalls);
+		}
+
 		@Test
 		void hedgesCountAndAreHeldBack() {
 			limit(1, NOW, NOW);
@@ -254,13 +272,26 @@
 			this.gateways.removeFirst();
 		}
 
+		/**
+		 * Ends the connections of the first gateways to the agent.
+		 */
+		void disconnect(int count) {
+			this.gateways.subList(0, count).forEach((gateway) -> {
+				gateway.connected = false;
+				gateway.dispatcher.onAgentLost("a", AgentLoss.CLOSED);
+			});
+		}
+
 		void run(int millis, Double limitPerSecond) {
 			int endMillis = this.nowMillis + millis;
 			for (; this.nowMillis < endMillis; this.nowMillis += STEP_MILLIS) {
 				if (this.nowMillis % REPORT_INTERVAL_MILLIS == 0) {
-					UpstreamReport report = new UpstreamReport("a", 0, 0, false, this.gateways.size(), true, 0,
+					List<SimulatedGateway> connected = this.gateways.stream()
+						.filter((gateway) -> gateway.connected)
+						.toList();
+					UpstreamReport report = new UpstreamReport("a", 0, 0, false, connected.size(), true, 0,
 							this.engine.weights());
-					this.gateways.forEach((gateway) -> gateway.dispatcher.onReport("a", report, this.nowMillis));
+					connected.forEach((gateway) -> gateway.dispatcher.onReport("a", report, this.nowMillis));
 				}
 				LimitNotice notice = (limitPerSecond != null) ? new LimitNotice.Limited(limitPerSecond)
 						: new LimitNotice.None();
@@ -298,6 +329,8 @@
 
 		private int toldMillis = Integer.MAX_VALUE / 2;
 
+		private boolean connected = true;
+
 		SimulatedGateway(Dispatcher dispatcher) {
 			this.dispatcher = dispatcher;
 		}
