Take the limits on the calls of all gateways out of the placement, and use one stall detector

PlacementPolicy had grown by the limits that gateways share; they are CallLimits now. Dispatcher had a second detector of stalls; it uses StallDetector, which moves to routing for that. No change of behaviour: tests of routing, SuspendedVmTests and NamedLimitTests pass.

--- a/src/main/java/org/jaywood/gateway/CallerConnections.java
+++ b/src/main/java/org/jaywood/gateway/CallerConnections.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 import org.jaywood.feed.BootClock;
+import org.jaywood.routing.StallDetector;
 
 /**
  * Open connections of callers, the calls that run on them, and the schedule by which a
--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -33,14 +33,13 @@
 	 */
 	private static final long MAX_WAIT_AT_ENGINE_MILLIS = 800;
 
-	/** Time without a tick in which this process has stalled. */
-	private static final long STALL_MILLIS = 250;
-
 	/** Range over which the retries of callers that are refused together are spread. */
 	private static final int RETRY_AFTER_SPREAD_MILLIS = 600;
 
 	private final PlacementPolicy policy;
 
+	private final CallLimits limits;
+
 	private final DispatchSettings settings;
 
 	private final Map<String, UpstreamState> states = new HashMap<>();
@@ -61,14 +60,12 @@
 
 	private final GatewayCountEstimator gatewayCount = new GatewayCountEstimator();
 
-	private long lastTickMillis = Long.MIN_VALUE / 2;
-
-	/** Time since which this process has run without a stall. */
-	private long runningSinceMillis = Long.MIN_VALUE / 2;
+	private final StallDetector stallDetector = new StallDetector();
 
 	public Dispatcher(DispatchSettings settings) {
 		this.settings = settings;
-		this.policy = new PlacementPolicy(settings, this.notices);
+		this.limits = new CallLimits(settings, this.notices);
+		this.policy = new PlacementPolicy(settings, this.limits);
 		this.subset = new UpstreamSubset(settings.gateway(), settings.dataCentre());
 	}
 
@@ -210,15 +207,15 @@
 		int ahead = this.queue.countAhead(requirements, nowMillis);
 		long missing = ahead + 1;
 		for (UpstreamState state : eligible(requirements, nowMillis)) {
-			missing -= Math.min(missing, this.policy.callsWithin(waitMillis, state, profile(requirements.service()),
+			missing -= Math.min(missing, this.limits.callsWithin(waitMillis, state, profile(requirements.service()),
 					this.gatewayCount.divisor(nowMillis), nowMillis));
 		}
 		return missing > 0;
 	}
 
 	private long sendWaitMillis(UpstreamState state, long nowMillis) {
-		return this.policy.sendWaitMillis(state, profile(state.upstream().service()),
-				this.gatewayCount.divisor(nowMillis), nowMillis);
+		return this.limits.waitMillis(state, profile(state.upstream().service()), this.gatewayCount.divisor(nowMillis),
+				nowMillis);
 	}
 
 	/**
@@ -284,8 +281,8 @@
 	}
 
 	private boolean isVmSilent(UpstreamState state, long nowMillis) {
-		boolean stalled = nowMillis - this.lastTickMillis >= STALL_MILLIS;
-		return !stalled && state.vmSilent(this.runningSinceMillis, nowMillis);
+		return this.stallDetector.ticking(nowMillis)
+				&& state.vmSilent(this.stallDetector.runningSinceMillis(), nowMillis);
 	}
 
 	/**
@@ -357,10 +354,7 @@
 	 * the end of an ejection.
 	 */
 	public synchronized void onTick(long nowMillis) {
-		if (nowMillis - this.lastTickMillis >= STALL_MILLIS) {
-			this.runningSinceMillis = nowMillis;
-		}
-		this.lastTickMillis = nowMillis;
+		this.stallDetector.tick(nowMillis);
 		placeQueued(nowMillis);
 	}
 
--- a/src/main/java/org/jaywood/routing/PlacementPolicy.java
+++ b/src/main/java/org/jaywood/routing/PlacementPolicy.java
@@ -5,11 +5,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.SplittableRandom;
 import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
@@ -61,18 +59,6 @@
 	/** Calls of one gateway that an outlier may hold. */
 	private static final int MAX_OUTLIER_CALLS = 1;
 
-	/**
-	 * Share of a limit on the calls of all gateways that they use, since calls are in
-	 * transit for different times.
-	 */
-	private static final double USED_LIMIT_SHARE = 0.9;
-
-	/**
-	 * Slightly more than the second to which the limit of a cold engine applies, for the
-	 * same reason.
-	 */
-	private static final long COLD_WINDOW_MILLIS = 1_100;
-
 	/**
 	 * Number of subscribed engines that may run a call, below which others are considered
 	 * too.
@@ -81,15 +67,15 @@
 
 	private final DispatchSettings settings;
 
-	private final UpstreamNotices notices;
+	private final CallLimits limits;
 
 	private final Map<String, ServicePace> paces = new HashMap<>();
 
 	private final StoreOutageDetector outageDetector = new StoreOutageDetector();
 
-	PlacementPolicy(DispatchSettings settings, UpstreamNotices notices) {
+	PlacementPolicy(DispatchSettings settings, CallLimits limits) {
 		this.settings = settings;
-		this.notices = notices;
+		this.limits = limits;
 	}
 
 	/**
@@ -124,7 +110,7 @@
 		double bestShare = candidates.stream().mapToDouble((state) -> state.health().failureShare()).min().orElse(0);
 		double reserveCalls = requirements.queueClass().sentBefore() ? SENT_BEFORE_RESERVE_CALLS : 0;
 		List<Candidate> evaluated = preferSubscribed(candidates, requirements, profile).stream()
-			.filter((state) -> sendWaitMillis(state, profile, fleetSize.divisor(), nowMillis) == 0)
+			.filter((state) -> this.limits.waitMillis(state, profile, fleetSize.divisor(), nowMillis) == 0)
 			.map((state) -> evaluate(state, profile, bestShare, fleetSize.gateways(), nowMillis))
 			.toList();
 		boolean mayWait = profile instanceof ServiceProfile.Engines && !requirements.queueClass().sentBefore()
@@ -229,73 +215,6 @@
 		return upstream.dataCentre().equals(this.settings.dataCentre()) ? 0 : OTHER_DATA_CENTRE_PENALTY;
 	}
 
-	/**
-	 * Returns the time in milliseconds until this gateway may send an upstream another
-	 * call within its shares of all limits that hold there, 0 if it may now.
-	 * @param fleetDivisor number of gateways, used if the agent does not report it
-	 */
-	long sendWaitMillis(UpstreamState state, @Nullable ServiceProfile profile, int fleetDivisor, long nowMillis) {
-		double share = limitShare(state, fleetDivisor, nowMillis);
-		long windowsMillis = windows(state, profile, share)
-			.mapToLong((window) -> state.sendWaitMillis(window, nowMillis))
-			.max()
-			.orElse(0);
-		return Math.max(windowsMillis, holdMillis(state, share, nowMillis));
-	}
-
-	/**
-	 * Returns the calls that this gateway may send an upstream within a time, within its
-	 * shares of all limits that hold there.
-	 * @param fleetDivisor number of gateways, used if the agent does not report it
-	 */
-	long callsWithin(long periodMillis, UpstreamState state, @Nullable ServiceProfile profile, int fleetDivisor,
-			long nowMillis) {
-		double share = limitShare(state, fleetDivisor, nowMillis);
-		if (holdMillis(state, share, nowMillis) > periodMillis) {
-			return 0;
-		}
-		return windows(state, profile, share)
-			.mapToLong((window) -> window.callsWithin(periodMillis - state.sendWaitMillis(window, nowMillis)))
-			.min()
-			.orElse(Long.MAX_VALUE);
-	}
-
-	private static double limitShare(UpstreamState state, int fleetDivisor, long nowMillis) {
-		return USED_LIMIT_SHARE / state.sharingGateways(fleetDivisor, nowMillis);
-	}
-
-	/**
-	 * Returns the time in milliseconds until the first call of this gateway under the
-	 * limit that an upstream names.
-	 */
-	private long holdMillis(UpstreamState state, double share, long nowMillis) {
-		NamedLimit limit = this.notices.limit(state.upstream());
-		if (limit == null) {
-			return 0;
-		}
-		int seed = Objects.hash(this.settings.gateway(), state.upstream().id());
-		double phase = new SplittableRandom(seed).nextDouble();
-		return Math.max(0, limit.firstCallMillis(share, phase) - nowMillis);
-	}
-
-	/**
-	 * Returns the windows of all limits. That of cold engines applies to warm ones too,
-	 * since they turn cold without notice.
-	 */
-	private Stream<SendWindow> windows(UpstreamState state, @Nullable ServiceProfile profile, double share) {
-		NamedLimit limit = this.notices.limit(state.upstream());
-		return Stream.concat(coldWindow(profile, share).stream(),
-				(limit != null) ? limit.windows(share).stream() : Stream.empty());
-	}
-
-	private Optional<SendWindow> coldWindow(@Nullable ServiceProfile profile, double share) {
-		if (!(profile instanceof ServiceProfile.Engines engines) || engines.coldPerSecond() <= 0) {
-			return Optional.empty();
-		}
-		double limit = engines.coldPerSecond() * this.settings.coldOverage() + this.settings.coldSlack();
-		return Optional.of(new SendWindow(COLD_WINDOW_MILLIS, Math.max(1, (int) (limit * share))));
-	}
-
 	/**
 	 * Upstream that may run a call, with the cost of placing it there.
 	 *
--- a/src/test/java/org/jaywood/gateway/StallDetectorTests.java
+++ b/src/test/java/org/jaywood/routing/StallDetectorTests.java
@@ -1,4 +1,4 @@
-package org.jaywood.gateway;
+package org.jaywood.routing;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
