Pass the present time to the decision to give a call up, and name what makes an engine unavailable

Read as a newcomer would: HedgePlacement.hopeless took the time by itself, and the time to return was a nest of maxima. No change of behaviour: tests of routing, SuspendedVmTests, NamedLimitTests, HedgeTests and UpstreamNoticeTests pass.

--- a/src/main/java/org/jaywood/gateway/AttemptRunner.java
+++ b/src/main/java/org/jaywood/gateway/AttemptRunner.java
@@ -144,7 +144,7 @@
 				throw new IOException("no answer within the time of the call");
 			}
 			this.attempts.requireTimelyBegin(attempt, nowMillis);
-			if (this.hedge == null && this.hedgePlacement.hopeless(attempt.placement())) {
+			if (this.hedge == null && this.hedgePlacement.hopeless(attempt.placement(), nowMillis)) {
 				throw new AttemptEndedException(new AttemptResult.Indeterminate(SILENT_VM, Outcome.SILENT));
 			}
 			boolean progressed = attempt.awaitProgress(pollTimeoutMillis(attempt, nowMillis));
--- a/src/main/java/org/jaywood/gateway/HedgePlacement.java
+++ b/src/main/java/org/jaywood/gateway/HedgePlacement.java
@@ -5,7 +5,6 @@
 
 import org.jspecify.annotations.Nullable;
 
-import org.jaywood.feed.BootClock;
 import org.jaywood.routing.Dispatcher;
 import org.jaywood.routing.HedgeDelay;
 import org.jaywood.routing.Placement;
@@ -99,10 +98,12 @@
 			return takePlacement(queued, nowMillis);
 		}
 		long dueMillis = hedgeDueMillis(this.dispatcher.isQuiet(silent, nowMillis));
-		boolean due = nowMillis >= dueMillis;
+		if (nowMillis < dueMillis) {
+			this.nextCheckMillis = Math.min(dueMillis, nowMillis + CHECK_INTERVAL_MILLIS);
+			return Optional.empty();
+		}
 		this.nextCheckMillis = nowMillis + CHECK_INTERVAL_MILLIS;
-		this.nextCheckMillis = due ? this.nextCheckMillis : Math.min(dueMillis, this.nextCheckMillis);
-		return due ? this.attempts.placeHedge(silent, nowMillis) : Optional.empty();
+		return this.attempts.placeHedge(silent, nowMillis);
 	}
 
 	private Optional<Placement> takePlacement(QueuedCall queued, long nowMillis) {
@@ -117,8 +118,7 @@
 	 * Whether nothing has come from the VM of an attempt for so long that its caller is
 	 * served better by an answer without the result than by waiting on.
 	 */
-	boolean hopeless(Placement silent) {
-		long nowMillis = BootClock.nowMillis();
+	boolean hopeless(Placement silent, long nowMillis) {
 		return hedgeable()
 				&& nowMillis - this.silentSinceMillis >= HedgeDelay.giveUpMillis(this.call.route().policy(),
 						this.call.remainingMillis(this.silentSinceMillis))
--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -320,14 +320,21 @@
 				completionRate(requirements.service()).retryAfterMillis(queued + 1, nowMillis))
 				+ Math.floorMod(requirements.callId().hashCode(), RETRY_AFTER_SPREAD_MILLIS);
 		return eligible.stream()
-			.mapToLong((state) -> Math.max(byRateMillis,
-					Math.max(state.health().ejectionLeftMillis(nowMillis),
-							Math.max(this.notices.pauseLeftMillis(state.upstream(), nowMillis),
-									sendWaitMillis(state, nowMillis)))))
+			.mapToLong((state) -> Math.max(byRateMillis, unavailableMillis(state, nowMillis)))
 			.min()
 			.orElse(byRateMillis);
 	}
 
+	/**
+	 * Returns the time in milliseconds for which an upstream is known to take no call of
+	 * this gateway.
+	 */
+	private long unavailableMillis(UpstreamState state, long nowMillis) {
+		long ejectedMillis = state.health().ejectionLeftMillis(nowMillis);
+		long pausedMillis = this.notices.pauseLeftMillis(state.upstream(), nowMillis);
+		return Math.max(sendWaitMillis(state, nowMillis), Math.max(ejectedMillis, pausedMillis));
+	}
+
 	/**
 	 * Returns the oldest version of the weights of a model that may still start a call,
 	 * empty before the end of the first grace period.
