Share the calls, scripts and pauses of gateway tests

GatewayFixture has what five test classes each had for themselves: a call with another id, an upstream that responds at once, a pause.

--- a/src/test/java/org/jaywood/gateway/CallerLeavingTests.java
+++ b/src/test/java/org/jaywood/gateway/CallerLeavingTests.java
@@ -43,10 +43,6 @@
 		}
 	}
 
-	private static void pause(long millis) {
-		Awaitility.await().pollDelay(millis, TimeUnit.MILLISECONDS).until(() -> true);
-	}
-
 	private static void assertClosed(FakeUpstream upstream) throws InterruptedException {
 		assertThat(upstream.connectionEnded().await(CLOSE_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
 	}
--- a/src/test/java/org/jaywood/gateway/GatewayFixture.java
+++ b/src/test/java/org/jaywood/gateway/GatewayFixture.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
@@ -140,6 +141,28 @@
 		}
 	}
 
+	/**
+	 * Makes a call with another id.
+	 */
+	static String call(Gateway gateway, String request, int number) throws IOException {
+		return exchange(gateway, request.replace("call-1", "call-" + number));
+	}
+
+	/**
+	 * Returns the script of an upstream that responds at once.
+	 * @param headers further headers, each with the end of its line
+	 */
+	static FakeUpstream.Script answer(int status, String headers) {
+		return (request, number, out, socket) -> write(out, FakeUpstream.response(request, status, headers, "x"));
+	}
+
+	static void pause(long millis) {
+		Awaitility.await()
+			.pollDelay(millis, TimeUnit.MILLISECONDS)
+			.atMost(2 * millis + 1_000, TimeUnit.MILLISECONDS)
+			.until(() -> true);
+	}
+
 	static void write(OutputStream out, String text) throws IOException {
 		out.write(text.getBytes(StandardCharsets.ISO_8859_1));
 		out.flush();
--- a/src/test/java/org/jaywood/gateway/HedgeProgressTests.java
+++ b/src/test/java/org/jaywood/gateway/HedgeProgressTests.java
@@ -29,15 +29,6 @@
 
 	private static final int LARGE_BYTES = 16_000_000;
 
-	private static void pause(long millis) throws IOException {
-		try {
-			Thread.sleep(millis);
-		}
-		catch (InterruptedException ex) {
-			throw new IOException(ex);
-		}
-	}
-
 	private Gateway start(FakeUpstream.Script first, FakeUpstream.Script second) throws IOException {
 		AtomicInteger calls = new AtomicInteger();
 		FakeUpstream.Script script = (request, number, out, socket) -> {
--- a/src/test/java/org/jaywood/gateway/MisbehavingUpstreamTests.java
+++ b/src/test/java/org/jaywood/gateway/MisbehavingUpstreamTests.java
@@ -176,15 +176,6 @@
 			}
 		}
 
-		private static void pause(long millis) throws IOException {
-			try {
-				Thread.sleep(millis);
-			}
-			catch (InterruptedException ex) {
-				throw new IOException(ex);
-			}
-		}
-
 	}
 
 	/**
--- a/src/test/java/org/jaywood/gateway/NamedLimitTests.java
+++ b/src/test/java/org/jaywood/gateway/NamedLimitTests.java
@@ -20,14 +20,6 @@
 
 	private static final String LIMIT = "Server-Limit: 0.5\r\n";
 
-	private static FakeUpstream.Script answer(int status, String headers) {
-		return (request, number, out, socket) -> write(out, FakeUpstream.response(request, status, headers, "x"));
-	}
-
-	private static String call(Gateway gateway, String request, int number) throws IOException {
-		return exchange(gateway, request.replace("call-1", "call-" + number));
-	}
-
 	@ParameterizedTest
 	@ValueSource(strings = { "200", "404", "500", "503", "503-not-run", "429-not-run" })
 	void noCallFollowsAtOnceWhateverTheResponse(String kind) throws IOException {
@@ -46,7 +38,7 @@
 		FakeUpstream limited = new FakeUpstream((request, number, out, socket) -> {
 			write(out, FakeUpstream.streamHead(request).replace("Content-Type", LIMIT + "Content-Type")
 					+ FakeUpstream.chunk("id: 1\ndata: a\n\n"));
-			Awaitility.await().pollDelay(600, TimeUnit.MILLISECONDS).until(() -> true);
+			pause(600);
 			write(out, "0\r\n\r\n");
 		});
 		Gateway gateway = start(limited);
--- a/src/test/java/org/jaywood/gateway/SilentUpstreamTests.java
+++ b/src/test/java/org/jaywood/gateway/SilentUpstreamTests.java
@@ -32,15 +32,6 @@
 
 	private final CompletableFuture<Integer> upstreamOfStream = new CompletableFuture<>();
 
-	private static void pause(long millis) throws IOException {
-		try {
-			Thread.sleep(millis);
-		}
-		catch (InterruptedException ex) {
-			throw new IOException(ex);
-		}
-	}
-
 	/**
 	 * Creates an upstream whose stream goes on as scripted after its first event.
 	 */
--- a/src/test/java/org/jaywood/gateway/SuspendedVmTests.java
+++ b/src/test/java/org/jaywood/gateway/SuspendedVmTests.java
@@ -63,11 +63,6 @@
 		return gateway;
 	}
 
-	private static void pause(long millis) {
-		long untilMillis = BootClock.nowMillis() + millis;
-		Awaitility.await().until(() -> BootClock.nowMillis() >= untilMillis);
-	}
-
 	/**
 	 * A stream that a caller has begun to read.
 	 */
--- a/src/test/java/org/jaywood/gateway/UpstreamNoticeTests.java
+++ b/src/test/java/org/jaywood/gateway/UpstreamNoticeTests.java
@@ -22,14 +22,6 @@
 
 	private static final String LEAVING = "Server-Leaving: 1\r\n";
 
-	private static FakeUpstream.Script answer(int status, String headers) {
-		return (request, number, out, socket) -> write(out, FakeUpstream.response(request, status, headers, "x"));
-	}
-
-	private static String call(Gateway gateway, String request, int number) throws IOException {
-		return exchange(gateway, request.replace("call-1", "call-" + number));
-	}
-
 	/**
 	 * The notice of leaving.
 	 */
@@ -55,7 +47,7 @@
 			FakeUpstream leaving = new FakeUpstream((request, number, out, socket) -> {
 				write(out, FakeUpstream.streamHead(request).replace("Content-Type", LEAVING + "Content-Type")
 						+ FakeUpstream.chunk("id: 1\ndata: a\n\n"));
-				Awaitility.await().pollDelay(600, TimeUnit.MILLISECONDS).until(() -> true);
+				pause(600);
 				write(out, FakeUpstream.chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
 			});
 			Gateway gateway = start(leaving);
@@ -93,7 +85,7 @@
 					? FakeUpstream.response(request, 421, LEAVING, "") : FakeUpstream.response(request, 200, "", "x")));
 			Gateway gateway = start(misdirected);
 			call(gateway, UNSAFE, 1);
-			Awaitility.await().pollDelay(500, TimeUnit.MILLISECONDS).until(() -> true);
+			pause(500);
 			assertThat(call(gateway, UNSAFE, 2)).startsWith("HTTP/1.1 200");
 		}
 
@@ -148,7 +140,7 @@
 			Gateway gateway = start(pausing);
 			call(gateway, UNSAFE, 1);
 			assertThat(call(gateway, UNSAFE, 2)).startsWith("HTTP/1.1 503");
-			Awaitility.await().pollDelay(900, TimeUnit.MILLISECONDS).until(() -> true);
+			pause(900);
 			assertThat(call(gateway, UNSAFE, 3)).startsWith("HTTP/1.1 200");
 		}
 
@@ -161,7 +153,7 @@
 							: FakeUpstream.response(request, 200, "", "x")));
 			Gateway gateway = start(upstream);
 			call(gateway, UNSAFE, 1);
-			Awaitility.await().pollDelay(200, TimeUnit.MILLISECONDS).until(() -> true);
+			pause(200);
 			assertThat(call(gateway, UNSAFE, 2)).startsWith("HTTP/1.1 200");
 		}
 
