--- a/src/main/java/org/jaywood/gateway/Call.java
+++ b/src/main/java/org/jaywood/gateway/Call.java
@@ -8,6 +8,7 @@
 import org.jspecify.annotations.Nullable;
 
 import org.jaywood.http.BufferedRequest;
+import org.jaywood.routing.CallCost;
 import org.jaywood.routing.Route;
 import org.jaywood.routing.Workspace;
 
@@ -25,11 +26,12 @@
  * @param deadline time by which it must have its final response
  * @param late whether its target had passed before it arrived
  * @param tableVersion version of the configuration that allowed it
+ * @param cost its size
  * @param sharedParts ids of the parts of its prompt that other prompts may share
  */
 record Call(String id, BufferedRequest request, Route route, String service, @Nullable Workspace workspace,
 		boolean keysRequired, long arrivedMillis, long onTimeUntilMillis, CallDeadline deadline, boolean late,
-		long tableVersion, Set<String> sharedParts) {
+		long tableVersion, CallCost cost, Set<String> sharedParts) {
 
 	private static final int QUEUE_PRIORITY_STEP = 2;
 
@@ -77,7 +79,7 @@
 	Call withShutdown(LongSupplier millis) {
 		return new Call(this.id, this.request, this.route, this.service, this.workspace, this.keysRequired,
 				this.arrivedMillis, this.onTimeUntilMillis, this.deadline.withShutdown(millis), this.late,
-				this.tableVersion, this.sharedParts);
+				this.tableVersion, this.cost, this.sharedParts);
 	}
 
 	/**
--- a/src/main/java/org/jaywood/gateway/CallAdmission.java
+++ b/src/main/java/org/jaywood/gateway/CallAdmission.java
@@ -99,7 +99,7 @@
 		CallDeadline deadline = new CallDeadline(callerDeadlineMillis(head, nowMillis),
 				nowMillis + route.timeoutMillis());
 		return new Call(head.callId(), request, route, route.serviceFor(head.callId()), workspace, table.keysRequired(),
-				nowMillis, nowMillis + route.targetMillis() - spentMillis, deadline, late, table.version(),
+				nowMillis, nowMillis + route.targetMillis() - spentMillis, deadline, late, table.version(), head.cost(),
 				head.sharedParts());
 	}
 
--- a/src/main/java/org/jaywood/gateway/CallAttempts.java
+++ b/src/main/java/org/jaywood/gateway/CallAttempts.java
@@ -19,6 +19,7 @@
 import org.jaywood.routing.Placement;
 import org.jaywood.routing.QueuedCall;
 import org.jaywood.routing.RetryPolicy;
+import org.jaywood.routing.Workspace;
 
 /**
  * The attempts of one call: places the next one, records the results of those that ended,
@@ -384,8 +385,10 @@
 	 * Returns what the next attempt requires of an upstream.
 	 */
 	CallRequirements requirements() {
-		return new CallRequirements(this.call.id(), this.call.service(), this.call.regions(), this.call.priority(),
-				queueClass(), this.call.route().policy().streaming(), this.streamVersion,
+		Workspace workspace = this.call.workspace();
+		return new CallRequirements(this.call.id(), this.call.service(), this.call.regions(),
+				(workspace != null) ? workspace.name() : "", this.call.priority(), queueClass(),
+				this.call.route().policy().streaming(), this.call.cost(), this.streamVersion,
 				Set.copyOf(this.triedUpstreams));
 	}
 
--- a/src/main/java/org/jaywood/gateway/CallHead.java
+++ b/src/main/java/org/jaywood/gateway/CallHead.java
@@ -5,13 +5,17 @@
 
 import org.jspecify.annotations.Nullable;
 
+import org.jaywood.routing.CallCost;
+
 /**
  * Headers of a call that the gateway evaluates, decoded by the protocol.
  *
  * @param callId id that the caller gave this sending of the call
  * @param key key of the caller, or null
  * @param timeoutMillis time for which the caller waits, counted from sending
+ * @param cost size of the call
  * @param sharedParts ids of the parts of the prompt that other prompts may share
  */
-public record CallHead(String callId, @Nullable String key, OptionalLong timeoutMillis, Set<String> sharedParts) {
+public record CallHead(String callId, @Nullable String key, OptionalLong timeoutMillis, CallCost cost,
+		Set<String> sharedParts) {
 }
--- a/src/main/java/org/jaywood/http/ConnectionPool.java
+++ b/src/main/java/org/jaywood/http/ConnectionPool.java
@@ -148,7 +148,7 @@
 				throw new IOException("the response of " + address + " exceeds " + limits.maxBodyBytes() + " bytes");
 			}
 			complete = true;
-			return new BufferedResponse(response.status(), bytes);
+			return new BufferedResponse(response.head(), bytes);
 		}
 		finally {
 			if (complete) {
--- a/src/main/java/org/jaywood/platform/PlatformCalls.java
+++ b/src/main/java/org/jaywood/platform/PlatformCalls.java
@@ -4,6 +4,8 @@
 import java.util.Locale;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import org.apache.hc.core5.http.ClassicHttpRequest;
 import org.apache.hc.core5.http.ClassicHttpResponse;
@@ -17,6 +19,7 @@
 import org.jaywood.gateway.CallHead;
 import org.jaywood.gateway.CallProtocol;
 import org.jaywood.gateway.ResponseHead;
+import org.jaywood.routing.CallCost;
 
 /**
  * Headers of the platform that carry call metadata between callers, gateways and
@@ -43,6 +46,11 @@
 	/** Parts of the prompt, of which the last one belongs to the request itself. */
 	private static final String PROMPT_PREFIX = "X-Prompt-Prefix";
 
+	/** Tokens of the prompt and most tokens of the answer, separated by a comma. */
+	private static final String TOKEN_USAGE = "X-Token-Usage";
+
+	private static final Pattern TOKEN_USAGE_VALUE = Pattern.compile("(\\d{1,8}),(\\d{1,8})");
+
 	private static final String NOT_EXECUTED = "X-Not-Executed";
 
 	private static final String BEARER = "Bearer ";
@@ -57,7 +65,7 @@
 	public CallHead read(ClassicHttpRequest request) {
 		String id = headerValue(request, ATTEMPT_ID);
 		return new CallHead((id != null) ? id : "", bearerKey(request), parseMillis(headerValue(request, DEADLINE)),
-				sharedParts(request));
+				cost(headerValue(request, TOKEN_USAGE)), sharedParts(request));
 	}
 
 	@Override
@@ -105,6 +113,12 @@
 		return PromptPrefix.sharedParts(Arrays.stream(lines).map(Header::getValue).toList());
 	}
 
+	private static CallCost cost(@Nullable String tokenUsage) {
+		Matcher matcher = TOKEN_USAGE_VALUE.matcher((tokenUsage != null) ? tokenUsage : "");
+		return matcher.matches() ? new CallCost(Integer.parseInt(matcher.group(1)), Integer.parseInt(matcher.group(2)))
+				: CallCost.UNKNOWN;
+	}
+
 	private static @Nullable String bearerKey(ClassicHttpRequest request) {
 		String authorization = headerValue(request, HttpHeaders.AUTHORIZATION);
 		boolean bearer = authorization != null && authorization.regionMatches(true, 0, BEARER, 0, BEARER.length());
--- a/src/main/java/org/jaywood/routing/CallRequirements.java
+++ b/src/main/java/org/jaywood/routing/CallRequirements.java
@@ -9,14 +9,17 @@
  * @param callId id of the call
  * @param service service that runs it
  * @param regions regions in which it may run, or empty for all
+ * @param workspace name of the caller's workspace, or empty if the call needs no key
  * @param priority its priority, 0 first
  * @param queueClass its class in the queue
  * @param streaming whether it runs in an engine
+ * @param cost its size
  * @param pinnedVersion the only version of the weights that may run it, or empty for any
  * @param excludedUpstreams ids of upstreams on which it is not placed again
  */
-public record CallRequirements(String callId, String service, Set<String> regions, int priority, QueueClass queueClass,
-		boolean streaming, OptionalLong pinnedVersion, Set<String> excludedUpstreams) {
+public record CallRequirements(String callId, String service, Set<String> regions, String workspace, int priority,
+		QueueClass queueClass, boolean streaming, CallCost cost, OptionalLong pinnedVersion,
+		Set<String> excludedUpstreams) {
 
 	/**
 	 * Class of a queued call, in the order of placement.
--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -7,8 +7,6 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
-import java.util.Set;
-import java.util.stream.Collectors;
 
 import org.jspecify.annotations.Nullable;
 
@@ -40,41 +38,27 @@
 
 	private final CallLimits limits;
 
-	private final DispatchSettings settings;
-
-	private final Map<String, UpstreamState> states = new HashMap<>();
+	private final UpstreamStates states;
 
 	private final CallQueue queue = new CallQueue();
 
 	private final Map<String, CompletionRate> completionRates = new HashMap<>();
 
-	private @Nullable RouteTable routeTable;
-
-	private @Nullable Fleet fleet;
-
-	private final UpstreamSubset subset;
-
-	private SubscribedEngines subscribedEngines = SubscribedEngines.NONE;
-
 	private final UpstreamNotices notices = new UpstreamNotices();
 
-	private final GatewayCountEstimator gatewayCount = new GatewayCountEstimator();
-
 	private final StallDetector stallDetector = new StallDetector();
 
 	public Dispatcher(DispatchSettings settings) {
-		this.settings = settings;
 		this.limits = new CallLimits(settings, this.notices);
 		this.policy = new PlacementPolicy(settings, this.limits);
-		this.subset = new UpstreamSubset(settings.gateway(), settings.dataCentre());
+		this.states = new UpstreamStates(settings);
 	}
 
 	/**
 	 * Applies a new configuration.
 	 */
 	public synchronized void onRouteTable(RouteTable latest, long nowMillis) {
-		this.routeTable = latest;
-		updateSubscriptions();
+		this.states.onRouteTable(latest);
 		placeQueued(nowMillis);
 	}
 
@@ -82,27 +66,7 @@
 	 * Applies a new state of upstreams, data centres and target versions.
 	 */
 	public synchronized void onFleet(Fleet latest, long nowMillis) {
-		this.fleet = latest;
-		Map<String, Upstream> entries = latest.currentUpstreams();
-		entries.values().forEach((entry) -> {
-			UpstreamState state = this.states.get(entry.id());
-			if (state == null || state.upstream().bornMillis() != entry.bornMillis()) {
-				this.states.put(entry.id(), new UpstreamState(entry, nowMillis));
-			}
-			else {
-				state.update(entry, nowMillis);
-			}
-		});
-		long graceEndMillis = latest.upstreams().regainedMillis() + this.settings.lapseGraceMillis();
-		boolean withinGrace = latest.upstreams().regainedMillis() != Long.MIN_VALUE && nowMillis < graceEndMillis;
-		Set<Fleet.Endpoint> endpoints = entries.values().stream().map(Fleet.Endpoint::of).collect(Collectors.toSet());
-		this.states.values()
-			.stream()
-			.filter((state) -> !entries.containsKey(state.upstream().id()))
-			.forEach((state) -> state.expireAt((withinGrace && !endpoints.contains(Fleet.Endpoint.of(state.upstream())))
-					? graceEndMillis : nowMillis));
-		this.states.values().removeIf((state) -> !state.present(nowMillis) && state.inFlight() == 0);
-		updateSubscriptions();
+		this.states.onFleet(latest, nowMillis);
 		placeQueued(nowMillis);
 	}
 
@@ -111,17 +75,10 @@
 	 * @param upstreamId id of the upstream in the list, even while it does not answer
 	 */
 	public synchronized void onReport(String upstreamId, UpstreamReport report, long nowMillis) {
-		UpstreamState state = this.states.get(upstreamId);
 		this.policy.onReport(report.informed(), nowMillis);
-		if (state == null || (report.reachable() && !report.upstream().equals(upstreamId))) {
-			return;
+		if (this.states.onReport(upstreamId, report, nowMillis)) {
+			placeQueued(nowMillis);
 		}
-		boolean countUnknown = state.gateways(nowMillis).isEmpty();
-		state.onReport(report, nowMillis);
-		if (countUnknown) {
-			this.gatewayCount.refresh();
-		}
-		placeQueued(nowMillis);
 	}
 
 	/**
@@ -129,7 +86,7 @@
 	 * @param sentMillis time at which it was sent, by the clock of the agent
 	 */
 	public synchronized void onReportDelay(String upstreamId, long sentMillis, long nowMillis) {
-		UpstreamState state = this.states.get(upstreamId);
+		UpstreamState state = this.states.find(upstreamId);
 		if (state != null) {
 			state.onReportDelay(sentMillis, nowMillis);
 		}
@@ -140,7 +97,7 @@
 	 * {@link AgentLoss#CLOSED} missing reports say nothing about the upstream.
 	 */
 	public synchronized void onAgentLost(String upstreamId, AgentLoss loss) {
-		UpstreamState state = this.states.get(upstreamId);
+		UpstreamState state = this.states.find(upstreamId);
 		if (state != null) {
 			state.onAgentLost(loss);
 		}
@@ -208,14 +165,14 @@
 		long missing = ahead + 1;
 		for (UpstreamState state : eligible(requirements, nowMillis)) {
 			missing -= Math.min(missing, this.limits.callsWithin(waitMillis, state, profile(requirements.service()),
-					this.gatewayCount.divisor(nowMillis), nowMillis));
+					this.states.fleetSize(nowMillis).divisor(), nowMillis));
 		}
 		return missing > 0;
 	}
 
 	private long sendWaitMillis(UpstreamState state, long nowMillis) {
-		return this.limits.waitMillis(state, profile(state.upstream().service()), this.gatewayCount.divisor(nowMillis),
-				nowMillis);
+		return this.limits.waitMillis(state, profile(state.upstream().service()),
+				this.states.fleetSize(nowMillis).divisor(), nowMillis);
 	}
 
 	/**
@@ -266,7 +223,7 @@
 	 * quiet.
 	 */
 	public synchronized boolean isQuiet(Placement placement, long nowMillis) {
-		UpstreamState state = this.states.get(placement.upstream().id());
+		UpstreamState state = this.states.find(placement.upstream().id());
 		return state != null && this.policy.quiet(state, nowMillis);
 	}
 
@@ -276,7 +233,7 @@
 	 * this process itself has just stalled, that is not known.
 	 */
 	public synchronized boolean isVmSilent(Placement placement, long nowMillis) {
-		UpstreamState state = this.states.get(placement.upstream().id());
+		UpstreamState state = this.states.find(placement.upstream().id());
 		return state != null && isVmSilent(state, nowMillis);
 	}
 
@@ -290,7 +247,7 @@
 	 * upstream, -1 if none has come.
 	 */
 	public synchronized long agentSilenceMillis(Upstream upstream, long nowMillis) {
-		UpstreamState state = this.states.get(upstream.id());
+		UpstreamState state = this.states.find(upstream.id());
 		return (state != null) ? state.agentSilenceMillis(nowMillis) : -1;
 	}
 
@@ -299,8 +256,8 @@
 	 * capacity.
 	 */
 	public synchronized void recordEnd(Placement placement, Outcome outcome, long nowMillis) {
-		UpstreamState state = this.states.get(placement.upstream().id());
-		if (state != null && state.upstream().bornMillis() == placement.upstream().bornMillis()) {
+		UpstreamState state = this.states.findIncarnation(placement.upstream());
+		if (state != null) {
 			this.policy.onEnd(state, placement, outcome, nowMillis);
 			state.health().onOutcome(outcome, nowMillis);
 		}
@@ -340,8 +297,9 @@
 	 * empty before the end of the first grace period.
 	 */
 	public synchronized OptionalLong requiredVersion(String service, long nowMillis) {
-		return (profile(service) instanceof ServiceProfile.Engines engines && this.fleet != null)
-				? this.policy.requiredVersion(engines.model(), this.fleet.targetVersions(), nowMillis)
+		Fleet fleet = this.states.fleet();
+		return (profile(service) instanceof ServiceProfile.Engines engines && fleet != null)
+				? this.policy.requiredVersion(engines.model(), fleet.targetVersions(), nowMillis)
 				: OptionalLong.empty();
 	}
 
@@ -350,7 +308,7 @@
 	 * because the upstream still serves a version whose grace period ended a while ago.
 	 */
 	public synchronized boolean beginsTooLate(Upstream upstream, long nowMillis) {
-		UpstreamState state = this.states.get(upstream.id());
+		UpstreamState state = this.states.find(upstream.id());
 		LoadedWeights weights = (state != null) ? state.servedWeights(nowMillis) : upstream.weights();
 		OptionalLong required = requiredVersion(upstream.service(), nowMillis - MAX_WAIT_AT_ENGINE_MILLIS);
 		return weights != null && required.isPresent() && weights.version() < required.getAsLong();
@@ -369,7 +327,7 @@
 	 * Returns the number of gateways that share the upstreams, as last known.
 	 */
 	public synchronized int lastReportedGateways(long nowMillis) {
-		return reportedGateways(nowMillis).orElse(this.gatewayCount.lastReported());
+		return this.states.lastReportedGateways(nowMillis);
 	}
 
 	/**
@@ -377,26 +335,21 @@
 	 * reports it.
 	 */
 	public synchronized OptionalInt reportedGateways(long nowMillis) {
-		return this.gatewayCount.reported(this.states.values(), this.subscribedEngines.share(), nowMillis);
+		return this.states.reportedGateways(nowMillis);
 	}
 
 	/**
 	 * Returns the ids of the engines whose agents report to this gateway, by address.
 	 */
 	public synchronized Map<Address, String> subscribedEngines() {
-		return this.states.values()
-			.stream()
-			.filter(UpstreamState::subscribed)
-			.map(UpstreamState::upstream)
-			.collect(Collectors.toMap(Upstream::address, Upstream::id, (first, second) -> second));
+		return this.states.subscribedEngines();
 	}
 
 	/**
 	 * Returns one line for each upstream, for the dump of the process.
 	 */
 	public synchronized List<String> describe(long nowMillis) {
-		return this.states.values()
-			.stream()
+		return this.states.stream()
 			.map((state) -> state.upstream().id() + " " + state.upstream().service() + " "
 					+ state.upstream().dataCentre() + " load=" + state.load(lastReportedGateways(nowMillis), nowMillis)
 					+ " own=" + state.inFlight() + " paused=" + state.health().ejected(nowMillis) + " quiet="
@@ -404,31 +357,21 @@
 			.toList();
 	}
 
-	private void updateSubscriptions() {
-		if (this.routeTable == null || this.fleet == null) {
-			return;
-		}
-		this.subscribedEngines = SubscribedEngines.choose(this.subset, this.routeTable, this.fleet);
-		this.gatewayCount.refresh();
-		this.states.values()
-			.forEach((state) -> state.setSubscribed(this.subscribedEngines.ids().contains(state.upstream().id())));
-	}
-
 	private CompletionRate completionRate(String service) {
 		return this.completionRates.computeIfAbsent(service, (key) -> new CompletionRate());
 	}
 
 	private @Nullable ServiceProfile profile(String service) {
-		return (this.routeTable != null) ? this.routeTable.service(service).orElse(null) : null;
+		return this.states.profile(service);
 	}
 
 	private Collection<UpstreamState> eligible(CallRequirements requirements, long nowMillis) {
-		if (this.fleet == null) {
+		Fleet fleet = this.states.fleet();
+		if (fleet == null) {
 			return List.of();
 		}
 		return this.policy
-			.eligible(this.states.values().stream(), requirements, this.fleet, profile(requirements.service()),
-					nowMillis)
+			.eligible(this.states.stream(), requirements, fleet, profile(requirements.service()), nowMillis)
 			.filter((state) -> !this.notices.leaving(state.upstream()))
 			.toList();
 	}
@@ -469,7 +412,7 @@
 	private Optional<PlacementPolicy.Candidate> choose(List<UpstreamState> candidates, CallRequirements requirements,
 			long nowMillis) {
 		return this.policy.choose(candidates, requirements, profile(requirements.service()),
-				new FleetSize(lastReportedGateways(nowMillis), this.gatewayCount.divisor(nowMillis)), nowMillis);
+				this.states.fleetSize(nowMillis), nowMillis);
 	}
 
 	private List<UpstreamState> available(CallRequirements requirements, long nowMillis) {
--- a/src/test/java/org/jaywood/routing/DispatcherTests.java
+++ b/src/test/java/org/jaywood/routing/DispatcherTests.java
@@ -109,7 +109,8 @@
 		void upstreamOutsideRegionsOfCallIsNotEligible() {
 			DispatcherTests.this.dispatcher.onFleet(RoutingFixtures.fleet(RoutingFixtures.engine("a")), NOW);
 			CallRequirements boundToRegion = new CallRequirements("call", RoutingFixtures.ENGINE_SERVICE,
-					Set.of("donan"), 1, CallRequirements.QueueClass.ON_TIME, true, OptionalLong.empty(), Set.of());
+					Set.of("donan"), "", 1, CallRequirements.QueueClass.ON_TIME, true, CallCost.UNKNOWN,
+					OptionalLong.empty(), Set.of());
 			assertThat(DispatcherTests.this.dispatcher.hasEligibleUpstream(boundToRegion, NOW)).isFalse();
 		}
 
@@ -491,8 +492,8 @@
 			DispatcherTests.this.dispatcher.onFleet(RoutingFixtures.fleet(RoutingFixtures.engine("a")), NOW);
 			DispatcherTests.this.dispatcher.onReport("a", report("a", RoutingFixtures.SLOTS, 1, false), NOW);
 			QueuedCall notStarted = enqueue(1, false).getFirst();
-			CallRequirements started = new CallRequirements("call", RoutingFixtures.ENGINE_SERVICE, Set.of(), 1,
-					CallRequirements.QueueClass.STARTED, true, OptionalLong.empty(), Set.of());
+			CallRequirements started = new CallRequirements("call", RoutingFixtures.ENGINE_SERVICE, Set.of(), "", 1,
+					CallRequirements.QueueClass.STARTED, true, CallCost.UNKNOWN, OptionalLong.empty(), Set.of());
 			QueuedCall queuedStarted = DispatcherTests.this.dispatcher.enqueue(started, NOW);
 			assertThat(RoutingFixtures.placementOf(queuedStarted)).isPresent();
 			assertThat(RoutingFixtures.placementOf(notStarted)).isEmpty();
@@ -605,7 +606,8 @@
 		void callBoundToRegionIsPlacedOnUnsubscribedEngine() {
 			reportAll(6, RoutingFixtures.SLOTS + 1);
 			CallRequirements boundToRegion = new CallRequirements("call", RoutingFixtures.ENGINE_SERVICE,
-					Set.of("region-3"), 1, CallRequirements.QueueClass.ON_TIME, true, OptionalLong.empty(), Set.of());
+					Set.of("region-3"), "", 1, CallRequirements.QueueClass.ON_TIME, true, CallCost.UNKNOWN,
+					OptionalLong.empty(), Set.of());
 			assertThat(RoutingFixtures.placementOf(DispatcherTests.this.dispatcher.enqueue(boundToRegion, NOW)))
 				.isPresent();
 		}
--- a/src/test/java/org/jaywood/routing/QuietUpstreamTests.java
+++ b/src/test/java/org/jaywood/routing/QuietUpstreamTests.java
@@ -69,8 +69,8 @@
 		Placement stream = place(RoutingFixtures.ENGINE_SERVICE, NOW);
 		sendEvents(stream, NOW + 50, NOW + 100);
 		reportEngine("a", 1, 0, NOW + 2_000);
-		CallRequirements started = new CallRequirements("call", RoutingFixtures.ENGINE_SERVICE, Set.of(), 1,
-				CallRequirements.QueueClass.STARTED, true, OptionalLong.empty(), Set.of());
+		CallRequirements started = new CallRequirements("call", RoutingFixtures.ENGINE_SERVICE, Set.of(), "", 1,
+				CallRequirements.QueueClass.STARTED, true, CallCost.UNKNOWN, OptionalLong.empty(), Set.of());
 		assertThat(RoutingFixtures.placementOf(this.dispatcher.enqueue(started, NOW + 2_000))).isPresent();
 	}
 
@@ -189,8 +189,8 @@
 		void startedCallMayUseAQuietEngine() {
 			fillB(LAST_EVENT_MILLIS + 600);
 			reportEngine("b", RoutingFixtures.SLOTS + 3, 0, LAST_EVENT_MILLIS + 600);
-			CallRequirements started = new CallRequirements("call", RoutingFixtures.ENGINE_SERVICE, Set.of(), 1,
-					CallRequirements.QueueClass.STARTED, true, OptionalLong.empty(), Set.of());
+			CallRequirements started = new CallRequirements("call", RoutingFixtures.ENGINE_SERVICE, Set.of(), "", 1,
+					CallRequirements.QueueClass.STARTED, true, CallCost.UNKNOWN, OptionalLong.empty(), Set.of());
 			assertThat(RoutingFixtures.placementOf(this.dispatcher.enqueue(started, LAST_EVENT_MILLIS + 600)))
 				.isPresent();
 		}
--- a/src/test/java/org/jaywood/routing/RoutingFixtures.java
+++ b/src/test/java/org/jaywood/routing/RoutingFixtures.java
@@ -69,9 +69,9 @@
 	}
 
 	static CallRequirements requirements(String service, boolean late) {
-		return new CallRequirements("call", service, Set.of(), 1,
+		return new CallRequirements("call", service, Set.of(), "", 1,
 				late ? CallRequirements.QueueClass.LATE : CallRequirements.QueueClass.ON_TIME,
-				service.equals(ENGINE_SERVICE), OptionalLong.empty(), Set.of());
+				service.equals(ENGINE_SERVICE), CallCost.UNKNOWN, OptionalLong.empty(), Set.of());
 	}
 
 	static Optional<Placement> placementOf(QueuedCall queuedCall) {
--- a/src/test/java/org/jaywood/routing/SilentVmTests.java
+++ b/src/test/java/org/jaywood/routing/SilentVmTests.java
@@ -111,8 +111,8 @@
 		QueuedCall queued = this.dispatcher.enqueue(RoutingFixtures.requirements(RoutingFixtures.ENGINE_SERVICE, false),
 				NOW + SILENCE_MILLIS);
 		QueuedCall moved = this.dispatcher.enqueue(
-				new CallRequirements("moved", RoutingFixtures.ENGINE_SERVICE, Set.of(), 1,
-						CallRequirements.QueueClass.MOVED, true, OptionalLong.empty(), Set.of("a")),
+				new CallRequirements("moved", RoutingFixtures.ENGINE_SERVICE, Set.of(), "", 1,
+						CallRequirements.QueueClass.MOVED, true, CallCost.UNKNOWN, OptionalLong.empty(), Set.of("a")),
 				NOW + SILENCE_MILLIS);
 		report("b", RoutingFixtures.SLOTS, NOW + SILENCE_MILLIS + 1);
 		assertThat(RoutingFixtures.placementOf(moved)).isPresent();
