Ask the next peer for a manifest while one has not responded

Cause: after a loss of power of all VMs each agent waits for the manifest at its parent in the tree, which has just started itself and responds 404 after its whole wait of 700 ms; then the next ancestor is asked.

Change: HedgedRequests asks the next peer after 150 ms without a response, and at once after a failure; the first response counts. The origin is still asked only after all peers have failed.

--- a/src/main/java/org/jaywood/replica/ChunkDownloader.java
+++ b/src/main/java/org/jaywood/replica/ChunkDownloader.java
@@ -4,6 +4,8 @@
 import java.util.BitSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Callable;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -30,6 +32,12 @@
 	/** Wait at a peer for a manifest. */
 	private static final long MANIFEST_WAIT_MILLIS = 700;
 
+	/**
+	 * Time after which the next peer is asked for a manifest as well. After a start of
+	 * all agents a parent may get it later than those above it.
+	 */
+	private static final long MANIFEST_HEDGE_DELAY_MILLIS = 150;
+
 	/** Name of the origin in the log. */
 	private static final String ORIGIN = "origin";
 
@@ -59,6 +67,9 @@
 
 	private final Map<String, Long> unreachableSinceMillis = new ConcurrentHashMap<>();
 
+	private final HedgedRequests manifestRequests = new HedgedRequests(DaemonThreads.requestPool(),
+			MANIFEST_HEDGE_DELAY_MILLIS);
+
 	ChunkDownloader(ServiceState serviceState, PeerClient peerClient, WeightOrigin origin, int agentPort,
 			EventLog log) {
 		this.serviceState = serviceState;
@@ -72,16 +83,26 @@
 	 * Fetches the manifest, from a peer that has it or from the origin.
 	 * @return the manifest, or null if no source delivered it
 	 */
-	@Nullable ChunkManifest loadManifest(ModelVersion target, Upstream ownEngine) {
-		List<Upstream> peers = planFor(target, ownEngine).manifestSources();
-		for (Upstream peer : peers) {
-			try {
-				return this.peerClient.fetchManifest(agentAddress(peer), target, MANIFEST_WAIT_MILLIS);
-			}
-			catch (IOException | RuntimeException ex) {
-				logFailure("list", peer.id(), ex);
-			}
+	@Nullable ChunkManifest loadManifest(ModelVersion target, Upstream ownEngine) throws InterruptedException {
+		List<Callable<ChunkManifest>> peers = planFor(target, ownEngine).manifestSources()
+			.stream()
+			.map((peer) -> (Callable<ChunkManifest>) () -> fetchManifest(target, peer))
+			.toList();
+		Optional<ChunkManifest> manifest = this.manifestRequests.firstResponse(peers);
+		return manifest.isPresent() ? manifest.get() : fetchManifestFromOrigin(target);
+	}
+
+	private ChunkManifest fetchManifest(ModelVersion target, Upstream peer) throws IOException {
+		try {
+			return this.peerClient.fetchManifest(agentAddress(peer), target, MANIFEST_WAIT_MILLIS);
 		}
+		catch (IOException | RuntimeException ex) {
+			logFailure("list", peer.id(), ex);
+			throw ex;
+		}
+	}
+
+	private @Nullable ChunkManifest fetchManifestFromOrigin(ModelVersion target) {
 		try {
 			return this.origin.fetchManifest(originAddress(), target.model(), target.version());
 		}
