Follow a store that is restored from an older copy by its era

A restored store loses writes that it had acknowledged and gives out revisions again, so that a watch may go on from a revision that means something else, and miss changes for good.

Feeds read the header Store-Era of each response, list again when it rises and discard responses of an earlier era. Upstreams and closed data centres that the copy lacks are kept for 2.2 s, for calls and for the agents; the younger incarnation at an address counts, and one that leaves goes on leaving. The configuration in force and target versions never go back, and that is logged once. Held leases of trials are created again, released ones deleted again. Agents skip gateways that have not seen the restore.

It takes the list now and keeps its target version.

--- a/src/main/java/org/jaywood/event/Event.java
+++ b/src/main/java/org/jaywood/event/Event.java
@@ -79,6 +79,10 @@
 	/** An object of the store cannot be decoded and is passed over. */
 	OBJECT_MALFORMED(1215, Level.WARNING, "object {object} of kind {kind} is malformed: {error}"),
 
+	/** The store was restored from an older copy. */
+	STORE_RESTORED(1216, Level.WARNING,
+			"store restored from an older copy: era {era} after {previousEra}; its objects are listed again"),
+
 	/** The settings file changed. */
 	SETTINGS_RELOADED(1214, Level.INFO, "settings read again: {change}"),
 
--- a/src/main/java/org/jaywood/feed/FeedWatcher.java
+++ b/src/main/java/org/jaywood/feed/FeedWatcher.java
@@ -15,6 +15,10 @@
  * Keeps the view of one feed current by a watch, on a thread of its own. A watch without
  * a response does not show that the view is current, so the watcher requests a response
  * at short intervals and records up to which time its view is current.
+ * <p>
+ * When the era of the store rises, the store was restored from an older copy and may give
+ * out revisions again that the watch has passed. The objects are then listed again, and
+ * responses of earlier eras are discarded.
  *
  * @param <T> type of the values
  */
@@ -59,6 +63,9 @@
 
 	private long revision = -1;
 
+	/** Highest era that a response stated, -1 before the first response. */
+	private long era = -1;
+
 	private long confirmedMillis = Long.MIN_VALUE;
 
 	private long lastResponseMillis;
@@ -166,6 +173,7 @@
 		long requestMillis = BootClock.nowMillis();
 		if (this.revision < 0) {
 			FeedPage<T> page = this.feed.list();
+			requirePresentEra(page);
 			this.entries.clear();
 			this.confirmationPending = true;
 			applyPage(page, requestMillis, true);
@@ -174,6 +182,12 @@
 		long pageWaitMillis = this.confirmationPending ? Math.min(MAX_CONFIRM_WAIT_MILLIS, this.waitMillis)
 				: this.waitMillis;
 		FeedPage<T> page = this.feed.watch(this.revision, pageWaitMillis);
+		boolean restored = page.era() > this.era;
+		requirePresentEra(page);
+		if (restored) {
+			this.revision = -1;
+			return;
+		}
 		// An empty response is sent at the end of the wait, not at its start.
 		boolean unchanged = page.entries().isEmpty();
 		long nowMillis = BootClock.nowMillis();
@@ -188,15 +202,28 @@
 		}
 	}
 
+	/**
+	 * Discards a response of an earlier era: it was sent before the store was restored.
+	 */
+	private void requirePresentEra(FeedPage<T> page) throws FeedException {
+		if (page.era() < this.era) {
+			throw new FeedException("response of era " + page.era() + " after one of era " + this.era, null);
+		}
+		this.era = page.era();
+	}
+
 	private void applyPage(FeedPage<T> page, long currentUpToMillis, boolean isList) {
 		long nowMillis = BootClock.nowMillis();
 		onResponse(nowMillis);
+		FeedView<T> previous = this.view;
+		if (previous != null && page.era() > previous.era()) {
+			this.regainedMillis = nowMillis;
+		}
 		page.entries().forEach(this::applyEntry);
 		this.revision = page.revision();
 		this.confirmedMillis = Math.max(this.confirmedMillis, currentUpToMillis);
-		FeedView<T> previous = this.view;
 		boolean previousRelisted = previous != null && !this.viewDelivered && previous.relisted();
-		FeedView<T> next = new FeedView<>(Map.copyOf(this.entries), this.revision, this.confirmedMillis,
+		FeedView<T> next = new FeedView<>(Map.copyOf(this.entries), page.era(), this.revision, this.confirmedMillis,
 				this.regainedMillis, isList || previousRelisted);
 		this.view = next;
 		deliver(next);
--- a/src/main/java/org/jaywood/gateway/Gateway.java
+++ b/src/main/java/org/jaywood/gateway/Gateway.java
@@ -94,8 +94,10 @@
 				new CallAdmission(protocol, settings.keyLifetimeMillis(), settings.routeLifetimeMillis()),
 				settings.limits().maxConnections());
 		this.subscriptions = new LoadSubscriptions(this.context);
-		this.partTrials = new PartTrialRunner(this.context.screen(), trialLeases, log);
 		StoreCache storeCache = this.context.storeCache();
+		this.context.metrics().registerStoreEra(storeCache::era);
+		this.partTrials = new PartTrialRunner(this.context.screen(),
+				new DurableTrialLeases(trialLeases, storeCache::era), log);
 		this.watchers = List.of(new FeedWatcher<>(feeds.configuration(), CONFIGURATION_POLL_MILLIS, (view) -> {
 			storeCache.onConfiguration(view);
 			this.subscriptions.refresh();
@@ -217,8 +219,8 @@
 		long nowMillis = BootClock.nowMillis();
 		StoreCache storeCache = this.context.storeCache();
 		RouteTable table = storeCache.table();
-		return new Dump((table != null) ? table.version() : -1, nowMillis - storeCache.confirmedMillis(), ready(),
-				this.connections.openCount(), this.connections.busyCount(),
+		return new Dump((table != null) ? table.version() : -1, nowMillis - storeCache.confirmedMillis(),
+				storeCache.era(), ready(), this.connections.openCount(), this.connections.busyCount(),
 				this.context.dispatcher().lastReportedGateways(nowMillis),
 				this.context.dispatcher().describe(nowMillis), this.context.screen().evidence().blocked());
 	}
@@ -228,6 +230,7 @@
 	 *
 	 * @param configuration version in force, or -1 if none is known
 	 * @param configurationAgeMillis time since it was last confirmed
+	 * @param storeEra highest era of the store that was seen
 	 * @param ready whether new callers may connect
 	 * @param connections open connections of callers
 	 * @param calls connections with a call in progress
@@ -235,8 +238,8 @@
 	 * @param upstreams one line for each upstream
 	 * @param blockedParts parts of prompts that crash engines
 	 */
-	record Dump(long configuration, long configurationAgeMillis, boolean ready, int connections, long calls,
-			int gateways, List<String> upstreams, List<BlockedParts> blockedParts) {
+	record Dump(long configuration, long configurationAgeMillis, long storeEra, boolean ready, int connections,
+			long calls, int gateways, List<String> upstreams, List<BlockedParts> blockedParts) {
 	}
 
 }
--- a/src/main/java/org/jaywood/gateway/GatewayContext.java
+++ b/src/main/java/org/jaywood/gateway/GatewayContext.java
@@ -37,8 +37,9 @@
 		GatewayMetrics metrics = new GatewayMetrics();
 		metrics.registerMemory(memory);
 		CrashEvidence evidence = new CrashEvidence();
-		return new GatewayContext(settings, protocol, dispatcher, new StoreCache(dispatcher, log), new ConnectionPool(),
-				metrics, new ErrorResponder(protocol, metrics, log), log,
+		return new GatewayContext(settings, protocol, dispatcher,
+				new StoreCache(dispatcher, settings.dispatch().lapseGraceMillis(), log), new ConnectionPool(), metrics,
+				new ErrorResponder(protocol, metrics, log), log,
 				new RetryBudgets(settings.retryRatio(), settings.retryWindowExtra(), settings.retryWindowMillis()),
 				new PartScreen(evidence, new ScreenLog(log, metrics)), new NoticeHandler(dispatcher, metrics, log),
 				new EvidenceExchange(evidence), memory);
--- a/src/main/java/org/jaywood/gateway/GatewayMetrics.java
+++ b/src/main/java/org/jaywood/gateway/GatewayMetrics.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.Histogram;
@@ -46,6 +47,13 @@
 		this.waitMillis.update(millis);
 	}
 
+	/**
+	 * Registers a gauge of the era of the store.
+	 */
+	void registerStoreEra(LongSupplier era) {
+		this.registry.gauge("store.era", () -> era::getAsLong);
+	}
+
 	/**
 	 * Registers gauges of the heap and of what the memory budget holds and has refused.
 	 */
--- a/src/main/java/org/jaywood/gateway/PartTrialRunner.java
+++ b/src/main/java/org/jaywood/gateway/PartTrialRunner.java
@@ -18,13 +18,13 @@
 
 	private final PartScreen screen;
 
-	private final TrialLeases leases;
+	private final DurableTrialLeases leases;
 
 	private final EventLog log;
 
 	private final AtomicBoolean busy = new AtomicBoolean();
 
-	PartTrialRunner(PartScreen screen, TrialLeases leases, EventLog log) {
+	PartTrialRunner(PartScreen screen, DurableTrialLeases leases, EventLog log) {
 		this.screen = screen;
 		this.leases = leases;
 		this.log = log;
@@ -34,13 +34,15 @@
 	 * Requests what is due on a task of its own, since the store may be slow.
 	 */
 	void onTick() {
-		if (this.screen.hasTrialWork(BootClock.nowMillis()) && this.busy.compareAndSet(false, true)) {
+		boolean due = this.leases.restored() || this.screen.hasTrialWork(BootClock.nowMillis());
+		if (due && this.busy.compareAndSet(false, true)) {
 			Thread.ofVirtual().start(this::run);
 		}
 	}
 
 	private void run() {
 		try {
+			writeLeasesAgain();
 			this.screen.takeReleasedTrials().forEach(this::release);
 			this.screen.takeDueTrials(BootClock.nowMillis()).forEach(this::acquire);
 		}
@@ -52,6 +54,15 @@
 		}
 	}
 
+	private void writeLeasesAgain() {
+		try {
+			this.leases.writeAgain();
+		}
+		catch (IOException ex) {
+			this.log.log(Event.TASK_FAILED, "task", "part-trials", "error", ex);
+		}
+	}
+
 	private void acquire(Trial trial) {
 		try {
 			boolean granted = this.leases.tryAcquire(trial.leaseName());
--- a/src/main/java/org/jaywood/gateway/SnapshotService.java
+++ b/src/main/java/org/jaywood/gateway/SnapshotService.java
@@ -40,7 +40,7 @@
 			ServiceSnapshot changed = (present != null && present.contentHash() != knownHash) ? present.snapshot()
 					: null;
 			if (changed != null || !current || BootClock.nowMillis() >= deadlineMillis) {
-				return new SnapshotReply(current, changed);
+				return new SnapshotReply(current, this.storeCache.era(), changed);
 			}
 		}
 	}
--- a/src/main/java/org/jaywood/gateway/StoreCache.java
+++ b/src/main/java/org/jaywood/gateway/StoreCache.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -24,6 +25,10 @@
  * Cache of the store's objects that this gateway uses, with the time up to which the
  * configuration is confirmed. A configuration with a lower version than the present one
  * is ignored. Each change is passed to the dispatcher and logged.
+ * <p>
+ * After the store was restored from an older copy, upstreams and closed data centres that
+ * it lacks are kept for as long as after an outage, and the configuration in force and
+ * the target versions never go back.
  */
 final class StoreCache {
 
@@ -58,13 +63,64 @@
 
 	private long targetVersionsRevision;
 
+	private final EntryRetention<Upstream> upstreamRetention;
+
+	private final EntryRetention<String> closureRetention;
+
+	/** Older target versions that the store offered and that were logged. */
+	private final Set<ModelVersion> ignoredTargets = new HashSet<>();
+
+	/** Older configuration that the store offered last, or -1. */
+	private long ignoredConfiguration = -1;
+
+	/** Highest revision of a snapshot; it does not fall when the store is restored. */
+	private long snapshotRevision;
+
+	private volatile long era = -1;
+
 	private volatile @Nullable RouteTable table;
 
 	private volatile long confirmedMillis = Long.MIN_VALUE / 2;
 
-	StoreCache(Dispatcher dispatcher, EventLog log) {
+	/**
+	 * Creates an empty cache.
+	 * @param retentionMillis time for which entries are kept that are missing after a
+	 * restore of the store
+	 */
+	StoreCache(Dispatcher dispatcher, long retentionMillis, EventLog log) {
 		this.dispatcher = dispatcher;
 		this.log = log;
+		this.upstreamRetention = new EntryRetention<>(retentionMillis, StoreCache::latestState);
+		this.closureRetention = new EntryRetention<>(retentionMillis, (before, present) -> present);
+	}
+
+	/**
+	 * Chooses between the entry of an upstream from before a restore and the present one.
+	 * An incarnation that leaves does so for good.
+	 */
+	private static Upstream latestState(Upstream before, Upstream present) {
+		if (before.bornMillis() != present.bornMillis()) {
+			return (before.bornMillis() > present.bornMillis()) ? before : present;
+		}
+		return before.leaving() ? before : present;
+	}
+
+	/**
+	 * Returns the highest era of the store that was seen, 0 before the first response.
+	 */
+	long era() {
+		return Math.max(0, this.era);
+	}
+
+	private void observeEra(long latest) {
+		long previous = this.era;
+		if (latest <= previous) {
+			return;
+		}
+		this.era = latest;
+		if (previous >= 0) {
+			this.log.log(Event.STORE_RESTORED, "era", latest, "previousEra", previous);
+		}
 	}
 
 	/**
@@ -90,21 +146,35 @@
 		if (stallMillis > 0) {
 			this.log.log(Event.PROCESS_PAUSED, "millis", stallMillis);
 		}
+		endRetention(nowMillis);
 		refreshSnapshots(nowMillis);
 	}
 
+	private void endRetention(long nowMillis) {
+		FeedView<Upstream> presentUpstreams = this.upstreamRetention.expire(nowMillis);
+		if (presentUpstreams != null) {
+			applyUpstreams(presentUpstreams);
+		}
+		FeedView<String> presentClosures = this.closureRetention.expire(nowMillis);
+		if (presentClosures != null) {
+			applyClosedDataCentres(presentClosures);
+		}
+		publishFleet();
+	}
+
 	synchronized boolean loaded() {
 		return this.table != null && this.upstreams != null;
 	}
 
 	synchronized void onConfiguration(FeedView<RouteTable> view) {
+		observeEra(view.era());
 		RouteTable present = this.table;
 		view.entries().values().stream().findFirst().ifPresent((latest) -> {
 			if (present != null && latest.version() < present.version()) {
-				this.log.log(Event.CONFIGURATION_OLDER_IGNORED, "source", "store", "offered", latest.version(),
-						"generation", present.version());
+				ignoreConfiguration(latest, present);
 				return;
 			}
+			this.ignoredConfiguration = -1;
 			if (present == null || latest.version() > present.version()) {
 				this.table = latest;
 				this.tableUnpublished = true;
@@ -115,6 +185,18 @@
 		});
 	}
 
+	/**
+	 * Ignores an older configuration, which the store offers after it was restored. The
+	 * one in force is not confirmed, since a newer one may have been lost as well.
+	 */
+	private void ignoreConfiguration(RouteTable offered, RouteTable present) {
+		if (this.ignoredConfiguration != offered.version()) {
+			this.ignoredConfiguration = offered.version();
+			this.log.log(Event.CONFIGURATION_OLDER_IGNORED, "source", "store", "offered", offered.version(),
+					"generation", present.version());
+		}
+	}
+
 	/**
 	 * Passes the configuration to the dispatcher, unless the dispatcher has it. After an
 	 * error, this is tried again with the next view.
@@ -129,6 +211,12 @@
 	}
 
 	synchronized void onUpstreams(FeedView<Upstream> view) {
+		observeEra(view.era());
+		applyUpstreams(this.upstreamRetention.apply(view, BootClock.nowMillis()));
+		publishFleet();
+	}
+
+	private void applyUpstreams(FeedView<Upstream> view) {
 		FeedView<Upstream> present = this.upstreams;
 		this.upstreams = view;
 		if (present == null || !present.entries().equals(view.entries())
@@ -137,20 +225,25 @@
 			this.log.log(Event.UPSTREAMS_CHANGED, "revision", view.revision(), "count", view.entries().size(),
 					"leaving", view.entries().values().stream().filter(Upstream::leaving).count());
 		}
-		publishFleet();
 	}
 
 	synchronized void onClosedDataCentres(FeedView<String> view) {
+		observeEra(view.era());
+		applyClosedDataCentres(this.closureRetention.apply(view, BootClock.nowMillis()));
+		publishFleet();
+	}
+
+	private void applyClosedDataCentres(FeedView<String> view) {
 		Set<String> closed = Set.copyOf(view.entries().values());
 		if (!closed.equals(this.closedDataCentres)) {
 			this.closedDataCentres = closed;
 			this.fleetUnpublished = true;
 			this.log.log(Event.DATA_CENTRES_CLOSED, "revision", view.revision(), "dataCentres", closed);
 		}
-		publishFleet();
 	}
 
 	synchronized void onTargetVersions(FeedView<ModelVersion> view) {
+		observeEra(view.era());
 		if (!this.targetVersionsKnown) {
 			this.targetVersionsKnown = true;
 			this.fleetUnpublished = true;
@@ -167,6 +260,10 @@
 				this.log.log(Event.WEIGHTS_NAMED, "model", target.model(), "version", target.version(), "revision",
 						view.revision());
 			}
+			else if (target.version() < targetVersion(target.model()) && this.ignoredTargets.add(target)) {
+				this.log.log(Event.CONFIGURATION_OLDER_IGNORED, "source", "store", "offered", target, "generation",
+						targetVersion(target.model()));
+			}
 		});
 		this.targetVersionsView = view;
 		publishFleet();
@@ -232,12 +329,12 @@
 		if (present == null || view == null || !this.targetVersionsKnown) {
 			return null;
 		}
+		this.snapshotRevision = Math.max(this.snapshotRevision, Math.max(view.revision(), this.targetVersionsRevision));
 		return present.service(service)
 			.filter(ServiceProfile.Engines.class::isInstance)
 			.map(ServiceProfile.Engines.class::cast)
-			.map((profile) -> ServiceSnapshot.of(Math.max(view.revision(), this.targetVersionsRevision), profile,
-					present.origin().orElse(null), targetVersion(profile.model()),
-					List.copyOf(view.entries().values())))
+			.map((profile) -> ServiceSnapshot.of(this.snapshotRevision, profile, present.origin().orElse(null),
+					targetVersion(profile.model()), List.copyOf(view.entries().values())))
 			.orElse(null);
 	}
 
--- a/src/main/java/org/jaywood/platform/MetadataStoreClient.java
+++ b/src/main/java/org/jaywood/platform/MetadataStoreClient.java
@@ -4,6 +4,7 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.regex.Pattern;
 
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
@@ -35,6 +36,13 @@
 	private static final ResponseLimits WRITE_LIMITS = new ResponseLimits(RESPONSE_TIMEOUT_MILLIS,
 			MAX_WRITE_RESPONSE_BYTES);
 
+	private static final String ERA_HEADER = "Store-Era";
+
+	private static final Pattern ERA_FORMAT = Pattern.compile("[0-9]{1,10}");
+
+	/** Largest era, so that an era and a counter fit into one number. */
+	private static final long MAX_ERA = Integer.MAX_VALUE;
+
 	private final Address address;
 
 	private final ConnectionPool pool = new ConnectionPool();
@@ -106,7 +114,23 @@
 		if (!response.ok()) {
 			throw new FeedException("GET " + path + ": status " + response.status(), null);
 		}
-		return StorePage.read(response.body());
+		return StorePage.read(era(response), response.body());
+	}
+
+	/**
+	 * Returns the era of the store at a response. A store that does not state it has era
+	 * 0.
+	 * @throws IOException if the response states no valid era, so that its age is unknown
+	 */
+	static long era(BufferedResponse response) throws IOException {
+		String value = response.header(ERA_HEADER);
+		if (value == null) {
+			return 0;
+		}
+		if (!ERA_FORMAT.matcher(value).matches() || Long.parseLong(value) > MAX_ERA) {
+			throw new IOException("header " + ERA_HEADER + " is no era: " + value);
+		}
+		return Long.parseLong(value);
 	}
 
 	private static String encode(String text) {
--- a/src/main/java/org/jaywood/platform/ObjectFeed.java
+++ b/src/main/java/org/jaywood/platform/ObjectFeed.java
@@ -81,17 +81,23 @@
 		// The watch starts at the revision of the first page, so that it reports changes
 		// between two pages.
 		long firstRevision = page.revision();
+		long firstEra = page.era();
 		String after = addPage(page, entries);
 		long listBytes = page.sizeBytes();
 		while (page.hasMore()) {
 			page = this.store.list(this.kind, after);
+			if (page.era() != firstEra) {
+				// Pages of two eras are no list: the store was restored between them.
+				throw new FeedException("list of " + this.kind + " spans the eras " + firstEra + " and " + page.era(),
+						null);
+			}
 			listBytes += page.sizeBytes();
 			if (listBytes > MAX_LIST_BYTES) {
 				throw new FeedException("list of " + this.kind + " exceeds " + MAX_LIST_BYTES + " bytes", null);
 			}
 			after = addPage(page, entries);
 		}
-		return new FeedPage<>(firstRevision, List.copyOf(entries.values()));
+		return new FeedPage<>(firstEra, firstRevision, List.copyOf(entries.values()));
 	}
 
 	/**
@@ -113,7 +119,7 @@
 	@Override
 	public FeedPage<T> watch(long revision, long waitMillis) throws FeedException {
 		StorePage page = this.store.watch(this.kind, revision, waitMillis);
-		return new FeedPage<>(Math.max(revision, page.revision()), entries(page));
+		return new FeedPage<>(page.era(), Math.max(revision, page.revision()), entries(page));
 	}
 
 	private List<FeedEntry<T>> entries(StorePage page) {
--- a/src/main/java/org/jaywood/platform/StorePage.java
+++ b/src/main/java/org/jaywood/platform/StorePage.java
@@ -13,24 +13,26 @@
  * Response of the store to a list or a watch. Its objects are delimited without being
  * parsed, so that an unreadable object does not affect the others.
  *
+ * @param era era of the store, 0 if it does not state one
  * @param revision revision of the store, 0 or more
  * @param hasMore whether the list continues after the last object
  * @param objects the objects, or their changes in order
  * @param sizeBytes size of the response
  */
-record StorePage(long revision, boolean hasMore, List<RawObject> objects, int sizeBytes) {
+record StorePage(long era, long revision, boolean hasMore, List<RawObject> objects, int sizeBytes) {
 
 	/**
 	 * Reads a response.
+	 * @param era era that its headers state
 	 * @throws BadInputException if it is no page or has no valid revision
 	 */
-	static StorePage read(byte[] body) {
+	static StorePage read(long era, byte[] body) {
 		RawJson page = RawJson.of(body);
 		List<RawObject> objects = Stream
 			.concat(elements(page, "Items").map(RawObject::fromItem),
 					elements(page, "events").map(RawObject::fromEvent))
 			.toList();
-		return new StorePage(revision(page), isTrue(page.member("HasMore")), objects, body.length);
+		return new StorePage(era, revision(page), isTrue(page.member("HasMore")), objects, body.length);
 	}
 
 	private static Stream<RawJson> elements(RawJson page, String field) {
--- a/src/main/java/org/jaywood/replica/ServiceState.java
+++ b/src/main/java/org/jaywood/replica/ServiceState.java
@@ -14,7 +14,8 @@
 
 /**
  * State of the service as known to an agent: the target version of its engine, its peers
- * and the origin of weights. The target version of a model never decreases.
+ * and the origin of weights. The target version of a model never decreases, also when the
+ * store was restored from an older copy.
  */
 final class ServiceState {
 
@@ -29,9 +30,17 @@
 
 	private volatile @Nullable ServiceSnapshot snapshot;
 
-	/** {@link ServiceSnapshot#contentHash} of the snapshot, 0 while there is none. */
+	/**
+	 * {@link ServiceSnapshot#contentHash} of the snapshot as received, 0 while there is
+	 * none.
+	 */
 	private volatile long contentHash;
 
+	/** Older target version that was offered last and is logged once. */
+	private @Nullable ModelVersion ignoredTarget;
+
+	private long era = -1;
+
 	private volatile long storeContactMillis = Long.MIN_VALUE / 2;
 
 	ServiceState(ReplicaSettings settings, EventLog log) {
@@ -42,19 +51,44 @@
 	synchronized void onSnapshot(ServiceSnapshot latest) {
 		ServiceSnapshot present = this.snapshot;
 		if (present != null && isOlder(present.target(), latest.target())) {
-			this.log.log(Event.CONFIGURATION_OLDER_IGNORED, "source", "gateway", "offered", latest.target(),
-					"generation", present.target());
-			return;
+			ignoreTarget(latest.target(), present.target());
+			this.snapshot = latest.withTarget(present.target());
+		}
+		else {
+			this.snapshot = latest;
+			this.ignoredTarget = null;
 		}
-		this.snapshot = latest;
 		this.contentHash = latest.contentHash();
 		this.changes.raise();
-		if (present == null || !present.target().equals(latest.target())) {
+		if (this.ignoredTarget == null && (present == null || !present.target().equals(latest.target()))) {
 			this.log.log(Event.WEIGHTS_NAMED, "model", latest.target().model(), "version", latest.target().version(),
 					"revision", latest.revision());
 		}
 	}
 
+	private void ignoreTarget(ModelVersion offered, ModelVersion present) {
+		if (!offered.equals(this.ignoredTarget)) {
+			this.ignoredTarget = offered;
+			this.log.log(Event.CONFIGURATION_OLDER_IGNORED, "source", "gateway", "offered", offered, "generation",
+					present);
+		}
+	}
+
+	/**
+	 * Records the era of the store that a response states.
+	 * @return whether the response may be used; one of an earlier era than a response
+	 * before was sent by a process that does not know of a restore yet
+	 */
+	synchronized boolean observeEra(long latest) {
+		if (latest > this.era) {
+			if (this.era >= 0) {
+				this.log.log(Event.STORE_RESTORED, "era", latest, "previousEra", this.era);
+			}
+			this.era = latest;
+		}
+		return latest == this.era;
+	}
+
 	private static boolean isOlder(ModelVersion present, ModelVersion latest) {
 		return present.model().equals(latest.model()) && present.version() > latest.version();
 	}
@@ -88,7 +122,7 @@
 	}
 
 	/**
-	 * Returns the content hash of the snapshot, 0 while there is none.
+	 * Returns the content hash of the snapshot as received, 0 while there is none.
 	 */
 	long contentHash() {
 		return this.contentHash;
--- a/src/main/java/org/jaywood/replica/SnapshotSync.java
+++ b/src/main/java/org/jaywood/replica/SnapshotSync.java
@@ -128,6 +128,10 @@
 		try {
 			SnapshotReply reply = this.peerClient.pollSnapshot(gateway, this.settings.service(),
 					this.serviceState.contentHash(), POLL_WAIT_MILLIS);
+			if (!this.serviceState.observeEra(reply.era())) {
+				markUnavailable(gateway, "has not seen the restore of the store");
+				return false;
+			}
 			ServiceSnapshot snapshot = reply.digest();
 			if (snapshot != null && (reply.current() || !this.serviceState.hasSnapshot())) {
 				this.serviceState.onSnapshot(snapshot);
@@ -199,7 +203,10 @@
 				values(upstreams));
 	}
 
-	private static <T> List<T> values(FeedPage<T> page) {
+	private <T> List<T> values(FeedPage<T> page) throws FeedException {
+		if (!this.serviceState.observeEra(page.era())) {
+			throw new FeedException("response of era " + page.era() + ", which has ended", null);
+		}
 		return page.entries().stream().map(FeedEntry::value).filter(Objects::nonNull).toList();
 	}
 
--- a/src/main/java/org/jaywood/routing/ServiceSnapshot.java
+++ b/src/main/java/org/jaywood/routing/ServiceSnapshot.java
@@ -12,7 +12,8 @@
 /**
  * State of one service that a gateway sends to the agents of its engines.
  *
- * @param revision revision of the store that it reflects
+ * @param revision revision of the store that it reflects, for logs; at one gateway it
+ * does not fall when the store is restored from an older copy
  * @param profile the service
  * @param origin origin of weights, or null
  * @param target version that its engines shall serve
@@ -24,6 +25,13 @@
 	/** Target version of a model before another one is set. */
 	public static final long FIRST_VERSION = 1;
 
+	/**
+	 * Returns this snapshot with another target version.
+	 */
+	public ServiceSnapshot withTarget(ModelVersion latest) {
+		return new ServiceSnapshot(this.revision, this.profile, this.origin, latest, this.engines);
+	}
+
 	/**
 	 * Returns a hash of everything that agents act upon, which is the same at all
 	 * gateways that have the same state.
--- a/src/test/java/org/jaywood/feed/FeedWatcherTests.java
+++ b/src/test/java/org/jaywood/feed/FeedWatcherTests.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
@@ -85,6 +86,84 @@
 
 	}
 
+	/**
+	 * Guards against a watch that goes on with revisions from before a restore of the
+	 * store, and against responses that were sent before it.
+	 */
+	@Nested
+	class RestoredStore {
+
+		@Test
+		void objectsAreListedAgainWhenEraRises() {
+			FeedWatcherTests.this.feed.add(page(0, 5, "a"));
+			FeedWatcherTests.this.feed.add(page(1, 6, "b"));
+			FeedWatcherTests.this.feed.add(page(1, 3, "c"));
+			FeedView<String> view = awaitView(1, 3);
+			assertThat(view.entries()).containsExactly("c", "c");
+			assertThat(view.relisted()).isTrue();
+			assertThat(view.regainedMillis()).isNotEqualTo(Long.MIN_VALUE);
+			assertThat(FeedWatcherTests.this.feed.firstCalls(3)).containsExactly("list", "watch", "list").inOrder();
+		}
+
+		@Test
+		void restoreDuringOutageCountsAsRegained() {
+			FeedWatcherTests.this.feed.add(page(4, 5, "a"));
+			FeedWatcherTests.this.feed.add(new HistoryLostException("unknown revision"));
+			FeedWatcherTests.this.feed.add(page(5, 3));
+			assertThat(awaitView(5, 3).regainedMillis()).isNotEqualTo(Long.MIN_VALUE);
+		}
+
+		@Test
+		void lossOfHistoryWithinAnEraIsNoRestore() {
+			FeedWatcherTests.this.feed.add(page(4, 5, "a"));
+			FeedWatcherTests.this.feed.add(new HistoryLostException("gone"));
+			FeedWatcherTests.this.feed.add(page(4, 9));
+			assertThat(awaitView(4, 9).regainedMillis()).isEqualTo(Long.MIN_VALUE);
+		}
+
+		@Test
+		void responseOfEarlierEraIsDiscarded() {
+			FeedWatcherTests.this.feed.add(page(1, 5, "a"));
+			FeedWatcherTests.this.feed.add(page(0, 90, "late"));
+			FeedWatcherTests.this.feed.add(page(0, 91, "late"));
+			FeedWatcherTests.this.feed.add(page(1, 6, "b"));
+			assertThat(awaitView(1, 6).entries()).containsExactly("b", "b");
+			assertThat(FeedWatcherTests.this.feed.firstCalls(4)).containsExactly("list", "watch", "list", "list")
+				.inOrder();
+		}
+
+		@Test
+		void listOfEarlierEraAfterRiseIsDiscarded() {
+			FeedWatcherTests.this.feed.add(page(0, 5, "a"));
+			FeedWatcherTests.this.feed.add(page(1, 5));
+			FeedWatcherTests.this.feed.add(page(0, 6, "late"));
+			FeedWatcherTests.this.feed.add(page(1, 4, "b"));
+			assertThat(awaitView(1, 4).entries()).containsExactly("b", "b");
+		}
+
+		@Test
+		void secondRestoreBeforeTheListIsSeen() {
+			FeedWatcherTests.this.feed.add(page(0, 5, "a"));
+			FeedWatcherTests.this.feed.add(page(1, 5));
+			FeedWatcherTests.this.feed.add(page(2, 3, "b"));
+			assertThat(awaitView(2, 3).entries()).containsExactly("b", "b");
+		}
+
+		private FeedPage<String> page(long era, long revision, String... names) {
+			return new FeedPage<>(era, revision, Stream.of(names).map((name) -> new FeedEntry<>(name, name)).toList());
+		}
+
+		private FeedView<String> awaitView(long era, long revision) {
+			FeedWatcherTests.this.watcher.start();
+			Awaitility.await().until(() -> {
+				FeedView<String> view = FeedWatcherTests.this.watcher.view();
+				return view != null && view.era() == era && view.revision() == revision;
+			});
+			return FeedWatcherTests.this.watcher.view();
+		}
+
+	}
+
 	/**
 	 * Guards against an error that ends the watch for good, or loses a change.
 	 */
--- a/src/test/java/org/jaywood/gateway/StoreCacheTests.java
+++ b/src/test/java/org/jaywood/gateway/StoreCacheTests.java
@@ -8,10 +8,12 @@
 import java.util.Set;
 
 import org.awaitility.Awaitility;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 import org.jaywood.Failures;
+import org.jaywood.event.Event;
 import org.jaywood.event.EventLog;
 import org.jaywood.feed.BootClock;
 import org.jaywood.feed.FeedView;
@@ -22,6 +24,7 @@
 import org.jaywood.routing.ModelVersion;
 import org.jaywood.routing.RouteTable;
 import org.jaywood.routing.RoutingFixtures;
+import org.jaywood.routing.ServiceSnapshot;
 import org.jaywood.routing.SnapshotReply;
 import org.jaywood.routing.Upstream;
 import org.jaywood.wire.Address;
@@ -32,10 +35,12 @@
 
 	private static final long VERSION_GRACE_MILLIS = 7_000;
 
+	private static final long RETENTION_MILLIS = 2_200;
+
 	private final Dispatcher dispatcher = new Dispatcher(
 			new DispatchSettings("gateway", "doto", "kushiro-a", 1.5, 5, 2_200, VERSION_GRACE_MILLIS));
 
-	private final StoreCache storeCache = new StoreCache(this.dispatcher, new EventLog("test"));
+	private final StoreCache storeCache = new StoreCache(this.dispatcher, RETENTION_MILLIS, new EventLog("test"));
 
 	private final Upstream engine = RoutingFixtures.engine("a", "kushiro-a", "doto", 1);
 
@@ -197,6 +202,137 @@
 
 	}
 
+	/**
+	 * Guards against a gateway that loses upstreams or goes back to an older
+	 * configuration or target version because its store was restored from an older copy.
+	 */
+	@Nested
+	class RestoredStore {
+
+		private final CapturedLog log = new CapturedLog();
+
+		@AfterEach
+		void stop() {
+			this.log.close();
+		}
+
+		@Test
+		void lostUpstreamIsKeptUntilItsTimeIsOver() {
+			onUpstreams(1);
+			assertThat(subscribedIds()).containsExactly("a");
+			StoreCacheTests.this.storeCache.onTick(BootClock.nowMillis() + RETENTION_MILLIS - 500);
+			assertThat(subscribedIds()).containsExactly("a");
+			StoreCacheTests.this.storeCache.onTick(BootClock.nowMillis() + RETENTION_MILLIS);
+			assertThat(engines()).isEmpty();
+		}
+
+		@Test
+		void lostUpstreamWithoutRestoreIsNotKept() {
+			onUpstreams(0);
+			assertThat(subscribedIds()).isEmpty();
+		}
+
+		@Test
+		void olderIncarnationDoesNotReplaceTheYounger() {
+			Upstream engine = StoreCacheTests.this.engine;
+			Upstream older = new Upstream("older", engine.service(), engine.address(), engine.dataCentre(),
+					engine.region(), engine.slots(), false, 0, engine.bornMillis() - 1, engine.weights());
+			onUpstreams(1, older);
+			assertThat(subscribedIds()).containsExactly("a");
+		}
+
+		@Test
+		void leavingUpstreamDoesNotComeBack() {
+			onUpstreams(0, RoutingFixtures.leaving(StoreCacheTests.this.engine));
+			onUpstreams(1, StoreCacheTests.this.engine);
+			assertThat(engines().getFirst().leaving()).isTrue();
+		}
+
+		@Test
+		void closedDataCentreStaysClosedUntilTheTimeIsOver() {
+			onClosedDataCentres(0, Map.of("kushiro-a", "kushiro-a"));
+			onClosedDataCentres(1, Map.of());
+			assertThat(this.log.of(Event.DATA_CENTRES_CLOSED)).hasSize(1);
+			StoreCacheTests.this.storeCache.onTick(BootClock.nowMillis() + RETENTION_MILLIS);
+			assertThat(this.log.of(Event.DATA_CENTRES_CLOSED)).hasSize(2);
+		}
+
+		@Test
+		void olderConfigurationIsIgnoredUnconfirmedAndLoggedOnce() {
+			onConfiguration(0, 5, 1_000);
+			onConfiguration(1, 4, 2_000);
+			onConfiguration(1, 4, 3_000);
+			assertThat(StoreCacheTests.this.storeCache.table().version()).isEqualTo(5);
+			assertThat(StoreCacheTests.this.storeCache.confirmedMillis()).isEqualTo(1_000);
+			assertThat(this.log.of(Event.CONFIGURATION_OLDER_IGNORED)).hasSize(1);
+			onConfiguration(1, 5, 4_000);
+			assertThat(StoreCacheTests.this.storeCache.confirmedMillis()).isEqualTo(4_000);
+		}
+
+		@Test
+		void targetVersionDoesNotGoBack() {
+			onTargetVersion(3, BootClock.nowMillis(), Long.MIN_VALUE);
+			onTargetVersion(2, BootClock.nowMillis(), Long.MIN_VALUE, true);
+			onTargetVersion(2, BootClock.nowMillis(), Long.MIN_VALUE);
+			assertThat(snapshot().target()).isEqualTo(new ModelVersion("model", 3));
+			assertThat(this.log.of(Event.CONFIGURATION_OLDER_IGNORED)).hasSize(1);
+		}
+
+		@Test
+		void revisionOfSnapshotsDoesNotFall() {
+			onTargetVersion(2, BootClock.nowMillis(), Long.MIN_VALUE);
+			long revisionBefore = snapshot().revision();
+			onUpstreams(1, RoutingFixtures.engine("b", "kushiro-a", "doto", 1));
+			onTargetVersion(3, BootClock.nowMillis(), Long.MIN_VALUE);
+			assertThat(snapshot().revision()).isAtLeast(revisionBefore);
+			assertThat(snapshot().target()).isEqualTo(new ModelVersion("model", 3));
+		}
+
+		@Test
+		void riseOfEraIsLoggedOnce() {
+			onUpstreams(2, StoreCacheTests.this.engine);
+			onUpstreams(2, StoreCacheTests.this.engine);
+			onClosedDataCentres(2, Map.of());
+			assertThat(this.log.of(Event.STORE_RESTORED)).hasSize(1);
+			assertThat(StoreCacheTests.this.storeCache.era()).isEqualTo(2);
+		}
+
+		private void onUpstreams(long era, Upstream... upstreams) {
+			Map<String, Upstream> entries = new HashMap<>();
+			List.of(upstreams).forEach((upstream) -> entries.put(upstream.id(), upstream));
+			StoreCacheTests.this.storeCache
+				.onUpstreams(new FeedView<>(entries, era, 1, BootClock.nowMillis(), Long.MIN_VALUE, era > 0));
+		}
+
+		private void onClosedDataCentres(long era, Map<String, String> closed) {
+			StoreCacheTests.this.storeCache
+				.onClosedDataCentres(new FeedView<>(closed, era, 1, BootClock.nowMillis(), Long.MIN_VALUE, era > 0));
+		}
+
+		private void onConfiguration(long era, long version, long confirmedMillis) {
+			RouteTable table = new RouteTable(version, List.of(), Map.of(), new KeyRing(true, Map.of()),
+					RequestLimits.DEFAULTS);
+			StoreCacheTests.this.storeCache.onConfiguration(
+					new FeedView<>(Map.of("main", table), era, 1, confirmedMillis, Long.MIN_VALUE, era > 0));
+		}
+
+		private Collection<String> subscribedIds() {
+			return StoreCacheTests.this.dispatcher.subscribedEngines().values();
+		}
+
+		private List<Upstream> engines() {
+			onTargetVersion(1, BootClock.nowMillis(), Long.MIN_VALUE);
+			return snapshot().engines();
+		}
+
+		private ServiceSnapshot snapshot() {
+			return StoreCacheTests.this.storeCache
+				.snapshot(RoutingFixtures.ENGINE_SERVICE, BootClock.nowMillis() + 10_000)
+				.snapshot();
+		}
+
+	}
+
 	/**
 	 * Guards against a change that the dispatcher never receives, since an error ended
 	 * the first attempt to pass it and the next view is equal to the cached one.
--- a/src/test/java/org/jaywood/platform/FakeMetadataStore.java
+++ b/src/test/java/org/jaywood/platform/FakeMetadataStore.java
@@ -36,6 +36,9 @@
 
 	private long oldestRevision;
 
+	/** Era of the store, 0 if its responses do not state one. */
+	private long era;
+
 	private Fault fault = Fault.NONE;
 
 	FakeMetadataStore(Address listen, EventLog log) {
@@ -76,12 +79,36 @@
 		notifyAll();
 	}
 
+	/**
+	 * Copies the present state for {@link #restore}.
+	 */
+	synchronized Copy copy() {
+		Map<String, Map<String, Entry>> entries = new TreeMap<>();
+		this.entriesByKind.forEach((kind, byName) -> entries.put(kind, new LinkedHashMap<>(byName)));
+		return new Copy(entries, List.copyOf(this.changes), this.revision);
+	}
+
+	/**
+	 * Restores an earlier state: later writes are lost, their revisions are given out
+	 * again, and the era rises.
+	 */
+	synchronized void restore(Copy copy) {
+		this.entriesByKind.clear();
+		copy.entries().forEach((kind, byName) -> this.entriesByKind.put(kind, new LinkedHashMap<>(byName)));
+		this.changes.clear();
+		this.changes.addAll(copy.changes());
+		this.revision = copy.revision();
+		this.era++;
+		notifyAll();
+	}
+
 	Address address() {
 		return this.port.address();
 	}
 
 	private synchronized void create(Exchange exchange) throws IOException {
 		String kind = exchange.path().substring(PATH_PREFIX.length());
+		stateEra(exchange);
 		JsonNode object = exchange.readJson(JsonNode.class, MAX_OBJECT_BYTES);
 		String name = object.path("Metadata").path("Name").asText();
 		if (this.fault != Fault.NONE) {
@@ -97,6 +124,7 @@
 	}
 
 	private synchronized void delete(Exchange exchange) throws IOException {
+		stateEra(exchange);
 		String[] kindAndName = exchange.path().substring(PATH_PREFIX.length()).split("/");
 		boolean exists = this.entriesByKind.getOrDefault(kindAndName[0], Map.of()).containsKey(kindAndName[1]);
 		if (exists) {
@@ -113,9 +141,16 @@
 			Thread.sleep(SILENT_DELAY_MILLIS);
 			throw exchange.abort("silence");
 		}
+		stateEra(exchange);
 		exchange.respondJson(response.status(), response.body());
 	}
 
+	private synchronized void stateEra(Exchange exchange) {
+		if (this.era > 0) {
+			exchange.setHeader("Store-Era", Long.toString(this.era));
+		}
+	}
+
 	private synchronized Response list(String kind) {
 		if (this.fault != Fault.NONE) {
 			return new Response(this.fault.status, Map.of());
@@ -130,19 +165,26 @@
 
 	private synchronized Response watch(String kind, long from, long waitMillis) throws InterruptedException {
 		long deadlineMillis = System.currentTimeMillis() + waitMillis;
-		while (this.fault == Fault.NONE && from >= this.oldestRevision && events(kind, from).isEmpty()
+		while (this.fault == Fault.NONE && retained(from) && events(kind, from).isEmpty()
 				&& System.currentTimeMillis() < deadlineMillis) {
 			wait(Math.max(1, deadlineMillis - System.currentTimeMillis()));
 		}
 		if (this.fault != Fault.NONE) {
 			return new Response(this.fault.status, Map.of());
 		}
-		if (from < this.oldestRevision) {
+		if (!retained(from)) {
 			return new Response(410, Map.of());
 		}
 		return new Response(200, Map.of("events", events(kind, from), "AsOf", this.revision));
 	}
 
+	/**
+	 * Whether the store has the changes since a revision.
+	 */
+	private boolean retained(long from) {
+		return from >= this.oldestRevision && from <= this.revision;
+	}
+
 	private List<Map<String, Object>> events(String kind, long from) {
 		return this.changes.stream()
 			.filter((change) -> change.kind().equals(kind) && change.entry().revision() > from)
@@ -175,7 +217,13 @@
 
 	}
 
-	private record Entry(String name, long revision, Object spec) {
+	/**
+	 * Earlier state of the store.
+	 */
+	record Copy(Map<String, Map<String, Entry>> entries, List<Change> changes, long revision) {
+	}
+
+	record Entry(String name, long revision, Object spec) {
 
 		Object object() {
 			return Map.of("Metadata", Map.of("Name", this.name, "Revision", this.revision), "Spec", this.spec);
@@ -183,7 +231,7 @@
 
 	}
 
-	private record Change(String kind, Entry entry, boolean deleted) {
+	record Change(String kind, Entry entry, boolean deleted) {
 	}
 
 	private record Response(int status, Object body) {
--- a/src/test/java/org/jaywood/platform/PlatformNamesTests.java
+++ b/src/test/java/org/jaywood/platform/PlatformNamesTests.java
@@ -21,8 +21,8 @@
 	private static final List<String> PLATFORM_NAMES = List.of("X-Attempt-Id", "X-Deadline-Ms", "X-Response-Seal",
 			"X-Not-Executed", "X-Expect-Instance", "X-Expect-Version", "X-Tenant", "X-Request-Priority",
 			"X-Weight-Versions", "X-Token-Usage", "X-Length-Hint", "SampleCount", "HasMore", "AsOf", "AllowStale",
-			"AllowedRegions", "StartAfter", "PathPrefix", "TimeoutMs", "ApiKeys", "ColdPerS", "ColdLeftMs", "KvUsed",
-			"evacuations", "stage-put", "/manifest/");
+			"Store-Era", "AllowedRegions", "StartAfter", "PathPrefix", "TimeoutMs", "ApiKeys", "ColdPerS", "ColdLeftMs",
+			"KvUsed", "evacuations", "stage-put", "/manifest/");
 
 	@Test
 	void platformNamesOccurOnlyInAdapter() throws IOException {
--- a/src/test/java/org/jaywood/replica/SnapshotSyncTests.java
+++ b/src/test/java/org/jaywood/replica/SnapshotSyncTests.java
@@ -129,6 +129,53 @@
 
 	}
 
+	/**
+	 * Guards against an agent that goes back to lists and target versions of a store that
+	 * was restored from an older copy, or that no longer receives any.
+	 */
+	@Nested
+	class RestoredStore {
+
+		@Test
+		void gatewayThatHasNotSeenTheRestoreIsSkipped() {
+			SnapshotSyncTests.this.nearReply = new SnapshotReply(true, 0, snapshot(1));
+			SnapshotSyncTests.this.farReply = new SnapshotReply(true, 1, snapshot(2));
+			SnapshotSyncTests.this.serviceState.observeEra(1);
+			SnapshotSyncTests.this.sync.start();
+			Awaitility.await()
+				.until(() -> SnapshotSyncTests.this.serviceState.target()
+					.filter((target) -> target.version() == 2)
+					.isPresent());
+		}
+
+		@Test
+		void snapshotWithOlderTargetChangesTheListOnly() {
+			ServiceState state = SnapshotSyncTests.this.serviceState;
+			state.onSnapshot(snapshot(3));
+			ServiceSnapshot restored = ServiceSnapshot.of(1,
+					new ServiceProfile.Engines(RoutingFixtures.ENGINE_SERVICE, 36, "model", 16, 300), null, 2,
+					List.of(SnapshotSyncTests.this.ownEngine, RoutingFixtures.engine("b", "kushiro-a", "doto", 1)));
+			state.onSnapshot(restored);
+			assertThat(state.target().orElseThrow()).isEqualTo(new ModelVersion("model", 3));
+			assertThat(state.engines()).hasSize(2);
+			// The gateway compares the hash of what it sent, so that it does not send it
+			// again.
+			assertThat(state.contentHash()).isEqualTo(restored.contentHash());
+		}
+
+		@Test
+		void newerSnapshotWithLowerRevisionIsAccepted() {
+			ServiceState state = SnapshotSyncTests.this.serviceState;
+			state.onSnapshot(snapshot(3));
+			state.observeEra(1);
+			state.onSnapshot(ServiceSnapshot.of(1,
+					new ServiceProfile.Engines(RoutingFixtures.ENGINE_SERVICE, 36, "model", 16, 300), null, 4,
+					List.of(SnapshotSyncTests.this.ownEngine)));
+			assertThat(state.target().orElseThrow()).isEqualTo(new ModelVersion("model", 4));
+		}
+
+	}
+
 	/**
 	 * Guards against an error that ends the task, after which the agent receives no
 	 * further snapshot.
