Elect one gateway as the leader by a lease in the store

Two duties towards the cloud API belong to one process at a time. The lease object leases/controller is taken and renewed by conditional writes; its token is the era of the store and a term. LeaderElection decides without network and clock; LeaderRunner makes its steps and runs the tasks, each on a thread of its own. Cloud calls are sent only in a valid term, and their connection is reset without a response, so that none arrives late.

States of tasks carry the era in which they were handed in, so that the next leader knows whether a restore of the store may have lost some of them. A lease has the era of its writer, since a late write of an earlier era may meet a revision that was given out again.

Without the table Cloud with Duties nothing is started. A duty is added in LeaderDuties.create.

--- a/src/main/java/org/jaywood/cli/GatewayCommand.java
+++ b/src/main/java/org/jaywood/cli/GatewayCommand.java
@@ -5,6 +5,7 @@
 import com.beust.jcommander.ParametersDelegate;
 
 import org.jaywood.event.EventLog;
+import org.jaywood.gateway.DutySettings;
 import org.jaywood.gateway.Gateway;
 import org.jaywood.gateway.GatewayLimits;
 import org.jaywood.platform.PlatformCalls;
@@ -39,8 +40,9 @@
 		PlatformSettings settings = this.file.read();
 		EventLog log = this.file.log(settings);
 		PlatformFeeds feeds = this.file.feeds(settings, log);
+		DutySettings duties = settings.duties();
 		Gateway gateway = new Gateway(settings.gateway(this.memoryPercent), new PlatformCalls(), feeds.gateway(),
-				feeds.trialLeases(), log);
+				feeds.trialLeases(), (duties != null) ? feeds.leaderPorts(duties) : null, log);
 		this.file.logChangesOnSignal(log);
 		return Daemon.run(gateway::start, gateway::drain);
 	}
--- a/src/main/java/org/jaywood/event/Event.java
+++ b/src/main/java/org/jaywood/event/Event.java
@@ -6,8 +6,8 @@
  * Catalogue of log events. Each has a stable number, a level and a template whose
  * {@code {name}} placeholders are filled from named fields. Numbers are never reused:
  * 10xx process, 11xx configuration, 12xx membership, 13xx weights, 14xx engine and
- * activation, 15xx admission and calls at the agent, 16xx router, 17xx claims, 19xx
- * stand-ins.
+ * activation, 15xx admission and calls at the agent, 16xx router, 17xx claims, 18xx
+ * leader and its duties, 19xx stand-ins.
  */
 public enum Event {
 
@@ -228,6 +228,19 @@
 	/** Expired claims of idempotency keys were deleted. */
 	CLAIMS_DELETED(1701, Level.INFO, "deleted {count} expired claims"),
 
+	/** This process has become the leader. */
+	LEADER_ELECTED(1801, Level.INFO, "this VM is the leader with token {token}"),
+
+	/** This process is no longer the leader. */
+	LEADER_ENDED(1802, Level.WARNING, "this VM is no longer the leader with token {token}: {reason}"),
+
+	/** The lease in the store shows another leader or term. */
+	LEADER_SEEN(1803, Level.INFO, "{holder} is the leader with token {token}"),
+
+	/** The states of the leader tasks are too large to be saved. */
+	LEADER_STATE_TOO_LARGE(1804, Level.WARNING,
+			"states of the leader tasks have {bytes} bytes, limit {limit}; the saved ones are kept"),
+
 	/** A stand-in is ready. */
 	STANDIN_STARTED(1901, Level.INFO, "stand-in {kind} listens on {address}");
 
--- a/src/main/java/org/jaywood/gateway/Gateway.java
+++ b/src/main/java/org/jaywood/gateway/Gateway.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -73,6 +74,8 @@
 
 	private final PartTrialRunner partTrials;
 
+	private final @Nullable LeaderDuties duties;
+
 	private final ScheduledExecutorService timer = Executors
 		.newSingleThreadScheduledExecutor(Thread.ofPlatform().daemon().name("tick").factory());
 
@@ -86,8 +89,20 @@
 
 	private int ticks;
 
+	/**
+	 * Creates a gateway without duties of a leader.
+	 */
 	public Gateway(GatewaySettings settings, CallProtocol protocol, GatewayFeeds feeds, TrialLeases trialLeases,
 			EventLog log) {
+		this(settings, protocol, feeds, trialLeases, null, log);
+	}
+
+	/**
+	 * Creates a gateway.
+	 * @param leaderPorts connections of the duties of a leader, or null if there are none
+	 */
+	public Gateway(GatewaySettings settings, CallProtocol protocol, GatewayFeeds feeds, TrialLeases trialLeases,
+			@Nullable LeaderPorts leaderPorts, EventLog log) {
 		this.settings = settings;
 		this.context = GatewayContext.create(settings, protocol, log);
 		this.connections = new CallerConnections(
@@ -109,6 +124,7 @@
 				log));
 		this.snapshotService = new SnapshotService(storeCache,
 				() -> this.watchers.stream().allMatch(FeedWatcher::isReachable));
+		this.duties = (leaderPorts != null) ? LeaderDuties.create(settings, leaderPorts, this.context) : null;
 	}
 
 	/**
@@ -129,8 +145,15 @@
 			.withExecutor(DaemonThreads.requestPool())
 			.route("GET", "/metrics", (exchange) -> MetricsText.respond(exchange, this.context.metrics().registry()))
 			.route("GET", SNAPSHOT_PATH, this::sendSnapshot)
-			.route("GET", "/dump", (exchange) -> exchange.respondJson(200, dump()))
-			.start();
+			.route("GET", "/dump", (exchange) -> exchange.respondJson(200, dump()));
+		LeaderDuties active = this.duties;
+		if (active != null) {
+			active.addRoutes(this.operatorPort);
+		}
+		this.operatorPort.start();
+		if (active != null) {
+			active.start();
+		}
 		TaskGuard guard = new TaskGuard("tick", log);
 		this.timer.scheduleWithFixedDelay(() -> guard.run(() -> tick(BootClock.nowMillis())), TICK_MILLIS, TICK_MILLIS,
 				TimeUnit.MILLISECONDS);
@@ -220,7 +243,8 @@
 		return new Dump((table != null) ? table.version() : -1, nowMillis - storeCache.confirmedMillis(), ready(),
 				this.connections.openCount(), this.connections.busyCount(),
 				this.context.dispatcher().lastReportedGateways(nowMillis),
-				this.context.dispatcher().describe(nowMillis), this.context.screen().evidence().blocked());
+				this.context.dispatcher().describe(nowMillis), this.context.screen().evidence().blocked(),
+				(this.duties != null) ? this.duties.describe(nowMillis) : null);
 	}
 
 	/**
@@ -234,9 +258,11 @@
 	 * @param gateways number of gateways that share the upstreams
 	 * @param upstreams one line for each upstream
 	 * @param blockedParts parts of prompts that crash engines
+	 * @param leader lease of the leader and state of its tasks, or null if there are none
 	 */
 	record Dump(long configuration, long configurationAgeMillis, boolean ready, int connections, long calls,
-			int gateways, List<String> upstreams, List<BlockedParts> blockedParts) {
+			int gateways, List<String> upstreams, List<BlockedParts> blockedParts,
+			@Nullable Map<String, Object> leader) {
 	}
 
 }
--- a/src/main/java/org/jaywood/http/ConnectionPool.java
+++ b/src/main/java/org/jaywood/http/ConnectionPool.java
@@ -8,6 +8,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 
 import org.apache.hc.core5.http.ClassicHttpRequest;
@@ -107,6 +109,26 @@
 		return exchange(acquire(address, CONNECT_TIMEOUT_MILLIS), request, body, limits);
 	}
 
+	/**
+	 * Sends a request of this process if a condition holds right before it is sent, and
+	 * reads the whole response. Without one the connection is reset, so that the request
+	 * does not arrive later.
+	 * @param address the other process
+	 * @param request request line and headers; the host is added
+	 * @param condition checked after a connection was obtained
+	 * @return the response, or null if the condition did not hold
+	 * @throws IOException if no complete response within the limits arrives
+	 */
+	public @Nullable BufferedResponse exchangeIf(Address address, ClassicHttpRequest request, byte[] body,
+			ResponseLimits limits, BooleanSupplier condition) throws IOException {
+		ClientConnection connection = acquire(address, CONNECT_TIMEOUT_MILLIS);
+		if (!condition.getAsBoolean()) {
+			connection.close();
+			return null;
+		}
+		return exchange(connection, request, body, limits, ClientConnection::abort);
+	}
+
 	/**
 	 * Sends a frequent request without a body that may be repeated. An idle connection is
 	 * reused without waiting to see whether the other side has closed it; if it has, the
@@ -135,6 +157,15 @@
 
 	private BufferedResponse exchange(ClientConnection connection, ClassicHttpRequest request, byte[] body,
 			ResponseLimits limits) throws IOException {
+		return exchange(connection, request, body, limits, ClientConnection::close);
+	}
+
+	/**
+	 * Sends a request and reads the whole response.
+	 * @param onFailure ends the connection if no complete response arrives
+	 */
+	private BufferedResponse exchange(ClientConnection connection, ClassicHttpRequest request, byte[] body,
+			ResponseLimits limits, Consumer<ClientConnection> onFailure) throws IOException {
 		Address address = connection.address();
 		boolean complete = false;
 		try {
@@ -155,7 +186,7 @@
 				release(connection);
 			}
 			else {
-				connection.close();
+				onFailure.accept(connection);
 			}
 		}
 	}
--- a/src/main/java/org/jaywood/platform/MetadataStoreClient.java
+++ b/src/main/java/org/jaywood/platform/MetadataStoreClient.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
 
@@ -35,6 +36,20 @@
 	private static final ResponseLimits WRITE_LIMITS = new ResponseLimits(RESPONSE_TIMEOUT_MILLIS,
 			MAX_WRITE_RESPONSE_BYTES);
 
+	/**
+	 * Time for the response to a request for a single object. A leader has to send two
+	 * renewals before its lease ends.
+	 */
+	private static final long OBJECT_TIMEOUT_MILLIS = 700;
+
+	/** Largest single object; the store takes 1 MB at most. */
+	private static final int MAX_OBJECT_BYTES = 1024 * 1024 + 64 * 1024;
+
+	private static final ResponseLimits OBJECT_LIMITS = new ResponseLimits(OBJECT_TIMEOUT_MILLIS, MAX_OBJECT_BYTES);
+
+	/** Header with the number of restores of the store so far. */
+	private static final String ERA_HEADER = "Store-Era";
+
 	private final Address address;
 
 	private final ConnectionPool pool = new ConnectionPool();
@@ -88,6 +103,70 @@
 		}
 	}
 
+	/**
+	 * Reads a single object.
+	 * @param allowStale whether the result may be seconds old, which costs less
+	 * @return the response, whatever its status
+	 * @throws IOException if no complete response arrives
+	 */
+	BufferedResponse readObject(String kind, String name, boolean allowStale) throws IOException {
+		String path = "/objects/" + kind + "/" + encode(name) + (allowStale ? "?AllowStale=1" : "");
+		return this.pool.exchange(this.address, new BasicClassicHttpRequest("GET", path), new byte[0], OBJECT_LIMITS);
+	}
+
+	/**
+	 * Creates an object.
+	 * @return the response, whatever its status; 409 if the object exists
+	 * @throws IOException if no complete response arrives; the store may have created the
+	 * object or may do so later
+	 */
+	BufferedResponse createObject(String kind, String name, JsonNode spec) throws IOException {
+		return write("POST", "/objects/" + kind, Map.of("Metadata", Map.of("Name", name), "Spec", spec));
+	}
+
+	/**
+	 * Replaces an object if it has the given revision.
+	 * @return the response, whatever its status; 409 if it has another one
+	 * @throws IOException if no complete response arrives; the store may have replaced
+	 * the object or may do so later
+	 */
+	BufferedResponse replaceObject(String kind, String name, JsonNode spec, long revision) throws IOException {
+		return write("PUT", "/objects/" + kind + "/" + encode(name),
+				Map.of("Metadata", Map.of("Name", name, "Revision", revision), "Spec", spec));
+	}
+
+	/**
+	 * Replaces an object whatever its revision.
+	 * @return the response, whatever its status; 404 if there is no object
+	 * @throws IOException if no complete response arrives; the store may have replaced
+	 * the object or may do so later
+	 */
+	BufferedResponse replaceObject(String kind, String name, JsonNode spec) throws IOException {
+		return write("PUT", "/objects/" + kind + "/" + encode(name),
+				Map.of("Metadata", Map.of("Name", name), "Spec", spec));
+	}
+
+	/**
+	 * Returns the era that a response names: the number of restores of the store. A store
+	 * that names none has era 0.
+	 * @throws IOException if the header is no number
+	 */
+	static long era(BufferedResponse response) throws IOException {
+		String value = response.header(ERA_HEADER);
+		try {
+			return (value != null) ? Long.parseLong(value.strip()) : 0;
+		}
+		catch (NumberFormatException ex) {
+			throw new IOException("header " + ERA_HEADER + " is no number: " + value, ex);
+		}
+	}
+
+	private BufferedResponse write(String method, String path, Object object) throws IOException {
+		BasicClassicHttpRequest request = new BasicClassicHttpRequest(method, path);
+		request.setHeader("Content-Type", "application/json");
+		return this.pool.exchange(this.address, request, Json.bytes(object), OBJECT_LIMITS);
+	}
+
 	private StorePage fetchPage(String path, long waitMillis) throws FeedException {
 		try {
 			return exchange(path, waitMillis);
--- a/src/main/java/org/jaywood/platform/PlatformFeeds.java
+++ b/src/main/java/org/jaywood/platform/PlatformFeeds.java
@@ -3,7 +3,9 @@
 import java.util.Map;
 
 import org.jaywood.event.EventLog;
+import org.jaywood.gateway.DutySettings;
 import org.jaywood.gateway.GatewayFeeds;
+import org.jaywood.gateway.LeaderPorts;
 import org.jaywood.gateway.TrialLeases;
 import org.jaywood.replica.ReplicaFeeds;
 
@@ -40,6 +42,13 @@
 		return new StoreTrialLeases(this.store);
 	}
 
+	/**
+	 * Returns the connections of the duties of a leader.
+	 */
+	public LeaderPorts leaderPorts(DutySettings duties) {
+		return new LeaderPorts(duties, new StoreLeases(this.store));
+	}
+
 	public ReplicaFeeds replica() {
 		return new ReplicaFeeds(new ObjectFeed<>(this.store, "config", this.decoders::configuration, this.log),
 				new ObjectFeed<>(this.store, "servers", this.decoders::upstream, this.log),
--- a/src/main/java/org/jaywood/platform/PlatformSettings.java
+++ b/src/main/java/org/jaywood/platform/PlatformSettings.java
@@ -4,11 +4,15 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import org.jspecify.annotations.Nullable;
 
+import org.jaywood.gateway.DutySettings;
 import org.jaywood.gateway.GatewayLimits;
 import org.jaywood.gateway.GatewaySettings;
 import org.jaywood.replica.ReplicaSettings;
@@ -52,6 +56,12 @@
 	 */
 	private static final long VERSION_GRACE_MARGIN_MILLIS = 1_500;
 
+	private static final long DEFAULT_LEASE_MILLIS = 3_000;
+
+	private static final double DEFAULT_USAGE_WINDOW_SECONDS = 5;
+
+	private static final double DEFAULT_USAGE_LATE_SECONDS = 10;
+
 	private final JsonNode tree;
 
 	private PlatformSettings(JsonNode tree) {
@@ -123,6 +133,24 @@
 				GatewayLimits.ofHeap(Runtime.getRuntime().maxMemory(), memoryPercent));
 	}
 
+	/**
+	 * Returns the settings of the duties that one gateway has at a time, or null if the
+	 * file names none.
+	 */
+	public @Nullable DutySettings duties() {
+		JsonNode cloud = this.tree.path("Cloud");
+		Set<String> names = new HashSet<>();
+		cloud.path("Duties").forEach((name) -> names.add(name.asText()));
+		if (names.isEmpty()) {
+			return null;
+		}
+		JsonNode bounds = this.tree.path("Bounds");
+		return new DutySettings(names, Address.parse(cloud.path("Address").asText()), cloud.path("DutyPerS").asDouble(),
+				bounds.path("LeaseMs").asLong(DEFAULT_LEASE_MILLIS),
+				Math.round(bounds.path("UsageWindowS").asDouble(DEFAULT_USAGE_WINDOW_SECONDS) * MILLIS_PER_SECOND),
+				Math.round(bounds.path("UsageLateS").asDouble(DEFAULT_USAGE_LATE_SECONDS) * MILLIS_PER_SECOND));
+	}
+
 	/**
 	 * Returns the settings of the agent of an engine.
 	 */
--- a/src/test/java/org/jaywood/ArchitectureTests.java
+++ b/src/test/java/org/jaywood/ArchitectureTests.java
@@ -56,6 +56,8 @@
 				.definedBy("org.jaywood.feed..")
 				.layer("routing")
 				.definedBy("org.jaywood.routing..")
+				.layer("leader")
+				.definedBy("org.jaywood.leader..")
 				.layer("gateway")
 				.definedBy("org.jaywood.gateway..")
 				.layer("replica")
@@ -76,6 +78,8 @@
 				.mayOnlyBeAccessedByLayers("cli", "platform", "gateway", "replica", "routing")
 				.whereLayer("http")
 				.mayOnlyBeAccessedByLayers("cli", "platform", "gateway", "replica", "routing")
+				.whereLayer("leader")
+				.mayOnlyBeAccessedByLayers("cli", "platform", "gateway")
 				.whereLayer("bench")
 				.mayOnlyBeAccessedByLayers("cli")
 				.whereLayer("standin")
@@ -124,6 +128,22 @@
 				.check(CLASSES);
 		}
 
+		@Test
+		void leaderElectionUsesNeitherNetworkNorClock() {
+			ArchRuleDefinition.noClasses()
+				.that()
+				.resideInAPackage("org.jaywood.leader..")
+				.should()
+				.dependOnClassesThat()
+				.resideInAnyPackage("java.net..", "org.apache.hc..", "com.sun.net..", "java.time..",
+						"org.jaywood.http..", "org.jaywood.feed..")
+				.orShould()
+				.callMethod(System.class, "currentTimeMillis")
+				.orShould()
+				.callMethod(System.class, "nanoTime")
+				.check(CLASSES);
+		}
+
 	}
 
 	@Nested
--- a/src/test/java/org/jaywood/platform/FakeMetadataStore.java
+++ b/src/test/java/org/jaywood/platform/FakeMetadataStore.java
@@ -22,7 +22,7 @@
 
 	private static final String PATH_PREFIX = "/objects/";
 
-	private static final int MAX_OBJECT_BYTES = 1 << 16;
+	private static final int MAX_OBJECT_BYTES = 1 << 20;
 
 	private static final long SILENT_DELAY_MILLIS = 30_000;
 
@@ -42,6 +42,7 @@
 		this.port = HttpPort.open(listen, log)
 			.route("GET", PATH_PREFIX, this::handle)
 			.route("POST", PATH_PREFIX, this::create)
+			.route("PUT", PATH_PREFIX, this::replace)
 			.route("DELETE", PATH_PREFIX, this::delete)
 			.start();
 	}
@@ -92,10 +93,38 @@
 		}
 		else {
 			put(kind, name, object.path("Spec"));
-			exchange.respondJson(201, Map.of());
+			exchange.respondJson(201, this.entriesByKind.get(kind).get(name).object());
 		}
 	}
 
+	private synchronized void replace(Exchange exchange) throws IOException {
+		String[] kindAndName = exchange.path().substring(PATH_PREFIX.length()).split("/");
+		JsonNode object = exchange.readJson(JsonNode.class, MAX_OBJECT_BYTES);
+		Entry current = this.entriesByKind.getOrDefault(kindAndName[0], Map.of()).get(kindAndName[1]);
+		long wanted = object.path("Metadata").path("Revision").asLong(exchange.queryLong("Revision", -1));
+		if (this.fault != Fault.NONE) {
+			exchange.respondJson(this.fault.status, Map.of());
+		}
+		else if (current == null) {
+			exchange.respondJson(404, Map.of());
+		}
+		else if (wanted >= 0 && wanted != current.revision()) {
+			exchange.respondJson(409, current.object());
+		}
+		else {
+			put(kindAndName[0], kindAndName[1], object.path("Spec"));
+			exchange.respondJson(200, this.entriesByKind.get(kindAndName[0]).get(kindAndName[1]).object());
+		}
+	}
+
+	private synchronized Response read(String kind, String name) {
+		Entry entry = this.entriesByKind.getOrDefault(kind, Map.of()).get(name);
+		if (this.fault != Fault.NONE || entry == null) {
+			return new Response((this.fault != Fault.NONE) ? this.fault.status : 404, Map.of());
+		}
+		return new Response(200, entry.object());
+	}
+
 	private synchronized void delete(Exchange exchange) throws IOException {
 		String[] kindAndName = exchange.path().substring(PATH_PREFIX.length()).split("/");
 		boolean exists = this.entriesByKind.getOrDefault(kindAndName[0], Map.of()).containsKey(kindAndName[1]);
@@ -107,8 +136,17 @@
 
 	private void handle(Exchange exchange) throws IOException, InterruptedException {
 		String kind = exchange.path().substring(PATH_PREFIX.length());
+		int slash = kind.indexOf('/');
+		if (slash >= 0) {
+			respond(exchange, read(kind.substring(0, slash), kind.substring(slash + 1)));
+			return;
+		}
 		Response response = exchange.query().containsKey("Watch")
 				? watch(kind, exchange.queryLong("Watch", 0), exchange.queryLong("WaitMs", 0)) : list(kind);
+		respond(exchange, response);
+	}
+
+	private static void respond(Exchange exchange, Response response) throws IOException, InterruptedException {
 		if (response.status() == 0) {
 			Thread.sleep(SILENT_DELAY_MILLIS);
 			throw exchange.abort("silence");
--- a/src/test/java/org/jaywood/platform/PlatformNamesTests.java
+++ b/src/test/java/org/jaywood/platform/PlatformNamesTests.java
@@ -22,7 +22,8 @@
 			"X-Not-Executed", "X-Expect-Instance", "X-Expect-Version", "X-Tenant", "X-Request-Priority",
 			"X-Weight-Versions", "X-Token-Usage", "X-Length-Hint", "SampleCount", "HasMore", "AsOf", "AllowStale",
 			"AllowedRegions", "StartAfter", "PathPrefix", "TimeoutMs", "ApiKeys", "ColdPerS", "ColdLeftMs", "KvUsed",
-			"evacuations", "stage-put", "/manifest/");
+			"evacuations", "stage-put", "/manifest/", "Store-Era", "X-Duty-Holder", "X-Fencing-Token", "DutyPerS",
+			"Duties", "LeaseMs", "UsageWindowS", "UsageLateS", "WindowId", "Counts", "leases", "usage-counts");
 
 	@Test
 	void platformNamesOccurOnlyInAdapter() throws IOException {
