--- a/src/main/java/org/jaywood/platform/MetadataStoreClient.java
+++ b/src/main/java/org/jaywood/platform/MetadataStoreClient.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.regex.Pattern;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
 
@@ -36,6 +37,18 @@
 	private static final ResponseLimits WRITE_LIMITS = new ResponseLimits(RESPONSE_TIMEOUT_MILLIS,
 			MAX_WRITE_RESPONSE_BYTES);
 
+	/**
+	 * Time for the response to a request for a single object. A leader has to send two
+	 * renewals before its lease ends.
+	 */
+	private static final long OBJECT_TIMEOUT_MILLIS = 700;
+
+	/** Largest single object; the store takes 1 MB at most. */
+	private static final int MAX_OBJECT_BYTES = 1024 * 1024 + 64 * 1024;
+
+	private static final ResponseLimits OBJECT_LIMITS = new ResponseLimits(OBJECT_TIMEOUT_MILLIS, MAX_OBJECT_BYTES);
+
+	/** Header with the number of restores of the store so far. */
 	private static final String ERA_HEADER = "Store-Era";
 
 	private static final Pattern ERA_FORMAT = Pattern.compile("[0-9]{1,10}");
@@ -96,6 +109,55 @@
 		}
 	}
 
+	/**
+	 * Reads a single object.
+	 * @param allowStale whether the result may be seconds old, which costs less
+	 * @return the response, whatever its status
+	 * @throws IOException if no complete response arrives
+	 */
+	BufferedResponse readObject(String kind, String name, boolean allowStale) throws IOException {
+		String path = "/objects/" + kind + "/" + encode(name) + (allowStale ? "?AllowStale=1" : "");
+		return this.pool.exchange(this.address, new BasicClassicHttpRequest("GET", path), new byte[0], OBJECT_LIMITS);
+	}
+
+	/**
+	 * Creates an object.
+	 * @return the response, whatever its status; 409 if the object exists
+	 * @throws IOException if no complete response arrives; the store may have created the
+	 * object or may do so later
+	 */
+	BufferedResponse createObject(String kind, String name, JsonNode spec) throws IOException {
+		return write("POST", "/objects/" + kind, Map.of("Metadata", Map.of("Name", name), "Spec", spec));
+	}
+
+	/**
+	 * Replaces an object if it has the given revision.
+	 * @return the response, whatever its status; 409 if it has another one
+	 * @throws IOException if no complete response arrives; the store may have replaced
+	 * the object or may do so later
+	 */
+	BufferedResponse replaceObject(String kind, String name, JsonNode spec, long revision) throws IOException {
+		return write("PUT", "/objects/" + kind + "/" + encode(name),
+				Map.of("Metadata", Map.of("Name", name, "Revision", revision), "Spec", spec));
+	}
+
+	/**
+	 * Replaces an object whatever its revision.
+	 * @return the response, whatever its status; 404 if there is no object
+	 * @throws IOException if no complete response arrives; the store may have replaced
+	 * the object or may do so later
+	 */
+	BufferedResponse replaceObject(String kind, String name, JsonNode spec) throws IOException {
+		return write("PUT", "/objects/" + kind + "/" + encode(name),
+				Map.of("Metadata", Map.of("Name", name), "Spec", spec));
+	}
+
+	private BufferedResponse write(String method, String path, Object object) throws IOException {
+		BasicClassicHttpRequest request = new BasicClassicHttpRequest(method, path);
+		request.setHeader("Content-Type", "application/json");
+		return this.pool.exchange(this.address, request, Json.bytes(object), OBJECT_LIMITS);
+	}
+
 	private StorePage fetchPage(String path, long waitMillis) throws FeedException {
 		try {
 			return exchange(path, waitMillis);
