Report the usage of workspaces by the leader

The platform wants one report a window, and a second, different one breaks a rule. Each gateway counts the calls whose first event or plain answer arrived, once a call, and posts its cumulative counts to the leader twice a second; if no leader is reachable for 1 s they go into the store. The leader merges by process and window, seals a window 3 s after its end, and sends the total only after the store has acknowledged it. The next leader sends the saved total; after a restore of the store it skips windows that ended before the first response of the new era, unless their seal is there or its own.

Run: LeaderElectionPropertyTests (150 tries) and UsageReportingPropertyTests (150 tries with faults, 40 around the end of a leader, one calm) pass, and so do GatewayTests, HedgeTests, ResumedStreamTests, ArchitectureTests, PlatformNamesTests, EventCatalogueTests and StoreLeasesTests.

--- a/src/main/java/org/jaywood/cli/GatewayCommand.java
+++ b/src/main/java/org/jaywood/cli/GatewayCommand.java
@@ -42,7 +42,7 @@
 		PlatformFeeds feeds = this.file.feeds(settings, log);
 		DutySettings duties = settings.duties();
 		Gateway gateway = new Gateway(settings.gateway(this.memoryPercent), new PlatformCalls(), feeds.gateway(),
-				feeds.trialLeases(), (duties != null) ? feeds.leaderPorts(duties) : null, log);
+				feeds.trialLeases(), (duties != null) ? feeds.leaderPorts(duties, settings.vm()) : null, log);
 		this.file.logChangesOnSignal(log);
 		return Daemon.run(gateway::start, gateway::drain);
 	}
--- a/src/main/java/org/jaywood/event/Event.java
+++ b/src/main/java/org/jaywood/event/Event.java
@@ -241,6 +241,18 @@
 	LEADER_STATE_TOO_LARGE(1804, Level.WARNING,
 			"states of the leader tasks have {bytes} bytes, limit {limit}; the saved ones are kept"),
 
+	/** The total of a usage window no longer changes. */
+	USAGE_SEALED(1811, Level.INFO, "usage window {window} sealed with {calls} calls of {workspaces} workspaces"),
+
+	/** The platform has accepted the report of a usage window. */
+	USAGE_ACCEPTED(1812, Level.INFO, "usage window {window} accepted with token {token}"),
+
+	/** The platform has not accepted the report of a usage window; it is sent again. */
+	USAGE_NOT_ACCEPTED(1813, Level.INFO, "usage window {window} not accepted with token {token}: {response}"),
+
+	/** A usage window has no report that is known to be accepted. */
+	USAGE_MISSED(1814, Level.WARNING, "usage window {window} not reported in time: {reason}"),
+
 	/** A stand-in is ready. */
 	STANDIN_STARTED(1901, Level.INFO, "stand-in {kind} listens on {address}");
 
--- a/src/main/java/org/jaywood/gateway/Attempt.java
+++ b/src/main/java/org/jaywood/gateway/Attempt.java
@@ -251,6 +251,15 @@
 		return this.proven;
 	}
 
+	/**
+	 * Whether the call has begun to run, as far as its answer shows: an event of a stream
+	 * has arrived, or the head of a plain answer. An error instead of a stream shows
+	 * nothing.
+	 */
+	boolean begun() {
+		return this.response != null && (!this.call.route().policy().streaming() || this.framer.events() > 0);
+	}
+
 	/**
 	 * Returns what has arrived of the answer.
 	 */
--- a/src/main/java/org/jaywood/gateway/AttemptRunner.java
+++ b/src/main/java/org/jaywood/gateway/AttemptRunner.java
@@ -148,6 +148,7 @@
 				throw new AttemptEndedException(new AttemptResult.Indeterminate(SILENT_VM, Outcome.SILENT));
 			}
 			boolean progressed = attempt.awaitProgress(pollTimeoutMillis(attempt, nowMillis));
+			this.attempts.meter(attempt, BootClock.nowMillis());
 			if (progressed) {
 				attempt.placement().activity().onProgress(BootClock.nowMillis());
 				cancelHedge();
@@ -202,7 +203,9 @@
 		}
 		try {
 			this.attempts.requireTimelyBegin(second, BootClock.nowMillis());
-			if (!second.awaitProgress(POLL_MILLIS)) {
+			boolean progressed = second.awaitProgress(POLL_MILLIS);
+			this.attempts.meter(second, BootClock.nowMillis());
+			if (!progressed) {
 				return current;
 			}
 		}
--- a/src/main/java/org/jaywood/gateway/CallAttempts.java
+++ b/src/main/java/org/jaywood/gateway/CallAttempts.java
@@ -86,6 +86,8 @@
 
 	private OptionalLong streamVersion = OptionalLong.empty();
 
+	private boolean metered;
+
 	CallAttempts(GatewayContext context, Call call, CallerResponse response, Cancellation cancellation) {
 		this.context = context;
 		this.call = call;
@@ -109,6 +111,18 @@
 		return this.attemptsSent;
 	}
 
+	/**
+	 * Counts the call for the usage of its workspace, once, when an attempt shows that it
+	 * has begun to run.
+	 */
+	void meter(Attempt attempt, long nowMillis) {
+		Workspace workspace = this.call.workspace();
+		if (!this.metered && workspace != null && attempt.begun()) {
+			this.metered = true;
+			this.context.meter().record(workspace.name(), nowMillis);
+		}
+	}
+
 	/**
 	 * Whether an upstream may have run the call.
 	 */
--- a/src/main/java/org/jaywood/gateway/Duty.java
+++ b/src/main/java/org/jaywood/gateway/Duty.java
@@ -1,16 +1,34 @@
 package org.jaywood.gateway;
 
+import java.io.IOException;
+
 import org.jaywood.leader.LeaderTask;
-import org.jaywood.wire.Handler;
+import org.jaywood.wire.Exchange;
 
 /**
- * Duty of the leader, to which all gateways report.
- *
- * @param task what the leader does
- * @param path path of the operator port at which the leader takes the reports
- * @param handler handles such a report, also while this process is not the leader
- * @param onTick reports to the leader; called at short intervals on a thread of its own
- * in each gateway
+ * Duty that one gateway, the leader, has for all. The others report to it.
  */
-record Duty(LeaderTask task, String path, Handler handler, Runnable onTick) {
+interface Duty {
+
+	/**
+	 * Returns what the leader does.
+	 */
+	LeaderTask task();
+
+	/**
+	 * Returns the path of the operator port at which the leader takes the reports.
+	 */
+	String path();
+
+	/**
+	 * Handles a report of a gateway, also while this process is not the leader.
+	 */
+	void handle(Exchange exchange, LeaderRunner runner) throws IOException;
+
+	/**
+	 * Reports to the leader where that is due. Called at short intervals in each gateway,
+	 * on a thread of the duty.
+	 */
+	void onTick(LeaderRunner runner);
+
 }
--- a/src/main/java/org/jaywood/gateway/Gateway.java
+++ b/src/main/java/org/jaywood/gateway/Gateway.java
@@ -104,7 +104,10 @@
 	public Gateway(GatewaySettings settings, CallProtocol protocol, GatewayFeeds feeds, TrialLeases trialLeases,
 			@Nullable LeaderPorts leaderPorts, EventLog log) {
 		this.settings = settings;
-		this.context = GatewayContext.create(settings, protocol, log);
+		GatewayMetrics metrics = new GatewayMetrics();
+		this.duties = (leaderPorts != null) ? LeaderDuties.create(settings, leaderPorts, metrics, log) : null;
+		this.context = GatewayContext.create(settings, protocol, metrics,
+				(this.duties != null) ? this.duties.meter() : CallMeter.NONE, log);
 		this.connections = new CallerConnections(
 				new CallAdmission(protocol, settings.keyLifetimeMillis(), settings.routeLifetimeMillis()),
 				settings.limits().maxConnections());
@@ -124,7 +127,6 @@
 				log));
 		this.snapshotService = new SnapshotService(storeCache,
 				() -> this.watchers.stream().allMatch(FeedWatcher::isReachable));
-		this.duties = (leaderPorts != null) ? LeaderDuties.create(settings, leaderPorts, this.context) : null;
 	}
 
 	/**
--- a/src/main/java/org/jaywood/gateway/GatewayContext.java
+++ b/src/main/java/org/jaywood/gateway/GatewayContext.java
@@ -26,22 +26,28 @@
  * @param notices acts on what upstreams say about themselves
  * @param evidenceExchange exchanges with agents what the screen knows
  * @param memory memory that the process holds for others
+ * @param meter counts the calls that have begun to run
  */
 record GatewayContext(GatewaySettings settings, CallProtocol protocol, Dispatcher dispatcher, StoreCache storeCache,
 		ConnectionPool pool, GatewayMetrics metrics, ErrorResponder errorResponder, EventLog log, RetryBudgets budgets,
-		PartScreen screen, NoticeHandler notices, EvidenceExchange evidenceExchange, MemoryBudget memory) {
+		PartScreen screen, NoticeHandler notices, EvidenceExchange evidenceExchange, MemoryBudget memory,
+		CallMeter meter) {
 
 	static GatewayContext create(GatewaySettings settings, CallProtocol protocol, EventLog log) {
+		return create(settings, protocol, new GatewayMetrics(), CallMeter.NONE, log);
+	}
+
+	static GatewayContext create(GatewaySettings settings, CallProtocol protocol, GatewayMetrics metrics,
+			CallMeter meter, EventLog log) {
 		Dispatcher dispatcher = new Dispatcher(settings.dispatch());
 		MemoryBudget memory = new MemoryBudget(settings.limits().memory());
-		GatewayMetrics metrics = new GatewayMetrics();
 		metrics.registerMemory(memory);
 		CrashEvidence evidence = new CrashEvidence();
 		return new GatewayContext(settings, protocol, dispatcher, new StoreCache(dispatcher, log), new ConnectionPool(),
 				metrics, new ErrorResponder(protocol, metrics, log), log,
 				new RetryBudgets(settings.retryRatio(), settings.retryWindowExtra(), settings.retryWindowMillis()),
 				new PartScreen(evidence, new ScreenLog(log, metrics)), new NoticeHandler(dispatcher, metrics, log),
-				new EvidenceExchange(evidence), memory);
+				new EvidenceExchange(evidence), memory, meter);
 	}
 
 	/**
--- a/src/main/java/org/jaywood/gateway/LeaderDuties.java
+++ b/src/main/java/org/jaywood/gateway/LeaderDuties.java
@@ -11,6 +11,7 @@
 import org.jaywood.event.TaskGuard;
 import org.jaywood.leader.LeaderElection;
 import org.jaywood.leader.LeaseTiming;
+import org.jaywood.metering.UsageTask;
 import org.jaywood.wire.DaemonThreads;
 import org.jaywood.wire.HttpPort;
 
@@ -26,29 +27,47 @@
 
 	private final List<Duty> duties;
 
+	private final CallMeter meter;
+
 	private final EventLog log;
 
-	private LeaderDuties(LeaderRunner runner, List<Duty> duties, EventLog log) {
+	private LeaderDuties(LeaderRunner runner, List<Duty> duties, CallMeter meter, EventLog log) {
 		this.runner = runner;
 		this.duties = duties;
+		this.meter = meter;
 		this.log = log;
 	}
 
-	static LeaderDuties create(GatewaySettings settings, LeaderPorts ports, GatewayContext context) {
-		LeaderElection election = new LeaderElection(settings.vm(), settings.operatorAddress(),
-				UUID.randomUUID().toString(), LeaseTiming.of(ports.settings().leaseMillis()), new Random());
+	static LeaderDuties create(GatewaySettings settings, LeaderPorts ports, GatewayMetrics metrics, EventLog log) {
+		String process = UUID.randomUUID().toString();
+		// Each duty that the settings may name is added here.
 		List<Duty> duties = new ArrayList<>();
-		// Each duty is added here, if the settings name it.
+		CallMeter meter = CallMeter.NONE;
+		if (ports.settings().names().contains(UsageTask.NAME)) {
+			UsageDuty usage = new UsageDuty(process, ports, metrics, log);
+			duties.add(usage);
+			meter = usage;
+		}
+		LeaderElection election = new LeaderElection(settings.vm(), settings.operatorAddress(), process,
+				LeaseTiming.of(ports.settings().leaseMillis()), new Random());
 		LeaderRunner runner = new LeaderRunner(election, ports.leases(), duties.stream().map(Duty::task).toList(),
-				context.metrics(), context.log());
-		return new LeaderDuties(runner, List.copyOf(duties), context.log());
+				metrics, log);
+		return new LeaderDuties(runner, List.copyOf(duties), meter, log);
+	}
+
+	/**
+	 * Returns what counts the calls of this gateway.
+	 */
+	CallMeter meter() {
+		return this.meter;
 	}
 
 	/**
 	 * Adds the routes of the reports to the operator port.
 	 */
 	void addRoutes(HttpPort port) {
-		this.duties.forEach((duty) -> port.route("POST", duty.path(), duty.handler()));
+		this.duties
+			.forEach((duty) -> port.route("POST", duty.path(), (exchange) -> duty.handle(exchange, this.runner)));
 	}
 
 	/**
@@ -56,11 +75,13 @@
 	 */
 	void start() {
 		this.runner.start();
-		this.duties.forEach((duty) -> DaemonThreads.startDaemon("report-" + duty.task().name(),
-				() -> new TaskGuard("report-" + duty.task().name(), this.log).repeat(() -> {
-					duty.onTick().run();
-					TimeUnit.MILLISECONDS.sleep(TICK_MILLIS);
-				}, () -> false)));
+		this.duties.forEach((duty) -> {
+			String name = "report-" + duty.task().name();
+			DaemonThreads.startDaemon(name, () -> new TaskGuard(name, this.log).repeat(() -> {
+				duty.onTick(this.runner);
+				TimeUnit.MILLISECONDS.sleep(TICK_MILLIS);
+			}, () -> false));
+		});
 	}
 
 	/**
--- a/src/main/java/org/jaywood/gateway/LeaderPorts.java
+++ b/src/main/java/org/jaywood/gateway/LeaderPorts.java
@@ -1,12 +1,16 @@
 package org.jaywood.gateway;
 
 import org.jaywood.leader.LeaseStore;
+import org.jaywood.metering.UsageApi;
+import org.jaywood.metering.UsageCountStore;
 
 /**
  * Connections of the duties of a leader to the store and to the cloud API.
  *
  * @param settings settings of the duties
  * @param leases lease of the leader
+ * @param usage takes the reports of usage
+ * @param usageCounts counts of gateways that do not reach the leader
  */
-public record LeaderPorts(DutySettings settings, LeaseStore leases) {
+public record LeaderPorts(DutySettings settings, LeaseStore leases, UsageApi usage, UsageCountStore usageCounts) {
 }
--- /dev/null
+++ b/src/main/java/org/jaywood/gateway/UsageDuty.java
@@ -0,0 +1,161 @@
+package org.jaywood.gateway;
+
+import java.io.IOException;
+import java.util.Map;
+import java.util.Optional;
+
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
+
+import org.jaywood.event.EventLog;
+import org.jaywood.feed.BootClock;
+import org.jaywood.http.BufferedResponse;
+import org.jaywood.http.ConnectionPool;
+import org.jaywood.http.ResponseLimits;
+import org.jaywood.leader.LeaderTask;
+import org.jaywood.leader.LeaderTerm;
+import org.jaywood.leader.Lease;
+import org.jaywood.metering.ProcessCounts;
+import org.jaywood.metering.TrueTime;
+import org.jaywood.metering.UsageCountStore;
+import org.jaywood.metering.UsageCounter;
+import org.jaywood.metering.UsageReporter;
+import org.jaywood.metering.UsageTask;
+import org.jaywood.metering.UsageWindows;
+import org.jaywood.wire.BadInputException;
+import org.jaywood.wire.Exchange;
+import org.jaywood.wire.Json;
+
+/**
+ * Usage of workspaces: each gateway counts its calls and tells the leader, which reports
+ * the total of each window to the platform.
+ */
+final class UsageDuty implements Duty, CallMeter {
+
+	private static final String PATH = "/v1/usage";
+
+	private static final int MAX_REPORT_BYTES = 2 * 1024 * 1024;
+
+	private static final ResponseLimits RESPONSE_LIMITS = new ResponseLimits(400, 4 * 1024);
+
+	private final String process;
+
+	private final UsageCounter counter;
+
+	private final UsageReporter reporter = new UsageReporter(BootClock.nowMillis());
+
+	private final TrueTime trueTime = new TrueTime(BootClock.nowMillis(), System.currentTimeMillis());
+
+	private final UsageCountStore countStore;
+
+	private final UsageTask task;
+
+	private final GatewayMetrics metrics;
+
+	private final ConnectionPool pool = new ConnectionPool();
+
+	/**
+	 * Creates the duty.
+	 * @param process random id of this process
+	 */
+	UsageDuty(String process, LeaderPorts ports, GatewayMetrics metrics, EventLog log) {
+		UsageWindows windows = new UsageWindows(ports.settings().usageWindowMillis(),
+				ports.settings().usageDueMillis());
+		this.process = process;
+		this.counter = new UsageCounter(windows);
+		this.countStore = ports.usageCounts();
+		this.task = new UsageTask(windows, this.trueTime, ports.usage(), ports.usageCounts(), this.counter::lastSealed,
+				log);
+		this.metrics = metrics;
+		metrics.registry().gauge("usage.last_sealed", () -> () -> this.task.lastSealed());
+		metrics.registry().gauge("usage.last_accepted", () -> () -> this.task.lastAccepted());
+		metrics.registry().gauge("usage.dropped", () -> () -> this.counter.dropped() + this.task.dropped());
+	}
+
+	@Override
+	public void record(String workspace, long nowMillis) {
+		this.counter.record(workspace, this.trueTime.at(nowMillis));
+	}
+
+	@Override
+	public LeaderTask task() {
+		return this.task;
+	}
+
+	@Override
+	public String path() {
+		return PATH;
+	}
+
+	@Override
+	public void handle(Exchange exchange, LeaderRunner runner) throws IOException {
+		ProcessCounts counts = exchange.readJson(ProcessCounts.class, MAX_REPORT_BYTES);
+		long nowMillis = BootClock.nowMillis();
+		Optional<LeaderTerm> term = runner.term(nowMillis);
+		if (term.isEmpty()) {
+			exchange.respondError(HttpStatus.SC_CONFLICT, "this process is not the leader");
+			return;
+		}
+		long sealed = this.task.merge(counts, nowMillis);
+		exchange.respondJson(HttpStatus.SC_OK, new Confirmation(sealed, term.get().token()));
+	}
+
+	@Override
+	public void onTick(LeaderRunner runner) {
+		long nowMillis = BootClock.nowMillis();
+		this.trueTime.sample(nowMillis, System.currentTimeMillis());
+		if (this.reporter.takeReport(nowMillis)) {
+			report(runner);
+		}
+		if (this.reporter.takeFallback(BootClock.nowMillis())) {
+			store();
+		}
+	}
+
+	private void report(LeaderRunner runner) {
+		Lease lease = runner.lastSeen();
+		if (lease == null) {
+			return;
+		}
+		Map<Long, Map<String, Long>> counts = this.counter.counts();
+		try {
+			BufferedResponse response = this.pool.exchange(lease.address(), new BasicClassicHttpRequest("POST", PATH),
+					Json.bytes(new ProcessCounts(this.process, counts)), RESPONSE_LIMITS);
+			if (response.ok()) {
+				Confirmation confirmation = Json.read(response.body(), Confirmation.class);
+				runner.onTokenSeen(confirmation.token());
+				this.counter.onReported(counts, confirmation.sealed());
+				this.reporter.onConfirmed(BootClock.nowMillis());
+				return;
+			}
+		}
+		catch (IOException | BadInputException ex) {
+			// Sent again with the next report; the store takes the counts meanwhile.
+		}
+		this.metrics.counter("usage.report_failed").inc();
+	}
+
+	private void store() {
+		Map<Long, Map<String, Long>> counts = this.counter.counts();
+		if (counts.isEmpty()) {
+			return;
+		}
+		try {
+			this.countStore.write(new ProcessCounts(this.process, counts));
+			this.metrics.counter("usage.stored").inc();
+		}
+		catch (IOException ex) {
+			this.metrics.counter("usage.store_failed").inc();
+		}
+	}
+
+	/**
+	 * Response of the leader.
+	 *
+	 * @param sealed last window whose counts are no longer taken
+	 * @param token fencing token of the leader
+	 */
+	private record Confirmation(long sealed, long token) {
+	}
+
+}
--- a/src/main/java/org/jaywood/platform/PlatformFeeds.java
+++ b/src/main/java/org/jaywood/platform/PlatformFeeds.java
@@ -44,9 +44,12 @@
 
 	/**
 	 * Returns the connections of the duties of a leader.
+	 * @param vm name of the VM of this process
 	 */
-	public LeaderPorts leaderPorts(DutySettings duties) {
-		return new LeaderPorts(duties, new StoreLeases(this.store));
+	public LeaderPorts leaderPorts(DutySettings duties, String vm) {
+		CloudClient cloud = new CloudClient(duties.cloud(), duties.callsPerSecond());
+		return new LeaderPorts(duties, new StoreLeases(this.store), new CloudUsageApi(cloud),
+				new StoreUsageCounts(this.store, vm));
 	}
 
 	public ReplicaFeeds replica() {
--- a/src/test/java/org/jaywood/ArchitectureTests.java
+++ b/src/test/java/org/jaywood/ArchitectureTests.java
@@ -58,6 +58,8 @@
 				.definedBy("org.jaywood.routing..")
 				.layer("leader")
 				.definedBy("org.jaywood.leader..")
+				.layer("metering")
+				.definedBy("org.jaywood.metering..")
 				.layer("gateway")
 				.definedBy("org.jaywood.gateway..")
 				.layer("replica")
@@ -79,6 +81,8 @@
 				.whereLayer("http")
 				.mayOnlyBeAccessedByLayers("cli", "platform", "gateway", "replica", "routing")
 				.whereLayer("leader")
+				.mayOnlyBeAccessedByLayers("cli", "platform", "gateway", "metering")
+				.whereLayer("metering")
 				.mayOnlyBeAccessedByLayers("cli", "platform", "gateway")
 				.whereLayer("bench")
 				.mayOnlyBeAccessedByLayers("cli")
@@ -129,10 +133,10 @@
 		}
 
 		@Test
-		void leaderElectionUsesNeitherNetworkNorClock() {
+		void leaderTasksUseNeitherNetworkNorClock() {
 			ArchRuleDefinition.noClasses()
 				.that()
-				.resideInAPackage("org.jaywood.leader..")
+				.resideInAnyPackage("org.jaywood.leader..", "org.jaywood.metering..")
 				.should()
 				.dependOnClassesThat()
 				.resideInAnyPackage("java.net..", "org.apache.hc..", "com.sun.net..", "java.time..",
--- /dev/null
+++ b/src/test/java/org/jaywood/metering/UsageReportingPropertyTests.java
@@ -0,0 +1,92 @@
+package org.jaywood.metering;
+
+import java.util.Map;
+import java.util.Random;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.lifecycle.AfterProperty;
+import net.jqwik.api.lifecycle.BeforeProperty;
+
+import org.jaywood.leader.LeaderFleet;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/**
+ * Guards against two different reports of one window, whatever is killed, suspended, cut
+ * off or restored, and against windows that are late or wrong where nothing or one
+ * process fails.
+ */
+class UsageReportingPropertyTests {
+
+	private static final Logger LOGGER = Logger.getLogger("org.jaywood");
+
+	@BeforeProperty
+	void quietLog() {
+		LOGGER.setLevel(Level.SEVERE);
+	}
+
+	@AfterProperty
+	void restoreLog() {
+		LOGGER.setLevel(null);
+	}
+
+	@Property(tries = 150, seed = "1")
+	void noTwoReportsOfAWindowDiffer(@ForAll @IntRange(min = 2, max = 5) int size, @ForAll long seed) {
+		UsageFleet usage = new UsageFleet(size, new Random(seed));
+		for (int round = 0; round < 3; round++) {
+			usage.run(40_000, 0.5, 0.3);
+			usage.fleet().heal();
+			usage.run(10_000, 0, 0.1);
+		}
+		assertThat(usage.violations()).isEmpty();
+		assertThat(usage.accepted()).isNotEmpty();
+	}
+
+	@Example
+	void withoutFaultsEachWindowIsReportedExactly() {
+		UsageFleet usage = new UsageFleet(4, new Random(1));
+		usage.run(12_000, 0, 0);
+		long first = usage.window();
+		usage.run(60_000, 0, 0);
+		for (long window = first; window <= usage.window() - 2; window++) {
+			assertWithMessage("window %s", window).that(usage.accepted().get(window))
+				.isEqualTo(usage.truth().get(window));
+		}
+	}
+
+	@Property(tries = 40, seed = "1")
+	void windowsAroundTheEndOfTheLeaderAreReportedInTime(@ForAll long seed) {
+		UsageFleet usage = new UsageFleet(4, new Random(seed));
+		usage.run(12_000 + Math.floorMod(seed, 10) * 500, 0, 0);
+		long first = usage.window();
+		usage.run(10_000, 0, 0);
+		LeaderFleet.Member leader = usage.fleet()
+			.members()
+			.stream()
+			.filter((member) -> member.term().isPresent())
+			.findFirst()
+			.orElseThrow();
+		leader.restart();
+		for (int steps = 0; steps < 60; steps++) {
+			usage.run(500, 0, 0);
+			long due = usage.window() - 3;
+			if (due >= first) {
+				assertWithMessage("window %s", due).that(usage.accepted().get(due)).isNotNull();
+				long lost = total(usage.truth().get(due)) - total(usage.accepted().get(due));
+				assertWithMessage("calls lost of window %s", due).that(lost).isAtMost(20);
+			}
+		}
+		assertThat(usage.violations()).isEmpty();
+	}
+
+	private static long total(Map<String, Long> counts) {
+		return counts.values().stream().mapToLong(Long::longValue).sum();
+	}
+
+}
