Rank uneven engines by the expected time to the first event

Engines that differ in speed were ranked by their number of calls, so that a slow engine got calls, long ones too, while fast ones had room.

WorkRanking measures the steps of this gateway's attempts (time to the first event by size of the prompt, time between events) as a mean over 3 s against the median of the service. While an engine differs from the median by a factor of 1.4, engines are ranked by the expected time to the first event: work left, in prompts and events, over the measured speed. Else the cost is that of before. Filters (capacity, cold and named limits, quiet engines, outliers, subscribed engines) are unchanged. Expected and actual times are in the metrics, in 1601 and in /dump.

--- a/src/main/java/org/jaywood/gateway/AttemptRunner.java
+++ b/src/main/java/org/jaywood/gateway/AttemptRunner.java
@@ -169,6 +169,7 @@
 		byte[] bytes = attempt.takePending();
 		if (!this.response.committed()) {
 			this.context.metrics().recordFirstByte(BootClock.nowMillis() - this.call.arrivedMillis());
+			this.context.metrics().recordFirstEvent(attempt.placement().activity());
 			if (attempt.responseComplete() && !attempt.streaming()) {
 				this.response.forward(new BufferedUpstreamResponse(received.head(), bytes));
 				return new AttemptResult.Delivered(received.status());
--- a/src/main/java/org/jaywood/gateway/CallAttempts.java
+++ b/src/main/java/org/jaywood/gateway/CallAttempts.java
@@ -415,8 +415,9 @@
 		this.context.log()
 			.log(Event.CALL_PLACED, "request", this.call.id(), "route", this.call.route().name(), "upstream",
 					placement.upstream().id(), "load", placement.load(), "capacity", placement.capacity(), "reportAge",
-					placement.reportAgeMillis(), "waited", placement.waitedMillis(), "attempt", attempt, "moved",
-					this.moved, "configuration", this.call.tableVersion());
+					placement.reportAgeMillis(), "waited", placement.waitedMillis(), "expectedFirst",
+					placement.activity().expectedFirstMillis(), "attempt", attempt, "moved", this.moved,
+					"configuration", this.call.tableVersion());
 	}
 
 	private void logFailed(String upstream, String reason, AttemptProgress progress) {
--- a/src/main/java/org/jaywood/gateway/GatewayMetrics.java
+++ b/src/main/java/org/jaywood/gateway/GatewayMetrics.java
@@ -9,6 +9,7 @@
 import com.codahale.metrics.SlidingTimeWindowArrayReservoir;
 import com.codahale.metrics.jvm.MemoryUsageGaugeSet;
 
+import org.jaywood.routing.AttemptActivity;
 import org.jaywood.wire.MemoryBudget;
 import org.jaywood.wire.MemoryUse;
 
@@ -26,6 +27,10 @@
 
 	private final Histogram waitMillis = histogram("call.wait_millis");
 
+	private final Histogram firstEventMillis = histogram("attempt.first_event_millis");
+
+	private final Histogram expectedFirstEventMillis = histogram("attempt.first_event_expected_millis");
+
 	MetricRegistry registry() {
 		return this.registry;
 	}
@@ -38,6 +43,17 @@
 		this.firstByteMillis.update(millis);
 	}
 
+	/**
+	 * Records the expected and the actual time from the request to the first event of an
+	 * attempt at an engine.
+	 */
+	void recordFirstEvent(AttemptActivity attempt) {
+		if (attempt.expectedFirstMillis() >= 0) {
+			this.firstEventMillis.update(attempt.firstDelayMillis());
+			this.expectedFirstEventMillis.update(attempt.expectedFirstMillis());
+		}
+	}
+
 	void recordAnswer(long millis) {
 		this.answerMillis.update(millis);
 	}
--- a/src/main/java/org/jaywood/routing/AttemptActivity.java
+++ b/src/main/java/org/jaywood/routing/AttemptActivity.java
@@ -6,8 +6,16 @@
  */
 public final class AttemptActivity {
 
+	/**
+	 * Longest time for which an event waits for the caller to take the one before it,
+	 * with the time between the two still that of the engine.
+	 */
+	private static final long MAX_FORWARDING_MILLIS = 10;
+
 	private final long placedMillis;
 
+	private final AttemptObserver observer;
+
 	private long awaitedSinceMillis;
 
 	private boolean awaited;
@@ -20,7 +28,8 @@
 
 	private int progressCount;
 
-	AttemptActivity(long placedMillis) {
+	AttemptActivity(long placedMillis, AttemptObserver observer) {
+		this.observer = observer;
 		this.placedMillis = placedMillis;
 		this.awaitedSinceMillis = placedMillis;
 	}
@@ -29,6 +38,18 @@
 		return this.placedMillis;
 	}
 
+	AttemptObserver observer() {
+		return this.observer;
+	}
+
+	/**
+	 * Returns the time in milliseconds from the request to the first event that was
+	 * expected when the attempt was placed, -1 if none was.
+	 */
+	public long expectedFirstMillis() {
+		return this.observer.expectedFirstMillis();
+	}
+
 	/**
 	 * Records that the request has been sent. From now on the upstream is awaited.
 	 */
@@ -45,6 +66,10 @@
 		if (!begun()) {
 			this.firstDelayMillis = nowMillis - this.awaitedSinceMillis;
 			this.firstProgressMillis = nowMillis;
+			this.observer.onFirst(this.firstDelayMillis, nowMillis);
+		}
+		else if (this.awaited && this.awaitedSinceMillis - this.lastProgressMillis <= MAX_FORWARDING_MILLIS) {
+			this.observer.onGap(nowMillis - this.lastProgressMillis, nowMillis);
 		}
 		this.lastProgressMillis = nowMillis;
 		this.progressCount++;
@@ -79,10 +104,25 @@
 		return this.awaited ? nowMillis - this.awaitedSinceMillis : 0;
 	}
 
+	/**
+	 * Returns the number of times at which the attempt has made progress.
+	 */
+	synchronized int progressCount() {
+		return this.progressCount;
+	}
+
+	/**
+	 * Returns the time in milliseconds from the request to the latest progress, for an
+	 * attempt that has begun.
+	 */
+	synchronized long answerMillis() {
+		return this.firstDelayMillis + this.lastProgressMillis - this.firstProgressMillis;
+	}
+
 	/**
 	 * Returns the time in milliseconds from the request to the first progress.
 	 */
-	synchronized long firstDelayMillis() {
+	public synchronized long firstDelayMillis() {
 		return this.firstDelayMillis;
 	}
 
--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -49,8 +49,12 @@
 	private final StallDetector stallDetector = new StallDetector();
 
 	public Dispatcher(DispatchSettings settings) {
+		this(settings, new WorkRanking());
+	}
+
+	Dispatcher(DispatchSettings settings, EngineRanking ranking) {
 		this.limits = new CallLimits(settings, this.notices);
-		this.policy = new PlacementPolicy(settings, this.limits);
+		this.policy = new PlacementPolicy(settings, this.limits, ranking);
 		this.states = new UpstreamStates(settings);
 	}
 
@@ -215,7 +219,7 @@
 	public synchronized Optional<Placement> placeImmediately(CallRequirements requirements, long nowMillis) {
 		return chooseTimely(available(requirements, nowMillis), requirements, nowMillis)
 			.filter((chosen) -> !chosen.quiet())
-			.map((chosen) -> recordPlacement(chosen, nowMillis, nowMillis));
+			.map((chosen) -> recordPlacement(chosen, requirements, nowMillis, nowMillis));
 	}
 
 	/**
@@ -353,7 +357,9 @@
 			.map((state) -> state.upstream().id() + " " + state.upstream().service() + " "
 					+ state.upstream().dataCentre() + " load=" + state.load(lastReportedGateways(nowMillis), nowMillis)
 					+ " own=" + state.inFlight() + " paused=" + state.health().ejected(nowMillis) + " quiet="
-					+ this.policy.quiet(state, nowMillis) + " weights=" + state.servedWeights(nowMillis))
+					+ this.policy.quiet(state, nowMillis) + " slowness="
+					+ Math.round(100 * this.policy.slowness(state, nowMillis)) / 100.0 + " weights="
+					+ state.servedWeights(nowMillis))
 			.toList();
 	}
 
@@ -427,17 +433,21 @@
 
 	private void place(QueuedCall queuedCall, PlacementPolicy.Candidate chosen, long nowMillis) {
 		this.queue.removePlaced(queuedCall, nowMillis);
-		Placement placement = recordPlacement(chosen, queuedCall.enqueuedMillis(), nowMillis);
+		Placement placement = recordPlacement(chosen, queuedCall.requirements(), queuedCall.enqueuedMillis(),
+				nowMillis);
 		if (!queuedCall.placement().complete(placement)) {
 			// The caller has left in the meantime.
 			this.policy.onEnd(chosen.state(), placement, Outcome.CANCELLED, nowMillis);
 		}
 	}
 
-	private static Placement recordPlacement(PlacementPolicy.Candidate chosen, long enqueuedMillis, long nowMillis) {
+	private Placement recordPlacement(PlacementPolicy.Candidate chosen, CallRequirements requirements,
+			long enqueuedMillis, long nowMillis) {
 		UpstreamState state = chosen.state();
+		AttemptObserver observer = this.policy.observer(chosen, requirements, profile(requirements.service()),
+				nowMillis);
 		return new Placement(state.upstream(), chosen.load(), chosen.capacity(), state.reportAgeMillis(nowMillis),
-				nowMillis - enqueuedMillis, nowMillis, state.onSend(nowMillis));
+				nowMillis - enqueuedMillis, nowMillis, state.onSend(observer, nowMillis));
 	}
 
 }
--- /dev/null
+++ b/src/main/java/org/jaywood/routing/EngineRanking.java
@@ -0,0 +1,35 @@
+package org.jaywood.routing;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Ranks the upstreams that may run a call by the load that they hold.
+ */
+interface EngineRanking {
+
+	/**
+	 * Returns the load of an upstream as a cost: 1 for one that has all its slots in use
+	 * by usual calls.
+	 * @param load calls that it holds
+	 */
+	double cost(UpstreamState state, double load, CallRequirements requirements, @Nullable ServiceProfile profile,
+			long nowMillis);
+
+	/**
+	 * Returns what is to be observed of an attempt that is sent.
+	 */
+	AttemptObserver observer(UpstreamState state, double load, CallRequirements requirements,
+			@Nullable ServiceProfile profile, long nowMillis);
+
+	/**
+	 * Records the end of an attempt.
+	 */
+	void onEnd(AttemptActivity activity, Outcome outcome);
+
+	/**
+	 * Returns the measured factor of an upstream on the usual times of its service, 1 if
+	 * it is not known.
+	 */
+	double slowness(Upstream upstream, long nowMillis);
+
+}
--- a/src/main/java/org/jaywood/routing/PlacementPolicy.java
+++ b/src/main/java/org/jaywood/routing/PlacementPolicy.java
@@ -69,13 +69,16 @@
 
 	private final CallLimits limits;
 
+	private final EngineRanking ranking;
+
 	private final Map<String, ServicePace> paces = new HashMap<>();
 
 	private final StoreOutageDetector outageDetector = new StoreOutageDetector();
 
-	PlacementPolicy(DispatchSettings settings, CallLimits limits) {
+	PlacementPolicy(DispatchSettings settings, CallLimits limits, EngineRanking ranking) {
 		this.settings = settings;
 		this.limits = limits;
+		this.ranking = ranking;
 	}
 
 	/**
@@ -85,6 +88,7 @@
 		ServicePace pace = pace(state.upstream().service());
 		state.onEnd(placement, outcome, pace, nowMillis);
 		pace.onEnd(placement.activity());
+		this.ranking.onEnd(placement.activity(), outcome);
 	}
 
 	/**
@@ -111,7 +115,7 @@
 		double reserveCalls = requirements.queueClass().sentBefore() ? SENT_BEFORE_RESERVE_CALLS : 0;
 		List<Candidate> evaluated = preferSubscribed(candidates, requirements, profile).stream()
 			.filter((state) -> this.limits.waitMillis(state, profile, fleetSize.divisor(), nowMillis) == 0)
-			.map((state) -> evaluate(state, profile, bestShare, fleetSize.gateways(), nowMillis))
+			.map((state) -> evaluate(state, requirements, profile, bestShare, fleetSize.gateways(), nowMillis))
 			.toList();
 		boolean mayWait = profile instanceof ServiceProfile.Engines && !requirements.queueClass().sentBefore()
 				&& evaluated.stream().anyMatch((candidate) -> !candidate.quiet());
@@ -194,8 +198,8 @@
 		return newEnough && matchesPinned;
 	}
 
-	private Candidate evaluate(UpstreamState state, @Nullable ServiceProfile profile, double bestShare,
-			int gatewayCount, long nowMillis) {
+	private Candidate evaluate(UpstreamState state, CallRequirements requirements, @Nullable ServiceProfile profile,
+			double bestShare, int gatewayCount, long nowMillis) {
 		Upstream upstream = state.upstream();
 		double load = state.load(gatewayCount, nowMillis);
 		double excess = Math.max(0, state.health().failureShare() - bestShare);
@@ -204,10 +208,26 @@
 		if (excess > OUTLIER_EXCESS_SHARE) {
 			capacity = (state.inFlight() < MAX_OUTLIER_CALLS) ? capacity : 0;
 		}
-		double cost = load / Math.max(1, upstream.slots()) + distancePenalty(upstream) + FAILURE_PENALTY * excess;
+		double cost = this.ranking.cost(state, load, requirements, profile, nowMillis) + distancePenalty(upstream)
+				+ FAILURE_PENALTY * excess;
 		return new Candidate(state, load, capacity, cost, quiet(state, nowMillis));
 	}
 
+	/**
+	 * Returns what is to be observed of an attempt that is sent to a chosen upstream.
+	 */
+	AttemptObserver observer(Candidate chosen, CallRequirements requirements, @Nullable ServiceProfile profile,
+			long nowMillis) {
+		return this.ranking.observer(chosen.state(), chosen.load(), requirements, profile, nowMillis);
+	}
+
+	/**
+	 * Returns the measured factor of an upstream on the usual times of its service.
+	 */
+	double slowness(UpstreamState state, long nowMillis) {
+		return this.ranking.slowness(state.upstream(), nowMillis);
+	}
+
 	private double distancePenalty(Upstream upstream) {
 		if (!upstream.region().equals(this.settings.region())) {
 			return OTHER_REGION_PENALTY;
--- a/src/main/java/org/jaywood/routing/UpstreamActivity.java
+++ b/src/main/java/org/jaywood/routing/UpstreamActivity.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.ToDoubleFunction;
 
 /**
  * Attempts of this gateway that run at one upstream. While none of them makes progress,
@@ -39,8 +40,8 @@
 
 	private long quietUntilMillis = Long.MIN_VALUE;
 
-	AttemptActivity begin(long nowMillis) {
-		AttemptActivity attempt = new AttemptActivity(nowMillis);
+	AttemptActivity begin(AttemptObserver observer, long nowMillis) {
+		AttemptActivity attempt = new AttemptActivity(nowMillis, observer);
 		this.running.add(attempt);
 		return attempt;
 	}
@@ -106,6 +107,13 @@
 		return this.running.stream().filter((attempt) -> !attempt.begun()).count();
 	}
 
+	/**
+	 * Returns the sum of a value over the running attempts.
+	 */
+	double sum(ToDoubleFunction<AttemptActivity> value) {
+		return this.running.stream().mapToDouble(value).sum();
+	}
+
 	/**
 	 * Whether an attempt has made progress since a time.
 	 */
--- a/src/main/java/org/jaywood/routing/UpstreamState.java
+++ b/src/main/java/org/jaywood/routing/UpstreamState.java
@@ -1,6 +1,7 @@
 package org.jaywood.routing;
 
 import java.util.OptionalInt;
+import java.util.function.ToDoubleFunction;
 
 import org.jspecify.annotations.Nullable;
 
@@ -311,12 +312,19 @@
 		return this.inFlight;
 	}
 
-	AttemptActivity onSend(long nowMillis) {
+	AttemptActivity onSend(AttemptObserver observer, long nowMillis) {
 		this.inFlight++;
 		this.sendRate.record(nowMillis);
 		this.inTransitCalls.add(nowMillis);
 		this.freeShare.onOwnCalls(this.inFlight, nowMillis);
-		return this.activity.begin(nowMillis);
+		return this.activity.begin(observer, nowMillis);
+	}
+
+	/**
+	 * Returns the sum of a value over the attempts of this gateway that run here.
+	 */
+	double sumOfRunning(ToDoubleFunction<AttemptActivity> value) {
+		return this.activity.sum(value);
 	}
 
 	/**
