--- a/src/main/java/org/jaywood/gateway/GatewayMetrics.java
+++ b/src/main/java/org/jaywood/gateway/GatewayMetrics.java
@@ -10,6 +10,7 @@
 import com.codahale.metrics.SlidingTimeWindowArrayReservoir;
 import com.codahale.metrics.jvm.MemoryUsageGaugeSet;
 
+import org.jaywood.routing.AttemptActivity;
 import org.jaywood.wire.MemoryBudget;
 import org.jaywood.wire.MemoryUse;
 
@@ -27,6 +28,10 @@
 
 	private final Histogram waitMillis = histogram("call.wait_millis");
 
+	private final Histogram firstEventMillis = histogram("attempt.first_event_millis");
+
+	private final Histogram expectedFirstEventMillis = histogram("attempt.first_event_expected_millis");
+
 	MetricRegistry registry() {
 		return this.registry;
 	}
@@ -39,6 +44,17 @@
 		this.firstByteMillis.update(millis);
 	}
 
+	/**
+	 * Records the expected and the actual time from the request to the first event of an
+	 * attempt at an engine.
+	 */
+	void recordFirstEvent(AttemptActivity attempt) {
+		if (attempt.expectedFirstMillis() >= 0) {
+			this.firstEventMillis.update(attempt.firstDelayMillis());
+			this.expectedFirstEventMillis.update(attempt.expectedFirstMillis());
+		}
+	}
+
 	void recordAnswer(long millis) {
 		this.answerMillis.update(millis);
 	}
