Choose the version to complete by what is missing, forget dropped versions, end silent requests to the origin

Cause: a target version younger than 2.5 s was replaced by a newer one whatever had arrived of it, and an older one was finished whatever was missing. A version that the origin answers with 410 was asked for without end and kept newer ones from being loaded. A request that the origin had taken before it fell silent waited up to 10 s for the rest of its body, so that the root of a chunk asked again only long after the origin's return.

Change: VersionChoice decides from the chunks missing of each version, the measured rate of arrival, the grace period and the times of the announcements. Rollout keeps the versions that have not been given up; a newer whole one always wins, and a whole one is loaded again after a restart of the engine while calls may begin on it. Status 410 is a VersionGoneException and final. A chunk of the origin ends after 1.5 s without a byte. The states and events are listed in docs/design/rollout.md.

The second half of the engines loads a superseded version once the first half has had the time of a load, where it loaded at once before; the wait of 6.1 s counts from the first version newer than the one served.

Runs: RolloutTests, RolloutPropertyTests (200 tries), EngineReconcilerTests, OriginOutageTests, DownloadSchedulerTests, WeightOriginTests and the neighbouring unit tests pass. OriginOutageTests.SilentOrigin fails with the former 10 s in all three cases (agents lack up to 78 of 96 chunks 5 s after the origin's return).

--- a/src/main/java/org/jaywood/event/Event.java
+++ b/src/main/java/org/jaywood/event/Event.java
@@ -119,6 +119,9 @@
 	LOAD_DOUBTFUL(1309, Level.WARNING,
 			"load of {model} {version} accepted up to {ageMillis} ms after its chunks were compared"),
 
+	/** The origin has dropped a target version for good. */
+	WEIGHTS_GONE(1310, Level.WARNING, "{model} {version} given up, the origin has dropped it: {error}"),
+
 	/** An engine serves the ordered weights. */
 	WEIGHTS_ACTIVATED(1401, Level.INFO, "engine serves {manifest}"),
 
--- a/src/main/java/org/jaywood/http/ConnectionPool.java
+++ b/src/main/java/org/jaywood/http/ConnectionPool.java
@@ -1,6 +1,8 @@
 package org.jaywood.http;
 
+import java.io.FilterInputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.SocketTimeoutException;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -141,9 +143,8 @@
 			request.setHeader(HttpHeaders.HOST, address.toString());
 			connection.send(request, body);
 			StreamedResponse response = connection.receive(limits.headTimeoutMillis());
-			connection.setReadDeadline(Math.max(limits.headTimeoutMillis(), MIN_BODY_TIMEOUT_MILLIS));
 			byte[] bytes = (response.length() <= limits.maxBodyBytes())
-					? Framing.readBounded(response.body(), limits.maxBodyBytes()) : null;
+					? Framing.readBounded(timedBody(connection, response, limits), limits.maxBodyBytes()) : null;
 			if (bytes == null) {
 				throw new IOException("the response of " + address + " exceeds " + limits.maxBodyBytes() + " bytes");
 			}
@@ -160,6 +161,29 @@
 		}
 	}
 
+	/**
+	 * Returns a body whose reads end at the time for the whole body or after a pause.
+	 */
+	private static InputStream timedBody(ClientConnection connection, StreamedResponse response,
+			ResponseLimits limits) {
+		long bodyMillis = Math.max(limits.headTimeoutMillis(), MIN_BODY_TIMEOUT_MILLIS);
+		connection.setReadDeadline(bodyMillis);
+		if (limits.maxPauseMillis() >= bodyMillis) {
+			return response.body();
+		}
+		long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(bodyMillis);
+		return new FilterInputStream(response.body()) {
+
+			@Override
+			public int read(byte[] bytes, int offset, int length) throws IOException {
+				long leftMillis = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime());
+				connection.setReadDeadline(Math.min(limits.maxPauseMillis(), leftMillis));
+				return super.read(bytes, offset, length);
+			}
+
+		};
+	}
+
 	/**
 	 * Closes the idle connections to an address.
 	 */
--- a/src/main/java/org/jaywood/http/ResponseLimits.java
+++ b/src/main/java/org/jaywood/http/ResponseLimits.java
@@ -5,6 +5,15 @@
  *
  * @param headTimeoutMillis time for the head of the response
  * @param maxBodyBytes largest body
+ * @param maxPauseMillis longest time within the body in which no byte arrives
  */
-public record ResponseLimits(long headTimeoutMillis, int maxBodyBytes) {
+public record ResponseLimits(long headTimeoutMillis, int maxBodyBytes, long maxPauseMillis) {
+
+	/**
+	 * Creates limits with one time for the whole body only.
+	 */
+	public ResponseLimits(long headTimeoutMillis, int maxBodyBytes) {
+		this(headTimeoutMillis, maxBodyBytes, Long.MAX_VALUE);
+	}
+
 }
--- a/src/main/java/org/jaywood/platform/PlatformEngineClient.java
+++ b/src/main/java/org/jaywood/platform/PlatformEngineClient.java
@@ -21,6 +21,7 @@
 import org.jaywood.replica.EngineReport;
 import org.jaywood.replica.EngineUnavailableException;
 import org.jaywood.replica.LoadOrder;
+import org.jaywood.replica.VersionGoneException;
 import org.jaywood.replica.WeightOrigin;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Json;
@@ -33,6 +34,13 @@
 
 	private static final long RESPONSE_TIMEOUT_MILLIS = 1_500;
 
+	/**
+	 * Longest pause within a chunk of the origin. An origin that stops without closing
+	 * its connections would otherwise hold a request for the time of a whole body, so
+	 * that the chunk is asked for again only long after the origin is back.
+	 */
+	private static final long ORIGIN_PAUSE_MILLIS = 1_500;
+
 	/** Size of a report, and of a response to an order or a written chunk. */
 	private static final int MAX_STATUS_BYTES = 64 * 1024;
 
@@ -101,9 +109,7 @@
 	public ChunkManifest fetchManifest(Address origin, String model, long version) throws IOException {
 		BufferedResponse response = exchange(origin, "GET", "/manifest/" + model + "?Version=" + version, new byte[0],
 				MANIFEST_LIMITS);
-		if (response.status() != HttpStatus.SC_OK) {
-			throw new IOException("manifest of " + model + " " + version + ": status " + response.status());
-		}
+		requirePresent(response, "manifest of " + model + " " + version);
 		JsonNode node = Json.tree(response.body());
 		List<String> digests = new ArrayList<>();
 		node.path("Digests").forEach((digest) -> digests.add(digest.asText()));
@@ -117,10 +123,9 @@
 	public byte[] fetchChunk(Address origin, ChunkManifest manifest, int index) throws IOException {
 		BufferedResponse response = exchange(origin, "GET",
 				"/piece/" + manifest.model() + "?" + INDEX_PARAMETER + "=" + index + "&Version=" + manifest.version(),
-				new byte[0], chunkLimits(manifest.maxChunkBytes()));
-		if (response.status() != HttpStatus.SC_OK) {
-			throw new IOException("chunk " + index + ": status " + response.status());
-		}
+				new byte[0],
+				new ResponseLimits(RESPONSE_TIMEOUT_MILLIS, manifest.maxChunkBytes(), ORIGIN_PAUSE_MILLIS));
+		requirePresent(response, "chunk " + index);
 		return response.body();
 	}
 
@@ -153,6 +158,15 @@
 		return new ResponseLimits(RESPONSE_TIMEOUT_MILLIS, maxChunkBytes);
 	}
 
+	private static void requirePresent(BufferedResponse response, String what) throws IOException {
+		if (response.status() == HttpStatus.SC_GONE) {
+			throw new VersionGoneException(what + ": status " + response.status());
+		}
+		if (response.status() != HttpStatus.SC_OK) {
+			throw new IOException(what + ": status " + response.status());
+		}
+	}
+
 	private static void requireOk(BufferedResponse response, String what) throws EngineUnavailableException {
 		if (response.status() != HttpStatus.SC_OK) {
 			throw new EngineUnavailableException(what + ": status " + response.status() + " "
--- a/src/main/java/org/jaywood/platform/PlatformSettings.java
+++ b/src/main/java/org/jaywood/platform/PlatformSettings.java
@@ -129,13 +129,18 @@
 	public ReplicaSettings replica() {
 		return new ReplicaSettings(vm(), Address.parse(this.tree.path("app").asText()), new Address(ip(), firstPort()),
 				this.tree.path("Service").asText(), this.tree.path("Region").asText(), this.tree.path("Zone").asText(),
-				Math.round(this.tree.path("Limits").path("LinkMbps").asDouble() * BYTES_PER_MEGABIT), graceMillis());
+				Math.round(this.tree.path("Limits").path("LinkMbps").asDouble() * BYTES_PER_MEGABIT), graceMillis(),
+				versionGraceMillis(this.tree.path("Bounds")));
 	}
 
 	private DispatchSettings dispatchSettings(JsonNode bounds) {
 		return new DispatchSettings(vm(), this.tree.path("Region").asText(), this.tree.path("Zone").asText(),
 				bounds.path("ColdOverage").asDouble(), bounds.path("ColdSlack").asDouble(), LAPSE_GRACE_MILLIS,
-				bounds.path("version_ms").asLong() - VERSION_GRACE_MARGIN_MILLIS);
+				versionGraceMillis(bounds));
+	}
+
+	private static long versionGraceMillis(JsonNode bounds) {
+		return bounds.path("version_ms").asLong() - VERSION_GRACE_MARGIN_MILLIS;
 	}
 
 	private long graceMillis() {
--- a/src/main/java/org/jaywood/replica/ChunkDownloader.java
+++ b/src/main/java/org/jaywood/replica/ChunkDownloader.java
@@ -71,8 +71,9 @@
 	/**
 	 * Fetches the manifest, from a peer that has it or from the origin.
 	 * @return the manifest, or null if no source delivered it
+	 * @throws VersionGoneException if the origin has dropped the version for good
 	 */
-	@Nullable ChunkManifest loadManifest(ModelVersion target, Upstream ownEngine) {
+	@Nullable ChunkManifest loadManifest(ModelVersion target, Upstream ownEngine) throws VersionGoneException {
 		List<Upstream> peers = planFor(target, ownEngine).manifestSources();
 		for (Upstream peer : peers) {
 			try {
@@ -85,6 +86,9 @@
 		try {
 			return this.origin.fetchManifest(originAddress(), target.model(), target.version());
 		}
+		catch (VersionGoneException ex) {
+			throw ex;
+		}
 		catch (IOException | RuntimeException ex) {
 			logFailure("list", ORIGIN, ex);
 			return null;
@@ -95,8 +99,10 @@
 	 * Fetches the missing chunks of a download. Returns early when the version is no
 	 * longer needed, since the next one needs the link.
 	 * @param isNeeded whether the version is still needed
+	 * @throws VersionGoneException if the origin has dropped the version for good
 	 */
-	void fetch(WeightsDownload download, Upstream ownEngine, BooleanSupplier isNeeded) throws InterruptedException {
+	void fetch(WeightsDownload download, Upstream ownEngine, BooleanSupplier isNeeded)
+			throws InterruptedException, VersionGoneException {
 		new DownloadTask(download, ownEngine, isNeeded).run();
 	}
 
@@ -159,6 +165,9 @@
 
 		private final AtomicLong maxOriginFetchMillis = new AtomicLong();
 
+		/** Response of the origin that ends this download. */
+		private volatile @Nullable VersionGoneException gone;
+
 		private long plannedChangeCount;
 
 		private long lastPlanMillis;
@@ -173,11 +182,11 @@
 			this.scheduler = new DownloadScheduler(planFor(this.target, ownEngine));
 		}
 
-		void run() throws InterruptedException {
+		void run() throws InterruptedException, VersionGoneException {
 			long seenEndCount = -1;
 			long startMillis = BootClock.nowMillis();
 			long lastReportMillis = startMillis;
-			while (!this.download.isComplete() && this.isNeeded.getAsBoolean()) {
+			while (this.gone == null && !this.download.isComplete() && this.isNeeded.getAsBoolean()) {
 				long nowMillis = BootClock.nowMillis();
 				replanIfChanged(nowMillis);
 				if (this.requestEnds.changeCount() != seenEndCount) {
@@ -191,6 +200,10 @@
 				this.requestEnds.await(seenEndCount, CANCEL_CHECK_MILLIS);
 			}
 			releaseOrigin();
+			VersionGoneException failure = this.gone;
+			if (failure != null && !this.download.isComplete()) {
+				throw failure;
+			}
 		}
 
 		private synchronized void logProgress(long millis) {
@@ -278,6 +291,9 @@
 				this.maxOriginFetchMillis.accumulateAndGet(BootClock.nowMillis() - startMillis, Math::max);
 				addChunk(new LocalChunks.Chunk(request.index(), bytes), ORIGIN, this.receivedFromOrigin);
 			}
+			catch (VersionGoneException ex) {
+				this.gone = ex;
+			}
 			catch (IOException | RuntimeException ex) {
 				logFailure(Integer.toString(request.index()), ORIGIN, ex);
 				delayOriginRetry();
--- a/src/main/java/org/jaywood/replica/DownloadManager.java
+++ b/src/main/java/org/jaywood/replica/DownloadManager.java
@@ -126,32 +126,50 @@
 		if (ownEngine.get().leaving()) {
 			return true;
 		}
-		this.serviceState.target()
-			.ifPresent((targetVersion) -> this.rollout.onTargetVersion(targetVersion, BootClock.nowMillis()));
-		Optional<ModelVersion> missing = this.rollout.versionsToDownload()
-			.stream()
-			.filter((version) -> !report.serves(version, profile.get().layers()) && !isComplete(version))
-			.findFirst();
+		adoptTarget();
+		this.downloads.values().forEach(this::recordProgress);
+		Optional<ModelVersion> missing = this.rollout.versionToFetch(BootClock.nowMillis())
+			.filter((version) -> !report.serves(version, profile.get().layers()));
 		if (missing.isPresent()) {
-			downloadVersion(missing.get(), ownEngine.get());
+			try {
+				downloadVersion(missing.get(), ownEngine.get());
+			}
+			catch (VersionGoneException ex) {
+				onGone(missing.get(), ex);
+			}
 		}
 		return missing.isEmpty();
 	}
 
-	private boolean isComplete(ModelVersion version) {
-		WeightsDownload download = this.downloads.get(version);
-		return download != null && download.isComplete();
-	}
-
-	private boolean isNeeded(ModelVersion version) {
+	private void adoptTarget() {
 		this.serviceState.target()
 			.ifPresent((targetVersion) -> this.rollout.onTargetVersion(targetVersion, BootClock.nowMillis()));
+	}
+
+	private void recordProgress(WeightsDownload download) {
+		this.rollout.onProgress(download.chunkManifest().modelVersion(), download.chunkManifest().size(),
+				download.missing().cardinality(), BootClock.nowMillis());
+	}
+
+	private boolean isNeeded(WeightsDownload download) {
+		adoptTarget();
+		recordProgress(download);
 		boolean leaving = this.serviceState.ownEngine().filter(Upstream::leaving).isPresent();
-		return !this.closed && !leaving && this.rollout.versionsToDownload().contains(version);
+		return !this.closed && !leaving
+				&& this.rollout.versionToFetch(BootClock.nowMillis())
+					.filter(download.chunkManifest().modelVersion()::equals)
+					.isPresent();
+	}
+
+	private void onGone(ModelVersion version, VersionGoneException failure) {
+		this.rollout.onGone(version);
+		this.downloads.remove(version);
+		this.log.log(Event.WEIGHTS_GONE, "model", version.model(), "version", version.version(), "error",
+				failure.getMessage());
 	}
 
 	private void downloadVersion(ModelVersion version, Upstream ownEngine)
-			throws EngineUnavailableException, InterruptedException {
+			throws EngineUnavailableException, InterruptedException, VersionGoneException {
 		WeightsDownload download = this.downloads.get(version);
 		if (download == null) {
 			ChunkManifest manifest = this.downloader.loadManifest(version, ownEngine);
@@ -160,12 +178,14 @@
 			}
 			download = new WeightsDownload(manifest);
 			addStagedChunks(download);
-			this.downloads.keySet().removeIf((other) -> other.version() < version.version() - 1);
+			removeDownloadsBefore(version);
 			this.downloads.put(version, download);
 			this.downloadStarts.raise();
 		}
 		long startMillis = BootClock.nowMillis();
-		this.downloader.fetch(download, ownEngine, () -> isNeeded(version));
+		WeightsDownload started = download;
+		this.downloader.fetch(download, ownEngine, () -> isNeeded(started));
+		recordProgress(download);
 		if (download.isComplete()) {
 			this.serviceState.changes().raise();
 			this.log.log(Event.WEIGHTS_VERIFIED, "manifest", version.model() + "/" + version.version(), "chunks",
@@ -173,6 +193,16 @@
 		}
 	}
 
+	/**
+	 * Removes downloads of old versions, which peers may still ask for one version back.
+	 * One that the engine is to load is kept.
+	 */
+	private void removeDownloadsBefore(ModelVersion version) {
+		Optional<ModelVersion> target = this.rollout.target(BootClock.nowMillis());
+		this.downloads.keySet()
+			.removeIf((other) -> other.version() < version.version() - 1 && !target.equals(Optional.of(other)));
+	}
+
 	/**
 	 * Adds the chunks that were staged before a restart of this agent.
 	 */
--- a/src/main/java/org/jaywood/replica/EngineReconciler.java
+++ b/src/main/java/org/jaywood/replica/EngineReconciler.java
@@ -94,10 +94,17 @@
 			return;
 		}
 		this.rollout.onTargetVersion(targetVersion.get(), BootClock.nowMillis());
-		ModelVersion target = this.rollout.target();
+		this.rollout.versions()
+			.stream()
+			.filter((version) -> report.serves(version, profile.get().layers()))
+			.forEach(this.rollout::onServed);
+		Optional<ModelVersion> chosen = this.rollout.target(BootClock.nowMillis());
+		if (chosen.isEmpty()) {
+			return;
+		}
+		ModelVersion target = chosen.get();
 		if (report.serves(target, profile.get().layers())) {
 			onTargetServed(target);
-			this.rollout.onServed(target);
 			return;
 		}
 		this.servedVersion = null;
--- a/src/main/java/org/jaywood/replica/Replica.java
+++ b/src/main/java/org/jaywood/replica/Replica.java
@@ -74,7 +74,7 @@
 		this.snapshotSync = new SnapshotSync(settings, serviceState, feeds, peerClient, log);
 		ChunkDownloader downloader = new ChunkDownloader(serviceState, peerClient, origin, settings.listen().port(),
 				log);
-		Rollout rollout = new Rollout();
+		Rollout rollout = new Rollout(settings.versionGraceMillis());
 		this.downloads = new DownloadManager(serviceState, engine, this.monitor, rollout, downloader, log);
 		this.localChunks = new LocalChunks(this.downloads, engine, this.monitor, log);
 		WeightsLoader loader = new WeightsLoader(engine, BootClock::nowMillis, log);
--- a/src/main/java/org/jaywood/replica/ReplicaSettings.java
+++ b/src/main/java/org/jaywood/replica/ReplicaSettings.java
@@ -14,7 +14,9 @@
  * @param linkBytesPerSecond speed of the link of the VM, shared with its engine, in bytes
  * per second
  * @param graceMillis time between the signal to stop and the forced end
+ * @param versionGraceMillis time after the announcement of a version in which calls may
+ * begin on the one before
  */
 public record ReplicaSettings(String vm, Address engine, Address listen, String service, String region,
-		String dataCentre, long linkBytesPerSecond, long graceMillis) {
+		String dataCentre, long linkBytesPerSecond, long graceMillis, long versionGraceMillis) {
 }
--- a/src/main/java/org/jaywood/replica/Rollout.java
+++ b/src/main/java/org/jaywood/replica/Rollout.java
@@ -2,7 +2,8 @@
 
 import java.util.Comparator;
 import java.util.List;
-import java.util.Objects;
+import java.util.Optional;
+import java.util.function.UnaryOperator;
 import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
@@ -11,104 +12,170 @@
 import org.jaywood.routing.Upstream;
 
 /**
- * Decides which version an agent downloads when target versions succeed each other, and
- * when its engine loads. Designed for a target version that is set while the version
- * before is still spreading: a download that has run for a while is finished and loaded,
- * since the engines would otherwise have no version that may run calls until the newest
- * one has arrived. Thread-safe.
+ * Keeps the target versions of an engine and what has arrived of them, and says which one
+ * to fetch, which one the engine is to serve ({@link VersionChoice}) and when it loads.
+ * Designed for target versions that succeed each other while the origin of weights may be
+ * down or has dropped one. A version that was given up for a newer one is not resumed, so
+ * that agents do not keep asking each other for it. States and events are listed in
+ * {@code docs/design/rollout.md}. Thread-safe.
  */
 final class Rollout {
 
-	/**
-	 * Age of a target version up to which a newer one replaces it at once: about half the
-	 * time of a download.
-	 */
-	private static final long MAX_REPLACEABLE_AGE_MILLIS = 2_500;
-
 	/**
 	 * Time from the receipt of a target version until the second half of the engines
 	 * loads.
 	 */
 	private static final long SECOND_HALF_DELAY_MILLIS = 6_100;
 
-	private @Nullable ModelVersion current;
+	private final VersionChoice choice;
+
+	private final ArrivalRate arrivals = new ArrivalRate();
+
+	/** Target versions that have not been given up, oldest first. */
+	private List<VersionProgress> announced = List.of();
 
-	private long currentReceivedMillis;
+	/** Newest version that the origin has dropped. */
+	private @Nullable ModelVersion gone;
 
-	private @Nullable ModelVersion next;
+	/** Newest version that the engine has served. */
+	private @Nullable ModelVersion served;
 
-	private long nextReceivedMillis;
+	/** Receipt of the oldest target version that is newer than the served one. */
+	private long pendingSinceMillis;
+
+	/**
+	 * Creates a rollout without a target version.
+	 * @param graceMillis time after the announcement of a version in which calls may
+	 * begin on the one before
+	 */
+	Rollout(long graceMillis) {
+		this.choice = new VersionChoice(graceMillis);
+	}
 
 	/**
-	 * Adopts the newest target version.
+	 * Adopts the newest target version, unless it is older than a known one or the origin
+	 * has dropped it.
 	 */
 	synchronized void onTargetVersion(ModelVersion targetVersion, long nowMillis) {
-		ModelVersion present = this.current;
-		if (present == null || !present.model().equals(targetVersion.model())) {
-			this.current = targetVersion;
-			this.currentReceivedMillis = nowMillis;
-			this.next = null;
-			return;
+		boolean otherModel = !this.announced.isEmpty() && !isSameModel(this.announced.getFirst(), targetVersion);
+		if (otherModel) {
+			this.announced = List.of();
+			this.served = null;
 		}
-		if (targetVersion.version() <= newestVersion(present).version()) {
-			return;
+		if (isNewer(targetVersion, this.gone)
+				&& this.announced.stream().allMatch((known) -> isNewer(targetVersion, known.version()))) {
+			if (this.announced.isEmpty() || this.announced.getLast().version().equals(this.served)) {
+				this.pendingSinceMillis = nowMillis;
+			}
+			this.announced = Stream
+				.concat(this.announced.stream().map((known) -> known.superseded(nowMillis)),
+						Stream.of(VersionProgress.announced(targetVersion, nowMillis)))
+				.toList();
 		}
-		this.next = targetVersion;
-		this.nextReceivedMillis = nowMillis;
-		if (nowMillis - this.currentReceivedMillis <= MAX_REPLACEABLE_AGE_MILLIS) {
-			advance();
+	}
+
+	private static boolean isSameModel(VersionProgress known, ModelVersion version) {
+		return known.version().model().equals(version.model());
+	}
+
+	private static boolean isNewer(ModelVersion version, @Nullable ModelVersion other) {
+		return other == null || !other.model().equals(version.model()) || version.version() > other.version();
+	}
+
+	/**
+	 * Records what has been received of a version.
+	 * @param chunks number of its chunks
+	 * @param missing number of chunks that have not been received
+	 */
+	synchronized void onProgress(ModelVersion version, int chunks, int missing, long nowMillis) {
+		this.announced = replace(version, (known) -> {
+			if (known.chunks() == chunks && missing < known.missing()) {
+				this.arrivals.onArrival(known.missing() - missing, known.changedMillis(), nowMillis);
+			}
+			return known.withMissing(chunks, missing, nowMillis);
+		});
+	}
+
+	private List<VersionProgress> replace(ModelVersion version, UnaryOperator<VersionProgress> change) {
+		return this.announced.stream()
+			.map((known) -> known.version().equals(version) ? change.apply(known) : known)
+			.toList();
+	}
+
+	/**
+	 * Records that the origin has dropped a version. It and older ones that are not whole
+	 * are forgotten.
+	 */
+	synchronized void onGone(ModelVersion version) {
+		if (isNewer(version, this.gone)) {
+			this.gone = version;
 		}
+		this.announced = this.announced.stream()
+			.filter((known) -> known.isWhole() || isNewer(known.version(), version))
+			.toList();
 	}
 
 	/**
 	 * Records that the engine serves a version.
 	 */
 	synchronized void onServed(ModelVersion version) {
-		if (version.equals(this.current)) {
-			advance();
+		if (isNewer(version, this.served)) {
+			this.served = version;
+			this.announced.stream()
+				.filter((known) -> isNewer(known.version(), version))
+				.findFirst()
+				.ifPresent((pending) -> this.pendingSinceMillis = pending.announcedMillis());
 		}
 	}
 
 	/**
-	 * Returns the version to download and load.
+	 * Returns the version that the engine is to serve, empty if none is known.
 	 */
-	synchronized ModelVersion target() {
-		if (this.current == null) {
-			throw new IllegalStateException("no target version has been received");
-		}
-		return this.current;
+	synchronized Optional<ModelVersion> target(long nowMillis) {
+		return this.choice.versionToServe(this.announced, this.arrivals.chunksPerMilli(nowMillis), nowMillis)
+			.map(VersionProgress::version);
+	}
+
+	/**
+	 * Returns the version to fetch, empty if the newest one is whole. Versions older than
+	 * it are given up, apart from the newest whole one.
+	 */
+	synchronized Optional<ModelVersion> versionToFetch(long nowMillis) {
+		Optional<ModelVersion> version = this.choice
+			.versionToFetch(this.announced, this.arrivals.chunksPerMilli(nowMillis), nowMillis)
+			.map(VersionProgress::version);
+		Optional<ModelVersion> newestWhole = this.announced.stream()
+			.filter(VersionProgress::isWhole)
+			.map(VersionProgress::version)
+			.reduce((first, second) -> second);
+		this.announced = this.announced.stream()
+			.filter((known) -> newestWhole.equals(Optional.of(known.version()))
+					|| version.isPresent() && !isNewer(version.get(), known.version()))
+			.toList();
+		return version;
 	}
 
 	/**
-	 * Returns the versions to download, the one to load first.
+	 * Returns the target versions that have not been given up, oldest first.
 	 */
-	synchronized List<ModelVersion> versionsToDownload() {
-		return Stream.of(this.current, this.next).filter(Objects::nonNull).toList();
+	synchronized List<ModelVersion> versions() {
+		return this.announced.stream().map(VersionProgress::version).toList();
 	}
 
 	/**
 	 * Whether an engine that runs calls may load a version now. Every second engine by id
 	 * loads at once, the others later, so that capacity never drops everywhere at the
-	 * same time.
+	 * same time. The others load a superseded version once the first ones have had time
+	 * to load it.
 	 */
 	synchronized boolean mayLoad(ModelVersion target, Upstream ownEngine, List<Upstream> engines, long nowMillis) {
 		List<String> ids = engines.stream().sorted(Comparator.comparing(Upstream::id)).map(Upstream::id).toList();
 		boolean firstHalf = ids.indexOf(ownEngine.id()) % 2 == 0;
-		boolean superseded = this.next != null;
-		return firstHalf || superseded || !target.equals(this.current)
-				|| nowMillis - this.currentReceivedMillis >= SECOND_HALF_DELAY_MILLIS;
-	}
-
-	private ModelVersion newestVersion(ModelVersion present) {
-		return (this.next != null) ? this.next : present;
-	}
-
-	private void advance() {
-		if (this.next != null) {
-			this.current = this.next;
-			this.currentReceivedMillis = this.nextReceivedMillis;
-			this.next = null;
-		}
+		boolean superseded = this.announced.stream()
+			.filter((known) -> known.version().equals(target))
+			.anyMatch(
+					(known) -> known.isSuperseded() && nowMillis - known.changedMillis() >= VersionChoice.LOAD_MILLIS);
+		return firstHalf || superseded || nowMillis - this.pendingSinceMillis >= SECOND_HALF_DELAY_MILLIS;
 	}
 
 }
--- a/src/main/java/org/jaywood/replica/WeightOrigin.java
+++ b/src/main/java/org/jaywood/replica/WeightOrigin.java
@@ -11,12 +11,15 @@
 
 	/**
 	 * Fetches the manifest of a version.
+	 * @throws VersionGoneException if the origin has dropped the version for good
 	 * @throws IOException if the origin does not answer, or has no such version
 	 */
 	ChunkManifest fetchManifest(Address origin, String model, long version) throws IOException;
 
 	/**
 	 * Fetches one chunk, which may be corrupt.
+	 * @throws VersionGoneException if the origin has dropped the version for good
+	 * @throws IOException if the chunk does not arrive
 	 */
 	byte[] fetchChunk(Address origin, ChunkManifest manifest, int index) throws IOException;
 
--- a/src/test/java/org/jaywood/replica/OriginOutageTests.java
+++ b/src/test/java/org/jaywood/replica/OriginOutageTests.java
@@ -66,6 +66,31 @@
 
 	}
 
+	/**
+	 * Guards against chunks that arrive long after the origin is back, because the
+	 * requests that it had taken before it fell silent still wait.
+	 */
+	@Nested
+	class SilentOrigin {
+
+		/** Pause of the origin after which an agent gives up a chunk. */
+		private static final long REQUEST_TIMEOUT_MILLIS = 1_500;
+
+		@ParameterizedTest
+		@CsvSource({ "500, 6_000", "1_300, 6_000", "1_300, 2_000" })
+		void downloadCompletesInTimeAfterOriginReturns(long downMillis, long outageMillis) {
+			DownloadSimulation simulation = new DownloadSimulation(OriginOutageTests.this.engines, NEW_VERSION,
+					"dohoku");
+			long upMillis = downMillis + outageMillis;
+			simulation.silenceOrigin(downMillis, upMillis, REQUEST_TIMEOUT_MILLIS);
+			simulation.run(upMillis + DOWNLOAD_MILLIS);
+			assertWithMessage(simulation.describe()).that(simulation.isComplete()).isTrue();
+			assertWithMessage(simulation.describe()).that(simulation.originChunkCount())
+				.isAtMost(2 * DownloadSimulation.CHUNKS);
+		}
+
+	}
+
 	/**
 	 * Guards against downloads that do not complete when failures overlap: an origin that
 	 * is down, agents that lose all chunks one after the other, and agents whose lists of
