--- a/src/main/java/org/jaywood/replica/ChunkDownloader.java
+++ b/src/main/java/org/jaywood/replica/ChunkDownloader.java
@@ -82,8 +82,10 @@
 	/**
 	 * Fetches the manifest, from a peer that has it or from the origin.
 	 * @return the manifest, or null if no source delivered it
+	 * @throws VersionGoneException if the origin has dropped the version for good
 	 */
-	@Nullable ChunkManifest loadManifest(ModelVersion target, Upstream ownEngine) throws InterruptedException {
+	@Nullable ChunkManifest loadManifest(ModelVersion target, Upstream ownEngine)
+			throws InterruptedException, VersionGoneException {
 		List<Callable<ChunkManifest>> peers = planFor(target, ownEngine).manifestSources()
 			.stream()
 			.map((peer) -> (Callable<ChunkManifest>) () -> fetchManifest(target, peer))
@@ -102,10 +104,13 @@
 		}
 	}
 
-	private @Nullable ChunkManifest fetchManifestFromOrigin(ModelVersion target) {
+	private @Nullable ChunkManifest fetchManifestFromOrigin(ModelVersion target) throws VersionGoneException {
 		try {
 			return this.origin.fetchManifest(originAddress(), target.model(), target.version());
 		}
+		catch (VersionGoneException ex) {
+			throw ex;
+		}
 		catch (IOException | RuntimeException ex) {
 			logFailure("list", ORIGIN, ex);
 			return null;
@@ -116,8 +121,10 @@
 	 * Fetches the missing chunks of a download. Returns early when the version is no
 	 * longer needed, since the next one needs the link.
 	 * @param isNeeded whether the version is still needed
+	 * @throws VersionGoneException if the origin has dropped the version for good
 	 */
-	void fetch(WeightsDownload download, Upstream ownEngine, BooleanSupplier isNeeded) throws InterruptedException {
+	void fetch(WeightsDownload download, Upstream ownEngine, BooleanSupplier isNeeded)
+			throws InterruptedException, VersionGoneException {
 		new DownloadTask(download, ownEngine, isNeeded).run();
 	}
 
@@ -180,6 +187,9 @@
 
 		private final AtomicLong maxOriginFetchMillis = new AtomicLong();
 
+		/** Response of the origin that ends this download. */
+		private volatile @Nullable VersionGoneException gone;
+
 		private long plannedChangeCount;
 
 		private long lastPlanMillis;
@@ -194,11 +204,11 @@
 			this.scheduler = new DownloadScheduler(planFor(this.target, ownEngine));
 		}
 
-		void run() throws InterruptedException {
+		void run() throws InterruptedException, VersionGoneException {
 			long seenEndCount = -1;
 			long startMillis = BootClock.nowMillis();
 			long lastReportMillis = startMillis;
-			while (!this.download.isComplete() && this.isNeeded.getAsBoolean()) {
+			while (this.gone == null && !this.download.isComplete() && this.isNeeded.getAsBoolean()) {
 				long nowMillis = BootClock.nowMillis();
 				replanIfChanged(nowMillis);
 				if (this.requestEnds.changeCount() != seenEndCount) {
@@ -212,6 +222,10 @@
 				this.requestEnds.await(seenEndCount, CANCEL_CHECK_MILLIS);
 			}
 			releaseOrigin();
+			VersionGoneException failure = this.gone;
+			if (failure != null && !this.download.isComplete()) {
+				throw failure;
+			}
 		}
 
 		private synchronized void logProgress(long millis) {
@@ -299,6 +313,9 @@
 				this.maxOriginFetchMillis.accumulateAndGet(BootClock.nowMillis() - startMillis, Math::max);
 				addChunk(new LocalChunks.Chunk(request.index(), bytes), ORIGIN, this.receivedFromOrigin);
 			}
+			catch (VersionGoneException ex) {
+				this.gone = ex;
+			}
 			catch (IOException | RuntimeException ex) {
 				logFailure(Integer.toString(request.index()), ORIGIN, ex);
 				delayOriginRetry();
