--- a/src/test/java/org/jaywood/platform/PlatformProcesses.java
+++ b/src/test/java/org/jaywood/platform/PlatformProcesses.java
@@ -75,6 +75,8 @@
 
 	private List<String> gatewayArguments = List.of();
 
+	private String cloudSettings = "";
+
 	PlatformProcesses(int gateways, int engines, EventLog log) throws IOException {
 		this(gateways, engines, CHUNKS, 0, log);
 	}
@@ -116,6 +118,21 @@
 		return this;
 	}
 
+	/**
+	 * Gives the gateways that are started from now on the duty to report usage.
+	 * @param cloud address of the cloud API
+	 */
+	PlatformProcesses withUsageDuty(Address cloud) {
+		this.cloudSettings = """
+				[Cloud]
+				Address = "%s"
+				RatePerS = 5
+				Duties = ["usage"]
+				DutyPerS = 4
+				""".formatted(cloud);
+		return this;
+	}
+
 	/**
 	 * Starts all processes and waits until the gateways are ready.
 	 */
@@ -303,7 +320,7 @@
 				""".formatted(name, host, FIRST_PORT, LAST_PORT, new Address(host, 8000), callerAddress(gateway),
 				readinessAddress(gateway), MAX_CONFIGURATION_AGE_MILLIS, MAX_REVOKED_KEY_MILLIS,
 				this.fleet.address(0, 0, 1, 7000));
-		Files.writeString(file, text);
+		Files.writeString(file, text + this.cloudSettings);
 		file.toFile().deleteOnExit();
 		return file;
 	}
