Order the number of engines by the demand of all gateways

Where a service has Scaling and the settings name the duty autoscale, the leader decides once a second how many engines run in each data centre, and orders them from the platform. Gateways post running, waiting and refused calls and the slot time to it each second.

--- a/src/main/java/org/jaywood/cli/RehearseCommand.java
+++ b/src/main/java/org/jaywood/cli/RehearseCommand.java
@@ -44,7 +44,7 @@
 	private static final String LOOPBACK = "127.0.0.1";
 
 	/** Pattern of the daemon classes in the jar. */
-	private static final String DAEMON_CLASSES = "org/jaywood/(event|feed|gateway|http|leader|metering|platform|replica|routing|wire)/\\w.*";
+	private static final String DAEMON_CLASSES = "org/jaywood/(event|feed|gateway|http|leader|metering|platform|replica|routing|scaling|wire)/\\w.*";
 
 	private static final int PORT_COUNT = 4;
 
--- a/src/main/java/org/jaywood/event/Event.java
+++ b/src/main/java/org/jaywood/event/Event.java
@@ -245,6 +245,12 @@
 	LEADER_STATE_TOO_LARGE(1804, Level.WARNING,
 			"states of the leader tasks have {bytes} bytes, limit {limit}; the saved ones are kept"),
 
+	/** The leader ordered a number of engines. */
+	ENGINES_ORDERED(1821, Level.INFO, "{engines} engines of {service} ordered in {dataCentre}: {response}"),
+
+	/** A report of the demand that a gateway sees is not used. */
+	DEMAND_REJECTED(1822, Level.WARNING, "report of demand is not used: {error}"),
+
 	/** A stand-in is ready. */
 	STANDIN_STARTED(1901, Level.INFO, "stand-in {kind} listens on {address}");
 
--- a/src/main/java/org/jaywood/gateway/CallTask.java
+++ b/src/main/java/org/jaywood/gateway/CallTask.java
@@ -39,6 +39,7 @@
 
 	@Override
 	public void run() {
+		this.context.demandMeter().onArrival(this.call.service());
 		try {
 			runAttempts();
 		}
@@ -48,6 +49,9 @@
 		catch (RuntimeException | Error ex) {
 			respondInternalError(ex);
 		}
+		finally {
+			this.context.demandMeter().onEnd(this.call.service());
+		}
 	}
 
 	/**
@@ -110,6 +114,17 @@
 			giveUp(refusalReason);
 			return true;
 		}
+		long beginMillis = BootClock.nowMillis();
+		this.context.demandMeter().onAttemptBegin(this.call.service());
+		try {
+			return runBegun(placement);
+		}
+		finally {
+			this.context.demandMeter().onAttemptEnd(this.call.service(), BootClock.nowMillis() - beginMillis);
+		}
+	}
+
+	private boolean runBegun(Placement placement) throws CallerGoneException {
 		AttemptRunner runner = new AttemptRunner(this.context, this.call, this.response, this.cancellation,
 				this.progress, this.attempts);
 		return switch (runner.run(placement)) {
@@ -151,6 +166,7 @@
 			respond(new CallFailure.Indeterminate(reason, timedOut));
 			return;
 		}
+		this.context.demandMeter().onRefusal(this.call.service(), reason);
 		respond(new CallFailure.NotRun(reason, this.attempts.retryAfterMillis(nowMillis)));
 	}
 
--- a/src/main/java/org/jaywood/gateway/GatewayContext.java
+++ b/src/main/java/org/jaywood/gateway/GatewayContext.java
@@ -26,10 +26,12 @@
  * @param notices acts on what upstreams say about themselves
  * @param evidenceExchange exchanges with agents what the screen knows
  * @param memory memory that the process holds for others
+ * @param demandMeter counts calls for the number of engines
  */
 record GatewayContext(GatewaySettings settings, CallProtocol protocol, Dispatcher dispatcher, StoreCache storeCache,
 		ConnectionPool pool, GatewayMetrics metrics, ErrorResponder errorResponder, EventLog log, RetryBudgets budgets,
-		PartScreen screen, NoticeHandler notices, EvidenceExchange evidenceExchange, MemoryBudget memory) {
+		PartScreen screen, NoticeHandler notices, EvidenceExchange evidenceExchange, MemoryBudget memory,
+		DemandMeter demandMeter) {
 
 	static GatewayContext create(GatewaySettings settings, CallProtocol protocol, EventLog log) {
 		Dispatcher dispatcher = new Dispatcher(settings.dispatch());
@@ -42,7 +44,7 @@
 				new ErrorResponder(protocol, metrics, log), log,
 				new RetryBudgets(settings.retryRatio(), settings.retryWindowExtra(), settings.retryWindowMillis()),
 				new PartScreen(evidence, new ScreenLog(log, metrics)), new NoticeHandler(dispatcher, metrics, log),
-				new EvidenceExchange(evidence), memory);
+				new EvidenceExchange(evidence), memory, new DemandMeter());
 	}
 
 	/**
--- a/src/main/java/org/jaywood/gateway/LeaderDuties.java
+++ b/src/main/java/org/jaywood/gateway/LeaderDuties.java
@@ -39,6 +39,9 @@
 				UUID.randomUUID().toString(), LeaseTiming.of(ports.settings().leaseMillis()), new Random());
 		List<Duty> duties = new ArrayList<>();
 		// Each duty is added here, if the settings name it.
+		if (ports.settings().names().contains(ScalingDuty.NAME)) {
+			duties.add(ScalingDuty.create(settings, ports, context, election::lastSeen));
+		}
 		LeaderRunner runner = new LeaderRunner(election, ports.leases(), duties.stream().map(Duty::task).toList(),
 				context.metrics(), context.log());
 		return new LeaderDuties(runner, List.copyOf(duties), context.log());
--- a/src/main/java/org/jaywood/gateway/LeaderPorts.java
+++ b/src/main/java/org/jaywood/gateway/LeaderPorts.java
@@ -1,12 +1,17 @@
 package org.jaywood.gateway;
 
+import java.util.Set;
+
 import org.jaywood.leader.LeaseStore;
+import org.jaywood.scaling.ScalingApi;
 
 /**
  * Connections of the duties of a leader to the store and to the cloud API.
  *
  * @param settings settings of the duties
  * @param leases lease of the leader
+ * @param scaling orders engines
+ * @param dataCentres all data centres
  */
-public record LeaderPorts(DutySettings settings, LeaseStore leases) {
+public record LeaderPorts(DutySettings settings, LeaseStore leases, ScalingApi scaling, Set<String> dataCentres) {
 }
--- a/src/main/java/org/jaywood/gateway/StoreCache.java
+++ b/src/main/java/org/jaywood/gateway/StoreCache.java
@@ -166,6 +166,14 @@
 		return this.table != null && this.upstreams != null;
 	}
 
+	/**
+	 * Returns the fleet, or null if the upstreams are not known yet.
+	 */
+	synchronized @Nullable Fleet fleet() {
+		return (this.upstreams != null)
+				? new Fleet(this.upstreams, this.closedDataCentres, Map.copyOf(this.targetVersions)) : null;
+	}
+
 	synchronized void onConfiguration(FeedView<RouteTable> view) {
 		observeEra(view.era());
 		RouteTable present = this.table;
@@ -356,9 +364,9 @@
 		}
 		this.changeCount++;
 		refreshSnapshots(BootClock.nowMillis());
-		if (this.upstreams != null) {
-			this.dispatcher.onFleet(new Fleet(this.upstreams, this.closedDataCentres, Map.copyOf(this.targetVersions)),
-					BootClock.nowMillis());
+		Fleet latest = fleet();
+		if (latest != null) {
+			this.dispatcher.onFleet(latest, BootClock.nowMillis());
 		}
 		this.fleetUnpublished = false;
 	}
--- a/src/main/java/org/jaywood/platform/ObjectDecoders.java
+++ b/src/main/java/org/jaywood/platform/ObjectDecoders.java
@@ -46,6 +46,15 @@
 
 	private static final long MILLIS_PER_SECOND = 1_000;
 
+	/** Upper bound of engines of a service in a data centre. */
+	private static final int MAX_ENGINES = 10_000;
+
+	private static final double DEFAULT_BOOT_SECONDS = 8;
+
+	private static final double MIN_BOOT_SECONDS = 0.1;
+
+	private static final double MAX_BOOT_SECONDS = 3_600;
+
 	private final Map<String, String> regionByDataCentre;
 
 	/**
@@ -138,7 +147,27 @@
 		return new ServiceProfile.Engines(name, NumberFields.optionalDouble(node, "ColdPerS", 0, MAX_COUNT, 0),
 				text(model, "Name"), NumberFields.optionalInt(engine, "layers", 0, MAX_COUNT, 0),
 				Math.round(NumberFields.optionalDouble(model, "WarmS", 0, MAX_MILLIS / MILLIS_PER_SECOND, 0)
-						* MILLIS_PER_SECOND));
+						* MILLIS_PER_SECOND),
+				scaling(node.path("Scaling")));
+	}
+
+	/**
+	 * Decodes the bounds for the number of engines.
+	 * @return the bounds, or null if the service has none. Malformed bounds count as
+	 * none: the number of engines stays as it is, and the configuration remains usable
+	 */
+	private static ServiceProfile.@Nullable Scaling scaling(JsonNode node) {
+		try {
+			int min = (int) NumberFields.required(node, "Min", 0, MAX_ENGINES);
+			int max = (int) NumberFields.required(node, "Max", 0, MAX_ENGINES);
+			double bootSeconds = NumberFields.optionalDouble(node, "BootS", MIN_BOOT_SECONDS, MAX_BOOT_SECONDS,
+					DEFAULT_BOOT_SECONDS);
+			return (min <= max) ? new ServiceProfile.Scaling(min, max, Math.round(bootSeconds * MILLIS_PER_SECOND))
+					: null;
+		}
+		catch (IllegalArgumentException ex) {
+			return null;
+		}
 	}
 
 	/**
--- a/src/main/java/org/jaywood/platform/PlatformFeeds.java
+++ b/src/main/java/org/jaywood/platform/PlatformFeeds.java
@@ -1,6 +1,7 @@
 package org.jaywood.platform;
 
 import java.util.Map;
+import java.util.Set;
 
 import org.jaywood.event.EventLog;
 import org.jaywood.gateway.DutySettings;
@@ -19,6 +20,8 @@
 
 	private final ObjectDecoders decoders;
 
+	private final Set<String> dataCentres;
+
 	private final EventLog log;
 
 	/**
@@ -28,6 +31,7 @@
 	public PlatformFeeds(MetadataStoreClient store, Map<String, String> regions, EventLog log) {
 		this.store = store;
 		this.decoders = new ObjectDecoders(regions);
+		this.dataCentres = Set.copyOf(regions.keySet());
 		this.log = log;
 	}
 
@@ -46,7 +50,8 @@
 	 * Returns the connections of the duties of a leader.
 	 */
 	public LeaderPorts leaderPorts(DutySettings duties) {
-		return new LeaderPorts(duties, new StoreLeases(this.store));
+		return new LeaderPorts(duties, new StoreLeases(this.store),
+				new CloudScaling(new CloudClient(duties.cloud(), duties.callsPerSecond())), this.dataCentres);
 	}
 
 	public ReplicaFeeds replica() {
--- a/src/main/java/org/jaywood/routing/Fleet.java
+++ b/src/main/java/org/jaywood/routing/Fleet.java
@@ -26,7 +26,7 @@
 	 * until its heartbeats are missed, and the younger incarnation refuses calls meant
 	 * for the older one.
 	 */
-	Map<String, Upstream> currentUpstreams() {
+	public Map<String, Upstream> currentUpstreams() {
 		Map<Endpoint, Long> youngest = this.upstreams.entries()
 			.values()
 			.stream()
--- a/src/main/java/org/jaywood/routing/ServiceProfile.java
+++ b/src/main/java/org/jaywood/routing/ServiceProfile.java
@@ -1,5 +1,7 @@
 package org.jaywood.routing;
 
+import org.jspecify.annotations.Nullable;
+
 import org.jaywood.wire.Address;
 
 /**
@@ -29,9 +31,28 @@
 	 * @param model model that its engines serve
 	 * @param layers layers of the model
 	 * @param loadMillis time in which an engine loads staged weights
+	 * @param scaling bounds for the number of its engines, or null if that is fixed
+	 */
+	record Engines(String name, double coldPerSecond, String model, int layers, long loadMillis,
+			@Nullable Scaling scaling) implements ServiceProfile {
+
+		/**
+		 * Creates a service with a fixed number of engines.
+		 */
+		public Engines(String name, double coldPerSecond, String model, int layers, long loadMillis) {
+			this(name, coldPerSecond, model, layers, loadMillis, null);
+		}
+
+	}
+
+	/**
+	 * Bounds for the number of engines of a service.
+	 *
+	 * @param min fewest engines in each data centre
+	 * @param max most engines in each data centre
+	 * @param bootMillis time from an order until an engine serves
 	 */
-	record Engines(String name, double coldPerSecond, String model, int layers,
-			long loadMillis) implements ServiceProfile {
+	record Scaling(int min, int max, long bootMillis) {
 	}
 
 	/**
--- a/src/test/java/org/jaywood/ArchitectureTests.java
+++ b/src/test/java/org/jaywood/ArchitectureTests.java
@@ -58,6 +58,8 @@
 				.definedBy("org.jaywood.routing..")
 				.layer("leader")
 				.definedBy("org.jaywood.leader..")
+				.layer("scaling")
+				.definedBy("org.jaywood.scaling..")
 				.layer("gateway")
 				.definedBy("org.jaywood.gateway..")
 				.layer("replica")
@@ -73,13 +75,15 @@
 				.whereLayer("replica")
 				.mayOnlyBeAccessedByLayers("cli", "platform")
 				.whereLayer("routing")
-				.mayOnlyBeAccessedByLayers("cli", "platform", "gateway", "replica", "router")
+				.mayOnlyBeAccessedByLayers("cli", "platform", "gateway", "replica", "router", "scaling")
 				.whereLayer("feed")
 				.mayOnlyBeAccessedByLayers("cli", "platform", "gateway", "replica", "routing")
 				.whereLayer("http")
 				.mayOnlyBeAccessedByLayers("cli", "platform", "gateway", "replica", "routing")
 				.whereLayer("leader")
-				.mayOnlyBeAccessedByLayers("cli", "platform", "gateway")
+				.mayOnlyBeAccessedByLayers("cli", "platform", "gateway", "scaling")
+				.whereLayer("scaling")
+				.mayOnlyBeAccessedByLayers("platform", "gateway")
 				.whereLayer("bench")
 				.mayOnlyBeAccessedByLayers("cli")
 				.whereLayer("standin")
@@ -128,6 +132,22 @@
 				.check(CLASSES);
 		}
 
+		@Test
+		void scalingUsesNeitherNetworkNorClock() {
+			ArchRuleDefinition.noClasses()
+				.that()
+				.resideInAPackage("org.jaywood.scaling..")
+				.should()
+				.dependOnClassesThat()
+				.resideInAnyPackage("java.net..", "org.apache.hc..", "com.sun.net..", "java.time..",
+						"org.jaywood.http..", "org.jaywood.feed..")
+				.orShould()
+				.callMethod(System.class, "currentTimeMillis")
+				.orShould()
+				.callMethod(System.class, "nanoTime")
+				.check(CLASSES);
+		}
+
 		@Test
 		void leaderElectionUsesNeitherNetworkNorClock() {
 			ArchRuleDefinition.noClasses()
--- a/src/test/java/org/jaywood/platform/ObjectDecodersTests.java
+++ b/src/test/java/org/jaywood/platform/ObjectDecodersTests.java
@@ -149,6 +149,29 @@
 				.isFalse();
 		}
 
+		@Test
+		void boundsOfScalingAreDecoded() {
+			assertThat(scaling("{'Min':1,'Max':6,'BootS':2.5}")).isEqualTo(new ServiceProfile.Scaling(1, 6, 2_500));
+			assertThat(scaling("{'Min':0,'Max':6}")).isEqualTo(new ServiceProfile.Scaling(0, 6, 8_000));
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "null", "7", "{}", "{'Min':1}", "{'Min':2,'Max':1,'BootS':8}",
+				"{'Min':-1,'Max':1,'BootS':8}", "{'Min':1,'Max':2,'BootS':0}", "{'Min':1,'Max':1e12,'BootS':8}" })
+		void malformedBoundsLeaveTheNumberOfEnginesAlone(String bounds) {
+			assertThat(scaling(bounds)).isNull();
+		}
+
+		private ServiceProfile.Scaling scaling(String bounds) {
+			return ObjectDecodersTests.this.decoders
+				.configuration(object("{'Version':1,'Services':[{'Name':'x','Engine':{'Models':[{'Name':'m'}]},"
+						+ "'Scaling':" + bounds + "}]}"))
+				.engines()
+				.findFirst()
+				.orElseThrow()
+				.scaling();
+		}
+
 		@Test
 		void omittedLimitsHaveDefaults() {
 			assertThat(ObjectDecodersTests.this.decoders.configuration(object("{'Version':1}")).limits())
--- a/src/test/java/org/jaywood/platform/PlatformNamesTests.java
+++ b/src/test/java/org/jaywood/platform/PlatformNamesTests.java
@@ -23,7 +23,8 @@
 			"X-Weight-Versions", "X-Token-Usage", "X-Length-Hint", "SampleCount", "HasMore", "AsOf", "AllowStale",
 			"AllowedRegions", "StartAfter", "PathPrefix", "TimeoutMs", "ApiKeys", "ColdPerS", "ColdLeftMs", "KvUsed",
 			"evacuations", "stage-put", "/manifest/", "Store-Era", "X-Duty-Holder", "X-Fencing-Token", "DutyPerS",
-			"Duties", "LeaseMs", "UsageWindowS", "UsageLateS", "WindowId", "Counts", "leases", "usage-counts");
+			"Duties", "LeaseMs", "UsageWindowS", "UsageLateS", "WindowId", "Counts", "leases", "usage-counts", "/scale",
+			"Desired", "BootS");
 
 	@Test
 	void platformNamesOccurOnlyInAdapter() throws IOException {
--- a/src/test/java/org/jaywood/platform/PlatformProcesses.java
+++ b/src/test/java/org/jaywood/platform/PlatformProcesses.java
@@ -16,6 +16,7 @@
 import java.util.stream.Stream;
 
 import org.awaitility.Awaitility;
+import org.jspecify.annotations.Nullable;
 
 import org.jaywood.bench.ProcessFleet;
 import org.jaywood.event.EventLog;
@@ -69,6 +70,10 @@
 
 	private final int gateways;
 
+	private @Nullable Address cloud;
+
+	private String cloudDuties = "";
+
 	private List<String> gatewayOptions = List.of();
 
 	private List<String> replicaOptions = List.of();
@@ -116,6 +121,16 @@
 		return this;
 	}
 
+	/**
+	 * Gives processes that are started from now on duties towards a cloud API.
+	 * @param duties names of the duties in quotation marks, separated by commas
+	 */
+	PlatformProcesses withDuties(Address cloudApi, String duties) {
+		this.cloud = cloudApi;
+		this.cloudDuties = duties;
+		return this;
+	}
+
 	/**
 	 * Starts all processes and waits until the gateways are ready.
 	 */
@@ -303,6 +318,14 @@
 				""".formatted(name, host, FIRST_PORT, LAST_PORT, new Address(host, 8000), callerAddress(gateway),
 				readinessAddress(gateway), MAX_CONFIGURATION_AGE_MILLIS, MAX_REVOKED_KEY_MILLIS,
 				this.fleet.address(0, 0, 1, 7000));
+		if (this.cloud != null) {
+			text += """
+					[Cloud]
+					Address = "%s"
+					DutyPerS = 5.0
+					Duties = [%s]
+					""".formatted(this.cloud, this.cloudDuties);
+		}
 		Files.writeString(file, text);
 		file.toFile().deleteOnExit();
 		return file;
--- a/src/test/java/org/jaywood/platform/StoreRestoreIT.java
+++ b/src/test/java/org/jaywood/platform/StoreRestoreIT.java
@@ -17,6 +17,7 @@
 
 import org.jaywood.event.EventLog;
 import org.jaywood.http.ClientConnection;
+import org.jaywood.http.StreamedResponse;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -66,7 +67,9 @@
 			request.setHeader("X-Deadline-Ms", "5000");
 			request.setHeader("Authorization", "Bearer " + KEY);
 			connection.send(request, "prompt".getBytes(StandardCharsets.US_ASCII));
-			return connection.receive(RESPONSE_TIMEOUT_MILLIS).head().getCode();
+			StreamedResponse response = connection.receive(RESPONSE_TIMEOUT_MILLIS);
+			response.body().readAllBytes();
+			return response.status();
 		}
 	}
 
