--- a/src/main/java/org/jaywood/gateway/LeaderPorts.java
+++ b/src/main/java/org/jaywood/gateway/LeaderPorts.java
@@ -3,6 +3,8 @@
 import java.util.Set;
 
 import org.jaywood.leader.LeaseStore;
+import org.jaywood.metering.UsageApi;
+import org.jaywood.metering.UsageCountStore;
 import org.jaywood.scaling.ScalingApi;
 
 /**
@@ -10,8 +12,11 @@
  *
  * @param settings settings of the duties
  * @param leases lease of the leader
+ * @param usage takes the reports of usage
+ * @param usageCounts counts of gateways that do not reach the leader
  * @param scaling orders engines
  * @param dataCentres all data centres
  */
-public record LeaderPorts(DutySettings settings, LeaseStore leases, ScalingApi scaling, Set<String> dataCentres) {
+public record LeaderPorts(DutySettings settings, LeaseStore leases, UsageApi usage, UsageCountStore usageCounts,
+		ScalingApi scaling, Set<String> dataCentres) {
 }
--- a/src/main/java/org/jaywood/gateway/ScalingDuty.java
+++ b/src/main/java/org/jaywood/gateway/ScalingDuty.java
@@ -5,15 +5,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Supplier;
 
+import org.apache.hc.core5.http.HttpStatus;
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
 import org.jspecify.annotations.Nullable;
 
 import org.jaywood.event.Event;
+import org.jaywood.event.EventLog;
 import org.jaywood.feed.BootClock;
-import org.jaywood.http.BufferedResponse;
+import org.jaywood.http.ConnectionPool;
 import org.jaywood.http.ResponseLimits;
+import org.jaywood.leader.LeaderTask;
 import org.jaywood.leader.Lease;
 import org.jaywood.routing.Fleet;
 import org.jaywood.routing.RouteTable;
@@ -33,16 +35,13 @@
  * number. Each gateway reports its demand to the leader, which sums it and knows from the
  * store which engines serve.
  */
-final class ScalingDuty {
-
-	/** Name of the duty in the settings. */
-	static final String NAME = "autoscale";
+final class ScalingDuty implements Duty {
 
 	private static final String PATH = "/v1/demand";
 
 	private static final long REPORT_INTERVAL_MILLIS = 1_000;
 
-	private static final ResponseLimits REPORT_LIMITS = new ResponseLimits(600, 4_096);
+	private static final ResponseLimits RESPONSE_LIMITS = new ResponseLimits(600, 4_096);
 
 	/**
 	 * Share of the gateways whose reports make the demand complete; the number of
@@ -54,48 +53,62 @@
 
 	private final GatewaySettings settings;
 
-	private final GatewayContext context;
-
 	private final Set<String> dataCentres;
 
-	private final Supplier<@Nullable Lease> lease;
+	private final GatewayMetrics metrics;
+
+	private final EventLog log;
+
+	private final ScalingTask task;
 
 	private final DemandTable demand = new DemandTable();
 
+	private final ConnectionPool pool = new ConnectionPool();
+
+	private volatile @Nullable GatewayContext context;
+
 	private long reportedMillis = Long.MIN_VALUE / 2;
 
-	private ScalingDuty(GatewaySettings settings, GatewayContext context, Set<String> dataCentres,
-			Supplier<@Nullable Lease> lease) {
+	ScalingDuty(GatewaySettings settings, LeaderPorts ports, GatewayMetrics metrics, EventLog log) {
 		this.settings = settings;
-		this.context = context;
-		this.dataCentres = dataCentres;
-		this.lease = lease;
+		this.dataCentres = ports.dataCentres();
+		this.metrics = metrics;
+		this.log = log;
+		this.task = new ScalingTask(this::input, ports.scaling(), log);
 	}
 
 	/**
-	 * Creates the duty.
-	 * @param lease returns the lease of the leader as last seen, or null
+	 * Gives the duty what this gateway knows. Called once, before the start.
 	 */
-	static Duty create(GatewaySettings settings, LeaderPorts ports, GatewayContext context,
-			Supplier<@Nullable Lease> lease) {
-		ScalingDuty duty = new ScalingDuty(settings, context, ports.dataCentres(), lease);
-		return new Duty(new ScalingTask(duty::input, ports.scaling(), context.log()), PATH, duty::receive,
-				duty::reportIfDue);
+	void attach(GatewayContext latest) {
+		this.context = latest;
+	}
+
+	@Override
+	public LeaderTask task() {
+		return this.task;
+	}
+
+	@Override
+	public String path() {
+		return PATH;
 	}
 
 	private ScalingInput input(long nowMillis) {
-		Map<String, ScalingInput.Service> services = new HashMap<>();
-		Fleet fleet = this.context.storeCache().fleet();
-		if (fleet != null) {
-			scaledServices().forEach((profile) -> {
-				ServiceProfile.Scaling bounds = profile.scaling();
-				if (bounds != null) {
-					services.put(profile.name(), service(profile.name(), bounds, fleet, nowMillis));
-				}
-			});
+		GatewayContext attached = this.context;
+		Fleet fleet = (attached != null) ? attached.storeCache().fleet() : null;
+		if (attached == null || fleet == null) {
+			return new ScalingInput(false, false, Map.of());
 		}
+		Map<String, ScalingInput.Service> services = new HashMap<>();
+		scaledServices(attached).forEach((profile) -> {
+			ServiceProfile.Scaling bounds = profile.scaling();
+			if (bounds != null) {
+				services.put(profile.name(), service(profile.name(), bounds, fleet, nowMillis));
+			}
+		});
 		int reporting = this.demand.reporting(nowMillis);
-		boolean complete = reporting >= COMPLETE_SHARE * this.context.dispatcher().lastReportedGateways(nowMillis);
+		boolean complete = reporting >= COMPLETE_SHARE * attached.dispatcher().lastReportedGateways(nowMillis);
 		return new ScalingInput(reporting > 0, complete, services);
 	}
 
@@ -114,74 +127,68 @@
 		return new ScalingInput.Service(bounds, slots, present);
 	}
 
-	private List<ServiceProfile.Engines> scaledServices() {
-		RouteTable table = this.context.storeCache().table();
+	private static List<ServiceProfile.Engines> scaledServices(GatewayContext context) {
+		RouteTable table = context.storeCache().table();
 		return (table != null) ? table.engines().filter((profile) -> profile.scaling() != null).toList() : List.of();
 	}
 
-	/**
-	 * Takes in the report of a gateway.
-	 */
-	private void receive(Exchange exchange) throws IOException {
-		String fault = this.demand.onReport(exchange.readJson(DemandReport.class, MAX_REPORT_BYTES),
-				BootClock.nowMillis());
-		if (fault == null) {
-			exchange.respondJson(200, Map.of());
+	@Override
+	public void handle(Exchange exchange, LeaderRunner runner) throws IOException {
+		DemandReport report = exchange.readJson(DemandReport.class, MAX_REPORT_BYTES);
+		long nowMillis = BootClock.nowMillis();
+		if (runner.term(nowMillis).isEmpty()) {
+			exchange.respondError(HttpStatus.SC_CONFLICT, "this process is not the leader");
+			return;
 		}
-		else {
-			reject(fault);
-			exchange.respondError(400, fault);
+		String fault = this.demand.onReport(report, nowMillis);
+		if (fault == null) {
+			exchange.respondJson(HttpStatus.SC_OK, Map.of());
+			return;
 		}
-	}
-
-	private void reject(String fault) {
-		this.context.metrics().counter("scaling.report_rejected").inc();
-		this.context.log().log(Event.DEMAND_REJECTED, "error", fault);
+		this.metrics.counter("scaling.report_rejected").inc();
+		this.log.log(Event.DEMAND_REJECTED, "error", fault);
+		exchange.respondError(HttpStatus.SC_BAD_REQUEST, fault);
 	}
 
 	/**
-	 * Reports the demand of this gateway to the leader once a second.
+	 * Reports the demand of this gateway to the leader, which may be this process.
 	 */
-	private void reportIfDue() {
+	@Override
+	public void onTick(LeaderRunner runner) {
 		long nowMillis = BootClock.nowMillis();
 		long intervalMillis = nowMillis - this.reportedMillis;
-		List<ServiceProfile.Engines> services = scaledServices();
-		if (services.isEmpty() || intervalMillis < REPORT_INTERVAL_MILLIS) {
+		GatewayContext attached = this.context;
+		if (attached == null || intervalMillis < REPORT_INTERVAL_MILLIS) {
 			return;
 		}
-		boolean first = this.reportedMillis < 0;
-		this.reportedMillis = nowMillis;
-		DemandMeter meter = this.context.demandMeter();
+		List<ServiceProfile.Engines> services = scaledServices(attached);
+		if (services.isEmpty()) {
+			return;
+		}
+		DemandMeter meter = attached.demandMeter();
 		meter.activate();
 		DemandReport report = new DemandReport(this.settings.vm(), this.settings.dispatch().dataCentre(),
 				services.stream().map((service) -> meter.take(service.name(), intervalMillis)).toList());
-		Lease latest = this.lease.get();
-		if (!first && latest != null) {
-			send(report, latest.address(), nowMillis);
+		boolean first = this.reportedMillis < 0;
+		this.reportedMillis = nowMillis;
+		Lease lease = runner.lastSeen();
+		if (!first && lease != null) {
+			send(report, lease.address());
 		}
 	}
 
-	private void send(DemandReport report, Address leader, long nowMillis) {
-		if (leader.equals(this.settings.operatorAddress())) {
-			String fault = this.demand.onReport(report, nowMillis);
-			if (fault != null) {
-				reject(fault);
-			}
-			return;
-		}
+	private void send(DemandReport report, Address leader) {
 		BasicClassicHttpRequest request = new BasicClassicHttpRequest("POST", PATH);
 		request.setHeader("Content-Type", "application/json");
 		try {
-			BufferedResponse response = this.context.pool()
-				.exchange(leader, request, Json.bytes(report), REPORT_LIMITS);
-			if (!response.ok()) {
-				this.context.metrics().counter("scaling.report_failed").inc();
+			if (this.pool.exchange(leader, request, Json.bytes(report), RESPONSE_LIMITS).ok()) {
+				return;
 			}
 		}
 		catch (IOException ex) {
 			// The next report follows in a second; the leader does without it until then.
-			this.context.metrics().counter("scaling.report_failed").inc();
 		}
+		this.metrics.counter("scaling.report_failed").inc();
 	}
 
 }
--- a/src/main/java/org/jaywood/scaling/ScalingTask.java
+++ b/src/main/java/org/jaywood/scaling/ScalingTask.java
@@ -24,7 +24,8 @@
  */
 public final class ScalingTask implements LeaderTask {
 
-	private static final String NAME = "autoscale";
+	/** Name of the duty in the settings. */
+	public static final String NAME = "autoscale";
 
 	/** Interval of decisions; gateways report once a second. */
 	private static final long DECISION_INTERVAL_MILLIS = 1_000;
--- a/src/test/java/org/jaywood/ArchitectureTests.java
+++ b/src/test/java/org/jaywood/ArchitectureTests.java
@@ -58,6 +58,8 @@
 				.definedBy("org.jaywood.routing..")
 				.layer("leader")
 				.definedBy("org.jaywood.leader..")
+				.layer("metering")
+				.definedBy("org.jaywood.metering..")
 				.layer("scaling")
 				.definedBy("org.jaywood.scaling..")
 				.layer("gateway")
@@ -81,7 +83,9 @@
 				.whereLayer("http")
 				.mayOnlyBeAccessedByLayers("cli", "platform", "gateway", "replica", "routing")
 				.whereLayer("leader")
-				.mayOnlyBeAccessedByLayers("cli", "platform", "gateway", "scaling")
+				.mayOnlyBeAccessedByLayers("cli", "platform", "gateway", "metering", "scaling")
+				.whereLayer("metering")
+				.mayOnlyBeAccessedByLayers("cli", "platform", "gateway")
 				.whereLayer("scaling")
 				.mayOnlyBeAccessedByLayers("platform", "gateway")
 				.whereLayer("bench")
@@ -133,26 +137,10 @@
 		}
 
 		@Test
-		void scalingUsesNeitherNetworkNorClock() {
+		void leaderTasksUseNeitherNetworkNorClock() {
 			ArchRuleDefinition.noClasses()
 				.that()
-				.resideInAPackage("org.jaywood.scaling..")
-				.should()
-				.dependOnClassesThat()
-				.resideInAnyPackage("java.net..", "org.apache.hc..", "com.sun.net..", "java.time..",
-						"org.jaywood.http..", "org.jaywood.feed..")
-				.orShould()
-				.callMethod(System.class, "currentTimeMillis")
-				.orShould()
-				.callMethod(System.class, "nanoTime")
-				.check(CLASSES);
-		}
-
-		@Test
-		void leaderElectionUsesNeitherNetworkNorClock() {
-			ArchRuleDefinition.noClasses()
-				.that()
-				.resideInAPackage("org.jaywood.leader..")
+				.resideInAnyPackage("org.jaywood.leader..", "org.jaywood.metering..", "org.jaywood.scaling..")
 				.should()
 				.dependOnClassesThat()
 				.resideInAnyPackage("java.net..", "org.apache.hc..", "com.sun.net..", "java.time..",
