--- a/src/main/java/org/jaywood/event/Event.java
+++ b/src/main/java/org/jaywood/event/Event.java
@@ -260,6 +260,12 @@
 	/** A usage window has no report that is known to be accepted. */
 	USAGE_MISSED(1814, Level.WARNING, "usage window {window} not reported in time: {reason}"),
 
+	/** The leader ordered a number of engines. */
+	ENGINES_ORDERED(1821, Level.INFO, "{engines} engines of {service} ordered in {dataCentre}: {response}"),
+
+	/** A report of the demand that a gateway sees is not used. */
+	DEMAND_REJECTED(1822, Level.WARNING, "report of demand is not used: {error}"),
+
 	/** A stand-in is ready. */
 	STANDIN_STARTED(1901, Level.INFO, "stand-in {kind} listens on {address}");
 
--- a/src/main/java/org/jaywood/gateway/Gateway.java
+++ b/src/main/java/org/jaywood/gateway/Gateway.java
@@ -108,6 +108,9 @@
 		this.duties = (leaderPorts != null) ? LeaderDuties.create(settings, leaderPorts, metrics, log) : null;
 		this.context = GatewayContext.create(settings, protocol, metrics,
 				(this.duties != null) ? this.duties.meter() : CallMeter.NONE, log);
+		if (this.duties != null) {
+			this.duties.attach(this.context);
+		}
 		this.connections = new CallerConnections(
 				new CallAdmission(protocol, settings.keyLifetimeMillis(), settings.routeLifetimeMillis()),
 				settings.limits().maxConnections());
--- a/src/main/java/org/jaywood/gateway/GatewayContext.java
+++ b/src/main/java/org/jaywood/gateway/GatewayContext.java
@@ -27,11 +27,12 @@
  * @param evidenceExchange exchanges with agents what the screen knows
  * @param memory memory that the process holds for others
  * @param meter counts the calls that have begun to run
+ * @param demandMeter counts calls for the number of engines
  */
 record GatewayContext(GatewaySettings settings, CallProtocol protocol, Dispatcher dispatcher, StoreCache storeCache,
 		ConnectionPool pool, GatewayMetrics metrics, ErrorResponder errorResponder, EventLog log, RetryBudgets budgets,
 		PartScreen screen, NoticeHandler notices, EvidenceExchange evidenceExchange, MemoryBudget memory,
-		CallMeter meter) {
+		CallMeter meter, DemandMeter demandMeter) {
 
 	static GatewayContext create(GatewaySettings settings, CallProtocol protocol, EventLog log) {
 		return create(settings, protocol, new GatewayMetrics(), CallMeter.NONE, log);
@@ -48,7 +49,7 @@
 				new ErrorResponder(protocol, metrics, log), log,
 				new RetryBudgets(settings.retryRatio(), settings.retryWindowExtra(), settings.retryWindowMillis()),
 				new PartScreen(evidence, new ScreenLog(log, metrics)), new NoticeHandler(dispatcher, metrics, log),
-				new EvidenceExchange(evidence), memory, meter);
+				new EvidenceExchange(evidence), memory, meter, new DemandMeter());
 	}
 
 	/**
--- a/src/main/java/org/jaywood/gateway/LeaderDuties.java
+++ b/src/main/java/org/jaywood/gateway/LeaderDuties.java
@@ -7,11 +7,14 @@
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 
+import org.jspecify.annotations.Nullable;
+
 import org.jaywood.event.EventLog;
 import org.jaywood.event.TaskGuard;
 import org.jaywood.leader.LeaderElection;
 import org.jaywood.leader.LeaseTiming;
 import org.jaywood.metering.UsageTask;
+import org.jaywood.scaling.ScalingTask;
 import org.jaywood.wire.DaemonThreads;
 import org.jaywood.wire.HttpPort;
 
@@ -29,12 +32,16 @@
 
 	private final CallMeter meter;
 
+	private final @Nullable ScalingDuty scaling;
+
 	private final EventLog log;
 
-	private LeaderDuties(LeaderRunner runner, List<Duty> duties, CallMeter meter, EventLog log) {
+	private LeaderDuties(LeaderRunner runner, List<Duty> duties, CallMeter meter, @Nullable ScalingDuty scaling,
+			EventLog log) {
 		this.runner = runner;
 		this.duties = duties;
 		this.meter = meter;
+		this.scaling = scaling;
 		this.log = log;
 	}
 
@@ -48,11 +55,16 @@
 			duties.add(usage);
 			meter = usage;
 		}
+		ScalingDuty scaling = null;
+		if (ports.settings().names().contains(ScalingTask.NAME)) {
+			scaling = new ScalingDuty(settings, ports, metrics, log);
+			duties.add(scaling);
+		}
 		LeaderElection election = new LeaderElection(settings.vm(), settings.operatorAddress(), process,
 				LeaseTiming.of(ports.settings().leaseMillis()), new Random());
 		LeaderRunner runner = new LeaderRunner(election, ports.leases(), duties.stream().map(Duty::task).toList(),
 				metrics, log);
-		return new LeaderDuties(runner, List.copyOf(duties), meter, log);
+		return new LeaderDuties(runner, List.copyOf(duties), meter, scaling, log);
 	}
 
 	/**
@@ -62,6 +74,15 @@
 		return this.meter;
 	}
 
+	/**
+	 * Gives the duties what this gateway knows. Called once, before the start.
+	 */
+	void attach(GatewayContext context) {
+		if (this.scaling != null) {
+			this.scaling.attach(context);
+		}
+	}
+
 	/**
 	 * Adds the routes of the reports to the operator port.
 	 */
--- a/src/main/java/org/jaywood/gateway/LeaderPorts.java
+++ b/src/main/java/org/jaywood/gateway/LeaderPorts.java
@@ -1,8 +1,11 @@
 package org.jaywood.gateway;
 
+import java.util.Set;
+
 import org.jaywood.leader.LeaseStore;
 import org.jaywood.metering.UsageApi;
 import org.jaywood.metering.UsageCountStore;
+import org.jaywood.scaling.ScalingApi;
 
 /**
  * Connections of the duties of a leader to the store and to the cloud API.
@@ -11,6 +14,9 @@
  * @param leases lease of the leader
  * @param usage takes the reports of usage
  * @param usageCounts counts of gateways that do not reach the leader
+ * @param scaling orders engines
+ * @param dataCentres all data centres
  */
-public record LeaderPorts(DutySettings settings, LeaseStore leases, UsageApi usage, UsageCountStore usageCounts) {
+public record LeaderPorts(DutySettings settings, LeaseStore leases, UsageApi usage, UsageCountStore usageCounts,
+		ScalingApi scaling, Set<String> dataCentres) {
 }
--- a/src/main/java/org/jaywood/platform/PlatformFeeds.java
+++ b/src/main/java/org/jaywood/platform/PlatformFeeds.java
@@ -1,6 +1,7 @@
 package org.jaywood.platform;
 
 import java.util.Map;
+import java.util.Set;
 
 import org.jaywood.event.EventLog;
 import org.jaywood.gateway.DutySettings;
@@ -19,6 +20,8 @@
 
 	private final ObjectDecoders decoders;
 
+	private final Set<String> dataCentres;
+
 	private final EventLog log;
 
 	/**
@@ -28,6 +31,7 @@
 	public PlatformFeeds(MetadataStoreClient store, Map<String, String> regions, EventLog log) {
 		this.store = store;
 		this.decoders = new ObjectDecoders(regions);
+		this.dataCentres = Set.copyOf(regions.keySet());
 		this.log = log;
 	}
 
@@ -49,7 +53,7 @@
 	public LeaderPorts leaderPorts(DutySettings duties, String vm) {
 		CloudClient cloud = new CloudClient(duties.cloud(), duties.callsPerSecond());
 		return new LeaderPorts(duties, new StoreLeases(this.store), new CloudUsageApi(cloud),
-				new StoreUsageCounts(this.store, vm));
+				new StoreUsageCounts(this.store, vm), new CloudScaling(cloud), this.dataCentres);
 	}
 
 	public ReplicaFeeds replica() {
