Take a status outside 100 to 599 for no response

Cause: the parser of HttpCore accepts any number as a status, and the JDK's client any from 200 to 999. A status of 099 was taken for an interim response and waited on until the deadline; 600 and 999 were passed on to the caller.

WireClient, through which routers and agents send all their requests, fails a response above 599 before its body is read; the JDK's client refuses those below 100 itself. Such a connection is not used again. Interim responses are skipped as before.

--- a/src/main/java/org/jaywood/wire/WireClient.java
+++ b/src/main/java/org/jaywood/wire/WireClient.java
@@ -2,13 +2,16 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
+import java.net.ProtocolException;
 import java.net.URI;
 import java.net.UnknownHostException;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandler;
 import java.net.http.HttpResponse.BodyHandlers;
 import java.time.Duration;
 import java.util.Map;
@@ -39,6 +42,8 @@
 	/** Largest message between processes, and largest chunk of weights. */
 	public static final int MAX_MESSAGE_BYTES = 4 * 1024 * 1024;
 
+	private static final int MAX_STATUS = 599;
+
 	private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
 
 	private final HttpClient http;
@@ -117,7 +122,7 @@
 	 * @throws IOException if no whole response arrives, or its body is larger
 	 */
 	public HttpResponse<byte[]> send(HttpRequest request, int maxBodyBytes) throws IOException, InterruptedException {
-		HttpResponse<byte[]> response = this.http.send(request,
+		HttpResponse<byte[]> response = exchange(request,
 				BodyHandlers.limiting(BodyHandlers.ofByteArray(), maxBodyBytes));
 		this.responseObserver.accept(response);
 		return response;
@@ -128,11 +133,30 @@
 	 * closes the connection.
 	 */
 	public HttpResponse<InputStream> stream(HttpRequest request) throws IOException, InterruptedException {
-		HttpResponse<InputStream> response = this.http.send(request, BodyHandlers.ofInputStream());
+		HttpResponse<InputStream> response = exchange(request, BodyHandlers.ofInputStream());
 		this.responseObserver.accept(response);
 		return response;
 	}
 
+	/**
+	 * Sends a request. A response whose status is none counts as no response, and its
+	 * connection is closed; the JDK's client passes on any status from 200 to 999.
+	 */
+	private <T> HttpResponse<T> exchange(HttpRequest request, BodyHandler<T> handler)
+			throws IOException, InterruptedException {
+		try {
+			return this.http.send(request, (info) -> {
+				if (info.statusCode() > MAX_STATUS) {
+					throw new UncheckedIOException(new ProtocolException("invalid status " + info.statusCode()));
+				}
+				return handler.apply(info);
+			});
+		}
+		catch (UncheckedIOException ex) {
+			throw ex.getCause();
+		}
+	}
+
 	private static InetAddress inetAddress(String host) {
 		try {
 			return InetAddress.getByName(host);
--- a/src/test/java/org/jaywood/http/EndlessResponseTests.java
+++ b/src/test/java/org/jaywood/http/EndlessResponseTests.java
@@ -110,6 +110,13 @@
 			assertHeadFailsAtOnce();
 		}
 
+		@ParameterizedTest
+		@ValueSource(strings = { "000", "099", "600", "999", "2OO", "", "20", "2000" })
+		void invalidStatusFailsBeforeTheHeadEnds(String status) {
+			respond("HTTP/1.1 " + status + " Status\r\n");
+			assertHeadFailsAtOnce();
+		}
+
 		@Test
 		void lineThatIsNoHeaderFailsBeforeTheHeadEnds() {
 			respond(STATUS_LINE + "this is no header\r\n");
