--- a/src/main/java/org/jaywood/gateway/LeaderDuties.java
+++ b/src/main/java/org/jaywood/gateway/LeaderDuties.java
@@ -7,6 +7,8 @@
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 
+import org.jspecify.annotations.Nullable;
+
 import org.jaywood.event.EventLog;
 import org.jaywood.event.TaskGuard;
 import org.jaywood.leader.LeaderElection;
@@ -38,7 +40,12 @@
 		this.log = log;
 	}
 
-	static LeaderDuties create(GatewaySettings settings, LeaderPorts ports, GatewayMetrics metrics, EventLog log) {
+	/**
+	 * Creates the duties that the settings name.
+	 * @return the duties, or null if there are none
+	 */
+	static @Nullable LeaderDuties create(GatewaySettings settings, LeaderPorts ports, GatewayMetrics metrics,
+			EventLog log) {
 		String process = UUID.randomUUID().toString();
 		// Each duty that the settings may name is added here.
 		List<Duty> duties = new ArrayList<>();
@@ -48,6 +55,9 @@
 			duties.add(usage);
 			meter = usage;
 		}
+		if (duties.isEmpty()) {
+			return null;
+		}
 		LeaderElection election = new LeaderElection(settings.vm(), settings.operatorAddress(), process,
 				LeaseTiming.of(ports.settings().leaseMillis()), new Random());
 		LeaderRunner runner = new LeaderRunner(election, ports.leases(), duties.stream().map(Duty::task).toList(),
--- a/src/main/java/org/jaywood/gateway/LeaderRunner.java
+++ b/src/main/java/org/jaywood/gateway/LeaderRunner.java
@@ -153,7 +153,7 @@
 
 	private LeaseResponse execute(Step step) throws IOException {
 		return switch (step) {
-			case Step.Read read -> this.leases.read();
+			case Step.Read read -> this.leases.read(read.fresh());
 			case Step.Create create -> this.leases.create(create.lease());
 			case Step.Replace replace -> this.leases.replace(replace.lease(), replace.revision());
 			case Step.Pause pause -> throw new IllegalStateException("a pause has no request");
--- a/src/main/java/org/jaywood/leader/LeaderElection.java
+++ b/src/main/java/org/jaywood/leader/LeaderElection.java
@@ -41,7 +41,14 @@
 
 	private @Nullable Observation observed;
 
-	/** Whether the observation was read right before, so that a write may follow. */
+	/**
+	 * Whether an old read allows a write, so that a fresh one has to confirm it. A
+	 * restored store gives revisions out again, so the revision alone does not show that
+	 * the object, whose states are inherited, is the one that was read.
+	 */
+	private boolean confirming;
+
+	/** Whether a fresh read was the last step, so that a write may follow. */
 	private boolean readBefore;
 
 	private long dueMillis;
@@ -102,7 +109,7 @@
 		}
 		Observation latest = this.observed;
 		if (!this.readBefore || latest == null) {
-			return new Step.Read();
+			return new Step.Read(this.confirming);
 		}
 		if (latest.found() == null) {
 			return new Step.Create(lease(this.highestTerm + 1, Map.of()));
@@ -129,7 +136,7 @@
 			return onEraRise(response.era(), nowMillis);
 		}
 		return switch (response) {
-			case LeaseResponse.Found found -> onFound(found, nowMillis);
+			case LeaseResponse.Found found -> onFound(step, found, nowMillis);
 			case LeaseResponse.Missing missing -> onMissing(step, nowMillis);
 			case LeaseResponse.Written written -> onWritten(step, written, sentMillis, nowMillis);
 			case LeaseResponse.Conflict conflict -> onConflict(step, conflict.current(), nowMillis);
@@ -141,6 +148,7 @@
 	 */
 	public synchronized Change onFailure(Step step, long nowMillis) {
 		this.readBefore = false;
+		this.confirming = false;
 		if (this.held != null) {
 			this.dueMillis = nowMillis + this.timing.retryMillis();
 		}
@@ -182,17 +190,24 @@
 		this.lastSeen = null;
 		this.held = null;
 		this.readBefore = false;
+		this.confirming = false;
 		this.dueMillis = nowMillis;
 		return held ? Change.ENDED : Change.NONE;
 	}
 
-	private Change onFound(LeaseResponse.Found found, long nowMillis) {
+	private Change onFound(Step step, LeaseResponse.Found found, long nowMillis) {
 		observe(found, nowMillis);
-		this.readBefore = resumable(found) || mayTake(nowMillis);
-		if (!this.readBefore) {
+		afterRead(step, resumable(found) || mayTake(nowMillis), nowMillis);
+		return Change.NONE;
+	}
+
+	private void afterRead(Step step, boolean mayWrite, long nowMillis) {
+		boolean fresh = step instanceof Step.Read read && read.fresh();
+		this.confirming = mayWrite && !fresh;
+		this.readBefore = mayWrite && fresh;
+		if (!mayWrite) {
 			pauseCandidate(nowMillis);
 		}
-		return Change.NONE;
 	}
 
 	private Change onMissing(Step step, long nowMillis) {
@@ -203,10 +218,7 @@
 		if (latest == null || latest.found() != null) {
 			this.observed = new Observation(null, nowMillis);
 		}
-		this.readBefore = step instanceof Step.Read && mayTake(nowMillis);
-		if (!this.readBefore) {
-			pauseCandidate(nowMillis);
-		}
+		afterRead(step, step instanceof Step.Read && mayTake(nowMillis), nowMillis);
 		return ended ? Change.ENDED : Change.NONE;
 	}
 
@@ -220,6 +232,7 @@
 		LeaderTerm term = new LeaderTerm(this.vm, lease.token(), sentMillis + this.timing.actMillis());
 		Held before = this.held;
 		this.readBefore = false;
+		this.confirming = false;
 		LeaseResponse.Found found = new LeaseResponse.Found(written.era(), written.revision(), lease);
 		this.held = new Held(term, found.revision(), lease, (before != null) ? before.inherited() : lease.states());
 		observe(found, nowMillis);
@@ -229,6 +242,7 @@
 
 	private Change onConflict(Step step, LeaseResponse.@Nullable Found current, long nowMillis) {
 		this.readBefore = false;
+		this.confirming = false;
 		Held before = this.held;
 		if (before != null && current != null && resumable(current)
 				&& current.lease().term() == before.lease().term()) {
@@ -248,7 +262,7 @@
 
 	private void observe(LeaseResponse.Found found, long nowMillis) {
 		Observation latest = this.observed;
-		if (latest == null || latest.found() == null || latest.found().revision() != found.revision()) {
+		if (latest == null || latest.found() == null || !latest.found().equals(found)) {
 			this.observed = new Observation(found, nowMillis);
 		}
 		if (found.lease().era() == this.era) {
@@ -278,6 +292,7 @@
 	private void endTerm(long nowMillis) {
 		this.held = null;
 		this.readBefore = false;
+		this.confirming = false;
 		this.dueMillis = nowMillis;
 	}
 
@@ -348,8 +363,10 @@
 
 		/**
 		 * Reads the object.
+		 *
+		 * @param fresh whether the result must not be old
 		 */
-		record Read() implements Step {
+		record Read(boolean fresh) implements Step {
 		}
 
 		/**
--- a/src/main/java/org/jaywood/leader/LeaseStore.java
+++ b/src/main/java/org/jaywood/leader/LeaseStore.java
@@ -9,10 +9,12 @@
 public interface LeaseStore {
 
 	/**
-	 * Reads the object; the result may be seconds old.
+	 * Reads the object.
+	 * @param fresh whether the result must not be old; otherwise it may be some seconds
+	 * old, which costs less
 	 * @throws IOException if the store does not respond
 	 */
-	LeaseResponse read() throws IOException;
+	LeaseResponse read(boolean fresh) throws IOException;
 
 	/**
 	 * Creates the object.
--- a/src/main/java/org/jaywood/metering/UsageTask.java
+++ b/src/main/java/org/jaywood/metering/UsageTask.java
@@ -67,7 +67,15 @@
 		long firstWindow = handover.complete() ? 0
 				: Math.max(this.windows.windowAt(this.trueTime.at(handover.eraSinceMillis())),
 						this.lastSealedSeen.getAsLong() + 1);
-		this.ledger.begin(handover.state(), firstWindow, this.trueTime.at(nowMillis));
+		long trueMillis = this.trueTime.at(nowMillis);
+		try {
+			this.ledger.begin(handover.state(), firstWindow, trueMillis);
+		}
+		catch (RuntimeException ex) {
+			// What an unreadable state has sealed is not known.
+			this.log.log(Event.TASK_FAILED, "task", NAME, "error", ex);
+			this.ledger.begin(null, this.windows.windowAt(trueMillis), trueMillis);
+		}
 	}
 
 	@Override
--- a/src/main/java/org/jaywood/platform/StoreLeases.java
+++ b/src/main/java/org/jaywood/platform/StoreLeases.java
@@ -34,8 +34,8 @@
 	}
 
 	@Override
-	public LeaseResponse read() throws IOException {
-		BufferedResponse response = this.store.readObject(KIND, NAME, true);
+	public LeaseResponse read(boolean fresh) throws IOException {
+		BufferedResponse response = this.store.readObject(KIND, NAME, !fresh);
 		long era = MetadataStoreClient.era(response);
 		return switch (response.status()) {
 			case HttpStatus.SC_OK -> found(response, era);
--- a/src/test/java/org/jaywood/leader/FaultyLeaseStore.java
+++ b/src/test/java/org/jaywood/leader/FaultyLeaseStore.java
@@ -66,7 +66,8 @@
 				throw new IOException("response lost, executed later");
 			}
 			default -> {
-				return (step instanceof Step.Read) ? staleRead(nowMillis) : apply(step, nowMillis);
+				return (step instanceof Step.Read read && !read.fresh()) ? staleRead(nowMillis)
+						: apply(step, nowMillis);
 			}
 		}
 	}
--- a/src/test/java/org/jaywood/platform/StoreLeasesTests.java
+++ b/src/test/java/org/jaywood/platform/StoreLeasesTests.java
@@ -38,7 +38,7 @@
 
 	@Test
 	void missingLeaseIsCreatedOnce() throws IOException {
-		assertThat(this.leases.read()).isEqualTo(new LeaseResponse.Missing(0));
+		assertThat(this.leases.read(true)).isEqualTo(new LeaseResponse.Missing(0));
 		assertThat(this.leases.create(lease(1))).isInstanceOf(LeaseResponse.Written.class);
 		assertThat(this.leases.create(lease(2))).isEqualTo(new LeaseResponse.Conflict(0, null));
 	}
@@ -49,13 +49,13 @@
 		LeaseResponse.Written replaced = (LeaseResponse.Written) this.leases.replace(lease(2), created.revision());
 		LeaseResponse.Found current = new LeaseResponse.Found(0, replaced.revision(), lease(2));
 		assertThat(this.leases.replace(lease(3), created.revision())).isEqualTo(new LeaseResponse.Conflict(0, current));
-		assertThat(this.leases.read()).isEqualTo(current);
+		assertThat(this.leases.read(true)).isEqualTo(current);
 	}
 
 	@Test
 	void refusalOfTheStoreIsNoResponse() {
 		this.store.setFault(FakeMetadataStore.Fault.BUSY);
-		Failures.thrownBy(IOException.class, () -> this.leases.read());
+		Failures.thrownBy(IOException.class, () -> this.leases.read(true));
 		Failures.thrownBy(IOException.class, () -> this.leases.create(lease(1)));
 		Failures.thrownBy(IOException.class, () -> this.leases.replace(lease(1), 1));
 	}
