--- a/src/main/java/org/jaywood/gateway/LeaderDuties.java
+++ b/src/main/java/org/jaywood/gateway/LeaderDuties.java
@@ -45,7 +45,12 @@
 		this.log = log;
 	}
 
-	static LeaderDuties create(GatewaySettings settings, LeaderPorts ports, GatewayMetrics metrics, EventLog log) {
+	/**
+	 * Creates the duties that the settings name.
+	 * @return the duties, or null if there are none
+	 */
+	static @Nullable LeaderDuties create(GatewaySettings settings, LeaderPorts ports, GatewayMetrics metrics,
+			EventLog log) {
 		String process = UUID.randomUUID().toString();
 		// Each duty that the settings may name is added here.
 		List<Duty> duties = new ArrayList<>();
@@ -60,6 +65,9 @@
 			scaling = new ScalingDuty(settings, ports, metrics, log);
 			duties.add(scaling);
 		}
+		if (duties.isEmpty()) {
+			return null;
+		}
 		LeaderElection election = new LeaderElection(settings.vm(), settings.operatorAddress(), process,
 				LeaseTiming.of(ports.settings().leaseMillis()), new Random());
 		LeaderRunner runner = new LeaderRunner(election, ports.leases(), duties.stream().map(Duty::task).toList(),
--- a/src/main/java/org/jaywood/platform/StoreLeases.java
+++ b/src/main/java/org/jaywood/platform/StoreLeases.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -29,13 +30,15 @@
 
 	private final MetadataStoreClient store;
 
+	private final AtomicLong writes = new AtomicLong();
+
 	public StoreLeases(MetadataStoreClient store) {
 		this.store = store;
 	}
 
 	@Override
-	public LeaseResponse read() throws IOException {
-		BufferedResponse response = this.store.readObject(KIND, NAME, true);
+	public LeaseResponse read(boolean fresh) throws IOException {
+		BufferedResponse response = this.store.readObject(KIND, NAME, !fresh);
 		long era = MetadataStoreClient.era(response);
 		return switch (response.status()) {
 			case HttpStatus.SC_OK -> found(response, era);
@@ -108,14 +111,19 @@
 		}
 	}
 
-	private static JsonNode spec(Lease lease) {
+	/**
+	 * Encodes a lease with a number that differs in each write: a write that changes
+	 * nothing does not raise the revision, by which candidates see a renewal.
+	 */
+	private JsonNode spec(Lease lease) {
 		ObjectNode spec = Json.mapper()
 			.createObjectNode()
 			.put("Holder", lease.holder())
 			.put("Address", lease.address().toString())
 			.put("Process", lease.process())
 			.put("Term", lease.term())
-			.put("Era", lease.era());
+			.put("Era", lease.era())
+			.put("Write", this.writes.incrementAndGet());
 		ObjectNode states = spec.putObject("States");
 		lease.states()
 			.forEach((name, state) -> states.putObject(name).put("Era", state.era()).set("Value", state.value()));
--- a/src/test/java/org/jaywood/platform/FakeMetadataStore.java
+++ b/src/test/java/org/jaywood/platform/FakeMetadataStore.java
@@ -140,7 +140,10 @@
 			exchange.respondJson(409, current.object());
 		}
 		else {
-			put(kindAndName[0], kindAndName[1], object.path("Spec"));
+			// As in the platform's store, a write that changes nothing has no revision.
+			if (!object.path("Spec").equals(current.spec())) {
+				put(kindAndName[0], kindAndName[1], object.path("Spec"));
+			}
 			exchange.respondJson(200, this.entriesByKind.get(kindAndName[0]).get(kindAndName[1]).object());
 		}
 	}
