--- a/src/test/java/org/jaywood/platform/PlatformSettingsTests.java
+++ b/src/test/java/org/jaywood/platform/PlatformSettingsTests.java
@@ -1,9 +1,13 @@
 package org.jaywood.platform;
 
 import java.io.IOException;
+import java.util.Set;
 
 import org.junit.jupiter.api.Test;
 
+import org.jaywood.gateway.DutySettings;
+import org.jaywood.wire.Address;
+
 import static com.google.common.truth.Truth.assertThat;
 
 class PlatformSettingsTests {
@@ -43,4 +47,25 @@
 		assertThat((double) marginMillis).isAtLeast(waitSeconds * 1_000);
 	}
 
+	/**
+	 * Guards against an election and priced calls of a deployment that asks for no
+	 * duties.
+	 */
+	@Test
+	void dutiesAreReadOnlyWhereTheFileNamesThem() throws IOException {
+		assertThat(PlatformSettings.parse("[Cloud]\nAddress = \"10.0.0.1:80\"\nRatePerS = 5").duties()).isNull();
+		assertThat(PlatformSettings.parse("Node = \"a\"").duties()).isNull();
+		assertThat(PlatformSettings.parse("""
+				[Cloud]
+				Address = "10.0.0.1:80"
+				Duties = ["usage", "autoscale"]
+				DutyPerS = 4
+				[Bounds]
+				LeaseMs = 2000
+				UsageWindowS = 4
+				UsageLateS = 8
+				""").duties()).isEqualTo(
+				new DutySettings(Set.of("usage", "autoscale"), new Address("10.0.0.1", 80), 4, 2_000, 4_000, 8_000));
+	}
+
 }
