--- a/src/test/java/org/jaywood/gateway/GatewayFixture.java
+++ b/src/test/java/org/jaywood/gateway/GatewayFixture.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 
 import org.awaitility.Awaitility;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 
 import org.jaywood.event.EventLog;
@@ -85,12 +86,19 @@
 		Gateway gateway = new Gateway(settings, protocol,
 				new GatewayFeeds(new FixedFeed<>("config", List.of(table(profile))),
 						new FixedFeed<>("servers", entries), new FixedFeed<>("closed", List.of()), targetVersions),
-				NO_TRIALS, new EventLog("gateway"));
+				NO_TRIALS, leaderPorts(), new EventLog("gateway"));
 		gateway.start();
 		Awaitility.await().until(gateway::ready);
 		return gateway;
 	}
 
+	/**
+	 * Returns the connections of the duties of a leader, or null for none.
+	 */
+	@Nullable LeaderPorts leaderPorts() {
+		return null;
+	}
+
 	static Feed<ModelVersion> noTargetVersions() {
 		return new FixedFeed<>("weights", List.of());
 	}
