--- a/src/test/java/org/jaywood/replica/PeerClientTests.java
+++ b/src/test/java/org/jaywood/replica/PeerClientTests.java
@@ -2,17 +2,24 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import org.jaywood.Failures;
 import org.jaywood.event.EventLog;
@@ -48,11 +55,13 @@
 
 	private final List<LocalChunks.Chunk> received = new ArrayList<>();
 
-	private HttpPort port;
+	private @Nullable HttpPort port;
 
 	@AfterEach
 	void close() {
-		this.port.close();
+		if (this.port != null) {
+			this.port.close();
+		}
 	}
 
 	private Address startPeer(BodyWriter bodyWriter) {
@@ -161,6 +170,38 @@
 
 	}
 
+	/**
+	 * Guards against a peer in trouble whose status is none and that is waited on.
+	 */
+	@Nested
+	class InvalidStatus {
+
+		@ParameterizedTest
+		@ValueSource(strings = { "000", "099", "600", "999", "2OO", "" })
+		void streamOfChunksFailsAtOnce(String status) throws Exception {
+			try (ServerSocket peer = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+				Thread.ofVirtual().start(() -> {
+					try (Socket socket = peer.accept()) {
+						socket.getOutputStream()
+							.write(("HTTP/1.1 " + status + " Status\r\nContent-Length: 0\r\n\r\n")
+								.getBytes(StandardCharsets.US_ASCII));
+						socket.getInputStream().readAllBytes();
+					}
+					catch (IOException ex) {
+						// The client has reset the connection.
+					}
+				});
+				long startNanos = System.nanoTime();
+				Failures.thrownBy(ConnectionException.class, () -> {
+					requestChunk(new Address("127.0.0.1", peer.getLocalPort()));
+					return null;
+				});
+				assertThat(Duration.ofNanos(System.nanoTime() - startNanos).toMillis()).isLessThan(1_000);
+			}
+		}
+
+	}
+
 	/**
 	 * Guards against a peer that sends without end.
 	 */
--- a/src/test/java/org/jaywood/replica/RolloutTests.java
+++ b/src/test/java/org/jaywood/replica/RolloutTests.java
@@ -263,6 +263,77 @@
 
 	}
 
+	@Nested
+	class NewestWhole {
+
+		@BeforeEach
+		void receiveNewest() {
+			announce(2, 0);
+			receive(2, CHUNKS, 300);
+			receive(2, 0, 2_000);
+		}
+
+		@Test
+		void remainsTargetWithoutAnotherVersion() {
+			assertTarget(2, 3_600_000);
+			assertNothingFetched(3_600_000);
+		}
+
+		@Test
+		void newerAnnouncementIsFetchedWhileItIsLoaded() {
+			announce(3, 2_100);
+			assertTarget(2, 2_100);
+			assertFetched(3, 2_100);
+		}
+
+		@Test
+		void isNotForgottenWhenOriginDropsIt() {
+			RolloutTests.this.rollout.onGone(version(2));
+			assertTarget(2, 2_100);
+			assertNothingFetched(2_100);
+		}
+
+	}
+
+	@Nested
+	class NewestServed {
+
+		@BeforeEach
+		void serveNewest() {
+			announce(2, 0);
+			receive(2, 0, 2_000);
+			RolloutTests.this.rollout.onServed(version(2));
+		}
+
+		@Test
+		void restartedEngineGetsItAgain() {
+			assertTarget(2, 60_000);
+			assertNothingFetched(60_000);
+		}
+
+		@Test
+		void newerAnnouncementIsFetchedAndServedOnceWhole() {
+			announce(3, 60_000);
+			assertFetched(3, 60_000);
+			assertTarget(2, 60_000);
+			receive(3, 0, 62_000);
+			assertTarget(3, 62_000);
+		}
+
+		/**
+		 * An agent that has restarted knows only the newest announcement.
+		 */
+		@Test
+		void restartedAgentDoesNotReturnToOlderVersion() {
+			Rollout restarted = new Rollout(GRACE_MILLIS);
+			restarted.onTargetVersion(version(3), NOW_MILLIS);
+			restarted.onServed(version(2));
+			assertThat(restarted.target(NOW_MILLIS)).isEqualTo(Optional.of(version(3)));
+			assertThat(restarted.versionToFetch(NOW_MILLIS)).isEqualTo(Optional.of(version(3)));
+		}
+
+	}
+
 	/**
 	 * Guards against a loss of all capacity because all engines load at the same time.
 	 */
