--- a/src/test/java/org/jaywood/platform/PlatformProcesses.java
+++ b/src/test/java/org/jaywood/platform/PlatformProcesses.java
@@ -16,7 +16,6 @@
 import java.util.stream.Stream;
 
 import org.awaitility.Awaitility;
-import org.jspecify.annotations.Nullable;
 
 import org.jaywood.bench.ProcessFleet;
 import org.jaywood.event.EventLog;
@@ -70,16 +69,14 @@
 
 	private final int gateways;
 
-	private @Nullable Address cloud;
-
-	private String cloudDuties = "";
-
 	private List<String> gatewayOptions = List.of();
 
 	private List<String> replicaOptions = List.of();
 
 	private List<String> gatewayArguments = List.of();
 
+	private String cloudSettings = "";
+
 	PlatformProcesses(int gateways, int engines, EventLog log) throws IOException {
 		this(gateways, engines, CHUNKS, 0, log);
 	}
@@ -122,12 +119,18 @@
 	}
 
 	/**
-	 * Gives processes that are started from now on duties towards a cloud API.
-	 * @param duties names of the duties in quotation marks, separated by commas
+	 * Gives the gateways that are started from now on duties of a leader.
+	 * @param cloud address of the cloud API
+	 * @param duties names of the duties
 	 */
-	PlatformProcesses withDuties(Address cloudApi, String duties) {
-		this.cloud = cloudApi;
-		this.cloudDuties = duties;
+	PlatformProcesses withDuties(Address cloud, String... duties) {
+		this.cloudSettings = """
+				[Cloud]
+				Address = "%s"
+				RatePerS = 5
+				Duties = ["%s"]
+				DutyPerS = 4
+				""".formatted(cloud, String.join("\", \"", duties));
 		return this;
 	}
 
@@ -318,15 +321,7 @@
 				""".formatted(name, host, FIRST_PORT, LAST_PORT, new Address(host, 8000), callerAddress(gateway),
 				readinessAddress(gateway), MAX_CONFIGURATION_AGE_MILLIS, MAX_REVOKED_KEY_MILLIS,
 				this.fleet.address(0, 0, 1, 7000));
-		if (this.cloud != null) {
-			text += """
-					[Cloud]
-					Address = "%s"
-					DutyPerS = 5.0
-					Duties = [%s]
-					""".formatted(this.cloud, this.cloudDuties);
-		}
-		Files.writeString(file, text);
+		Files.writeString(file, text + this.cloudSettings);
 		file.toFile().deleteOnExit();
 		return file;
 	}
