Tell refused callers when there is room for their priority, and show the shares

Cause: Retry-After was one time for all priorities, at least 0.7 s and beyond what callers honour, so that they came back early, or together after a start.

Change: in a service that shares slots, ReturnSchedule gives each refused caller of a priority the next place after those told before, at the rate that more urgent calls leave, at most a third of its time; over one second while no rate is known.

--- a/src/main/java/org/jaywood/gateway/CallAttempts.java
+++ b/src/main/java/org/jaywood/gateway/CallAttempts.java
@@ -352,11 +352,14 @@
 	}
 
 	private void logPlaced(Placement placement, int attempt) {
+		CallRequirements placed = placement.requirements();
+		this.context.metrics().recordPlaced(placed.workspace(), placed.priority());
 		this.context.log()
 			.log(Event.CALL_PLACED, "request", this.call.id(), "route", this.call.route().name(), "upstream",
 					placement.upstream().id(), "load", placement.load(), "capacity", placement.capacity(), "reportAge",
 					placement.reportAgeMillis(), "waited", placement.waitedMillis(), "attempt", attempt, "moved",
-					this.moved, "configuration", this.call.tableVersion());
+					this.moved, "workspace", placed.workspace(), "priority", placed.priority(), "configuration",
+					this.call.tableVersion());
 	}
 
 	private void logFailed(String upstream, String reason, AttemptProgress progress) {
--- a/src/main/java/org/jaywood/gateway/GatewayMetrics.java
+++ b/src/main/java/org/jaywood/gateway/GatewayMetrics.java
@@ -1,6 +1,8 @@
 package org.jaywood.gateway;
 
 import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.Counter;
@@ -18,8 +20,15 @@
  */
 final class GatewayMetrics {
 
+	/** Workspaces with a counter of their own; the calls of the others are added up. */
+	private static final int MAX_WORKSPACES = 64;
+
+	private static final int MAX_PRIORITY = 9;
+
 	private final MetricRegistry registry = new MetricRegistry();
 
+	private final Set<String> workspaces = ConcurrentHashMap.newKeySet();
+
 	private final Histogram firstByteMillis = histogram("call.first_byte_millis");
 
 	private final Histogram answerMillis = histogram("call.answer_millis");
@@ -46,6 +55,16 @@
 		this.waitMillis.update(millis);
 	}
 
+	/**
+	 * Counts a placement for its workspace and priority.
+	 */
+	void recordPlaced(String workspace, int priority) {
+		boolean named = this.workspaces.contains(workspace)
+				|| (this.workspaces.size() < MAX_WORKSPACES && this.workspaces.add(workspace));
+		counter("workspace.placed." + (named ? workspace : "others")).inc();
+		counter("call.placed.priority_" + Math.clamp(priority, 0, MAX_PRIORITY)).inc();
+	}
+
 	/**
 	 * Registers gauges of the heap and of what the memory budget holds and has refused.
 	 */
--- a/src/main/java/org/jaywood/routing/ArrivalQueue.java
+++ b/src/main/java/org/jaywood/routing/ArrivalQueue.java
@@ -120,4 +120,9 @@
 		return 0;
 	}
 
+	@Override
+	public String describe(long nowMillis) {
+		return "";
+	}
+
 }
--- a/src/main/java/org/jaywood/routing/CallQueue.java
+++ b/src/main/java/org/jaywood/routing/CallQueue.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 /**
  * Queued calls of each service. A service whose routes have several priorities shares its
@@ -104,6 +105,13 @@
 			.forEach((queue) -> queue.overdue(nowMillis).stream().filter(queue::remove).forEach(QueuedCall::refuse));
 	}
 
+	/**
+	 * Describes the services that share slots, for the dump of the process.
+	 */
+	Stream<String> describe(long nowMillis) {
+		return this.sharedServices.stream().map((service) -> service + " " + of(service).describe(nowMillis));
+	}
+
 	private QueuedCall latest(CallRequirements requirements, long nowMillis) {
 		return new QueuedCall(requirements, this.nextSequence, nowMillis, Long.MAX_VALUE);
 	}
--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
 
@@ -337,15 +338,15 @@
 	}
 
 	/**
-	 * Returns one line for each upstream, for the dump of the process.
+	 * Returns one line for each upstream and shared service, for the dump of the process.
 	 */
 	public synchronized List<String> describe(long nowMillis) {
-		return this.states.stream()
+		Stream<String> upstreams = this.states.stream()
 			.map((state) -> state.upstream().id() + " " + state.upstream().service() + " "
 					+ state.upstream().dataCentre() + " load=" + state.load(lastReportedGateways(nowMillis), nowMillis)
 					+ " own=" + state.inFlight() + " paused=" + state.health().ejected(nowMillis) + " quiet="
-					+ this.policy.quiet(state, nowMillis) + " weights=" + state.servedWeights(nowMillis))
-			.toList();
+					+ this.policy.quiet(state, nowMillis) + " weights=" + state.servedWeights(nowMillis));
+		return Stream.concat(upstreams, this.queue.describe(nowMillis)).toList();
 	}
 
 	private @Nullable ServiceProfile profile(String service) {
--- /dev/null
+++ b/src/main/java/org/jaywood/routing/ReturnSchedule.java
@@ -0,0 +1,73 @@
+package org.jaywood.routing;
+
+import java.util.TreeMap;
+
+/**
+ * Times at which refused callers of one service are told to come back. Each priority has
+ * its own: the time until the calls ahead of it are served at the rate that the more
+ * urgent ones leave, and behind the callers that were told to come back before. Answers
+ * an overload of some seconds, whose refused callers would otherwise return together, and
+ * the first second after a start, when no rate is known. Not safe for use by several
+ * threads.
+ */
+final class ReturnSchedule {
+
+	/**
+	 * Shortest time. A caller that returns earlier meets the same queue, since the times
+	 * of its calls at engines are longer.
+	 */
+	private static final long MIN_MILLIS = 150;
+
+	/** Callers come back within this share of the time that they have left. */
+	private static final double HONOURED_SHARE = 1.0 / 3;
+
+	/** Longest time for callers with much time left. */
+	private static final long MAX_MILLIS = 30_000;
+
+	/** Time over which returns are spread while no rate is known. */
+	private static final long UNKNOWN_RATE_SPREAD_MILLIS = 1_000;
+
+	/** Fractional part of the golden ratio: its multiples are spread evenly. */
+	private static final double GOLDEN_RATIO = 0.618_033_988_749_895;
+
+	private final WaitForecast forecast;
+
+	/** Time of the latest return by priority. */
+	private final TreeMap<Integer, Double> lastReturnMillis = new TreeMap<>();
+
+	private double spread;
+
+	ReturnSchedule(WaitForecast forecast) {
+		this.forecast = forecast;
+	}
+
+	/**
+	 * Returns the time in milliseconds after which a refused call is told to come back.
+	 * @param moreUrgent queued calls of more urgent priorities
+	 * @param queued queued calls of its own priority
+	 * @param leftMillis time that its caller has left
+	 */
+	long retryAfterMillis(int priority, int moreUrgent, int queued, long leftMillis, long nowMillis) {
+		this.spread = (this.spread + GOLDEN_RATIO) % 1;
+		double longestMillis = Math.clamp(HONOURED_SHARE * leftMillis, MIN_MILLIS, MAX_MILLIS);
+		double millis = this.forecast.known(nowMillis)
+				? scheduledMillis(priority, moreUrgent + queued, longestMillis, nowMillis)
+				: Math.min(longestMillis, MIN_MILLIS + this.spread * UNKNOWN_RATE_SPREAD_MILLIS);
+		return Math.round(millis);
+	}
+
+	private double scheduledMillis(int priority, int ahead, double longestMillis, long nowMillis) {
+		double callMillis = 1 / this.forecast.placedPerMilli(priority, nowMillis);
+		double roomMillis = nowMillis + Math.max(MIN_MILLIS, ahead * callMillis);
+		double previousMillis = this.lastReturnMillis.getOrDefault(priority, 0.0);
+		double returnMillis = Math.max(roomMillis, previousMillis + callMillis);
+		if (returnMillis - nowMillis > longestMillis) {
+			// There is no room for it in time; those beyond are spread over the later
+			// half.
+			return Math.max(MIN_MILLIS, longestMillis * (1 - this.spread / 2));
+		}
+		this.lastReturnMillis.put(priority, returnMillis);
+		return returnMillis - nowMillis;
+	}
+
+}
--- a/src/main/java/org/jaywood/routing/ServiceQueue.java
+++ b/src/main/java/org/jaywood/routing/ServiceQueue.java
@@ -82,6 +82,11 @@
 	 */
 	double heldBackSlots(CallRequirements requirements, long nowMillis);
 
+	/**
+	 * Describes the order for the dump of the process, empty if it is that of arrival.
+	 */
+	String describe(long nowMillis);
+
 	/**
 	 * Walk through the queued calls in the order of placement. Calls may be added and
 	 * removed meanwhile.
--- a/src/main/java/org/jaywood/routing/SharedQueue.java
+++ b/src/main/java/org/jaywood/routing/SharedQueue.java
@@ -7,9 +7,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
@@ -35,7 +37,7 @@
 
 	private final WaitForecast forecast = new WaitForecast(this.demand, this.floor, this.slots);
 
-	private final RetryTime retryTime = new RetryTime();
+	private final ReturnSchedule returns = new ReturnSchedule(this.forecast);
 
 	@Override
 	public void add(QueuedCall queuedCall) {
@@ -120,7 +122,6 @@
 	@Override
 	public void onEnd(Placement placement, Outcome outcome, long nowMillis) {
 		this.slots.onEnd(placement, outcome, nowMillis);
-		this.retryTime.onEnd(outcome, nowMillis);
 	}
 
 	@Override
@@ -147,7 +148,9 @@
 
 	@Override
 	public long retryAfterMillis(CallRequirements requirements, long leftMillis, long nowMillis) {
-		return this.retryTime.millis(requirements, size(), nowMillis);
+		FairQueue own = this.byPriority.get(requirements.priority());
+		return this.returns.retryAfterMillis(requirements.priority(), moreUrgentCalls(requirements.priority()),
+				(own != null) ? own.size() : 0, leftMillis, nowMillis);
 	}
 
 	@Override
@@ -156,6 +159,16 @@
 		return first ? 0 : this.slots.heldBackSlots(requirements.priority(), nowMillis);
 	}
 
+	@Override
+	public String describe(long nowMillis) {
+		return this.demand.priorities()
+			.stream()
+			.map((priority) -> "priority " + priority + ": queued="
+					+ Optional.ofNullable(this.byPriority.get(priority)).map(FairQueue::size).orElse(0) + " heldBack="
+					+ this.slots.heldBackSlots(priority, nowMillis))
+			.collect(Collectors.joining(", "));
+	}
+
 	/**
 	 * Walk in the order of placement, which each placement may change.
 	 */
--- a/src/main/java/org/jaywood/routing/WaitForecast.java
+++ b/src/main/java/org/jaywood/routing/WaitForecast.java
@@ -57,11 +57,28 @@
 		if (!known(nowMillis) || moreUrgent + ahead == 0) {
 			return 0;
 		}
-		double allPerMilli = this.slots.placedPerMilli(nowMillis);
-		double leftPerMilli = allPerMilli - this.demand.moreUrgentPerMilli(priority, nowMillis);
-		double floorPerMilli = allPerMilli * this.floor.share(priority, nowMillis);
-		return Math.min((moreUrgent + ahead) / Math.max(leftPerMilli, Double.MIN_NORMAL),
-				(ahead + 1) / Math.max(floorPerMilli, Double.MIN_NORMAL));
+		return Math.min((moreUrgent + ahead) / leftPerMilli(priority, nowMillis),
+				(ahead + 1) / floorPerMilli(priority, nowMillis));
+	}
+
+	/**
+	 * Returns the calls of a priority that are placed in a millisecond while calls wait.
+	 */
+	double placedPerMilli(int priority, long nowMillis) {
+		return Math.max(leftPerMilli(priority, nowMillis), floorPerMilli(priority, nowMillis));
+	}
+
+	/**
+	 * Returns the placements in a millisecond that more urgent calls leave.
+	 */
+	private double leftPerMilli(int priority, long nowMillis) {
+		return Math.max(Double.MIN_NORMAL,
+				this.slots.placedPerMilli(nowMillis) - this.demand.moreUrgentPerMilli(priority, nowMillis));
+	}
+
+	private double floorPerMilli(int priority, long nowMillis) {
+		return Math.max(Double.MIN_NORMAL,
+				this.slots.placedPerMilli(nowMillis) * this.floor.share(priority, nowMillis));
 	}
 
 	/**
--- a/src/test/java/org/jaywood/routing/ContentionPlay.java
+++ b/src/test/java/org/jaywood/routing/ContentionPlay.java
@@ -29,6 +29,8 @@
 	/** Time from sending to the first event that gateways expect at full engines. */
 	private static final long EXPECTED_FIRST_EVENT_MILLIS = 170;
 
+	private static final long IMPATIENT_MILLIS = 50;
+
 	private static final long STEP_MILLIS = 2;
 
 	private static final long REPORT_MILLIS = 100;
@@ -52,6 +54,8 @@
 
 	private boolean callersReturn;
 
+	private String impatientWorkspace = "";
+
 	/**
 	 * Creates a play.
 	 * @param sharing whether the routes have several priorities; otherwise the order is
@@ -85,6 +89,12 @@
 		return this;
 	}
 
+	/** Has callers of a workspace come back at once, whatever they are told. */
+	ContentionPlay withImpatient(String workspace) {
+		this.impatientWorkspace = workspace;
+		return this;
+	}
+
 	ContentionPlay with(Source source) {
 		this.sources.add(source);
 		return this;
@@ -164,7 +174,8 @@
 			.retryAfterMillis(caller.requirements, leftMillis, nowMillis);
 		caller.retryAfterMillis.add(retryMillis);
 		if (this.callersReturn && leftMillis > 600) {
-			caller.nextMillis = nowMillis + Math.min(retryMillis, leftMillis / 3);
+			caller.nextMillis = nowMillis + (caller.source.workspace().equals(this.impatientWorkspace)
+					? IMPATIENT_MILLIS : Math.min(retryMillis, leftMillis / 3));
 			this.returning.add(caller);
 		}
 	}
--- /dev/null
+++ b/src/test/java/org/jaywood/routing/ReturnTests.java
@@ -0,0 +1,154 @@
+package org.jaywood.routing;
+
+import java.util.List;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Plays refused callers who come back when they are told to, and checks when that is and
+ * what they get.
+ */
+class ReturnTests {
+
+	private static ContentionPlay play(boolean sharing, double load) {
+		ContentionPlay play = new ContentionPlay(4, 8, sharing).withReturns();
+		double perSecond = play.capacityPerSecond() / 4;
+		for (int gateway = 0; gateway < 4; gateway++) {
+			play.with(new ContentionPlay.Source("a", 0, 0.3 * perSecond).at(gateway))
+				.with(new ContentionPlay.Source("b", 1, 0.3 * perSecond).at(gateway))
+				.with(new ContentionPlay.Source("c", 2, 0.2 * perSecond).at(gateway));
+			Stream
+				.of(new ContentionPlay.Source("a", 0, 0.3 * load * perSecond),
+						new ContentionPlay.Source("b", 1, 0.3 * load * perSecond),
+						new ContentionPlay.Source("c", 2, 0.2 * load * perSecond))
+				.filter((source) -> source.perSecond() > 0)
+				.forEach((source) -> play.with(source.at(0).between(4_000, 8_000)));
+		}
+		return play;
+	}
+
+	private static double served(List<ContentionPlay.Caller> callers, long fromMillis, long untilMillis) {
+		return ContentionPlay.served(callers,
+				(caller) -> caller.cameMillis >= fromMillis && caller.cameMillis < untilMillis);
+	}
+
+	/**
+	 * Guards against refused callers who are told times that they do not honour, or all
+	 * the same time.
+	 */
+	@Nested
+	class Times {
+
+		@Test
+		void timeIsAtMostAThirdOfWhatTheCallerHasLeft() {
+			play(true, 2).run(12_000)
+				.forEach((caller) -> caller.retryAfterMillis.forEach((millis) -> assertThat(millis).isAtMost(2_000)));
+		}
+
+		@Test
+		void callersAreSpreadOverTheFirstSecondWhileNoRateIsKnown() {
+			Dispatcher dispatcher = new Dispatcher(RoutingFixtures.settings());
+			dispatcher.onRouteTable(RoutingFixtures.table(ContentionPlay.route(0), ContentionPlay.route(1)), 0);
+			CallRequirements requirements = RoutingFixtures.requirements(RoutingFixtures.ENGINE_SERVICE, false);
+			long[] millis = LongStream.range(0, 100)
+				.map((number) -> dispatcher.retryAfterMillis(requirements, 6_000, 0))
+				.sorted()
+				.toArray();
+			assertThat(millis[99] - millis[0]).isAtLeast(900);
+			assertThat(LongStream.range(1, 100).map((i) -> millis[(int) i] - millis[(int) i - 1]).max().orElse(0))
+				.isAtMost(50);
+		}
+
+		@Test
+		void nobodyIsRefusedByARateThatIsNotKnown() {
+			Dispatcher dispatcher = new Dispatcher(RoutingFixtures.settings());
+			dispatcher.onRouteTable(RoutingFixtures.table(ContentionPlay.route(0), ContentionPlay.route(1)), 0);
+			dispatcher.onFleet(RoutingFixtures.fleet(RoutingFixtures.engine("a")), 0);
+			CallRequirements requirements = RoutingFixtures.requirements(RoutingFixtures.ENGINE_SERVICE, false);
+			assertThat(LongStream.range(0, 50).allMatch((number) -> dispatcher.offer(requirements, 230, 0).isPresent()))
+				.isTrue();
+		}
+
+	}
+
+	/**
+	 * Guards against callers whose returns keep an overload going after its cause.
+	 */
+	@Nested
+	class Overload {
+
+		@Test
+		void urgentCallersReturnFirst() {
+			List<ContentionPlay.Caller> callers = play(true, 2).run(12_000);
+			assertThat(meanRetryMillis(callers, 0)).isLessThan(meanRetryMillis(callers, 2));
+		}
+
+		@Test
+		void usualServiceIsBackSoonAfterThreefoldLoad() {
+			List<ContentionPlay.Caller> callers = play(true, 2).run(20_000);
+			assertThat(served(callers, 11_000, 14_000)).isAtLeast(served(callers, 1_000, 4_000) - 0.05);
+		}
+
+		@Test
+		void asManyAreServedAsBefore() {
+			assertThat(served(play(true, 2).run(20_000), 0, 14_000))
+				.isAtLeast(served(play(false, 2).run(20_000), 0, 14_000) - 0.01);
+		}
+
+		@Test
+		void callersWhoIgnoreTheTimeDoNotTakeFromTheOthers() {
+			ContentionPlay ignoring = play(true, 2).withImpatient("c");
+			List<ContentionPlay.Caller> callers = ignoring.run(20_000);
+			List<ContentionPlay.Caller> others = play(true, 2).run(20_000);
+			assertThat(ContentionPlay.served(callers, (caller) -> caller.source.priority() == 0))
+				.isAtLeast(ContentionPlay.served(others, (caller) -> caller.source.priority() == 0) - 0.05);
+		}
+
+		private static double meanRetryMillis(List<ContentionPlay.Caller> callers, int priority) {
+			return callers.stream()
+				.filter((caller) -> caller.source.priority() == priority)
+				.flatMap((caller) -> caller.retryAfterMillis.stream().limit(1))
+				.mapToLong(Long::longValue)
+				.average()
+				.orElse(0);
+		}
+
+	}
+
+	/**
+	 * Guards against a slow return to the usual rate after all VMs have started anew,
+	 * with the callers of two seconds coming at once.
+	 */
+	@Nested
+	class Start {
+
+		@Test
+		void usualRateIsBackWithinThreeSecondsAndNoSecondFallsBelowHalf() {
+			ContentionPlay play = play(true, 0);
+			double usualPerSecond = 0.8 * play.capacityPerSecond();
+			for (int gateway = 0; gateway < 4; gateway++) {
+				for (int priority = 0; priority < 3; priority++) {
+					play.with(new ContentionPlay.Source("returning", priority, usualPerSecond / 12 * 10).at(gateway)
+						.between(0, 200));
+				}
+			}
+			List<ContentionPlay.Caller> callers = play.run(8_000);
+			LongStream.range(0, 7)
+				.forEach((second) -> assertThat(startedIn(callers, second))
+					.isAtLeast((second < 3) ? 0.5 * usualPerSecond : 0.85 * usualPerSecond));
+		}
+
+		private static double startedIn(List<ContentionPlay.Caller> callers, long second) {
+			return callers.stream()
+				.filter((caller) -> caller.served() && caller.startedMillis / 1_000 == second)
+				.count();
+		}
+
+	}
+
+}
