Look at subscribed engines first when a call is placed

Each choice filtered all engines of the fleet although calls go to the at most 20 subscribed ones while four of them may run the call, and each arrival looked at all eligible engines twice more.

The choice now looks at subscribed engines only while these are enough, and the checks on arrival stop at the first engine that decides them. Outliers by failures are then compared among subscribed engines.

All tests of org.jaywood.routing, ArchitectureTests and PlatformNamesTests passed.

--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -2,11 +2,13 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
 
@@ -174,7 +176,9 @@
 	public synchronized boolean isRateLimited(CallRequirements requirements, long waitMillis, long nowMillis) {
 		int ahead = this.queue.countAhead(requirements, nowMillis);
 		long missing = ahead + 1;
-		for (UpstreamState state : eligible(requirements, nowMillis)) {
+		Iterator<UpstreamState> eligible = eligible(this.states.stream(), requirements, nowMillis).iterator();
+		while (missing > 0 && eligible.hasNext()) {
+			UpstreamState state = eligible.next();
 			missing -= Math.min(missing, this.limits.callsWithin(waitMillis, state, profile(requirements.service()),
 					this.states.fleetSize(nowMillis).divisor(), nowMillis));
 		}
@@ -198,7 +202,7 @@
 	 * Whether an upstream exists that may run a call now, with or without free capacity.
 	 */
 	public synchronized boolean hasEligibleUpstream(CallRequirements requirements, long nowMillis) {
-		return eligible(requirements, nowMillis).stream().anyMatch((state) -> !paused(state, nowMillis));
+		return eligible(this.states.stream(), requirements, nowMillis).anyMatch((state) -> !paused(state, nowMillis));
 	}
 
 	private boolean paused(UpstreamState state, long nowMillis) {
@@ -379,14 +383,17 @@
 	}
 
 	private Collection<UpstreamState> eligible(CallRequirements requirements, long nowMillis) {
+		return eligible(this.states.stream(), requirements, nowMillis).toList();
+	}
+
+	private Stream<UpstreamState> eligible(Stream<UpstreamState> candidates, CallRequirements requirements,
+			long nowMillis) {
 		Fleet fleet = this.states.fleet();
 		if (fleet == null) {
-			return List.of();
+			return Stream.empty();
 		}
-		return this.policy
-			.eligible(this.states.stream(), requirements, fleet, profile(requirements.service()), nowMillis)
-			.filter((state) -> !this.notices.leaving(state.upstream()))
-			.toList();
+		return this.policy.eligible(candidates, requirements, fleet, profile(requirements.service()), nowMillis)
+			.filter((state) -> !this.notices.leaving(state.upstream()));
 	}
 
 	private void placeQueued(long nowMillis) {
@@ -428,9 +435,19 @@
 				this.states.fleetSize(nowMillis), nowMillis);
 	}
 
+	/**
+	 * Returns the upstreams that may run a call now: only subscribed engines while these
+	 * are enough, so that the time of a choice does not grow with the fleet.
+	 */
 	private List<UpstreamState> available(CallRequirements requirements, long nowMillis) {
-		return eligible(requirements, nowMillis).stream()
-			.filter((state) -> !state.health().ejected(nowMillis))
+		List<UpstreamState> subscribed = available(this.states.subscribed().stream(), requirements, nowMillis);
+		return this.policy.isEnough(subscribed, requirements, profile(requirements.service()), nowMillis) ? subscribed
+				: available(this.states.stream(), requirements, nowMillis);
+	}
+
+	private List<UpstreamState> available(Stream<UpstreamState> candidates, CallRequirements requirements,
+			long nowMillis) {
+		return eligible(candidates, requirements, nowMillis).filter((state) -> !state.health().ejected(nowMillis))
 			.filter((state) -> state.inFlight() < this.notices.maxInFlight(state.upstream(), nowMillis))
 			.filter((state) -> state.responsive(nowMillis))
 			.filter((state) -> state.inFlight() == 0 || !isVmSilent(state, nowMillis))
--- a/src/main/java/org/jaywood/routing/PlacementPolicy.java
+++ b/src/main/java/org/jaywood/routing/PlacementPolicy.java
@@ -166,6 +166,19 @@
 				: candidates.stream().filter((state) -> state.subscribed() || state.inFlight() == 0).toList();
 	}
 
+	/**
+	 * Whether a call is placed on one of some subscribed engines, so that the others need
+	 * not be considered.
+	 */
+	boolean isEnough(List<UpstreamState> subscribed, CallRequirements requirements, @Nullable ServiceProfile profile,
+			long nowMillis) {
+		return profile instanceof ServiceProfile.Engines && requirements.regions().isEmpty()
+				&& subscribed.stream()
+					.filter((state) -> state.hasTimelyPath(nowMillis))
+					.limit(MIN_SUBSCRIBED_CANDIDATES)
+					.count() == MIN_SUBSCRIBED_CANDIDATES;
+	}
+
 	/**
 	 * Returns the upstreams that may run a call, with or without free capacity.
 	 */
--- a/src/main/java/org/jaywood/routing/UpstreamStates.java
+++ b/src/main/java/org/jaywood/routing/UpstreamStates.java
@@ -1,6 +1,7 @@
 package org.jaywood.routing;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
 import java.util.Set;
@@ -26,6 +27,8 @@
 
 	private final GatewayCountEstimator gatewayCount = new GatewayCountEstimator();
 
+	private List<UpstreamState> subscribedStates = List.of();
+
 	private SubscribedEngines subscribedEngines = SubscribedEngines.NONE;
 
 	private @Nullable RouteTable routeTable;
@@ -57,6 +60,14 @@
 		return this.states.values().stream();
 	}
 
+	/**
+	 * Returns the engines whose agents report to this gateway, in the order of
+	 * {@link #stream()}.
+	 */
+	List<UpstreamState> subscribed() {
+		return this.subscribedStates;
+	}
+
 	/**
 	 * Returns the fleet as last known, or null before it is.
 	 */
@@ -159,6 +170,7 @@
 		this.subscribedEngines = SubscribedEngines.choose(this.subset, this.routeTable, this.fleet);
 		this.gatewayCount.refresh();
 		stream().forEach((state) -> state.setSubscribed(this.subscribedEngines.ids().contains(state.upstream().id())));
+		this.subscribedStates = stream().filter(UpstreamState::subscribed).toList();
 	}
 
 }
