--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -1,6 +1,7 @@
 package org.jaywood.routing;
 
 import java.util.Collection;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -39,12 +40,12 @@
 	private final StallDetector stallDetector = new StallDetector();
 
 	public Dispatcher(DispatchSettings settings) {
-		this(settings, new WorkRanking());
+		this(settings, new WorkRanking(), new SpilloverPolicy());
 	}
 
-	Dispatcher(DispatchSettings settings, EngineRanking ranking) {
+	Dispatcher(DispatchSettings settings, EngineRanking ranking, DataCentreChoice dataCentreChoice) {
 		this.limits = new CallLimits(settings, this.notices);
-		this.policy = new PlacementPolicy(settings, this.limits, ranking);
+		this.policy = new PlacementPolicy(settings, this.limits, ranking, dataCentreChoice);
 		this.states = new UpstreamStates(settings);
 	}
 
@@ -87,6 +88,13 @@
 		}
 	}
 
+	/**
+	 * Records the time in which a connection to an upstream was opened.
+	 */
+	public synchronized void onConnected(Upstream upstream, long millis, long nowMillis) {
+		this.policy.onConnected(upstream, millis, nowMillis);
+	}
+
 	/**
 	 * Records that the connection to the agent of an upstream has ended. After
 	 * {@link AgentLoss#CLOSED} missing reports say nothing about the upstream.
@@ -173,7 +181,9 @@
 	public synchronized boolean isRateLimited(CallRequirements requirements, long waitMillis, long nowMillis) {
 		int ahead = this.queue.countAhead(requirements, nowMillis);
 		long missing = ahead + 1;
-		for (UpstreamState state : eligible(requirements, nowMillis)) {
+		Iterator<UpstreamState> eligible = eligible(this.states.stream(), requirements, nowMillis).iterator();
+		while (missing > 0 && eligible.hasNext()) {
+			UpstreamState state = eligible.next();
 			missing -= Math.min(missing, this.limits.callsWithin(waitMillis, state, profile(requirements.service()),
 					this.states.fleetSize(nowMillis).divisor(), nowMillis));
 		}
@@ -197,7 +207,7 @@
 	 * Whether an upstream exists that may run a call now, with or without free capacity.
 	 */
 	public synchronized boolean hasEligibleUpstream(CallRequirements requirements, long nowMillis) {
-		return eligible(requirements, nowMillis).stream().anyMatch((state) -> !paused(state, nowMillis));
+		return eligible(this.states.stream(), requirements, nowMillis).anyMatch((state) -> !paused(state, nowMillis));
 	}
 
 	private boolean paused(UpstreamState state, long nowMillis) {
@@ -360,14 +370,17 @@
 	}
 
 	private Collection<UpstreamState> eligible(CallRequirements requirements, long nowMillis) {
+		return eligible(this.states.stream(), requirements, nowMillis).toList();
+	}
+
+	private Stream<UpstreamState> eligible(Stream<UpstreamState> candidates, CallRequirements requirements,
+			long nowMillis) {
 		Fleet fleet = this.states.fleet();
 		if (fleet == null) {
-			return List.of();
+			return Stream.empty();
 		}
-		return this.policy
-			.eligible(this.states.stream(), requirements, fleet, profile(requirements.service()), nowMillis)
-			.filter((state) -> !this.notices.leaving(state.upstream()))
-			.toList();
+		return this.policy.eligible(candidates, requirements, fleet, profile(requirements.service()), nowMillis)
+			.filter((state) -> !this.notices.leaving(state.upstream()));
 	}
 
 	private void placeQueued(long nowMillis) {
@@ -414,9 +427,19 @@
 				this.states.fleetSize(nowMillis), heldBackSlots, nowMillis);
 	}
 
+	/**
+	 * Returns the upstreams that may run a call now: only subscribed engines while these
+	 * are enough, so that the time of a choice does not grow with the fleet.
+	 */
 	private List<UpstreamState> available(CallRequirements requirements, long nowMillis) {
-		return eligible(requirements, nowMillis).stream()
-			.filter((state) -> !state.health().ejected(nowMillis))
+		List<UpstreamState> subscribed = available(this.states.subscribed().stream(), requirements, nowMillis);
+		return this.policy.isEnough(subscribed, requirements, profile(requirements.service()), nowMillis) ? subscribed
+				: available(this.states.stream(), requirements, nowMillis);
+	}
+
+	private List<UpstreamState> available(Stream<UpstreamState> candidates, CallRequirements requirements,
+			long nowMillis) {
+		return eligible(candidates, requirements, nowMillis).filter((state) -> !state.health().ejected(nowMillis))
 			.filter((state) -> state.inFlight() < this.notices.maxInFlight(state.upstream(), nowMillis))
 			.filter((state) -> state.responsive(nowMillis))
 			.filter((state) -> state.inFlight() == 0 || !isVmSilent(state, nowMillis))
@@ -441,7 +464,7 @@
 		AttemptObserver observer = this.policy.observer(chosen, requirements, profile(requirements.service()),
 				nowMillis);
 		this.queue.of(requirements.service()).onBegin();
-		return new Placement(state.upstream(), requirements, chosen.load(), chosen.capacity(),
+		return new Placement(state.upstream(), requirements, chosen.way(), chosen.load(), chosen.capacity(),
 				state.reportAgeMillis(nowMillis), nowMillis - enqueuedMillis, nowMillis,
 				state.onSend(observer, nowMillis));
 	}
