Name singleton tasks as such, and mend what the reading of the diff found

Faults found by reading, each small: a call behind fewer than four queued ones was refused by a decayed rate after all engines had been lost; the forecast for an arriving call counted late calls that it overtakes; the fallback of usage sealed windows that could wait; released leases of trials were remembered without bound; without DutyPerS calls to the cloud API had no limit, and a lease under 1.5 s ended before its first renewal; ends of calls that began before a service was scaled were counted and their beginnings not.

--- a/src/main/java/org/jaywood/cli/GatewayCommand.java
+++ b/src/main/java/org/jaywood/cli/GatewayCommand.java
@@ -5,9 +5,9 @@
 import com.beust.jcommander.ParametersDelegate;
 
 import org.jaywood.event.EventLog;
-import org.jaywood.gateway.DutySettings;
 import org.jaywood.gateway.Gateway;
 import org.jaywood.gateway.GatewayLimits;
+import org.jaywood.gateway.SingletonSettings;
 import org.jaywood.platform.PlatformCalls;
 import org.jaywood.platform.PlatformFeeds;
 import org.jaywood.platform.PlatformSettings;
@@ -40,9 +40,9 @@
 		PlatformSettings settings = this.file.read();
 		EventLog log = this.file.log(settings);
 		PlatformFeeds feeds = this.file.feeds(settings, log);
-		DutySettings duties = settings.duties();
+		SingletonSettings singletons = settings.singletons();
 		Gateway gateway = new Gateway(settings.gateway(this.memoryPercent), new PlatformCalls(), feeds.gateway(),
-				feeds.trialLeases(), (duties != null) ? feeds.leaderPorts(duties, settings.vm()) : null, log);
+				feeds.trialLeases(), (singletons != null) ? feeds.leaderPorts(singletons, settings.vm()) : null, log);
 		this.file.logChangesOnSignal(log);
 		return Daemon.run(gateway::start, gateway::drain);
 	}
--- a/src/main/java/org/jaywood/event/Event.java
+++ b/src/main/java/org/jaywood/event/Event.java
@@ -7,7 +7,7 @@
  * {@code {name}} placeholders are filled from named fields. Numbers are never reused:
  * 10xx process, 11xx configuration, 12xx membership, 13xx weights, 14xx engine and
  * activation, 15xx admission and calls at the agent, 16xx router, 17xx claims, 18xx
- * leader and its duties, 19xx stand-ins.
+ * leader and its singletons, 19xx stand-ins.
  */
 public enum Event {
 
--- a/src/main/java/org/jaywood/gateway/CallAttempts.java
+++ b/src/main/java/org/jaywood/gateway/CallAttempts.java
@@ -369,14 +369,15 @@
 		CallRequirements placed = placement.requirements();
 		this.context.metrics().recordPlaced(placed.workspace(), placed.priority());
 		this.context.metrics()
-			.recordWay(placement, this.context.settings().dispatch().dataCentre(), this.call.request().body().length);
+			.recordSpillover(placement, this.context.settings().dispatch().dataCentre(),
+					this.call.request().body().length);
 		this.context.log()
 			.log(Event.CALL_PLACED, "request", this.call.id(), "route", this.call.route().name(), "upstream",
 					placement.upstream().id(), "load", placement.load(), "capacity", placement.capacity(), "reportAge",
 					placement.reportAgeMillis(), "waited", placement.waitedMillis(), "expectedFirst",
-					placement.activity().expectedFirstMillis(), "way", placement.way(), "attempt", attempt, "moved",
-					this.moved, "workspace", placed.workspace(), "priority", placed.priority(), "configuration",
-					this.call.tableVersion());
+					placement.activity().expectedFirstMillis(), "spillover", placement.spillover(), "attempt", attempt,
+					"moved", this.moved, "workspace", placed.workspace(), "priority", placed.priority(),
+					"configuration", this.call.tableVersion());
 	}
 
 	private void logFailed(String upstream, String reason, AttemptProgress progress) {
--- a/src/main/java/org/jaywood/gateway/Duty.java
+++ b/src/main/java/org/jaywood/gateway/ClusterSingleton.java
@@ -6,9 +6,9 @@
 import org.jaywood.wire.Exchange;
 
 /**
- * Duty that one gateway, the leader, has for all. The others report to it.
+ * Task that one gateway, the leader, runs for all gateways. The others report to it.
  */
-interface Duty {
+interface ClusterSingleton {
 
 	/**
 	 * Returns what the leader does.
@@ -27,7 +27,7 @@
 
 	/**
 	 * Reports to the leader where that is due. Called at short intervals in each gateway,
-	 * on a thread of the duty.
+	 * on a thread of the singleton.
 	 */
 	void onTick(LeaderRunner runner);
 
--- a/src/main/java/org/jaywood/gateway/LeaderDuties.java
+++ b/src/main/java/org/jaywood/gateway/ClusterSingletons.java
@@ -19,60 +19,60 @@
 import org.jaywood.wire.HttpPort;
 
 /**
- * The duties that one gateway has at a time: election of that gateway, the tasks of the
- * leader, and the reports of all gateways to it.
+ * The singletons that one gateway has at a time: election of that gateway, the tasks of
+ * the leader, and the reports of all gateways to it.
  */
-final class LeaderDuties {
+final class ClusterSingletons {
 
 	private static final long TICK_MILLIS = 100;
 
 	private final LeaderRunner runner;
 
-	private final List<Duty> duties;
+	private final List<ClusterSingleton> singletons;
 
 	private final CallMeter meter;
 
-	private final @Nullable ScalingDuty scaling;
+	private final @Nullable ScalingSingleton scaling;
 
 	private final EventLog log;
 
-	private LeaderDuties(LeaderRunner runner, List<Duty> duties, CallMeter meter, @Nullable ScalingDuty scaling,
-			EventLog log) {
+	private ClusterSingletons(LeaderRunner runner, List<ClusterSingleton> singletons, CallMeter meter,
+			@Nullable ScalingSingleton scaling, EventLog log) {
 		this.runner = runner;
-		this.duties = duties;
+		this.singletons = singletons;
 		this.meter = meter;
 		this.scaling = scaling;
 		this.log = log;
 	}
 
 	/**
-	 * Creates the duties that the settings name.
-	 * @return the duties, or null if there are none
+	 * Creates the singletons that the settings name.
+	 * @return the singletons, or null if there are none
 	 */
-	static @Nullable LeaderDuties create(GatewaySettings settings, LeaderPorts ports, GatewayMetrics metrics,
+	static @Nullable ClusterSingletons create(GatewaySettings settings, LeaderPorts ports, GatewayMetrics metrics,
 			EventLog log) {
 		String process = UUID.randomUUID().toString();
-		// Each duty that the settings may name is added here.
-		List<Duty> duties = new ArrayList<>();
+		// Each singleton that the settings may name is added here.
+		List<ClusterSingleton> singletons = new ArrayList<>();
 		CallMeter meter = CallMeter.NONE;
 		if (ports.settings().names().contains(UsageTask.NAME)) {
-			UsageDuty usage = new UsageDuty(process, ports, metrics, log);
-			duties.add(usage);
+			UsageSingleton usage = new UsageSingleton(process, ports, metrics, log);
+			singletons.add(usage);
 			meter = usage;
 		}
-		ScalingDuty scaling = null;
+		ScalingSingleton scaling = null;
 		if (ports.settings().names().contains(ScalingTask.NAME)) {
-			scaling = new ScalingDuty(settings, ports, metrics, log);
-			duties.add(scaling);
+			scaling = new ScalingSingleton(settings, ports, metrics, log);
+			singletons.add(scaling);
 		}
-		if (duties.isEmpty()) {
+		if (singletons.isEmpty()) {
 			return null;
 		}
 		LeaderElection election = new LeaderElection(settings.vm(), settings.operatorAddress(), process,
 				LeaseTiming.of(ports.settings().leaseMillis()), new Random());
-		LeaderRunner runner = new LeaderRunner(election, ports.leases(), duties.stream().map(Duty::task).toList(),
-				metrics, log);
-		return new LeaderDuties(runner, List.copyOf(duties), meter, scaling, log);
+		LeaderRunner runner = new LeaderRunner(election, ports.leases(),
+				singletons.stream().map(ClusterSingleton::task).toList(), metrics, log);
+		return new ClusterSingletons(runner, List.copyOf(singletons), meter, scaling, log);
 	}
 
 	/**
@@ -83,7 +83,7 @@
 	}
 
 	/**
-	 * Gives the duties what this gateway knows. Called once, before the start.
+	 * Gives the singletons what this gateway knows. Called once, before the start.
 	 */
 	void attach(GatewayContext context) {
 		if (this.scaling != null) {
@@ -95,8 +95,8 @@
 	 * Adds the routes of the reports to the operator port.
 	 */
 	void addRoutes(HttpPort port) {
-		this.duties
-			.forEach((duty) -> port.route("POST", duty.path(), (exchange) -> duty.handle(exchange, this.runner)));
+		this.singletons.forEach((singleton) -> port.route("POST", singleton.path(),
+				(exchange) -> singleton.handle(exchange, this.runner)));
 	}
 
 	/**
@@ -104,10 +104,10 @@
 	 */
 	void start() {
 		this.runner.start();
-		this.duties.forEach((duty) -> {
-			String name = "report-" + duty.task().name();
+		this.singletons.forEach((singleton) -> {
+			String name = "report-" + singleton.task().name();
 			DaemonThreads.startDaemon(name, () -> new TaskGuard(name, this.log).repeat(() -> {
-				duty.onTick(this.runner);
+				singleton.onTick(this.runner);
 				TimeUnit.MILLISECONDS.sleep(TICK_MILLIS);
 			}, () -> false));
 		});
--- a/src/main/java/org/jaywood/gateway/DemandMeter.java
+++ b/src/main/java/org/jaywood/gateway/DemandMeter.java
@@ -9,7 +9,7 @@
 
 /**
  * Counts the calls of this gateway by service, from which the leader decides the number
- * of engines. Counts nothing until it is switched on. Thread-safe.
+ * of engines. Thread-safe.
  */
 final class DemandMeter {
 
@@ -23,42 +23,28 @@
 
 	private final Map<String, Counts> countsByService = new ConcurrentHashMap<>();
 
-	private volatile boolean active;
-
-	void activate() {
-		this.active = true;
-	}
-
 	void onArrival(String service) {
-		if (this.active) {
-			counts(service).arrived.increment();
-		}
+		counts(service).arrived.increment();
 	}
 
 	void onEnd(String service) {
-		if (this.active) {
-			counts(service).ended.increment();
-		}
+		counts(service).ended.increment();
 	}
 
 	void onRefusal(String service, String reason) {
-		if (this.active && CAPACITY_REASONS.contains(reason)) {
+		if (CAPACITY_REASONS.contains(reason)) {
 			counts(service).refused.increment();
 		}
 	}
 
 	void onAttemptBegin(String service) {
-		if (this.active) {
-			counts(service).begun.increment();
-		}
+		counts(service).begun.increment();
 	}
 
 	void onAttemptEnd(String service, long millis) {
-		if (this.active) {
-			Counts counts = counts(service);
-			counts.finished.increment();
-			counts.finishedMillis.add(millis);
-		}
+		Counts counts = counts(service);
+		counts.finished.increment();
+		counts.finishedMillis.add(millis);
 	}
 
 	private Counts counts(String service) {
@@ -66,7 +52,8 @@
 	}
 
 	/**
-	 * Returns the demand for a service since the last call of this method.
+	 * Returns the demand for a service since the last call of this method, without rates
+	 * for the first one.
 	 * @param intervalMillis time since then
 	 */
 	ServiceDemand take(String service, long intervalMillis) {
@@ -100,6 +87,8 @@
 
 		private double slotMillis;
 
+		private boolean taken;
+
 		synchronized ServiceDemand take(String service, double seconds) {
 			// Ends are read first, so that a count is never negative for long.
 			long attemptsEnded = this.finished.sum();
@@ -114,9 +103,12 @@
 				this.slotMillis = (this.slotMillis > 0)
 						? this.slotMillis + SLOT_TIME_WEIGHT * (latest - this.slotMillis) : latest;
 			}
+			// The first counts are those since the start, not of the last interval.
+			double arrivals = this.taken ? callsArrived - this.lastArrived : 0;
+			double refusals = this.taken ? callsRefused - this.lastRefused : 0;
 			ServiceDemand demand = new ServiceDemand(service, running, Math.max(0, callsArrived - callsEnded - running),
-					(callsArrived - this.lastArrived) / seconds, (callsRefused - this.lastRefused) / seconds,
-					Math.max(0, this.slotMillis));
+					arrivals / seconds, refusals / seconds, Math.max(0, this.slotMillis));
+			this.taken = true;
 			this.lastArrived = callsArrived;
 			this.lastRefused = callsRefused;
 			this.lastFinished = attemptsEnded;
--- a/src/main/java/org/jaywood/gateway/DurableTrialLeases.java
+++ b/src/main/java/org/jaywood/gateway/DurableTrialLeases.java
@@ -56,8 +56,10 @@
 
 	@Override
 	public void release(String name) throws IOException {
+		long nowMillis = BootClock.nowMillis();
 		this.held.remove(name);
-		this.released.put(name, BootClock.nowMillis());
+		this.released.values().removeIf((releasedMillis) -> nowMillis - releasedMillis > RELEASE_MEMORY_MILLIS);
+		this.released.put(name, nowMillis);
 		this.leases.release(name);
 	}
 
--- a/src/main/java/org/jaywood/gateway/Gateway.java
+++ b/src/main/java/org/jaywood/gateway/Gateway.java
@@ -74,7 +74,7 @@
 
 	private final PartTrialRunner partTrials;
 
-	private final @Nullable LeaderDuties duties;
+	private final @Nullable ClusterSingletons singletons;
 
 	private final ScheduledExecutorService timer = Executors
 		.newSingleThreadScheduledExecutor(Thread.ofPlatform().daemon().name("tick").factory());
@@ -90,7 +90,7 @@
 	private int ticks;
 
 	/**
-	 * Creates a gateway without duties of a leader.
+	 * Creates a gateway without singletons of a leader.
 	 */
 	public Gateway(GatewaySettings settings, CallProtocol protocol, GatewayFeeds feeds, TrialLeases trialLeases,
 			EventLog log) {
@@ -99,17 +99,18 @@
 
 	/**
 	 * Creates a gateway.
-	 * @param leaderPorts connections of the duties of a leader, or null if there are none
+	 * @param leaderPorts connections of the singletons of a leader, or null if there are
+	 * none
 	 */
 	public Gateway(GatewaySettings settings, CallProtocol protocol, GatewayFeeds feeds, TrialLeases trialLeases,
 			@Nullable LeaderPorts leaderPorts, EventLog log) {
 		this.settings = settings;
 		GatewayMetrics metrics = new GatewayMetrics();
-		this.duties = (leaderPorts != null) ? LeaderDuties.create(settings, leaderPorts, metrics, log) : null;
+		this.singletons = (leaderPorts != null) ? ClusterSingletons.create(settings, leaderPorts, metrics, log) : null;
 		this.context = GatewayContext.create(settings, protocol, metrics,
-				(this.duties != null) ? this.duties.meter() : CallMeter.NONE, log);
-		if (this.duties != null) {
-			this.duties.attach(this.context);
+				(this.singletons != null) ? this.singletons.meter() : CallMeter.NONE, log);
+		if (this.singletons != null) {
+			this.singletons.attach(this.context);
 		}
 		this.connections = new CallerConnections(
 				new CallAdmission(protocol, settings.keyLifetimeMillis(), settings.routeLifetimeMillis()),
@@ -153,7 +154,7 @@
 			.route("GET", "/metrics", (exchange) -> MetricsText.respond(exchange, this.context.metrics().registry()))
 			.route("GET", SNAPSHOT_PATH, this::sendSnapshot)
 			.route("GET", "/dump", (exchange) -> exchange.respondJson(200, dump()));
-		LeaderDuties active = this.duties;
+		ClusterSingletons active = this.singletons;
 		if (active != null) {
 			active.addRoutes(this.operatorPort);
 		}
@@ -251,7 +252,7 @@
 				storeCache.era(), ready(), this.connections.openCount(), this.connections.busyCount(),
 				this.context.dispatcher().lastReportedGateways(nowMillis),
 				this.context.dispatcher().describe(nowMillis), this.context.screen().evidence().blocked(),
-				(this.duties != null) ? this.duties.describe(nowMillis) : null);
+				(this.singletons != null) ? this.singletons.describe(nowMillis) : null);
 	}
 
 	/**
--- a/src/main/java/org/jaywood/gateway/GatewayMetrics.java
+++ b/src/main/java/org/jaywood/gateway/GatewayMetrics.java
@@ -68,9 +68,9 @@
 	/**
 	 * Counts a call that is sent to another data centre, and the bytes of its request.
 	 */
-	void recordWay(Placement placement, String ownDataCentre, int requestBytes) {
+	void recordSpillover(Placement placement, String ownDataCentre, int requestBytes) {
 		if (!placement.upstream().dataCentre().equals(ownDataCentre)) {
-			String reason = placement.way().name().toLowerCase(Locale.ROOT);
+			String reason = placement.spillover().name().toLowerCase(Locale.ROOT);
 			counter("call.sent_away_" + reason).inc();
 			counter("call.sent_away_" + reason + "_bytes").inc(requestBytes);
 		}
--- a/src/main/java/org/jaywood/gateway/ScalingDuty.java
+++ b/src/main/java/org/jaywood/gateway/ScalingSingleton.java
@@ -31,11 +31,11 @@
 import org.jaywood.wire.Json;
 
 /**
- * Duty to order the engines of the services whose configuration states bounds for their
- * number. Each gateway reports its demand to the leader, which sums it and knows from the
- * store which engines serve.
+ * Orders the engines of the services whose configuration states bounds for their number.
+ * Each gateway reports its demand to the leader, which sums it and knows from the store
+ * which engines serve.
  */
-final class ScalingDuty implements Duty {
+final class ScalingSingleton implements ClusterSingleton {
 
 	private static final String PATH = "/v1/demand";
 
@@ -69,7 +69,7 @@
 
 	private long reportedMillis = Long.MIN_VALUE / 2;
 
-	ScalingDuty(GatewaySettings settings, LeaderPorts ports, GatewayMetrics metrics, EventLog log) {
+	ScalingSingleton(GatewaySettings settings, LeaderPorts ports, GatewayMetrics metrics, EventLog log) {
 		this.settings = settings;
 		this.dataCentres = ports.dataCentres();
 		this.metrics = metrics;
@@ -78,7 +78,7 @@
 	}
 
 	/**
-	 * Gives the duty what this gateway knows. Called once, before the start.
+	 * Gives the singleton what this gateway knows. Called once, before the start.
 	 */
 	void attach(GatewayContext latest) {
 		this.context = latest;
@@ -166,7 +166,6 @@
 			return;
 		}
 		DemandMeter meter = attached.demandMeter();
-		meter.activate();
 		DemandReport report = new DemandReport(this.settings.vm(), this.settings.dispatch().dataCentre(),
 				services.stream().map((service) -> meter.take(service.name(), intervalMillis)).toList());
 		boolean first = this.reportedMillis < 0;
--- a/src/main/java/org/jaywood/gateway/UsageDuty.java
+++ b/src/main/java/org/jaywood/gateway/UsageSingleton.java
@@ -30,7 +30,7 @@
  * Usage of workspaces: each gateway counts its calls and tells the leader, which reports
  * the total of each window to the platform.
  */
-final class UsageDuty implements Duty, CallMeter {
+final class UsageSingleton implements ClusterSingleton, CallMeter {
 
 	private static final String PATH = "/v1/usage";
 
@@ -55,10 +55,10 @@
 	private final ConnectionPool pool = new ConnectionPool();
 
 	/**
-	 * Creates the duty.
+	 * Creates the singleton.
 	 * @param process random id of this process
 	 */
-	UsageDuty(String process, LeaderPorts ports, GatewayMetrics metrics, EventLog log) {
+	UsageSingleton(String process, LeaderPorts ports, GatewayMetrics metrics, EventLog log) {
 		UsageWindows windows = new UsageWindows(ports.settings().usageWindowMillis(),
 				ports.settings().usageDueMillis());
 		this.process = process;
--- a/src/main/java/org/jaywood/leader/LeaseTiming.java
+++ b/src/main/java/org/jaywood/leader/LeaseTiming.java
@@ -27,8 +27,9 @@
 	 * Returns the usual times for a lease of the given length.
 	 */
 	public static LeaseTiming of(long leaseMillis) {
-		return new LeaseTiming(leaseMillis, MARGIN_MILLIS, RENEW_MILLIS, RETRY_MILLIS, MIN_POLL_MILLIS,
-				MAX_POLL_MILLIS);
+		// A short lease is renewed more often, so that two renewals fit into it.
+		return new LeaseTiming(leaseMillis, Math.min(MARGIN_MILLIS, leaseMillis / 6),
+				Math.min(RENEW_MILLIS, leaseMillis / 3), RETRY_MILLIS, MIN_POLL_MILLIS, MAX_POLL_MILLIS);
 	}
 
 	/**
--- a/src/main/java/org/jaywood/metering/UsageLedger.java
+++ b/src/main/java/org/jaywood/metering/UsageLedger.java
@@ -44,7 +44,7 @@
 
 	/**
 	 * Bytes of the open counts in the saved state, about. The lease object takes 256 KB
-	 * for all duties, and sealed windows need a part of it.
+	 * for all singletons, and sealed windows need a part of it.
 	 */
 	private static final int MAX_OPEN_BYTES = 128 * 1024;
 
@@ -94,9 +94,8 @@
 		if (!this.sealed.isEmpty()) {
 			last = Math.max(last, this.sealed.lastKey());
 		}
-		// Without a last window in the state, and after a long time without a leader,
-		// older
-		// windows are skipped; their reports are due already.
+		// Older windows are skipped without a last window in the state, or after a long
+		// time without a leader: their reports are due already.
 		this.lastSealed = Math.max(last, this.windows.windowAt(nowMillis) - UsageWindows.MAX_WINDOWS);
 		if (state != null) {
 			state.path("open")
--- a/src/main/java/org/jaywood/metering/UsageTask.java
+++ b/src/main/java/org/jaywood/metering/UsageTask.java
@@ -19,7 +19,7 @@
  */
 public final class UsageTask implements LeaderTask {
 
-	/** Name of the duty. */
+	/** Name of the singleton. */
 	public static final String NAME = "usage";
 
 	private final UsageWindows windows;
@@ -109,7 +109,9 @@
 			this.countStore.readAll().forEach((counts) -> this.ledger.merge(counts, trueMillis));
 		}
 		catch (IOException ex) {
-			if (!this.ledger.urgent(sealable.getFirst(), trueMillis)) {
+			// Windows that can wait are sealed later, with the stored counts.
+			sealable = sealable.stream().filter((window) -> this.ledger.urgent(window, trueMillis)).toList();
+			if (sealable.isEmpty()) {
 				return;
 			}
 			this.log.log(Event.TASK_FAILED, "task", NAME, "error", ex);
--- a/src/main/java/org/jaywood/platform/PlatformFeeds.java
+++ b/src/main/java/org/jaywood/platform/PlatformFeeds.java
@@ -4,9 +4,9 @@
 import java.util.Set;
 
 import org.jaywood.event.EventLog;
-import org.jaywood.gateway.DutySettings;
 import org.jaywood.gateway.GatewayFeeds;
 import org.jaywood.gateway.LeaderPorts;
+import org.jaywood.gateway.SingletonSettings;
 import org.jaywood.gateway.TrialLeases;
 import org.jaywood.replica.ReplicaFeeds;
 
@@ -47,12 +47,12 @@
 	}
 
 	/**
-	 * Returns the connections of the duties of a leader.
+	 * Returns the connections of the singletons of a leader.
 	 * @param vm name of the VM of this process
 	 */
-	public LeaderPorts leaderPorts(DutySettings duties, String vm) {
-		CloudClient cloud = new CloudClient(duties.cloud(), duties.callsPerSecond());
-		return new LeaderPorts(duties, new StoreLeases(this.store), new CloudUsageApi(cloud),
+	public LeaderPorts leaderPorts(SingletonSettings singletons, String vm) {
+		CloudClient cloud = new CloudClient(singletons.cloud(), singletons.callsPerSecond());
+		return new LeaderPorts(singletons, new StoreLeases(this.store), new CloudUsageApi(cloud),
 				new StoreUsageCounts(this.store, vm), new CloudScaling(cloud), this.dataCentres);
 	}
 
--- a/src/main/java/org/jaywood/platform/PlatformSettings.java
+++ b/src/main/java/org/jaywood/platform/PlatformSettings.java
@@ -12,9 +12,9 @@
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import org.jspecify.annotations.Nullable;
 
-import org.jaywood.gateway.DutySettings;
 import org.jaywood.gateway.GatewayLimits;
 import org.jaywood.gateway.GatewaySettings;
+import org.jaywood.gateway.SingletonSettings;
 import org.jaywood.replica.ReplicaSettings;
 import org.jaywood.routing.DispatchSettings;
 import org.jaywood.wire.Address;
@@ -56,6 +56,8 @@
 	 */
 	private static final long VERSION_GRACE_MARGIN_MILLIS = 1_500;
 
+	private static final double DEFAULT_CLOUD_CALLS_PER_SECOND = 1;
+
 	private static final long DEFAULT_LEASE_MILLIS = 3_000;
 
 	private static final double DEFAULT_USAGE_WINDOW_SECONDS = 5;
@@ -134,10 +136,10 @@
 	}
 
 	/**
-	 * Returns the settings of the duties that one gateway has at a time, or null if the
-	 * file names none.
+	 * Returns the settings of the singletons that one gateway has at a time, or null if
+	 * the file names none.
 	 */
-	public @Nullable DutySettings duties() {
+	public @Nullable SingletonSettings singletons() {
 		JsonNode cloud = this.tree.path("Cloud");
 		Set<String> names = new HashSet<>();
 		cloud.path("Duties").forEach((name) -> names.add(name.asText()));
@@ -145,7 +147,9 @@
 			return null;
 		}
 		JsonNode bounds = this.tree.path("Bounds");
-		return new DutySettings(names, Address.parse(cloud.path("Address").asText()), cloud.path("DutyPerS").asDouble(),
+		return new SingletonSettings(names, Address.parse(cloud.path("Address").asText()),
+
+				cloud.path("DutyPerS").asDouble(DEFAULT_CLOUD_CALLS_PER_SECOND),
 				bounds.path("LeaseMs").asLong(DEFAULT_LEASE_MILLIS),
 				Math.round(bounds.path("UsageWindowS").asDouble(DEFAULT_USAGE_WINDOW_SECONDS) * MILLIS_PER_SECOND),
 				Math.round(bounds.path("UsageLateS").asDouble(DEFAULT_USAGE_LATE_SECONDS) * MILLIS_PER_SECOND));
--- a/src/main/java/org/jaywood/routing/DataCentreChoice.java
+++ b/src/main/java/org/jaywood/routing/DataCentreChoice.java
@@ -25,9 +25,9 @@
 	 * @param dataCentres those in which it may, otherwise
 	 * @param reason why it would leave the own data centre
 	 */
-	record Decision(boolean any, Set<String> dataCentres, Way reason) {
+	record Decision(boolean any, Set<String> dataCentres, SpilloverReason reason) {
 
-		static final Decision ANYWHERE = new Decision(true, Set.of(), Way.UNRESTRICTED);
+		static final Decision ANYWHERE = new Decision(true, Set.of(), SpilloverReason.UNRESTRICTED);
 
 		boolean allows(String dataCentre) {
 			return this.any || this.dataCentres.contains(dataCentre);
--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -464,7 +464,7 @@
 		AttemptObserver observer = this.policy.observer(chosen, requirements, profile(requirements.service()),
 				nowMillis);
 		this.queue.of(requirements.service()).onBegin();
-		return new Placement(state.upstream(), requirements, chosen.way(), chosen.load(), chosen.capacity(),
+		return new Placement(state.upstream(), requirements, chosen.spillover(), chosen.load(), chosen.capacity(),
 				state.reportAgeMillis(nowMillis), nowMillis - enqueuedMillis, nowMillis,
 				state.onSend(observer, nowMillis));
 	}
--- a/src/main/java/org/jaywood/routing/EngineSpeed.java
+++ b/src/main/java/org/jaywood/routing/EngineSpeed.java
@@ -3,7 +3,7 @@
 /**
  * Measured slowness of one engine: the time that it takes for the steps of this gateway's
  * calls, relative to what is usual at its service. Each step counts by its duration, so
- * that the figure is a mean over time: a spell of 300 ms changes it little, and 3 s of
+ * that the figure is a mean over time: a period of 300 ms changes it little, and 3 s of
  * slowness show. Safe for use by several threads.
  */
 final class EngineSpeed {
@@ -27,7 +27,7 @@
 	private static final double FORGETTING_MILLIS = 15_000;
 
 	/**
-	 * Largest factor of one step. A spell in which an engine stands still is one long
+	 * Largest factor of one step. A period in which an engine stands still is one long
 	 * step.
 	 */
 	private static final double MAX_FACTOR = 6;
--- a/src/main/java/org/jaywood/routing/FairQueue.java
+++ b/src/main/java/org/jaywood/routing/FairQueue.java
@@ -18,7 +18,8 @@
  * Each workspace has the same weight; a call costs the slot time that it is expected to
  * take. Answers a workspace that sends many times its share: the calls of the others are
  * placed as if it did not. A workspace that was idle starts at the present virtual time,
- * so it has neither credit nor debt. Guarded by the lock of its {@link Dispatcher}.
+ * so it has no credit, and the debt of one call at most. Guarded by the lock of its
+ * {@link Dispatcher}.
  */
 final class FairQueue {
 
@@ -178,9 +179,11 @@
 	 */
 	int countAhead(CallRequirements latest) {
 		int ownCalls = this.queuedByWorkspace.getOrDefault(latest.workspace(), 0);
+		int lateCalls = lateCalls(latest);
+		int onTimeCalls = ownCalls - lateCalls;
 		int ownAhead = (latest.queueClass() == CallRequirements.QueueClass.LATE)
-				? Math.min(ownCalls, LATE_TURN * (lateCalls(latest) + 1))
-				: ownCalls - lateCalls(latest) * (LATE_TURN - 1) / LATE_TURN;
+				? Math.min(ownCalls, LATE_TURN * (lateCalls + 1) - 1)
+				: onTimeCalls + Math.min(lateCalls, onTimeCalls / (LATE_TURN - 1));
 		return countAhead(latest.workspace(), ownAhead);
 	}
 
--- a/src/main/java/org/jaywood/routing/Placement.java
+++ b/src/main/java/org/jaywood/routing/Placement.java
@@ -6,7 +6,7 @@
  *
  * @param upstream the upstream
  * @param requirements what the call requires
- * @param way whether and why the call leaves the data centre
+ * @param spillover whether and why the call leaves the data centre
  * @param load estimated calls that it held before
  * @param capacity calls that it may hold
  * @param reportAgeMillis age of the report used for the decision, or -1 if there was none
@@ -14,6 +14,6 @@
  * @param placedMillis time of the decision
  * @param activity takes the progress of the attempt
  */
-public record Placement(Upstream upstream, CallRequirements requirements, Way way, double load, double capacity,
-		long reportAgeMillis, long waitedMillis, long placedMillis, AttemptActivity activity) {
+public record Placement(Upstream upstream, CallRequirements requirements, SpilloverReason spillover, double load,
+		double capacity, long reportAgeMillis, long waitedMillis, long placedMillis, AttemptActivity activity) {
 }
--- a/src/main/java/org/jaywood/routing/PlacementPolicy.java
+++ b/src/main/java/org/jaywood/routing/PlacementPolicy.java
@@ -151,13 +151,13 @@
 			.filter((candidate) -> decision.allows(candidate.state().upstream().dataCentre()))
 			.min(Comparator.comparing(Candidate::quiet).thenComparingDouble(Candidate::cost))
 			.map((candidate) -> candidate
-				.withWay(this.dataCentreRooms.isOwn(candidate) ? Way.LOCAL : decision.reason()));
+				.withSpillover(this.dataCentreRooms.isOwn(candidate) ? SpilloverReason.LOCAL : decision.reason()));
 	}
 
 	/**
-	 * Returns the free capacity of all candidates for each gateway. Places in the queues
-	 * of engines count: without them, a play of 13 gateways at 84 % of the capacity
-	 * refused a tenth of the calls that it otherwise served.
+	 * Returns the free capacity of all candidates for each gateway. The place that each
+	 * engine has beyond its slots counts, since reports show slots as taken that have
+	 * become free.
 	 */
 	private static double freeCapacity(List<Candidate> candidates, int gatewayCount, long nowMillis) {
 		return candidates.stream()
@@ -264,7 +264,7 @@
 		double cost = this.ranking.cost(state, load, requirements, profile, nowMillis) + distancePenalty(upstream)
 				+ FAILURE_PENALTY * excess;
 		return new Candidate(state, load, capacity, cost, quiet(state, nowMillis), FAILURE_PENALTY * excess,
-				distancePenalty(upstream), Way.UNRESTRICTED);
+				distancePenalty(upstream), SpilloverReason.UNRESTRICTED);
 	}
 
 	/**
@@ -299,12 +299,12 @@
 	 * @param quiet whether its running attempts have all gone quiet
 	 * @param failureCost part of the cost for its failed calls
 	 * @param distanceCost part of the cost for the way to it
-	 * @param way why a call goes there
+	 * @param spillover why a call goes there
 	 */
 	record Candidate(UpstreamState state, double load, double capacity, double cost, boolean quiet, double failureCost,
-			double distanceCost, Way way) {
+			double distanceCost, SpilloverReason spillover) {
 
-		Candidate withWay(Way latest) {
+		Candidate withSpillover(SpilloverReason latest) {
 			return new Candidate(this.state, this.load, this.capacity, this.cost, this.quiet, this.failureCost,
 					this.distanceCost, latest);
 		}
--- a/src/main/java/org/jaywood/routing/PriorityFloor.java
+++ b/src/main/java/org/jaywood/routing/PriorityFloor.java
@@ -13,8 +13,8 @@
 final class PriorityFloor {
 
 	/**
-	 * Share of the calls served relative to that of all. A little above the quarter that
-	 * is promised, since not every call that is placed is answered in time.
+	 * Share of the calls served relative to that of all; above the promised quarter,
+	 * since not every call that is placed is answered in time.
 	 */
 	private static final double SERVED_SHARE = 0.3;
 
--- a/src/main/java/org/jaywood/routing/ReturnSchedule.java
+++ b/src/main/java/org/jaywood/routing/ReturnSchedule.java
@@ -62,8 +62,7 @@
 		double previousMillis = this.lastReturnMillis.getOrDefault(priority, 0.0);
 		double returnMillis = Math.max(roomMillis, previousMillis + callMillis);
 		if (returnMillis - nowMillis > longestMillis) {
-			// There is no room for it in time; those beyond are spread over the later
-			// half.
+			// No room in time: such callers are spread over the later half.
 			return Math.max(MIN_MILLIS, longestMillis * (1 - this.spread / 2));
 		}
 		this.lastReturnMillis.put(priority, returnMillis);
--- a/src/main/java/org/jaywood/routing/SharedQueue.java
+++ b/src/main/java/org/jaywood/routing/SharedQueue.java
@@ -25,6 +25,12 @@
  */
 final class SharedQueue implements ServiceQueue {
 
+	/**
+	 * Calls that may always be queued, whatever the forecast says, so that capacity is
+	 * used that becomes free after a time without any.
+	 */
+	private static final int MIN_QUEUE_CALLS = 4;
+
 	private final TreeSet<QueuedCall> sentBefore = new TreeSet<>(QueuedCall.ORDER);
 
 	private final TreeMap<Integer, FairQueue> byPriority = new TreeMap<>();
@@ -127,13 +133,17 @@
 	@Override
 	public boolean isWaitFeasible(QueuedCall latest, long waitMillis, long nowMillis) {
 		CallRequirements requirements = latest.requirements();
-		return requirements.queueClass().sentBefore() || this.forecast.endsWithin(waitMillis, requirements.priority(),
-				moreUrgentCalls(requirements.priority()), countAheadInPriority(requirements), nowMillis);
+		return size() < MIN_QUEUE_CALLS || requirements.queueClass().sentBefore()
+				|| this.forecast.endsWithin(waitMillis, requirements.priority(),
+						moreUrgentCalls(requirements.priority()), countAheadInPriority(requirements), nowMillis);
 	}
 
 	@Override
 	public List<QueuedCall> overdue(long nowMillis) {
 		List<QueuedCall> overdue = new ArrayList<>();
+		if (size() < MIN_QUEUE_CALLS) {
+			return overdue;
+		}
 		this.byPriority.forEach((priority, fairQueue) -> {
 			int moreUrgent = moreUrgentCalls(priority);
 			fairQueue.positions()
--- a/src/main/java/org/jaywood/routing/SpilloverPolicy.java
+++ b/src/main/java/org/jaywood/routing/SpilloverPolicy.java
@@ -40,18 +40,18 @@
 	@Override
 	public Decision decide(Room here, Collection<Room> others, long nowMillis) {
 		if (here.slots() == 0) {
-			return new Decision(true, Set.of(), Way.NO_ENGINE);
+			return new Decision(true, Set.of(), SpilloverReason.NO_ENGINE);
 		}
 		if (here.freeSlot()) {
-			return new Decision(false, Set.of(here.dataCentre()), Way.LOCAL);
+			return new Decision(false, Set.of(here.dataCentre()), SpilloverReason.LOCAL);
 		}
 		Set<String> dataCentres = others.stream()
 			.filter((there) -> isWorthLeaving(here, there))
 			.filter((there) -> pair(there).admits(there, nowMillis))
 			.map(Room::dataCentre)
 			.collect(Collectors.toSet());
-		return dataCentres.isEmpty() ? new Decision(false, Set.of(here.dataCentre()), Way.LOCAL)
-				: new Decision(false, dataCentres, here.open() ? Way.WAIT : Way.FULL);
+		return dataCentres.isEmpty() ? new Decision(false, Set.of(here.dataCentre()), SpilloverReason.LOCAL)
+				: new Decision(false, dataCentres, here.open() ? SpilloverReason.WAIT : SpilloverReason.FULL);
 	}
 
 	private Pair pair(Room there) {
--- a/src/main/java/org/jaywood/routing/Way.java
+++ b/src/main/java/org/jaywood/routing/SpilloverReason.java
@@ -1,9 +1,9 @@
 package org.jaywood.routing;
 
 /**
- * Way of a call to its upstream, and why it leaves the data centre of its gateway.
+ * Whether and why a call leaves the data centre of its gateway.
  */
-public enum Way {
+public enum SpilloverReason {
 
 	/** It stays in the data centre. */
 	LOCAL,
--- a/src/main/java/org/jaywood/scaling/ScalingTask.java
+++ b/src/main/java/org/jaywood/scaling/ScalingTask.java
@@ -24,7 +24,7 @@
  */
 public final class ScalingTask implements LeaderTask {
 
-	/** Name of the duty in the settings. */
+	/** Name of the singleton in the settings. */
 	public static final String NAME = "autoscale";
 
 	/** Interval of decisions; gateways report once a second. */
@@ -71,8 +71,7 @@
 	public void onTick(LeaderTerm term, long nowMillis) {
 		ScaleOrder order = nextOrder(nowMillis);
 		if (order != null) {
-			// The call may be slow; the lock is not held, since a renewal reads the
-			// state.
+			// Not under the lock: a renewal reads the state while the call waits.
 			CloudResponse response = this.api.order(term, order.service(), order.dataCentre(), order.engines());
 			onResponse(order, response, nowMillis);
 		}
@@ -80,7 +79,7 @@
 
 	/**
 	 * Returns the order to send now, or null if there is none. One order is sent in each
-	 * tick, so that the rate of the platform is shared with other duties.
+	 * tick, so that the rate of the platform is shared with other singletons.
 	 */
 	private synchronized @Nullable ScaleOrder nextOrder(long nowMillis) {
 		if (nowMillis - this.decidedMillis >= DECISION_INTERVAL_MILLIS) {
--- a/src/test/java/org/jaywood/gateway/GatewayFixture.java
+++ b/src/test/java/org/jaywood/gateway/GatewayFixture.java
@@ -93,7 +93,7 @@
 	}
 
 	/**
-	 * Returns the connections of the duties of a leader, or null for none.
+	 * Returns the connections of the singletons of a leader, or null for none.
 	 */
 	@Nullable LeaderPorts leaderPorts() {
 		return null;
