--- a/src/main/java/org/jaywood/routing/ServiceProfile.java
+++ b/src/main/java/org/jaywood/routing/ServiceProfile.java
@@ -43,6 +43,16 @@
 			this(name, coldPerSecond, model, layers, loadMillis, null);
 		}
 
+		/**
+		 * Returns the components without the bounds, on which agents do not act:
+		 * processes of different releases compare a hash of this text.
+		 */
+		@Override
+		public String toString() {
+			return "Engines[name=" + this.name + ", coldPerSecond=" + this.coldPerSecond + ", model=" + this.model
+					+ ", layers=" + this.layers + ", loadMillis=" + this.loadMillis + "]";
+		}
+
 	}
 
 	/**
