Keep the engines of a service that has had no call yet

Cause: the planner lowered the engines to their minimum two boot times after a start without callers.

Change: a number is lowered only once there has been a call for the service.

Result: EngineCountPlannerTests, ScalingTaskTests, ArchitectureTests pass.

--- a/src/main/java/org/jaywood/scaling/EngineCountPlanner.java
+++ b/src/main/java/org/jaywood/scaling/EngineCountPlanner.java
@@ -43,6 +43,9 @@
 
 	private final Map<String, Set<String>> lostByService = new HashMap<>();
 
+	/** Services for which there has been a call. */
+	private final Set<String> usedServices = new HashSet<>();
+
 	/**
 	 * Creates a planner.
 	 * @param inherited numbers that the leader before had ordered, by service and data
@@ -93,6 +96,11 @@
 		if (demandSlots.isEmpty()) {
 			return;
 		}
+		if (demandSlots.getAsDouble() > 0) {
+			this.usedServices.add(name);
+		}
+		// Before the first call nothing tells how many engines a service needs.
+		boolean mayLower = complete && this.usedServices.contains(name);
 		Set<String> lost = new HashSet<>();
 		Map<String, Double> callers = new HashMap<>();
 		dataCentres.forEach((dataCentre, present) -> {
@@ -111,7 +119,7 @@
 				this.slotsByService.getOrDefault(name, UNKNOWN_SLOTS));
 		EngineNeed.divide(engines, callers, service.bounds()).forEach((dataCentre, need) -> {
 			DataCentrePlan plan = planOf(name, dataCentre, service);
-			plan.onNeed(complete ? need : Math.max(need, plan.wanted()), newlyLost, nowMillis);
+			plan.onNeed(mayLower ? need : Math.max(need, plan.wanted()), newlyLost, nowMillis);
 		});
 		// Engines in a closed data centre get no calls. One whose engines do not answer
 		// keeps its number, so that they serve when it is back.
--- a/src/test/java/org/jaywood/scaling/EngineCountPlannerTests.java
+++ b/src/test/java/org/jaywood/scaling/EngineCountPlannerTests.java
@@ -232,6 +232,18 @@
 			assertThat(orders()).hasSize(2);
 		}
 
+		/**
+		 * Guards against engines that are removed before the first callers come, who
+		 * would then wait for a boot time.
+		 */
+		@Test
+		void serviceWithoutAnyCallYetKeepsItsEngines() {
+			demand(0, 0);
+			EngineCountPlannerTests.this.planner = new EngineCountPlanner(Map.of());
+			run(10 * BOOT_MILLIS);
+			assertThat(EngineCountPlannerTests.this.sent).isEmpty();
+		}
+
 		@Test
 		void newLeaderRemovesNoEnginesBeforeItKnowsTheDemandOfTwoBootTimes() {
 			demand(0, 0);
