Do not order away engines that others have added

The leader made its plan while the engines were still registering, took 8 of them for all, and ordered 9 in two data centres at -12 s; from 10.8 s on it ordered 11 to 22 from these numbers while more served, since the operator had added some.

Change: engines beyond the order that were not there before become the number that orders start from, and it is lowered two boot times later at the soonest, unless an order for fewer is being carried out.

--- a/src/main/java/org/jaywood/scaling/DataCentrePlan.java
+++ b/src/main/java/org/jaywood/scaling/DataCentrePlan.java
@@ -39,6 +39,15 @@
 
 	private boolean hadEngines;
 
+	/** Engines that served at the last record, or none before the first one. */
+	private OptionalInt lastEngines = OptionalInt.empty();
+
+	/** Time at which others last added engines. */
+	private long addedMillis = Long.MIN_VALUE / 2;
+
+	/** Time of the last order for fewer engines. */
+	private long loweredMillis = Long.MIN_VALUE / 2;
+
 	/**
 	 * Creates a plan.
 	 * @param ordered engines that were ordered last, or those that run
@@ -60,9 +69,19 @@
 	}
 
 	/**
-	 * Records how many engines serve.
+	 * Records how many engines serve. Engines beyond the order that were not there before
+	 * were added by others: an order that leaves them out would remove them. While an
+	 * order for fewer is carried out, engines may come and go.
 	 */
 	void onEngines(int engines, long nowMillis) {
+		boolean grown = this.lastEngines.isPresent() && engines > this.lastEngines.getAsInt();
+		this.lastEngines = OptionalInt.of(engines);
+		if (grown && engines > this.ordered
+				&& nowMillis - this.loweredMillis >= BOOTS_BEFORE_REPEAT * this.bootMillis) {
+			this.ordered = engines;
+			this.wanted = Math.max(this.wanted, engines);
+			this.addedMillis = nowMillis;
+		}
 		if (engines == this.ordered) {
 			this.unmetSinceMillis = Long.MAX_VALUE;
 			this.repeatAtMillis = Long.MAX_VALUE;
@@ -87,7 +106,8 @@
 
 	/**
 	 * Takes in how many engines are needed now. A need that has held for a quarter of the
-	 * boot time raises the number; it falls to the highest need of two boot times.
+	 * boot time raises the number; it falls to the highest need of two boot times, and
+	 * not sooner than that after others have added engines.
 	 * @param atOnce whether the need counts although it has just arisen, because engines
 	 * elsewhere were lost
 	 */
@@ -100,7 +120,8 @@
 		else if (this.window.covers(holdMillis, nowMillis)) {
 			this.wanted = Math.max(this.wanted, this.window.min(holdMillis, nowMillis));
 		}
-		if (this.window.covers(BOOTS_BEFORE_REPEAT * this.bootMillis, nowMillis)) {
+		long lookBackMillis = BOOTS_BEFORE_REPEAT * this.bootMillis;
+		if (this.window.covers(lookBackMillis, nowMillis) && nowMillis - this.addedMillis >= lookBackMillis) {
 			this.wanted = Math.min(this.wanted, this.window.max());
 		}
 	}
@@ -121,6 +142,7 @@
 		this.retryPauseMillis = FIRST_RETRY_MILLIS;
 		this.retryAtMillis = Long.MIN_VALUE;
 		if (engines != this.ordered) {
+			this.loweredMillis = (engines < this.ordered) ? nowMillis : this.loweredMillis;
 			this.ordered = engines;
 			this.unmetSinceMillis = nowMillis;
 			this.repeatPauseMillis = BOOTS_BEFORE_REPEAT * this.bootMillis;
--- a/src/test/java/org/jaywood/scaling/EngineCountPlannerTests.java
+++ b/src/test/java/org/jaywood/scaling/EngineCountPlannerTests.java
@@ -254,6 +254,44 @@
 
 	}
 
+	/**
+	 * Guards against an order that removes engines which others have added: an order
+	 * states a number, and one that is computed from an older number is too small.
+	 */
+	@Nested
+	class EnginesOfOthers {
+
+		@Test
+		void enginesThatAppearOneByOneAfterAStartAreNotOrderedAway() {
+			EngineCountPlannerTests.this.planner = new EngineCountPlanner(Map.of());
+			demand(0, 0);
+			for (int count = 0; count <= 6; count++) {
+				EngineCountPlannerTests.this.engines.put("a", count);
+				run(2_000);
+			}
+			demand(HELD, HELD);
+			run(BOOT_MILLIS);
+			assertThat(orders().stream().filter((order) -> order.dataCentre().equals("a")).toList()).isEmpty();
+		}
+
+		@Test
+		void needBelowTheEnginesThatWereAddedByOthersOrdersNone() {
+			EngineCountPlannerTests.this.engines.put("a", 5);
+			run(1_000);
+			unserved(14, 0);
+			run(BOOT_MILLIS);
+			assertThat(orders().stream().filter((order) -> order.dataCentre().equals("a")).toList()).isEmpty();
+		}
+
+		@Test
+		void enginesOfOthersThatAreNotNeededAreRemovedAfterTwoBootTimes() {
+			EngineCountPlannerTests.this.engines.put("a", 5);
+			run(4 * BOOT_MILLIS);
+			assertThat(EngineCountPlannerTests.this.engines).containsExactly("a", 2, "b", 2);
+		}
+
+	}
+
 	@Nested
 	class LostDataCentre {
 
