Answer where a call would go now at the operator port of a gateway

Cause: an operator could not see why calls are refused, queued or sent to a distant engine. Nothing told which engine was excluded and why.

Change: bin/explain asks POST /v1/explain. Admission, shutdown, screen, queues and placement decide as for a call. What changed state while it decided is separated from the change: the time-outs in CallAdmission, ReturnSchedule, SpilloverPolicy (on a copy), the comparison of speeds in ServiceSpeeds, and the count in GatewayCountEstimator.

--- a/src/main/java/org/jaywood/cli/Jaywood.java
+++ b/src/main/java/org/jaywood/cli/Jaywood.java
@@ -43,7 +43,8 @@
 	private final Map<String, Command> commands = List
 		.of(new RouterCommand(), new AgentCommand(), new GatewayCommand(), new ReplicaCommand(), new RehearseCommand(),
 				new StandinCommand(), new ValidateCommand(), new PlanCommand(), new ApplyCommand(),
-				new RollbackCommand(), new HistoryCommand(), new StatusCommand(), new DumpCommand(), new BenchCommand())
+				new RollbackCommand(), new HistoryCommand(), new StatusCommand(), new DumpCommand(),
+				new ExplainCommand(), new BenchCommand())
 		.stream()
 		.collect(Collectors.toMap(Command::name, Function.identity()));
 
--- a/src/main/java/org/jaywood/gateway/Call.java
+++ b/src/main/java/org/jaywood/gateway/Call.java
@@ -9,6 +9,7 @@
 
 import org.jaywood.http.BufferedRequest;
 import org.jaywood.routing.CallCost;
+import org.jaywood.routing.CallRequirements;
 import org.jaywood.routing.Route;
 import org.jaywood.routing.Workspace;
 
@@ -64,6 +65,13 @@
 			.orElse(this.route.priority());
 	}
 
+	/**
+	 * Returns the class in the queue of the call while it has not been sent.
+	 */
+	CallRequirements.QueueClass queueClass() {
+		return this.late ? CallRequirements.QueueClass.LATE : CallRequirements.QueueClass.ON_TIME;
+	}
+
 	/**
 	 * Returns the priority in the queue of an upstream, 0 first, 9 last.
 	 */
--- a/src/main/java/org/jaywood/gateway/CallAdmission.java
+++ b/src/main/java/org/jaywood/gateway/CallAdmission.java
@@ -29,6 +29,9 @@
 	 */
 	private static final double LATE_TARGET_SHARE = 0.5;
 
+	private static final Decision UNKNOWN_CONFIGURATION = new Decision.Refused(
+			new CallFailure.NotRun("configuration-unknown", UNKNOWN_CONFIGURATION_RETRY_MILLIS));
+
 	private final CallProtocol protocol;
 
 	private final long keyLifetimeMillis;
@@ -59,25 +62,48 @@
 	 */
 	Decision decide(BufferedRequest request, @Nullable RouteTable table, long confirmedMillis, long nowMillis) {
 		if (table == null) {
-			return new Decision.Refused(
-					new CallFailure.NotRun("configuration-unknown", UNKNOWN_CONFIGURATION_RETRY_MILLIS));
+			return UNKNOWN_CONFIGURATION;
 		}
-		long ageMillis = nowMillis - confirmedMillis;
 		CallHead head = this.protocol.read(request.head());
 		String host = String.valueOf(request.head().getFirstHeader(HttpHeaders.HOST).getValue());
 		Route route = table.route(hostName(host), request.head().getRequestUri()).orElse(null);
 		if (route == null) {
-			return refuseUnknown(HttpStatus.SC_NOT_FOUND, "no-route", ageMillis);
+			return refuseUnknown(HttpStatus.SC_NOT_FOUND, "no-route", nowMillis - confirmedMillis);
+		}
+		Workspace workspace = (head.key() != null) ? table.workspace(head.key()).orElse(null) : null;
+		Decision decision = decide(request, head, route, workspace, table, confirmedMillis, nowMillis);
+		if (decision instanceof Decision.Admitted) {
+			this.longestTimeoutMillis.merge(route.name(), timeoutMillis(head, route), Math::max);
+		}
+		return decision;
+	}
+
+	/**
+	 * Returns the decision about a request to a route, or to none, without recording its
+	 * time-out.
+	 * @param workspace workspace of its key, or null if the key is unknown
+	 * @param table configuration, or null if none is known
+	 */
+	Decision preview(BufferedRequest request, CallHead head, @Nullable Route route, @Nullable Workspace workspace,
+			@Nullable RouteTable table, long confirmedMillis, long nowMillis) {
+		if (table == null) {
+			return UNKNOWN_CONFIGURATION;
 		}
+		return (route != null) ? decide(request, head, route, workspace, table, confirmedMillis, nowMillis)
+				: refuseUnknown(HttpStatus.SC_NOT_FOUND, "no-route", nowMillis - confirmedMillis);
+	}
+
+	private Decision decide(BufferedRequest request, CallHead head, Route route, @Nullable Workspace workspace,
+			RouteTable table, long confirmedMillis, long nowMillis) {
 		boolean keyRequired = table.keysRequired() && !route.keyless();
 		if (!keyRequired) {
 			return new Decision.Admitted(call(request, head, route, null, table, nowMillis));
 		}
+		long ageMillis = nowMillis - confirmedMillis;
 		if (ageMillis > this.keyLifetimeMillis) {
 			return new Decision.Refused(
 					new CallFailure.NotRun("configuration-stale", STALE_CONFIGURATION_RETRY_MILLIS));
 		}
-		Workspace workspace = (head.key() != null) ? table.workspace(head.key()).orElse(null) : null;
 		if (workspace == null) {
 			return refuseUnknown(HttpStatus.SC_UNAUTHORIZED, "unknown-key", ageMillis);
 		}
@@ -92,8 +118,8 @@
 
 	private Call call(BufferedRequest request, CallHead head, Route route, @Nullable Workspace workspace,
 			RouteTable table, long nowMillis) {
-		long timeoutMillis = head.timeoutMillis().orElse(route.timeoutMillis());
-		long longestMillis = this.longestTimeoutMillis.merge(route.name(), timeoutMillis, Math::max);
+		long timeoutMillis = timeoutMillis(head, route);
+		long longestMillis = Math.max(timeoutMillis, this.longestTimeoutMillis.getOrDefault(route.name(), 0L));
 		long spentMillis = longestMillis - timeoutMillis;
 		boolean late = spentMillis > route.targetMillis() * LATE_TARGET_SHARE;
 		CallDeadline deadline = new CallDeadline(callerDeadlineMillis(head, nowMillis),
@@ -103,6 +129,10 @@
 				head.sharedParts());
 	}
 
+	private static long timeoutMillis(CallHead head, Route route) {
+		return head.timeoutMillis().orElse(route.timeoutMillis());
+	}
+
 	private static long callerDeadlineMillis(CallHead head, long nowMillis) {
 		return head.timeoutMillis().isPresent() ? nowMillis + head.timeoutMillis().getAsLong() : Long.MAX_VALUE;
 	}
--- a/src/main/java/org/jaywood/gateway/CallAttempts.java
+++ b/src/main/java/org/jaywood/gateway/CallAttempts.java
@@ -352,7 +352,7 @@
 		if (this.moved) {
 			return CallRequirements.QueueClass.MOVED;
 		}
-		return this.call.late() ? CallRequirements.QueueClass.LATE : CallRequirements.QueueClass.ON_TIME;
+		return this.call.queueClass();
 	}
 
 	/**
--- a/src/main/java/org/jaywood/gateway/ErrorResponder.java
+++ b/src/main/java/org/jaywood/gateway/ErrorResponder.java
@@ -45,7 +45,10 @@
 		response.send(head, Json.bytes(new ErrorBody(reason(failure))));
 	}
 
-	private static int status(CallFailure failure) {
+	/**
+	 * Returns the status of a final response.
+	 */
+	static int status(CallFailure failure) {
 		return switch (failure) {
 			case CallFailure.NotRun notRun -> HttpStatus.SC_SERVICE_UNAVAILABLE;
 			case CallFailure.Indeterminate indeterminate ->
@@ -54,7 +57,10 @@
 		};
 	}
 
-	private static String reason(CallFailure failure) {
+	/**
+	 * Returns the reason of a final response, for the log and the caller.
+	 */
+	static String reason(CallFailure failure) {
 		return switch (failure) {
 			case CallFailure.NotRun notRun -> notRun.reason();
 			case CallFailure.Indeterminate indeterminate -> "unknown-" + indeterminate.reason();
@@ -62,7 +68,7 @@
 		};
 	}
 
-	private static long retryAfterMillis(CallFailure failure) {
+	static long retryAfterMillis(CallFailure failure) {
 		return (failure instanceof CallFailure.NotRun notRun) ? notRun.retryAfterMillis() : 0;
 	}
 
--- a/src/main/java/org/jaywood/gateway/Gateway.java
+++ b/src/main/java/org/jaywood/gateway/Gateway.java
@@ -153,7 +153,8 @@
 			.withExecutor(DaemonThreads.requestPool())
 			.route("GET", "/metrics", (exchange) -> MetricsText.respond(exchange, this.context.metrics().registry()))
 			.route("GET", SNAPSHOT_PATH, this::sendSnapshot)
-			.route("GET", "/dump", (exchange) -> exchange.respondJson(200, dump()));
+			.route("GET", "/dump", (exchange) -> exchange.respondJson(200, dump()))
+			.route("POST", CallExplainer.PATH, new CallExplainer(this.context, this.connections)::handle);
 		ClusterSingletons active = this.singletons;
 		if (active != null) {
 			active.addRoutes(this.operatorPort);
--- a/src/main/java/org/jaywood/gateway/QueueWait.java
+++ b/src/main/java/org/jaywood/gateway/QueueWait.java
@@ -11,6 +11,7 @@
 import org.jaywood.routing.CallRequirements;
 import org.jaywood.routing.Dispatcher;
 import org.jaywood.routing.Placement;
+import org.jaywood.routing.PlacementRefusal;
 import org.jaywood.routing.QueuedCall;
 
 /**
@@ -23,22 +24,13 @@
 	/** Longest time for which a retry waits in the queue. */
 	private static final long MAX_RETRY_WAIT_MILLIS = 400;
 
-	/** Reason of a refusal after a wait in the queue, or if no upstream is eligible. */
-	private static final String NO_PLACEMENT = "no-place";
-
-	/** Reason of a refusal before the end of a wait that would be too long. */
-	private static final String QUEUE_FULL = "queue-full";
-
-	/** Reason of a refusal because all engines are limited to fewer calls. */
-	private static final String RATE_LIMITED = "rate-limited";
-
 	private final Dispatcher dispatcher;
 
 	private final Call call;
 
 	private final Cancellation cancellation;
 
-	private String refusalReason = NO_PLACEMENT;
+	private PlacementRefusal refusal = PlacementRefusal.NO_PLACE;
 
 	QueueWait(Dispatcher dispatcher, Call call, Cancellation cancellation) {
 		this.dispatcher = dispatcher;
@@ -50,7 +42,7 @@
 	 * Returns why the last wait ended without a placement.
 	 */
 	String refusalReason() {
-		return this.refusalReason;
+		return this.refusal.reason();
 	}
 
 	/**
@@ -59,20 +51,18 @@
 	 * @return the placement, or null if there is none in time or the caller is gone
 	 */
 	@Nullable Placement await(CallRequirements requirements, boolean retry, long nowMillis) {
-		this.refusalReason = NO_PLACEMENT;
-		if (!this.dispatcher.hasEligibleUpstream(requirements, nowMillis)) {
-			return null;
-		}
+		this.refusal = PlacementRefusal.NO_PLACE;
 		long waitMillis = (retry ? Math.min(this.call.deadlineMillis(), nowMillis + MAX_RETRY_WAIT_MILLIS)
 				: QueueDeadline.queueDeadlineMillis(this.call, nowMillis)) - nowMillis;
-		if (this.dispatcher.isRateLimited(requirements, waitMillis, nowMillis)) {
-			this.refusalReason = RATE_LIMITED;
+		Optional<PlacementRefusal> refusedAtOnce = this.dispatcher.refusal(requirements, waitMillis, nowMillis);
+		if (refusedAtOnce.isPresent()) {
+			this.refusal = refusedAtOnce.get();
 			return null;
 		}
 		Optional<QueuedCall> queuedCall = retry ? Optional.of(this.dispatcher.enqueue(requirements, nowMillis))
 				: this.dispatcher.offer(requirements, waitMillis, nowMillis);
 		if (queuedCall.isEmpty()) {
-			this.refusalReason = QUEUE_FULL;
+			this.refusal = PlacementRefusal.QUEUE_FULL;
 			return null;
 		}
 		return await(queuedCall.get(), waitMillis);
@@ -104,7 +94,7 @@
 	 */
 	@Nullable Placement end(QueuedCall queuedCall) {
 		if (this.dispatcher.dequeue(queuedCall) || queuedCall.placement().isCancelled()) {
-			this.refusalReason = queuedCall.refused() ? QUEUE_FULL : this.refusalReason;
+			this.refusal = queuedCall.refused() ? PlacementRefusal.QUEUE_FULL : this.refusal;
 			return null;
 		}
 		return queuedCall.placement().join();
--- a/src/main/java/org/jaywood/gateway/RequestHandler.java
+++ b/src/main/java/org/jaywood/gateway/RequestHandler.java
@@ -16,7 +16,7 @@
 	 * Response to a request that comes too late in a graceful shutdown; other gateways
 	 * take it at once.
 	 */
-	private static final CallFailure LEAVING = new CallFailure.NotRun("draining", 0);
+	static final CallFailure LEAVING = new CallFailure.NotRun("draining", 0);
 
 	private final GatewayContext context;
 
--- a/src/main/java/org/jaywood/routing/ArrivalQueue.java
+++ b/src/main/java/org/jaywood/routing/ArrivalQueue.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.TreeSet;
+import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
 
@@ -56,6 +57,11 @@
 		return this.queue.headSet(latest).size();
 	}
 
+	@Override
+	public Stream<QueuedCall> callsBefore(QueuedCall latest) {
+		return this.queue.headSet(latest).stream();
+	}
+
 	@Override
 	public Pass pass() {
 		return new Pass() {
@@ -115,6 +121,11 @@
 		return this.retryTime.millis(requirements, this.queue.size(), nowMillis);
 	}
 
+	@Override
+	public long previewRetryAfterMillis(CallRequirements requirements, long leftMillis, long nowMillis) {
+		return retryAfterMillis(requirements, leftMillis, nowMillis);
+	}
+
 	@Override
 	public double heldBackSlots(CallRequirements requirements, long nowMillis) {
 		return 0;
--- a/src/main/java/org/jaywood/routing/CallLimits.java
+++ b/src/main/java/org/jaywood/routing/CallLimits.java
@@ -50,6 +50,21 @@
 		return Math.max(windowsMillis, holdMillis(state, share, nowMillis));
 	}
 
+	/**
+	 * Returns which limit keeps this gateway from sending an upstream another call now,
+	 * or null if none does.
+	 * @param fleetDivisor number of gateways, used if the agent does not report it
+	 */
+	@Nullable Exclusion exclusion(UpstreamState state, @Nullable ServiceProfile profile, int fleetDivisor, long nowMillis) {
+		boolean coldLimited = coldWindow(profile, limitShare(state, fleetDivisor, nowMillis))
+			.filter((window) -> state.sendWaitMillis(window, nowMillis) > 0)
+			.isPresent();
+		if (coldLimited) {
+			return Exclusion.COLD_LIMIT;
+		}
+		return (waitMillis(state, profile, fleetDivisor, nowMillis) > 0) ? Exclusion.NAMED_LIMIT : null;
+	}
+
 	/**
 	 * Returns the calls that this gateway may send an upstream within a time, within its
 	 * shares of all limits that hold there.
--- a/src/main/java/org/jaywood/routing/CallQueue.java
+++ b/src/main/java/org/jaywood/routing/CallQueue.java
@@ -45,6 +45,14 @@
 		return this.queues.computeIfAbsent(service, this::create);
 	}
 
+	/**
+	 * Returns the queue of a service, or an empty one that is not kept.
+	 */
+	ServiceQueue find(String service) {
+		ServiceQueue queue = this.queues.get(service);
+		return (queue != null) ? queue : create(service);
+	}
+
 	/**
 	 * Queues a call.
 	 * @param deadlineMillis time at which it leaves the queue
@@ -112,7 +120,10 @@
 		return this.sharedServices.stream().map((service) -> service + " " + of(service).describe(nowMillis));
 	}
 
-	private QueuedCall latest(CallRequirements requirements, long nowMillis) {
+	/**
+	 * Returns a call as if it were queued now.
+	 */
+	QueuedCall latest(CallRequirements requirements, long nowMillis) {
 		return new QueuedCall(requirements, this.nextSequence, nowMillis, Long.MAX_VALUE);
 	}
 
--- a/src/main/java/org/jaywood/routing/DataCentreChoice.java
+++ b/src/main/java/org/jaywood/routing/DataCentreChoice.java
@@ -18,6 +18,13 @@
 	 */
 	Decision decide(Room here, Collection<Room> others, long nowMillis);
 
+	/**
+	 * Returns a view that decides in the same way and changes no state.
+	 */
+	default DataCentreChoice readOnly() {
+		return this;
+	}
+
 	/**
 	 * Where a call may be placed.
 	 *
--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -1,7 +1,5 @@
 package org.jaywood.routing;
 
-import java.util.Collection;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -29,8 +27,6 @@
 
 	private final PlacementPolicy policy;
 
-	private final CallLimits limits;
-
 	private final UpstreamStates states;
 
 	private final CallQueue queue = new CallQueue();
@@ -39,14 +35,20 @@
 
 	private final StallDetector stallDetector = new StallDetector();
 
+	private final UpstreamSelector selector;
+
+	private final PlacementExplainer explainer;
+
 	public Dispatcher(DispatchSettings settings) {
 		this(settings, new WorkRanking(), new SpilloverPolicy());
 	}
 
 	Dispatcher(DispatchSettings settings, EngineRanking ranking, DataCentreChoice dataCentreChoice) {
-		this.limits = new CallLimits(settings, this.notices);
-		this.policy = new PlacementPolicy(settings, this.limits, ranking, dataCentreChoice);
+		CallLimits limits = new CallLimits(settings, this.notices);
+		this.policy = new PlacementPolicy(settings, limits, ranking, dataCentreChoice);
 		this.states = new UpstreamStates(settings);
+		this.selector = new UpstreamSelector(this.policy, limits, this.states, this.notices, this.stallDetector);
+		this.explainer = new PlacementExplainer(this.states, this.selector, this.policy, this.queue);
 	}
 
 	/**
@@ -179,20 +181,29 @@
 	 * @param waitMillis time for which it can wait
 	 */
 	public synchronized boolean isRateLimited(CallRequirements requirements, long waitMillis, long nowMillis) {
-		int ahead = this.queue.countAhead(requirements, nowMillis);
-		long missing = ahead + 1;
-		Iterator<UpstreamState> eligible = eligible(this.states.stream(), requirements, nowMillis).iterator();
-		while (missing > 0 && eligible.hasNext()) {
-			UpstreamState state = eligible.next();
-			missing -= Math.min(missing, this.limits.callsWithin(waitMillis, state, profile(requirements.service()),
-					this.states.fleetSize(nowMillis).divisor(), nowMillis));
-		}
-		return missing > 0;
+		return this.selector.isRateLimited(requirements, this.queue.countAhead(requirements, nowMillis), waitMillis,
+				this.states.fleetSize(nowMillis), nowMillis);
 	}
 
-	private long sendWaitMillis(UpstreamState state, long nowMillis) {
-		return this.limits.waitMillis(state, profile(state.upstream().service()),
-				this.states.fleetSize(nowMillis).divisor(), nowMillis);
+	/**
+	 * Returns why a call cannot be placed within the time that it can wait, however long
+	 * the queue is, empty if it can.
+	 * @param waitMillis time for which it can wait
+	 */
+	public synchronized Optional<PlacementRefusal> refusal(CallRequirements requirements, long waitMillis,
+			long nowMillis) {
+		return Optional.ofNullable(this.selector.refusal(requirements, this.queue.countAhead(requirements, nowMillis),
+				waitMillis, this.states.fleetSize(nowMillis), nowMillis));
+	}
+
+	/**
+	 * Tells what would become of a call that came now, without a change of state.
+	 * @param waitMillis time for which it can wait
+	 * @param leftMillis time that its caller has left
+	 */
+	public synchronized PlacementExplanation explain(CallRequirements requirements, long waitMillis, long leftMillis,
+			long nowMillis) {
+		return this.explainer.explain(requirements, waitMillis, leftMillis, nowMillis);
 	}
 
 	/**
@@ -207,11 +218,7 @@
 	 * Whether an upstream exists that may run a call now, with or without free capacity.
 	 */
 	public synchronized boolean hasEligibleUpstream(CallRequirements requirements, long nowMillis) {
-		return eligible(this.states.stream(), requirements, nowMillis).anyMatch((state) -> !paused(state, nowMillis));
-	}
-
-	private boolean paused(UpstreamState state, long nowMillis) {
-		return this.notices.pauseLeftMillis(state.upstream(), nowMillis) > 0;
+		return this.selector.hasEligible(requirements, nowMillis);
 	}
 
 	private void refuseUnplaceable(String service, long nowMillis) {
@@ -223,7 +230,9 @@
 	 * path that is not quiet.
 	 */
 	public synchronized Optional<Placement> placeImmediately(CallRequirements requirements, long nowMillis) {
-		return chooseTimely(available(requirements, nowMillis), requirements, nowMillis)
+		return this.selector
+			.chooseTimely(requirements, heldBackSlots(requirements, nowMillis), this.states.fleetSize(nowMillis),
+					nowMillis)
 			.filter((chosen) -> !chosen.quiet())
 			.map((chosen) -> recordPlacement(chosen, requirements, nowMillis, nowMillis));
 	}
@@ -244,12 +253,7 @@
 	 */
 	public synchronized boolean isVmSilent(Placement placement, long nowMillis) {
 		UpstreamState state = this.states.find(placement.upstream().id());
-		return state != null && isVmSilent(state, nowMillis);
-	}
-
-	private boolean isVmSilent(UpstreamState state, long nowMillis) {
-		return this.stallDetector.ticking(nowMillis)
-				&& state.vmSilent(this.stallDetector.runningSinceMillis(), nowMillis);
+		return state != null && this.selector.isVmSilent(state, nowMillis);
 	}
 
 	/**
@@ -281,20 +285,7 @@
 	 */
 	public synchronized long retryAfterMillis(CallRequirements requirements, long leftMillis, long nowMillis) {
 		long byRateMillis = this.queue.of(requirements.service()).retryAfterMillis(requirements, leftMillis, nowMillis);
-		return eligible(requirements, nowMillis).stream()
-			.mapToLong((state) -> Math.max(byRateMillis, unavailableMillis(state, nowMillis)))
-			.min()
-			.orElse(byRateMillis);
-	}
-
-	/**
-	 * Returns the time in milliseconds for which an upstream is known to take no call of
-	 * this gateway.
-	 */
-	private long unavailableMillis(UpstreamState state, long nowMillis) {
-		long ejectedMillis = state.health().ejectionLeftMillis(nowMillis);
-		long pausedMillis = this.notices.pauseLeftMillis(state.upstream(), nowMillis);
-		return Math.max(sendWaitMillis(state, nowMillis), Math.max(ejectedMillis, pausedMillis));
+		return this.selector.retryAfterMillis(requirements, byRateMillis, this.states.fleetSize(nowMillis), nowMillis);
 	}
 
 	/**
@@ -369,20 +360,6 @@
 		return this.states.profile(service);
 	}
 
-	private Collection<UpstreamState> eligible(CallRequirements requirements, long nowMillis) {
-		return eligible(this.states.stream(), requirements, nowMillis).toList();
-	}
-
-	private Stream<UpstreamState> eligible(Stream<UpstreamState> candidates, CallRequirements requirements,
-			long nowMillis) {
-		Fleet fleet = this.states.fleet();
-		if (fleet == null) {
-			return Stream.empty();
-		}
-		return this.policy.eligible(candidates, requirements, fleet, profile(requirements.service()), nowMillis)
-			.filter((state) -> !this.notices.leaving(state.upstream()));
-	}
-
 	private void placeQueued(long nowMillis) {
 		this.queue.services().forEach((service) -> placeQueued(service, nowMillis));
 	}
@@ -390,7 +367,9 @@
 	private void placeQueued(String service, long nowMillis) {
 		ServiceQueue.Pass pass = this.queue.of(service).pass();
 		for (QueuedCall queuedCall = pass.next(); queuedCall != null; queuedCall = pass.next()) {
-			Optional<PlacementPolicy.Candidate> chosen = choose(queuedCall.requirements(), nowMillis);
+			CallRequirements requirements = queuedCall.requirements();
+			Optional<PlacementPolicy.Candidate> chosen = this.selector.choose(requirements,
+					heldBackSlots(requirements, nowMillis), this.states.fleetSize(nowMillis), nowMillis);
 			if (chosen.isPresent()) {
 				place(queuedCall, chosen.get(), nowMillis);
 			}
@@ -404,47 +383,8 @@
 		}
 	}
 
-	/**
-	 * Chooses an upstream with free capacity. A call sent over a narrow link is in
-	 * transit for long and cannot be recalled, so upstreams whose reports arrive late or
-	 * lack calls that were sent are the last choice.
-	 */
-	private Optional<PlacementPolicy.Candidate> choose(CallRequirements requirements, long nowMillis) {
-		List<UpstreamState> available = available(requirements, nowMillis);
-		return chooseTimely(available, requirements, nowMillis).or(() -> choose(available, requirements, nowMillis));
-	}
-
-	private Optional<PlacementPolicy.Candidate> chooseTimely(List<UpstreamState> available,
-			CallRequirements requirements, long nowMillis) {
-		return choose(available.stream().filter((state) -> state.hasTimelyPath(nowMillis)).toList(), requirements,
-				nowMillis);
-	}
-
-	private Optional<PlacementPolicy.Candidate> choose(List<UpstreamState> candidates, CallRequirements requirements,
-			long nowMillis) {
-		double heldBackSlots = this.queue.of(requirements.service()).heldBackSlots(requirements, nowMillis);
-		return this.policy.choose(candidates, requirements, profile(requirements.service()),
-				this.states.fleetSize(nowMillis), heldBackSlots, nowMillis);
-	}
-
-	/**
-	 * Returns the upstreams that may run a call now: only subscribed engines while these
-	 * are enough, so that the time of a choice does not grow with the fleet.
-	 */
-	private List<UpstreamState> available(CallRequirements requirements, long nowMillis) {
-		List<UpstreamState> subscribed = available(this.states.subscribed().stream(), requirements, nowMillis);
-		return this.policy.isEnough(subscribed, requirements, profile(requirements.service()), nowMillis) ? subscribed
-				: available(this.states.stream(), requirements, nowMillis);
-	}
-
-	private List<UpstreamState> available(Stream<UpstreamState> candidates, CallRequirements requirements,
-			long nowMillis) {
-		return eligible(candidates, requirements, nowMillis).filter((state) -> !state.health().ejected(nowMillis))
-			.filter((state) -> state.inFlight() < this.notices.maxInFlight(state.upstream(), nowMillis))
-			.filter((state) -> state.responsive(nowMillis))
-			.filter((state) -> state.inFlight() == 0 || !isVmSilent(state, nowMillis))
-			.filter(UpstreamState::trustsPath)
-			.toList();
+	private double heldBackSlots(CallRequirements requirements, long nowMillis) {
+		return this.queue.of(requirements.service()).heldBackSlots(requirements, nowMillis);
 	}
 
 	private void place(QueuedCall queuedCall, PlacementPolicy.Candidate chosen, long nowMillis) {
--- a/src/main/java/org/jaywood/routing/EngineRanking.java
+++ b/src/main/java/org/jaywood/routing/EngineRanking.java
@@ -7,6 +7,13 @@
  */
 interface EngineRanking {
 
+	/**
+	 * Brings what the ranking of a service depends on up to date, before a call is
+	 * placed. The other methods leave it as it is.
+	 */
+	default void refresh(String service, long nowMillis) {
+	}
+
 	/**
 	 * Returns the load of an upstream as a cost: 1 for one that has all its slots in use
 	 * by usual calls.
--- a/src/main/java/org/jaywood/routing/FairQueue.java
+++ b/src/main/java/org/jaywood/routing/FairQueue.java
@@ -187,6 +187,28 @@
 		return countAhead(latest.workspace(), ownAhead);
 	}
 
+	/**
+	 * Returns the queued calls of the flow of another call that is queued now, and of
+	 * those flows whose turn is before.
+	 */
+	Stream<QueuedCall> callsBefore(QueuedCall latest) {
+		CallRequirements requirements = latest.requirements();
+		Flow own = this.flows.get(new Flow.Key(Constraints.of(requirements), requirements.workspace()));
+		double startTime = (own != null) ? presentStartTime(own) : startTime(requirements.workspace());
+		long order = (own != null) ? own.order() : latest.sequence();
+		return this.flows.values().stream().filter((flow) -> {
+			double otherStartTime = presentStartTime(flow);
+			return flow == own || otherStartTime < startTime || (otherStartTime == startTime && flow.order() < order);
+		}).flatMap(Flow::calls);
+	}
+
+	/**
+	 * Returns the start time of a flow that {@link #firstFlow} would set.
+	 */
+	private double presentStartTime(Flow flow) {
+		return (flow.startTime() < finishTime(flow.workspace())) ? startTime(flow.workspace()) : flow.startTime();
+	}
+
 	private int lateCalls(CallRequirements requirements) {
 		Flow flow = this.flows.get(new Flow.Key(Constraints.of(requirements), requirements.workspace()));
 		return (flow != null) ? flow.lateCalls() : 0;
--- a/src/main/java/org/jaywood/routing/GatewayCountEstimator.java
+++ b/src/main/java/org/jaywood/routing/GatewayCountEstimator.java
@@ -44,7 +44,7 @@
 	 * @param subscribedShare share of the engines to which a gateway subscribes
 	 */
 	OptionalInt reported(Collection<UpstreamState> states, double subscribedShare, long nowMillis) {
-		if (nowMillis - this.computedMillis >= RECOMPUTE_INTERVAL_MILLIS) {
+		if (isDue(nowMillis)) {
 			this.computedMillis = nowMillis;
 			this.reported = estimate(states, subscribedShare, nowMillis);
 			this.reported.ifPresent((count) -> onReported(count, nowMillis));
@@ -52,6 +52,18 @@
 		return this.reported;
 	}
 
+	/**
+	 * Returns the numbers that queries would give now, without a change of state.
+	 */
+	FleetSize preview(Collection<UpstreamState> states, double subscribedShare, long nowMillis) {
+		OptionalInt count = isDue(nowMillis) ? estimate(states, subscribedShare, nowMillis) : this.reported;
+		return new FleetSize(count.orElse(this.lastReported), Math.max(divisor(nowMillis), count.orElse(0)));
+	}
+
+	private boolean isDue(long nowMillis) {
+		return nowMillis - this.computedMillis >= RECOMPUTE_INTERVAL_MILLIS;
+	}
+
 	/**
 	 * Returns the number that was last reported, but at least the assumed one.
 	 */
--- a/src/main/java/org/jaywood/routing/PlacementPolicy.java
+++ b/src/main/java/org/jaywood/routing/PlacementPolicy.java
@@ -7,8 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
-import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
 
@@ -125,33 +123,97 @@
 	 * @param heldBackSlots free capacity for each gateway that is left to more urgent
 	 * calls
 	 */
-	Optional<Candidate> choose(Collection<UpstreamState> candidates, CallRequirements requirements,
+	PlacementSelection select(Collection<UpstreamState> candidates, CallRequirements requirements,
 			@Nullable ServiceProfile profile, FleetSize fleetSize, double heldBackSlots, long nowMillis) {
+		return select(candidates, requirements, profile, fleetSize, heldBackSlots, false, nowMillis);
+	}
+
+	/**
+	 * Returns the choice of {@link #select} without a change of state.
+	 */
+	PlacementSelection preview(Collection<UpstreamState> candidates, CallRequirements requirements,
+			@Nullable ServiceProfile profile, FleetSize fleetSize, double heldBackSlots, long nowMillis) {
+		return select(candidates, requirements, profile, fleetSize, heldBackSlots, true, nowMillis);
+	}
+
+	private PlacementSelection select(Collection<UpstreamState> candidates, CallRequirements requirements,
+			@Nullable ServiceProfile profile, FleetSize fleetSize, double heldBackSlots, boolean readOnly,
+			long nowMillis) {
 		double bestShare = candidates.stream().mapToDouble((state) -> state.health().failureShare()).min().orElse(0);
 		double reserveCalls = requirements.queueClass().sentBefore() ? SENT_BEFORE_RESERVE_CALLS : 0;
-		List<Candidate> evaluated = preferSubscribed(candidates, requirements, profile).stream()
+		Collection<UpstreamState> considered = preferSubscribed(candidates, requirements, profile);
+		List<UpstreamState> allowed = considered.stream()
 			.filter((state) -> this.limits.waitMillis(state, profile, fleetSize.divisor(), nowMillis) == 0)
-			.map((state) -> evaluate(state, requirements, profile, bestShare, fleetSize.gateways(), nowMillis))
 			.toList();
-		if (heldBackSlots > 0 && freeCapacity(evaluated, fleetSize.gateways(), nowMillis) <= heldBackSlots) {
-			return Optional.empty();
+		if (!readOnly && !allowed.isEmpty() && profile instanceof ServiceProfile.Engines) {
+			this.ranking.refresh(requirements.service(), nowMillis);
 		}
+		List<Candidate> evaluated = allowed.stream()
+			.map((state) -> evaluate(state, requirements, profile, bestShare, fleetSize.gateways(), nowMillis))
+			.toList();
+		boolean heldBack = heldBackSlots > 0
+				&& freeCapacity(evaluated, fleetSize.gateways(), nowMillis) <= heldBackSlots;
 		boolean mayWait = profile instanceof ServiceProfile.Engines && !requirements.queueClass().sentBefore()
 				&& evaluated.stream().anyMatch((candidate) -> !candidate.quiet());
+		PlacementSelection.CapacityRules rules = new PlacementSelection.CapacityRules(reserveCalls, mayWait);
+		if (heldBack) {
+			return new PlacementSelection(considered, evaluated, bestShare, rules, true,
+					DataCentreChoice.Decision.ANYWHERE, Optional.empty());
+		}
 		List<Candidate> open = evaluated.stream()
-			.filter((candidate) -> candidate.load() < candidate.capacity() + reserveCalls)
-			.filter((candidate) -> candidate.state().withinFreeShare(candidate.capacity() + reserveCalls, nowMillis))
-			.filter((candidate) -> !(mayWait && candidate.quiet() && candidate.state().inFlight() >= MAX_QUIET_CALLS))
+			.filter((candidate) -> capacityExclusion(candidate, rules, nowMillis) == null)
 			.toList();
+		DataCentreChoice choice = readOnly ? this.dataCentreChoice.readOnly() : this.dataCentreChoice;
 		DataCentreChoice.Decision decision = (mayWait && !open.isEmpty())
-				? this.dataCentreRooms.decide(this.dataCentreChoice, evaluated, open, (candidate) -> this.ranking
+				? this.dataCentreRooms.decide(choice, evaluated, open, (candidate) -> this.ranking
 					.waitMillis(candidate.state(), candidate.load(), requirements, nowMillis), nowMillis)
 				: DataCentreChoice.Decision.ANYWHERE;
-		return open.stream()
+		Optional<Candidate> chosen = open.stream()
 			.filter((candidate) -> decision.allows(candidate.state().upstream().dataCentre()))
 			.min(Comparator.comparing(Candidate::quiet).thenComparingDouble(Candidate::cost))
 			.map((candidate) -> candidate
 				.withSpillover(this.dataCentreRooms.isOwn(candidate) ? SpilloverReason.LOCAL : decision.reason()));
+		return new PlacementSelection(considered, evaluated, bestShare, rules, false, decision, chosen);
+	}
+
+	/**
+	 * Returns why a candidate has no free capacity for a call, or null if it has.
+	 */
+	private static @Nullable Exclusion capacityExclusion(Candidate candidate, PlacementSelection.CapacityRules rules,
+			long nowMillis) {
+		double capacity = candidate.capacity() + rules.reserveCalls();
+		if (candidate.load() >= capacity) {
+			return Exclusion.FULL;
+		}
+		if (!candidate.state().withinFreeShare(capacity, nowMillis)) {
+			return Exclusion.FREE_SHARE;
+		}
+		boolean quiet = rules.mayWait() && candidate.quiet() && candidate.state().inFlight() >= MAX_QUIET_CALLS;
+		return quiet ? Exclusion.QUIET : null;
+	}
+
+	/**
+	 * Returns why a selection does not choose one of its candidates, or null if it would
+	 * if the others had a higher cost.
+	 */
+	@Nullable Exclusion exclusion(UpstreamState state, PlacementSelection selection, @Nullable ServiceProfile profile,
+			FleetSize fleetSize, long nowMillis) {
+		if (!selection.considered().contains(state)) {
+			return Exclusion.NOT_SUBSCRIBED;
+		}
+		Candidate candidate = selection.evaluated()
+			.stream()
+			.filter((evaluated) -> evaluated.state() == state)
+			.findFirst()
+			.orElse(null);
+		if (candidate == null) {
+			return this.limits.exclusion(state, profile, fleetSize.divisor(), nowMillis);
+		}
+		Exclusion capacityExclusion = capacityExclusion(candidate, selection.rules(), nowMillis);
+		if (capacityExclusion != null || selection.heldBack()) {
+			return (capacityExclusion != null) ? capacityExclusion : Exclusion.HELD_BACK;
+		}
+		return selection.decision().allows(state.upstream().dataCentre()) ? null : Exclusion.OTHER_DATA_CENTRE;
 	}
 
 	/**
@@ -197,19 +259,26 @@
 	}
 
 	/**
-	 * Returns the upstreams that may run a call, with or without free capacity.
+	 * Returns why an upstream may not run a call, whatever its capacity, or null if it
+	 * may.
 	 */
-	Stream<UpstreamState> eligible(Stream<UpstreamState> states, CallRequirements requirements, Fleet fleet,
+	@Nullable Exclusion eligibility(UpstreamState state, CallRequirements requirements, Fleet fleet,
 			@Nullable ServiceProfile profile, long nowMillis) {
-		Set<String> closed = fleet.closedDataCentres();
-		return states.filter((state) -> state.upstream().service().equals(requirements.service()))
-			.filter((state) -> !state.upstream().leaving() && state.present(nowMillis))
-			.filter((state) -> !closed.contains(state.upstream().dataCentre()))
-			.filter((state) -> requirements.regions().isEmpty()
-					|| requirements.regions().contains(state.upstream().region()))
-			.filter((state) -> !requirements.excludedUpstreams().contains(state.upstream().id()))
-			.filter((state) -> !(profile instanceof ServiceProfile.Engines engines)
-					|| servesEligibleWeights(state, engines, requirements, fleet.targetVersions(), nowMillis));
+		Upstream upstream = state.upstream();
+		if (upstream.leaving() || !state.present(nowMillis)) {
+			return Exclusion.LEAVING;
+		}
+		if (fleet.closedDataCentres().contains(upstream.dataCentre())) {
+			return Exclusion.CLOSED_DATA_CENTRE;
+		}
+		if (!requirements.regions().isEmpty() && !requirements.regions().contains(upstream.region())) {
+			return Exclusion.REGION;
+		}
+		if (requirements.excludedUpstreams().contains(upstream.id())) {
+			return Exclusion.TRIED;
+		}
+		return (profile instanceof ServiceProfile.Engines engines)
+				? weightsExclusion(state, engines, requirements, fleet.targetVersions(), nowMillis) : null;
 	}
 
 	/**
@@ -234,24 +303,28 @@
 			.max();
 	}
 
-	private boolean servesEligibleWeights(UpstreamState state, ServiceProfile.Engines engines,
+	private @Nullable Exclusion weightsExclusion(UpstreamState state, ServiceProfile.Engines engines,
 			CallRequirements requirements, Map<String, List<Fleet.TargetVersion>> targetVersions, long nowMillis) {
 		LoadedWeights weights = state.servedWeights(nowMillis);
 		if (weights == null || !weights.complete(engines.layers())) {
-			return false;
+			return Exclusion.VERSION;
 		}
 		UpstreamReport report = state.freshReport(nowMillis);
 		if (report != null && report.busy()) {
-			return false;
+			return Exclusion.BUSY;
 		}
 		OptionalLong required = requiredVersion(engines.model(), targetVersions, nowMillis);
 		boolean newEnough = required.isEmpty() || weights.version() >= required.getAsLong();
 		boolean matchesPinned = requirements.pinnedVersion().isEmpty()
 				|| requirements.pinnedVersion().getAsLong() == weights.version();
-		return newEnough && matchesPinned;
+		return (newEnough && matchesPinned) ? null : Exclusion.VERSION;
 	}
 
-	private Candidate evaluate(UpstreamState state, CallRequirements requirements, @Nullable ServiceProfile profile,
+	/**
+	 * Returns an upstream as a candidate for a call.
+	 * @param bestShare lowest share of failed calls among all candidates
+	 */
+	Candidate evaluate(UpstreamState state, CallRequirements requirements, @Nullable ServiceProfile profile,
 			double bestShare, int gatewayCount, long nowMillis) {
 		Upstream upstream = state.upstream();
 		double load = state.load(gatewayCount, nowMillis);
--- a/src/main/java/org/jaywood/routing/ReturnSchedule.java
+++ b/src/main/java/org/jaywood/routing/ReturnSchedule.java
@@ -48,25 +48,48 @@
 	 * @param leftMillis time that its caller has left
 	 */
 	long retryAfterMillis(int priority, int moreUrgent, int queued, long leftMillis, long nowMillis) {
-		this.spread = (this.spread + GOLDEN_RATIO) % 1;
-		double longestMillis = Math.clamp(HONOURED_SHARE * leftMillis, MIN_MILLIS, MAX_MILLIS);
-		double millis = this.forecast.known(nowMillis)
-				? scheduledMillis(priority, moreUrgent + queued, longestMillis, nowMillis)
-				: Math.min(longestMillis, MIN_MILLIS + this.spread * UNKNOWN_RATE_SPREAD_MILLIS);
-		return Math.round(millis);
+		CallerReturn next = next(priority, moreUrgent + queued, leftMillis, nowMillis);
+		this.spread = next.spread();
+		if (next.scheduled()) {
+			this.lastReturnMillis.put(priority, next.atMillis());
+		}
+		return Math.round(next.afterMillis());
+	}
+
+	/**
+	 * Returns the time of {@link #retryAfterMillis} without scheduling a return.
+	 */
+	long previewMillis(int priority, int moreUrgent, int queued, long leftMillis, long nowMillis) {
+		return Math.round(next(priority, moreUrgent + queued, leftMillis, nowMillis).afterMillis());
 	}
 
-	private double scheduledMillis(int priority, int ahead, double longestMillis, long nowMillis) {
+	private CallerReturn next(int priority, int ahead, long leftMillis, long nowMillis) {
+		double nextSpread = (this.spread + GOLDEN_RATIO) % 1;
+		double longestMillis = Math.clamp(HONOURED_SHARE * leftMillis, MIN_MILLIS, MAX_MILLIS);
+		if (!this.forecast.known(nowMillis)) {
+			return new CallerReturn(Math.min(longestMillis, MIN_MILLIS + nextSpread * UNKNOWN_RATE_SPREAD_MILLIS), 0,
+					nextSpread, false);
+		}
 		double callMillis = 1 / this.forecast.placedPerMilli(priority, nowMillis);
 		double roomMillis = nowMillis + Math.max(MIN_MILLIS, ahead * callMillis);
 		double previousMillis = this.lastReturnMillis.getOrDefault(priority, 0.0);
 		double returnMillis = Math.max(roomMillis, previousMillis + callMillis);
 		if (returnMillis - nowMillis > longestMillis) {
 			// No room in time: such callers are spread over the later half.
-			return Math.max(MIN_MILLIS, longestMillis * (1 - this.spread / 2));
+			return new CallerReturn(Math.max(MIN_MILLIS, longestMillis * (1 - nextSpread / 2)), 0, nextSpread, false);
 		}
-		this.lastReturnMillis.put(priority, returnMillis);
-		return returnMillis - nowMillis;
+		return new CallerReturn(returnMillis - nowMillis, returnMillis, nextSpread, true);
+	}
+
+	/**
+	 * Return of the next refused caller.
+	 *
+	 * @param afterMillis time after which it is told to come back
+	 * @param atMillis time at which it then comes, if it is scheduled
+	 * @param spread number from 0 to 1 by which it is told apart from the one before
+	 * @param scheduled whether later ones come back behind it
+	 */
+	private record CallerReturn(double afterMillis, double atMillis, double spread, boolean scheduled) {
 	}
 
 }
--- a/src/main/java/org/jaywood/routing/RouteTable.java
+++ b/src/main/java/org/jaywood/routing/RouteTable.java
@@ -79,6 +79,28 @@
 			.findFirst();
 	}
 
+	/**
+	 * Finds a route by its name.
+	 */
+	public Optional<Route> routeNamed(String name) {
+		return this.routesByHost.values()
+			.stream()
+			.flatMap(List::stream)
+			.filter((route) -> route.name().equals(name))
+			.findFirst();
+	}
+
+	/**
+	 * Finds a workspace that has a key, by its name.
+	 */
+	public Optional<Workspace> workspaceNamed(String name) {
+		return this.keys.workspacesByKey()
+			.values()
+			.stream()
+			.filter((workspace) -> workspace.name().equals(name))
+			.findFirst();
+	}
+
 	public Optional<Workspace> workspace(String key) {
 		return this.keys.workspaceOf(key);
 	}
--- a/src/main/java/org/jaywood/routing/ServiceQueue.java
+++ b/src/main/java/org/jaywood/routing/ServiceQueue.java
@@ -1,6 +1,7 @@
 package org.jaywood.routing;
 
 import java.util.List;
+import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
 
@@ -34,6 +35,12 @@
 	 */
 	int countAhead(QueuedCall latest);
 
+	/**
+	 * Returns the queued calls whose turn is before that of another one that is queued
+	 * now, and the others with the constraints of such a call, in no particular order.
+	 */
+	Stream<QueuedCall> callsBefore(QueuedCall latest);
+
 	/**
 	 * Begins to place calls.
 	 */
@@ -76,6 +83,11 @@
 	 */
 	long retryAfterMillis(CallRequirements requirements, long leftMillis, long nowMillis);
 
+	/**
+	 * Returns the time of {@link #retryAfterMillis} without scheduling a return.
+	 */
+	long previewRetryAfterMillis(CallRequirements requirements, long leftMillis, long nowMillis);
+
 	/**
 	 * Returns the free capacity for each gateway that must remain for more urgent calls
 	 * when a call is placed.
--- a/src/main/java/org/jaywood/routing/ServiceSpeeds.java
+++ b/src/main/java/org/jaywood/routing/ServiceSpeeds.java
@@ -73,24 +73,39 @@
 		this.callMillis = Math.max(1, this.callMillis + SMOOTHING_FACTOR * (millis - this.callMillis));
 	}
 
+	/**
+	 * Compares the speeds of the engines if the last comparison is too old, and forgets
+	 * engines without calls.
+	 */
+	void refresh(long nowMillis) {
+		if (isComparisonDue(nowMillis)) {
+			this.uneven = uneven(nowMillis);
+			this.comparedMillis = nowMillis;
+			this.speeds.values().removeIf((speed) -> expired(speed, nowMillis));
+		}
+	}
+
 	/**
 	 * Whether the speeds of engines differ much. That all are slow at once makes none of
 	 * them slower than the median.
 	 */
 	boolean uneven(long nowMillis) {
-		if (nowMillis - this.comparedMillis >= COMPARISON_MILLIS) {
-			this.comparedMillis = nowMillis;
-			this.speeds.values().removeIf((speed) -> speed.silenceMillis(nowMillis) > LIFETIME_MILLIS);
-			double limit = Math.log(this.uneven ? EVEN_FACTOR : UNEVEN_FACTOR);
-			this.uneven = largestDeviation(nowMillis) > limit;
-		}
-		return this.uneven;
+		return isComparisonDue(nowMillis)
+				? largestDeviation(nowMillis) > Math.log(this.uneven ? EVEN_FACTOR : UNEVEN_FACTOR) : this.uneven;
+	}
+
+	private boolean isComparisonDue(long nowMillis) {
+		return nowMillis - this.comparedMillis >= COMPARISON_MILLIS;
+	}
+
+	private static boolean expired(EngineSpeed speed, long nowMillis) {
+		return speed.silenceMillis(nowMillis) > LIFETIME_MILLIS;
 	}
 
 	double largestDeviation(long nowMillis) {
 		double[] logs = this.speeds.values()
 			.stream()
-			.filter(EngineSpeed::known)
+			.filter((speed) -> speed.known() && !expired(speed, nowMillis))
 			.mapToDouble((speed) -> speed.logSlowness(nowMillis))
 			.sorted()
 			.toArray();
--- a/src/main/java/org/jaywood/routing/SharedQueue.java
+++ b/src/main/java/org/jaywood/routing/SharedQueue.java
@@ -96,6 +96,32 @@
 				+ this.byPriority.headMap(priority).values().stream().mapToInt(FairQueue::size).sum();
 	}
 
+	@Override
+	public Stream<QueuedCall> callsBefore(QueuedCall latest) {
+		CallRequirements requirements = latest.requirements();
+		if (requirements.queueClass().sentBefore()) {
+			return this.sentBefore.headSet(latest).stream();
+		}
+		int priority = requirements.priority();
+		Stream<QueuedCall> otherPriorities = this.byPriority.entrySet()
+			.stream()
+			.filter((entry) -> turns().compare(entry.getKey(), priority) < 0)
+			.flatMap((entry) -> entry.getValue().calls());
+		FairQueue own = this.byPriority.get(priority);
+		return Stream
+			.of(this.sentBefore.stream(), otherPriorities,
+					(own != null) ? own.callsBefore(latest) : Stream.<QueuedCall>empty())
+			.flatMap((calls) -> calls);
+	}
+
+	/**
+	 * Returns the order in which priorities have their turn.
+	 */
+	private Comparator<Integer> turns() {
+		return Comparator.comparing((Integer priority) -> !this.floor.due(priority))
+			.thenComparing(Comparator.naturalOrder());
+	}
+
 	@Override
 	public Pass pass() {
 		return new SharedPass();
@@ -163,6 +189,13 @@
 				(own != null) ? own.size() : 0, leftMillis, nowMillis);
 	}
 
+	@Override
+	public long previewRetryAfterMillis(CallRequirements requirements, long leftMillis, long nowMillis) {
+		FairQueue own = this.byPriority.get(requirements.priority());
+		return this.returns.previewMillis(requirements.priority(), moreUrgentCalls(requirements.priority()),
+				(own != null) ? own.size() : 0, leftMillis, nowMillis);
+	}
+
 	@Override
 	public double heldBackSlots(CallRequirements requirements, long nowMillis) {
 		boolean first = requirements.queueClass().sentBefore() || this.floor.due(requirements.priority());
@@ -199,7 +232,7 @@
 			}
 			return SharedQueue.this.byPriority.keySet()
 				.stream()
-				.sorted(Comparator.comparing((Integer priority) -> !SharedQueue.this.floor.due(priority)))
+				.sorted(turns())
 				.map(this::first)
 				.filter(Objects::nonNull)
 				.findFirst()
--- a/src/main/java/org/jaywood/routing/SpilloverPolicy.java
+++ b/src/main/java/org/jaywood/routing/SpilloverPolicy.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 
 /**
@@ -39,6 +40,15 @@
 
 	@Override
 	public Decision decide(Room here, Collection<Room> others, long nowMillis) {
+		return decide(here, others, this::pair, nowMillis);
+	}
+
+	@Override
+	public DataCentreChoice readOnly() {
+		return (here, others, nowMillis) -> decide(here, others, (there) -> pairOf(there).copy(), nowMillis);
+	}
+
+	private static Decision decide(Room here, Collection<Room> others, Function<Room, Pair> pairs, long nowMillis) {
 		if (here.slots() == 0) {
 			return new Decision(true, Set.of(), SpilloverReason.NO_ENGINE);
 		}
@@ -47,13 +57,17 @@
 		}
 		Set<String> dataCentres = others.stream()
 			.filter((there) -> isWorthLeaving(here, there))
-			.filter((there) -> pair(there).admits(there, nowMillis))
+			.filter((there) -> pairs.apply(there).admits(there, nowMillis))
 			.map(Room::dataCentre)
 			.collect(Collectors.toSet());
 		return dataCentres.isEmpty() ? new Decision(false, Set.of(here.dataCentre()), SpilloverReason.LOCAL)
 				: new Decision(false, dataCentres, here.open() ? SpilloverReason.WAIT : SpilloverReason.FULL);
 	}
 
+	private Pair pairOf(Room there) {
+		return this.pairs.getOrDefault(there.dataCentre(), new Pair());
+	}
+
 	private Pair pair(Room there) {
 		return this.pairs.computeIfAbsent(there.dataCentre(), (key) -> new Pair());
 	}
@@ -107,6 +121,15 @@
 
 		private long neededMillis = Long.MIN_VALUE / 2;
 
+		Pair copy() {
+			Pair copy = new Pair();
+			copy.inUse = this.inUse;
+			copy.maxCalls = this.maxCalls;
+			copy.steppedMillis = this.steppedMillis;
+			copy.neededMillis = this.neededMillis;
+			return copy;
+		}
+
 		/**
 		 * Whether another call may be sent.
 		 */
--- a/src/main/java/org/jaywood/routing/UpstreamStates.java
+++ b/src/main/java/org/jaywood/routing/UpstreamStates.java
@@ -154,6 +154,13 @@
 		return new FleetSize(lastReportedGateways(nowMillis), this.gatewayCount.divisor(nowMillis));
 	}
 
+	/**
+	 * Returns the number of gateways as {@link #fleetSize} does, without recording it.
+	 */
+	FleetSize previewFleetSize(long nowMillis) {
+		return this.gatewayCount.preview(this.states.values(), this.subscribedEngines.share(), nowMillis);
+	}
+
 	/**
 	 * Returns the ids of the engines whose agents report to this gateway, by address.
 	 */
--- a/src/main/java/org/jaywood/routing/WorkRanking.java
+++ b/src/main/java/org/jaywood/routing/WorkRanking.java
@@ -19,6 +19,11 @@
 
 	private final AnswerLengths lengths = new AnswerLengths();
 
+	@Override
+	public void refresh(String service, long nowMillis) {
+		speeds(service).refresh(nowMillis);
+	}
+
 	@Override
 	public double cost(UpstreamState state, double load, CallRequirements requirements,
 			@Nullable ServiceProfile profile, long nowMillis) {
