--- a/src/main/java/org/jaywood/cli/ExplainCommand.java
+++ b/src/main/java/org/jaywood/cli/ExplainCommand.java
@@ -1,6 +1,7 @@
 package org.jaywood.cli;
 
 import java.net.http.HttpResponse;
+import java.net.http.HttpTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -36,6 +37,11 @@
 	/** Time for the whole answer. */
 	private static final long ANSWER_MILLIS = 2_000;
 
+	private static final String LATE = "did not answer within " + ANSWER_MILLIS + " ms";
+
+	/** Bound on what is printed of a response that is no answer. */
+	private static final int MAX_ERROR_CHARS = 300;
+
 	private static final double MILLIS_PER_SECOND = 1_000;
 
 	@Parameter(description = "ADDRESS", required = true, converter = Converters.AddressConverter.class)
@@ -106,16 +112,18 @@
 				.post(address.uri("/v1/explain"), question, Duration.ofMillis(ANSWER_MILLIS)));
 			HttpResponse<byte[]> answer = response.get(ANSWER_MILLIS, TimeUnit.MILLISECONDS);
 			if (answer.statusCode() != 200) {
+				String body = new String(answer.body(), StandardCharsets.UTF_8);
 				throw new NoAnswerException("answered with status " + answer.statusCode() + ": "
-						+ new String(answer.body(), StandardCharsets.UTF_8).strip());
+						+ body.substring(0, Math.min(body.length(), MAX_ERROR_CHARS)).strip());
 			}
 			return answer.body();
 		}
 		catch (TimeoutException ex) {
-			throw new NoAnswerException("did not answer within " + ANSWER_MILLIS + " ms");
+			throw new NoAnswerException(LATE);
 		}
 		catch (ExecutionException ex) {
-			throw new NoAnswerException("did not answer: " + ex.getCause());
+			throw new NoAnswerException(
+					(ex.getCause() instanceof HttpTimeoutException) ? LATE : "could not be asked: " + ex.getCause());
 		}
 		finally {
 			executor.shutdownNow();
--- a/src/main/java/org/jaywood/routing/ArrivalQueue.java
+++ b/src/main/java/org/jaywood/routing/ArrivalQueue.java
@@ -111,6 +111,11 @@
 				|| this.waitEstimator.waitMillis(countAhead(latest), nowMillis) <= MAX_FORECAST_SHARE * waitMillis;
 	}
 
+	@Override
+	public boolean previewWaitFeasible(QueuedCall latest, long waitMillis, long nowMillis) {
+		return isWaitFeasible(latest, waitMillis, nowMillis);
+	}
+
 	@Override
 	public List<QueuedCall> overdue(long nowMillis) {
 		return List.of();
@@ -122,7 +127,8 @@
 	}
 
 	@Override
-	public long previewRetryAfterMillis(CallRequirements requirements, long leftMillis, long nowMillis) {
+	public long previewRetryAfterMillis(CallRequirements requirements, long leftMillis, boolean arrived,
+			long nowMillis) {
 		return retryAfterMillis(requirements, leftMillis, nowMillis);
 	}
 
--- a/src/main/java/org/jaywood/routing/EventRate.java
+++ b/src/main/java/org/jaywood/routing/EventRate.java
@@ -18,6 +18,17 @@
 		this.windowMillis = windowMillis;
 	}
 
+	/**
+	 * Returns a copy that events do not change.
+	 */
+	EventRate copy() {
+		EventRate copy = new EventRate(this.windowMillis);
+		copy.events = this.events;
+		copy.lastMillis = this.lastMillis;
+		copy.firstMillis = this.firstMillis;
+		return copy;
+	}
+
 	void record(long nowMillis) {
 		if (this.firstMillis == Long.MIN_VALUE) {
 			this.firstMillis = nowMillis;
--- a/src/main/java/org/jaywood/routing/PlacementExplainer.java
+++ b/src/main/java/org/jaywood/routing/PlacementExplainer.java
@@ -35,16 +35,16 @@
 		ServiceQueue queue = this.queues.find(requirements.service());
 		QueuedCall latest = this.queues.latest(requirements, nowMillis);
 		int ahead = queue.countAhead(latest);
-		PlacementRefusal refusal = this.selector.refusal(requirements, ahead, waitMillis, fleetSize, nowMillis);
-		if (refusal == null && !queue.isWaitFeasible(latest, waitMillis, nowMillis)) {
-			refusal = PlacementRefusal.QUEUE_FULL;
-		}
+		PlacementRefusal refusedAtOnce = this.selector.refusal(requirements, ahead, waitMillis, fleetSize, nowMillis);
+		PlacementRefusal refusal = (refusedAtOnce == null && !queue.previewWaitFeasible(latest, waitMillis, nowMillis))
+				? PlacementRefusal.QUEUE_FULL : refusedAtOnce;
 		double heldBackSlots = queue.heldBackSlots(requirements, nowMillis);
 		PlacementSelection selection = this.selector.preview(requirements, heldBackSlots, fleetSize, nowMillis);
 		PlacementPolicy.Candidate chosen = (refusal == null && isNext(latest, queue, fleetSize, nowMillis))
 				? selection.chosen().orElse(null) : null;
 		long retryAfterMillis = this.selector.retryAfterMillis(requirements,
-				queue.previewRetryAfterMillis(requirements, leftMillis, nowMillis), fleetSize, nowMillis);
+				queue.previewRetryAfterMillis(requirements, leftMillis, refusedAtOnce == null, nowMillis), fleetSize,
+				nowMillis);
 		return new PlacementExplanation(refusal, (chosen != null) ? chosen.state().upstream().id() : null,
 				(chosen != null) ? chosen.spillover() : null, ahead, queue.size(), heldBackSlots, retryAfterMillis,
 				upstreams(requirements, selection, fleetSize, nowMillis));
--- a/src/main/java/org/jaywood/routing/PriorityDemand.java
+++ b/src/main/java/org/jaywood/routing/PriorityDemand.java
@@ -18,6 +18,16 @@
 		this.arrivals.computeIfAbsent(priority, (key) -> new EventRate(WINDOW_MILLIS)).record(nowMillis);
 	}
 
+	/**
+	 * Returns the demand after another call, without recording it here.
+	 */
+	PriorityDemand withArrival(int priority, long nowMillis) {
+		PriorityDemand copy = new PriorityDemand();
+		this.arrivals.forEach((each, rate) -> copy.arrivals.put(each, rate.copy()));
+		copy.onArrival(priority, nowMillis);
+		return copy;
+	}
+
 	/**
 	 * Returns the priorities of which calls have come, the most urgent first.
 	 */
--- a/src/main/java/org/jaywood/routing/ReturnSchedule.java
+++ b/src/main/java/org/jaywood/routing/ReturnSchedule.java
@@ -48,7 +48,7 @@
 	 * @param leftMillis time that its caller has left
 	 */
 	long retryAfterMillis(int priority, int moreUrgent, int queued, long leftMillis, long nowMillis) {
-		CallerReturn next = next(priority, moreUrgent + queued, leftMillis, nowMillis);
+		CallerReturn next = next(this.forecast, priority, moreUrgent + queued, leftMillis, nowMillis);
 		this.spread = next.spread();
 		if (next.scheduled()) {
 			this.lastReturnMillis.put(priority, next.atMillis());
@@ -58,19 +58,20 @@
 
 	/**
 	 * Returns the time of {@link #retryAfterMillis} without scheduling a return.
+	 * @param latest forecast in force
 	 */
-	long previewMillis(int priority, int moreUrgent, int queued, long leftMillis, long nowMillis) {
-		return Math.round(next(priority, moreUrgent + queued, leftMillis, nowMillis).afterMillis());
+	long previewMillis(WaitForecast latest, int priority, int moreUrgent, int queued, long leftMillis, long nowMillis) {
+		return Math.round(next(latest, priority, moreUrgent + queued, leftMillis, nowMillis).afterMillis());
 	}
 
-	private CallerReturn next(int priority, int ahead, long leftMillis, long nowMillis) {
+	private CallerReturn next(WaitForecast latest, int priority, int ahead, long leftMillis, long nowMillis) {
 		double nextSpread = (this.spread + GOLDEN_RATIO) % 1;
 		double longestMillis = Math.clamp(HONOURED_SHARE * leftMillis, MIN_MILLIS, MAX_MILLIS);
-		if (!this.forecast.known(nowMillis)) {
+		if (!latest.known(nowMillis)) {
 			return new CallerReturn(Math.min(longestMillis, MIN_MILLIS + nextSpread * UNKNOWN_RATE_SPREAD_MILLIS), 0,
 					nextSpread, false);
 		}
-		double callMillis = 1 / this.forecast.placedPerMilli(priority, nowMillis);
+		double callMillis = 1 / latest.placedPerMilli(priority, nowMillis);
 		double roomMillis = nowMillis + Math.max(MIN_MILLIS, ahead * callMillis);
 		double previousMillis = this.lastReturnMillis.getOrDefault(priority, 0.0);
 		double returnMillis = Math.max(roomMillis, previousMillis + callMillis);
--- a/src/main/java/org/jaywood/routing/ServiceQueue.java
+++ b/src/main/java/org/jaywood/routing/ServiceQueue.java
@@ -71,6 +71,12 @@
 	 */
 	boolean isWaitFeasible(QueuedCall latest, long waitMillis, long nowMillis);
 
+	/**
+	 * Returns what {@link #isWaitFeasible} would return once the call is recorded as one
+	 * that has come, without recording it.
+	 */
+	boolean previewWaitFeasible(QueuedCall latest, long waitMillis, long nowMillis);
+
 	/**
 	 * Returns the queued calls that are not likely any more to be placed within the time
 	 * that they can wait.
@@ -85,8 +91,10 @@
 
 	/**
 	 * Returns the time of {@link #retryAfterMillis} without scheduling a return.
+	 * @param arrived whether the call counts as one that has come, although it is not
+	 * recorded
 	 */
-	long previewRetryAfterMillis(CallRequirements requirements, long leftMillis, long nowMillis);
+	long previewRetryAfterMillis(CallRequirements requirements, long leftMillis, boolean arrived, long nowMillis);
 
 	/**
 	 * Returns the free capacity for each gateway that must remain for more urgent calls
--- a/src/main/java/org/jaywood/routing/SharedQueue.java
+++ b/src/main/java/org/jaywood/routing/SharedQueue.java
@@ -158,9 +158,26 @@
 
 	@Override
 	public boolean isWaitFeasible(QueuedCall latest, long waitMillis, long nowMillis) {
+		return isWaitFeasible(latest, this.forecast, waitMillis, nowMillis);
+	}
+
+	@Override
+	public boolean previewWaitFeasible(QueuedCall latest, long waitMillis, long nowMillis) {
+		return isWaitFeasible(latest, forecastWith(latest.requirements(), nowMillis), waitMillis, nowMillis);
+	}
+
+	/**
+	 * Returns the forecast after the arrival of a call, without recording it.
+	 */
+	private WaitForecast forecastWith(CallRequirements latest, long nowMillis) {
+		PriorityDemand latestDemand = this.demand.withArrival(latest.priority(), nowMillis);
+		return new WaitForecast(latestDemand, new PriorityFloor(latestDemand), this.slots);
+	}
+
+	private boolean isWaitFeasible(QueuedCall latest, WaitForecast latestForecast, long waitMillis, long nowMillis) {
 		CallRequirements requirements = latest.requirements();
 		return size() < MIN_QUEUE_CALLS || requirements.queueClass().sentBefore()
-				|| this.forecast.endsWithin(waitMillis, requirements.priority(),
+				|| latestForecast.endsWithin(waitMillis, requirements.priority(),
 						moreUrgentCalls(requirements.priority()), countAheadInPriority(requirements), nowMillis);
 	}
 
@@ -190,9 +207,11 @@
 	}
 
 	@Override
-	public long previewRetryAfterMillis(CallRequirements requirements, long leftMillis, long nowMillis) {
+	public long previewRetryAfterMillis(CallRequirements requirements, long leftMillis, boolean arrived,
+			long nowMillis) {
+		WaitForecast latest = arrived ? forecastWith(requirements, nowMillis) : this.forecast;
 		FairQueue own = this.byPriority.get(requirements.priority());
-		return this.returns.previewMillis(requirements.priority(), moreUrgentCalls(requirements.priority()),
+		return this.returns.previewMillis(latest, requirements.priority(), moreUrgentCalls(requirements.priority()),
 				(own != null) ? own.size() : 0, leftMillis, nowMillis);
 	}
 
