--- a/src/test/java/org/jaywood/gateway/CapturedLog.java
+++ b/src/test/java/org/jaywood/gateway/CapturedLog.java
@@ -38,6 +38,10 @@
 		this.logger.addHandler(this.handler);
 	}
 
+	List<String> lines() {
+		return this.lines;
+	}
+
 	/**
 	 * Returns the lines of an event.
 	 */
--- a/src/test/java/org/jaywood/routing/PlacementExplainerTests.java
+++ b/src/test/java/org/jaywood/routing/PlacementExplainerTests.java
@@ -177,6 +177,58 @@
 			assertThat(explain(PlacementExplainerTests.this.call, NOW).upstream()).isNull();
 		}
 
+		@Test
+		void silentVm() {
+			fleet(RoutingFixtures.engine("a"));
+			report("a", 0);
+			PlacementExplainerTests.this.dispatcher.enqueue(PlacementExplainerTests.this.call, NOW);
+			for (long tick = NOW; tick <= NOW + 700; tick += 50) {
+				PlacementExplainerTests.this.dispatcher.onTick(tick);
+			}
+			assertThat(excluded(NOW + 700)).isEqualTo(Exclusion.SILENT_VM);
+		}
+
+		@Test
+		void latePathsWithAndWithoutACallUnderWay() {
+			fleet(RoutingFixtures.engine("a"));
+			report("a", 0);
+			PlacementExplainerTests.this.dispatcher.enqueue(PlacementExplainerTests.this.call, NOW);
+			fleet(RoutingFixtures.engine("a"), RoutingFixtures.engine("b"), RoutingFixtures.engine("c"));
+			List.of("b", "c").forEach((id) -> report(id, 0));
+			List.of("a", "b").forEach((id) -> {
+				PlacementExplainerTests.this.dispatcher.onReportDelay(id, NOW, NOW);
+				PlacementExplainerTests.this.dispatcher.onReportDelay(id, NOW, NOW + 300);
+			});
+			assertThat(excluded(NOW + 300)).isEqualTo(Exclusion.DOUBTED_PATH);
+			assertThat(excluded("b", PlacementExplainerTests.this.call, NOW + 300)).isEqualTo(Exclusion.UNTIMELY_PATH);
+			assertThat(explain(PlacementExplainerTests.this.call, NOW + 300).upstream()).isEqualTo("c");
+		}
+
+		@Test
+		void quietOneWithSeveralCalls() {
+			fleet(RoutingFixtures.engine("a"));
+			report("a", 0);
+			IntStream.range(0, 2)
+				.forEach((number) -> PlacementExplainerTests.this.dispatcher.enqueue(PlacementExplainerTests.this.call,
+						NOW));
+			fleet(RoutingFixtures.engine("a"), RoutingFixtures.engine("b"));
+			List.of("a", "b").forEach((id) -> report(id, id.equals("a") ? 2 : 0));
+			assertThat(excluded(NOW + 700)).isEqualTo(Exclusion.QUIET);
+		}
+
+		@Test
+		void engineWithoutSubscription() {
+			fleet(IntStream.range(0, 40)
+				.mapToObj((number) -> RoutingFixtures.engine("engine-" + number))
+				.toArray(Upstream[]::new));
+			List<String> subscribed = List
+				.copyOf(PlacementExplainerTests.this.dispatcher.subscribedEngines().values());
+			subscribed.forEach((id) -> report(id, 0));
+			explain(PlacementExplainerTests.this.call, NOW).upstreams()
+				.forEach((upstream) -> assertThat(upstream.excluded())
+					.isEqualTo(subscribed.contains(upstream.id()) ? null : Exclusion.NOT_SUBSCRIBED));
+		}
+
 		@Test
 		void otherDataCentreWhileTheOwnHasAFreeSlot() {
 			fleet(RoutingFixtures.engine("a"), RoutingFixtures.engine("b", "donan-a", "donan", 1));
