--- a/src/test/java/org/jaywood/routing/PlacementExplainerTests.java
+++ b/src/test/java/org/jaywood/routing/PlacementExplainerTests.java
@@ -209,8 +209,9 @@
 			fleet(RoutingFixtures.engine("a"));
 			report("a", 0);
 			IntStream.range(0, 2)
-				.forEach((number) -> PlacementExplainerTests.this.dispatcher.enqueue(PlacementExplainerTests.this.call,
-						NOW));
+				.mapToObj((number) -> PlacementExplainerTests.this.dispatcher
+					.enqueue(PlacementExplainerTests.this.call, NOW))
+				.forEach((queuedCall) -> queuedCall.placement().join().activity().onSent(NOW));
 			fleet(RoutingFixtures.engine("a"), RoutingFixtures.engine("b"));
 			List.of("a", "b").forEach((id) -> report(id, id.equals("a") ? 2 : 0));
 			assertThat(excluded(NOW + 700)).isEqualTo(Exclusion.QUIET);
@@ -221,8 +222,7 @@
 			fleet(IntStream.range(0, 40)
 				.mapToObj((number) -> RoutingFixtures.engine("engine-" + number))
 				.toArray(Upstream[]::new));
-			List<String> subscribed = List
-				.copyOf(PlacementExplainerTests.this.dispatcher.subscribedEngines().values());
+			List<String> subscribed = List.copyOf(PlacementExplainerTests.this.dispatcher.subscribedEngines().values());
 			subscribed.forEach((id) -> report(id, 0));
 			explain(PlacementExplainerTests.this.call, NOW).upstreams()
 				.forEach((upstream) -> assertThat(upstream.excluded())
