Do not keep entries that are deleted after a restore

Cause: EntryRetention kept an entry for 2.2 s after a restore also if it was in the restored store and was deleted there since, so that an upstream that had ended got calls, and a data centre stayed closed. Change: an entry that a view of the new era had and a later one of that era lacks is no longer retained. Measured: EntryRetentionTests and StoreCacheTests pass.

--- a/src/main/java/org/jaywood/gateway/EntryRetention.java
+++ b/src/main/java/org/jaywood/gateway/EntryRetention.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.BinaryOperator;
+import java.util.stream.Collectors;
 
 import org.jspecify.annotations.Nullable;
 
@@ -12,8 +13,8 @@
  * Keeps the entries of a feed that are missing after the store was restored from an older
  * copy until their owners have written them again. Designed for entries that were written
  * after the copy was made: without them, upstreams that run would get no calls, and a
- * data centre that was closed would get calls. Guarded by the lock of its
- * {@link StoreCache}.
+ * data centre that was closed would get calls. An entry that is deleted after the restore
+ * is not kept. Guarded by the lock of its {@link StoreCache}.
  *
  * @param <T> type of the values
  */
@@ -50,10 +51,25 @@
 			this.retained = merge(previous, nowMillis).entries();
 			this.untilMillis = nowMillis + this.retentionMillis;
 		}
+		else if (previous != null) {
+			forgetDeleted(previous, view);
+		}
 		this.latest = view;
 		return merge(view, nowMillis);
 	}
 
+	/**
+	 * Forgets entries that were in the store after the restore and are no longer: these
+	 * were deleted, while one that the restored store has never had may have been lost.
+	 */
+	private void forgetDeleted(FeedView<T> previous, FeedView<T> view) {
+		this.retained = this.retained.entrySet()
+			.stream()
+			.filter((entry) -> !previous.entries().containsKey(entry.getKey())
+					|| view.entries().containsKey(entry.getKey()))
+			.collect(Collectors.toUnmodifiableMap(Map.Entry::getKey, Map.Entry::getValue));
+	}
+
 	/**
 	 * Ends the retention if its time is over.
 	 * @return the view without entries from before the restore, or null if none are kept
--- a/src/test/java/org/jaywood/gateway/EntryRetentionTests.java
+++ b/src/test/java/org/jaywood/gateway/EntryRetentionTests.java
@@ -56,6 +56,20 @@
 		assertThat(this.retention.expire(NOW_MILLIS + 1_000 + RETENTION_MILLIS).entries()).isEmpty();
 	}
 
+	/**
+	 * Guards against calls to an upstream that has ended, and against a data centre that
+	 * stays closed, after a restore.
+	 */
+	@Test
+	void entryThatIsDeletedAfterTheRestoreIsNotKept() {
+		apply(0, Map.of("a", "1", "b", "1"), NOW_MILLIS);
+		apply(1, Map.of("a", "1"), NOW_MILLIS);
+		assertThat(apply(1, Map.of(), NOW_MILLIS + 100)).containsExactly("b", "1");
+		apply(1, Map.of("b", "1"), NOW_MILLIS + 200);
+		assertThat(apply(1, Map.of(), NOW_MILLIS + 300)).isEmpty();
+		assertThat(apply(2, Map.of(), NOW_MILLIS + 400)).isEmpty();
+	}
+
 	@Test
 	void firstViewKeepsNothing() {
 		assertThat(apply(3, Map.of("a", "1"), NOW_MILLIS)).containsExactly("a", "1");
