Release leases of trials only if this gateway has them

Cause: after a restore of the store, DurableTrialLeases deleted the objects of released leases and ignored whether held ones could be acquired again, so that the lease of another gateway could be deleted and a trial made twice. Change: the object of a lease names its holder, a random id of the process. A release replaces the holder by none on the condition of the revision, since the store is known to check it in PUT only; the next trial takes such an object over. A lease that another gateway has acquired meanwhile is dropped, and its trial is not made here if it was not sent yet (event 1619). The DELETE of the client and of the fake store have no user any more and are gone; the tests of invalid statuses cover the requests that replace it. Measured: DurableTrialLeasesTests, StoreTrialLeasesTests, PartTrialsTests, PartScreenTests, EndlessBodyTests, InvalidStatusClientTests and EventCatalogueTests pass.

--- a/src/main/java/org/jaywood/gateway/DurableTrialLeases.java
+++ b/src/main/java/org/jaywood/gateway/DurableTrialLeases.java
@@ -3,8 +3,10 @@
 import java.io.IOException;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 import org.jaywood.feed.BootClock;
@@ -54,6 +56,15 @@
 		return granted;
 	}
 
+	@Override
+	public boolean reacquire(String name) throws IOException {
+		boolean granted = this.leases.reacquire(name);
+		if (!granted) {
+			this.held.remove(name);
+		}
+		return granted;
+	}
+
 	@Override
 	public void release(String name) throws IOException {
 		long nowMillis = BootClock.nowMillis();
@@ -72,17 +83,21 @@
 
 	/**
 	 * Writes the leases again if the store was restored.
+	 * @param onLost receives the names of leases that another gateway has acquired
+	 * meanwhile
 	 * @throws IOException if the store does not confirm it; this may be repeated
 	 */
-	void writeAgain() throws IOException {
+	void writeAgain(Consumer<String> onLost) throws IOException {
 		long latestEra = this.era.getAsLong();
 		if (latestEra <= this.writtenEra) {
 			return;
 		}
 		long sinceMillis = BootClock.nowMillis() - RELEASE_MEMORY_MILLIS;
 		this.released.values().removeIf((releasedMillis) -> releasedMillis < sinceMillis);
-		for (String name : this.held) {
-			this.leases.tryAcquire(name);
+		for (String name : List.copyOf(this.held)) {
+			if (!reacquire(name)) {
+				onLost.accept(name);
+			}
 		}
 		for (String name : this.released.keySet()) {
 			this.leases.release(name);
--- a/src/main/java/org/jaywood/gateway/PartTrialRunner.java
+++ b/src/main/java/org/jaywood/gateway/PartTrialRunner.java
@@ -56,13 +56,18 @@
 
 	private void writeLeasesAgain() {
 		try {
-			this.leases.writeAgain();
+			this.leases.writeAgain(this::onLost);
 		}
 		catch (IOException ex) {
 			this.log.log(Event.TASK_FAILED, "task", "part-trials", "error", ex);
 		}
 	}
 
+	private void onLost(String leaseName) {
+		boolean pending = this.screen.onLeaseLost(leaseName);
+		this.log.log(Event.TRIAL_LEASE_LOST, "lease", leaseName, "pending", pending);
+	}
+
 	private void acquire(Trial trial) {
 		try {
 			boolean granted = this.leases.tryAcquire(trial.leaseName());
--- a/src/main/java/org/jaywood/gateway/TrialLeases.java
+++ b/src/main/java/org/jaywood/gateway/TrialLeases.java
@@ -16,7 +16,15 @@
 	boolean tryAcquire(String name) throws IOException;
 
 	/**
-	 * Releases a lease of this gateway.
+	 * Acquires a lease again that this gateway had, which the store may have lost.
+	 * @param name name of the lease
+	 * @return whether this gateway has it; false if another one has acquired it meanwhile
+	 * @throws IOException if the store does not say; the lease may have been granted
+	 */
+	boolean reacquire(String name) throws IOException;
+
+	/**
+	 * Releases a lease if this gateway has it.
 	 * @throws IOException if the store does not confirm it
 	 */
 	void release(String name) throws IOException;
--- a/src/main/java/org/jaywood/platform/MetadataStoreClient.java
+++ b/src/main/java/org/jaywood/platform/MetadataStoreClient.java
@@ -82,14 +82,14 @@
 	}
 
 	/**
-	 * Creates an object without content.
+	 * Creates an object.
 	 * @return whether it was created; false if it exists
 	 * @throws IOException if the store does not say; it may have created the object
 	 */
-	boolean create(String kind, String name) throws IOException {
+	boolean create(String kind, String name, JsonNode spec) throws IOException {
 		BasicClassicHttpRequest request = new BasicClassicHttpRequest("POST", "/objects/" + kind);
 		request.setHeader("Content-Type", "application/json");
-		byte[] object = Json.bytes(Map.of("Metadata", Map.of("Name", name), "Spec", Map.of()));
+		byte[] object = Json.bytes(Map.of("Metadata", Map.of("Name", name), "Spec", spec));
 		BufferedResponse response = this.pool.exchange(this.address, request, object, WRITE_LIMITS);
 		boolean created = response.ok() || response.status() == HttpStatus.SC_CREATED;
 		if (!created && response.status() != HttpStatus.SC_CONFLICT) {
@@ -98,17 +98,6 @@
 		return created;
 	}
 
-	/**
-	 * Deletes an object, if it exists.
-	 */
-	void delete(String kind, String name) throws IOException {
-		BufferedResponse response = this.pool.exchange(this.address,
-				new BasicClassicHttpRequest("DELETE", "/objects/" + kind + "/" + name), new byte[0], WRITE_LIMITS);
-		if (response.status() >= HttpStatus.SC_REDIRECTION && response.status() != HttpStatus.SC_NOT_FOUND) {
-			throw new IOException("DELETE " + kind + "/" + name + ": status " + response.status());
-		}
-	}
-
 	/**
 	 * Reads a single object.
 	 * @param allowStale whether the result may be seconds old, which costs less
--- a/src/main/java/org/jaywood/routing/PartScreen.java
+++ b/src/main/java/org/jaywood/routing/PartScreen.java
@@ -198,6 +198,15 @@
 		this.trials.onLeaseDecided(trial, granted);
 	}
 
+	/**
+	 * Records that another gateway has acquired a lease that this one had.
+	 * @return whether the trial had not been sent, so that it is left to the other
+	 * gateway
+	 */
+	public synchronized boolean onLeaseLost(String leaseName) {
+		return this.trials.onLeaseLost(leaseName);
+	}
+
 	/**
 	 * Takes a trial for a call with blocked parts.
 	 * @return whether the call is the trial, so that it may be sent once
--- a/src/main/java/org/jaywood/routing/PartTrials.java
+++ b/src/main/java/org/jaywood/routing/PartTrials.java
@@ -59,6 +59,14 @@
 		}
 	}
 
+	/**
+	 * Records that another gateway has acquired the lease of a trial of this gateway.
+	 * @return whether the trial was still to be made, which this gateway no longer does
+	 */
+	boolean onLeaseLost(String leaseName) {
+		return this.progressByParts.values().stream().filter((progress) -> progress.lose(leaseName)).count() > 0;
+	}
+
 	/**
 	 * Takes a granted trial for a call.
 	 * @param promptParts shared parts of the prompt of the call
@@ -110,6 +118,13 @@
 
 		private final List<Trial> held = new ArrayList<>();
 
+		boolean lose(String leaseName) {
+			this.held.removeIf((trial) -> trial.leaseName().equals(leaseName));
+			boolean pending = this.granted != null && this.granted.leaseName().equals(leaseName);
+			this.granted = pending ? null : this.granted;
+			return pending;
+		}
+
 		boolean take(Set<String> promptParts) {
 			Trial trial = this.granted;
 			if (trial == null || !promptParts.containsAll(trial.parts())) {
--- a/src/test/java/org/jaywood/gateway/DurableTrialLeasesTests.java
+++ b/src/test/java/org/jaywood/gateway/DurableTrialLeasesTests.java
@@ -1,8 +1,10 @@
 package org.jaywood.gateway;
 
 import java.io.IOException;
-import java.util.HashSet;
-import java.util.Set;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 
 import org.junit.jupiter.api.Test;
 
@@ -16,21 +18,31 @@
  */
 class DurableTrialLeasesTests {
 
+	private static final String OWN = "gateway";
+
+	private static final String OTHER = "other gateway";
+
 	private final FakeLeases store = new FakeLeases();
 
+	private final List<String> lost = new ArrayList<>();
+
 	private long era = 1;
 
 	private final DurableTrialLeases leases = new DurableTrialLeases(this.store, () -> this.era);
 
+	private void writeAgain() throws IOException {
+		this.leases.writeAgain(this.lost::add);
+	}
+
 	@Test
 	void heldLeaseIsWrittenAgain() throws IOException {
-		this.leases.writeAgain();
+		writeAgain();
 		assertThat(this.leases.tryAcquire("trial")).isTrue();
-		this.store.names.clear();
+		this.store.holders.clear();
 		this.era++;
 		assertThat(this.leases.restored()).isTrue();
-		this.leases.writeAgain();
-		assertThat(this.store.names).containsExactly("trial");
+		writeAgain();
+		assertThat(this.store.holders).containsExactly("trial", OWN);
 		assertThat(this.leases.restored()).isFalse();
 	}
 
@@ -38,40 +50,58 @@
 	void releasedLeaseIsReleasedAgain() throws IOException {
 		this.leases.tryAcquire("trial");
 		this.leases.release("trial");
-		this.store.names.add("trial");
+		this.store.holders.put("trial", OWN);
 		this.era++;
-		this.leases.writeAgain();
-		assertThat(this.store.names).isEmpty();
+		writeAgain();
+		assertThat(this.store.holders).isEmpty();
 	}
 
 	@Test
 	void leaseOfAnotherGatewayIsNotWritten() throws IOException {
-		this.store.names.add("trial");
+		this.store.holders.put("trial", OTHER);
 		assertThat(this.leases.tryAcquire("trial")).isFalse();
-		this.store.names.clear();
+		this.store.holders.clear();
 		this.era++;
-		this.leases.writeAgain();
-		assertThat(this.store.names).isEmpty();
+		writeAgain();
+		assertThat(this.store.holders).isEmpty();
 	}
 
 	@Test
 	void failedWriteIsRepeated() throws IOException {
 		this.leases.tryAcquire("trial");
-		this.store.names.clear();
+		this.store.holders.clear();
 		this.store.fails = true;
 		this.era++;
 		Failures.thrownBy(IOException.class, () -> {
-			this.leases.writeAgain();
+			writeAgain();
 			return null;
 		});
 		this.store.fails = false;
-		this.leases.writeAgain();
-		assertThat(this.store.names).containsExactly("trial");
+		writeAgain();
+		assertThat(this.store.holders).containsExactly("trial", OWN);
+	}
+
+	/**
+	 * The lost lease is reported once, and a later restore does not take it from the
+	 * gateway that has it now.
+	 */
+	@Test
+	void leaseThatAnotherGatewayHasAcquiredAfterTheRestoreIsLost() throws IOException {
+		this.leases.tryAcquire("trial");
+		this.store.holders.put("trial", OTHER);
+		this.era++;
+		writeAgain();
+		assertThat(this.lost).containsExactly("trial");
+		this.store.holders.clear();
+		this.era++;
+		writeAgain();
+		assertThat(this.store.holders).isEmpty();
+		assertThat(this.lost).hasSize(1);
 	}
 
 	private static final class FakeLeases implements TrialLeases {
 
-		private final Set<String> names = new HashSet<>();
+		private final Map<String, String> holders = new HashMap<>();
 
 		private boolean fails;
 
@@ -80,12 +110,17 @@
 			if (this.fails) {
 				throw new IOException("store does not answer");
 			}
-			return this.names.add(name);
+			return this.holders.putIfAbsent(name, OWN) == null;
+		}
+
+		@Override
+		public boolean reacquire(String name) throws IOException {
+			return tryAcquire(name) || OWN.equals(this.holders.get(name));
 		}
 
 		@Override
 		public void release(String name) {
-			this.names.remove(name);
+			this.holders.remove(name, OWN);
 		}
 
 	}
--- a/src/test/java/org/jaywood/gateway/GatewayFixture.java
+++ b/src/test/java/org/jaywood/gateway/GatewayFixture.java
@@ -55,6 +55,11 @@
 			return false;
 		}
 
+		@Override
+		public boolean reacquire(String name) {
+			return false;
+		}
+
 		@Override
 		public void release(String name) {
 		}
--- a/src/test/java/org/jaywood/platform/EndlessBodyTests.java
+++ b/src/test/java/org/jaywood/platform/EndlessBodyTests.java
@@ -19,6 +19,7 @@
 import org.jaywood.wire.DaemonThreads;
 import org.jaywood.wire.Exchange;
 import org.jaywood.wire.HttpPort;
+import org.jaywood.wire.Json;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -104,7 +105,8 @@
 
 		@Test
 		void responseToAWriteIsBounded() {
-			Failures.thrownBy(IOException.class, () -> this.client.create("part-trials", "name"));
+			Failures.thrownBy(IOException.class,
+					() -> this.client.create("part-trials", "name", Json.mapper().createObjectNode()));
 			assertKeptAtMost(64 * 1024);
 		}
 
--- a/src/test/java/org/jaywood/platform/FakeMetadataStore.java
+++ b/src/test/java/org/jaywood/platform/FakeMetadataStore.java
@@ -46,7 +46,6 @@
 			.route("GET", PATH_PREFIX, this::handle)
 			.route("POST", PATH_PREFIX, this::create)
 			.route("PUT", PATH_PREFIX, this::replace)
-			.route("DELETE", PATH_PREFIX, this::delete)
 			.start();
 	}
 
@@ -156,16 +155,6 @@
 		return new Response(200, entry.object());
 	}
 
-	private synchronized void delete(Exchange exchange) throws IOException {
-		stateEra(exchange);
-		String[] kindAndName = exchange.path().substring(PATH_PREFIX.length()).split("/");
-		boolean exists = this.entriesByKind.getOrDefault(kindAndName[0], Map.of()).containsKey(kindAndName[1]);
-		if (exists) {
-			delete(kindAndName[0], kindAndName[1]);
-		}
-		exchange.respondJson(exists ? 200 : 404, Map.of());
-	}
-
 	private void handle(Exchange exchange) throws IOException, InterruptedException {
 		String kind = exchange.path().substring(PATH_PREFIX.length());
 		int slash = kind.indexOf('/');
--- a/src/test/java/org/jaywood/platform/InvalidStatusClientTests.java
+++ b/src/test/java/org/jaywood/platform/InvalidStatusClientTests.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -20,6 +21,7 @@
 import org.jaywood.replica.LoadOrder;
 import org.jaywood.routing.ModelVersion;
 import org.jaywood.wire.Address;
+import org.jaywood.wire.Json;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -31,6 +33,8 @@
 
 	private static final long MAX_MILLIS = 500;
 
+	private static final JsonNode SPEC = Json.mapper().createObjectNode();
+
 	private static final ChunkManifest MANIFEST = new ChunkManifest("model", 2, 100, List.of("digest"));
 
 	private final ServerSocket server = listen();
@@ -124,11 +128,10 @@
 		start(status);
 		assertFailsAtOnce(() -> this.store.list("kind", ""));
 		assertFailsAtOnce(() -> this.store.watch("kind", 1, 1_000));
-		assertFailsAtOnce(() -> this.store.create("kind", "name"));
-		assertFailsAtOnce(() -> {
-			this.store.delete("kind", "name");
-			return null;
-		});
+		assertFailsAtOnce(() -> this.store.create("kind", "name", SPEC));
+		assertFailsAtOnce(() -> this.store.createObject("kind", "name", SPEC));
+		assertFailsAtOnce(() -> this.store.replaceObject("kind", "name", SPEC, 1));
+		assertFailsAtOnce(() -> this.store.readObject("kind", "name", false));
 	}
 
 }
--- a/src/test/java/org/jaywood/platform/StoreTrialLeasesTests.java
+++ b/src/test/java/org/jaywood/platform/StoreTrialLeasesTests.java
@@ -1,6 +1,7 @@
 package org.jaywood.platform;
 
 import java.io.IOException;
+import java.util.Map;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -47,6 +48,41 @@
 		assertThat(this.second.tryAcquire("lease")).isTrue();
 	}
 
+	/**
+	 * Guards against a release that frees the lease of another gateway, which acquired it
+	 * after the store was restored from a copy without it.
+	 */
+	@Test
+	void releaseAfterARestoreKeepsTheLeaseOfAnotherGateway() throws IOException {
+		FakeMetadataStore.Copy copy = this.store.copy();
+		this.first.tryAcquire("lease");
+		this.store.restore(copy);
+		assertThat(this.second.tryAcquire("lease")).isTrue();
+		assertThat(this.first.reacquire("lease")).isFalse();
+		this.first.release("lease");
+		assertThat(leases().tryAcquire("lease")).isFalse();
+		assertThat(this.second.reacquire("lease")).isTrue();
+	}
+
+	@Test
+	void lostLeaseIsAcquiredAgain() throws IOException {
+		FakeMetadataStore.Copy copy = this.store.copy();
+		this.first.tryAcquire("lease");
+		assertThat(this.first.reacquire("lease")).isTrue();
+		this.store.restore(copy);
+		assertThat(this.first.reacquire("lease")).isTrue();
+		assertThat(this.second.tryAcquire("lease")).isFalse();
+	}
+
+	/** Gateways of earlier releases create objects without a holder. */
+	@Test
+	void leaseOfAnEarlierReleaseIsNotGranted() throws IOException {
+		this.store.put("part-trials", "lease", Map.of());
+		assertThat(this.first.tryAcquire("lease")).isFalse();
+		this.first.release("lease");
+		assertThat(this.second.tryAcquire("lease")).isFalse();
+	}
+
 	@Test
 	void leaseIsNotGrantedWhileTheStoreIsAway() {
 		this.store.setFault(FakeMetadataStore.Fault.BUSY);
--- a/src/test/java/org/jaywood/routing/PartTrialsTests.java
+++ b/src/test/java/org/jaywood/routing/PartTrialsTests.java
@@ -66,6 +66,19 @@
 	@Nested
 	class Leases {
 
+		/**
+		 * Otherwise two gateways make the same trial after a restore of the store.
+		 */
+		@Test
+		void trialWhoseLeaseIsLostIsNotMade() {
+			Trial trial = new Trial(Set.of("bad"), 1);
+			PartTrialsTests.this.trials.due(List.of(PartTrialsTests.this.blocked), FIRST_TRIAL_MILLIS);
+			PartTrialsTests.this.trials.onLeaseDecided(trial, true);
+			assertThat(PartTrialsTests.this.trials.onLeaseLost(trial.leaseName())).isTrue();
+			assertThat(PartTrialsTests.this.trials.take(Set.of("bad"))).isFalse();
+			assertThat(PartTrialsTests.this.trials.releaseUnblocked(List.of())).isEmpty();
+		}
+
 		@Test
 		void oneCallOfOneGatewayIsTheTrial() {
 			Set<String> store = new HashSet<>();
