Test a restore of the store under partition and during a rollout with load

Cause: StoreRestoreIT had no process that is cut off from the store through a restore, and no calls during the rollout. Change: one gateway reaches the store by a port of its own that a test closes. It must accept no key whose revocation it knows and the restored store lacks; the rollout runs under load with that gateway cut off, and all calls get 200.

--- a/src/test/java/org/jaywood/platform/FakeMetadataStore.java
+++ b/src/test/java/org/jaywood/platform/FakeMetadataStore.java
@@ -30,6 +30,8 @@
 
 	private final List<Change> changes = new ArrayList<>();
 
+	private final EventLog log;
+
 	private final HttpPort port;
 
 	private long revision = 10;
@@ -42,7 +44,15 @@
 	private Fault fault = Fault.NONE;
 
 	FakeMetadataStore(Address listen, EventLog log) {
-		this.port = HttpPort.open(listen, log)
+		this.log = log;
+		this.port = openPort(listen);
+	}
+
+	/**
+	 * Opens a further port of the store. Closing it cuts off the processes that use it.
+	 */
+	HttpPort openPort(Address listen) {
+		return HttpPort.open(listen, this.log)
 			.route("GET", PATH_PREFIX, this::handle)
 			.route("POST", PATH_PREFIX, this::create)
 			.route("PUT", PATH_PREFIX, this::replace)
--- a/src/test/java/org/jaywood/platform/PlatformProcesses.java
+++ b/src/test/java/org/jaywood/platform/PlatformProcesses.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Collectors;
@@ -77,6 +78,8 @@
 
 	private String cloudSettings = "";
 
+	private final Map<String, Address> ownStoreAddresses = new HashMap<>();
+
 	PlatformProcesses(int gateways, int engines, EventLog log) throws IOException {
 		this(gateways, engines, CHUNKS, 0, log);
 	}
@@ -134,6 +137,19 @@
 		return this;
 	}
 
+	/**
+	 * Gives a gateway an address of the store that no other process uses. The caller
+	 * opens it.
+	 */
+	PlatformProcesses withOwnStoreAddress(int gateway) {
+		this.ownStoreAddresses.put(gateway(gateway), ownStoreAddress(gateway));
+		return this;
+	}
+
+	Address ownStoreAddress(int gateway) {
+		return this.fleet.address(0, 0, 1, 7001 + gateway);
+	}
+
 	/**
 	 * Starts all processes and waits until the gateways are ready.
 	 */
@@ -320,7 +336,7 @@
 				Address = "%s"
 				""".formatted(name, host, FIRST_PORT, LAST_PORT, new Address(host, 8000), callerAddress(gateway),
 				readinessAddress(gateway), MAX_CONFIGURATION_AGE_MILLIS, MAX_REVOKED_KEY_MILLIS,
-				this.fleet.address(0, 0, 1, 7000));
+				this.ownStoreAddresses.getOrDefault(name, this.store.address()));
 		Files.writeString(file, text + this.cloudSettings);
 		file.toFile().deleteOnExit();
 		return file;
--- a/src/test/java/org/jaywood/platform/StoreRestoreIT.java
+++ b/src/test/java/org/jaywood/platform/StoreRestoreIT.java
@@ -18,6 +18,7 @@
 import org.jaywood.event.EventLog;
 import org.jaywood.http.ClientConnection;
 import org.jaywood.http.StreamedResponse;
+import org.jaywood.wire.HttpPort;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -43,10 +44,15 @@
 
 	private FakeMetadataStore store;
 
+	/** Port through which the second gateway reaches the store. */
+	private HttpPort path;
+
 	@BeforeEach
 	void start() throws Exception {
-		this.processes = new PlatformProcesses(2, 2, new EventLog("test")).start();
+		this.processes = new PlatformProcesses(2, 2, new EventLog("test")).withOwnStoreAddress(1);
 		this.store = this.processes.store();
+		this.path = this.store.openPort(this.processes.ownStoreAddress(1));
+		this.processes.start();
 		for (int gateway = 0; gateway < 2; gateway++) {
 			int number = gateway;
 			Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> call(number) == 200);
@@ -56,6 +62,7 @@
 	@AfterEach
 	void stop() {
 		this.processes.close();
+		this.path.close();
 	}
 
 	private int call(int gateway) throws IOException {
@@ -87,16 +94,20 @@
 	}
 
 	/**
-	 * Sends calls to a gateway during a change and for a while after it.
+	 * Sends calls to the first gateway during a change and for a while after it.
 	 * @return statuses of the calls
 	 */
 	private List<Integer> callDuring(Runnable change) throws Exception {
+		return callDuring(0, change);
+	}
+
+	private List<Integer> callDuring(int gateway, Runnable change) throws Exception {
 		ConcurrentLinkedQueue<Integer> statuses = new ConcurrentLinkedQueue<>();
 		AtomicBoolean ended = new AtomicBoolean();
 		CompletableFuture<Void> load = CompletableFuture.runAsync(() -> {
 			try {
 				while (!ended.get()) {
-					statuses.add(call(0));
+					statuses.add(call(gateway));
 					Thread.sleep(CALL_PAUSE_MILLIS);
 				}
 			}
@@ -148,22 +159,49 @@
 		Awaitility.await().until(() -> call(0) == 401);
 	}
 
+	/**
+	 * The gateway that is cut off knows of the revocation, and of the restore only after
+	 * it: the store then offers the key again.
+	 */
 	@Test
-	void weightsDoNotGoBackDuringARollout() throws Exception {
+	void gatewayThatIsPartitionedThroughARestoreAcceptsNoRevokedKey() throws Exception {
 		FakeMetadataStore.Copy copy = this.store.copy();
-		this.processes.setTargetVersion(2);
-		Awaitility.await()
-			.atMost(Duration.ofSeconds(12))
-			.until(() -> this.processes.engine(0).loadOrders().contains("2 whole")
-					|| this.processes.engine(1).loadOrders().contains("2 whole"));
-		this.store.restore(copy);
-		awaitEra(0, 1);
-		awaitEra(1, 1);
-		this.processes.setTargetVersion(2);
-		Awaitility.await()
-			.atMost(Duration.ofSeconds(15))
-			.until(() -> this.processes.engine(0).loadOrders().contains("2 whole")
-					&& this.processes.engine(1).loadOrders().contains("2 whole"));
+		this.store.put("config", "main", this.processes.configuration(2, List.of("other")));
+		Awaitility.await().until(() -> call(1) == 401);
+		List<Integer> statuses = callDuring(1, () -> {
+			this.path.close();
+			this.store.restore(copy);
+			awaitEra(0, 1);
+			Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> call(1) == 503);
+			this.path = this.store.openPort(this.processes.ownStoreAddress(1));
+			awaitEra(1, 1);
+		});
+		assertThat(statuses).doesNotContain(200);
+		this.store.put("config", "main", this.processes.configuration(2, List.of("other")));
+		Awaitility.await().until(() -> call(1) == 401);
+	}
+
+	@Test
+	void weightsDoNotGoBackDuringARolloutUnderLoad() throws Exception {
+		FakeMetadataStore.Copy copy = this.store.copy();
+		List<Integer> statuses = callDuring(() -> {
+			this.processes.setTargetVersion(2);
+			Awaitility.await()
+				.atMost(Duration.ofSeconds(12))
+				.until(() -> this.processes.engine(0).loadOrders().contains("2 whole")
+						|| this.processes.engine(1).loadOrders().contains("2 whole"));
+			this.path.close();
+			this.store.restore(copy);
+			awaitEra(0, 1);
+			this.path = this.store.openPort(this.processes.ownStoreAddress(1));
+			awaitEra(1, 1);
+			this.processes.setTargetVersion(2);
+			Awaitility.await()
+				.atMost(Duration.ofSeconds(15))
+				.until(() -> this.processes.engine(0).loadOrders().contains("2 whole")
+						&& this.processes.engine(1).loadOrders().contains("2 whole"));
+		});
+		assertThat(statuses.stream().distinct().toList()).containsExactly(200);
 		assertThat(this.processes.engine(0).loadOrders()).containsExactly("2 whole");
 		assertThat(this.processes.engine(1).loadOrders()).containsExactly("2 whole");
 	}
