Keep the counts of a leader at the other gateways

Cause: the lease has the leader's own counts only as of its last renewal, and these reached it through the reports of the leader to itself.

Change: the response to POST /v1/usage has the leader's own counts, up to 16 KB. The other gateways keep them by process id until their windows are sealed, and report them to the next leader. Each saved state and each seal includes the leader's own counts.

Result: leaderKilledAfterTheEndOfAWindowLosesNothingOfThatWindow fails without the copies and passes with them; UsageCounterTests, UsageLedgerTests and UsageReportingPropertyTests pass. reportsTwiceASecond is now reportsMoreThanTwiceASecond, since the interval has changed from 500 to 350 ms.

--- a/src/main/java/org/jaywood/gateway/UsageSingleton.java
+++ b/src/main/java/org/jaywood/gateway/UsageSingleton.java
@@ -15,10 +15,13 @@
 import org.jaywood.leader.LeaderTask;
 import org.jaywood.leader.LeaderTerm;
 import org.jaywood.leader.Lease;
+import org.jaywood.metering.CountCopies;
 import org.jaywood.metering.ProcessCounts;
 import org.jaywood.metering.TrueTime;
+import org.jaywood.metering.UsageConfirmation;
 import org.jaywood.metering.UsageCountStore;
 import org.jaywood.metering.UsageCounter;
+import org.jaywood.metering.UsageMessage;
 import org.jaywood.metering.UsageReporter;
 import org.jaywood.metering.UsageTask;
 import org.jaywood.metering.UsageWindows;
@@ -36,13 +39,19 @@
 
 	private static final int MAX_REPORT_BYTES = 2 * 1024 * 1024;
 
-	private static final ResponseLimits RESPONSE_LIMITS = new ResponseLimits(400, 4 * 1024);
+	/** Room for the leader's own counts, 16 KB at most. */
+	private static final ResponseLimits RESPONSE_LIMITS = new ResponseLimits(400, 32 * 1024);
 
 	private final String process;
 
 	private final UsageCounter counter;
 
-	private final UsageReporter reporter = new UsageReporter(BootClock.nowMillis());
+	private final UsageWindows windows;
+
+	private final UsageReporter reporter;
+
+	/** Counts of leaders, for the next leader. */
+	private final CountCopies copies = new CountCopies();
 
 	private final TrueTime trueTime = new TrueTime(BootClock.nowMillis(), System.currentTimeMillis());
 
@@ -59,13 +68,14 @@
 	 * @param process random id of this process
 	 */
 	UsageSingleton(String process, LeaderPorts ports, GatewayMetrics metrics, EventLog log) {
-		UsageWindows windows = new UsageWindows(ports.settings().usageWindowMillis(),
-				ports.settings().usageDueMillis());
+		this.windows = new UsageWindows(ports.settings().usageWindowMillis(), ports.settings().usageDueMillis());
 		this.process = process;
-		this.counter = new UsageCounter(windows);
+		this.counter = new UsageCounter(this.windows);
+		long nowMillis = BootClock.nowMillis();
+		this.reporter = new UsageReporter(this.windows.windowAt(this.trueTime.at(nowMillis)), nowMillis);
 		this.countStore = ports.usageCounts();
-		this.task = new UsageTask(windows, this.trueTime, ports.usage(), ports.usageCounts(), this.counter::lastSealed,
-				log);
+		this.task = new UsageTask(this.windows, this.trueTime, ports.usage(), ports.usageCounts(), process,
+				this.counter, log);
 		this.metrics = metrics;
 		metrics.registry().gauge("usage.last_sealed", () -> () -> this.task.lastSealed());
 		metrics.registry().gauge("usage.last_accepted", () -> () -> this.task.lastAccepted());
@@ -89,22 +99,21 @@
 
 	@Override
 	public void handle(Exchange exchange, LeaderRunner runner) throws IOException {
-		ProcessCounts counts = exchange.readJson(ProcessCounts.class, MAX_REPORT_BYTES);
+		UsageMessage message = exchange.readJson(UsageMessage.class, MAX_REPORT_BYTES);
 		long nowMillis = BootClock.nowMillis();
 		Optional<LeaderTerm> term = runner.term(nowMillis);
 		if (term.isEmpty()) {
 			exchange.respondError(HttpStatus.SC_CONFLICT, "this process is not the leader");
 			return;
 		}
-		long sealed = this.task.merge(counts, nowMillis);
-		exchange.respondJson(HttpStatus.SC_OK, new Confirmation(sealed, term.get().token()));
+		exchange.respondJson(HttpStatus.SC_OK, this.task.onMessage(message, term.get(), nowMillis));
 	}
 
 	@Override
 	public void onTick(LeaderRunner runner) {
 		long nowMillis = BootClock.nowMillis();
 		this.trueTime.sample(nowMillis, System.currentTimeMillis());
-		if (this.reporter.takeReport(nowMillis)) {
+		if (this.reporter.takeReport(this.windows.windowAt(this.trueTime.at(nowMillis)), nowMillis)) {
 			report(runner);
 		}
 		if (this.reporter.takeFallback(BootClock.nowMillis())) {
@@ -120,11 +129,13 @@
 		Map<Long, Map<String, Long>> counts = this.counter.counts();
 		try {
 			BufferedResponse response = this.pool.exchange(lease.address(), new BasicClassicHttpRequest("POST", PATH),
-					Json.bytes(new ProcessCounts(this.process, counts)), RESPONSE_LIMITS);
+					Json.bytes(new UsageMessage(this.process, counts, this.copies.allExcept(lease.process()))),
+					RESPONSE_LIMITS);
 			if (response.ok()) {
-				Confirmation confirmation = Json.read(response.body(), Confirmation.class);
+				UsageConfirmation confirmation = Json.read(response.body(), UsageConfirmation.class);
 				runner.onTokenSeen(confirmation.token());
 				this.counter.onReported(counts, confirmation.sealed());
+				this.copies.onConfirmed(confirmation);
 				this.reporter.onConfirmed(BootClock.nowMillis());
 				return;
 			}
@@ -149,13 +160,4 @@
 		}
 	}
 
-	/**
-	 * Response of the leader.
-	 *
-	 * @param sealed last window whose counts are no longer taken
-	 * @param token fencing token of the leader
-	 */
-	private record Confirmation(long sealed, long token) {
-	}
-
 }
--- a/src/main/java/org/jaywood/metering/UsageReporter.java
+++ b/src/main/java/org/jaywood/metering/UsageReporter.java
@@ -6,7 +6,11 @@
  */
 public final class UsageReporter {
 
-	private static final long REPORT_INTERVAL_MILLIS = 500;
+	/**
+	 * Least time between two reports. Each response has the latest counts of the leader,
+	 * which may be killed: with ticks of 100 ms, half a second of them is lost at most.
+	 */
+	private static final long REPORT_INTERVAL_MILLIS = 350;
 
 	/** Time without a leader after which the counts are written into the store. */
 	private static final long FALLBACK_AFTER_MILLIS = 1_000;
@@ -15,25 +19,33 @@
 
 	private long reportedMillis;
 
+	private long reportedWindow;
+
 	private long confirmedMillis;
 
 	private long storedMillis;
 
 	/**
 	 * Creates a reporter.
+	 * @param window present window
 	 */
-	public UsageReporter(long nowMillis) {
+	public UsageReporter(long window, long nowMillis) {
+		this.reportedWindow = window;
 		this.reportedMillis = nowMillis;
 		this.confirmedMillis = nowMillis;
 		this.storedMillis = nowMillis;
 	}
 
 	/**
-	 * Whether the counts go to the leader now, which then counts as tried.
+	 * Whether the counts go to the leader now, which then counts as tried. They do so
+	 * right after the end of a window, too, so that the counts of that window are soon
+	 * kept by more than one process.
+	 * @param window present window
 	 */
-	public boolean takeReport(long nowMillis) {
-		boolean due = nowMillis - this.reportedMillis >= REPORT_INTERVAL_MILLIS;
+	public boolean takeReport(long window, long nowMillis) {
+		boolean due = nowMillis - this.reportedMillis >= REPORT_INTERVAL_MILLIS || window > this.reportedWindow;
 		if (due) {
+			this.reportedWindow = window;
 			this.reportedMillis = nowMillis;
 		}
 		return due;
--- a/src/main/java/org/jaywood/metering/UsageTask.java
+++ b/src/main/java/org/jaywood/metering/UsageTask.java
@@ -3,9 +3,9 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
-import java.util.function.LongSupplier;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.jspecify.annotations.Nullable;
 
 import org.jaywood.event.Event;
 import org.jaywood.event.EventLog;
@@ -13,6 +13,7 @@
 import org.jaywood.leader.Handover;
 import org.jaywood.leader.LeaderTask;
 import org.jaywood.leader.LeaderTerm;
+import org.jaywood.wire.Json;
 
 /**
  * Reports the usage of workspaces while this process is the leader.
@@ -22,6 +23,12 @@
 	/** Name of the singleton. */
 	public static final String NAME = "usage";
 
+	/**
+	 * Most bytes of the leader's own counts in a response: some hundred workspaces, of
+	 * which each gateway gets a copy several times a second.
+	 */
+	private static final int MAX_COPY_BYTES = 16 * 1024;
+
 	private final UsageWindows windows;
 
 	private final UsageLedger ledger;
@@ -32,23 +39,26 @@
 
 	private final UsageCountStore countStore;
 
-	private final LongSupplier lastSealedSeen;
+	private final String process;
+
+	private final UsageCounter counter;
 
 	private final EventLog log;
 
 	/**
 	 * Creates a task.
-	 * @param lastSealedSeen last window of which a leader has told this process that it
-	 * is sealed
+	 * @param process random id of this process
+	 * @param counter counts of this process
 	 */
-	public UsageTask(UsageWindows windows, TrueTime trueTime, UsageApi api, UsageCountStore countStore,
-			LongSupplier lastSealedSeen, EventLog log) {
+	public UsageTask(UsageWindows windows, TrueTime trueTime, UsageApi api, UsageCountStore countStore, String process,
+			UsageCounter counter, EventLog log) {
 		this.windows = windows;
 		this.ledger = new UsageLedger(windows);
 		this.trueTime = trueTime;
 		this.api = api;
 		this.countStore = countStore;
-		this.lastSealedSeen = lastSealedSeen;
+		this.process = process;
+		this.counter = counter;
 		this.log = log;
 	}
 
@@ -64,9 +74,8 @@
 	 */
 	@Override
 	public void onElected(Handover handover, long nowMillis) {
-		long firstWindow = handover.complete() ? 0
-				: Math.max(this.windows.windowAt(this.trueTime.at(handover.eraSinceMillis())),
-						this.lastSealedSeen.getAsLong() + 1);
+		long firstWindow = handover.complete() ? 0 : Math
+			.max(this.windows.windowAt(this.trueTime.at(handover.eraSinceMillis())), this.counter.lastSealed() + 1);
 		long trueMillis = this.trueTime.at(nowMillis);
 		try {
 			this.ledger.begin(handover.state(), firstWindow, trueMillis);
@@ -116,6 +125,7 @@
 			}
 			this.log.log(Event.TASK_FAILED, "task", NAME, "error", ex);
 		}
+		this.ledger.merge(ownCounts(), trueMillis);
 		UsageLedger.Sealing sealing = this.ledger.seal(sealable, trueMillis);
 		sealing.reports()
 			.forEach((report) -> this.log.log(Event.USAGE_SEALED, "window", report.windowId(), "calls",
@@ -129,16 +139,27 @@
 	}
 
 	/**
-	 * Merges the counts of a gateway.
-	 * @return last window whose counts are no longer taken
+	 * Takes in the counts of a gateway.
 	 */
-	public long merge(ProcessCounts counts, long nowMillis) {
-		this.ledger.merge(counts, this.trueTime.at(nowMillis));
-		return this.ledger.lastSaved();
+	public UsageConfirmation onMessage(UsageMessage message, LeaderTerm term, long nowMillis) {
+		long trueMillis = this.trueTime.at(nowMillis);
+		message.all().forEach((counts) -> this.ledger.merge(counts, trueMillis));
+		return new UsageConfirmation(this.ledger.lastSaved(), term.token(),
+				message.process().equals(this.process) ? null : copyOfOwnCounts());
+	}
+
+	private @Nullable ProcessCounts copyOfOwnCounts() {
+		ProcessCounts own = ownCounts();
+		return (Json.bytes(own).length <= MAX_COPY_BYTES) ? own : null;
+	}
+
+	private ProcessCounts ownCounts() {
+		return new ProcessCounts(this.process, this.counter.counts());
 	}
 
 	@Override
 	public JsonNode state(long nowMillis) {
+		this.ledger.merge(ownCounts(), this.trueTime.at(nowMillis));
 		return this.ledger.state();
 	}
 
--- a/src/main/java/org/jaywood/metering/UsageWindows.java
+++ b/src/main/java/org/jaywood/metering/UsageWindows.java
@@ -17,7 +17,7 @@
 	/**
 	 * Returns the window of a true time.
 	 */
-	long windowAt(long trueMillis) {
+	public long windowAt(long trueMillis) {
 		return Math.floorDiv(trueMillis, this.lengthMillis);
 	}
 
--- a/src/test/java/org/jaywood/metering/UsageCounterTests.java
+++ b/src/test/java/org/jaywood/metering/UsageCounterTests.java
@@ -57,13 +57,23 @@
 	@Nested
 	class Reporting {
 
-		private final UsageReporter reporter = new UsageReporter(0);
+		private final UsageReporter reporter = new UsageReporter(0, 0);
 
 		@Test
-		void reportsTwiceASecond() {
-			assertThat(this.reporter.takeReport(499)).isFalse();
-			assertThat(this.reporter.takeReport(500)).isTrue();
-			assertThat(this.reporter.takeReport(999)).isFalse();
+		void reportsMoreThanTwiceASecond() {
+			assertThat(this.reporter.takeReport(0, 349)).isFalse();
+			assertThat(this.reporter.takeReport(0, 350)).isTrue();
+			assertThat(this.reporter.takeReport(0, 699)).isFalse();
+		}
+
+		/**
+		 * Guards against counts of an ended window that only its gateway has.
+		 */
+		@Test
+		void reportsRightAfterTheEndOfAWindow() {
+			assertThat(this.reporter.takeReport(0, 350)).isTrue();
+			assertThat(this.reporter.takeReport(1, 450)).isTrue();
+			assertThat(this.reporter.takeReport(1, 550)).isFalse();
 		}
 
 		@Test
--- a/src/test/java/org/jaywood/metering/UsageFleet.java
+++ b/src/test/java/org/jaywood/metering/UsageFleet.java
@@ -33,6 +33,8 @@
 
 	private final Map<String, UsageCounter> counters = new HashMap<>();
 
+	private final Map<String, CountCopies> copies = new HashMap<>();
+
 	private final Map<String, ProcessCounts> stored = new HashMap<>();
 
 	private final Map<Long, Map<String, Long>> accepted = new HashMap<>();
@@ -68,7 +70,7 @@
 				return List.copyOf(UsageFleet.this.stored.values());
 			}
 
-		}, counter::lastSealed, new EventLog("test"));
+		}, member.process(), counter, new EventLog("test"));
 	}
 
 	private CloudResponse report(LeaderTerm term, UsageReport report) {
@@ -109,17 +111,22 @@
 			this.truth.computeIfAbsent(window(), (key) -> new HashMap<>()).merge(workspace, 1L, Long::sum);
 		}
 		Map<Long, Map<String, Long>> counts = counter.counts();
-		ProcessCounts message = new ProcessCounts(member.process(), counts);
 		if (this.apiFaultShare > 0 && this.random.nextInt(4) == 0) {
-			this.stored.put(member.vm(), message);
+			this.stored.put(member.vm(), new ProcessCounts(member.process(), counts));
 			return;
 		}
+		CountCopies kept = this.copies.computeIfAbsent(member.process(), (key) -> new CountCopies());
 		this.fleet.members()
 			.stream()
 			.filter((leader) -> !leader.suspended() && leader.term().isPresent())
 			.findFirst()
-			.ifPresent((leader) -> counter.onReported(counts,
-					((UsageTask) leader.task()).merge(message, leader.localMillis())));
+			.ifPresent((leader) -> {
+				UsageMessage message = new UsageMessage(member.process(), counts, kept.allExcept(leader.process()));
+				UsageConfirmation confirmation = ((UsageTask) leader.task()).onMessage(message,
+						leader.term().orElseThrow(), leader.localMillis());
+				counter.onReported(counts, confirmation.sealed());
+				kept.onConfirmed(confirmation);
+			});
 	}
 
 	private UsageCounter counter(LeaderFleet.Member member) {
@@ -137,6 +144,10 @@
 		return WINDOWS.windowAt(trueMillis());
 	}
 
+	LeaderFleet.Member leader() {
+		return this.fleet.members().stream().filter((member) -> member.term().isPresent()).findFirst().orElseThrow();
+	}
+
 	LeaderFleet fleet() {
 		return this.fleet;
 	}
--- a/src/test/java/org/jaywood/metering/UsageReportingPropertyTests.java
+++ b/src/test/java/org/jaywood/metering/UsageReportingPropertyTests.java
@@ -12,8 +12,6 @@
 import net.jqwik.api.lifecycle.AfterProperty;
 import net.jqwik.api.lifecycle.BeforeProperty;
 
-import org.jaywood.leader.LeaderFleet;
-
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
@@ -66,13 +64,7 @@
 		usage.run(12_000 + Math.floorMod(seed, 10) * 500, 0, 0);
 		long first = usage.window();
 		usage.run(10_000, 0, 0);
-		LeaderFleet.Member leader = usage.fleet()
-			.members()
-			.stream()
-			.filter((member) -> member.term().isPresent())
-			.findFirst()
-			.orElseThrow();
-		leader.restart();
+		usage.leader().restart();
 		for (int steps = 0; steps < 60; steps++) {
 			usage.run(500, 0, 0);
 			long due = usage.window() - 3;
@@ -85,6 +77,27 @@
 		assertThat(usage.violations()).isEmpty();
 	}
 
+	/**
+	 * Guards against counts that only the leader has: those that gateways report to it
+	 * reach the lease a second later.
+	 */
+	@Property(tries = 40, seed = "1")
+	void leaderKilledAfterTheEndOfAWindowLosesNothingOfThatWindow(@ForAll long seed) {
+		UsageFleet usage = new UsageFleet(4, new Random(seed));
+		usage.run(12_000, 0, 0);
+		for (long window = usage.window(); usage.window() == window;) {
+			usage.run(500, 0, 0);
+		}
+		long ended = usage.window() - 1;
+		usage.leader().restart();
+		usage.run(13_000, 0, 0);
+		assertWithMessage("calls of window %s", ended).that(usage.accepted().get(ended))
+			.isEqualTo(usage.truth().get(ended));
+		// Calls that the leader had counted since its last response to another gateway.
+		long lost = total(usage.truth().get(ended + 1)) - total(usage.accepted().get(ended + 1));
+		assertWithMessage("calls lost of window %s", ended + 1).that(lost).isAtMost(9);
+	}
+
 	private static long total(Map<String, Long> counts) {
 		return counts.values().stream().mapToLong(Long::longValue).sum();
 	}
