Resign as the leader when a task fails to take over

Cause: a LeaderTask that threw in onElected left a process that renewed the lease and ran none of its tasks.

Change: LeaderRunner resigns then. The election does not resume the term that was given up, and takes its own object again only after the time in which all others have polled.

--- a/src/main/java/org/jaywood/gateway/LeaderRunner.java
+++ b/src/main/java/org/jaywood/gateway/LeaderRunner.java
@@ -163,15 +163,7 @@
 	private void onChange(Change change) {
 		long nowMillis = BootClock.nowMillis();
 		switch (change) {
-			case ACQUIRED -> {
-				this.tasks.forEach((task) -> task.onElected(this.election.handover(task.name()), nowMillis));
-				this.handedOver = true;
-				this.election.term(nowMillis).ifPresent((term) -> {
-					this.lastTerm = term;
-					this.metrics.counter("leader.elected").inc();
-					this.log.log(Event.LEADER_ELECTED, "token", term.token());
-				});
-			}
+			case ACQUIRED -> takeOver(nowMillis);
 			case RENEWED -> this.tasks.forEach((task) -> {
 				JsonNode saved = this.sentStates.get(task.name());
 				if (saved != null) {
@@ -184,6 +176,29 @@
 		}
 	}
 
+	/**
+	 * Hands over to the tasks. A leader without all its tasks would hold the lease and do
+	 * nothing, so it resigns if one of them fails.
+	 */
+	private void takeOver(long nowMillis) {
+		this.handedOver = false;
+		this.election.term(nowMillis).ifPresent((term) -> {
+			this.lastTerm = term;
+			this.metrics.counter("leader.elected").inc();
+			this.log.log(Event.LEADER_ELECTED, "token", term.token());
+		});
+		try {
+			this.tasks.forEach((task) -> task.onElected(this.election.handover(task.name()), nowMillis));
+			this.handedOver = true;
+		}
+		finally {
+			if (!this.handedOver) {
+				this.election.resign(nowMillis);
+				endTerm("a task failed to take over");
+			}
+		}
+	}
+
 	private void endTerm(String reason) {
 		LeaderTerm term = this.lastTerm;
 		this.handedOver = false;
--- a/src/main/java/org/jaywood/leader/LeaderElection.java
+++ b/src/main/java/org/jaywood/leader/LeaderElection.java
@@ -51,6 +51,9 @@
 	/** Whether a fresh read was the last step, so that a write may follow. */
 	private boolean readBefore;
 
+	/** Token of the term that this process gave up last, or -1. */
+	private long resignedToken = -1;
+
 	private long dueMillis;
 
 	private volatile LeaseResponse.@Nullable Found lastSeen;
@@ -168,6 +171,19 @@
 		}
 	}
 
+	/**
+	 * Gives up the lease, which is not renewed any more, so that another process takes it
+	 * when its time is over. This process takes it again only if no other one does.
+	 */
+	public synchronized void resign(long nowMillis) {
+		Held current = this.held;
+		if (current != null) {
+			this.resignedToken = current.term().token();
+			endTerm(nowMillis);
+			pauseCandidate(nowMillis);
+		}
+	}
+
 	/**
 	 * Returns what a task with the given name inherits in the present term.
 	 */
@@ -281,12 +297,19 @@
 	 * Nobody else can have been the leader since.
 	 */
 	private boolean resumable(LeaseResponse.Found found) {
-		return found.lease().process().equals(this.process) && found.lease().era() == this.era;
+		return found.lease().process().equals(this.process) && found.lease().era() == this.era
+				&& found.lease().token() != this.resignedToken;
 	}
 
 	private boolean mayTake(long nowMillis) {
 		Observation latest = this.observed;
-		return latest != null && nowMillis - latest.sinceMillis() >= this.timing.takeoverMillis();
+		return latest != null && nowMillis - latest.sinceMillis() >= waitMillis(latest);
+	}
+
+	private long waitMillis(Observation latest) {
+		LeaseResponse.Found found = latest.found();
+		boolean resigned = found != null && found.lease().token() == this.resignedToken;
+		return resigned ? this.timing.retakeMillis() : this.timing.takeoverMillis();
 	}
 
 	private void endTerm(long nowMillis) {
@@ -299,7 +322,7 @@
 	private void pauseCandidate(long nowMillis) {
 		long pollMillis = this.random.nextLong(this.timing.minPollMillis(), this.timing.maxPollMillis() + 1);
 		Observation latest = this.observed;
-		long takeoverInMillis = (latest != null) ? latest.sinceMillis() + this.timing.takeoverMillis() - nowMillis : 0;
+		long takeoverInMillis = (latest != null) ? latest.sinceMillis() + waitMillis(latest) - nowMillis : 0;
 		this.dueMillis = nowMillis + ((takeoverInMillis > 0) ? Math.min(pollMillis, takeoverInMillis) : pollMillis);
 	}
 
--- a/src/main/java/org/jaywood/leader/LeaderTask.java
+++ b/src/main/java/org/jaywood/leader/LeaderTask.java
@@ -24,7 +24,8 @@
 	void onTick(LeaderTerm term, long nowMillis);
 
 	/**
-	 * Called when this process becomes the leader, before the first tick of the term.
+	 * Called when this process becomes the leader, before the first tick of the term. If
+	 * it fails, the process gives up the lease.
 	 */
 	default void onElected(Handover handover, long nowMillis) {
 	}
--- a/src/main/java/org/jaywood/leader/LeaseTiming.java
+++ b/src/main/java/org/jaywood/leader/LeaseTiming.java
@@ -39,6 +39,14 @@
 		return this.leaseMillis + this.marginMillis;
 	}
 
+	/**
+	 * Returns the time after which a process that has given up its lease may take it
+	 * again: all others have polled in between and come first.
+	 */
+	long retakeMillis() {
+		return takeoverMillis() + 2 * this.maxPollMillis;
+	}
+
 	/**
 	 * Returns the time for which a leader may act after it sent an acknowledged write.
 	 */
--- a/src/test/java/org/jaywood/leader/LeaderElectionTests.java
+++ b/src/test/java/org/jaywood/leader/LeaderElectionTests.java
@@ -354,6 +354,23 @@
 			assertThat(next()).isInstanceOf(Step.Pause.class);
 		}
 
+		/**
+		 * Guards against a leader without tasks that resumes its own lease.
+		 */
+		@Test
+		void resignedTermIsNeitherResumedNorTakenBeforeOthersCould() {
+			Lease own = nextReplace().lease();
+			LeaderElectionTests.this.election.resign(LeaderElectionTests.this.nowMillis);
+			assertThat(term()).isEmpty();
+			long resignedMillis = LeaderElectionTests.this.nowMillis;
+			LeaseResponse.Found found = new LeaseResponse.Found(1, 9, own);
+			while (!(next() instanceof Step.Replace)) {
+				read(found);
+			}
+			assertThat(LeaderElectionTests.this.nowMillis - resignedMillis).isAtLeast(TAKEOVER_MILLIS + 4_000);
+			assertThat(nextReplace().lease().term()).isEqualTo(own.term() + 1);
+		}
+
 		@Test
 		void stateSavedBeforeARestoreIsIncompleteForTheNextTerm() {
 			respond(new LeaseResponse.Written(2, 9));
