Keep the stored counts of a process that ran on the VM before

Cause: usage-counts has one object for each VM, and each process replaced it with its own counts. A process that was restarted while there was no leader removed those of its predecessor.

Change: UsageFallback reads the object before the first write and after a failed one, and writes the counts of other processes with its own until their windows are sealed. Writes are conditional on the revision, so that a write of the predecessor that is executed late removes nothing.

The fakes of UsageCountStore in CallMeteringTests and UsageFleet follow the new port.

--- a/src/main/java/org/jaywood/gateway/UsageSingleton.java
+++ b/src/main/java/org/jaywood/gateway/UsageSingleton.java
@@ -16,11 +16,10 @@
 import org.jaywood.leader.LeaderTerm;
 import org.jaywood.leader.Lease;
 import org.jaywood.metering.CountCopies;
-import org.jaywood.metering.ProcessCounts;
 import org.jaywood.metering.TrueTime;
 import org.jaywood.metering.UsageConfirmation;
-import org.jaywood.metering.UsageCountStore;
 import org.jaywood.metering.UsageCounter;
+import org.jaywood.metering.UsageFallback;
 import org.jaywood.metering.UsageMessage;
 import org.jaywood.metering.UsageReporter;
 import org.jaywood.metering.UsageTask;
@@ -50,12 +49,12 @@
 
 	private final UsageReporter reporter;
 
-	/** Counts of leaders, for the next leader. */
+	/** Counts of leaders and of earlier processes on this VM, for the next leader. */
 	private final CountCopies copies = new CountCopies();
 
 	private final TrueTime trueTime = new TrueTime(BootClock.nowMillis(), System.currentTimeMillis());
 
-	private final UsageCountStore countStore;
+	private final UsageFallback fallback;
 
 	private final UsageTask task;
 
@@ -73,7 +72,7 @@
 		this.counter = new UsageCounter(this.windows);
 		long nowMillis = BootClock.nowMillis();
 		this.reporter = new UsageReporter(this.windows.windowAt(this.trueTime.at(nowMillis)), nowMillis);
-		this.countStore = ports.usageCounts();
+		this.fallback = new UsageFallback(process, this.copies, ports.usageCounts());
 		this.task = new UsageTask(this.windows, this.trueTime, ports.usage(), ports.usageCounts(), process,
 				this.counter, log);
 		this.metrics = metrics;
@@ -152,7 +151,7 @@
 			return;
 		}
 		try {
-			this.countStore.write(new ProcessCounts(this.process, counts));
+			this.fallback.write(counts);
 			this.metrics.counter("usage.stored").inc();
 		}
 		catch (IOException ex) {
--- a/src/main/java/org/jaywood/metering/CountCopies.java
+++ b/src/main/java/org/jaywood/metering/CountCopies.java
@@ -16,18 +16,24 @@
 	/** Processes whose counts are kept: more leaders than windows are open. */
 	private static final int MAX_PROCESSES = 8;
 
-	private final Map<String, Map<Long, Map<String, Long>>> windowsByProcess = new LinkedHashMap<>();
+	private final Map<String, TreeMap<Long, Map<String, Long>>> windowsByProcess = new LinkedHashMap<>();
+
+	private long lastSealed = Long.MIN_VALUE;
 
 	/**
 	 * Takes in the counts of a process. The highest count wins.
 	 */
 	public synchronized void merge(ProcessCounts counts) {
-		Map<Long, Map<String, Long>> kept = this.windowsByProcess.computeIfAbsent(counts.process(),
+		TreeMap<Long, Map<String, Long>> kept = this.windowsByProcess.computeIfAbsent(counts.process(),
 				(key) -> new TreeMap<>());
 		counts.windows().forEach((window, latest) -> {
 			Map<String, Long> merged = kept.computeIfAbsent(window, (key) -> new HashMap<>());
 			latest.forEach((workspace, count) -> merged.merge(workspace, count, Math::max));
 		});
+		while (kept.size() > UsageWindows.MAX_WINDOWS) {
+			kept.pollFirstEntry();
+		}
+		removeSealed();
 		if (this.windowsByProcess.size() > MAX_PROCESSES) {
 			this.windowsByProcess.remove(this.windowsByProcess.keySet().iterator().next());
 		}
@@ -41,11 +47,12 @@
 		if (leader != null) {
 			merge(leader);
 		}
-		removeUpTo(confirmation.sealed());
+		this.lastSealed = Math.max(this.lastSealed, confirmation.sealed());
+		removeSealed();
 	}
 
-	private void removeUpTo(long window) {
-		this.windowsByProcess.values().forEach((windows) -> windows.keySet().removeIf((kept) -> kept <= window));
+	private void removeSealed() {
+		this.windowsByProcess.values().forEach((windows) -> windows.headMap(this.lastSealed, true).clear());
 		this.windowsByProcess.values().removeIf(Map::isEmpty);
 	}
 
--- a/src/main/java/org/jaywood/platform/StoreUsageCounts.java
+++ b/src/main/java/org/jaywood/platform/StoreUsageCounts.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.apache.hc.core5.http.HttpStatus;
 
 import org.jaywood.feed.FeedException;
@@ -14,6 +16,7 @@
 import org.jaywood.metering.ProcessCounts;
 import org.jaywood.metering.UsageCountStore;
 import org.jaywood.platform.StorePage.RawObject;
+import org.jaywood.wire.BadInputException;
 import org.jaywood.wire.Json;
 
 /**
@@ -37,15 +40,53 @@
 	}
 
 	@Override
-	public void write(ProcessCounts counts) throws IOException {
-		JsonNode spec = Json.mapper().valueToTree(Map.of("Process", counts.process(), "Windows", counts.windows()));
-		BufferedResponse response = this.store.replaceObject(KIND, this.vm, spec);
+	public Stored readOwn() throws IOException {
+		BufferedResponse response = this.store.readObject(KIND, this.vm, false);
 		if (response.status() == HttpStatus.SC_NOT_FOUND) {
-			response = this.store.createObject(KIND, this.vm, spec);
+			return new Stored(List.of(), NO_REVISION);
 		}
+		if (!response.ok()) {
+			throw new IOException("read of " + KIND + "/" + this.vm + ": status " + response.status());
+		}
+		JsonNode object = tree(response);
+		return new Stored(decode(object.path("Spec")), revision(object));
+	}
+
+	@Override
+	public long write(List<ProcessCounts> counts, long revision) throws IOException {
+		ProcessCounts own = counts.getFirst();
+		ObjectNode spec = encode(own);
+		ArrayNode others = spec.putArray("Others");
+		counts.stream().skip(1).map(StoreUsageCounts::encode).forEach(others::add);
+		BufferedResponse response = (revision == NO_REVISION) ? this.store.createObject(KIND, this.vm, spec)
+				: this.store.replaceObject(KIND, this.vm, spec, revision);
 		if (!response.ok() && response.status() != HttpStatus.SC_CREATED) {
 			throw new IOException("write of " + KIND + "/" + this.vm + ": status " + response.status());
 		}
+		return revision(tree(response));
+	}
+
+	private static ObjectNode encode(ProcessCounts counts) {
+		ObjectNode node = Json.mapper().createObjectNode().put("Process", counts.process());
+		node.set("Windows", Json.mapper().valueToTree(counts.windows()));
+		return node;
+	}
+
+	private static JsonNode tree(BufferedResponse response) throws IOException {
+		try {
+			return Json.tree(response.body());
+		}
+		catch (BadInputException ex) {
+			throw new IOException("malformed object of " + KIND + ": " + ex.getMessage(), ex);
+		}
+	}
+
+	private static long revision(JsonNode object) throws IOException {
+		JsonNode revision = object.path("Metadata").path("Revision");
+		if (!revision.isIntegralNumber()) {
+			throw new IOException("object of " + KIND + " without a revision");
+		}
+		return revision.asLong();
 	}
 
 	@Override
@@ -68,7 +109,7 @@
 	private static void addAll(StorePage page, List<ProcessCounts> counts) {
 		for (RawObject object : page.objects()) {
 			try {
-				counts.add(decode(object.content().tree().path("Spec")));
+				counts.addAll(decode(object.content().tree().path("Spec")));
 			}
 			catch (RuntimeException ex) {
 				// Written by another program or cut; the counts of the others are valid.
@@ -76,7 +117,14 @@
 		}
 	}
 
-	private static ProcessCounts decode(JsonNode spec) {
+	private static List<ProcessCounts> decode(JsonNode spec) {
+		List<ProcessCounts> counts = new ArrayList<>();
+		counts.add(decodeProcess(spec));
+		spec.path("Others").forEach((other) -> counts.add(decodeProcess(other)));
+		return counts;
+	}
+
+	private static ProcessCounts decodeProcess(JsonNode spec) {
 		Map<Long, Map<String, Long>> windows = new HashMap<>();
 		spec.path("Windows").properties().forEach((window) -> {
 			Map<String, Long> counts = new HashMap<>();
--- a/src/test/java/org/jaywood/gateway/CallMeteringTests.java
+++ b/src/test/java/org/jaywood/gateway/CallMeteringTests.java
@@ -51,8 +51,14 @@
 		UsageCountStore store = new UsageCountStore() {
 
 			@Override
-			public void write(ProcessCounts latest) {
-				CallMeteringTests.this.counts = latest.windows();
+			public Stored readOwn() {
+				return new Stored(List.of(), NO_REVISION);
+			}
+
+			@Override
+			public long write(List<ProcessCounts> latest, long revision) {
+				CallMeteringTests.this.counts = latest.getFirst().windows();
+				return revision + 1;
 			}
 
 			@Override
--- a/src/test/java/org/jaywood/metering/UsageFleet.java
+++ b/src/test/java/org/jaywood/metering/UsageFleet.java
@@ -35,7 +35,9 @@
 
 	private final Map<String, CountCopies> copies = new HashMap<>();
 
-	private final Map<String, ProcessCounts> stored = new HashMap<>();
+	private final Map<String, UsageFallback> fallbacks = new HashMap<>();
+
+	private final Map<String, UsageCountStore.Stored> stored = new HashMap<>();
 
 	private final Map<Long, Map<String, Long>> accepted = new HashMap<>();
 
@@ -55,22 +57,11 @@
 		this.counters.put(member.process(), counter);
 		long clockErrorMillis = this.random.nextLong(-200, 200);
 		TrueTime trueTime = new TrueTime(member.clockOffsetMillis(), START_MILLIS + clockErrorMillis);
-		return new UsageTask(WINDOWS, trueTime, this::report, new UsageCountStore() {
-
-			@Override
-			public void write(ProcessCounts counts) {
-				UsageFleet.this.stored.put(member.vm(), counts);
-			}
-
-			@Override
-			public List<ProcessCounts> readAll() throws IOException {
-				if (UsageFleet.this.random.nextDouble() < UsageFleet.this.apiFaultShare) {
-					throw new IOException("status 503");
-				}
-				return List.copyOf(UsageFleet.this.stored.values());
-			}
-
-		}, member.process(), counter, new EventLog("test"));
+		CountCopies kept = new CountCopies();
+		this.copies.put(member.process(), kept);
+		CountStore store = new CountStore(member.vm());
+		this.fallbacks.put(member.process(), new UsageFallback(member.process(), kept, store));
+		return new UsageTask(WINDOWS, trueTime, this::report, store, member.process(), counter, new EventLog("test"));
 	}
 
 	private CloudResponse report(LeaderTerm term, UsageReport report) {
@@ -112,10 +103,10 @@
 		}
 		Map<Long, Map<String, Long>> counts = counter.counts();
 		if (this.apiFaultShare > 0 && this.random.nextInt(4) == 0) {
-			this.stored.put(member.vm(), new ProcessCounts(member.process(), counts));
+			store(member, counts);
 			return;
 		}
-		CountCopies kept = this.copies.computeIfAbsent(member.process(), (key) -> new CountCopies());
+		CountCopies kept = this.copies.get(member.process());
 		this.fleet.members()
 			.stream()
 			.filter((leader) -> !leader.suspended() && leader.term().isPresent())
@@ -129,6 +120,15 @@
 			});
 	}
 
+	private void store(LeaderFleet.Member member, Map<Long, Map<String, Long>> counts) {
+		try {
+			this.fallbacks.get(member.process()).write(counts);
+		}
+		catch (IOException ex) {
+			// Written again later.
+		}
+	}
+
 	private UsageCounter counter(LeaderFleet.Member member) {
 		return this.counters.computeIfAbsent(member.process(), (key) -> new UsageCounter(WINDOWS));
 	}
@@ -173,4 +173,44 @@
 		return this.truth;
 	}
 
+	/**
+	 * Object of a VM in a store that does not respond now and then.
+	 */
+	private final class CountStore implements UsageCountStore {
+
+		private final String vm;
+
+		private CountStore(String vm) {
+			this.vm = vm;
+		}
+
+		private void failAtRandom() throws IOException {
+			if (UsageFleet.this.random.nextDouble() < UsageFleet.this.apiFaultShare) {
+				throw new IOException("status 503");
+			}
+		}
+
+		@Override
+		public Stored readOwn() throws IOException {
+			failAtRandom();
+			return UsageFleet.this.stored.getOrDefault(this.vm, new Stored(List.of(), NO_REVISION));
+		}
+
+		@Override
+		public long write(List<ProcessCounts> counts, long revision) throws IOException {
+			if (readOwn().revision() != revision) {
+				throw new IOException("status 409");
+			}
+			UsageFleet.this.stored.put(this.vm, new Stored(counts, revision + 1));
+			return revision + 1;
+		}
+
+		@Override
+		public List<ProcessCounts> readAll() throws IOException {
+			failAtRandom();
+			return UsageFleet.this.stored.values().stream().flatMap((object) -> object.counts().stream()).toList();
+		}
+
+	}
+
 }
