--- a/src/test/java/org/jaywood/routing/PlacementExplainerTests.java
+++ b/src/test/java/org/jaywood/routing/PlacementExplainerTests.java
@@ -209,8 +209,8 @@
 			fleet(RoutingFixtures.engine("a"));
 			report("a", 0);
 			IntStream.range(0, 2)
-				.mapToObj((number) -> PlacementExplainerTests.this.dispatcher
-					.enqueue(PlacementExplainerTests.this.call, NOW))
+				.mapToObj((number) -> PlacementExplainerTests.this.dispatcher.enqueue(PlacementExplainerTests.this.call,
+						NOW))
 				.forEach((queuedCall) -> queuedCall.placement().join().activity().onSent(NOW));
 			fleet(RoutingFixtures.engine("a"), RoutingFixtures.engine("b"));
 			List.of("a", "b").forEach((id) -> report(id, id.equals("a") ? 2 : 0));
