Have the test ask when no call decides, so that it sees a changed pair

Cause: with the questions right before calls only, a trial in which questions changed the state of SpilloverPolicy passed.

Change: questions come also between calls, and for 2.5 s no call may leave the region, so that the use of the other data centre ends.

--- a/src/test/java/org/jaywood/routing/PlacementExplainerTests.java
+++ b/src/test/java/org/jaywood/routing/PlacementExplainerTests.java
@@ -291,8 +291,6 @@
 
 		private final PriorityQueue<Running> running = new PriorityQueue<>();
 
-		private int number;
-
 		OverloadRun(int questions) {
 			this.questions = questions;
 			this.dispatcher.onRouteTable(
@@ -305,7 +303,7 @@
 		}
 
 		List<String> run() {
-			for (long nowMillis = 0; nowMillis < 8_000; nowMillis += 5) {
+			for (long nowMillis = 0; nowMillis < 9_500; nowMillis += 5) {
 				if (nowMillis % 100 == 0) {
 					report(nowMillis);
 				}
@@ -313,7 +311,10 @@
 					this.dispatcher.recordEnd(this.running.poll().placement(), Outcome.ANSWERED, nowMillis);
 					collect(nowMillis);
 				}
-				boolean overload = nowMillis > 2_000 && nowMillis < 6_000;
+				if (this.questions > 0 && nowMillis % 50 == 0) {
+					answer(call("other", 0, Set.of()), nowMillis);
+				}
+				boolean overload = nowMillis > 2_000 && nowMillis < 9_000;
 				if (this.random.nextDouble() < (overload ? 0.9 : 0.25)) {
 					offer(nowMillis);
 				}
@@ -338,11 +339,10 @@
 		}
 
 		private void offer(long nowMillis) {
-			int priority = this.random.nextInt(3);
-			CallRequirements requirements = new CallRequirements("call-" + this.number++,
-					RoutingFixtures.ENGINE_SERVICE, (this.number % 7 == 0) ? Set.of("doto") : Set.of(),
-					"workspace-" + this.random.nextInt(3), priority, CallRequirements.QueueClass.ON_TIME, true,
-					new CallCost(100 + this.random.nextInt(1_000), 100), OptionalLong.empty(), Set.of());
+			int number = this.decisions.size();
+			boolean bound = isBoundOnly(nowMillis) || number % 7 == 0;
+			CallRequirements requirements = call("call-" + number, this.random.nextInt(3),
+					bound ? Set.of("doto") : Set.of());
 			String answer = "";
 			for (int question = 0; question < this.questions; question++) {
 				answer = answer(requirements, nowMillis);
@@ -354,6 +354,20 @@
 			}
 		}
 
+		private CallRequirements call(String id, int priority, Set<String> regions) {
+			return new CallRequirements(id, RoutingFixtures.ENGINE_SERVICE, regions,
+					"workspace-" + Math.floorMod(id.hashCode(), 3), priority, CallRequirements.QueueClass.ON_TIME, true,
+					new CallCost(400, 100), OptionalLong.empty(), Set.of());
+		}
+
+		/**
+		 * Whether no call may leave the region, long enough for the sending to other data
+		 * centres to begin anew, unless questions keep it in use.
+		 */
+		private static boolean isBoundOnly(long nowMillis) {
+			return nowMillis > 5_000 && nowMillis < 7_500;
+		}
+
 		private String answer(CallRequirements requirements, long nowMillis) {
 			PlacementExplanation explanation = this.dispatcher.explain(requirements, WAIT_MILLIS, LEFT_MILLIS,
 					nowMillis);
