Limit an explained call by a planned stop, as a real one

Cause: a call that is taken during a planned stop has less time, which changes its wait and Retry-After; the answer did not count with that.

Measured: CallExplainerTests, ExplainCommandTests, ArchitectureTests and PlatformNamesTests pass.

--- a/src/main/java/org/jaywood/gateway/CallExplainer.java
+++ b/src/main/java/org/jaywood/gateway/CallExplainer.java
@@ -115,12 +115,13 @@
 		int priority = (askedPriority != null) ? askedPriority : call.priority();
 		Workspace workspace = call.workspace();
 		CallFailure refusal = refusal(call, nowMillis);
+		Call limited = call.withShutdown(() -> this.connections.shutdown().answerDeadlineMillis());
 		return new CallExplanation(this.context.settings().vm(), call.tableVersion(), call.route().name(),
 				(workspace != null) ? workspace.name() : null, priority, call.regions(), call.late(),
 				(refusal != null) ? refusal(refusal) : null,
 				(refusal != null) ? List.of()
 						: shares(call.route()).stream()
-							.map((share) -> explain(call, share, priority, nowMillis))
+							.map((share) -> explain(limited, share, priority, nowMillis))
 							.toList());
 	}
 
