Measure the pause after a cloud call from its response

Cause: UsageTask and ScalingTask recorded the response with the time at which the tick had started. A call that took longer than the pause was repeated at once.

Change: both tasks read the boot clock after the call. The unconditional form of replaceObject, which nothing uses any more, is removed.

--- a/src/main/java/org/jaywood/gateway/ScalingSingleton.java
+++ b/src/main/java/org/jaywood/gateway/ScalingSingleton.java
@@ -74,7 +74,7 @@
 		this.dataCentres = ports.dataCentres();
 		this.metrics = metrics;
 		this.log = log;
-		this.task = new ScalingTask(this::input, ports.scaling(), log);
+		this.task = new ScalingTask(this::input, ports.scaling(), BootClock::nowMillis, log);
 	}
 
 	/**
--- a/src/main/java/org/jaywood/gateway/UsageSingleton.java
+++ b/src/main/java/org/jaywood/gateway/UsageSingleton.java
@@ -74,7 +74,7 @@
 		this.reporter = new UsageReporter(this.windows.windowAt(this.trueTime.at(nowMillis)), nowMillis);
 		this.fallback = new UsageFallback(process, this.copies, ports.usageCounts());
 		this.task = new UsageTask(this.windows, this.trueTime, ports.usage(), ports.usageCounts(), process,
-				this.counter, log);
+				this.counter, BootClock::nowMillis, log);
 		this.metrics = metrics;
 		metrics.registry().gauge("usage.last_sealed", () -> () -> this.task.lastSealed());
 		metrics.registry().gauge("usage.last_accepted", () -> () -> this.task.lastAccepted());
--- a/src/main/java/org/jaywood/metering/UsageTask.java
+++ b/src/main/java/org/jaywood/metering/UsageTask.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
+import java.util.function.LongSupplier;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.jspecify.annotations.Nullable;
@@ -43,15 +44,18 @@
 
 	private final UsageCounter counter;
 
+	private final LongSupplier bootMillis;
+
 	private final EventLog log;
 
 	/**
 	 * Creates a task.
 	 * @param process random id of this process
 	 * @param counter counts of this process
+	 * @param bootMillis returns the boot time, of which a call to the platform takes some
 	 */
 	public UsageTask(UsageWindows windows, TrueTime trueTime, UsageApi api, UsageCountStore countStore, String process,
-			UsageCounter counter, EventLog log) {
+			UsageCounter counter, LongSupplier bootMillis, EventLog log) {
 		this.windows = windows;
 		this.ledger = new UsageLedger(windows);
 		this.trueTime = trueTime;
@@ -59,6 +63,7 @@
 		this.countStore = countStore;
 		this.process = process;
 		this.counter = counter;
+		this.bootMillis = bootMillis;
 		this.log = log;
 	}
 
@@ -94,7 +99,7 @@
 		this.ledger.removeDue(trueMillis).forEach((window) -> logMissed(window, "not accepted in time"));
 		this.ledger.nextReport(trueMillis).ifPresent((report) -> {
 			CloudResponse response = this.api.report(term, report);
-			this.ledger.onResponse(report, response, trueMillis);
+			this.ledger.onResponse(report, response, this.trueTime.at(this.bootMillis.getAsLong()));
 			if (response instanceof CloudResponse.Accepted) {
 				this.log.log(Event.USAGE_ACCEPTED, "window", report.windowId(), "token", term.token());
 			}
--- a/src/main/java/org/jaywood/platform/MetadataStoreClient.java
+++ b/src/main/java/org/jaywood/platform/MetadataStoreClient.java
@@ -141,17 +141,6 @@
 				Map.of("Metadata", Map.of("Name", name, "Revision", revision), "Spec", spec));
 	}
 
-	/**
-	 * Replaces an object whatever its revision.
-	 * @return the response, whatever its status; 404 if there is no object
-	 * @throws IOException if no complete response arrives; the store may have replaced
-	 * the object or may do so later
-	 */
-	BufferedResponse replaceObject(String kind, String name, JsonNode spec) throws IOException {
-		return write("PUT", "/objects/" + kind + "/" + encode(name),
-				Map.of("Metadata", Map.of("Name", name), "Spec", spec));
-	}
-
 	private BufferedResponse write(String method, String path, Object object) throws IOException {
 		BasicClassicHttpRequest request = new BasicClassicHttpRequest(method, path);
 		request.setHeader("Content-Type", "application/json");
--- a/src/main/java/org/jaywood/scaling/ScalingTask.java
+++ b/src/main/java/org/jaywood/scaling/ScalingTask.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.LongFunction;
+import java.util.function.LongSupplier;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.jspecify.annotations.Nullable;
@@ -37,6 +38,8 @@
 
 	private final ScalingApi api;
 
+	private final LongSupplier bootMillis;
+
 	private final EventLog log;
 
 	private EngineCountPlanner planner = new EngineCountPlanner(Map.of());
@@ -48,10 +51,12 @@
 	/**
 	 * Creates the task.
 	 * @param input returns the input of a decision at a boot time
+	 * @param bootMillis returns the boot time, of which a call to the platform takes some
 	 */
-	public ScalingTask(LongFunction<ScalingInput> input, ScalingApi api, EventLog log) {
+	public ScalingTask(LongFunction<ScalingInput> input, ScalingApi api, LongSupplier bootMillis, EventLog log) {
 		this.input = input;
 		this.api = api;
+		this.bootMillis = bootMillis;
 		this.log = log;
 	}
 
@@ -73,7 +78,7 @@
 		if (order != null) {
 			// Not under the lock: a renewal reads the state while the call waits.
 			CloudResponse response = this.api.order(term, order.service(), order.dataCentre(), order.engines());
-			onResponse(order, response, nowMillis);
+			onResponse(order, response, this.bootMillis.getAsLong());
 		}
 	}
 
--- a/src/test/java/org/jaywood/metering/UsageFleet.java
+++ b/src/test/java/org/jaywood/metering/UsageFleet.java
@@ -61,7 +61,8 @@
 		this.copies.put(member.process(), kept);
 		CountStore store = new CountStore(member.vm());
 		this.fallbacks.put(member.process(), new UsageFallback(member.process(), kept, store));
-		return new UsageTask(WINDOWS, trueTime, this::report, store, member.process(), counter, new EventLog("test"));
+		return new UsageTask(WINDOWS, trueTime, this::report, store, member.process(), counter, member::localMillis,
+				new EventLog("test"));
 	}
 
 	private CloudResponse report(LeaderTerm term, UsageReport report) {
--- a/src/test/java/org/jaywood/scaling/ScalingTaskTests.java
+++ b/src/test/java/org/jaywood/scaling/ScalingTaskTests.java
@@ -31,6 +31,11 @@
 
 	private final Map<String, Integer> engines = new HashMap<>(Map.of("a", 1, "b", 1));
 
+	private long nowMillis = NOW_MILLIS;
+
+	/** Time that a call to the platform takes. */
+	private long callMillis;
+
 	private CloudResponse response = new CloudResponse.Accepted();
 
 	private final ScalingTask task = task();
@@ -38,8 +43,9 @@
 	private ScalingTask task() {
 		return new ScalingTask((nowMillis) -> input(), (term, service, dataCentre, count) -> {
 			this.orders.add(new ScaleOrder(service, dataCentre, count));
+			this.nowMillis += this.callMillis;
 			return this.response;
-		}, new EventLog("test"));
+		}, () -> this.nowMillis, new EventLog("test"));
 	}
 
 	private ScalingInput input() {
@@ -81,6 +87,27 @@
 		assertThat(this.orders).containsExactly(new ScaleOrder("pool", "a", 3), new ScaleOrder("pool", "b", 2));
 	}
 
+	/**
+	 * Guards against a retry right behind a slow failure.
+	 */
+	@Test
+	void pauseAfterAFailureBeginsWithTheResponse() {
+		this.engines.remove("b");
+		this.response = new CloudResponse.Refused(503);
+		this.callMillis = 1_500;
+		elect(this.task, null);
+		while (this.orders.isEmpty()) {
+			this.task.onTick(TERM, this.nowMillis);
+			this.nowMillis += 100;
+		}
+		long endMillis = this.nowMillis + 800;
+		while (this.nowMillis < endMillis) {
+			this.task.onTick(TERM, this.nowMillis);
+			this.nowMillis += 100;
+		}
+		assertThat(this.orders).hasSize(1);
+	}
+
 	@Test
 	void nextLeaderInheritsTheOrders() {
 		elect(this.task, null);
