Count a dropped call once in usage.dropped

Cause: a report repeats cumulative counts, and the ledger added what did not fit each time.

Change: the ledger keeps what did not fit by window and process, and adds only the increase.

Result: droppedCallsCountOnce fails without it and passes with it.

--- a/src/main/java/org/jaywood/metering/UsageLedger.java
+++ b/src/main/java/org/jaywood/metering/UsageLedger.java
@@ -56,6 +56,12 @@
 	/** Counts by window, process and workspace. */
 	private final TreeMap<Long, Map<String, Map<String, Long>>> open = new TreeMap<>();
 
+	/**
+	 * Calls by window and process that did not fit, so that a repeated message does not
+	 * count them again.
+	 */
+	private final TreeMap<Long, Map<String, Long>> excess = new TreeMap<>();
+
 	private final TreeMap<Long, SealedWindow> sealed = new TreeMap<>();
 
 	/** Window up to which all are sealed or skipped. */
@@ -149,19 +155,33 @@
 		}
 		Map<String, Long> merged = this.open.computeIfAbsent(window, (key) -> new HashMap<>())
 			.computeIfAbsent(process, (key) -> new HashMap<>());
-		latest.forEach((workspace, count) -> {
-			int bytes = workspace.length() + NUMBER_BYTES;
-			if (merged.containsKey(workspace)) {
-				merged.merge(workspace, count, Math::max);
-			}
-			else if (this.openBytes + bytes > MAX_OPEN_BYTES || merged.size() >= UsageWindows.MAX_WORKSPACES) {
-				this.dropped += count;
-			}
-			else {
-				this.openBytes += bytes;
-				merged.put(workspace, count);
+		long left = latest.entrySet()
+			.stream()
+			.filter((entry) -> !take(merged, entry.getKey(), entry.getValue()))
+			.mapToLong(Map.Entry::getValue)
+			.sum();
+		if (left > 0) {
+			Map<String, Long> known = this.excess.computeIfAbsent(window, (key) -> new HashMap<>());
+			long before = known.getOrDefault(process, 0L);
+			known.put(process, Math.max(before, left));
+			this.dropped += Math.max(0, left - before);
+		}
+	}
+
+	/**
+	 * Merges a count.
+	 * @return whether there is room for it
+	 */
+	private boolean take(Map<String, Long> merged, String workspace, long count) {
+		int bytes = workspace.length() + NUMBER_BYTES;
+		if (!merged.containsKey(workspace)) {
+			if (this.openBytes + bytes > MAX_OPEN_BYTES || merged.size() >= UsageWindows.MAX_WORKSPACES) {
+				return false;
 			}
-		});
+			this.openBytes += bytes;
+		}
+		merged.merge(workspace, count, Math::max);
+		return true;
 	}
 
 	/**
@@ -307,6 +327,7 @@
 
 	private void dropSealedCounts(long last) {
 		this.open.headMap(last, true).clear();
+		this.excess.headMap(last, true).clear();
 		this.openBytes = this.open.values()
 			.stream()
 			.flatMap((processes) -> processes.values().stream())
--- a/src/test/java/org/jaywood/metering/UsageLedgerTests.java
+++ b/src/test/java/org/jaywood/metering/UsageLedgerTests.java
@@ -59,6 +59,27 @@
 				.hasValue(new UsageReport(WINDOW, Map.of("a", 7L)));
 		}
 
+		/**
+		 * Gateways repeat their cumulative counts several times a second.
+		 */
+		@Test
+		void droppedCallsCountOnce() {
+			Map<String, Long> many = new HashMap<>();
+			for (int number = 0; number < UsageWindows.MAX_WORKSPACES; number++) {
+				many.put("workspace-" + number, 1L);
+			}
+			UsageLedger ledger = UsageLedgerTests.this.ledger;
+			ledger.merge(new ProcessCounts("p", Map.of(WINDOW, many)), START_MILLIS);
+			ledger.merge(new ProcessCounts("q", Map.of(WINDOW, many)), START_MILLIS);
+			ledger.merge(new ProcessCounts("r", Map.of(WINDOW, Map.of("late", 7L))), START_MILLIS);
+			long dropped = ledger.dropped();
+			assertThat(dropped).isGreaterThan(7L);
+			ledger.merge(new ProcessCounts("r", Map.of(WINDOW, Map.of("late", 7L))), START_MILLIS);
+			assertThat(ledger.dropped()).isEqualTo(dropped);
+			ledger.merge(new ProcessCounts("r", Map.of(WINDOW, Map.of("late", 9L))), START_MILLIS);
+			assertThat(ledger.dropped()).isEqualTo(dropped + 2);
+		}
+
 		@Test
 		void countsAfterTheSealAreDropped() {
 			merge("p", WINDOW, 5);
