Separate windows that are withheld from accepted ones

Cause: a window for which two totals were saved was marked as accepted so that it would not be sent. It then counted as reported in the state that the next leader inherits and was never named as missed.

Change: SealedWindow has one status; WITHHELD is kept in the lease state as a field of its own.

Result: windowThatIsHeldBackIsNotAcceptedAndIsHeldBackByTheNextLeader fails before and passes now; UsageLedgerTests and UsageReportingPropertyTests pass.

--- a/src/main/java/org/jaywood/metering/SealedWindow.java
+++ b/src/main/java/org/jaywood/metering/SealedWindow.java
@@ -13,9 +13,7 @@
 
 	private final UsageReport report;
 
-	private boolean saved;
-
-	private boolean accepted;
+	private Status status;
 
 	private long retryMillis = Long.MIN_VALUE;
 
@@ -23,12 +21,10 @@
 
 	/**
 	 * Creates a sealed window.
-	 * @param saved whether the store has it
 	 */
-	SealedWindow(UsageReport report, boolean saved, boolean accepted) {
+	SealedWindow(UsageReport report, Status status) {
 		this.report = report;
-		this.saved = saved;
-		this.accepted = accepted;
+		this.status = status;
 	}
 
 	UsageReport report() {
@@ -39,23 +35,34 @@
 	 * Whether the store has acknowledged the total, before which it must not be sent.
 	 */
 	boolean saved() {
-		return this.saved;
+		return this.status != Status.SEALED;
 	}
 
 	void markSaved() {
-		this.saved = true;
+		this.status = saved() ? this.status : Status.SAVED;
 	}
 
 	boolean accepted() {
-		return this.accepted;
+		return this.status == Status.ACCEPTED;
 	}
 
 	void markAccepted() {
-		this.accepted = true;
+		this.status = Status.ACCEPTED;
+	}
+
+	/**
+	 * Whether the total must not be sent, since another one may have been.
+	 */
+	boolean withheld() {
+		return this.status == Status.WITHHELD;
+	}
+
+	void withhold() {
+		this.status = accepted() ? this.status : Status.WITHHELD;
 	}
 
 	boolean mayBeSent(long nowMillis) {
-		return this.saved && !this.accepted && nowMillis >= this.retryMillis;
+		return this.status == Status.SAVED && nowMillis >= this.retryMillis;
 	}
 
 	/**
@@ -63,11 +70,30 @@
 	 */
 	void onResponse(CloudResponse response, long nowMillis) {
 		if (response instanceof CloudResponse.Accepted) {
-			this.accepted = true;
+			markAccepted();
 			return;
 		}
 		this.retryMillis = nowMillis + this.backoffMillis;
 		this.backoffMillis = Math.min(MAX_BACKOFF_MILLIS, 2 * this.backoffMillis);
 	}
 
+	/**
+	 * How far the report of a window is.
+	 */
+	enum Status {
+
+		/** The store has not acknowledged the total. */
+		SEALED,
+
+		/** The store has the total, which may be sent. */
+		SAVED,
+
+		/** The platform has accepted the report. */
+		ACCEPTED,
+
+		/** Leaders have saved different totals, so that none is sent. */
+		WITHHELD
+
+	}
+
 }
--- a/src/main/java/org/jaywood/metering/UsageLedger.java
+++ b/src/main/java/org/jaywood/metering/UsageLedger.java
@@ -118,15 +118,27 @@
 		UsageReport report = new UsageReport(window, counts(saved.path("counts")));
 		SealedWindow own = this.sealed.get(window);
 		if (own == null) {
-			this.sealed.put(window, new SealedWindow(report, true, saved.path("accepted").asBoolean()));
+			this.sealed.put(window, new SealedWindow(report, status(saved)));
 		}
 		else if (!own.report().equals(report)) {
 			// Either may have been sent, so that neither may be sent again.
-			own.markAccepted();
+			own.withhold();
 		}
-		else if (saved.path("accepted").asBoolean()) {
-			own.markAccepted();
+		else {
+			switch (status(saved)) {
+				case ACCEPTED -> own.markAccepted();
+				case WITHHELD -> own.withhold();
+				case SEALED, SAVED -> {
+				}
+			}
+		}
+	}
+
+	private static SealedWindow.Status status(JsonNode saved) {
+		if (saved.path("accepted").asBoolean()) {
+			return SealedWindow.Status.ACCEPTED;
 		}
+		return saved.path("withheld").asBoolean() ? SealedWindow.Status.WITHHELD : SealedWindow.Status.SAVED;
 	}
 
 	private static Map<String, Long> counts(JsonNode node) {
@@ -225,7 +237,7 @@
 				.values()
 				.forEach((counts) -> counts.forEach((workspace, count) -> total.merge(workspace, count, Long::sum)));
 			UsageReport report = new UsageReport(window, total);
-			this.sealed.put(window, new SealedWindow(report, false, false));
+			this.sealed.put(window, new SealedWindow(report, SealedWindow.Status.SEALED));
 			reports.add(report);
 		});
 		return new Sealing(reports, skipped);
@@ -239,6 +251,7 @@
 		ObjectNode sealedNode = state.putObject("sealed");
 		this.sealed.forEach((window, entry) -> sealedNode.putObject(Long.toString(window))
 			.put("accepted", entry.accepted())
+			.put("withheld", entry.withheld())
 			.set("counts", Json.mapper().valueToTree(entry.report().counts())));
 		ObjectNode openNode = state.putObject("open");
 		this.open.tailMap(this.lastSealed, false)
--- a/src/test/java/org/jaywood/metering/UsageLedgerTests.java
+++ b/src/test/java/org/jaywood/metering/UsageLedgerTests.java
@@ -228,6 +228,25 @@
 			assertThat(UsageLedgerTests.this.ledger.nextReport(END_MILLIS + 6_000)).isEmpty();
 		}
 
+		/**
+		 * Guards against a window that counts as accepted although its report is held
+		 * back, and against a next leader that sends it.
+		 */
+		@Test
+		void windowThatIsHeldBackIsNotAcceptedAndIsHeldBackByTheNextLeader() {
+			merge("p", WINDOW, 5);
+			seal();
+			save();
+			UsageLedger other = ledger();
+			other.seal(List.of(WINDOW), END_MILLIS + 3_000);
+			UsageLedgerTests.this.ledger.begin(other.state(), 0, END_MILLIS + 6_000);
+			UsageLedger next = new UsageLedger(new UsageWindows(5_000, 10_000));
+			next.begin(UsageLedgerTests.this.ledger.state(), 0, END_MILLIS + 8_000);
+			assertThat(next.nextReport(END_MILLIS + 8_000)).isEmpty();
+			assertThat(next.removeDue(END_MILLIS + 10_000)).containsExactly(WINDOW);
+			assertThat(UsageLedgerTests.this.ledger.removeDue(END_MILLIS + 10_000)).containsExactly(WINDOW);
+		}
+
 	}
 
 }
