Lower the number of engines only by real reports and present settings

Cause: EngineCountPlanner kept the inherited numbers as they were at the start of the term and fell back to them when a service was not in the configuration for a moment; a plan kept the boot time with which it was created; NeedWindow took a need as known until the next one, so that a time without reports counted towards the two boot times.

Change: an inherited number is used up by its plan; plans and numbers of a service that is not in the configuration are kept for a minute; the boot time is taken from each input; a gap of more than 3 s empties the window.

Result: four new tests of EngineCountPlannerTests (ChangedConfiguration, Silence) fail before and pass now; EngineCountPlannerTests and ScalingTaskTests pass.

--- a/src/main/java/org/jaywood/scaling/DataCentrePlan.java
+++ b/src/main/java/org/jaywood/scaling/DataCentrePlan.java
@@ -17,9 +17,9 @@
 	/** Longest pause between two equal orders. */
 	private static final long MAX_PAUSE_MILLIS = 60 * 60 * 1_000;
 
-	private final long bootMillis;
+	private long bootMillis;
 
-	private final NeedWindow window;
+	private final NeedWindow window = new NeedWindow();
 
 	private int wanted;
 
@@ -57,7 +57,14 @@
 		this.wanted = ordered;
 		this.ordered = ordered;
 		this.bootMillis = bootMillis;
-		this.window = new NeedWindow(BOOTS_BEFORE_REPEAT * bootMillis);
+	}
+
+	/**
+	 * Takes in the boot time of the present configuration. Needs from before that are
+	 * still kept count for it.
+	 */
+	void setBootMillis(long bootMillis) {
+		this.bootMillis = bootMillis;
 	}
 
 	int wanted() {
@@ -112,7 +119,8 @@
 	 * elsewhere were lost
 	 */
 	void onNeed(int engines, boolean atOnce, long nowMillis) {
-		this.window.record(engines, nowMillis);
+		long lookBackMillis = BOOTS_BEFORE_REPEAT * this.bootMillis;
+		this.window.record(engines, lookBackMillis, nowMillis);
 		long holdMillis = this.bootMillis / 4;
 		if (atOnce) {
 			this.wanted = Math.max(this.wanted, engines);
@@ -120,7 +128,6 @@
 		else if (this.window.covers(holdMillis, nowMillis)) {
 			this.wanted = Math.max(this.wanted, this.window.min(holdMillis, nowMillis));
 		}
-		long lookBackMillis = BOOTS_BEFORE_REPEAT * this.bootMillis;
 		if (this.window.covers(lookBackMillis, nowMillis) && nowMillis - this.addedMillis >= lookBackMillis) {
 			this.wanted = Math.min(this.wanted, this.window.max());
 		}
--- a/src/main/java/org/jaywood/scaling/EngineCountPlanner.java
+++ b/src/main/java/org/jaywood/scaling/EngineCountPlanner.java
@@ -33,11 +33,24 @@
 	 */
 	private static final double MAX_PLAUSIBLE_LOAD = 2;
 
-	/** Engines that a new leader inherits, by service and data centre. */
-	private final Map<String, Map<String, Integer>> inherited;
+	/**
+	 * Time for which the orders for a service are kept that is not in the configuration:
+	 * the configuration may not be read yet. Later the orders say nothing about its
+	 * engines.
+	 */
+	private static final long MAX_ABSENCE_MILLIS = 60_000;
+
+	/**
+	 * Engines that this leader has inherited and has no plan for yet, by service and data
+	 * centre.
+	 */
+	private final Map<Target, Integer> inherited = new HashMap<>();
 
 	private final Map<Target, DataCentrePlan> plans = new HashMap<>();
 
+	/** Time at which each service was last in the configuration. */
+	private final Map<String, Long> seenMillisByService = new HashMap<>();
+
 	/** Slots of one engine as last known, by service. */
 	private final Map<String, Integer> slotsByService = new HashMap<>();
 
@@ -52,14 +65,15 @@
 	 * centre
 	 */
 	public EngineCountPlanner(Map<String, Map<String, Integer>> inherited) {
-		this.inherited = Map.copyOf(inherited);
+		inherited.forEach((service, counts) -> counts
+			.forEach((dataCentre, engines) -> this.inherited.put(new Target(service, dataCentre), engines)));
 	}
 
 	/**
 	 * Decides and returns the orders that are due, those for more engines first.
 	 */
 	public List<ScaleOrder> plan(ScalingInput input, long nowMillis) {
-		this.plans.keySet().removeIf((target) -> !input.services().containsKey(target.service()));
+		forgetAbsentServices(input, nowMillis);
 		List<ScaleOrder> orders = new ArrayList<>();
 		new TreeMap<>(input.services())
 			.forEach((name, service) -> orders.addAll(plan(name, service, input, nowMillis)));
@@ -67,6 +81,22 @@
 		return orders;
 	}
 
+	private void forgetAbsentServices(ScalingInput input, long nowMillis) {
+		input.services().keySet().forEach((service) -> this.seenMillisByService.put(service, nowMillis));
+		this.inherited.keySet().forEach((target) -> this.seenMillisByService.putIfAbsent(target.service(), nowMillis));
+		this.seenMillisByService.entrySet().removeIf((entry) -> {
+			boolean absent = nowMillis - entry.getValue() > MAX_ABSENCE_MILLIS;
+			if (absent) {
+				this.plans.keySet().removeIf((target) -> target.service().equals(entry.getKey()));
+				this.inherited.keySet().removeIf((target) -> target.service().equals(entry.getKey()));
+				this.lostByService.remove(entry.getKey());
+				this.usedServices.remove(entry.getKey());
+				this.slotsByService.remove(entry.getKey());
+			}
+			return absent;
+		});
+	}
+
 	private static boolean raises(ScaleOrder order, ScalingInput input) {
 		ScalingInput.Service service = input.services().get(order.service());
 		ScalingInput.DataCentre present = (service != null) ? service.dataCentres().get(order.dataCentre()) : null;
@@ -75,8 +105,11 @@
 
 	private List<ScaleOrder> plan(String name, ScalingInput.Service service, ScalingInput input, long nowMillis) {
 		Map<String, ScalingInput.DataCentre> dataCentres = new TreeMap<>(service.dataCentres());
-		dataCentres.forEach(
-				(dataCentre, present) -> planOf(name, dataCentre, service).onEngines(present.engines(), nowMillis));
+		dataCentres.forEach((dataCentre, present) -> {
+			DataCentrePlan plan = planOf(name, dataCentre, service);
+			plan.setBootMillis(service.bounds().bootMillis());
+			plan.onEngines(present.engines(), nowMillis);
+		});
 		if (service.slots() > 0) {
 			this.slotsByService.put(name, service.slots());
 		}
@@ -156,7 +189,7 @@
 	}
 
 	private int startOf(Target target, ScalingInput.Service service) {
-		Integer ordered = this.inherited.getOrDefault(target.service(), Map.of()).get(target.dataCentre());
+		Integer ordered = this.inherited.remove(target);
 		ScalingInput.DataCentre present = service.dataCentres().get(target.dataCentre());
 		return (ordered != null) ? ordered : (present != null) ? present.engines() : 0;
 	}
@@ -189,8 +222,9 @@
 	 * Returns the numbers that were ordered last, by service and data centre.
 	 */
 	public Map<String, Map<String, Integer>> ordered() {
-		Map<String, Map<String, Integer>> ordered = new TreeMap<>(this.inherited);
-		ordered.putAll(collect(DataCentrePlan::ordered));
+		Map<String, Map<String, Integer>> ordered = collect(DataCentrePlan::ordered);
+		this.inherited.forEach((target, engines) -> ordered.computeIfAbsent(target.service(), (name) -> new TreeMap<>())
+			.put(target.dataCentre(), engines));
 		return ordered;
 	}
 
--- a/src/main/java/org/jaywood/scaling/NeedWindow.java
+++ b/src/main/java/org/jaywood/scaling/NeedWindow.java
@@ -4,28 +4,35 @@
 import java.util.Deque;
 
 /**
- * Engines needed over the last while. A need holds until the next one is recorded.
+ * Engines needed over the last while. A need holds until the next one is recorded, unless
+ * that takes so long that the needs in between are not known.
  */
 final class NeedWindow {
 
-	private final long keptMillis;
+	/**
+	 * Longest time between two records. Needs are recorded once a second; a call to the
+	 * platform may delay that by 1.5 s.
+	 */
+	private static final long MAX_GAP_MILLIS = 3_000;
 
 	private final Deque<Sample> samples = new ArrayDeque<>();
 
+	private long recordedMillis = Long.MIN_VALUE / 2;
+
 	/**
-	 * Creates an empty window.
+	 * Records a need.
 	 * @param keptMillis longest time that is looked back
 	 */
-	NeedWindow(long keptMillis) {
-		this.keptMillis = keptMillis;
-	}
-
-	void record(int engines, long nowMillis) {
+	void record(int engines, long keptMillis, long nowMillis) {
+		if (nowMillis - this.recordedMillis > MAX_GAP_MILLIS) {
+			this.samples.clear();
+		}
+		this.recordedMillis = nowMillis;
 		Sample last = this.samples.peekLast();
 		if (last == null || last.engines() != engines) {
 			this.samples.add(new Sample(nowMillis, engines));
 		}
-		while (this.samples.size() > 1 && secondMillis() <= nowMillis - this.keptMillis) {
+		while (this.samples.size() > 1 && secondMillis() <= nowMillis - keptMillis) {
 			this.samples.removeFirst();
 		}
 	}
--- a/src/test/java/org/jaywood/scaling/EngineCountPlannerTests.java
+++ b/src/test/java/org/jaywood/scaling/EngineCountPlannerTests.java
@@ -56,6 +56,10 @@
 
 	private boolean acceptsOrders = true;
 
+	private boolean configured = true;
+
+	private long bootMillis = BOOT_MILLIS;
+
 	private long nowMillis = 1_000_000;
 
 	@BeforeEach
@@ -80,7 +84,7 @@
 		while (this.nowMillis < endMillis) {
 			this.nowMillis += 1_000;
 			this.booting.removeIf((order) -> {
-				boolean booted = order.sentMillis() + BOOT_MILLIS <= this.nowMillis;
+				boolean booted = order.sentMillis() + this.bootMillis <= this.nowMillis;
 				if (booted) {
 					this.engines.put(order.order().dataCentre(), order.order().engines());
 				}
@@ -97,11 +101,14 @@
 	}
 
 	private ScalingInput input() {
+		if (!this.configured) {
+			return new ScalingInput(false, false, Map.of());
+		}
 		Map<String, ScalingInput.DataCentre> dataCentres = new HashMap<>();
 		this.engines.forEach((name, count) -> dataCentres.put(name, new ScalingInput.DataCentre(count,
 				this.closed.contains(name), this.demand.getOrDefault(name, SlotDemand.NONE))));
 		return new ScalingInput(this.demandKnown, this.demandComplete, Map.of(SERVICE,
-				new ScalingInput.Service(new ServiceProfile.Scaling(1, MAX, BOOT_MILLIS), SLOTS, dataCentres)));
+				new ScalingInput.Service(new ServiceProfile.Scaling(1, MAX, this.bootMillis), SLOTS, dataCentres)));
 	}
 
 	private Map<String, Integer> wanted() {
@@ -213,6 +220,22 @@
 			assertThat(EngineCountPlannerTests.this.sent).isEmpty();
 		}
 
+		/**
+		 * Guards against a time without reports that counts as a time of low need.
+		 */
+		@Test
+		void enginesAreNotRemovedBeforeTwoBootTimesOfReportsAfterASilence() {
+			demand(0, 0);
+			run(2_000);
+			EngineCountPlannerTests.this.demandKnown = false;
+			run(3 * BOOT_MILLIS);
+			EngineCountPlannerTests.this.demandKnown = true;
+			run(2 * BOOT_MILLIS);
+			assertThat(EngineCountPlannerTests.this.sent).isEmpty();
+			run(3_000);
+			assertThat(wanted()).containsExactly("a", 1, "b", 1);
+		}
+
 		@Test
 		void enginesAreAddedButNotRemovedWhileManyGatewaysAreNotHeard() {
 			EngineCountPlannerTests.this.demandComplete = false;
@@ -292,6 +315,54 @@
 
 	}
 
+	/**
+	 * Guards against decisions by a configuration of before.
+	 */
+	@Nested
+	class ChangedConfiguration {
+
+		@Test
+		void longerBootTimeHoldsForTheNextDecision() {
+			EngineCountPlannerTests.this.bootMillis = 3 * BOOT_MILLIS;
+			demand(0, 0);
+			run(5 * BOOT_MILLIS);
+			assertThat(EngineCountPlannerTests.this.sent).isEmpty();
+			run(2 * BOOT_MILLIS);
+			assertThat(wanted()).containsExactly("a", 1, "b", 1);
+		}
+
+		/**
+		 * The number inherited at the start of the term is older than the orders of the
+		 * term.
+		 */
+		@Test
+		void serviceThatIsNotReadForAMomentGoesOnFromItsLastOrders() {
+			EngineCountPlannerTests.this.planner = new EngineCountPlanner(Map.of(SERVICE, Map.of("a", 2, "b", 2)));
+			unserved(20, 20);
+			run(3_000);
+			assertThat(orders()).containsExactly(new ScaleOrder(SERVICE, "a", 4), new ScaleOrder(SERVICE, "b", 4));
+			EngineCountPlannerTests.this.configured = false;
+			run(1_000);
+			EngineCountPlannerTests.this.configured = true;
+			assertThat(EngineCountPlannerTests.this.planner.ordered())
+				.isEqualTo(Map.of(SERVICE, Map.of("a", 4, "b", 4)));
+			run(BOOT_MILLIS);
+			assertThat(orders()).hasSize(2);
+		}
+
+		@Test
+		void ordersOfAServiceThatIsGoneAreForgotten() {
+			EngineCountPlannerTests.this.planner = new EngineCountPlanner(
+					Map.of(SERVICE, Map.of("a", 2, "b", 2), "gone", Map.of("a", 5)));
+			run(62_000);
+			assertThat(EngineCountPlannerTests.this.planner.ordered().keySet()).containsExactly(SERVICE);
+			EngineCountPlannerTests.this.configured = false;
+			run(62_000);
+			assertThat(EngineCountPlannerTests.this.planner.ordered()).isEmpty();
+		}
+
+	}
+
 	@Nested
 	class LostDataCentre {
 
