Test takeovers with a suspended, a cut off leader and a restored store

Cause: no test played these faults one at a time, and no test of the usage reports looked at the tokens.

Change: UsageReportingPropertyTests plays a leader suspended past its lease, a leader cut off from the store only, and a store restored during a takeover. UsageFleet records tokens that fall or have two holders, also in the random plays.

--- a/src/test/java/org/jaywood/leader/LeaderFleet.java
+++ b/src/test/java/org/jaywood/leader/LeaderFleet.java
@@ -84,6 +84,13 @@
 		}
 	}
 
+	/**
+	 * Restores the store from a copy.
+	 */
+	public void restoreStore() {
+		this.store.restore(this.nowMillis);
+	}
+
 	/**
 	 * Ends all suspensions and partitions.
 	 */
@@ -137,6 +144,20 @@
 			start();
 		}
 
+		/**
+		 * Suspends the process for a time.
+		 */
+		public void suspend(long millis) {
+			this.suspendedUntilMillis = LeaderFleet.this.nowMillis + millis;
+		}
+
+		/**
+		 * Cuts the process off from the store for a time.
+		 */
+		public void cutOff(long millis) {
+			this.cutOffUntilMillis = LeaderFleet.this.nowMillis + millis;
+		}
+
 		private void start() {
 			this.process = this.vm + "/" + this.starts++;
 			this.election = new LeaderElection(this.vm, new Address("10.0.0.1", 1), this.process, TIMING,
--- a/src/test/java/org/jaywood/metering/UsageFleet.java
+++ b/src/test/java/org/jaywood/metering/UsageFleet.java
@@ -43,6 +43,10 @@
 
 	private final Map<Long, Map<String, Long>> truth = new HashMap<>();
 
+	private final Map<Long, String> holderByToken = new HashMap<>();
+
+	private long highestToken;
+
 	private final List<String> violations = new ArrayList<>();
 
 	private double apiFaultShare;
@@ -74,6 +78,7 @@
 		if (fault && kind == 1) {
 			return new CloudResponse.Unknown("not arrived");
 		}
+		checkToken(term);
 		Map<String, Long> earlier = this.accepted.putIfAbsent(report.windowId(), report.counts());
 		if (earlier != null && !earlier.equals(report.counts())) {
 			this.violations.add("window " + report.windowId() + ": " + earlier + ", then " + report.counts());
@@ -81,6 +86,14 @@
 		return fault ? new CloudResponse.Unknown("response lost") : new CloudResponse.Accepted();
 	}
 
+	private void checkToken(LeaderTerm term) {
+		String holder = this.holderByToken.putIfAbsent(term.token(), term.holder());
+		if (term.token() < this.highestToken || (holder != null && !holder.equals(term.holder()))) {
+			this.violations.add("token " + term.token() + " of " + term.holder() + " after " + this.highestToken);
+		}
+		this.highestToken = Math.max(this.highestToken, term.token());
+	}
+
 	/**
 	 * Runs the fleet under load.
 	 * @param faultsPerSecond faults of processes and of the store in a second
@@ -154,7 +167,8 @@
 	}
 
 	/**
-	 * Returns the reports that differ from an earlier one of their window.
+	 * Returns the reports that differ from an earlier one of their window, and tokens
+	 * that fall or have two holders.
 	 */
 	List<String> violations() {
 		return this.violations;
--- a/src/test/java/org/jaywood/metering/UsageReportingPropertyTests.java
+++ b/src/test/java/org/jaywood/metering/UsageReportingPropertyTests.java
@@ -2,9 +2,11 @@
 
 import java.util.Map;
 import java.util.Random;
+import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
+import com.google.common.collect.Range;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -12,6 +14,8 @@
 import net.jqwik.api.lifecycle.AfterProperty;
 import net.jqwik.api.lifecycle.BeforeProperty;
 
+import org.jaywood.leader.LeaderFleet;
+
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
@@ -98,6 +102,68 @@
 		assertWithMessage("calls lost of window %s", ended + 1).that(lost).isAtMost(9);
 	}
 
+	/**
+	 * Guards against a leader that goes on after its lease has ended while it was
+	 * suspended.
+	 */
+	@Property(tries = 40, seed = "1")
+	void leaderSuspendedPastItsLease(@ForAll long seed) {
+		takeOver(seed, (leader) -> leader.suspend(7_000));
+	}
+
+	/**
+	 * Guards against a leader that goes on although it cannot renew, while the other
+	 * gateways still reach it.
+	 */
+	@Property(tries = 40, seed = "1")
+	void leaderCutOffFromTheStoreOnly(@ForAll long seed) {
+		takeOver(seed, (leader) -> leader.cutOff(9_000));
+	}
+
+	private static void takeOver(long seed, Consumer<LeaderFleet.Member> fault) {
+		UsageFleet usage = new UsageFleet(4, new Random(seed));
+		usage.run(12_000 + Math.floorMod(seed, 10) * 500, 0, 0);
+		long first = usage.window();
+		LeaderFleet.Member leader = usage.leader();
+		fault.accept(leader);
+		usage.run(7_000, 0, 0);
+		assertThat(usage.leader().vm()).isNotEqualTo(leader.vm());
+		usage.run(25_000, 0, 0);
+		assertThat(usage.violations()).isEmpty();
+		for (long window = first; window <= usage.window() - 3; window++) {
+			assertWithMessage("window %s", window).that(usage.accepted().get(window)).isNotNull();
+			long lost = total(usage.truth().get(window)) - total(usage.accepted().get(window));
+			assertWithMessage("calls lost of window %s", window).that(lost).isIn(Range.closed(0L, 9L));
+		}
+	}
+
+	/**
+	 * Guards against tokens and reports that a store given back to an earlier state lets
+	 * through twice while the leader changes.
+	 */
+	@Property(tries = 80, seed = "1")
+	void storeRestoredDuringATakeover(@ForAll long seed) {
+		UsageFleet usage = new UsageFleet(4, new Random(seed));
+		usage.run(12_000 + Math.floorMod(seed, 10) * 500, 0, 0);
+		LeaderFleet.Member leader = usage.leader();
+		if (Math.floorMod(seed, 2) == 0) {
+			leader.restart();
+		}
+		else {
+			leader.suspend(7_000);
+		}
+		usage.run(3_000 + Math.floorMod(seed, 7) * 500, 0, 0);
+		usage.fleet().restoreStore();
+		usage.run(10_000, 0, 0);
+		long first = usage.window();
+		usage.run(25_000, 0, 0);
+		assertThat(usage.violations()).isEmpty();
+		for (long window = first; window <= usage.window() - 3; window++) {
+			assertWithMessage("window %s", window).that(usage.accepted().get(window))
+				.isEqualTo(usage.truth().get(window));
+		}
+	}
+
 	private static long total(Map<String, Long> counts) {
 		return counts.values().stream().mapToLong(Long::longValue).sum();
 	}
