Test the bound of the leader's counts in responses

Cause: a response above the limit of the gateways would fail each report, and no test guarded the bound.

--- a/src/test/java/org/jaywood/metering/UsageTaskTests.java
+++ b/src/test/java/org/jaywood/metering/UsageTaskTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 
 import org.junit.jupiter.api.Test;
 
@@ -13,7 +14,8 @@
 import static com.google.common.truth.Truth.assertThat;
 
 /**
- * Guards against a report that is sent again right behind a slow failure.
+ * Guards against a report that is sent again right behind a slow failure, and against
+ * responses to gateways that are larger than these accept.
  */
 class UsageTaskTests {
 
@@ -26,12 +28,14 @@
 
 	private final List<Long> sentMillis = new ArrayList<>();
 
+	private final UsageCounter counter = new UsageCounter(WINDOWS);
+
 	private final UsageTask task = new UsageTask(WINDOWS, new TrueTime(this.nowMillis, this.nowMillis),
 			(term, report) -> {
 				this.sentMillis.add(this.nowMillis);
 				this.nowMillis += 1_000;
 				return new CloudResponse.Unknown("no response");
-			}, new EmptyCountStore(), "process", new UsageCounter(WINDOWS), () -> this.nowMillis, new EventLog("test"));
+			}, new EmptyCountStore(), "process", this.counter, () -> this.nowMillis, new EventLog("test"));
 
 	@Test
 	void pauseAfterAFailureBeginsWithTheResponse() {
@@ -44,6 +48,19 @@
 		assertThat(this.sentMillis.get(1) - this.sentMillis.get(0)).isAtLeast(1_250L);
 	}
 
+	@Test
+	void responseHasTheCountsOfTheLeaderUnlessTheyAreTooLarge() {
+		this.task.onElected(new Handover(TERM, null, false, this.nowMillis), this.nowMillis);
+		UsageMessage message = new UsageMessage("other", Map.of(), null);
+		this.counter.record("a", this.nowMillis);
+		assertThat(this.task.onMessage(message, TERM, this.nowMillis).leader())
+			.isEqualTo(new ProcessCounts("process", this.counter.counts()));
+		for (int number = 0; number < 1_500; number++) {
+			this.counter.record("workspace-" + number, this.nowMillis);
+		}
+		assertThat(this.task.onMessage(message, TERM, this.nowMillis).leader()).isNull();
+	}
+
 	private static final class EmptyCountStore implements UsageCountStore {
 
 		@Override
