Tell refused callers a later time while no engine serves

Cause: after a loss of power of all VMs no rate of placements is known, so refused callers were spread over the next second, although engines need some two seconds more to have their weights: each was refused twice.

Change: the dispatcher says whether an upstream that may take the call runs, by the report of its agent or, without one, because it is not ejected. If none does, ReturnSchedule tells a time in the later half of a third of the time that the caller has left. While an engine serves, and in services with one priority, times are as before.

--- a/src/main/java/org/jaywood/routing/ArrivalQueue.java
+++ b/src/main/java/org/jaywood/routing/ArrivalQueue.java
@@ -111,7 +111,7 @@
 	}
 
 	@Override
-	public long retryAfterMillis(CallRequirements requirements, long leftMillis, long nowMillis) {
+	public long retryAfterMillis(CallRequirements requirements, boolean served, long leftMillis, long nowMillis) {
 		return this.retryTime.millis(requirements, this.queue.size(), nowMillis);
 	}
 
--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -280,13 +280,26 @@
 	 * @param leftMillis time that its caller has left
 	 */
 	public synchronized long retryAfterMillis(CallRequirements requirements, long leftMillis, long nowMillis) {
-		long byRateMillis = this.queue.of(requirements.service()).retryAfterMillis(requirements, leftMillis, nowMillis);
-		return eligible(requirements, nowMillis).stream()
+		Collection<UpstreamState> eligible = eligible(requirements, nowMillis);
+		boolean served = eligible.stream().anyMatch((state) -> isRunning(state, nowMillis));
+		long byRateMillis = this.queue.of(requirements.service())
+			.retryAfterMillis(requirements, served, leftMillis, nowMillis);
+		return eligible.stream()
 			.mapToLong((state) -> Math.max(byRateMillis, unavailableMillis(state, nowMillis)))
 			.min()
 			.orElse(byRateMillis);
 	}
 
+	/**
+	 * Whether an upstream is likely to run: by the report of its agent, or without one by
+	 * the calls of this gateway. The list of upstreams names engines that have lost power
+	 * until their heartbeats are missed.
+	 */
+	private static boolean isRunning(UpstreamState state, long nowMillis) {
+		return state.responsive(nowMillis)
+				&& (state.freshReport(nowMillis) != null || !state.health().ejected(nowMillis));
+	}
+
 	/**
 	 * Returns the time in milliseconds for which an upstream is known to take no call of
 	 * this gateway.
--- a/src/main/java/org/jaywood/routing/ReturnSchedule.java
+++ b/src/main/java/org/jaywood/routing/ReturnSchedule.java
@@ -6,9 +6,9 @@
  * Times at which refused callers of one service are told to come back. Each priority has
  * its own: the time until the calls ahead of it are served at the rate that the more
  * urgent ones leave, and behind the callers that were told to come back before. Answers
- * an overload of some seconds, whose refused callers would otherwise return together, and
- * the first second after a start, when no rate is known. Not safe for use by several
- * threads.
+ * an overload of some seconds, whose refused callers would otherwise return together, the
+ * first second after a start, when no rate is known, and a time without engines. Not safe
+ * for use by several threads.
  */
 final class ReturnSchedule {
 
@@ -41,6 +41,30 @@
 		this.forecast = forecast;
 	}
 
+	/**
+	 * Returns the time in milliseconds after which a call is told to come back that is
+	 * refused while no upstream runs that may take it: in the later half of the interval
+	 * that callers honour. Engines need seconds to load their weights after a loss of
+	 * power, so a caller that returns sooner is refused again.
+	 * @param leftMillis time that its caller has left
+	 */
+	long unservedMillis(long leftMillis) {
+		advanceSpread();
+		return Math.round(laterHalfMillis(longestMillis(leftMillis)));
+	}
+
+	private void advanceSpread() {
+		this.spread = (this.spread + GOLDEN_RATIO) % 1;
+	}
+
+	private static double longestMillis(long leftMillis) {
+		return Math.clamp(HONOURED_SHARE * leftMillis, MIN_MILLIS, MAX_MILLIS);
+	}
+
+	private double laterHalfMillis(double longestMillis) {
+		return Math.max(MIN_MILLIS, longestMillis * (1 - this.spread / 2));
+	}
+
 	/**
 	 * Returns the time in milliseconds after which a refused call is told to come back.
 	 * @param moreUrgent queued calls of more urgent priorities
@@ -48,8 +72,8 @@
 	 * @param leftMillis time that its caller has left
 	 */
 	long retryAfterMillis(int priority, int moreUrgent, int queued, long leftMillis, long nowMillis) {
-		this.spread = (this.spread + GOLDEN_RATIO) % 1;
-		double longestMillis = Math.clamp(HONOURED_SHARE * leftMillis, MIN_MILLIS, MAX_MILLIS);
+		advanceSpread();
+		double longestMillis = longestMillis(leftMillis);
 		double millis = this.forecast.known(nowMillis)
 				? scheduledMillis(priority, moreUrgent + queued, longestMillis, nowMillis)
 				: Math.min(longestMillis, MIN_MILLIS + this.spread * UNKNOWN_RATE_SPREAD_MILLIS);
@@ -62,8 +86,8 @@
 		double previousMillis = this.lastReturnMillis.getOrDefault(priority, 0.0);
 		double returnMillis = Math.max(roomMillis, previousMillis + callMillis);
 		if (returnMillis - nowMillis > longestMillis) {
-			// No room in time: such callers are spread over the later half.
-			return Math.max(MIN_MILLIS, longestMillis * (1 - this.spread / 2));
+			// No room in time.
+			return laterHalfMillis(longestMillis);
 		}
 		this.lastReturnMillis.put(priority, returnMillis);
 		return returnMillis - nowMillis;
--- a/src/main/java/org/jaywood/routing/ServiceQueue.java
+++ b/src/main/java/org/jaywood/routing/ServiceQueue.java
@@ -72,9 +72,10 @@
 
 	/**
 	 * Returns the time in milliseconds after which a refused call is likely to be placed.
+	 * @param served whether an upstream runs that may take the call
 	 * @param leftMillis time that its caller has left
 	 */
-	long retryAfterMillis(CallRequirements requirements, long leftMillis, long nowMillis);
+	long retryAfterMillis(CallRequirements requirements, boolean served, long leftMillis, long nowMillis);
 
 	/**
 	 * Returns the free capacity for each gateway that must remain for more urgent calls
--- a/src/main/java/org/jaywood/routing/SharedQueue.java
+++ b/src/main/java/org/jaywood/routing/SharedQueue.java
@@ -157,7 +157,10 @@
 	}
 
 	@Override
-	public long retryAfterMillis(CallRequirements requirements, long leftMillis, long nowMillis) {
+	public long retryAfterMillis(CallRequirements requirements, boolean served, long leftMillis, long nowMillis) {
+		if (!served) {
+			return this.returns.unservedMillis(leftMillis);
+		}
 		FairQueue own = this.byPriority.get(requirements.priority());
 		return this.returns.retryAfterMillis(requirements.priority(), moreUrgentCalls(requirements.priority()),
 				(own != null) ? own.size() : 0, leftMillis, nowMillis);
