Test gateways that start in two groups beside a cold engine

Reports of agents are a lower bound after a loss of power, and nothing that a gateway reads names the gateways that are still to start.

--- a/src/test/java/org/jaywood/routing/ColdLimitFleetTests.java
+++ b/src/test/java/org/jaywood/routing/ColdLimitFleetTests.java
@@ -49,6 +49,17 @@
 		assertThat(simulation.maxCallsInASecond()).isAtMost(COLD_LIMIT);
 	}
 
+	/**
+	 * Guards against gateways that take the shares of those that have reached the agent,
+	 * while others are still to start.
+	 */
+	@Test
+	void gatewaysThatStartInTwoGroupsStayWithinColdLimit() {
+		Simulation simulation = new Simulation(24, new Random(1));
+		simulation.restartInTwoGroups(2_500);
+		assertThat(simulation.maxCallsInASecond()).isAtMost(COLD_LIMIT);
+	}
+
 	/** Guards against a limit that is kept by sending hardly anything. */
 	@Test
 	void settledGatewaysUseMostOfColdLimit() {
@@ -134,6 +145,17 @@
 					POWER_LOSS_MILLIS + this.random.nextInt(2_000));
 		}
 
+		/**
+		 * Plays a loss of power after which half of the gateways start later.
+		 */
+		void restartInTwoGroups(int gapMillis) {
+			int half = this.gatewayCount / 2;
+			run(Stream
+				.concat(gateways(half, POWER_LOSS_MILLIS, 0).stream(),
+						gateways(half, POWER_LOSS_MILLIS + gapMillis, 0).stream())
+				.toList(), engine("b", 2, 3_000), POWER_LOSS_MILLIS, POWER_LOSS_MILLIS);
+		}
+
 		private List<SimulatedGateway> gateways(int count, int fromMillis, int spreadMillis) {
 			return IntStream.range(0, count)
 				.mapToObj((index) -> new SimulatedGateway(fromMillis + this.random.nextInt(spreadMillis + 1),
