Forget priorities without calls, and count returning callers

Cause: PriorityDemand kept each priority for ever, so that one urgent call of long ago decided which priority has a floor. ReturnSchedule kept the time of the latest return, which a burst can put seconds ahead; callers refused after the burst were told times behind it. Forgetting brought out a third fault: the first call of a priority counted as a rate of one call a millisecond for some time, also when other calls had come for long.

Change: a priority without calls for 20 s is forgotten, in PriorityFloor, too. ReturnSchedule keeps the number of callers that are to return, at the rate of now.

--- a/src/main/java/org/jaywood/routing/EventRate.java
+++ b/src/main/java/org/jaywood/routing/EventRate.java
@@ -12,10 +12,19 @@
 
 	private long lastMillis;
 
-	private long firstMillis = Long.MIN_VALUE;
+	private long firstMillis;
 
 	EventRate(double windowMillis) {
+		this(windowMillis, Long.MIN_VALUE);
+	}
+
+	/**
+	 * Creates a rate of events that would have been recorded earlier, had there been any.
+	 * @param sinceMillis time from which on none came
+	 */
+	EventRate(double windowMillis, long sinceMillis) {
 		this.windowMillis = windowMillis;
+		this.firstMillis = sinceMillis;
 	}
 
 	void record(long nowMillis) {
@@ -33,6 +42,13 @@
 		return decayed(nowMillis) / coveredMillis(nowMillis);
 	}
 
+	/**
+	 * Returns the time in milliseconds since the latest event.
+	 */
+	long idleMillis(long nowMillis) {
+		return nowMillis - this.lastMillis;
+	}
+
 	/**
 	 * Returns the time in milliseconds since the first event, 0 if there was none.
 	 */
--- a/src/main/java/org/jaywood/routing/PriorityDemand.java
+++ b/src/main/java/org/jaywood/routing/PriorityDemand.java
@@ -12,10 +12,28 @@
 	/** Long enough to contain some dozen calls, short enough to follow a burst. */
 	private static final double WINDOW_MILLIS = 2_000;
 
+	/**
+	 * Time without calls after which a priority is forgotten. Its rate has then long been
+	 * next to nothing, but the most urgent one has no floor and decides who has.
+	 */
+	private static final long RETENTION_MILLIS = 20_000;
+
 	private final TreeMap<Integer, EventRate> arrivals = new TreeMap<>();
 
+	private long firstMillis = Long.MIN_VALUE;
+
+	/**
+	 * Records a call. The first call of a priority counts over the whole time in which
+	 * calls of others came: a rate of one call in the millisecond of its arrival would
+	 * have less urgent calls refused.
+	 */
 	void onArrival(int priority, long nowMillis) {
-		this.arrivals.computeIfAbsent(priority, (key) -> new EventRate(WINDOW_MILLIS)).record(nowMillis);
+		if (this.firstMillis == Long.MIN_VALUE) {
+			this.firstMillis = nowMillis;
+		}
+		this.arrivals.computeIfAbsent(priority, (key) -> new EventRate(WINDOW_MILLIS, this.firstMillis))
+			.record(nowMillis);
+		this.arrivals.values().removeIf((rate) -> rate.idleMillis(nowMillis) >= RETENTION_MILLIS);
 	}
 
 	/**
--- a/src/main/java/org/jaywood/routing/PriorityFloor.java
+++ b/src/main/java/org/jaywood/routing/PriorityFloor.java
@@ -36,6 +36,7 @@
 	 * Records a placement of a call of any priority.
 	 */
 	void onPlaced(int priority, long nowMillis) {
+		this.dueCalls.keySet().retainAll(this.demand.priorities());
 		this.demand.priorities()
 			.forEach((each) -> this.dueCalls.merge(each, share(each, nowMillis),
 					(due, share) -> Math.min(MAX_DUE_CALLS, due + share)));
--- a/src/main/java/org/jaywood/routing/ReturnSchedule.java
+++ b/src/main/java/org/jaywood/routing/ReturnSchedule.java
@@ -1,6 +1,7 @@
 package org.jaywood.routing;
 
-import java.util.TreeMap;
+import java.util.HashMap;
+import java.util.Map;
 
 /**
  * Times at which refused callers of one service are told to come back. Each priority has
@@ -32,8 +33,8 @@
 
 	private final WaitForecast forecast;
 
-	/** Time of the latest return by priority. */
-	private final TreeMap<Integer, Double> lastReturnMillis = new TreeMap<>();
+	/** Callers that were told to come back and have not yet, by priority. */
+	private final Map<Integer, Returning> returning = new HashMap<>();
 
 	private double spread;
 
@@ -82,15 +83,33 @@
 
 	private double scheduledMillis(int priority, int ahead, double longestMillis, long nowMillis) {
 		double callMillis = 1 / this.forecast.placedPerMilli(priority, nowMillis);
-		double roomMillis = nowMillis + Math.max(MIN_MILLIS, ahead * callMillis);
-		double previousMillis = this.lastReturnMillis.getOrDefault(priority, 0.0);
-		double returnMillis = Math.max(roomMillis, previousMillis + callMillis);
-		if (returnMillis - nowMillis > longestMillis) {
+		double roomMillis = Math.max(MIN_MILLIS, ahead * callMillis);
+		double aheadCalls = this.returning.getOrDefault(priority, Returning.NONE).callsAfter(callMillis, nowMillis);
+		double returnMillis = Math.max(roomMillis, (aheadCalls + 1) * callMillis);
+		if (returnMillis > longestMillis) {
 			// No room in time.
 			return laterHalfMillis(longestMillis);
 		}
-		this.lastReturnMillis.put(priority, returnMillis);
-		return returnMillis - nowMillis;
+		this.returning.put(priority, new Returning(returnMillis / callMillis, nowMillis));
+		return returnMillis;
+	}
+
+	/**
+	 * Places taken by callers that were told to come back. They are a number of calls
+	 * rather than a time: after a burst the same number is served sooner, and later
+	 * callers must not wait for the time that was told during the burst.
+	 */
+	private record Returning(double calls, long asOfMillis) {
+
+		static final Returning NONE = new Returning(-1, 0);
+
+		/**
+		 * Returns the places that are still taken, -1 if the next one is free now.
+		 */
+		double callsAfter(double callMillis, long nowMillis) {
+			return Math.max(-1, this.calls - (nowMillis - this.asOfMillis) / callMillis);
+		}
+
 	}
 
 }
--- a/src/test/java/org/jaywood/routing/ReturnTests.java
+++ b/src/test/java/org/jaywood/routing/ReturnTests.java
@@ -100,6 +100,50 @@
 
 	}
 
+	/**
+	 * Guards against times that follow calls of long ago.
+	 */
+	@Nested
+	class AfterABurst {
+
+		private final PriorityDemand demand = new PriorityDemand();
+
+		@Test
+		void placesTakenDuringTheBurstDelayNobodyAfterIt() {
+			PriorityFloor floor = new PriorityFloor(this.demand);
+			SlotDemand slots = new SlotDemand(this.demand);
+			ReturnSchedule returns = new ReturnSchedule(new WaitForecast(this.demand, floor, slots));
+			CallRequirements requirements = RoutingFixtures.requirements(RoutingFixtures.ENGINE_SERVICE, false);
+			LongStream.range(0, 900).map((number) -> number * 10).forEach((millis) -> {
+				slots.onBegin();
+				slots.onPlaced(millis);
+				slots.onEnd(new Placement(RoutingFixtures.engine("a"), requirements, SpilloverReason.LOCAL, 0, 1, 0, 0,
+						millis - 100, null), Outcome.ANSWERED, millis);
+				this.demand.onArrival((millis < 5_000 && millis % 200 != 0) ? 0 : 2, millis);
+				if (millis > 4_500 && millis < 5_000) {
+					returns.retryAfterMillis(2, 0, 0, 30_000, millis);
+				}
+			});
+			assertThat(returns.retryAfterMillis(2, 0, 0, 30_000, 9_000)).isLessThan(500);
+		}
+
+		@Test
+		void priorityWithoutCallsIsForgotten() {
+			this.demand.onArrival(0, 0);
+			LongStream.rangeClosed(0, 30).forEach((second) -> this.demand.onArrival(1, second * 1_000));
+			assertThat(this.demand.priorities()).containsExactly(1);
+			assertThat(this.demand.mostUrgent(1)).isTrue();
+		}
+
+		@Test
+		void firstUrgentCallAfterALongTimeIsNoHighRate() {
+			LongStream.rangeClosed(0, 30).forEach((second) -> this.demand.onArrival(1, second * 1_000));
+			this.demand.onArrival(0, 30_001);
+			assertThat(this.demand.moreUrgentPerMilli(1, 30_002)).isLessThan(0.001);
+		}
+
+	}
+
 	/**
 	 * Guards against callers whose returns keep an overload going after its cause.
 	 */
