Rename the simulations of the routing tests and parts of FairQueue

Tests: ReturnTests, SharingTests, SpilloverTests, UnevenEnginesTests, RetryAfterTests, ArchitectureTests and PlatformNamesTests pass.

--- a/src/main/java/org/jaywood/routing/FairQueue.java
+++ b/src/main/java/org/jaywood/routing/FairQueue.java
@@ -24,10 +24,10 @@
 final class FairQueue {
 
 	/**
-	 * Late calls that are placed for each workspace are at least one in as many, so that
+	 * Of as many calls of a workspace that are placed, at least one is late, so that
 	 * callers who return after a refusal are neither ahead of all nor behind all.
 	 */
-	private static final int LATE_TURN = 4;
+	private static final int PLACED_PER_LATE_CALL = 4;
 
 	private static final int INITIAL_RANKS = 16;
 
@@ -63,7 +63,7 @@
 		Flow.Key key = new Flow.Key(Constraints.of(queuedCall.requirements()), queuedCall.requirements().workspace());
 		Flow flow = this.flows.computeIfAbsent(key, Flow::new);
 		if (flow.isEmpty()) {
-			flow.become(startTime(key.workspace()), queuedCall.sequence());
+			flow.moveTo(startTime(key.workspace()), queuedCall.sequence());
 			this.lanes.computeIfAbsent(key.constraints(), (each) -> new TreeSet<>(Flow.ORDER)).add(flow);
 		}
 		if (flow.add(queuedCall)) {
@@ -144,7 +144,7 @@
 		Flow first = lane.first();
 		while (first.startTime() < finishTime(first.workspace())) {
 			lane.remove(first);
-			first.become(startTime(first.workspace()), first.first().sequence());
+			first.moveTo(startTime(first.workspace()), first.first().sequence());
 			lane.add(first);
 			first = lane.first();
 		}
@@ -182,8 +182,8 @@
 		int lateCalls = lateCalls(latest);
 		int onTimeCalls = ownCalls - lateCalls;
 		int ownAhead = (latest.queueClass() == CallRequirements.QueueClass.LATE)
-				? Math.min(ownCalls, LATE_TURN * (lateCalls + 1) - 1)
-				: onTimeCalls + Math.min(lateCalls, onTimeCalls / (LATE_TURN - 1));
+				? Math.min(ownCalls, PLACED_PER_LATE_CALL * (lateCalls + 1) - 1)
+				: onTimeCalls + Math.min(lateCalls, onTimeCalls / (PLACED_PER_LATE_CALL - 1));
 		return countAhead(latest.workspace(), ownAhead);
 	}
 
@@ -270,7 +270,7 @@
 		/**
 		 * Sets its place among the flows, while it is not among them.
 		 */
-		void become(double latestStartTime, long latestOrder) {
+		void moveTo(double latestStartTime, long latestOrder) {
 			this.startTime = latestStartTime;
 			this.order = latestOrder;
 		}
@@ -301,8 +301,8 @@
 		}
 
 		QueuedCall first() {
-			boolean lateTurn = this.onTime.isEmpty() || this.placedBeforeLate >= LATE_TURN - 1;
-			return (lateTurn && !this.late.isEmpty()) ? this.late.first() : this.onTime.first();
+			boolean lateIsNext = this.onTime.isEmpty() || this.placedBeforeLate >= PLACED_PER_LATE_CALL - 1;
+			return (lateIsNext && !this.late.isEmpty()) ? this.late.first() : this.onTime.first();
 		}
 
 		void onPlaced(QueuedCall queuedCall) {
@@ -315,11 +315,11 @@
 			List<QueuedCall> lateCalls = List.copyOf(this.late);
 			Stream.Builder<Position> positions = Stream.builder();
 			for (int i = 0; i < onTimeCalls.size(); i++) {
-				int ahead = i + Math.min(lateCalls.size(), i / (LATE_TURN - 1));
+				int ahead = i + Math.min(lateCalls.size(), i / (PLACED_PER_LATE_CALL - 1));
 				positions.add(new Position(onTimeCalls.get(i), queue.countAhead(workspace(), ahead)));
 			}
 			for (int i = 0; i < lateCalls.size(); i++) {
-				int ahead = i + Math.min(onTimeCalls.size(), (i + 1) * (LATE_TURN - 1));
+				int ahead = i + Math.min(onTimeCalls.size(), (i + 1) * (PLACED_PER_LATE_CALL - 1));
 				positions.add(new Position(lateCalls.get(i), queue.countAhead(workspace(), ahead)));
 			}
 			return positions.build();
--- a/src/test/java/org/jaywood/routing/ContentionPlay.java
+++ b/src/test/java/org/jaywood/routing/ContentionSimulation.java
@@ -15,10 +15,10 @@
 import java.util.stream.Stream;
 
 /**
- * Plays calls against the dispatchers of some gateways with fake engines, whose reports
- * are late, and keeps what each caller got.
+ * Simulates calls against the dispatchers of some gateways with fake engines, whose
+ * reports are late, and keeps what each caller got.
  */
-final class ContentionPlay {
+final class ContentionSimulation {
 
 	static final int SLOTS = 12;
 
@@ -62,11 +62,11 @@
 	private long loadIntervalMillis;
 
 	/**
-	 * Creates a play.
+	 * Creates a simulation.
 	 * @param sharing whether the routes have several priorities; otherwise the order is
 	 * that of services with one priority
 	 */
-	ContentionPlay(int gatewayCount, int engineCount, boolean sharing) {
+	ContentionSimulation(int gatewayCount, int engineCount, boolean sharing) {
 		this.engines = IntStream.range(0, engineCount).mapToObj((number) -> new Engine("engine-" + number)).toList();
 		RouteTable table = sharing ? RoutingFixtures.table(route(0), route(1), route(2)) : RoutingFixtures.table();
 		this.gateways = IntStream.range(0, gatewayCount).mapToObj((number) -> {
@@ -89,13 +89,13 @@
 	}
 
 	/** Has callers come back when they are told to, within a third of their time. */
-	ContentionPlay withReturns() {
+	ContentionSimulation withReturns() {
 		this.callersReturn = true;
 		return this;
 	}
 
 	/** Has callers of a workspace come back at once, whatever they are told. */
-	ContentionPlay withImpatient(String workspace) {
+	ContentionSimulation withImpatient(String workspace) {
 		this.impatientWorkspace = workspace;
 		return this;
 	}
@@ -104,19 +104,19 @@
 	 * Has engines load their weights one after the other after a start.
 	 * @param firstMillis time at which the first engine has loaded
 	 */
-	ContentionPlay withLoading(long firstMillis, long intervalMillis) {
+	ContentionSimulation withLoading(long firstMillis, long intervalMillis) {
 		this.firstLoadedMillis = firstMillis;
 		this.loadIntervalMillis = intervalMillis;
 		return this;
 	}
 
-	ContentionPlay with(Source source) {
+	ContentionSimulation with(Source source) {
 		this.sources.add(source);
 		return this;
 	}
 
 	/**
-	 * Runs the play.
+	 * Runs the simulation.
 	 * @return all callers, in the order in which they first came
 	 */
 	List<Caller> run(long millis) {
@@ -351,14 +351,14 @@
 		}
 
 		private long loadedMillis() {
-			return ContentionPlay.this.firstLoadedMillis
-					+ ContentionPlay.this.engines.indexOf(this) * ContentionPlay.this.loadIntervalMillis;
+			return ContentionSimulation.this.firstLoadedMillis
+					+ ContentionSimulation.this.engines.indexOf(this) * ContentionSimulation.this.loadIntervalMillis;
 		}
 
 		Upstream entry() {
 			Upstream engine = RoutingFixtures.engine(this.id);
 			return new Upstream(this.id, engine.service(), engine.address(), engine.dataCentre(), engine.region(),
-					ContentionPlay.SLOTS, false, 0, 1, engine.weights());
+					ContentionSimulation.SLOTS, false, 0, 1, engine.weights());
 		}
 
 		UpstreamReport report(int gatewayCount, long nowMillis) {
@@ -372,15 +372,15 @@
 		void run(long nowMillis) {
 			while (!this.running.isEmpty() && this.running.peek().endMillis <= nowMillis) {
 				Caller caller = this.running.poll();
-				ContentionPlay.this.gateways.get(caller.source.gateway())
+				ContentionSimulation.this.gateways.get(caller.source.gateway())
 					.recordEnd(caller.placement, Outcome.ANSWERED, nowMillis);
 				updateWaiting(nowMillis);
 			}
-			while (!this.queue.isEmpty() && this.running.size() < ContentionPlay.SLOTS) {
+			while (!this.queue.isEmpty() && this.running.size() < ContentionSimulation.SLOTS) {
 				Caller caller = this.queue.poll();
 				caller.startedMillis = nowMillis;
-				caller.endMillis = nowMillis + Math
-					.round(caller.source.slotFactor() * SLOT_MILLIS * (0.5 + ContentionPlay.this.random.nextDouble()));
+				caller.endMillis = nowMillis + Math.round(caller.source.slotFactor() * SLOT_MILLIS
+						* (0.5 + ContentionSimulation.this.random.nextDouble()));
 				this.running.add(caller);
 			}
 		}
--- a/src/test/java/org/jaywood/routing/EnginePlay.java
+++ b/src/test/java/org/jaywood/routing/EngineSimulation.java
@@ -18,10 +18,10 @@
 import org.jaywood.wire.Address;
 
 /**
- * Plays calls of several gateways against engines that read prompts one after the other
- * and send events at their speed, in steps of a millisecond.
+ * Simulates calls of several gateways against engines that read prompts one after the
+ * other and send events at their speed, in steps of a millisecond.
  */
-final class EnginePlay {
+final class EngineSimulation {
 
 	static final int SLOTS = 12;
 
@@ -56,7 +56,7 @@
 
 	private long sequence;
 
-	EnginePlay(long seed) {
+	EngineSimulation(long seed) {
 		this.random = new Random(seed);
 	}
 
@@ -92,7 +92,7 @@
 	}
 
 	/**
-	 * Plays until all calls that arrive before a time have ended.
+	 * Simulates until all calls that arrive before a time have ended.
 	 */
 	void run(long arrivalsUntilMillis, Arrivals arrivals) {
 		start();
@@ -172,9 +172,10 @@
 	 * Returns a percentile of the time to the first event of calls that arrived in a
 	 * time.
 	 */
-	static long firstEventPercentile(List<EnginePlay> plays, double share, long fromMillis, long untilMillis) {
-		long[] sorted = plays.stream()
-			.flatMap((play) -> play.calls.stream())
+	static long firstEventPercentile(List<EngineSimulation> simulations, double share, long fromMillis,
+			long untilMillis) {
+		long[] sorted = simulations.stream()
+			.flatMap((simulation) -> simulation.calls.stream())
 			.filter((call) -> call.arrivedMillis >= fromMillis && call.arrivedMillis < untilMillis)
 			.mapToLong((call) -> call.firstMillis - call.arrivedMillis)
 			.sorted()
@@ -294,8 +295,8 @@
 			for (Iterator<Call> iterator = this.waiting.iterator(); iterator.hasNext();) {
 				Call call = iterator.next();
 				Placement placement = call.queued.placement().getNow(null);
-				if (placement == null
-						&& EnginePlay.this.nowMillis - call.arrivedMillis >= EnginePlay.this.maxWaitMillis) {
+				if (placement == null && EngineSimulation.this.nowMillis
+						- call.arrivedMillis >= EngineSimulation.this.maxWaitMillis) {
 					iterator.remove();
 					this.dispatcher.dequeue(call.queued);
 					call.ended = true;
@@ -304,16 +305,16 @@
 					iterator.remove();
 					call.placement = placement;
 					call.engine = find(placement.upstream().id());
-					placement.activity().onSent(EnginePlay.this.nowMillis);
+					placement.activity().onSent(EngineSimulation.this.nowMillis);
 					this.dispatcher.onConnected(placement.upstream(), 2 * latency(call.engine, this),
-							EnginePlay.this.nowMillis);
-					later(latency(call.engine, this), () -> call.engine.receive(call, EnginePlay.this.nowMillis));
+							EngineSimulation.this.nowMillis);
+					later(latency(call.engine, this), () -> call.engine.receive(call, EngineSimulation.this.nowMillis));
 				}
 			}
 		}
 
 		private void onEvent(Call call, boolean last) {
-			long nowMillis = EnginePlay.this.nowMillis;
+			long nowMillis = EngineSimulation.this.nowMillis;
 			call.firstMillis = Math.min(call.firstMillis, nowMillis);
 			call.placement.activity().onProgress(nowMillis);
 			call.placement.activity().onForwarded(nowMillis);
--- a/src/test/java/org/jaywood/routing/ReturnTests.java
+++ b/src/test/java/org/jaywood/routing/ReturnTests.java
@@ -13,30 +13,30 @@
 import static com.google.common.truth.Truth.assertThat;
 
 /**
- * Plays refused callers who come back when they are told to, and checks when that is and
- * what they get.
+ * Simulates refused callers who come back when they are told to, and checks when that is
+ * and what they get.
  */
 class ReturnTests {
 
-	private static ContentionPlay play(boolean sharing, double load) {
-		ContentionPlay play = new ContentionPlay(4, 8, sharing).withReturns();
-		double perSecond = play.capacityPerSecond() / 4;
+	private static ContentionSimulation simulation(boolean sharing, double load) {
+		ContentionSimulation simulation = new ContentionSimulation(4, 8, sharing).withReturns();
+		double perSecond = simulation.capacityPerSecond() / 4;
 		for (int gateway = 0; gateway < 4; gateway++) {
-			play.with(new ContentionPlay.Source("a", 0, 0.3 * perSecond).at(gateway))
-				.with(new ContentionPlay.Source("b", 1, 0.3 * perSecond).at(gateway))
-				.with(new ContentionPlay.Source("c", 2, 0.2 * perSecond).at(gateway));
+			simulation.with(new ContentionSimulation.Source("a", 0, 0.3 * perSecond).at(gateway))
+				.with(new ContentionSimulation.Source("b", 1, 0.3 * perSecond).at(gateway))
+				.with(new ContentionSimulation.Source("c", 2, 0.2 * perSecond).at(gateway));
 			Stream
-				.of(new ContentionPlay.Source("a", 0, 0.3 * load * perSecond),
-						new ContentionPlay.Source("b", 1, 0.3 * load * perSecond),
-						new ContentionPlay.Source("c", 2, 0.2 * load * perSecond))
+				.of(new ContentionSimulation.Source("a", 0, 0.3 * load * perSecond),
+						new ContentionSimulation.Source("b", 1, 0.3 * load * perSecond),
+						new ContentionSimulation.Source("c", 2, 0.2 * load * perSecond))
 				.filter((source) -> source.perSecond() > 0)
-				.forEach((source) -> play.with(source.at(0).between(4_000, 8_000)));
+				.forEach((source) -> simulation.with(source.at(0).between(4_000, 8_000)));
 		}
-		return play;
+		return simulation;
 	}
 
-	private static double served(List<ContentionPlay.Caller> callers, long fromMillis, long untilMillis) {
-		return ContentionPlay.served(callers,
+	private static double served(List<ContentionSimulation.Caller> callers, long fromMillis, long untilMillis) {
+		return ContentionSimulation.served(callers,
 				(caller) -> caller.cameMillis >= fromMillis && caller.cameMillis < untilMillis);
 	}
 
@@ -49,14 +49,15 @@
 
 		@Test
 		void timeIsAtMostAThirdOfWhatTheCallerHasLeft() {
-			play(true, 2).run(12_000)
+			simulation(true, 2).run(12_000)
 				.forEach((caller) -> caller.retryAfterMillis.forEach((millis) -> assertThat(millis).isAtMost(2_000)));
 		}
 
 		@Test
 		void callersAreSpreadOverTheFirstSecondWhileNoRateIsKnown() {
 			Dispatcher dispatcher = new Dispatcher(RoutingFixtures.settings());
-			dispatcher.onRouteTable(RoutingFixtures.table(ContentionPlay.route(0), ContentionPlay.route(1)), 0);
+			dispatcher.onRouteTable(RoutingFixtures.table(ContentionSimulation.route(0), ContentionSimulation.route(1)),
+					0);
 			dispatcher.onFleet(RoutingFixtures.fleet(RoutingFixtures.engine("a")), 0);
 			CallRequirements requirements = RoutingFixtures.requirements(RoutingFixtures.ENGINE_SERVICE, false);
 			long[] millis = LongStream.range(0, 100)
@@ -73,7 +74,8 @@
 		@ValueSource(strings = { "none", "unreachable", "without weights" })
 		void callersReturnInTheLaterHalfWhileNoEngineServes(String state) {
 			Dispatcher dispatcher = new Dispatcher(RoutingFixtures.settings());
-			dispatcher.onRouteTable(RoutingFixtures.table(ContentionPlay.route(0), ContentionPlay.route(1)), 0);
+			dispatcher.onRouteTable(RoutingFixtures.table(ContentionSimulation.route(0), ContentionSimulation.route(1)),
+					0);
 			if (!state.equals("none")) {
 				dispatcher.onFleet(RoutingFixtures.fleet(RoutingFixtures.engine("a")), 0);
 				dispatcher.onReport("a",
@@ -91,7 +93,8 @@
 		@Test
 		void nobodyIsRefusedByARateThatIsNotKnown() {
 			Dispatcher dispatcher = new Dispatcher(RoutingFixtures.settings());
-			dispatcher.onRouteTable(RoutingFixtures.table(ContentionPlay.route(0), ContentionPlay.route(1)), 0);
+			dispatcher.onRouteTable(RoutingFixtures.table(ContentionSimulation.route(0), ContentionSimulation.route(1)),
+					0);
 			dispatcher.onFleet(RoutingFixtures.fleet(RoutingFixtures.engine("a")), 0);
 			CallRequirements requirements = RoutingFixtures.requirements(RoutingFixtures.ENGINE_SERVICE, false);
 			assertThat(LongStream.range(0, 50).allMatch((number) -> dispatcher.offer(requirements, 230, 0).isPresent()))
@@ -152,32 +155,32 @@
 
 		@Test
 		void urgentCallersReturnFirst() {
-			List<ContentionPlay.Caller> callers = play(true, 2).run(12_000);
+			List<ContentionSimulation.Caller> callers = simulation(true, 2).run(12_000);
 			assertThat(meanRetryMillis(callers, 0)).isLessThan(meanRetryMillis(callers, 2));
 		}
 
 		@Test
 		void usualServiceIsBackSoonAfterThreefoldLoad() {
-			List<ContentionPlay.Caller> callers = play(true, 2).run(20_000);
+			List<ContentionSimulation.Caller> callers = simulation(true, 2).run(20_000);
 			assertThat(served(callers, 11_000, 14_000)).isAtLeast(served(callers, 1_000, 4_000) - 0.05);
 		}
 
 		@Test
 		void asManyAreServedAsBefore() {
-			assertThat(served(play(true, 2).run(20_000), 0, 14_000))
-				.isAtLeast(served(play(false, 2).run(20_000), 0, 14_000) - 0.01);
+			assertThat(served(simulation(true, 2).run(20_000), 0, 14_000))
+				.isAtLeast(served(simulation(false, 2).run(20_000), 0, 14_000) - 0.01);
 		}
 
 		@Test
 		void callersWhoIgnoreTheTimeDoNotTakeFromTheOthers() {
-			ContentionPlay ignoring = play(true, 2).withImpatient("c");
-			List<ContentionPlay.Caller> callers = ignoring.run(20_000);
-			List<ContentionPlay.Caller> others = play(true, 2).run(20_000);
-			assertThat(ContentionPlay.served(callers, (caller) -> caller.source.priority() == 0))
-				.isAtLeast(ContentionPlay.served(others, (caller) -> caller.source.priority() == 0) - 0.05);
+			ContentionSimulation ignoring = simulation(true, 2).withImpatient("c");
+			List<ContentionSimulation.Caller> callers = ignoring.run(20_000);
+			List<ContentionSimulation.Caller> others = simulation(true, 2).run(20_000);
+			assertThat(ContentionSimulation.served(callers, (caller) -> caller.source.priority() == 0))
+				.isAtLeast(ContentionSimulation.served(others, (caller) -> caller.source.priority() == 0) - 0.05);
 		}
 
-		private static double meanRetryMillis(List<ContentionPlay.Caller> callers, int priority) {
+		private static double meanRetryMillis(List<ContentionSimulation.Caller> callers, int priority) {
 			return callers.stream()
 				.filter((caller) -> caller.source.priority() == priority)
 				.flatMap((caller) -> caller.retryAfterMillis.stream().limit(1))
@@ -197,15 +200,16 @@
 
 		@Test
 		void usualRateIsBackWithinThreeSecondsAndNoSecondFallsBelowHalf() {
-			ContentionPlay play = play(true, 0);
-			double usualPerSecond = 0.8 * play.capacityPerSecond();
+			ContentionSimulation simulation = simulation(true, 0);
+			double usualPerSecond = 0.8 * simulation.capacityPerSecond();
 			for (int gateway = 0; gateway < 4; gateway++) {
 				for (int priority = 0; priority < 3; priority++) {
-					play.with(new ContentionPlay.Source("returning", priority, usualPerSecond / 12 * 10).at(gateway)
-						.between(0, 200));
+					simulation.with(
+							new ContentionSimulation.Source("returning", priority, usualPerSecond / 12 * 10).at(gateway)
+								.between(0, 200));
 				}
 			}
-			List<ContentionPlay.Caller> callers = play.run(8_000);
+			List<ContentionSimulation.Caller> callers = simulation.run(8_000);
 			LongStream.range(0, 7)
 				.forEach((second) -> assertThat(startedIn(callers, second))
 					.isAtLeast((second < 3) ? 0.5 * usualPerSecond : 0.85 * usualPerSecond));
@@ -218,8 +222,8 @@
 		@Test
 		void callersReturnAboutWhenTheFirstEngineHasItsWeights() {
 			long firstMillis = 2_300;
-			List<ContentionPlay.Caller> callers = play(true, 0).withLoading(firstMillis, 100).run(10_000);
-			List<ContentionPlay.Caller> early = callers.stream()
+			List<ContentionSimulation.Caller> callers = simulation(true, 0).withLoading(firstMillis, 100).run(10_000);
+			List<ContentionSimulation.Caller> early = callers.stream()
 				.filter((caller) -> caller.cameMillis < firstMillis)
 				.toList();
 			double refusalsBefore = early.stream()
@@ -233,7 +237,7 @@
 			assertThat(refusedAgain).isLessThan(0.75);
 		}
 
-		private static double startedIn(List<ContentionPlay.Caller> callers, long second) {
+		private static double startedIn(List<ContentionSimulation.Caller> callers, long second) {
 			return callers.stream()
 				.filter((caller) -> caller.served() && caller.startedMillis / 1_000 == second)
 				.count();
--- a/src/test/java/org/jaywood/routing/SpilloverTests.java
+++ b/src/test/java/org/jaywood/routing/SpilloverTests.java
@@ -12,11 +12,11 @@
 import static com.google.common.truth.Truth.assertThat;
 
 /**
- * Plays calls at engines in three data centres, each in a region of its own.
+ * Simulates calls at engines in three data centres, each in a region of its own.
  */
 class SpilloverTests {
 
-	private static final EnginePlay.Kind KIND = new EnginePlay.Kind(0, 1_290, 18);
+	private static final EngineSimulation.Kind KIND = new EngineSimulation.Kind(0, 1_290, 18);
 
 	private static final List<String> DATA_CENTRES = List.of("a", "b", "c");
 
@@ -29,7 +29,8 @@
 
 	private static final long UNTIL_MILLIS = 16_000;
 
-	private static final double CAPACITY_PER_SECOND = ENGINES * EnginePlay.SLOTS * EnginePlay.callsPerSlotSecond(KIND);
+	private static final double CAPACITY_PER_SECOND = ENGINES * EngineSimulation.SLOTS
+			* EngineSimulation.callsPerSlotSecond(KIND);
 
 	private int gateways = 2;
 
@@ -39,8 +40,8 @@
 
 	private LongUnaryOperator queueOnLinks = (nowMillis) -> 0;
 
-	private EnginePlay play(Supplier<DataCentreChoice> choice, Load load) {
-		EnginePlay play = new EnginePlay(1);
+	private EngineSimulation play(Supplier<DataCentreChoice> choice, Load load) {
+		EngineSimulation play = new EngineSimulation(1);
 		play.maxWaitMillis = TARGET_MILLIS;
 		play.queueOnLinks = this.queueOnLinks;
 		for (String dataCentre : DATA_CENTRES) {
@@ -61,16 +62,16 @@
 		return (dataCentre, nowMillis) -> dataCentre.equals("a") ? load : others;
 	}
 
-	private static long served(EnginePlay play) {
+	private static long served(EngineSimulation play) {
 		return play.countOnTime(TARGET_MILLIS, FROM_MILLIS, UNTIL_MILLIS);
 	}
 
-	private static long servable(EnginePlay play) {
+	private static long servable(EngineSimulation play) {
 		double capacity = DATA_CENTRES.size() * CAPACITY_PER_SECOND * (UNTIL_MILLIS - FROM_MILLIS) / 1_000;
 		return Math.round(Math.min(capacity, play.arrivedBetween(FROM_MILLIS, UNTIL_MILLIS).count()));
 	}
 
-	private static long tokensSentAway(EnginePlay play) {
+	private static long tokensSentAway(EngineSimulation play) {
 		return play.sentAway(FROM_MILLIS, UNTIL_MILLIS).stream().mapToLong((call) -> call.promptTokens).sum();
 	}
 
@@ -90,27 +91,28 @@
 
 		@Test
 		void oneDataCentreAtTwiceItsCapacityIsServedByAll() {
-			EnginePlay play = play(SpilloverPolicy::new, firstAt(2, 0.5));
+			EngineSimulation play = play(SpilloverPolicy::new, firstAt(2, 0.5));
 			assertThat((double) served(play)).isAtLeast(0.9 * servable(play));
 		}
 
 		@Test
 		void oneDataCentreWithoutEnginesIsServedByTheOthers() {
 			SpilloverTests.this.withoutEngines = Set.of("a");
-			EnginePlay play = play(SpilloverPolicy::new, firstAt(0.5, 0.5));
+			EngineSimulation play = play(SpilloverPolicy::new, firstAt(0.5, 0.5));
 			assertThat((double) served(play)).isAtLeast(0.99 * servable(play));
 		}
 
 		@Test
 		void twoOverflowIntoTheThird() {
-			EnginePlay play = play(SpilloverPolicy::new, (dataCentre, nowMillis) -> dataCentre.equals("c") ? 0.3 : 1.3);
+			EngineSimulation play = play(SpilloverPolicy::new,
+					(dataCentre, nowMillis) -> dataCentre.equals("c") ? 0.3 : 1.3);
 			assertThat((double) served(play)).isAtLeast(0.9 * servable(play));
 		}
 
 		@Test
 		void gatewaysWithDifferentViewsServeAsMany() {
 			SpilloverTests.this.shareOfFirstGateway = 0.7;
-			EnginePlay play = play(SpilloverPolicy::new, firstAt(2, 0.5));
+			EngineSimulation play = play(SpilloverPolicy::new, firstAt(2, 0.5));
 			assertThat((double) served(play)).isAtLeast(0.9 * servable(play));
 		}
 
@@ -132,14 +134,14 @@
 		@Test
 		void dataCentreThatHasRoomNeverSends() {
 			SpilloverTests.this.gateways = 1;
-			EnginePlay play = play(SpilloverPolicy::new, firstAt(0.4, 0.4));
+			EngineSimulation play = play(SpilloverPolicy::new, firstAt(0.4, 0.4));
 			assertThat(play.sentAway(FROM_MILLIS, UNTIL_MILLIS)).isEmpty();
 		}
 
 		@Test
 		void fullDataCentresDoNotSwapLoad() {
-			EnginePlay before = play(() -> DataCentreChoice.ANY, firstAt(1.3, 1.3));
-			EnginePlay after = play(SpilloverPolicy::new, firstAt(1.3, 1.3));
+			EngineSimulation before = play(() -> DataCentreChoice.ANY, firstAt(1.3, 1.3));
+			EngineSimulation after = play(SpilloverPolicy::new, firstAt(1.3, 1.3));
 			assertThat((double) tokensSentAway(after)).isAtMost(1.1 * tokensSentAway(before));
 			assertThat(after.sentAway(FROM_MILLIS, UNTIL_MILLIS).size())
 				.isLessThan((int) (0.15 * after.arrivedBetween(FROM_MILLIS, UNTIL_MILLIS).count()));
@@ -148,7 +150,7 @@
 
 		@Test
 		void callsStayAfterThePeak() {
-			EnginePlay play = play(SpilloverPolicy::new,
+			EngineSimulation play = play(SpilloverPolicy::new,
 					(dataCentre, nowMillis) -> (dataCentre.equals("a") && nowMillis < 8_000) ? 2 : 0.5);
 			long afterMillis = 10_000;
 			assertThat(play.sentAway(FROM_MILLIS, 8_000).size()).isGreaterThan(50);
@@ -158,11 +160,11 @@
 
 		@Test
 		void usualLoadIsServedAsBefore() {
-			EnginePlay before = play(() -> DataCentreChoice.ANY, firstAt(0.84, 0.84));
-			EnginePlay after = play(SpilloverPolicy::new, firstAt(0.84, 0.84));
+			EngineSimulation before = play(() -> DataCentreChoice.ANY, firstAt(0.84, 0.84));
+			EngineSimulation after = play(SpilloverPolicy::new, firstAt(0.84, 0.84));
 			assertThat((double) served(after)).isAtLeast(0.99 * served(before));
-			assertThat(EnginePlay.firstEventPercentile(List.of(after), 0.9, FROM_MILLIS, UNTIL_MILLIS))
-				.isAtMost(EnginePlay.firstEventPercentile(List.of(before), 0.9, FROM_MILLIS, UNTIL_MILLIS));
+			assertThat(EngineSimulation.firstEventPercentile(List.of(after), 0.9, FROM_MILLIS, UNTIL_MILLIS))
+				.isAtMost(EngineSimulation.firstEventPercentile(List.of(before), 0.9, FROM_MILLIS, UNTIL_MILLIS));
 		}
 
 	}
--- a/src/test/java/org/jaywood/routing/UnevenEnginesTests.java
+++ b/src/test/java/org/jaywood/routing/UnevenEnginesTests.java
@@ -17,23 +17,23 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 /**
- * Plays calls of widely varying lengths at engines of different speeds.
+ * Simulates calls of widely varying lengths at engines of different speeds.
  */
 class UnevenEnginesTests {
 
-	private static final EnginePlay.Kind KIND = new EnginePlay.Kind(0, 1_290, 18);
+	private static final EngineSimulation.Kind KIND = new EngineSimulation.Kind(0, 1_290, 18);
 
 	private static final long WARM_UP_MILLIS = 8_000;
 
-	private static EnginePlay play(long seed, int gateways, Supplier<EngineRanking> ranking, double load,
+	private static EngineSimulation simulation(long seed, int gateways, Supplier<EngineRanking> ranking, double load,
 			long untilMillis, LongToDoubleFunction... speeds) {
-		EnginePlay play = new EnginePlay(seed);
-		Stream.of(speeds).forEach((speed) -> play.engine("a", speed));
-		IntStream.range(0, gateways).forEach((number) -> play.gateway("a", ranking.get()));
+		EngineSimulation simulation = new EngineSimulation(seed);
+		Stream.of(speeds).forEach((speed) -> simulation.engine("a", speed));
+		IntStream.range(0, gateways).forEach((number) -> simulation.gateway("a", ranking.get()));
 		double sumOfSpeeds = Stream.of(speeds).mapToDouble((speed) -> speed.applyAsDouble(0)).sum();
-		double perSecond = load * sumOfSpeeds * EnginePlay.SLOTS * EnginePlay.callsPerSlotSecond(KIND);
-		play.run(untilMillis, (gateway, nowMillis) -> play.arrive(gateway, KIND, perSecond / gateways));
-		return play;
+		double perSecond = load * sumOfSpeeds * EngineSimulation.SLOTS * EngineSimulation.callsPerSlotSecond(KIND);
+		simulation.run(untilMillis, (gateway, nowMillis) -> simulation.arrive(gateway, KIND, perSecond / gateways));
+		return simulation;
 	}
 
 	private static LongToDoubleFunction constant(double speed) {
@@ -44,8 +44,8 @@
 		return (nowMillis) -> (nowMillis >= fromMillis && nowMillis < untilMillis) ? 0.2 : 1;
 	}
 
-	private static double shareOfFirst(EnginePlay play, long fromMillis, long untilMillis) {
-		return play.share(play.engines.getFirst(), fromMillis, untilMillis);
+	private static double shareOfFirst(EngineSimulation simulation, long fromMillis, long untilMillis) {
+		return simulation.share(simulation.engines.getFirst(), fromMillis, untilMillis);
 	}
 
 	/**
@@ -59,31 +59,32 @@
 
 		private static final long[] SEEDS = { 1, 2, 3 };
 
-		private static List<EnginePlay> playSpeeds(int gateways, Supplier<EngineRanking> ranking) {
+		private static List<EngineSimulation> simulateSpeeds(int gateways, Supplier<EngineRanking> ranking) {
 			return LongStream.of(SEEDS)
-				.mapToObj((seed) -> play(seed, gateways, ranking, 0.8, UNTIL_MILLIS, constant(1), constant(0.5),
+				.mapToObj((seed) -> simulation(seed, gateways, ranking, 0.8, UNTIL_MILLIS, constant(1), constant(0.5),
 						constant(0.25), constant(1), constant(0.5), constant(0.25)))
 				.toList();
 		}
 
-		private static double percentile99(List<EnginePlay> plays) {
-			return EnginePlay.firstEventPercentile(plays, 0.99, WARM_UP_MILLIS, UNTIL_MILLIS);
+		private static double percentile99(List<EngineSimulation> simulations) {
+			return EngineSimulation.firstEventPercentile(simulations, 0.99, WARM_UP_MILLIS, UNTIL_MILLIS);
 		}
 
 		@ParameterizedTest
 		@ValueSource(ints = { 1, 4 })
 		void of1To2To4ShortenThe99thPercentileToTheFirstEvent(int gateways) {
-			List<EnginePlay> before = playSpeeds(gateways, LoadRanking::new);
-			List<EnginePlay> after = playSpeeds(gateways, WorkRanking::new);
+			List<EngineSimulation> before = simulateSpeeds(gateways, LoadRanking::new);
+			List<EngineSimulation> after = simulateSpeeds(gateways, WorkRanking::new);
 			assertThat(percentile99(after)).isAtMost(0.7 * percentile99(before));
 		}
 
 		@Test
 		void fillNoEngineAboveItsCapacityAndEjectNone() {
-			for (EnginePlay play : playSpeeds(1, WorkRanking::new)) {
-				assertThat(play.mostHeld()).isAtMost(EnginePlay.SLOTS + 1);
-				play.engines.forEach(
-						(engine) -> assertThat(play.share(engine, WARM_UP_MILLIS, UNTIL_MILLIS)).isGreaterThan(0.0));
+			for (EngineSimulation simulation : simulateSpeeds(1, WorkRanking::new)) {
+				assertThat(simulation.mostHeld()).isAtMost(EngineSimulation.SLOTS + 1);
+				simulation.engines
+					.forEach((engine) -> assertThat(simulation.share(engine, WARM_UP_MILLIS, UNTIL_MILLIS))
+						.isGreaterThan(0.0));
 			}
 		}
 
@@ -98,28 +99,28 @@
 
 		private static final long FROM_MILLIS = 15_000;
 
-		private static EnginePlay playSpell(long millis) {
-			return play(1, 1, WorkRanking::new, 0.6, FROM_MILLIS + 8_000,
+		private static EngineSimulation simulateSpell(long millis) {
+			return simulation(1, 1, WorkRanking::new, 0.6, FROM_MILLIS + 8_000,
 					slowBetween(FROM_MILLIS, FROM_MILLIS + millis), constant(1), constant(1), constant(1));
 		}
 
 		@Test
 		void of300MillisChangeLittle() {
-			EnginePlay play = playSpell(300);
-			assertThat(shareOfFirst(play, FROM_MILLIS + 300, FROM_MILLIS + 4_000)).isGreaterThan(0.8 / 4);
+			EngineSimulation simulation = simulateSpell(300);
+			assertThat(shareOfFirst(simulation, FROM_MILLIS + 300, FROM_MILLIS + 4_000)).isGreaterThan(0.8 / 4);
 		}
 
 		@Test
 		void of3SecondsGetFewerCalls() {
-			EnginePlay play = playSpell(4_000);
-			assertThat(shareOfFirst(play, FROM_MILLIS + 2_000, FROM_MILLIS + 4_000)).isLessThan(0.5 / 4);
+			EngineSimulation simulation = simulateSpell(4_000);
+			assertThat(shareOfFirst(simulation, FROM_MILLIS + 2_000, FROM_MILLIS + 4_000)).isLessThan(0.5 / 4);
 		}
 
 		@Test
 		void engineIsUsedAgainAfterwards() {
-			EnginePlay play = play(1, 1, WorkRanking::new, 0.6, FROM_MILLIS + 25_000,
+			EngineSimulation simulation = simulation(1, 1, WorkRanking::new, 0.6, FROM_MILLIS + 25_000,
 					slowBetween(FROM_MILLIS, FROM_MILLIS + 4_000), constant(1), constant(1), constant(1));
-			assertThat(shareOfFirst(play, FROM_MILLIS + 15_000, FROM_MILLIS + 25_000)).isGreaterThan(0.8 / 4);
+			assertThat(shareOfFirst(simulation, FROM_MILLIS + 15_000, FROM_MILLIS + 25_000)).isGreaterThan(0.8 / 4);
 		}
 
 	}
@@ -133,16 +134,16 @@
 
 		@Test
 		void costsAreThoseByNumberOfCalls() {
-			EnginePlay play = play(1, 2, ComparedRanking::new, 0.8, 15_000, constant(1), constant(0.95), constant(1.05),
-					constant(1));
-			assertThat(play.calls).isNotEmpty();
+			EngineSimulation simulation = simulation(1, 2, ComparedRanking::new, 0.8, 15_000, constant(1),
+					constant(0.95), constant(1.05), constant(1));
+			assertThat(simulation.calls).isNotEmpty();
 		}
 
 		@Test
 		void allSlowAtOnceAreEven() {
-			EnginePlay play = play(1, 2, ComparedRanking::new, 0.5, 20_000,
+			EngineSimulation simulation = simulation(1, 2, ComparedRanking::new, 0.5, 20_000,
 					Stream.generate(() -> slowBetween(10_000, 13_000)).limit(4).toArray(LongToDoubleFunction[]::new));
-			assertThat(play.calls.stream().allMatch((call) -> call.ended)).isTrue();
+			assertThat(simulation.calls.stream().allMatch((call) -> call.ended)).isTrue();
 		}
 
 		/**
