--- a/src/main/java/org/jaywood/routing/ReturnSchedule.java
+++ b/src/main/java/org/jaywood/routing/ReturnSchedule.java
@@ -1,14 +1,15 @@
 package org.jaywood.routing;
 
-import java.util.TreeMap;
+import java.util.HashMap;
+import java.util.Map;
 
 /**
  * Times at which refused callers of one service are told to come back. Each priority has
  * its own: the time until the calls ahead of it are served at the rate that the more
  * urgent ones leave, and behind the callers that were told to come back before. Answers
- * an overload of some seconds, whose refused callers would otherwise return together, and
- * the first second after a start, when no rate is known. Not safe for use by several
- * threads.
+ * an overload of some seconds, whose refused callers would otherwise return together, the
+ * first second after a start, when no rate is known, and a time without engines. Not safe
+ * for use by several threads.
  */
 final class ReturnSchedule {
 
@@ -32,8 +33,8 @@
 
 	private final WaitForecast forecast;
 
-	/** Time of the latest return by priority. */
-	private final TreeMap<Integer, Double> lastReturnMillis = new TreeMap<>();
+	/** Callers that were told to come back and have not yet, by priority. */
+	private final Map<Integer, Returning> returning = new HashMap<>();
 
 	private double spread;
 
@@ -41,6 +42,30 @@
 		this.forecast = forecast;
 	}
 
+	/**
+	 * Returns the time in milliseconds after which a call is told to come back that is
+	 * refused while no upstream runs that may take it: in the later half of the interval
+	 * that callers honour. Engines need seconds to load their weights after a loss of
+	 * power, so a caller that returns sooner is refused again.
+	 * @param leftMillis time that its caller has left
+	 */
+	long unservedMillis(long leftMillis) {
+		advanceSpread();
+		return Math.round(laterHalfMillis(longestMillis(leftMillis)));
+	}
+
+	private void advanceSpread() {
+		this.spread = (this.spread + GOLDEN_RATIO) % 1;
+	}
+
+	private static double longestMillis(long leftMillis) {
+		return Math.clamp(HONOURED_SHARE * leftMillis, MIN_MILLIS, MAX_MILLIS);
+	}
+
+	private double laterHalfMillis(double longestMillis) {
+		return Math.max(MIN_MILLIS, longestMillis * (1 - this.spread / 2));
+	}
+
 	/**
 	 * Returns the time in milliseconds after which a refused call is told to come back.
 	 * @param moreUrgent queued calls of more urgent priorities
@@ -48,8 +73,8 @@
 	 * @param leftMillis time that its caller has left
 	 */
 	long retryAfterMillis(int priority, int moreUrgent, int queued, long leftMillis, long nowMillis) {
-		this.spread = (this.spread + GOLDEN_RATIO) % 1;
-		double longestMillis = Math.clamp(HONOURED_SHARE * leftMillis, MIN_MILLIS, MAX_MILLIS);
+		advanceSpread();
+		double longestMillis = longestMillis(leftMillis);
 		double millis = this.forecast.known(nowMillis)
 				? scheduledMillis(priority, moreUrgent + queued, longestMillis, nowMillis)
 				: Math.min(longestMillis, MIN_MILLIS + this.spread * UNKNOWN_RATE_SPREAD_MILLIS);
@@ -58,15 +83,33 @@
 
 	private double scheduledMillis(int priority, int ahead, double longestMillis, long nowMillis) {
 		double callMillis = 1 / this.forecast.placedPerMilli(priority, nowMillis);
-		double roomMillis = nowMillis + Math.max(MIN_MILLIS, ahead * callMillis);
-		double previousMillis = this.lastReturnMillis.getOrDefault(priority, 0.0);
-		double returnMillis = Math.max(roomMillis, previousMillis + callMillis);
-		if (returnMillis - nowMillis > longestMillis) {
-			// No room in time: such callers are spread over the later half.
-			return Math.max(MIN_MILLIS, longestMillis * (1 - this.spread / 2));
+		double roomMillis = Math.max(MIN_MILLIS, ahead * callMillis);
+		double aheadCalls = this.returning.getOrDefault(priority, Returning.NONE).callsAfter(callMillis, nowMillis);
+		double returnMillis = Math.max(roomMillis, (aheadCalls + 1) * callMillis);
+		if (returnMillis > longestMillis) {
+			// No room in time.
+			return laterHalfMillis(longestMillis);
+		}
+		this.returning.put(priority, new Returning(returnMillis / callMillis, nowMillis));
+		return returnMillis;
+	}
+
+	/**
+	 * Places taken by callers that were told to come back. They are a number of calls
+	 * rather than a time: after a burst the same number is served sooner, and later
+	 * callers must not wait for the time that was told during the burst.
+	 */
+	private record Returning(double calls, long asOfMillis) {
+
+		static final Returning NONE = new Returning(-1, 0);
+
+		/**
+		 * Returns the places that are still taken, -1 if the next one is free now.
+		 */
+		double callsAfter(double callMillis, long nowMillis) {
+			return Math.max(-1, this.calls - (nowMillis - this.asOfMillis) / callMillis);
 		}
-		this.lastReturnMillis.put(priority, returnMillis);
-		return returnMillis - nowMillis;
+
 	}
 
 }
