--- a/src/main/java/org/jaywood/metering/UsageLedger.java
+++ b/src/main/java/org/jaywood/metering/UsageLedger.java
@@ -56,6 +56,12 @@
 	/** Counts by window, process and workspace. */
 	private final TreeMap<Long, Map<String, Map<String, Long>>> open = new TreeMap<>();
 
+	/**
+	 * Calls by window and process that did not fit, so that a repeated message does not
+	 * count them again.
+	 */
+	private final TreeMap<Long, Map<String, Long>> excess = new TreeMap<>();
+
 	private final TreeMap<Long, SealedWindow> sealed = new TreeMap<>();
 
 	/** Window up to which all are sealed or skipped. */
@@ -112,17 +118,29 @@
 		UsageReport report = new UsageReport(window, counts(saved.path("counts")));
 		SealedWindow own = this.sealed.get(window);
 		if (own == null) {
-			this.sealed.put(window, new SealedWindow(report, true, saved.path("accepted").asBoolean()));
+			this.sealed.put(window, new SealedWindow(report, status(saved)));
 		}
 		else if (!own.report().equals(report)) {
 			// Either may have been sent, so that neither may be sent again.
-			own.markAccepted();
+			own.withhold();
 		}
-		else if (saved.path("accepted").asBoolean()) {
-			own.markAccepted();
+		else {
+			switch (status(saved)) {
+				case ACCEPTED -> own.markAccepted();
+				case WITHHELD -> own.withhold();
+				case SEALED, SAVED -> {
+				}
+			}
 		}
 	}
 
+	private static SealedWindow.Status status(JsonNode saved) {
+		if (saved.path("accepted").asBoolean()) {
+			return SealedWindow.Status.ACCEPTED;
+		}
+		return saved.path("withheld").asBoolean() ? SealedWindow.Status.WITHHELD : SealedWindow.Status.SAVED;
+	}
+
 	private static Map<String, Long> counts(JsonNode node) {
 		Map<String, Long> counts = new HashMap<>();
 		node.properties().forEach((entry) -> counts.put(entry.getKey(), entry.getValue().asLong()));
@@ -149,19 +167,33 @@
 		}
 		Map<String, Long> merged = this.open.computeIfAbsent(window, (key) -> new HashMap<>())
 			.computeIfAbsent(process, (key) -> new HashMap<>());
-		latest.forEach((workspace, count) -> {
-			int bytes = workspace.length() + NUMBER_BYTES;
-			if (merged.containsKey(workspace)) {
-				merged.merge(workspace, count, Math::max);
-			}
-			else if (this.openBytes + bytes > MAX_OPEN_BYTES || merged.size() >= UsageWindows.MAX_WORKSPACES) {
-				this.dropped += count;
-			}
-			else {
-				this.openBytes += bytes;
-				merged.put(workspace, count);
+		long left = latest.entrySet()
+			.stream()
+			.filter((entry) -> !take(merged, entry.getKey(), entry.getValue()))
+			.mapToLong(Map.Entry::getValue)
+			.sum();
+		if (left > 0) {
+			Map<String, Long> known = this.excess.computeIfAbsent(window, (key) -> new HashMap<>());
+			long before = known.getOrDefault(process, 0L);
+			known.put(process, Math.max(before, left));
+			this.dropped += Math.max(0, left - before);
+		}
+	}
+
+	/**
+	 * Merges a count.
+	 * @return whether there is room for it
+	 */
+	private boolean take(Map<String, Long> merged, String workspace, long count) {
+		int bytes = workspace.length() + NUMBER_BYTES;
+		if (!merged.containsKey(workspace)) {
+			if (this.openBytes + bytes > MAX_OPEN_BYTES || merged.size() >= UsageWindows.MAX_WORKSPACES) {
+				return false;
 			}
-		});
+			this.openBytes += bytes;
+		}
+		merged.merge(workspace, count, Math::max);
+		return true;
 	}
 
 	/**
@@ -205,7 +237,7 @@
 				.values()
 				.forEach((counts) -> counts.forEach((workspace, count) -> total.merge(workspace, count, Long::sum)));
 			UsageReport report = new UsageReport(window, total);
-			this.sealed.put(window, new SealedWindow(report, false, false));
+			this.sealed.put(window, new SealedWindow(report, SealedWindow.Status.SEALED));
 			reports.add(report);
 		});
 		return new Sealing(reports, skipped);
@@ -219,6 +251,7 @@
 		ObjectNode sealedNode = state.putObject("sealed");
 		this.sealed.forEach((window, entry) -> sealedNode.putObject(Long.toString(window))
 			.put("accepted", entry.accepted())
+			.put("withheld", entry.withheld())
 			.set("counts", Json.mapper().valueToTree(entry.report().counts())));
 		ObjectNode openNode = state.putObject("open");
 		this.open.tailMap(this.lastSealed, false)
@@ -307,6 +340,7 @@
 
 	private void dropSealedCounts(long last) {
 		this.open.headMap(last, true).clear();
+		this.excess.headMap(last, true).clear();
 		this.openBytes = this.open.values()
 			.stream()
 			.flatMap((processes) -> processes.values().stream())
--- a/src/main/java/org/jaywood/routing/ArrivalQueue.java
+++ b/src/main/java/org/jaywood/routing/ArrivalQueue.java
@@ -122,14 +122,14 @@
 	}
 
 	@Override
-	public long retryAfterMillis(CallRequirements requirements, long leftMillis, long nowMillis) {
+	public long retryAfterMillis(CallRequirements requirements, boolean served, long leftMillis, long nowMillis) {
 		return this.retryTime.millis(requirements, this.queue.size(), nowMillis);
 	}
 
 	@Override
-	public long previewRetryAfterMillis(CallRequirements requirements, long leftMillis, boolean arrived,
+	public long previewRetryAfterMillis(CallRequirements requirements, boolean served, long leftMillis, boolean arrived,
 			long nowMillis) {
-		return retryAfterMillis(requirements, leftMillis, nowMillis);
+		return retryAfterMillis(requirements, served, leftMillis, nowMillis);
 	}
 
 	@Override
--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -284,7 +284,9 @@
 	 * @param leftMillis time that its caller has left
 	 */
 	public synchronized long retryAfterMillis(CallRequirements requirements, long leftMillis, long nowMillis) {
-		long byRateMillis = this.queue.of(requirements.service()).retryAfterMillis(requirements, leftMillis, nowMillis);
+		boolean served = this.selector.hasRunning(requirements, nowMillis);
+		long byRateMillis = this.queue.of(requirements.service())
+			.retryAfterMillis(requirements, served, leftMillis, nowMillis);
 		return this.selector.retryAfterMillis(requirements, byRateMillis, this.states.fleetSize(nowMillis), nowMillis);
 	}
 
--- a/src/main/java/org/jaywood/routing/PlacementExplainer.java
+++ b/src/main/java/org/jaywood/routing/PlacementExplainer.java
@@ -42,9 +42,10 @@
 		PlacementSelection selection = this.selector.preview(requirements, heldBackSlots, fleetSize, nowMillis);
 		PlacementPolicy.Candidate chosen = (refusal == null && isNext(latest, queue, fleetSize, nowMillis))
 				? selection.chosen().orElse(null) : null;
+		boolean served = this.selector.hasRunning(requirements, nowMillis);
 		long retryAfterMillis = this.selector.retryAfterMillis(requirements,
-				queue.previewRetryAfterMillis(requirements, leftMillis, refusedAtOnce == null, nowMillis), fleetSize,
-				nowMillis);
+				queue.previewRetryAfterMillis(requirements, served, leftMillis, refusedAtOnce == null, nowMillis),
+				fleetSize, nowMillis);
 		return new PlacementExplanation(refusal, (chosen != null) ? chosen.state().upstream().id() : null,
 				(chosen != null) ? chosen.spillover() : null, ahead, queue.size(), heldBackSlots, retryAfterMillis,
 				upstreams(requirements, selection, fleetSize, nowMillis));
--- a/src/main/java/org/jaywood/routing/ServiceQueue.java
+++ b/src/main/java/org/jaywood/routing/ServiceQueue.java
@@ -85,16 +85,20 @@
 
 	/**
 	 * Returns the time in milliseconds after which a refused call is likely to be placed.
+	 * @param served whether an upstream runs that may take the call
 	 * @param leftMillis time that its caller has left
 	 */
-	long retryAfterMillis(CallRequirements requirements, long leftMillis, long nowMillis);
+	long retryAfterMillis(CallRequirements requirements, boolean served, long leftMillis, long nowMillis);
 
 	/**
 	 * Returns the time of {@link #retryAfterMillis} without scheduling a return.
+	 * @param served whether an upstream runs that may take the call
+	 * @param leftMillis time that its caller has left
 	 * @param arrived whether the call counts as one that has come, although it is not
 	 * recorded
 	 */
-	long previewRetryAfterMillis(CallRequirements requirements, long leftMillis, boolean arrived, long nowMillis);
+	long previewRetryAfterMillis(CallRequirements requirements, boolean served, long leftMillis, boolean arrived,
+			long nowMillis);
 
 	/**
 	 * Returns the free capacity for each gateway that must remain for more urgent calls
--- a/src/main/java/org/jaywood/routing/SharedQueue.java
+++ b/src/main/java/org/jaywood/routing/SharedQueue.java
@@ -200,15 +200,21 @@
 	}
 
 	@Override
-	public long retryAfterMillis(CallRequirements requirements, long leftMillis, long nowMillis) {
+	public long retryAfterMillis(CallRequirements requirements, boolean served, long leftMillis, long nowMillis) {
+		if (!served) {
+			return this.returns.unservedMillis(leftMillis);
+		}
 		FairQueue own = this.byPriority.get(requirements.priority());
 		return this.returns.retryAfterMillis(requirements.priority(), moreUrgentCalls(requirements.priority()),
 				(own != null) ? own.size() : 0, leftMillis, nowMillis);
 	}
 
 	@Override
-	public long previewRetryAfterMillis(CallRequirements requirements, long leftMillis, boolean arrived,
+	public long previewRetryAfterMillis(CallRequirements requirements, boolean served, long leftMillis, boolean arrived,
 			long nowMillis) {
+		if (!served) {
+			return this.returns.previewUnservedMillis(leftMillis);
+		}
 		WaitForecast latest = arrived ? forecastWith(requirements, nowMillis) : this.forecast;
 		FairQueue own = this.byPriority.get(requirements.priority());
 		return this.returns.previewMillis(latest, requirements.priority(), moreUrgentCalls(requirements.priority()),
--- a/src/main/java/org/jaywood/routing/UpstreamSelector.java
+++ b/src/main/java/org/jaywood/routing/UpstreamSelector.java
@@ -194,6 +194,23 @@
 				: null;
 	}
 
+	/**
+	 * Whether an upstream runs that may take a call.
+	 */
+	boolean hasRunning(CallRequirements requirements, long nowMillis) {
+		return eligible(requirements, nowMillis).anyMatch((state) -> isRunning(state, nowMillis));
+	}
+
+	/**
+	 * Whether an upstream is likely to run: by the report of its agent, or without one by
+	 * the calls of this gateway. The list of upstreams names engines that have lost power
+	 * until their heartbeats are missed.
+	 */
+	private static boolean isRunning(UpstreamState state, long nowMillis) {
+		return state.responsive(nowMillis)
+				&& (state.freshReport(nowMillis) != null || !state.health().ejected(nowMillis));
+	}
+
 	/**
 	 * Returns the time in milliseconds after which a refused call is likely to be placed:
 	 * the time by the queue, or until the first upstream takes calls again.
--- a/src/test/java/org/jaywood/metering/UsageLedgerTests.java
+++ b/src/test/java/org/jaywood/metering/UsageLedgerTests.java
@@ -59,6 +59,27 @@
 				.hasValue(new UsageReport(WINDOW, Map.of("a", 7L)));
 		}
 
+		/**
+		 * Gateways repeat their cumulative counts several times a second.
+		 */
+		@Test
+		void droppedCallsCountOnce() {
+			Map<String, Long> many = new HashMap<>();
+			for (int number = 0; number < UsageWindows.MAX_WORKSPACES; number++) {
+				many.put("workspace-" + number, 1L);
+			}
+			UsageLedger ledger = UsageLedgerTests.this.ledger;
+			ledger.merge(new ProcessCounts("p", Map.of(WINDOW, many)), START_MILLIS);
+			ledger.merge(new ProcessCounts("q", Map.of(WINDOW, many)), START_MILLIS);
+			ledger.merge(new ProcessCounts("r", Map.of(WINDOW, Map.of("late", 7L))), START_MILLIS);
+			long dropped = ledger.dropped();
+			assertThat(dropped).isGreaterThan(7L);
+			ledger.merge(new ProcessCounts("r", Map.of(WINDOW, Map.of("late", 7L))), START_MILLIS);
+			assertThat(ledger.dropped()).isEqualTo(dropped);
+			ledger.merge(new ProcessCounts("r", Map.of(WINDOW, Map.of("late", 9L))), START_MILLIS);
+			assertThat(ledger.dropped()).isEqualTo(dropped + 2);
+		}
+
 		@Test
 		void countsAfterTheSealAreDropped() {
 			merge("p", WINDOW, 5);
@@ -207,6 +228,25 @@
 			assertThat(UsageLedgerTests.this.ledger.nextReport(END_MILLIS + 6_000)).isEmpty();
 		}
 
+		/**
+		 * Guards against a window that counts as accepted although its report is held
+		 * back, and against a next leader that sends it.
+		 */
+		@Test
+		void windowThatIsHeldBackIsNotAcceptedAndIsHeldBackByTheNextLeader() {
+			merge("p", WINDOW, 5);
+			seal();
+			save();
+			UsageLedger other = ledger();
+			other.seal(List.of(WINDOW), END_MILLIS + 3_000);
+			UsageLedgerTests.this.ledger.begin(other.state(), 0, END_MILLIS + 6_000);
+			UsageLedger next = new UsageLedger(new UsageWindows(5_000, 10_000));
+			next.begin(UsageLedgerTests.this.ledger.state(), 0, END_MILLIS + 8_000);
+			assertThat(next.nextReport(END_MILLIS + 8_000)).isEmpty();
+			assertThat(next.removeDue(END_MILLIS + 10_000)).containsExactly(WINDOW);
+			assertThat(UsageLedgerTests.this.ledger.removeDue(END_MILLIS + 10_000)).containsExactly(WINDOW);
+		}
+
 	}
 
 }
--- a/src/test/java/org/jaywood/routing/ContentionPlay.java
+++ b/src/test/java/org/jaywood/routing/ContentionSimulation.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Random;
@@ -14,10 +15,10 @@
 import java.util.stream.Stream;
 
 /**
- * Plays calls against the dispatchers of some gateways with fake engines, whose reports
- * are late, and keeps what each caller got.
+ * Simulates calls against the dispatchers of some gateways with fake engines, whose
+ * reports are late, and keeps what each caller got.
  */
-final class ContentionPlay {
+final class ContentionSimulation {
 
 	static final int SLOTS = 12;
 
@@ -56,12 +57,16 @@
 
 	private String impatientWorkspace = "";
 
+	private long firstLoadedMillis;
+
+	private long loadIntervalMillis;
+
 	/**
-	 * Creates a play.
+	 * Creates a simulation.
 	 * @param sharing whether the routes have several priorities; otherwise the order is
 	 * that of services with one priority
 	 */
-	ContentionPlay(int gatewayCount, int engineCount, boolean sharing) {
+	ContentionSimulation(int gatewayCount, int engineCount, boolean sharing) {
 		this.engines = IntStream.range(0, engineCount).mapToObj((number) -> new Engine("engine-" + number)).toList();
 		RouteTable table = sharing ? RoutingFixtures.table(route(0), route(1), route(2)) : RoutingFixtures.table();
 		this.gateways = IntStream.range(0, gatewayCount).mapToObj((number) -> {
@@ -84,24 +89,34 @@
 	}
 
 	/** Has callers come back when they are told to, within a third of their time. */
-	ContentionPlay withReturns() {
+	ContentionSimulation withReturns() {
 		this.callersReturn = true;
 		return this;
 	}
 
 	/** Has callers of a workspace come back at once, whatever they are told. */
-	ContentionPlay withImpatient(String workspace) {
+	ContentionSimulation withImpatient(String workspace) {
 		this.impatientWorkspace = workspace;
 		return this;
 	}
 
-	ContentionPlay with(Source source) {
+	/**
+	 * Has engines load their weights one after the other after a start.
+	 * @param firstMillis time at which the first engine has loaded
+	 */
+	ContentionSimulation withLoading(long firstMillis, long intervalMillis) {
+		this.firstLoadedMillis = firstMillis;
+		this.loadIntervalMillis = intervalMillis;
+		return this;
+	}
+
+	ContentionSimulation with(Source source) {
 		this.sources.add(source);
 		return this;
 	}
 
 	/**
-	 * Runs the play.
+	 * Runs the simulation.
 	 * @return all callers, in the order in which they first came
 	 */
 	List<Caller> run(long millis) {
@@ -141,7 +156,7 @@
 				List<Dispatcher> subscribers = this.gateways.stream()
 					.filter((gateway) -> gateway.subscribedEngines().containsValue(engine.id))
 					.toList();
-				UpstreamReport report = engine.report(subscribers.size());
+				UpstreamReport report = engine.report(subscribers.size(), nowMillis);
 				subscribers.forEach((gateway) -> gateway.onReport(engine.id, report, nowMillis));
 			});
 		}
@@ -160,7 +175,9 @@
 		long waitMillis = late ? 500 : Math.max(25, source.targetMillis() - EXPECTED_FIRST_EVENT_MILLIS - spentMillis);
 		caller.sentMillis = nowMillis;
 		caller.waitUntilMillis = nowMillis + waitMillis;
-		gateway.offer(caller.requirements, waitMillis, nowMillis).ifPresentOrElse((queued) -> {
+		Optional<QueuedCall> offered = gateway.hasEligibleUpstream(caller.requirements, nowMillis)
+				? gateway.offer(caller.requirements, waitMillis, nowMillis) : Optional.empty();
+		offered.ifPresentOrElse((queued) -> {
 			caller.queued = queued;
 			this.waiting.add(caller);
 		}, () -> refuse(caller, nowMillis));
@@ -169,6 +186,7 @@
 
 	private void refuse(Caller caller, long nowMillis) {
 		caller.refusedAfterMillis.add(nowMillis - caller.sentMillis);
+		caller.refusedMillis.add(nowMillis);
 		long leftMillis = caller.cameMillis + 6_000 - nowMillis;
 		long retryMillis = this.gateways.get(caller.source.gateway())
 			.retryAfterMillis(caller.requirements, leftMillis, nowMillis);
@@ -268,6 +286,8 @@
 
 		final List<Long> refusedAfterMillis = new ArrayList<>();
 
+		final List<Long> refusedMillis = new ArrayList<>();
+
 		final List<Long> retryAfterMillis = new ArrayList<>();
 
 		int sends;
@@ -330,32 +350,37 @@
 			this.id = id;
 		}
 
+		private long loadedMillis() {
+			return ContentionSimulation.this.firstLoadedMillis
+					+ ContentionSimulation.this.engines.indexOf(this) * ContentionSimulation.this.loadIntervalMillis;
+		}
+
 		Upstream entry() {
 			Upstream engine = RoutingFixtures.engine(this.id);
 			return new Upstream(this.id, engine.service(), engine.address(), engine.dataCentre(), engine.region(),
-					ContentionPlay.SLOTS, false, 0, 1, engine.weights());
+					ContentionSimulation.SLOTS, false, 0, 1, engine.weights());
 		}
 
-		UpstreamReport report(int gatewayCount) {
+		UpstreamReport report(int gatewayCount, long nowMillis) {
 			this.loads.addLast(this.queue.size() + this.running.size());
 			int load = (this.loads.size() > REPORT_LAG_MILLIS / REPORT_MILLIS) ? this.loads.removeFirst()
 					: this.loads.getFirst();
 			return new UpstreamReport(this.id, load, 0, false, gatewayCount, true, 0,
-					new LoadedWeights("model", 1, 0, 16));
+					(nowMillis >= loadedMillis()) ? new LoadedWeights("model", 1, 0, 16) : null);
 		}
 
 		void run(long nowMillis) {
 			while (!this.running.isEmpty() && this.running.peek().endMillis <= nowMillis) {
 				Caller caller = this.running.poll();
-				ContentionPlay.this.gateways.get(caller.source.gateway())
+				ContentionSimulation.this.gateways.get(caller.source.gateway())
 					.recordEnd(caller.placement, Outcome.ANSWERED, nowMillis);
 				updateWaiting(nowMillis);
 			}
-			while (!this.queue.isEmpty() && this.running.size() < ContentionPlay.SLOTS) {
+			while (!this.queue.isEmpty() && this.running.size() < ContentionSimulation.SLOTS) {
 				Caller caller = this.queue.poll();
 				caller.startedMillis = nowMillis;
-				caller.endMillis = nowMillis + Math
-					.round(caller.source.slotFactor() * SLOT_MILLIS * (0.5 + ContentionPlay.this.random.nextDouble()));
+				caller.endMillis = nowMillis + Math.round(caller.source.slotFactor() * SLOT_MILLIS
+						* (0.5 + ContentionSimulation.this.random.nextDouble()));
 				this.running.add(caller);
 			}
 		}
--- a/src/test/java/org/jaywood/routing/PlacementExplainerTests.java
+++ b/src/test/java/org/jaywood/routing/PlacementExplainerTests.java
@@ -293,9 +293,8 @@
 
 		OverloadRun(int questions) {
 			this.questions = questions;
-			this.dispatcher.onRouteTable(
-					RoutingFixtures.table(ContentionPlay.route(0), ContentionPlay.route(1), ContentionPlay.route(2)),
-					0);
+			this.dispatcher.onRouteTable(RoutingFixtures.table(ContentionSimulation.route(0),
+					ContentionSimulation.route(1), ContentionSimulation.route(2)), 0);
 			this.dispatcher.onFleet(RoutingFixtures.fleet(IntStream.range(0, ENGINES)
 				.mapToObj((engine) -> (engine < 5) ? RoutingFixtures.engine("engine-" + engine)
 						: RoutingFixtures.engine("engine-" + engine, "donan-a", "donan", 1))
