Resign as the leader when the state of a task cannot be saved

Cause: a task whose state() threw stopped the renewals. The lease expired, and the same process resumed it again and again: no state was saved and no window was reported. Change: LeaderRunner resigns then, as when a task fails to take over. Measured: the new case of LeaderRunnerTests fails without the change (no other process has the lease within 10 s) and passes with it; LeaderElectionTests, LeaderElectionPropertyTests and ArchitectureTests pass.

--- a/src/main/java/org/jaywood/gateway/LeaderRunner.java
+++ b/src/main/java/org/jaywood/gateway/LeaderRunner.java
@@ -125,11 +125,25 @@
 		TimeUnit.MILLISECONDS.sleep(TICK_MILLIS);
 	}
 
+	/**
+	 * Returns the next step of the election. A leader whose states cannot be saved would
+	 * let its lease expire and take it again, so it resigns.
+	 */
+	private Step nextStep() {
+		try {
+			return this.election.next(this::states, BootClock.nowMillis());
+		}
+		catch (RuntimeException ex) {
+			resign("the state of a task cannot be saved");
+			throw ex;
+		}
+	}
+
 	/**
 	 * Makes one step of the election.
 	 */
 	private void step() throws InterruptedException {
-		Step step = this.election.next(this::states, BootClock.nowMillis());
+		Step step = nextStep();
 		if (step instanceof Step.Pause pause) {
 			TimeUnit.MILLISECONDS.sleep(Math.max(1, pause.untilMillis() - BootClock.nowMillis()));
 			return;
@@ -193,12 +207,16 @@
 		}
 		finally {
 			if (!this.handedOver) {
-				this.election.resign(nowMillis);
-				endTerm("a task failed to take over");
+				resign("a task failed to take over");
 			}
 		}
 	}
 
+	private void resign(String reason) {
+		this.election.resign(BootClock.nowMillis());
+		endTerm(reason);
+	}
+
 	private void endTerm(String reason) {
 		LeaderTerm term = this.lastTerm;
 		this.handedOver = false;
--- a/src/test/java/org/jaywood/gateway/LeaderRunnerTests.java
+++ b/src/test/java/org/jaywood/gateway/LeaderRunnerTests.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Function;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import org.awaitility.Awaitility;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
@@ -30,6 +32,9 @@
 
 	private static final LeaseTiming TIMING = new LeaseTiming(600, 100, 200, 50, 50, 100);
 
+	private static final Runnable NOTHING = () -> {
+	};
+
 	private final LeaseStore store = new MemoryLeaseStore();
 
 	private LeaderRunner start(String vm, LeaderTask task) {
@@ -42,19 +47,27 @@
 
 	@Test
 	void anotherProcessTakesTheLeaseOfALeaderWhoseTaskFailsToTakeOver() {
-		AtomicBoolean elected = new AtomicBoolean();
-		LeaderRunner failing = start("vm-1", new TestTask(() -> {
-			elected.set(true);
+		assertThatAnotherProcessTakesOverFrom((failure) -> new TestTask(failure, NOTHING));
+	}
+
+	@Test
+	void anotherProcessTakesTheLeaseOfALeaderWhoseTaskCannotSaveItsState() {
+		assertThatAnotherProcessTakesOverFrom((failure) -> new TestTask(NOTHING, failure));
+	}
+
+	private void assertThatAnotherProcessTakesOverFrom(Function<Runnable, LeaderTask> task) {
+		AtomicBoolean failed = new AtomicBoolean();
+		LeaderRunner failing = start("vm-1", task.apply(() -> {
+			failed.set(true);
 			throw new IllegalStateException("unreadable state");
 		}));
-		Awaitility.await().atMost(Duration.ofSeconds(10)).untilTrue(elected);
-		LeaderRunner sound = start("vm-2", new TestTask(() -> {
-		}));
+		Awaitility.await().atMost(Duration.ofSeconds(10)).untilTrue(failed);
+		LeaderRunner sound = start("vm-2", new TestTask(NOTHING, NOTHING));
 		Awaitility.await().atMost(Duration.ofSeconds(10)).until(() -> sound.term(BootClock.nowMillis()).isPresent());
 		assertThat(failing.term(BootClock.nowMillis())).isEmpty();
 	}
 
-	private record TestTask(Runnable election) implements LeaderTask {
+	private record TestTask(Runnable election, Runnable saving) implements LeaderTask {
 
 		@Override
 		public String name() {
@@ -70,6 +83,12 @@
 		public void onTick(LeaderTerm term, long nowMillis) {
 		}
 
+		@Override
+		public @Nullable JsonNode state(long nowMillis) {
+			this.saving.run();
+			return null;
+		}
+
 	}
 
 	private static final class MemoryLeaseStore implements LeaseStore {
