Keep the state of spillover per service and data centre

The state of SpilloverPolicy was kept per data centre only, so that two services shared each other's slow start and hysteresis: the first calls of one were sent in the number that the other had reached.

It is kept per service and data centre. Pairs that are idle are dropped when one is added, which bounds the state by what is in use.

SpilloverTests and ArchitectureTests pass; servicesDoNotShareTheirSlowStart is new and guards against the shared state.

--- a/src/main/java/org/jaywood/routing/DataCentreChoice.java
+++ b/src/main/java/org/jaywood/routing/DataCentreChoice.java
@@ -9,14 +9,15 @@
 interface DataCentreChoice {
 
 	/** Restricts no call. */
-	DataCentreChoice ANY = (here, others, nowMillis) -> Decision.ANYWHERE;
+	DataCentreChoice ANY = (service, here, others, nowMillis) -> Decision.ANYWHERE;
 
 	/**
 	 * Decides for a call that is placed now.
+	 * @param service its service
 	 * @param here engines of the own data centre that may run it
 	 * @param others those of each other one
 	 */
-	Decision decide(Room here, Collection<Room> others, long nowMillis);
+	Decision decide(String service, Room here, Collection<Room> others, long nowMillis);
 
 	/**
 	 * Where a call may be placed.
--- a/src/main/java/org/jaywood/routing/DataCentreRooms.java
+++ b/src/main/java/org/jaywood/routing/DataCentreRooms.java
@@ -34,11 +34,12 @@
 
 	/**
 	 * Decides in which data centres a call may be placed.
+	 * @param service its service
 	 * @param evaluated engines that may run it
 	 * @param open those of them that have free capacity
 	 * @param waitMillis expected wait for a slot of an engine, -1 if unknown
 	 */
-	DataCentreChoice.Decision decide(DataCentreChoice choice, List<PlacementPolicy.Candidate> evaluated,
+	DataCentreChoice.Decision decide(DataCentreChoice choice, String service, List<PlacementPolicy.Candidate> evaluated,
 			List<PlacementPolicy.Candidate> open, ToDoubleFunction<PlacementPolicy.Candidate> waitMillis,
 			long nowMillis) {
 		Map<String, List<PlacementPolicy.Candidate>> byDataCentre = evaluated.stream()
@@ -50,7 +51,7 @@
 		byDataCentre.remove(this.dataCentre);
 		List<DataCentreChoice.Room> others = new ArrayList<>();
 		byDataCentre.forEach((name, candidates) -> others.add(room(name, candidates, openSet, waitMillis, nowMillis)));
-		return choice.decide(here, others, nowMillis);
+		return choice.decide(service, here, others, nowMillis);
 	}
 
 	private DataCentreChoice.Room room(String name, List<PlacementPolicy.Candidate> candidates,
--- a/src/main/java/org/jaywood/routing/PlacementPolicy.java
+++ b/src/main/java/org/jaywood/routing/PlacementPolicy.java
@@ -143,10 +143,10 @@
 			.filter((candidate) -> candidate.state().withinFreeShare(candidate.capacity() + reserveCalls, nowMillis))
 			.filter((candidate) -> !(mayWait && candidate.quiet() && candidate.state().inFlight() >= MAX_QUIET_CALLS))
 			.toList();
-		DataCentreChoice.Decision decision = (mayWait && !open.isEmpty())
-				? this.dataCentreRooms.decide(this.dataCentreChoice, evaluated, open, (candidate) -> this.ranking
-					.waitMillis(candidate.state(), candidate.load(), requirements, nowMillis), nowMillis)
-				: DataCentreChoice.Decision.ANYWHERE;
+		DataCentreChoice.Decision decision = (mayWait && !open.isEmpty()) ? this.dataCentreRooms.decide(
+				this.dataCentreChoice, requirements.service(), evaluated, open,
+				(candidate) -> this.ranking.waitMillis(candidate.state(), candidate.load(), requirements, nowMillis),
+				nowMillis) : DataCentreChoice.Decision.ANYWHERE;
 		return open.stream()
 			.filter((candidate) -> decision.allows(candidate.state().upstream().dataCentre()))
 			.min(Comparator.comparing(Candidate::quiet).thenComparingDouble(Candidate::cost))
--- a/src/main/java/org/jaywood/routing/SpilloverPolicy.java
+++ b/src/main/java/org/jaywood/routing/SpilloverPolicy.java
@@ -35,10 +35,10 @@
 	 */
 	private static final double MIN_SAVED_MILLIS = 10;
 
-	private final Map<String, Pair> pairs = new HashMap<>();
+	private final Map<Key, Pair> pairs = new HashMap<>();
 
 	@Override
-	public Decision decide(Room here, Collection<Room> others, long nowMillis) {
+	public Decision decide(String service, Room here, Collection<Room> others, long nowMillis) {
 		if (here.slots() == 0) {
 			return new Decision(true, Set.of(), SpilloverReason.NO_ENGINE);
 		}
@@ -47,15 +47,24 @@
 		}
 		Set<String> dataCentres = others.stream()
 			.filter((there) -> isWorthLeaving(here, there))
-			.filter((there) -> pair(there).admits(there, nowMillis))
+			.filter((there) -> pair(service, there, nowMillis).admits(there, nowMillis))
 			.map(Room::dataCentre)
 			.collect(Collectors.toSet());
 		return dataCentres.isEmpty() ? new Decision(false, Set.of(here.dataCentre()), SpilloverReason.LOCAL)
 				: new Decision(false, dataCentres, here.open() ? SpilloverReason.WAIT : SpilloverReason.FULL);
 	}
 
-	private Pair pair(Room there) {
-		return this.pairs.computeIfAbsent(there.dataCentre(), (key) -> new Pair());
+	private Pair pair(String service, Room there, long nowMillis) {
+		Key key = new Key(service, there.dataCentre());
+		Pair known = this.pairs.get(key);
+		if (known != null) {
+			return known;
+		}
+		// An idle pair begins anew like a new one.
+		this.pairs.values().removeIf((pair) -> pair.idle(nowMillis));
+		Pair added = new Pair();
+		this.pairs.put(key, added);
+		return added;
 	}
 
 	/**
@@ -69,8 +78,11 @@
 		return !here.open() || here.lowestLoad() - there.lowestLoad() > there.distancePenalty();
 	}
 
+	private record Key(String service, String dataCentre) {
+	}
+
 	/**
-	 * What is known about sending to one other data centre.
+	 * What is known about sending calls of one service to one other data centre.
 	 */
 	private static final class Pair {
 
@@ -111,7 +123,7 @@
 		 * Whether another call may be sent.
 		 */
 		boolean admits(Room there, long nowMillis) {
-			if (nowMillis - this.neededMillis > IDLE_MILLIS) {
+			if (idle(nowMillis)) {
 				this.inUse = false;
 				this.maxCalls = FIRST_CALLS;
 				this.steppedMillis = nowMillis;
@@ -122,6 +134,13 @@
 			return this.inUse && there.ownCalls() < this.maxCalls;
 		}
 
+		/**
+		 * Whether no call was to be sent lately.
+		 */
+		boolean idle(long nowMillis) {
+			return nowMillis - this.neededMillis > IDLE_MILLIS;
+		}
+
 		private void step(Room there, long nowMillis) {
 			if (nowMillis - this.steppedMillis < STEP_MILLIS) {
 				return;
--- a/src/test/java/org/jaywood/routing/SpilloverTests.java
+++ b/src/test/java/org/jaywood/routing/SpilloverTests.java
@@ -185,8 +185,13 @@
 
 		private boolean leaves(double callsHere, double callsThere, int ownCallsThere, long delayMillis,
 				long nowMillis) {
+			return leaves("service", callsHere, callsThere, ownCallsThere, delayMillis, nowMillis);
+		}
+
+		private boolean leaves(String service, double callsHere, double callsThere, int ownCallsThere, long delayMillis,
+				long nowMillis) {
 			return this.policy
-				.decide(room("a", callsHere, 0, 0), List.of(room("b", callsThere, ownCallsThere, delayMillis)),
+				.decide(service, room("a", callsHere, 0, 0), List.of(room("b", callsThere, ownCallsThere, delayMillis)),
 						nowMillis)
 				.allows("b");
 		}
@@ -207,6 +212,14 @@
 			assertThat(leaves(100, 50, 3, 100, NOW + 400)).isTrue();
 		}
 
+		@Test
+		void servicesDoNotShareTheirSlowStart() {
+			assertThat(leaves("first", 100, 50, 3, 0, NOW)).isTrue();
+			assertThat(leaves("first", 100, 50, 4, 0, NOW + 100)).isTrue();
+			assertThat(leaves("second", 100, 50, 4, 0, NOW + 150)).isFalse();
+			assertThat(leaves("first", 100, 50, 5, 0, NOW + 150)).isTrue();
+		}
+
 		@Test
 		void fullDataCentreGetsNothing() {
 			assertThat(leaves(100, 98, 0, 0, NOW)).isFalse();
