Use the usual names in the choice of a data centre

DataCentreRooms, DataCentreChoice.Room and Candidate.sound needed explaining. They are DataCentreCapacities, Capacity and healthy now. No change of behaviour. SpilloverTests, ArchitectureTests, PlatformNamesTests, DispatcherTests and UnevenEnginesTests pass.

--- a/src/main/java/org/jaywood/routing/DataCentreRooms.java
+++ b/src/main/java/org/jaywood/routing/DataCentreCapacities.java
@@ -11,13 +11,13 @@
  * Sums up the engines that may run a call by data centre. Engines that are quiet or fail
  * calls count as no engines.
  */
-final class DataCentreRooms {
+final class DataCentreCapacities {
 
 	private final String dataCentre;
 
 	private final PathTimes pathTimes = new PathTimes();
 
-	DataCentreRooms(String dataCentre) {
+	DataCentreCapacities(String dataCentre) {
 		this.dataCentre = dataCentre;
 	}
 
@@ -43,18 +43,19 @@
 			List<PlacementPolicy.Candidate> open, ToDoubleFunction<PlacementPolicy.Candidate> waitMillis,
 			long nowMillis) {
 		Map<String, List<PlacementPolicy.Candidate>> byDataCentre = evaluated.stream()
-			.filter(PlacementPolicy.Candidate::sound)
+			.filter(PlacementPolicy.Candidate::healthy)
 			.collect(Collectors.groupingBy((candidate) -> candidate.state().upstream().dataCentre()));
 		Set<PlacementPolicy.Candidate> openSet = Set.copyOf(open);
-		DataCentreChoice.Room here = room(this.dataCentre, byDataCentre.getOrDefault(this.dataCentre, List.of()),
-				openSet, waitMillis, nowMillis);
+		DataCentreChoice.Capacity here = capacity(this.dataCentre,
+				byDataCentre.getOrDefault(this.dataCentre, List.of()), openSet, waitMillis, nowMillis);
 		byDataCentre.remove(this.dataCentre);
-		List<DataCentreChoice.Room> others = new ArrayList<>();
-		byDataCentre.forEach((name, candidates) -> others.add(room(name, candidates, openSet, waitMillis, nowMillis)));
+		List<DataCentreChoice.Capacity> others = new ArrayList<>();
+		byDataCentre
+			.forEach((name, candidates) -> others.add(capacity(name, candidates, openSet, waitMillis, nowMillis)));
 		return choice.decide(service, here, others, nowMillis);
 	}
 
-	private DataCentreChoice.Room room(String name, List<PlacementPolicy.Candidate> candidates,
+	private DataCentreChoice.Capacity capacity(String name, List<PlacementPolicy.Candidate> candidates,
 			Set<PlacementPolicy.Candidate> open, ToDoubleFunction<PlacementPolicy.Candidate> waitMillis,
 			long nowMillis) {
 		int slots = 0;
@@ -78,7 +79,7 @@
 				shortestWaitMillis = Math.min(shortestWaitMillis, waitMillis.applyAsDouble(candidate));
 			}
 		}
-		return new DataCentreChoice.Room(name, slots, calls, ownCalls, freeSlot, lowestLoad, shortestWaitMillis,
+		return new DataCentreChoice.Capacity(name, slots, calls, ownCalls, freeSlot, lowestLoad, shortestWaitMillis,
 				this.pathTimes.millis(name, nowMillis), distancePenalty, delayMillis);
 	}
 
--- a/src/main/java/org/jaywood/routing/DataCentreChoice.java
+++ b/src/main/java/org/jaywood/routing/DataCentreChoice.java
@@ -17,7 +17,7 @@
 	 * @param here engines of the own data centre that may run it
 	 * @param others those of each other one
 	 */
-	Decision decide(String service, Room here, Collection<Room> others, long nowMillis);
+	Decision decide(String service, Capacity here, Collection<Capacity> others, long nowMillis);
 
 	/**
 	 * Where a call may be placed.
@@ -51,7 +51,7 @@
 	 * @param distancePenalty load that is worth as much as the way
 	 * @param delayMillis delay of reports from there, in excess of the usual one
 	 */
-	record Room(String dataCentre, int slots, double calls, int ownCalls, boolean freeSlot, double lowestLoad,
+	record Capacity(String dataCentre, int slots, double calls, int ownCalls, boolean freeSlot, double lowestLoad,
 			double waitMillis, long pathMillis, double distancePenalty, long delayMillis) {
 
 		boolean open() {
--- a/src/main/java/org/jaywood/routing/PlacementPolicy.java
+++ b/src/main/java/org/jaywood/routing/PlacementPolicy.java
@@ -73,7 +73,7 @@
 
 	private final DataCentreChoice dataCentreChoice;
 
-	private final DataCentreRooms dataCentreRooms;
+	private final DataCentreCapacities dataCentreCapacities;
 
 	private final Map<String, ServicePace> paces = new HashMap<>();
 
@@ -85,7 +85,7 @@
 		this.limits = limits;
 		this.ranking = ranking;
 		this.dataCentreChoice = dataCentreChoice;
-		this.dataCentreRooms = new DataCentreRooms(settings.dataCentre());
+		this.dataCentreCapacities = new DataCentreCapacities(settings.dataCentre());
 	}
 
 	/**
@@ -102,7 +102,7 @@
 	 * Records the time in which a connection to an upstream was opened.
 	 */
 	void onConnected(Upstream upstream, long millis, long nowMillis) {
-		this.dataCentreRooms.onConnected(upstream, millis, nowMillis);
+		this.dataCentreCapacities.onConnected(upstream, millis, nowMillis);
 	}
 
 	/**
@@ -143,7 +143,7 @@
 			.filter((candidate) -> candidate.state().withinFreeShare(candidate.capacity() + reserveCalls, nowMillis))
 			.filter((candidate) -> !(mayWait && candidate.quiet() && candidate.state().inFlight() >= MAX_QUIET_CALLS))
 			.toList();
-		DataCentreChoice.Decision decision = (mayWait && !open.isEmpty()) ? this.dataCentreRooms.decide(
+		DataCentreChoice.Decision decision = (mayWait && !open.isEmpty()) ? this.dataCentreCapacities.decide(
 				this.dataCentreChoice, requirements.service(), evaluated, open,
 				(candidate) -> this.ranking.waitMillis(candidate.state(), candidate.load(), requirements, nowMillis),
 				nowMillis) : DataCentreChoice.Decision.ANYWHERE;
@@ -151,7 +151,7 @@
 			.filter((candidate) -> decision.allows(candidate.state().upstream().dataCentre()))
 			.min(Comparator.comparing(Candidate::quiet).thenComparingDouble(Candidate::cost))
 			.map((candidate) -> candidate
-				.withSpillover(this.dataCentreRooms.isOwn(candidate) ? SpilloverReason.LOCAL : decision.reason()));
+				.withSpillover(this.dataCentreCapacities.isOwn(candidate) ? SpilloverReason.LOCAL : decision.reason()));
 	}
 
 	/**
@@ -313,7 +313,7 @@
 		 * Whether it fails so few of its calls that the way to another data centre costs
 		 * more.
 		 */
-		boolean sound() {
+		boolean healthy() {
 			return !this.quiet && this.failureCost <= OTHER_REGION_PENALTY;
 		}
 
--- a/src/main/java/org/jaywood/routing/SpilloverPolicy.java
+++ b/src/main/java/org/jaywood/routing/SpilloverPolicy.java
@@ -38,7 +38,7 @@
 	private final Map<Key, Pair> pairs = new HashMap<>();
 
 	@Override
-	public Decision decide(String service, Room here, Collection<Room> others, long nowMillis) {
+	public Decision decide(String service, Capacity here, Collection<Capacity> others, long nowMillis) {
 		if (here.slots() == 0) {
 			return new Decision(true, Set.of(), SpilloverReason.NO_ENGINE);
 		}
@@ -48,13 +48,13 @@
 		Set<String> dataCentres = others.stream()
 			.filter((there) -> isWorthLeaving(here, there))
 			.filter((there) -> pair(service, there, nowMillis).admits(there, nowMillis))
-			.map(Room::dataCentre)
+			.map(Capacity::dataCentre)
 			.collect(Collectors.toSet());
 		return dataCentres.isEmpty() ? new Decision(false, Set.of(here.dataCentre()), SpilloverReason.LOCAL)
 				: new Decision(false, dataCentres, here.open() ? SpilloverReason.WAIT : SpilloverReason.FULL);
 	}
 
-	private Pair pair(String service, Room there, long nowMillis) {
+	private Pair pair(String service, Capacity there, long nowMillis) {
 		Key key = new Key(service, there.dataCentre());
 		Pair known = this.pairs.get(key);
 		if (known != null) {
@@ -71,7 +71,7 @@
 	 * Whether the wait here outweighs the way. A call that no engine here takes waits for
 	 * as long as all calls before it, which is longer than any way with room at its end.
 	 */
-	private static boolean isWorthLeaving(Room here, Room there) {
+	private static boolean isWorthLeaving(Capacity here, Capacity there) {
 		if (here.open() && here.waitMillis() >= 0 && there.pathMillis() >= 0) {
 			return here.waitMillis() > there.pathMillis() + there.delayMillis() + MIN_SAVED_MILLIS;
 		}
@@ -122,7 +122,7 @@
 		/**
 		 * Whether another call may be sent.
 		 */
-		boolean admits(Room there, long nowMillis) {
+		boolean admits(Capacity there, long nowMillis) {
 			if (idle(nowMillis)) {
 				this.inUse = false;
 				this.maxCalls = FIRST_CALLS;
@@ -141,7 +141,7 @@
 			return nowMillis - this.neededMillis > IDLE_MILLIS;
 		}
 
-		private void step(Room there, long nowMillis) {
+		private void step(Capacity there, long nowMillis) {
 			if (nowMillis - this.steppedMillis < STEP_MILLIS) {
 				return;
 			}
--- a/src/main/java/org/jaywood/routing/SpilloverReason.java
+++ b/src/main/java/org/jaywood/routing/SpilloverReason.java
@@ -8,7 +8,7 @@
 	/** It stays in the data centre. */
 	LOCAL,
 
-	/** No sound engine of the own data centre may run it. */
+	/** No healthy engine of the own data centre may run it. */
 	NO_ENGINE,
 
 	/** The own engines take no further calls. */
--- a/src/test/java/org/jaywood/routing/SpilloverTests.java
+++ b/src/test/java/org/jaywood/routing/SpilloverTests.java
@@ -177,9 +177,10 @@
 
 		private final SpilloverPolicy policy = new SpilloverPolicy();
 
-		private static DataCentreChoice.Room room(String dataCentre, double calls, int ownCalls, long delayMillis) {
+		private static DataCentreChoice.Capacity capacity(String dataCentre, double calls, int ownCalls,
+				long delayMillis) {
 			boolean free = calls < 100;
-			return new DataCentreChoice.Room(dataCentre, 100, calls, ownCalls, free,
+			return new DataCentreChoice.Capacity(dataCentre, 100, calls, ownCalls, free,
 					free ? calls / 100 : Double.POSITIVE_INFINITY, 0, 4, 0.12, delayMillis);
 		}
 
@@ -191,8 +192,8 @@
 		private boolean leaves(String service, double callsHere, double callsThere, int ownCallsThere, long delayMillis,
 				long nowMillis) {
 			return this.policy
-				.decide(service, room("a", callsHere, 0, 0), List.of(room("b", callsThere, ownCallsThere, delayMillis)),
-						nowMillis)
+				.decide(service, capacity("a", callsHere, 0, 0),
+						List.of(capacity("b", callsThere, ownCallsThere, delayMillis)), nowMillis)
 				.allows("b");
 		}
 
