--- a/src/main/java/org/jaywood/routing/ArrivalQueue.java
+++ b/src/main/java/org/jaywood/routing/ArrivalQueue.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.TreeSet;
+import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
 
@@ -56,6 +57,11 @@
 		return this.queue.headSet(latest).size();
 	}
 
+	@Override
+	public Stream<QueuedCall> callsBefore(QueuedCall latest) {
+		return this.queue.headSet(latest).stream();
+	}
+
 	@Override
 	public Pass pass() {
 		return new Pass() {
@@ -105,16 +111,27 @@
 				|| this.waitEstimator.waitMillis(countAhead(latest), nowMillis) <= MAX_FORECAST_SHARE * waitMillis;
 	}
 
+	@Override
+	public boolean previewWaitFeasible(QueuedCall latest, long waitMillis, long nowMillis) {
+		return isWaitFeasible(latest, waitMillis, nowMillis);
+	}
+
 	@Override
 	public List<QueuedCall> overdue(long nowMillis) {
 		return List.of();
 	}
 
 	@Override
-	public long retryAfterMillis(CallRequirements requirements, long leftMillis, long nowMillis) {
+	public long retryAfterMillis(CallRequirements requirements, boolean served, long leftMillis, long nowMillis) {
 		return this.retryTime.millis(requirements, this.queue.size(), nowMillis);
 	}
 
+	@Override
+	public long previewRetryAfterMillis(CallRequirements requirements, boolean served, long leftMillis, boolean arrived,
+			long nowMillis) {
+		return retryAfterMillis(requirements, served, leftMillis, nowMillis);
+	}
+
 	@Override
 	public double heldBackSlots(CallRequirements requirements, long nowMillis) {
 		return 0;
--- a/src/main/java/org/jaywood/routing/DataCentreChoice.java
+++ b/src/main/java/org/jaywood/routing/DataCentreChoice.java
@@ -19,6 +19,13 @@
 	 */
 	Decision decide(String service, Capacity here, Collection<Capacity> others, long nowMillis);
 
+	/**
+	 * Returns a view that decides in the same way and changes no state.
+	 */
+	default DataCentreChoice readOnly() {
+		return this;
+	}
+
 	/**
 	 * Where a call may be placed.
 	 *
--- a/src/main/java/org/jaywood/routing/ReturnSchedule.java
+++ b/src/main/java/org/jaywood/routing/ReturnSchedule.java
@@ -1,14 +1,17 @@
 package org.jaywood.routing;
 
-import java.util.TreeMap;
+import java.util.HashMap;
+import java.util.Map;
+
+import org.jspecify.annotations.Nullable;
 
 /**
  * Times at which refused callers of one service are told to come back. Each priority has
  * its own: the time until the calls ahead of it are served at the rate that the more
  * urgent ones leave, and behind the callers that were told to come back before. Answers
- * an overload of some seconds, whose refused callers would otherwise return together, and
- * the first second after a start, when no rate is known. Not safe for use by several
- * threads.
+ * an overload of some seconds, whose refused callers would otherwise return together, the
+ * first second after a start, when no rate is known, and a time without engines. Not safe
+ * for use by several threads.
  */
 final class ReturnSchedule {
 
@@ -32,8 +35,8 @@
 
 	private final WaitForecast forecast;
 
-	/** Time of the latest return by priority. */
-	private final TreeMap<Integer, Double> lastReturnMillis = new TreeMap<>();
+	/** Callers that were told to come back and have not yet, by priority. */
+	private final Map<Integer, Returning> returning = new HashMap<>();
 
 	private double spread;
 
@@ -41,6 +44,37 @@
 		this.forecast = forecast;
 	}
 
+	/**
+	 * Returns the time in milliseconds after which a call is told to come back that is
+	 * refused while no upstream runs that may take it: in the later half of the interval
+	 * that callers honour. Engines need seconds to load their weights after a loss of
+	 * power, so a caller that returns sooner is refused again.
+	 * @param leftMillis time that its caller has left
+	 */
+	long unservedMillis(long leftMillis) {
+		this.spread = nextSpread();
+		return Math.round(laterHalfMillis(longestMillis(leftMillis), this.spread));
+	}
+
+	/**
+	 * Returns the time of {@link #unservedMillis} for the next caller.
+	 */
+	long previewUnservedMillis(long leftMillis) {
+		return Math.round(laterHalfMillis(longestMillis(leftMillis), nextSpread()));
+	}
+
+	private double nextSpread() {
+		return (this.spread + GOLDEN_RATIO) % 1;
+	}
+
+	private static double longestMillis(long leftMillis) {
+		return Math.clamp(HONOURED_SHARE * leftMillis, MIN_MILLIS, MAX_MILLIS);
+	}
+
+	private static double laterHalfMillis(double longestMillis, double spread) {
+		return Math.max(MIN_MILLIS, longestMillis * (1 - spread / 2));
+	}
+
 	/**
 	 * Returns the time in milliseconds after which a refused call is told to come back.
 	 * @param moreUrgent queued calls of more urgent priorities
@@ -48,25 +82,67 @@
 	 * @param leftMillis time that its caller has left
 	 */
 	long retryAfterMillis(int priority, int moreUrgent, int queued, long leftMillis, long nowMillis) {
-		this.spread = (this.spread + GOLDEN_RATIO) % 1;
-		double longestMillis = Math.clamp(HONOURED_SHARE * leftMillis, MIN_MILLIS, MAX_MILLIS);
-		double millis = this.forecast.known(nowMillis)
-				? scheduledMillis(priority, moreUrgent + queued, longestMillis, nowMillis)
-				: Math.min(longestMillis, MIN_MILLIS + this.spread * UNKNOWN_RATE_SPREAD_MILLIS);
-		return Math.round(millis);
+		CallerReturn next = next(this.forecast, priority, moreUrgent + queued, leftMillis, nowMillis);
+		this.spread = next.spread();
+		Returning latest = next.returning();
+		if (latest != null) {
+			this.returning.put(priority, latest);
+		}
+		return Math.round(next.afterMillis());
 	}
 
-	private double scheduledMillis(int priority, int ahead, double longestMillis, long nowMillis) {
-		double callMillis = 1 / this.forecast.placedPerMilli(priority, nowMillis);
-		double roomMillis = nowMillis + Math.max(MIN_MILLIS, ahead * callMillis);
-		double previousMillis = this.lastReturnMillis.getOrDefault(priority, 0.0);
-		double returnMillis = Math.max(roomMillis, previousMillis + callMillis);
-		if (returnMillis - nowMillis > longestMillis) {
-			// No room in time: such callers are spread over the later half.
-			return Math.max(MIN_MILLIS, longestMillis * (1 - this.spread / 2));
+	/**
+	 * Returns the time of {@link #retryAfterMillis} without scheduling a return.
+	 * @param latest forecast in force
+	 */
+	long previewMillis(WaitForecast latest, int priority, int moreUrgent, int queued, long leftMillis, long nowMillis) {
+		return Math.round(next(latest, priority, moreUrgent + queued, leftMillis, nowMillis).afterMillis());
+	}
+
+	private CallerReturn next(WaitForecast latest, int priority, int ahead, long leftMillis, long nowMillis) {
+		double spread = nextSpread();
+		double longestMillis = longestMillis(leftMillis);
+		if (!latest.known(nowMillis)) {
+			return new CallerReturn(Math.min(longestMillis, MIN_MILLIS + spread * UNKNOWN_RATE_SPREAD_MILLIS), spread,
+					null);
+		}
+		double callMillis = 1 / latest.placedPerMilli(priority, nowMillis);
+		double roomMillis = Math.max(MIN_MILLIS, ahead * callMillis);
+		double aheadCalls = this.returning.getOrDefault(priority, Returning.NONE).callsAfter(callMillis, nowMillis);
+		double returnMillis = Math.max(roomMillis, (aheadCalls + 1) * callMillis);
+		if (returnMillis > longestMillis) {
+			// No room in time.
+			return new CallerReturn(laterHalfMillis(longestMillis, spread), spread, null);
 		}
-		this.lastReturnMillis.put(priority, returnMillis);
-		return returnMillis - nowMillis;
+		return new CallerReturn(returnMillis, spread, new Returning(returnMillis / callMillis, nowMillis));
+	}
+
+	/**
+	 * Return of the next refused caller.
+	 *
+	 * @param afterMillis time after which it is told to come back
+	 * @param spread number from 0 to 1 by which it is told apart from the one before
+	 * @param returning places that are then taken, or null if it takes none
+	 */
+	private record CallerReturn(double afterMillis, double spread, @Nullable Returning returning) {
+	}
+
+	/**
+	 * Places taken by callers that were told to come back. They are a number of calls
+	 * rather than a time: after a burst the same number is served sooner, and later
+	 * callers must not wait for the time that was told during the burst.
+	 */
+	private record Returning(double calls, long asOfMillis) {
+
+		static final Returning NONE = new Returning(-1, 0);
+
+		/**
+		 * Returns the places that are still taken, -1 if the next one is free now.
+		 */
+		double callsAfter(double callMillis, long nowMillis) {
+			return Math.max(-1, this.calls - (nowMillis - this.asOfMillis) / callMillis);
+		}
+
 	}
 
 }
--- a/src/main/java/org/jaywood/routing/ServiceQueue.java
+++ b/src/main/java/org/jaywood/routing/ServiceQueue.java
@@ -1,6 +1,7 @@
 package org.jaywood.routing;
 
 import java.util.List;
+import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
 
@@ -34,6 +35,12 @@
 	 */
 	int countAhead(QueuedCall latest);
 
+	/**
+	 * Returns the queued calls whose turn is before that of another one that is queued
+	 * now, and the others with the constraints of such a call, in no particular order.
+	 */
+	Stream<QueuedCall> callsBefore(QueuedCall latest);
+
 	/**
 	 * Begins to place calls.
 	 */
@@ -64,6 +71,12 @@
 	 */
 	boolean isWaitFeasible(QueuedCall latest, long waitMillis, long nowMillis);
 
+	/**
+	 * Returns what {@link #isWaitFeasible} would return once the call is recorded as one
+	 * that has come, without recording it.
+	 */
+	boolean previewWaitFeasible(QueuedCall latest, long waitMillis, long nowMillis);
+
 	/**
 	 * Returns the queued calls that are not likely any more to be placed within the time
 	 * that they can wait.
@@ -72,9 +85,20 @@
 
 	/**
 	 * Returns the time in milliseconds after which a refused call is likely to be placed.
+	 * @param served whether an upstream runs that may take the call
+	 * @param leftMillis time that its caller has left
+	 */
+	long retryAfterMillis(CallRequirements requirements, boolean served, long leftMillis, long nowMillis);
+
+	/**
+	 * Returns the time of {@link #retryAfterMillis} without scheduling a return.
+	 * @param served whether an upstream runs that may take the call
 	 * @param leftMillis time that its caller has left
+	 * @param arrived whether the call counts as one that has come, although it is not
+	 * recorded
 	 */
-	long retryAfterMillis(CallRequirements requirements, long leftMillis, long nowMillis);
+	long previewRetryAfterMillis(CallRequirements requirements, boolean served, long leftMillis, boolean arrived,
+			long nowMillis);
 
 	/**
 	 * Returns the free capacity for each gateway that must remain for more urgent calls
--- a/src/main/java/org/jaywood/routing/SharedQueue.java
+++ b/src/main/java/org/jaywood/routing/SharedQueue.java
@@ -96,6 +96,32 @@
 				+ this.byPriority.headMap(priority).values().stream().mapToInt(FairQueue::size).sum();
 	}
 
+	@Override
+	public Stream<QueuedCall> callsBefore(QueuedCall latest) {
+		CallRequirements requirements = latest.requirements();
+		if (requirements.queueClass().sentBefore()) {
+			return this.sentBefore.headSet(latest).stream();
+		}
+		int priority = requirements.priority();
+		Stream<QueuedCall> otherPriorities = this.byPriority.entrySet()
+			.stream()
+			.filter((entry) -> turns().compare(entry.getKey(), priority) < 0)
+			.flatMap((entry) -> entry.getValue().calls());
+		FairQueue own = this.byPriority.get(priority);
+		return Stream
+			.of(this.sentBefore.stream(), otherPriorities,
+					(own != null) ? own.callsBefore(latest) : Stream.<QueuedCall>empty())
+			.flatMap((calls) -> calls);
+	}
+
+	/**
+	 * Returns the order in which priorities have their turn.
+	 */
+	private Comparator<Integer> turns() {
+		return Comparator.comparing((Integer priority) -> !this.floor.due(priority))
+			.thenComparing(Comparator.naturalOrder());
+	}
+
 	@Override
 	public Pass pass() {
 		return new SharedPass();
@@ -132,9 +158,26 @@
 
 	@Override
 	public boolean isWaitFeasible(QueuedCall latest, long waitMillis, long nowMillis) {
+		return isWaitFeasible(latest, this.forecast, waitMillis, nowMillis);
+	}
+
+	@Override
+	public boolean previewWaitFeasible(QueuedCall latest, long waitMillis, long nowMillis) {
+		return isWaitFeasible(latest, forecastWith(latest.requirements(), nowMillis), waitMillis, nowMillis);
+	}
+
+	/**
+	 * Returns the forecast after the arrival of a call, without recording it.
+	 */
+	private WaitForecast forecastWith(CallRequirements latest, long nowMillis) {
+		PriorityDemand latestDemand = this.demand.withArrival(latest.priority(), nowMillis);
+		return new WaitForecast(latestDemand, new PriorityFloor(latestDemand), this.slots);
+	}
+
+	private boolean isWaitFeasible(QueuedCall latest, WaitForecast latestForecast, long waitMillis, long nowMillis) {
 		CallRequirements requirements = latest.requirements();
 		return size() < MIN_QUEUE_CALLS || requirements.queueClass().sentBefore()
-				|| this.forecast.endsWithin(waitMillis, requirements.priority(),
+				|| latestForecast.endsWithin(waitMillis, requirements.priority(),
 						moreUrgentCalls(requirements.priority()), countAheadInPriority(requirements), nowMillis);
 	}
 
@@ -157,12 +200,27 @@
 	}
 
 	@Override
-	public long retryAfterMillis(CallRequirements requirements, long leftMillis, long nowMillis) {
+	public long retryAfterMillis(CallRequirements requirements, boolean served, long leftMillis, long nowMillis) {
+		if (!served) {
+			return this.returns.unservedMillis(leftMillis);
+		}
 		FairQueue own = this.byPriority.get(requirements.priority());
 		return this.returns.retryAfterMillis(requirements.priority(), moreUrgentCalls(requirements.priority()),
 				(own != null) ? own.size() : 0, leftMillis, nowMillis);
 	}
 
+	@Override
+	public long previewRetryAfterMillis(CallRequirements requirements, boolean served, long leftMillis, boolean arrived,
+			long nowMillis) {
+		if (!served) {
+			return this.returns.previewUnservedMillis(leftMillis);
+		}
+		WaitForecast latest = arrived ? forecastWith(requirements, nowMillis) : this.forecast;
+		FairQueue own = this.byPriority.get(requirements.priority());
+		return this.returns.previewMillis(latest, requirements.priority(), moreUrgentCalls(requirements.priority()),
+				(own != null) ? own.size() : 0, leftMillis, nowMillis);
+	}
+
 	@Override
 	public double heldBackSlots(CallRequirements requirements, long nowMillis) {
 		boolean first = requirements.queueClass().sentBefore() || this.floor.due(requirements.priority());
@@ -199,7 +257,7 @@
 			}
 			return SharedQueue.this.byPriority.keySet()
 				.stream()
-				.sorted(Comparator.comparing((Integer priority) -> !SharedQueue.this.floor.due(priority)))
+				.sorted(turns())
 				.map(this::first)
 				.filter(Objects::nonNull)
 				.findFirst()
--- a/src/main/java/org/jaywood/routing/SpilloverPolicy.java
+++ b/src/main/java/org/jaywood/routing/SpilloverPolicy.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 
 /**
@@ -39,6 +40,17 @@
 
 	@Override
 	public Decision decide(String service, Capacity here, Collection<Capacity> others, long nowMillis) {
+		return decide(here, others, (there) -> pair(service, there, nowMillis), nowMillis);
+	}
+
+	@Override
+	public DataCentreChoice readOnly() {
+		return (service, here, others, nowMillis) -> decide(here, others, (there) -> pairOf(service, there).copy(),
+				nowMillis);
+	}
+
+	private static Decision decide(Capacity here, Collection<Capacity> others, Function<Capacity, Pair> pairs,
+			long nowMillis) {
 		if (here.slots() == 0) {
 			return new Decision(true, Set.of(), SpilloverReason.NO_ENGINE);
 		}
@@ -47,13 +59,17 @@
 		}
 		Set<String> dataCentres = others.stream()
 			.filter((there) -> isWorthLeaving(here, there))
-			.filter((there) -> pair(service, there, nowMillis).admits(there, nowMillis))
+			.filter((there) -> pairs.apply(there).admits(there, nowMillis))
 			.map(Capacity::dataCentre)
 			.collect(Collectors.toSet());
 		return dataCentres.isEmpty() ? new Decision(false, Set.of(here.dataCentre()), SpilloverReason.LOCAL)
 				: new Decision(false, dataCentres, here.open() ? SpilloverReason.WAIT : SpilloverReason.FULL);
 	}
 
+	private Pair pairOf(String service, Capacity there) {
+		return this.pairs.getOrDefault(new Key(service, there.dataCentre()), new Pair());
+	}
+
 	private Pair pair(String service, Capacity there, long nowMillis) {
 		Key key = new Key(service, there.dataCentre());
 		Pair known = this.pairs.get(key);
@@ -119,6 +135,15 @@
 
 		private long neededMillis = Long.MIN_VALUE / 2;
 
+		Pair copy() {
+			Pair copy = new Pair();
+			copy.inUse = this.inUse;
+			copy.maxCalls = this.maxCalls;
+			copy.steppedMillis = this.steppedMillis;
+			copy.neededMillis = this.neededMillis;
+			return copy;
+		}
+
 		/**
 		 * Whether another call may be sent.
 		 */
