--- a/src/main/java/org/jaywood/routing/DataCentreChoice.java
+++ b/src/main/java/org/jaywood/routing/DataCentreChoice.java
@@ -9,14 +9,15 @@
 interface DataCentreChoice {
 
 	/** Restricts no call. */
-	DataCentreChoice ANY = (here, others, nowMillis) -> Decision.ANYWHERE;
+	DataCentreChoice ANY = (service, here, others, nowMillis) -> Decision.ANYWHERE;
 
 	/**
 	 * Decides for a call that is placed now.
+	 * @param service its service
 	 * @param here engines of the own data centre that may run it
 	 * @param others those of each other one
 	 */
-	Decision decide(Room here, Collection<Room> others, long nowMillis);
+	Decision decide(String service, Capacity here, Collection<Capacity> others, long nowMillis);
 
 	/**
 	 * Returns a view that decides in the same way and changes no state.
@@ -57,7 +58,7 @@
 	 * @param distancePenalty load that is worth as much as the way
 	 * @param delayMillis delay of reports from there, in excess of the usual one
 	 */
-	record Room(String dataCentre, int slots, double calls, int ownCalls, boolean freeSlot, double lowestLoad,
+	record Capacity(String dataCentre, int slots, double calls, int ownCalls, boolean freeSlot, double lowestLoad,
 			double waitMillis, long pathMillis, double distancePenalty, long delayMillis) {
 
 		boolean open() {
--- a/src/main/java/org/jaywood/routing/PlacementPolicy.java
+++ b/src/main/java/org/jaywood/routing/PlacementPolicy.java
@@ -71,7 +71,7 @@
 
 	private final DataCentreChoice dataCentreChoice;
 
-	private final DataCentreRooms dataCentreRooms;
+	private final DataCentreCapacities dataCentreCapacities;
 
 	private final Map<String, ServicePace> paces = new HashMap<>();
 
@@ -83,7 +83,7 @@
 		this.limits = limits;
 		this.ranking = ranking;
 		this.dataCentreChoice = dataCentreChoice;
-		this.dataCentreRooms = new DataCentreRooms(settings.dataCentre());
+		this.dataCentreCapacities = new DataCentreCapacities(settings.dataCentre());
 	}
 
 	/**
@@ -100,7 +100,7 @@
 	 * Records the time in which a connection to an upstream was opened.
 	 */
 	void onConnected(Upstream upstream, long millis, long nowMillis) {
-		this.dataCentreRooms.onConnected(upstream, millis, nowMillis);
+		this.dataCentreCapacities.onConnected(upstream, millis, nowMillis);
 	}
 
 	/**
@@ -164,15 +164,15 @@
 			.filter((candidate) -> capacityExclusion(candidate, rules, nowMillis) == null)
 			.toList();
 		DataCentreChoice choice = readOnly ? this.dataCentreChoice.readOnly() : this.dataCentreChoice;
-		DataCentreChoice.Decision decision = (mayWait && !open.isEmpty())
-				? this.dataCentreRooms.decide(choice, evaluated, open, (candidate) -> this.ranking
-					.waitMillis(candidate.state(), candidate.load(), requirements, nowMillis), nowMillis)
-				: DataCentreChoice.Decision.ANYWHERE;
+		DataCentreChoice.Decision decision = (mayWait && !open.isEmpty()) ? this.dataCentreCapacities.decide(choice,
+				requirements.service(), evaluated, open,
+				(candidate) -> this.ranking.waitMillis(candidate.state(), candidate.load(), requirements, nowMillis),
+				nowMillis) : DataCentreChoice.Decision.ANYWHERE;
 		Optional<Candidate> chosen = open.stream()
 			.filter((candidate) -> decision.allows(candidate.state().upstream().dataCentre()))
 			.min(Comparator.comparing(Candidate::quiet).thenComparingDouble(Candidate::cost))
 			.map((candidate) -> candidate
-				.withSpillover(this.dataCentreRooms.isOwn(candidate) ? SpilloverReason.LOCAL : decision.reason()));
+				.withSpillover(this.dataCentreCapacities.isOwn(candidate) ? SpilloverReason.LOCAL : decision.reason()));
 		return new PlacementSelection(considered, evaluated, bestShare, rules, false, decision, chosen);
 	}
 
@@ -386,7 +386,7 @@
 		 * Whether it fails so few of its calls that the way to another data centre costs
 		 * more.
 		 */
-		boolean sound() {
+		boolean healthy() {
 			return !this.quiet && this.failureCost <= OTHER_REGION_PENALTY;
 		}
 
--- a/src/main/java/org/jaywood/routing/SpilloverPolicy.java
+++ b/src/main/java/org/jaywood/routing/SpilloverPolicy.java
@@ -36,19 +36,21 @@
 	 */
 	private static final double MIN_SAVED_MILLIS = 10;
 
-	private final Map<String, Pair> pairs = new HashMap<>();
+	private final Map<Key, Pair> pairs = new HashMap<>();
 
 	@Override
-	public Decision decide(Room here, Collection<Room> others, long nowMillis) {
-		return decide(here, others, this::pair, nowMillis);
+	public Decision decide(String service, Capacity here, Collection<Capacity> others, long nowMillis) {
+		return decide(here, others, (there) -> pair(service, there, nowMillis), nowMillis);
 	}
 
 	@Override
 	public DataCentreChoice readOnly() {
-		return (here, others, nowMillis) -> decide(here, others, (there) -> pairOf(there).copy(), nowMillis);
+		return (service, here, others, nowMillis) -> decide(here, others, (there) -> pairOf(service, there).copy(),
+				nowMillis);
 	}
 
-	private static Decision decide(Room here, Collection<Room> others, Function<Room, Pair> pairs, long nowMillis) {
+	private static Decision decide(Capacity here, Collection<Capacity> others, Function<Capacity, Pair> pairs,
+			long nowMillis) {
 		if (here.slots() == 0) {
 			return new Decision(true, Set.of(), SpilloverReason.NO_ENGINE);
 		}
@@ -58,33 +60,45 @@
 		Set<String> dataCentres = others.stream()
 			.filter((there) -> isWorthLeaving(here, there))
 			.filter((there) -> pairs.apply(there).admits(there, nowMillis))
-			.map(Room::dataCentre)
+			.map(Capacity::dataCentre)
 			.collect(Collectors.toSet());
 		return dataCentres.isEmpty() ? new Decision(false, Set.of(here.dataCentre()), SpilloverReason.LOCAL)
 				: new Decision(false, dataCentres, here.open() ? SpilloverReason.WAIT : SpilloverReason.FULL);
 	}
 
-	private Pair pairOf(Room there) {
-		return this.pairs.getOrDefault(there.dataCentre(), new Pair());
+	private Pair pairOf(String service, Capacity there) {
+		return this.pairs.getOrDefault(new Key(service, there.dataCentre()), new Pair());
 	}
 
-	private Pair pair(Room there) {
-		return this.pairs.computeIfAbsent(there.dataCentre(), (key) -> new Pair());
+	private Pair pair(String service, Capacity there, long nowMillis) {
+		Key key = new Key(service, there.dataCentre());
+		Pair known = this.pairs.get(key);
+		if (known != null) {
+			return known;
+		}
+		// An idle pair begins anew like a new one.
+		this.pairs.values().removeIf((pair) -> pair.idle(nowMillis));
+		Pair added = new Pair();
+		this.pairs.put(key, added);
+		return added;
 	}
 
 	/**
 	 * Whether the wait here outweighs the way. A call that no engine here takes waits for
 	 * as long as all calls before it, which is longer than any way with room at its end.
 	 */
-	private static boolean isWorthLeaving(Room here, Room there) {
+	private static boolean isWorthLeaving(Capacity here, Capacity there) {
 		if (here.open() && here.waitMillis() >= 0 && there.pathMillis() >= 0) {
 			return here.waitMillis() > there.pathMillis() + there.delayMillis() + MIN_SAVED_MILLIS;
 		}
 		return !here.open() || here.lowestLoad() - there.lowestLoad() > there.distancePenalty();
 	}
 
+	private record Key(String service, String dataCentre) {
+	}
+
 	/**
-	 * What is known about sending to one other data centre.
+	 * What is known about sending calls of one service to one other data centre.
 	 */
 	private static final class Pair {
 
@@ -133,8 +147,8 @@
 		/**
 		 * Whether another call may be sent.
 		 */
-		boolean admits(Room there, long nowMillis) {
-			if (nowMillis - this.neededMillis > IDLE_MILLIS) {
+		boolean admits(Capacity there, long nowMillis) {
+			if (idle(nowMillis)) {
 				this.inUse = false;
 				this.maxCalls = FIRST_CALLS;
 				this.steppedMillis = nowMillis;
@@ -145,7 +159,14 @@
 			return this.inUse && there.ownCalls() < this.maxCalls;
 		}
 
-		private void step(Room there, long nowMillis) {
+		/**
+		 * Whether no call was to be sent lately.
+		 */
+		boolean idle(long nowMillis) {
+			return nowMillis - this.neededMillis > IDLE_MILLIS;
+		}
+
+		private void step(Capacity there, long nowMillis) {
 			if (nowMillis - this.steppedMillis < STEP_MILLIS) {
 				return;
 			}
--- a/src/test/java/org/jaywood/routing/SpilloverTests.java
+++ b/src/test/java/org/jaywood/routing/SpilloverTests.java
@@ -179,17 +179,23 @@
 
 		private final SpilloverPolicy policy = new SpilloverPolicy();
 
-		private static DataCentreChoice.Room room(String dataCentre, double calls, int ownCalls, long delayMillis) {
+		private static DataCentreChoice.Capacity capacity(String dataCentre, double calls, int ownCalls,
+				long delayMillis) {
 			boolean free = calls < 100;
-			return new DataCentreChoice.Room(dataCentre, 100, calls, ownCalls, free,
+			return new DataCentreChoice.Capacity(dataCentre, 100, calls, ownCalls, free,
 					free ? calls / 100 : Double.POSITIVE_INFINITY, 0, 4, 0.12, delayMillis);
 		}
 
 		private boolean leaves(double callsHere, double callsThere, int ownCallsThere, long delayMillis,
 				long nowMillis) {
+			return leaves("service", callsHere, callsThere, ownCallsThere, delayMillis, nowMillis);
+		}
+
+		private boolean leaves(String service, double callsHere, double callsThere, int ownCallsThere, long delayMillis,
+				long nowMillis) {
 			return this.policy
-				.decide(room("a", callsHere, 0, 0), List.of(room("b", callsThere, ownCallsThere, delayMillis)),
-						nowMillis)
+				.decide(service, capacity("a", callsHere, 0, 0),
+						List.of(capacity("b", callsThere, ownCallsThere, delayMillis)), nowMillis)
 				.allows("b");
 		}
 
@@ -209,6 +215,14 @@
 			assertThat(leaves(100, 50, 3, 100, NOW + 400)).isTrue();
 		}
 
+		@Test
+		void servicesDoNotShareTheirSlowStart() {
+			assertThat(leaves("first", 100, 50, 3, 0, NOW)).isTrue();
+			assertThat(leaves("first", 100, 50, 4, 0, NOW + 100)).isTrue();
+			assertThat(leaves("second", 100, 50, 4, 0, NOW + 150)).isFalse();
+			assertThat(leaves("first", 100, 50, 5, 0, NOW + 150)).isTrue();
+		}
+
 		@Test
 		void fullDataCentreGetsNothing() {
 			assertThat(leaves(100, 98, 0, 0, NOW)).isFalse();
