Bound the time of an explanation, and check its request

Cause: a review of the explain command. Change: queued calls ahead are evaluated only if the call itself would be placed, and once for each set of constraints, priority and queue class; none if one of them is unconstrained, since the call is not next then. Exclusions have plainer names (path_suspect, slow_path, upstream_limit, free_capacity_share, stalled), and messages and comments are reworded; the assertions on two messages and on the renamed exclusions follow.

--- a/src/main/java/org/jaywood/cli/ExplainCommand.java
+++ b/src/main/java/org/jaywood/cli/ExplainCommand.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeoutException;
 
 import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
 import org.jspecify.annotations.Nullable;
 
@@ -28,7 +29,7 @@
 import org.jaywood.wire.WireClient;
 
 /**
- * Command that asks a gateway what would become of a call that came now.
+ * Command that asks a gateway how a call arriving now would be handled.
  */
 @Parameters(commandDescription = "Prints where a gateway would send a call now, and why, without sending it")
 @SuppressWarnings("NullAway.Init")
@@ -39,7 +40,7 @@
 
 	private static final String LATE = "did not answer within " + ANSWER_MILLIS + " ms";
 
-	/** Bound on what is printed of a response that is no answer. */
+	/** Maximum length of an error body that is printed. */
 	private static final int MAX_ERROR_CHARS = 300;
 
 	private static final double MILLIS_PER_SECOND = 1_000;
@@ -54,7 +55,8 @@
 	private @Nullable String workspace;
 
 	@Parameter(names = "--key",
-			description = "Key of the caller instead of the workspace; better given as JAYWOOD_KEY, since others see arguments")
+			description = "API key of the caller, instead of --workspace; prefer the environment variable JAYWOOD_KEY, "
+					+ "since arguments are visible to other users")
 	private @Nullable String key;
 
 	@Parameter(names = "--priority", description = "Priority, if not that of the workspace or route")
@@ -83,6 +85,9 @@
 
 	@Override
 	public int run() throws InterruptedException {
+		if (this.workspace != null && this.key != null) {
+			throw new ParameterException("--workspace and --key (or JAYWOOD_KEY) exclude each other");
+		}
 		Address address = this.addresses.getFirst();
 		try {
 			byte[] answer = ask(address);
@@ -94,14 +99,14 @@
 			System.err.println("jaywood: gateway " + address + " " + ex.getMessage());
 		}
 		catch (BadInputException ex) {
-			System.err.println("jaywood: gateway " + address + " sent an answer that is not readable");
+			System.err.println("jaywood: gateway " + address + " sent a malformed response");
 		}
 		return Jaywood.EXIT_USAGE;
 	}
 
 	/**
-	 * Asks the gateway. The time limit of the client ends with the head of the response,
-	 * and this one with its body.
+	 * Asks the gateway. The client's time-out covers only the response head, so
+	 * {@code Future.get} limits the whole exchange.
 	 */
 	private byte[] ask(Address address) throws NoAnswerException, InterruptedException {
 		ExplainRequest question = new ExplainRequest(this.route, this.workspace, this.key, this.priority,
@@ -123,7 +128,7 @@
 		}
 		catch (ExecutionException ex) {
 			throw new NoAnswerException(
-					(ex.getCause() instanceof HttpTimeoutException) ? LATE : "could not be asked: " + ex.getCause());
+					(ex.getCause() instanceof HttpTimeoutException) ? LATE : "request failed: " + ex.getCause());
 		}
 		finally {
 			executor.shutdownNow();
@@ -170,7 +175,8 @@
 	}
 
 	private static String describe(UpstreamExplanation upstream, @Nullable String chosen) {
-		String excluded = (upstream.excluded() != null) ? upstream.excluded().name().toLowerCase(Locale.ROOT) : "open";
+		String excluded = (upstream.excluded() != null) ? upstream.excluded().name().toLowerCase(Locale.ROOT)
+				: "eligible";
 		return String.format(Locale.ROOT, "  %s %s %s load %.1f of %.1f cost %.3f %s%s", upstream.id(),
 				upstream.dataCentre(), upstream.region(), upstream.load(), upstream.capacity(), upstream.cost(),
 				upstream.id().equals(chosen) ? "chosen" : excluded,
--- a/src/main/java/org/jaywood/gateway/Call.java
+++ b/src/main/java/org/jaywood/gateway/Call.java
@@ -1,6 +1,5 @@
 package org.jaywood.gateway;
 
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
@@ -58,11 +57,15 @@
 	 * Returns the priority of the call: that of its workspace, or else that of its route.
 	 */
 	int priority() {
-		return Optional.ofNullable(this.workspace)
-			.map(Workspace::priority)
-			.filter((priority) -> priority.isPresent())
-			.map((priority) -> priority.getAsInt())
-			.orElse(this.route.priority());
+		return priority(this.workspace, this.route.priority());
+	}
+
+	/**
+	 * Returns the priority of calls of a workspace on a route.
+	 * @param workspace the workspace, or null if there is none
+	 */
+	static int priority(@Nullable Workspace workspace, int routePriority) {
+		return (workspace != null) ? workspace.priority().orElse(routePriority) : routePriority;
 	}
 
 	/**
--- a/src/main/java/org/jaywood/gateway/CallAdmission.java
+++ b/src/main/java/org/jaywood/gateway/CallAdmission.java
@@ -137,7 +137,10 @@
 		return head.timeoutMillis().isPresent() ? nowMillis + head.timeoutMillis().getAsLong() : Long.MAX_VALUE;
 	}
 
-	private static String hostName(String host) {
+	/**
+	 * Returns a host without its port.
+	 */
+	static String hostName(String host) {
 		int colon = host.lastIndexOf(':');
 		return (colon > 0) ? host.substring(0, colon) : host;
 	}
--- a/src/main/java/org/jaywood/gateway/CallExplainer.java
+++ b/src/main/java/org/jaywood/gateway/CallExplainer.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.Objects;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -21,8 +22,8 @@
 import org.jaywood.wire.Exchange;
 
 /**
- * Tells an operator what would become of a call that came now, and why, without sending
- * it. Admission, shutdown, the screen of prompts and the dispatcher decide as for a call,
+ * Explains to an operator how a call arriving now would be handled, without sending it.
+ * Admission, shutdown, the screen of prompts and the dispatcher decide as for a call,
  * without a change of state. Safe for use by several threads.
  */
 final class CallExplainer {
@@ -54,7 +55,7 @@
 
 	/**
 	 * Reads a question. The message of the JSON parser may quote what it could not read,
-	 * and that may be a key.
+	 * and that may be a key, so it is not passed on.
 	 */
 	private static ExplainRequest read(Exchange exchange) throws IOException {
 		ExplainRequest request;
@@ -62,14 +63,30 @@
 			request = exchange.readJson(ExplainRequest.class, MAX_REQUEST_BYTES);
 		}
 		catch (BadInputException ex) {
-			throw new BadInputException(ex.status(), "the question is not readable");
+			throw new BadInputException(ex.status(), "malformed request");
 		}
 		if (request.route() == null || request.route().isEmpty()) {
-			throw new BadInputException(400, "the question names no route");
+			throw new BadInputException(400, "route is missing");
 		}
+		if (request.workspace() != null && request.key() != null) {
+			throw new BadInputException(400, "workspace and key exclude each other");
+		}
+		if (request.parts() != null && request.parts().stream().anyMatch(Objects::isNull)) {
+			throw new BadInputException(400, "parts contains null");
+		}
+		requireNotNegative("promptTokens", request.promptTokens());
+		requireNotNegative("answerTokens", request.answerTokens());
+		requireNotNegative("remainingMillis", request.remainingMillis());
+		requireNotNegative("priority", request.priority());
 		return request;
 	}
 
+	private static void requireNotNegative(String name, @Nullable Number value) {
+		if (value != null && value.longValue() < 0) {
+			throw new BadInputException(400, name + " is negative");
+		}
+	}
+
 	/**
 	 * Explains a call.
 	 */
@@ -90,17 +107,32 @@
 			case CallAdmission.Decision.Refused refused ->
 				new CallExplanation(this.context.settings().vm(), (table != null) ? table.version() : -1,
 						(route != null) ? route.name() : null, (workspace != null) ? workspace.name() : null,
-						(route != null) ? route.priority() : 0, Set.of(), false, refusal(refused.failure()), List.of());
-			case CallAdmission.Decision.Admitted admitted -> explain(admitted.call(), question.priority(), nowMillis);
+						priority(question, workspace, route), Set.of(), false, refusal(refused.failure()), List.of());
+			case CallAdmission.Decision.Admitted admitted -> {
+				Call call = admitted.call();
+				yield explain(call, priority(question, call.workspace(), call.route()), nowMillis);
+			}
 		};
 	}
 
 	/**
-	 * Finds a route by its name, or by host and path.
+	 * Returns the priority of a call: that of the request, or else that of the call.
+	 * @param workspace its workspace, or null if it has none
+	 */
+	private static int priority(ExplainRequest question, @Nullable Workspace workspace, @Nullable Route route) {
+		if (question.priority() != null) {
+			return question.priority();
+		}
+		return Call.priority(workspace, (route != null) ? route.priority() : 0);
+	}
+
+	/**
+	 * Finds a route by its name, or by host and path. A port is ignored, as for a call.
 	 */
 	private static @Nullable Route route(RouteTable table, String text) {
 		int slash = text.indexOf('/');
-		return ((slash > 0) ? table.route(text.substring(0, slash), text.substring(slash)) : table.routeNamed(text))
+		return ((slash > 0) ? table.route(CallAdmission.hostName(text.substring(0, slash)), text.substring(slash))
+				: table.routeNamed(text))
 			.orElse(null);
 	}
 
@@ -111,8 +143,7 @@
 		return (question.workspace() != null) ? table.workspaceNamed(question.workspace()).orElse(null) : null;
 	}
 
-	private CallExplanation explain(Call call, @Nullable Integer askedPriority, long nowMillis) {
-		int priority = (askedPriority != null) ? askedPriority : call.priority();
+	private CallExplanation explain(Call call, int priority, long nowMillis) {
 		Workspace workspace = call.workspace();
 		CallFailure refusal = refusal(call, nowMillis);
 		Call limited = call.withShutdown(() -> this.connections.shutdown().answerDeadlineMillis());
--- a/src/main/java/org/jaywood/gateway/CallExplanation.java
+++ b/src/main/java/org/jaywood/gateway/CallExplanation.java
@@ -8,7 +8,7 @@
 import org.jaywood.routing.PlacementExplanation;
 
 /**
- * What would become of a call that came now.
+ * How a call arriving now would be handled.
  *
  * @param gateway name of the gateway
  * @param configuration version of the configuration in force, or -1 if none is known
@@ -35,11 +35,11 @@
 	}
 
 	/**
-	 * What becomes of a call of one service.
+	 * Outcome for a call of one service.
 	 *
 	 * @param service name of the service
 	 * @param weight its weight among the services of the route
-	 * @param result what becomes of the call
+	 * @param result outcome for the call
 	 * @param refusal final response, or null if the call is not refused
 	 * @param waitMillis longest time for which it would be queued
 	 * @param placement what the placement decision finds
@@ -49,7 +49,7 @@
 	}
 
 	/**
-	 * What becomes of a call.
+	 * Outcome for a call.
 	 */
 	public enum Result {
 
--- a/src/main/java/org/jaywood/gateway/ExplainRequest.java
+++ b/src/main/java/org/jaywood/gateway/ExplainRequest.java
@@ -5,12 +5,12 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Question of an operator: what would become of a call that came now. The key is neither
- * logged nor returned.
+ * Request of an operator to explain how a call arriving now would be handled. The key is
+ * neither logged nor returned. No number is negative.
  *
  * @param route name of the route, or host and path of the call
- * @param workspace workspace of the caller, or null
- * @param key key of the caller, which takes precedence over the workspace, or null
+ * @param workspace workspace of the caller, or null; excludes the key
+ * @param key API key of the caller, or null; excludes the workspace
  * @param priority priority of the call, or null for that of its workspace or route
  * @param promptTokens tokens of the prompt, 0 if unknown
  * @param answerTokens most tokens that the answer may have, 0 if unknown
--- a/src/main/java/org/jaywood/routing/CallLimits.java
+++ b/src/main/java/org/jaywood/routing/CallLimits.java
@@ -62,7 +62,7 @@
 		if (coldLimited) {
 			return Exclusion.COLD_LIMIT;
 		}
-		return (waitMillis(state, profile, fleetDivisor, nowMillis) > 0) ? Exclusion.NAMED_LIMIT : null;
+		return (waitMillis(state, profile, fleetDivisor, nowMillis) > 0) ? Exclusion.UPSTREAM_LIMIT : null;
 	}
 
 	/**
--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -197,7 +197,7 @@
 	}
 
 	/**
-	 * Tells what would become of a call that came now, without a change of state.
+	 * Explains how a call arriving now would be handled, without a change of state.
 	 * @param waitMillis time for which it can wait
 	 * @param leftMillis time that its caller has left
 	 */
--- a/src/main/java/org/jaywood/routing/Exclusion.java
+++ b/src/main/java/org/jaywood/routing/Exclusion.java
@@ -17,10 +17,7 @@
 	/** The call was already sent there. */
 	TRIED,
 
-	/**
-	 * It does not hold all layers of the weights, or a version that may not start the
-	 * call.
-	 */
+	/** Its weights are incomplete, or their version may not serve this call. */
 	VERSION,
 
 	/** It reports that it takes no calls. */
@@ -38,34 +35,37 @@
 	/** Nothing comes from its VM. */
 	SILENT_VM,
 
-	/** Calls on the path to it were late, and one is under way to find out more. */
-	DOUBTED_PATH,
+	/**
+	 * Reports from it or calls to it were late, and a later call to it, which serves as a
+	 * probe, has not begun yet.
+	 */
+	PATH_SUSPECT,
 
 	/** This gateway does not subscribe to its reports and has enough others. */
 	NOT_SUBSCRIBED,
 
 	/** Reports from it or calls to it are late, and others have capacity. */
-	UNTIMELY_PATH,
+	SLOW_PATH,
 
 	/** This gateway has sent its share of the calls that a cold engine tolerates. */
 	COLD_LIMIT,
 
-	/** This gateway has sent its share of the calls that the upstream takes. */
-	NAMED_LIMIT,
+	/** This gateway has used its share of the limit that the upstream has announced. */
+	UPSTREAM_LIMIT,
 
 	/** It holds as many calls as it may, or fails so many that it gets few. */
 	FULL,
 
 	/** This gateway has used its share of the free capacity that reports have shown. */
-	FREE_SHARE,
+	FREE_CAPACITY_SHARE,
 
-	/** Its running attempts have all gone quiet. */
-	QUIET,
+	/** None of the attempts of this gateway that run there has made progress lately. */
+	STALLED,
 
 	/** Its free capacity is left to more urgent calls. */
 	HELD_BACK,
 
-	/** Calls do not leave for its data centre, or not for the own one. */
+	/** The spillover decision does not allow its data centre. */
 	OTHER_DATA_CENTRE
 
 }
--- a/src/main/java/org/jaywood/routing/PlacementExplainer.java
+++ b/src/main/java/org/jaywood/routing/PlacementExplainer.java
@@ -1,12 +1,14 @@
 package org.jaywood.routing;
 
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /**
- * Tells what would become of a call that came now, for an operator who asks why calls are
- * refused or go where they go. It asks those that decide about calls, without a change of
- * their state. Guarded by the lock of its {@link Dispatcher}.
+ * Explains how a call arriving now would be handled, for an operator who asks why calls
+ * are refused or go where they go. It asks those that decide about calls, without a
+ * change of their state. Guarded by the lock of its {@link Dispatcher}.
  */
 final class PlacementExplainer {
 
@@ -40,8 +42,9 @@
 				? PlacementRefusal.QUEUE_FULL : refusedAtOnce;
 		double heldBackSlots = queue.heldBackSlots(requirements, nowMillis);
 		PlacementSelection selection = this.selector.preview(requirements, heldBackSlots, fleetSize, nowMillis);
-		PlacementPolicy.Candidate chosen = (refusal == null && isNext(latest, queue, fleetSize, nowMillis))
-				? selection.chosen().orElse(null) : null;
+		boolean placed = refusal == null && selection.chosen().isPresent()
+				&& isNext(latest, queue, fleetSize, nowMillis);
+		PlacementPolicy.Candidate chosen = placed ? selection.chosen().orElse(null) : null;
 		boolean served = this.selector.hasRunning(requirements, nowMillis);
 		long retryAfterMillis = this.selector.retryAfterMillis(requirements,
 				queue.previewRetryAfterMillis(requirements, served, leftMillis, refusedAtOnce == null, nowMillis),
@@ -54,12 +57,19 @@
 	/**
 	 * Whether no queued call keeps a call from being placed: neither one that gets a
 	 * place before it, nor one that ends the walk through the queue because no upstream
-	 * has capacity for it.
+	 * has capacity for it. Calls that are placed together or not at all are evaluated
+	 * once, since calls wait for the lock meanwhile and the queue may be long.
 	 */
 	private boolean isNext(QueuedCall latest, ServiceQueue queue, FleetSize fleetSize, long nowMillis) {
-		return queue.callsBefore(latest)
-			.noneMatch((queuedCall) -> queuedCall.unconstrained()
-					|| isPlaceable(queuedCall.requirements(), queue, fleetSize, nowMillis));
+		List<QueuedCall> before = queue.callsBefore(latest).toList();
+		if (before.stream().anyMatch(QueuedCall::unconstrained)) {
+			return false;
+		}
+		Set<Placeability> evaluated = new HashSet<>();
+		return before.stream()
+			.map(QueuedCall::requirements)
+			.filter((requirements) -> evaluated.add(Placeability.of(requirements)))
+			.noneMatch((requirements) -> isPlaceable(requirements, queue, fleetSize, nowMillis));
 	}
 
 	private boolean isPlaceable(CallRequirements requirements, ServiceQueue queue, FleetSize fleetSize,
@@ -89,4 +99,17 @@
 				this.selector.unavailableMillis(state, fleetSize, nowMillis));
 	}
 
+	/**
+	 * What determines whether a queued call of a service can be placed.
+	 */
+	private record Placeability(FairQueue.Constraints constraints, int priority,
+			CallRequirements.QueueClass queueClass) {
+
+		static Placeability of(CallRequirements requirements) {
+			return new Placeability(FairQueue.Constraints.of(requirements), requirements.priority(),
+					requirements.queueClass());
+		}
+
+	}
+
 }
--- a/src/main/java/org/jaywood/routing/PlacementExplanation.java
+++ b/src/main/java/org/jaywood/routing/PlacementExplanation.java
@@ -5,7 +5,7 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * What would become of a call that came now.
+ * How a call arriving now would be handled.
  *
  * @param refusal why it would be refused at once, or null if it would not
  * @param upstream id of the upstream on which it would be placed at once, or null if it
--- a/src/main/java/org/jaywood/routing/PlacementPolicy.java
+++ b/src/main/java/org/jaywood/routing/PlacementPolicy.java
@@ -186,10 +186,10 @@
 			return Exclusion.FULL;
 		}
 		if (!candidate.state().withinFreeShare(capacity, nowMillis)) {
-			return Exclusion.FREE_SHARE;
+			return Exclusion.FREE_CAPACITY_SHARE;
 		}
 		boolean quiet = rules.mayWait() && candidate.quiet() && candidate.state().inFlight() >= MAX_QUIET_CALLS;
-		return quiet ? Exclusion.QUIET : null;
+		return quiet ? Exclusion.STALLED : null;
 	}
 
 	/**
--- a/src/main/java/org/jaywood/routing/UpstreamSelector.java
+++ b/src/main/java/org/jaywood/routing/UpstreamSelector.java
@@ -111,7 +111,7 @@
 		if (state.inFlight() > 0 && isVmSilent(state, nowMillis)) {
 			return Exclusion.SILENT_VM;
 		}
-		return state.trustsPath() ? null : Exclusion.DOUBTED_PATH;
+		return state.trustsPath() ? null : Exclusion.PATH_SUSPECT;
 	}
 
 	/**
@@ -131,7 +131,7 @@
 		Exclusion exclusion = this.policy.exclusion(state, selection, profile(requirements), fleetSize, nowMillis);
 		boolean untimely = exclusion == Exclusion.NOT_SUBSCRIBED && !state.hasTimelyPath(nowMillis)
 				&& selection.chosen().isPresent();
-		return (untimely && state.subscribed()) ? Exclusion.UNTIMELY_PATH : exclusion;
+		return (untimely && state.subscribed()) ? Exclusion.SLOW_PATH : exclusion;
 	}
 
 	/**
--- a/src/test/java/org/jaywood/cli/ExplainCommandTests.java
+++ b/src/test/java/org/jaywood/cli/ExplainCommandTests.java
@@ -6,6 +6,7 @@
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Test;
 
@@ -24,11 +25,13 @@
 
 	private final ByteArrayOutputStream printed = new ByteArrayOutputStream();
 
-	private int run(String address) {
+	private int run(String address, String... options) {
 		PrintStream err = System.err;
 		System.setErr(new PrintStream(this.printed, true, StandardCharsets.UTF_8));
 		try {
-			return new Jaywood(Map.of("JAYWOOD_KEY", "secret")).run("explain", address, "--route", "chat");
+			return new Jaywood(Map.of("JAYWOOD_KEY", "secret"))
+				.run(Stream.concat(Stream.of("explain", address, "--route", "chat"), Stream.of(options))
+					.toArray(String[]::new));
 		}
 		finally {
 			System.setErr(err);
@@ -49,6 +52,16 @@
 		assertThat(all).doesNotContain("secret");
 	}
 
+	/**
+	 * Guards against an answer for the key of the environment to an operator who names a
+	 * workspace.
+	 */
+	@Test
+	void workspaceBesideTheKeyOfTheEnvironment() {
+		assertThat(run("127.0.0.1:1", "--workspace", "workspace-1")).isEqualTo(2);
+		assertPrinted("--workspace and --key (or JAYWOOD_KEY) exclude each other");
+	}
+
 	@Test
 	void silentGateway() throws Exception {
 		try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
@@ -75,12 +88,12 @@
 			closedPort = server.getLocalPort();
 		}
 		assertThat(run("127.0.0.1:" + closedPort)).isEqualTo(2);
-		assertPrinted("could not be asked");
+		assertPrinted("request failed");
 		assertThat(run((exchange) -> exchange.respondError(500, "broken"))).isEqualTo(2);
 		assertPrinted("answered with status 500: {\"error\":\"broken\"}");
 		assertThat(run((exchange) -> exchange.respond(200, "text/plain", "no JSON".getBytes(StandardCharsets.UTF_8))))
 			.isEqualTo(2);
-		assertPrinted("not readable");
+		assertPrinted("malformed response");
 	}
 
 }
--- a/src/test/java/org/jaywood/gateway/CallExplainerTests.java
+++ b/src/test/java/org/jaywood/gateway/CallExplainerTests.java
@@ -5,8 +5,10 @@
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.Set;
 
 import org.junit.jupiter.api.Test;
@@ -15,19 +17,24 @@
 import org.jaywood.event.EventLog;
 import org.jaywood.feed.BootClock;
 import org.jaywood.feed.FeedView;
+import org.jaywood.http.RequestLimits;
 import org.jaywood.platform.PlatformCalls;
+import org.jaywood.routing.KeyRing;
 import org.jaywood.routing.RetryPolicy;
 import org.jaywood.routing.Route;
+import org.jaywood.routing.RouteTable;
 import org.jaywood.routing.RoutingFixtures;
 import org.jaywood.routing.ServiceShare;
 import org.jaywood.routing.Upstream;
 import org.jaywood.routing.UpstreamReport;
+import org.jaywood.routing.Workspace;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.HttpPort;
 import org.jaywood.wire.Json;
 import org.jaywood.wire.WireClient;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 /**
  * Guards against an answer about a call that differs from the response that the call
@@ -91,6 +98,65 @@
 		}
 	}
 
+	/**
+	 * Guards against a route that is not found for a host with its port, which a call
+	 * names as well.
+	 */
+	@Test
+	void hostWithPort() {
+		configure(this.nowMillis);
+		assertThat(this.explainer.explain(question("host:8080/chat/x", null, "key-1", null), this.nowMillis).route())
+			.isEqualTo("chat");
+	}
+
+	/**
+	 * Guards against a refused call that is shown with the priority of its route although
+	 * another one applies.
+	 */
+	@Test
+	void priorityOfRefusedCalls() {
+		this.context.storeCache()
+			.onConfiguration(new FeedView<>(
+					Map.of("main",
+							new RouteTable(1,
+									List.of(route("chat", false, new ServiceShare(RoutingFixtures.ENGINE_SERVICE, 1))),
+									Map.of(),
+									new KeyRing(true,
+											Map.of("key-1", new Workspace("workspace-1", OptionalInt.of(3), Set.of()))),
+									new RequestLimits(16_384, 1_000_000, 3_000, 15_000))),
+					1, this.nowMillis - 3_401, Long.MIN_VALUE, true));
+		ExplainRequest asked = new ExplainRequest("chat", "workspace-1", null, 2, 0, 0, null, List.of());
+		assertThat(List.of(asked, question("chat", null, "key-1", null), question("chat", null, "other", null))
+			.stream()
+			.map((question) -> this.explainer.explain(question, this.nowMillis))
+			.peek((explanation) -> assertThat(explanation.refusal()).isNotNull())
+			.map(CallExplanation::priority)
+			.toList()).containsExactly(2, 3, 1).inOrder();
+	}
+
+	/**
+	 * Guards against malformed values that fail as an internal error or are taken as they
+	 * are.
+	 */
+	@Test
+	void malformedRequests() throws Exception {
+		configure(this.nowMillis);
+		try (HttpPort port = HttpPort.open(new Address("127.0.0.1", 0), new EventLog("test"))
+			.route("POST", CallExplainer.PATH, this.explainer::handle)
+			.start()) {
+			Map<String, Object> malformed = Map.of("parts", Collections.singletonList(null), "promptTokens", -1,
+					"answerTokens", -1, "remainingMillis", -1, "priority", -1, "key", "key-1");
+			for (Map.Entry<String, Object> entry : malformed.entrySet()) {
+				HttpResponse<byte[]> response = WireClient.plain(null)
+					.post(port.address().uri(CallExplainer.PATH),
+							Map.of("route", "open", "workspace", "workspace-1", entry.getKey(), entry.getValue()),
+							Duration.ofSeconds(2));
+				assertWithMessage(entry.getKey()).that(response.statusCode()).isEqualTo(400);
+				assertThat(new String(response.body(), StandardCharsets.UTF_8)).contains(entry.getKey());
+			}
+		}
+	}
+
 	@Test
 	void staleConfiguration() {
 		configure(this.nowMillis - 3_401);
--- a/src/test/java/org/jaywood/routing/PlacementExplainerTests.java
+++ b/src/test/java/org/jaywood/routing/PlacementExplainerTests.java
@@ -1,7 +1,9 @@
 package org.jaywood.routing;
 
+import java.util.AbstractSet;
 import java.util.ArrayList;
 import java.util.EnumSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -11,6 +13,7 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 
+import com.google.common.collect.Range;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -68,6 +71,31 @@
 				CallRequirements.QueueClass.ON_TIME, true, CallCost.UNKNOWN, pinnedVersion, tried);
 	}
 
+	/**
+	 * Guards against an answer that evaluates all upstreams for each queued call while
+	 * calls wait for the lock of the dispatcher.
+	 */
+	@Test
+	void queuedCallsWithTheSameConstraintsAreEvaluatedOnce() {
+		fleet(RoutingFixtures.engine("a"), RoutingFixtures.engine("b", "donan-a", "donan", 1));
+		report("a", 0);
+		report("b", RoutingFixtures.SLOTS, 1, false, true);
+		CountedRegions regions = new CountedRegions("donan");
+		for (int number = 0; number < 10; number++) {
+			this.dispatcher.enqueue(call(regions, OptionalLong.empty(), Set.of()), NOW);
+		}
+		regions.lookups = 0;
+		PlacementExplanation placed = explain(this.call, NOW);
+		assertThat(placed.upstream()).isEqualTo("a");
+		assertThat(placed.queuedCalls()).isEqualTo(10);
+		assertThat(regions.lookups).isIn(Range.closed(1, 10));
+		regions.lookups = 0;
+		PlacementExplanation queued = explain(call(Set.of("donan"), OptionalLong.empty(), Set.of()), NOW);
+		assertThat(queued.refusal()).isNull();
+		assertThat(queued.upstream()).isNull();
+		assertThat(regions.lookups).isEqualTo(0);
+	}
+
 	/**
 	 * Guards against an engine that is passed over without its reason, or with a wrong
 	 * one.
@@ -147,7 +175,7 @@
 			fleet(engine);
 			report("a", 0);
 			PlacementExplainerTests.this.dispatcher.onLimit(engine, new LimitNotice.Limited(0.5), NOW, NOW);
-			assertThat(excluded(NOW)).isEqualTo(Exclusion.NAMED_LIMIT);
+			assertThat(excluded(NOW)).isEqualTo(Exclusion.UPSTREAM_LIMIT);
 			PlacementExplanation explanation = explain(PlacementExplainerTests.this.call, NOW);
 			assertThat(explanation.refusal()).isEqualTo(PlacementRefusal.RATE_LIMITED);
 			assertThat(explanation.upstreams().getFirst().unavailableMillis()).isGreaterThan(WAIT_MILLIS);
@@ -199,8 +227,8 @@
 				PlacementExplainerTests.this.dispatcher.onReportDelay(id, NOW, NOW);
 				PlacementExplainerTests.this.dispatcher.onReportDelay(id, NOW, NOW + 300);
 			});
-			assertThat(excluded(NOW + 300)).isEqualTo(Exclusion.DOUBTED_PATH);
-			assertThat(excluded("b", PlacementExplainerTests.this.call, NOW + 300)).isEqualTo(Exclusion.UNTIMELY_PATH);
+			assertThat(excluded(NOW + 300)).isEqualTo(Exclusion.PATH_SUSPECT);
+			assertThat(excluded("b", PlacementExplainerTests.this.call, NOW + 300)).isEqualTo(Exclusion.SLOW_PATH);
 			assertThat(explain(PlacementExplainerTests.this.call, NOW + 300).upstream()).isEqualTo("c");
 		}
 
@@ -214,7 +242,7 @@
 				.forEach((queuedCall) -> queuedCall.placement().join().activity().onSent(NOW));
 			fleet(RoutingFixtures.engine("a"), RoutingFixtures.engine("b"));
 			List.of("a", "b").forEach((id) -> report(id, id.equals("a") ? 2 : 0));
-			assertThat(excluded(NOW + 700)).isEqualTo(Exclusion.QUIET);
+			assertThat(excluded(NOW + 700)).isEqualTo(Exclusion.STALLED);
 		}
 
 		@Test
@@ -262,12 +290,43 @@
 				assertWithMessage(decision).that(decisions.stream().anyMatch((line) -> line.contains(decision)))
 					.isTrue();
 			}
-			assertThat(run.seen).containsAtLeast(Exclusion.FULL, Exclusion.FREE_SHARE, Exclusion.HELD_BACK,
+			assertThat(run.seen).containsAtLeast(Exclusion.FULL, Exclusion.FREE_CAPACITY_SHARE, Exclusion.HELD_BACK,
 					Exclusion.OTHER_DATA_CENTRE);
 		}
 
 	}
 
+	/**
+	 * Set of one region that counts how often an upstream is compared with it.
+	 */
+	private static final class CountedRegions extends AbstractSet<String> {
+
+		private final Set<String> regions;
+
+		private int lookups;
+
+		CountedRegions(String region) {
+			this.regions = Set.of(region);
+		}
+
+		@Override
+		public boolean contains(Object region) {
+			this.lookups++;
+			return this.regions.contains(region);
+		}
+
+		@Override
+		public Iterator<String> iterator() {
+			return this.regions.iterator();
+		}
+
+		@Override
+		public int size() {
+			return this.regions.size();
+		}
+
+	}
+
 	/**
 	 * One run, in steps of 5 ms.
 	 */
