--- a/src/main/java/org/jaywood/event/Event.java
+++ b/src/main/java/org/jaywood/event/Event.java
@@ -202,7 +202,7 @@
 	PART_TRIAL(1612, Level.INFO, "trial {number} of the parts {parts}: made by this gateway {granted}"),
 
 	/** Another gateway has acquired the lease of a trial after a restore of the store. */
-	TRIAL_LEASE_LOST(1619, Level.INFO, "the lease {lease} of a trial is held by another gateway"),
+	TRIAL_LEASE_LOST(1619, Level.INFO, "another gateway has acquired the lease {lease} of a trial"),
 
 	/** An upstream has said in a response that it leaves; it gets no more calls. */
 	UPSTREAM_LEAVING(1613, Level.INFO, "{upstream} leaves, as it says in its response to {request}"),
--- a/src/main/java/org/jaywood/gateway/LeaderRunner.java
+++ b/src/main/java/org/jaywood/gateway/LeaderRunner.java
@@ -134,7 +134,7 @@
 			return this.election.next(this::states, BootClock.nowMillis());
 		}
 		catch (RuntimeException ex) {
-			resign("the state of a task cannot be saved");
+			resign("collecting the states of the tasks failed");
 			throw ex;
 		}
 	}
@@ -191,8 +191,8 @@
 	}
 
 	/**
-	 * Hands over to the tasks. A leader without all its tasks would hold the lease and do
-	 * nothing, so it resigns if one of them fails.
+	 * Starts the tasks of a new term. If one fails, this process resigns, since a leader
+	 * without all its tasks would hold the lease without doing the work.
 	 */
 	private void takeOver(long nowMillis) {
 		this.handedOver = false;
--- a/src/main/java/org/jaywood/leader/LeaderTask.java
+++ b/src/main/java/org/jaywood/leader/LeaderTask.java
@@ -31,7 +31,8 @@
 	}
 
 	/**
-	 * Returns the state that the next renewal saves, or null to keep the saved one.
+	 * Returns the state that the next renewal saves, or null to keep the saved one. If it
+	 * fails, the process gives up the lease.
 	 */
 	default @Nullable JsonNode state(long nowMillis) {
 		return null;
--- a/src/main/java/org/jaywood/leader/LeaseTiming.java
+++ b/src/main/java/org/jaywood/leader/LeaseTiming.java
@@ -41,7 +41,7 @@
 
 	/**
 	 * Returns the time after which a process that has given up its lease may take it
-	 * again: all others have polled in between and come first.
+	 * again, long enough for every other candidate to poll first.
 	 */
 	long retakeMillis() {
 		return takeoverMillis() + 2 * this.maxPollMillis;
--- a/src/main/java/org/jaywood/metering/CountCopies.java
+++ b/src/main/java/org/jaywood/metering/CountCopies.java
@@ -7,15 +7,21 @@
 import java.util.TreeMap;
 
 /**
- * Counts of processes that may have ended, kept until their windows are sealed. It
- * answers a leader that is killed before the lease has its latest counts: the other
- * gateways have them from its responses and tell the next leader. Thread-safe.
+ * Counts of processes that may have ended, kept until their windows are sealed. If a
+ * leader is killed before its latest counts are saved with the lease, the next leader
+ * gets them from the other gateways, which keep copies from its responses. Thread-safe.
  */
 public final class CountCopies {
 
-	/** Processes whose counts are kept: more leaders than windows are open. */
+	/** Maximum number of processes whose counts are kept. */
 	private static final int MAX_PROCESSES = 8;
 
+	/**
+	 * Maximum number of counts that are kept. They are sent with each report, of which a
+	 * leader accepts 2 MB.
+	 */
+	private static final int MAX_COUNTS = 8 * 1024;
+
 	private final Map<String, TreeMap<Long, Map<String, Long>>> windowsByProcess = new LinkedHashMap<>();
 
 	private long lastSealed = Long.MIN_VALUE;
@@ -28,7 +34,12 @@
 				(key) -> new TreeMap<>());
 		counts.windows().forEach((window, latest) -> {
 			Map<String, Long> merged = kept.computeIfAbsent(window, (key) -> new HashMap<>());
-			latest.forEach((workspace, count) -> merged.merge(workspace, count, Math::max));
+			int others = size() - merged.size();
+			latest.forEach((workspace, count) -> {
+				if (merged.containsKey(workspace) || others + merged.size() < MAX_COUNTS) {
+					merged.merge(workspace, count, Math::max);
+				}
+			});
 		});
 		while (kept.size() > UsageWindows.MAX_WINDOWS) {
 			kept.pollFirstEntry();
@@ -51,6 +62,14 @@
 		removeSealed();
 	}
 
+	private int size() {
+		return this.windowsByProcess.values()
+			.stream()
+			.flatMap((windows) -> windows.values().stream())
+			.mapToInt(Map::size)
+			.sum();
+	}
+
 	private void removeSealed() {
 		this.windowsByProcess.values().forEach((windows) -> windows.headMap(this.lastSealed, true).clear());
 		this.windowsByProcess.values().removeIf(Map::isEmpty);
--- a/src/main/java/org/jaywood/metering/SealedWindow.java
+++ b/src/main/java/org/jaywood/metering/SealedWindow.java
@@ -78,7 +78,7 @@
 	}
 
 	/**
-	 * How far the report of a window is.
+	 * State of the report of a window.
 	 */
 	enum Status {
 
--- a/src/main/java/org/jaywood/metering/UsageFallback.java
+++ b/src/main/java/org/jaywood/metering/UsageFallback.java
@@ -9,8 +9,8 @@
 /**
  * Writes the counts of this process into the store. The object is that of the VM, so that
  * counts of processes which ran there before are read first and written with them until
- * their windows are sealed. It answers processes that are restarted while there is no
- * leader. Used by one thread.
+ * their windows are sealed. Preserves the counts of a process that is restarted while
+ * there is no leader. Used by one thread.
  */
 public final class UsageFallback {
 
--- a/src/main/java/org/jaywood/metering/UsageLedger.java
+++ b/src/main/java/org/jaywood/metering/UsageLedger.java
@@ -24,8 +24,8 @@
  * processes lead one after the other: a total is sent only when the store has
  * acknowledged it, the next leader sends the saved total, and after a restore of the
  * store only the process that sealed a window may send a total that the store has lost.
- * It answers the load of some tens of gateways that report twice a second. All times are
- * true times. Thread-safe.
+ * Designed for some tens of gateways that report every 400 ms. All times are true times.
+ * Thread-safe.
  */
 public final class UsageLedger {
 
@@ -135,10 +135,10 @@
 	}
 
 	private static SealedWindow.Status status(JsonNode saved) {
-		if (saved.path("accepted").asBoolean()) {
-			return SealedWindow.Status.ACCEPTED;
+		if (saved.path("withheld").asBoolean()) {
+			return SealedWindow.Status.WITHHELD;
 		}
-		return saved.path("withheld").asBoolean() ? SealedWindow.Status.WITHHELD : SealedWindow.Status.SAVED;
+		return saved.path("accepted").asBoolean() ? SealedWindow.Status.ACCEPTED : SealedWindow.Status.SAVED;
 	}
 
 	private static Map<String, Long> counts(JsonNode node) {
@@ -249,8 +249,10 @@
 	public synchronized JsonNode state() {
 		ObjectNode state = Json.mapper().createObjectNode().put("last", this.lastSealed);
 		ObjectNode sealedNode = state.putObject("sealed");
+		// Leaders of earlier releases know only "accepted" and must not send a withheld
+		// total.
 		this.sealed.forEach((window, entry) -> sealedNode.putObject(Long.toString(window))
-			.put("accepted", entry.accepted())
+			.put("accepted", entry.accepted() || entry.withheld())
 			.put("withheld", entry.withheld())
 			.set("counts", Json.mapper().valueToTree(entry.report().counts())));
 		ObjectNode openNode = state.putObject("open");
--- a/src/main/java/org/jaywood/metering/UsageReporter.java
+++ b/src/main/java/org/jaywood/metering/UsageReporter.java
@@ -7,8 +7,8 @@
 public final class UsageReporter {
 
 	/**
-	 * Least time between two reports. Each response has the latest counts of the leader,
-	 * which may be killed: with ticks of 100 ms, half a second of them is lost at most.
+	 * Minimum interval between reports. Responses carry the latest counts of the leader;
+	 * with ticks of 100 ms, at most half a second of them is lost if it is killed.
 	 */
 	private static final long REPORT_INTERVAL_MILLIS = 350;
 
@@ -37,9 +37,9 @@
 	}
 
 	/**
-	 * Whether the counts go to the leader now, which then counts as tried. They do so
-	 * right after the end of a window, too, so that the counts of that window are soon
-	 * kept by more than one process.
+	 * Returns whether a report is due, and records it as sent. One is also due at the
+	 * start of a window, so that another process soon has the final counts of the
+	 * previous one.
 	 * @param window present window
 	 */
 	public boolean takeReport(long window, long nowMillis) {
--- a/src/main/java/org/jaywood/metering/UsageTask.java
+++ b/src/main/java/org/jaywood/metering/UsageTask.java
@@ -52,7 +52,8 @@
 	 * Creates a task.
 	 * @param process random id of this process
 	 * @param counter counts of this process
-	 * @param bootMillis returns the boot time, of which a call to the platform takes some
+	 * @param bootMillis returns the boot time, read again after a call to the platform
+	 * because the call takes time
 	 */
 	public UsageTask(UsageWindows windows, TrueTime trueTime, UsageApi api, UsageCountStore countStore, String process,
 			UsageCounter counter, LongSupplier bootMillis, EventLog log) {
--- a/src/main/java/org/jaywood/platform/StoreUsageCounts.java
+++ b/src/main/java/org/jaywood/platform/StoreUsageCounts.java
@@ -49,7 +49,13 @@
 			throw new IOException("read of " + KIND + "/" + this.vm + ": status " + response.status());
 		}
 		JsonNode object = tree(response);
-		return new Stored(decode(object.path("Spec")), revision(object));
+		try {
+			return new Stored(decode(object.path("Spec")), revision(object));
+		}
+		catch (NumberFormatException ex) {
+			// Written by another program; the next write replaces it.
+			return new Stored(List.of(), revision(object));
+		}
 	}
 
 	@Override
--- a/src/main/java/org/jaywood/scaling/ScalingTask.java
+++ b/src/main/java/org/jaywood/scaling/ScalingTask.java
@@ -51,7 +51,8 @@
 	/**
 	 * Creates the task.
 	 * @param input returns the input of a decision at a boot time
-	 * @param bootMillis returns the boot time, of which a call to the platform takes some
+	 * @param bootMillis returns the boot time, read again after a call to the platform
+	 * because the call takes time
 	 */
 	public ScalingTask(LongFunction<ScalingInput> input, ScalingApi api, LongSupplier bootMillis, EventLog log) {
 		this.input = input;
--- a/src/test/java/org/jaywood/metering/UsageLedgerTests.java
+++ b/src/test/java/org/jaywood/metering/UsageLedgerTests.java
@@ -244,6 +244,12 @@
 			next.begin(UsageLedgerTests.this.ledger.state(), 0, END_MILLIS + 8_000);
 			assertThat(next.nextReport(END_MILLIS + 8_000)).isEmpty();
 			assertThat(next.removeDue(END_MILLIS + 10_000)).containsExactly(WINDOW);
+			// A leader of an earlier release sends what is not accepted.
+			assertThat(UsageLedgerTests.this.ledger.state()
+				.path("sealed")
+				.path(Long.toString(WINDOW))
+				.path("accepted")
+				.asBoolean()).isTrue();
 			assertThat(UsageLedgerTests.this.ledger.removeDue(END_MILLIS + 10_000)).containsExactly(WINDOW);
 		}
 
--- a/src/test/java/org/jaywood/platform/StoreUsageCountsTests.java
+++ b/src/test/java/org/jaywood/platform/StoreUsageCountsTests.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -55,6 +57,31 @@
 				new ProcessCounts("first", Map.of(8L, Map.of("a", 2L))));
 	}
 
+	/**
+	 * Guards against a gateway that can never again store counts because of one bad
+	 * object.
+	 */
+	@Test
+	void malformedObjectIsReplaced() throws IOException {
+		this.store.put("usage-counts", "vm-1", Map.of("Windows", Map.of("x", Map.of("a", 1))));
+		this.second.write(LATER);
+		assertThat(this.counts.readAll()).containsExactly(new ProcessCounts("second", LATER));
+	}
+
+	/** Guards against copies that no longer fit into a report. */
+	@Test
+	void copiesOfCountsAreBounded() {
+		Map<String, Long> workspaces = IntStream.range(0, 4_000)
+			.boxed()
+			.collect(Collectors.toMap(String::valueOf, Long::valueOf));
+		this.copies.merge(new ProcessCounts("first", Map.of(7L, workspaces, 8L, workspaces, 9L, workspaces)));
+		assertThat(this.copies.allExcept("")
+			.stream()
+			.flatMap((copy) -> copy.windows().values().stream())
+			.mapToInt(Map::size)
+			.sum()).isEqualTo(8 * 1024);
+	}
+
 	/**
 	 * A write without a response may be executed seconds later.
 	 */
