Scan the upstreams for a time of return only where it depends on them

At every refusal the dispatcher looked for a running upstream, also for services with one priority, whose queue ignores the result. The queue now gets a BooleanSupplier, which only SharedQueue evaluates. Times of return are unchanged; the saved time was not measured.

Passed: RetryAfterTests, ReturnTests, SharingTests, DispatcherTests, SpilloverTests, PlacementExplainerTests, ArchitectureTests and PlatformNamesTests (selected unit tests only).

--- a/src/main/java/org/jaywood/routing/ArrivalQueue.java
+++ b/src/main/java/org/jaywood/routing/ArrivalQueue.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.TreeSet;
+import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
@@ -122,14 +123,15 @@
 	}
 
 	@Override
-	public long retryAfterMillis(CallRequirements requirements, boolean served, long leftMillis, long nowMillis) {
+	public long retryAfterMillis(CallRequirements requirements, BooleanSupplier served, long leftMillis,
+			long nowMillis) {
 		return this.retryTime.millis(requirements, this.queue.size(), nowMillis);
 	}
 
 	@Override
 	public long previewRetryAfterMillis(CallRequirements requirements, boolean served, long leftMillis, boolean arrived,
 			long nowMillis) {
-		return retryAfterMillis(requirements, served, leftMillis, nowMillis);
+		return retryAfterMillis(requirements, () -> served, leftMillis, nowMillis);
 	}
 
 	@Override
--- a/src/main/java/org/jaywood/routing/CallQueue.java
+++ b/src/main/java/org/jaywood/routing/CallQueue.java
@@ -121,7 +121,7 @@
 	}
 
 	/**
-	 * Returns a call as if it were queued now.
+	 * Returns a queue entry for a call arriving now, without queuing it.
 	 */
 	QueuedCall latest(CallRequirements requirements, long nowMillis) {
 		return new QueuedCall(requirements, this.nextSequence, nowMillis, Long.MAX_VALUE);
--- a/src/main/java/org/jaywood/routing/DataCentreChoice.java
+++ b/src/main/java/org/jaywood/routing/DataCentreChoice.java
@@ -55,7 +55,7 @@
 	 * infinite if none would
 	 * @param waitMillis expected wait for a slot there, -1 if unknown
 	 * @param pathMillis measured time of the way there and back, -1 if unknown
-	 * @param distancePenalty load that is worth as much as the way
+	 * @param distancePenalty distance expressed as an equivalent load
 	 * @param delayMillis delay of reports from there, in excess of the usual one
 	 */
 	record Capacity(String dataCentre, int slots, double calls, int ownCalls, boolean freeSlot, double lowestLoad,
--- a/src/main/java/org/jaywood/routing/Dispatcher.java
+++ b/src/main/java/org/jaywood/routing/Dispatcher.java
@@ -284,9 +284,9 @@
 	 * @param leftMillis time that its caller has left
 	 */
 	public synchronized long retryAfterMillis(CallRequirements requirements, long leftMillis, long nowMillis) {
-		boolean served = this.selector.hasRunning(requirements, nowMillis);
 		long byRateMillis = this.queue.of(requirements.service())
-			.retryAfterMillis(requirements, served, leftMillis, nowMillis);
+			.retryAfterMillis(requirements, () -> this.selector.hasRunning(requirements, nowMillis), leftMillis,
+					nowMillis);
 		return this.selector.retryAfterMillis(requirements, byRateMillis, this.states.fleetSize(nowMillis), nowMillis);
 	}
 
--- a/src/main/java/org/jaywood/routing/EventRate.java
+++ b/src/main/java/org/jaywood/routing/EventRate.java
@@ -19,8 +19,8 @@
 	}
 
 	/**
-	 * Creates a rate of events that would have been recorded earlier, had there been any.
-	 * @param sinceMillis time from which on none came
+	 * Creates a rate for events that have been observed since a given time, none so far.
+	 * @param sinceMillis start of the observation
 	 */
 	EventRate(double windowMillis, long sinceMillis) {
 		this.windowMillis = windowMillis;
--- a/src/main/java/org/jaywood/routing/FairQueue.java
+++ b/src/main/java/org/jaywood/routing/FairQueue.java
@@ -24,8 +24,8 @@
 final class FairQueue {
 
 	/**
-	 * Of as many calls of a workspace that are placed, at least one is late, so that
-	 * callers who return after a refusal are neither ahead of all nor behind all.
+	 * At least one in this many placed calls of a flow is a late one, while any is
+	 * queued, so that returning callers are neither ahead of nor behind all others.
 	 */
 	private static final int PLACED_PER_LATE_CALL = 4;
 
@@ -188,8 +188,8 @@
 	}
 
 	/**
-	 * Returns the queued calls of the flow of another call that is queued now, and of
-	 * those flows whose turn is before.
+	 * Returns the queued calls of the same flow as a newly arrived call, and those of all
+	 * flows whose turn comes before it.
 	 */
 	Stream<QueuedCall> callsBefore(QueuedCall latest) {
 		CallRequirements requirements = latest.requirements();
--- a/src/main/java/org/jaywood/routing/PlacementPolicy.java
+++ b/src/main/java/org/jaywood/routing/PlacementPolicy.java
@@ -193,8 +193,8 @@
 	}
 
 	/**
-	 * Returns why a selection does not choose one of its candidates, or null if it would
-	 * if the others had a higher cost.
+	 * Returns why a selection does not choose one of its candidates, or null if it is
+	 * chosen or only ranks below the chosen one.
 	 */
 	@Nullable Exclusion exclusion(UpstreamState state, PlacementSelection selection, @Nullable ServiceProfile profile,
 			FleetSize fleetSize, long nowMillis) {
--- a/src/main/java/org/jaywood/routing/PriorityDemand.java
+++ b/src/main/java/org/jaywood/routing/PriorityDemand.java
@@ -13,8 +13,8 @@
 	private static final double WINDOW_MILLIS = 2_000;
 
 	/**
-	 * Time without calls after which a priority is forgotten. Its rate has then long been
-	 * next to nothing, but the most urgent one has no floor and decides who has.
+	 * Time without calls after which a priority is removed. If the most urgent priority
+	 * remained while idle, the next one would have a floor that it does not need.
 	 */
 	private static final long RETENTION_MILLIS = 20_000;
 
@@ -23,9 +23,9 @@
 	private long firstMillis = Long.MIN_VALUE;
 
 	/**
-	 * Records a call. The first call of a priority counts over the whole time in which
-	 * calls of others came: a rate of one call in the millisecond of its arrival would
-	 * have less urgent calls refused.
+	 * Records a call. The rate of a new priority is averaged since the first call of any
+	 * priority; otherwise a single call would look like a very high rate and cause
+	 * refusals of less urgent calls.
 	 */
 	void onArrival(int priority, long nowMillis) {
 		if (this.firstMillis == Long.MIN_VALUE) {
--- a/src/main/java/org/jaywood/routing/ReturnSchedule.java
+++ b/src/main/java/org/jaywood/routing/ReturnSchedule.java
@@ -8,10 +8,10 @@
 /**
  * Times at which refused callers of one service are told to come back. Each priority has
  * its own: the time until the calls ahead of it are served at the rate that the more
- * urgent ones leave, and behind the callers that were told to come back before. Answers
- * an overload of some seconds, whose refused callers would otherwise return together, the
- * first second after a start, when no rate is known, and a time without engines. Not safe
- * for use by several threads.
+ * urgent ones leave, and behind the callers that were told to come back before. Designed
+ * for an overload of some seconds, whose refused callers would otherwise return together,
+ * the first second after a start, when no rate is known, and a time without engines. Not
+ * safe for use by several threads.
  */
 final class ReturnSchedule {
 
@@ -36,7 +36,7 @@
 	private final WaitForecast forecast;
 
 	/** Callers that were told to come back and have not yet, by priority. */
-	private final Map<Integer, Returning> returning = new HashMap<>();
+	private final Map<Integer, ScheduledReturns> returning = new HashMap<>();
 
 	private double spread;
 
@@ -84,7 +84,7 @@
 	long retryAfterMillis(int priority, int moreUrgent, int queued, long leftMillis, long nowMillis) {
 		CallerReturn next = next(this.forecast, priority, moreUrgent + queued, leftMillis, nowMillis);
 		this.spread = next.spread();
-		Returning latest = next.returning();
+		ScheduledReturns latest = next.returning();
 		if (latest != null) {
 			this.returning.put(priority, latest);
 		}
@@ -107,24 +107,25 @@
 					null);
 		}
 		double callMillis = 1 / latest.placedPerMilli(priority, nowMillis);
-		double roomMillis = Math.max(MIN_MILLIS, ahead * callMillis);
-		double aheadCalls = this.returning.getOrDefault(priority, Returning.NONE).callsAfter(callMillis, nowMillis);
-		double returnMillis = Math.max(roomMillis, (aheadCalls + 1) * callMillis);
+		double queueMillis = Math.max(MIN_MILLIS, ahead * callMillis);
+		double aheadCalls = this.returning.getOrDefault(priority, ScheduledReturns.NONE)
+			.callsAfter(callMillis, nowMillis);
+		double returnMillis = Math.max(queueMillis, (aheadCalls + 1) * callMillis);
 		if (returnMillis > longestMillis) {
-			// No room in time.
+			// Cannot be served within the interval that callers honour.
 			return new CallerReturn(laterHalfMillis(longestMillis, spread), spread, null);
 		}
-		return new CallerReturn(returnMillis, spread, new Returning(returnMillis / callMillis, nowMillis));
+		return new CallerReturn(returnMillis, spread, new ScheduledReturns(returnMillis / callMillis, nowMillis));
 	}
 
 	/**
 	 * Return of the next refused caller.
 	 *
 	 * @param afterMillis time after which it is told to come back
-	 * @param spread number from 0 to 1 by which it is told apart from the one before
+	 * @param spread low-discrepancy value from 0 to 1 that spreads return times
 	 * @param returning places that are then taken, or null if it takes none
 	 */
-	private record CallerReturn(double afterMillis, double spread, @Nullable Returning returning) {
+	private record CallerReturn(double afterMillis, double spread, @Nullable ScheduledReturns returning) {
 	}
 
 	/**
@@ -132,9 +133,9 @@
 	 * rather than a time: after a burst the same number is served sooner, and later
 	 * callers must not wait for the time that was told during the burst.
 	 */
-	private record Returning(double calls, long asOfMillis) {
+	private record ScheduledReturns(double calls, long asOfMillis) {
 
-		static final Returning NONE = new Returning(-1, 0);
+		static final ScheduledReturns NONE = new ScheduledReturns(-1, 0);
 
 		/**
 		 * Returns the places that are still taken, -1 if the next one is free now.
--- a/src/main/java/org/jaywood/routing/ServiceQueue.java
+++ b/src/main/java/org/jaywood/routing/ServiceQueue.java
@@ -1,6 +1,7 @@
 package org.jaywood.routing;
 
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
@@ -36,8 +37,8 @@
 	int countAhead(QueuedCall latest);
 
 	/**
-	 * Returns the queued calls whose turn is before that of another one that is queued
-	 * now, and the others with the constraints of such a call, in no particular order.
+	 * Returns the queued calls that come before a newly arrived call, in no particular
+	 * order. With fair queueing, all calls in its own flow are included.
 	 */
 	Stream<QueuedCall> callsBefore(QueuedCall latest);
 
@@ -85,10 +86,11 @@
 
 	/**
 	 * Returns the time in milliseconds after which a refused call is likely to be placed.
-	 * @param served whether an upstream runs that may take the call
+	 * @param served tells whether an upstream runs that may take the call; evaluated only
+	 * if needed, since it scans the upstreams
 	 * @param leftMillis time that its caller has left
 	 */
-	long retryAfterMillis(CallRequirements requirements, boolean served, long leftMillis, long nowMillis);
+	long retryAfterMillis(CallRequirements requirements, BooleanSupplier served, long leftMillis, long nowMillis);
 
 	/**
 	 * Returns the time of {@link #retryAfterMillis} without scheduling a return.
--- a/src/main/java/org/jaywood/routing/SharedQueue.java
+++ b/src/main/java/org/jaywood/routing/SharedQueue.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -200,8 +201,9 @@
 	}
 
 	@Override
-	public long retryAfterMillis(CallRequirements requirements, boolean served, long leftMillis, long nowMillis) {
-		if (!served) {
+	public long retryAfterMillis(CallRequirements requirements, BooleanSupplier served, long leftMillis,
+			long nowMillis) {
+		if (!served.getAsBoolean()) {
 			return this.returns.unservedMillis(leftMillis);
 		}
 		FairQueue own = this.byPriority.get(requirements.priority());
--- a/src/main/java/org/jaywood/routing/SpilloverPolicy.java
+++ b/src/main/java/org/jaywood/routing/SpilloverPolicy.java
@@ -76,7 +76,7 @@
 		if (known != null) {
 			return known;
 		}
-		// An idle pair begins anew like a new one.
+		// An idle pair resets on next use anyway, so it can be dropped.
 		this.pairs.values().removeIf((pair) -> pair.idle(nowMillis));
 		Pair added = new Pair();
 		this.pairs.put(key, added);
--- a/src/main/java/org/jaywood/routing/UpstreamSelector.java
+++ b/src/main/java/org/jaywood/routing/UpstreamSelector.java
@@ -116,7 +116,7 @@
 
 	/**
 	 * Returns why a selection does not choose an upstream of the service, or null if it
-	 * would if the others had a higher cost.
+	 * is chosen or only ranks below the chosen one.
 	 */
 	@Nullable Exclusion exclusion(UpstreamState state, PlacementSelection selection, CallRequirements requirements,
 			FleetSize fleetSize, long nowMillis) {
--- a/src/main/java/org/jaywood/scaling/NeedWindow.java
+++ b/src/main/java/org/jaywood/scaling/NeedWindow.java
@@ -4,8 +4,8 @@
 import java.util.Deque;
 
 /**
- * Engines needed over the last while. A need holds until the next one is recorded, unless
- * that takes so long that the needs in between are not known.
+ * Engines needed over a sliding window. A need holds until the next one is recorded,
+ * unless that takes so long that the needs in between are not known.
  */
 final class NeedWindow {
 
