Take a response with a line that is no field for broken

Callers saw: an answer of an engine in trouble in whose head the name of a field held a blank or a control byte, or a line that was no field, with that line passed on. If the name was that of the length, the body was not the engine's: behind "Transfer Encoding: chunked" callers got the bytes of the chunks, behind "Content Length: 4" whatever came until the connection closed.

Cause: the parser of HttpCore cuts a line at its first colon, trims the name and accepts any byte in name and value. ResponseInputBuffer checked only that a line has a colon behind its first character, and took any line that begins with a blank for a continuation, also as the first one.

As at any malformed head the attempt is indeterminate: an idempotent call goes to another engine, one that may run once ends with 502, and the connection is reset.

--- /dev/null
+++ b/src/test/java/org/jaywood/gateway/BrokenAnswerTests.java
@@ -0,0 +1,168 @@
+package org.jaywood.gateway;
+
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import org.jaywood.ResponseForms;
+import org.jaywood.feed.BootClock;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Guards against a caller that gets the broken answer of an engine in trouble: with a
+ * body that is not the engine's, or with the lines that are broken.
+ */
+class BrokenAnswerTests extends GatewayFixture {
+
+	private static final String FORMS = "org.jaywood.ResponseForms#";
+
+	/** Time in which a call with such an answer must have ended or gone elsewhere. */
+	private static final long MAX_MILLIS = 1_000;
+
+	private static final String EVENT = "id: 1\ndata: a\n\n";
+
+	private static final String EVENT_STREAM = "Content-Type: text/event-stream\r\n";
+
+	private final AtomicInteger requests = new AtomicInteger();
+
+	private static String head(FakeUpstream.Request request) {
+		return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + request.header("x-attempt-id") + "\r\nX-Response-Seal: evil\r\n";
+	}
+
+	/**
+	 * Returns an answer with lines at the end of its head.
+	 */
+	private static FakeUpstream.Script answerEnding(String lines, String body) {
+		return (request, number, out, socket) -> {
+			write(out, head(request) + lines + "\r\n\r\n" + body);
+			socket.close();
+		};
+	}
+
+	/**
+	 * Returns an answer with lines at the start of its head.
+	 */
+	private static FakeUpstream.Script answerStarting(String lines, String body) {
+		return (request, number, out, socket) -> {
+			write(out,
+					head(request).replaceFirst("\r\n", "\r\n" + lines.replace("\\", "\\\\") + "\r\n") + "\r\n" + body);
+			socket.close();
+		};
+	}
+
+	/**
+	 * Returns a script whose first request, among all upstreams of a test, gets a broken
+	 * answer.
+	 */
+	private FakeUpstream.Script once(FakeUpstream.Script broken, FakeUpstream.Script sound) {
+		return (request, number, out, socket) -> ((this.requests.incrementAndGet() == 1) ? broken : sound)
+			.respond(request, number, out, socket);
+	}
+
+	private String answerInTime(FakeUpstream.Script script, String request) throws IOException {
+		Gateway gateway = start(new FakeUpstream(script), new FakeUpstream(script));
+		long sinceMillis = BootClock.nowMillis();
+		String answer = exchange(gateway, request);
+		assertThat(BootClock.nowMillis() - sinceMillis).isLessThan(MAX_MILLIS);
+		return answer;
+	}
+
+	/**
+	 * Checks that an idempotent call is answered by the other upstream.
+	 */
+	private void assertAnsweredElsewhere(FakeUpstream.Script broken) throws IOException {
+		String answer = answerInTime(once(broken, answer(200, "")), SAFE);
+		assertThat(answer).startsWith("HTTP/1.1 200");
+		assertThat(answer).endsWith("\r\n\r\nx");
+		assertThat(answer).doesNotContain("evil");
+		assertThat(this.requests.get()).isEqualTo(2);
+	}
+
+	/**
+	 * Checks that a call that may run once is neither sent again nor refused as not run.
+	 */
+	private void assertIndeterminate(FakeUpstream.Script broken) throws IOException {
+		String answer = answerInTime(once(broken, answer(200, "")), UNSAFE);
+		assertThat(answer).startsWith("HTTP/1.1 502");
+		assertThat(answer).doesNotContain("evil");
+		assertThat(this.requests.get()).isEqualTo(1);
+	}
+
+	@Nested
+	class Fields {
+
+		private static final String LENGTH = ResponseForms.LENGTH + "\r\n";
+
+		@ParameterizedTest
+		@MethodSource({ FORMS + "linesThatAreNoFields", FORMS + "brokenNames", FORMS + "brokenValues" })
+		void idempotentCallIsAnsweredByAnotherUpstream(String line) throws IOException {
+			assertAnsweredElsewhere(answerEnding(LENGTH + line, ResponseForms.CONTENT));
+		}
+
+		@ParameterizedTest
+		@MethodSource({ FORMS + "linesThatAreNoFields", FORMS + "brokenNames", FORMS + "brokenValues" })
+		void callThatMayRunOnceIsNotSentAgain(String line) throws IOException {
+			assertIndeterminate(answerStarting(line + "\r\n" + ResponseForms.LENGTH, ResponseForms.CONTENT));
+		}
+
+		@ParameterizedTest
+		@MethodSource({ FORMS + "linesThatAreNoFields", FORMS + "brokenNames" })
+		void streamIsAnsweredByAnotherUpstream(String line) throws IOException {
+			String answer = answerInTime(
+					once(answerEnding(EVENT_STREAM + line, "id: 1\ndata: evil\n\n"),
+							(request, number, out, socket) -> write(out,
+									FakeUpstream.streamHead(request) + FakeUpstream.chunk(EVENT) + "0\r\n\r\n")),
+					STREAM);
+			assertThat(answer).startsWith("HTTP/1.1 200");
+			assertThat(answer).contains(EVENT);
+			assertThat(answer).endsWith("0\r\n\r\n");
+			assertThat(answer).doesNotContain("evil");
+		}
+
+		@ParameterizedTest
+		@MethodSource({ FORMS + "linesThatAreNoFields", FORMS + "brokenNames" })
+		void interimResponseWithSuchALineFailsTheAttempt(String line) throws IOException {
+			assertAnsweredElsewhere((request, number, out, socket) -> write(out, "HTTP/1.1 103 Early Hints\r\n" + line
+					+ "\r\n\r\n" + FakeUpstream.response(request, 200, "", "evil")));
+		}
+
+		/**
+		 * A broken answer promises nothing, whatever it says of the call.
+		 */
+		@ParameterizedTest
+		@MethodSource(FORMS + "brokenNames")
+		void refusalWithSuchALineIsNoRefusal(String line) throws IOException {
+			assertIndeterminate((request, number, out, socket) -> write(out,
+					FakeUpstream.response(request, 503, "X-Not-Executed: 1\r\n" + line + "\r\n", "evil")));
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "X Name: 1", "garbage", "X-Name\u0000: 1" })
+		void connectionIsNotUsedAgain(String line) throws Exception {
+			FakeUpstream only = new FakeUpstream(once((request, number, out, socket) -> write(out,
+					FakeUpstream.response(request, 200, line + "\r\n", "evil")), answer(200, "")));
+			Gateway gateway = start(only);
+			exchange(gateway, UNSAFE);
+			assertThat(only.connectionEnded().await(MAX_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+			assertThat(call(gateway, UNSAFE, 2)).startsWith("HTTP/1.1 200");
+		}
+
+		@ParameterizedTest
+		@MethodSource(FORMS + "soundFields")
+		void soundFieldIsForwarded(String line) throws IOException {
+			String answer = answerInTime(answerEnding(LENGTH + line, ResponseForms.CONTENT), UNSAFE);
+			assertThat(answer).startsWith("HTTP/1.1 200");
+			assertThat(answer).endsWith("\r\n\r\n" + ResponseForms.CONTENT);
+			String unfolded = line.replaceAll("\r\n[ \t]+", " ");
+			assertThat(answer.replaceAll("[ \t]+", "")).contains(unfolded.replaceAll("[ \t]+", ""));
+		}
+
+	}
+
+}
