Take a response whose length is spoilt for broken

Callers saw: an answer of an engine in trouble whose head was spoilt where it tells the length of the body, as a complete answer.

Cause: HttpCore reads a length with Long.parseLong, which accepts a sign. The length of a response that has no body was not read at all: 204 with a length of 600, or with chunks, was passed on as a complete answer without a body, and so was an interim response. A response of HTTP/1.0 with chunks was accepted, whose framing RFC 9112 (section 6.1) calls faulty.

Change: Framing accepts digits only, and Framing.lengthOfResponse checks the length of each response, interim ones and those without a body included.

RequestReaderTests passes.

Why it works: a length is taken only in the one form that the grammar has, so that all readers of the answer agree on where its body ends.

--- a/src/main/java/org/jaywood/http/ClientConnection.java
+++ b/src/main/java/org/jaywood/http/ClientConnection.java
@@ -233,6 +233,7 @@
 				if (++this.interimResponses > MAX_INTERIM_RESPONSES) {
 					throw new IOException("more than " + MAX_INTERIM_RESPONSES + " interim responses");
 				}
+				Framing.lengthOfResponse(head);
 				head = parseHead();
 			}
 			if (head == null) {
@@ -241,7 +242,7 @@
 			this.parser = null;
 			this.interimResponses = 0;
 			this.inputBuffer.startBody();
-			long length = hasNoBody(head) ? 0 : Framing.lengthOf(head);
+			long length = Framing.lengthOfResponse(head);
 			recordPersistence(head, length);
 			return new StreamedResponse(head, length, Framing.body(length, this.inputBuffer, this.in, CONFIG));
 		}
@@ -395,10 +396,6 @@
 		return DEFAULT_KEEP_ALIVE_MILLIS;
 	}
 
-	private static boolean hasNoBody(ClassicHttpResponse head) {
-		return head.getCode() == HttpStatus.SC_NO_CONTENT || head.getCode() == HttpStatus.SC_NOT_MODIFIED;
-	}
-
 	private static void closeQuietly(Socket socket) {
 		try {
 			socket.close();
--- a/src/main/java/org/jaywood/http/Framing.java
+++ b/src/main/java/org/jaywood/http/Framing.java
@@ -2,11 +2,17 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.util.regex.Pattern;
 
+import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.ContentLengthStrategy;
+import org.apache.hc.core5.http.Header;
 import org.apache.hc.core5.http.HttpException;
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpMessage;
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.HttpVersion;
+import org.apache.hc.core5.http.ProtocolVersion;
 import org.apache.hc.core5.http.config.Http1Config;
 import org.apache.hc.core5.http.impl.DefaultContentLengthStrategy;
 import org.apache.hc.core5.http.impl.io.ChunkedInputStream;
@@ -27,6 +33,8 @@
 	/** The body ends with its connection. */
 	public static final long UNTIL_CLOSE = ContentLengthStrategy.UNDEFINED;
 
+	private static final Pattern DIGITS = Pattern.compile("[0-9]+");
+
 	private Framing() {
 	}
 
@@ -41,9 +49,33 @@
 		if (lengths + codings > 1) {
 			throw new HttpException("the length of the body is stated more than once");
 		}
+		Header length = message.getFirstHeader(HttpHeaders.CONTENT_LENGTH);
+		// Long.parseLong accepts a sign.
+		if (length != null && !DIGITS.matcher(String.valueOf(length.getValue())).matches()) {
+			throw new HttpException("the length of the body is no number");
+		}
 		return DefaultContentLengthStrategy.INSTANCE.determineLength(message);
 	}
 
+	/**
+	 * Returns the length of the body of a response in bytes, or one of the constants.
+	 * @throws HttpException if the length is stated as in {@link #lengthOf}, or although
+	 * the response has no body, or in a way that its version does not have
+	 */
+	static long lengthOfResponse(ClassicHttpResponse head) throws HttpException {
+		long length = lengthOf(head);
+		ProtocolVersion version = head.getVersion();
+		if (length == CHUNKED && version != null && version.lessEquals(HttpVersion.HTTP_1_0)) {
+			throw new HttpException("a response of HTTP/1.0 has no chunks");
+		}
+		int status = head.getCode();
+		boolean neverHasBody = status < HttpStatus.SC_OK || status == HttpStatus.SC_NO_CONTENT;
+		if (neverHasBody && length != 0 && length != UNTIL_CLOSE) {
+			throw new HttpException("a response with status " + status + " states the length of a body");
+		}
+		return (neverHasBody || status == HttpStatus.SC_NOT_MODIFIED) ? 0 : length;
+	}
+
 	static InputStream body(long length, SessionInputBuffer buffer, InputStream in, Http1Config config) {
 		if (length == CHUNKED) {
 			return new ChunkedInputStream(buffer, in, config);
--- a/src/test/java/org/jaywood/gateway/BrokenAnswerTests.java
+++ b/src/test/java/org/jaywood/gateway/BrokenAnswerTests.java
@@ -165,4 +165,63 @@
 
 	}
 
+	@Nested
+	class Lengths {
+
+		@ParameterizedTest
+		@MethodSource(FORMS + "brokenLengths")
+		void idempotentCallIsAnsweredByAnotherUpstream(String length) throws IOException {
+			assertAnsweredElsewhere(answerEnding(length, ResponseForms.CONTENT));
+		}
+
+		@ParameterizedTest
+		@MethodSource(FORMS + "brokenCodings")
+		void idempotentCallWithABrokenCodingIsAnsweredByAnotherUpstream(String coding) throws IOException {
+			assertAnsweredElsewhere(answerStarting(coding, ResponseForms.chunks("")));
+		}
+
+		@ParameterizedTest
+		@MethodSource({ FORMS + "brokenLengths", FORMS + "brokenCodings" })
+		void callThatMayRunOnceIsNotSentAgain(String length) throws IOException {
+			assertIndeterminate(answerStarting(length, ResponseForms.chunks("")));
+		}
+
+		@ParameterizedTest
+		@MethodSource(FORMS + "brokenCodings")
+		void streamIsAnsweredByAnotherUpstream(String coding) throws IOException {
+			String answer = answerInTime(
+					once(answerEnding(EVENT_STREAM + coding, FakeUpstream.chunk("id: 1\ndata: evil\n\n") + "0\r\n\r\n"),
+							(request, number, out, socket) -> write(out,
+									FakeUpstream.streamHead(request) + FakeUpstream.chunk(EVENT) + "0\r\n\r\n")),
+					STREAM);
+			assertThat(answer).contains(EVENT);
+			assertThat(answer).endsWith("0\r\n\r\n");
+			assertThat(answer).doesNotContain("evil");
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "204 No Content\r\nContent-Length: 4", "304 Not Modified\r\nContent-Length: x" })
+		void answerWithoutABodyThatStatesOneIsNotForwarded(String head) throws IOException {
+			assertIndeterminate(
+					(request, number, out, socket) -> write(out, head(request).replace("200 OK", head) + "\r\n"));
+		}
+
+		@ParameterizedTest
+		@MethodSource(FORMS + "soundLengths")
+		void answerWithASoundLengthIsForwarded(String length) throws IOException {
+			String answer = answerInTime(answerEnding(length, ResponseForms.CONTENT), UNSAFE);
+			assertThat(answer).startsWith("HTTP/1.1 200");
+			assertThat(answer).endsWith("\r\n\r\n" + ResponseForms.CONTENT);
+		}
+
+		@ParameterizedTest
+		@MethodSource(FORMS + "soundCodings")
+		void answerWithASoundCodingIsForwarded(String coding) throws IOException {
+			String answer = answerInTime(answerStarting(coding, ResponseForms.chunks("")), UNSAFE);
+			assertThat(answer).startsWith("HTTP/1.1 200");
+			assertThat(answer).endsWith("\r\n\r\n" + ResponseForms.CONTENT);
+		}
+
+	}
+
 }
--- a/src/test/java/org/jaywood/http/ResponseSyntaxTests.java
+++ b/src/test/java/org/jaywood/http/ResponseSyntaxTests.java
@@ -108,6 +108,82 @@
 		assertThat(receiveBody()).isEqualTo(ResponseForms.CONTENT);
 	}
 
+	@Nested
+	class Lengths {
+
+		@ParameterizedTest
+		@MethodSource(FORMS + "brokenLengths")
+		void brokenLengthFails(String length) throws IOException {
+			assertHeadFails(STATUS_LINE + FIELD + length + "\r\n\r\nbody");
+		}
+
+		@ParameterizedTest
+		@MethodSource(FORMS + "brokenLengths")
+		void brokenLengthAsTheFirstFieldFails(String length) throws IOException {
+			assertHeadFails(STATUS_LINE + length + "\r\n" + FIELD + "\r\nbody");
+		}
+
+		@ParameterizedTest
+		@MethodSource(FORMS + "brokenCodings")
+		void brokenCodingFails(String coding) throws IOException {
+			assertHeadFails(STATUS_LINE + FIELD + coding + "\r\n\r\n" + ResponseForms.chunks(""));
+		}
+
+		@ParameterizedTest
+		@MethodSource(FORMS + "brokenLengths")
+		void brokenLengthInAnInterimResponseFails(String length) throws IOException {
+			assertHeadFails(INTERIM + length + "\r\n\r\n" + WHOLE);
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "204 No Content\r\nContent-Length: 4", "204 No Content\r\nContent-Length: x",
+				"204 No Content\r\nTransfer-Encoding: chunked", "304 Not Modified\r\nContent-Length: x",
+				"304 Not Modified\r\nContent-Length: 4\r\nContent-Length: 5" })
+		void brokenLengthOfAResponseWithoutABodyFails(String head) throws IOException {
+			assertHeadFails("HTTP/1.1 " + head + "\r\n\r\n");
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "Content-Length: 4", "Transfer-Encoding: chunked" })
+		void interimResponseWithABodyFails(String length) throws IOException {
+			assertHeadFails(INTERIM + length + "\r\n\r\n" + WHOLE);
+		}
+
+		@Test
+		void chunksOfAnOlderVersionFail() throws IOException {
+			assertHeadFails("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + ResponseForms.chunks(""));
+		}
+
+		@ParameterizedTest
+		@MethodSource(FORMS + "soundLengths")
+		void soundLengthIsRead(String length) throws IOException {
+			assertRead(STATUS_LINE + FIELD + length + "\r\n\r\nbody");
+		}
+
+		@ParameterizedTest
+		@MethodSource(FORMS + "soundCodings")
+		void soundCodingIsRead(String coding) throws IOException {
+			assertRead(STATUS_LINE + FIELD + coding + "\r\n\r\n" + ResponseForms.chunks(""));
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "HTTP/1.1 200 OK\r\n\r\nbody", "HTTP/1.0 200 OK\r\n\r\nbody",
+				"HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nbody" })
+		void bodyMayEndWithItsConnection(String response) throws IOException {
+			respondWhole(response, true);
+			assertThat(receiveBody()).isEqualTo(ResponseForms.CONTENT);
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "204 No Content", "204 No Content\r\nContent-Length: 0", "304 Not Modified",
+				"304 Not Modified\r\nContent-Length: 4", "200 OK\r\nContent-Length: 0" })
+		void responseWithoutABodyIsRead(String head) throws IOException {
+			respond("HTTP/1.1 " + head + "\r\n\r\n");
+			assertThat(receiveBody()).isEmpty();
+		}
+
+	}
+
 	@Nested
 	class Fields {
 
