Take a response with broken chunks or trailers for broken

Callers saw: an answer with a spoilt chunk as a complete one. A chunk of 4 bytes with a size of 5 gave "body\r", since the line feed left behind it passed as the end of the chunk.

Cause: HttpCore accepts a sign and blanks around the size of a chunk, any byte in its extension, a line feed alone behind a chunk, and any name in a trailer. Besides, its stream ends behind the last chunk if a read times out within the trailers: whatever came then, or the end of the connection, was not seen any more.

Change: ChunkSyntax checks the lines of chunks and trailers in the buffer, as HeadSyntax those of heads, and wants CR and LF where the data of a chunk must end; trailers are checked as the fields of a head. MessageInputBuffer tells how a line ended, also if a time-out came within it. TrailedBody ends a body behind its trailers only.

Why it works: the sizes of chunks are what tells the length of such a body, so they are taken in the one form of the grammar, and a size that does not lead to the end of its chunk is found there.

--- a/src/main/java/org/jaywood/http/ClientConnection.java
+++ b/src/main/java/org/jaywood/http/ClientConnection.java
@@ -1,6 +1,7 @@
 package org.jaywood.http;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -244,7 +245,7 @@
 			this.inputBuffer.startBody();
 			long length = Framing.lengthOfResponse(head);
 			recordPersistence(head, length);
-			return new StreamedResponse(head, length, Framing.body(length, this.inputBuffer, this.in, CONFIG));
+			return new StreamedResponse(head, length, body(length));
 		}
 		catch (SocketTimeoutException ex) {
 			return null;
@@ -254,6 +255,11 @@
 		}
 	}
 
+	private InputStream body(long length) {
+		InputStream body = Framing.body(length, this.inputBuffer, this.in, CONFIG);
+		return (length == Framing.CHUNKED) ? new TrailedBody(body, this.inputBuffer, this.in) : body;
+	}
+
 	/**
 	 * Parses a head, continuing with the parser that holds its first part if there is
 	 * one.
--- a/src/main/java/org/jaywood/http/MessageInputBuffer.java
+++ b/src/main/java/org/jaywood/http/MessageInputBuffer.java
@@ -19,6 +19,8 @@
 
 	private static final int LINE_END_BYTES = 2;
 
+	private static final long BETWEEN_LINES = -1;
+
 	/** Whether an empty line has yet to end a head, a chunk or the trailers. */
 	private boolean withinLines;
 
@@ -34,6 +36,14 @@
 
 	private boolean inBody;
 
+	/** Bytes that have been read into the buffer. */
+	private long filledBytes;
+
+	/** Position of the line that is being read, or {@link #BETWEEN_LINES}. */
+	private long lineStart = BETWEEN_LINES;
+
+	private boolean lineEndComplete;
+
 	/**
 	 * Creates a buffer.
 	 * @param maxHeadBytes limit on the bytes of the heads of one exchange together, and
@@ -78,7 +88,11 @@
 	@Override
 	public int readLine(CharArrayBuffer line, InputStream in) throws IOException {
 		this.connectionEnded = false;
+		// After a time-out within a line, it is read on from there.
+		this.lineStart = (this.lineStart == BETWEEN_LINES) ? position() : this.lineStart;
 		int length = super.readLine(line, in);
+		this.lineEndComplete = position() - this.lineStart - length == LINE_END_BYTES;
+		this.lineStart = BETWEEN_LINES;
 		if (this.connectionEnded && (length >= 0 || this.withinLines)) {
 			throw new ConnectionClosedException("the connection ended within the lines of a message");
 		}
@@ -87,6 +101,20 @@
 		return length;
 	}
 
+	/**
+	 * Returns the position of the next byte among those that have passed this buffer.
+	 */
+	private long position() {
+		return this.filledBytes - length();
+	}
+
+	/**
+	 * Whether the last line ended with CR and LF, rather than with LF alone.
+	 */
+	boolean lineEndComplete() {
+		return this.lineEndComplete;
+	}
+
 	private void countLine(int length) throws MessageConstraintException {
 		int bytes = length + LINE_END_BYTES;
 		if (this.inBody) {
@@ -104,6 +132,7 @@
 	public int fillBuffer(InputStream in) throws IOException {
 		int length = super.fillBuffer(in);
 		this.connectionEnded = length < 0;
+		this.filledBytes += Math.max(0, length);
 		return length;
 	}
 
--- a/src/main/java/org/jaywood/http/ResponseInputBuffer.java
+++ b/src/main/java/org/jaywood/http/ResponseInputBuffer.java
@@ -9,15 +9,20 @@
 /**
  * Input buffer for responses that detects bytes that are no response as they arrive. The
  * parsers of HttpCore detect them at the end of a line or of the head, which a faulty
- * process may never send, and accept more than the grammar: each line of a head is
- * checked here before they interpret it.
+ * process may never send, and accept more than the grammar: each line of a head, of a
+ * chunked body and of its trailers is checked here before they interpret it.
  */
 final class ResponseInputBuffer extends MessageInputBuffer {
 
 	private static final String STATUS_LINE_START = "HTTP/1.";
 
+	/** Initial capacity for a line of the trailers. */
+	private static final int TRAILER_LINE_CHARS = 64;
+
 	private final HeadSyntax headSyntax = new HeadSyntax();
 
+	private final ChunkSyntax chunkSyntax = new ChunkSyntax();
+
 	private boolean inHead;
 
 	/** Bytes of the status line that have been compared. */
@@ -40,6 +45,7 @@
 	void startBody() {
 		super.startBody();
 		this.inHead = false;
+		this.chunkSyntax.start();
 	}
 
 	@Override
@@ -50,9 +56,21 @@
 		if (this.inHead) {
 			this.headSyntax.check(text);
 		}
+		else if (length >= 0) {
+			this.chunkSyntax.check(text, lineEndComplete());
+		}
 		return length;
 	}
 
+	/**
+	 * Reads the rest of the trailers of a chunked body, if there is any.
+	 */
+	void readTrailers(InputStream in) throws IOException {
+		while (!this.chunkSyntax.complete()) {
+			readLine(new CharArrayBuffer(TRAILER_LINE_CHARS), in);
+		}
+	}
+
 	@Override
 	public int fillBuffer(InputStream in) throws IOException {
 		return super.fillBuffer((this.comparedBytes < STATUS_LINE_START.length()) ? new StatusLineStart(in) : in);
--- a/src/test/java/org/jaywood/gateway/BrokenAnswerTests.java
+++ b/src/test/java/org/jaywood/gateway/BrokenAnswerTests.java
@@ -224,4 +224,65 @@
 
 	}
 
+	@Nested
+	class Chunks {
+
+		@ParameterizedTest
+		@MethodSource(FORMS + "brokenChunks")
+		void idempotentCallIsAnsweredByAnotherUpstream(String chunks) throws IOException {
+			assertAnsweredElsewhere(answerEnding(ResponseForms.CHUNKED, chunks));
+		}
+
+		@ParameterizedTest
+		@MethodSource(FORMS + "brokenChunks")
+		void callThatMayRunOnceIsNotSentAgain(String chunks) throws IOException {
+			assertIndeterminate(answerEnding(ResponseForms.CHUNKED, chunks));
+		}
+
+		@ParameterizedTest
+		@MethodSource({ FORMS + "linesThatAreNoFields", FORMS + "brokenNames", FORMS + "brokenValues" })
+		void answerWithABrokenTrailerIsNotForwarded(String trailer) throws IOException {
+			assertIndeterminate(answerEnding(ResponseForms.CHUNKED, ResponseForms.chunks(trailer)));
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "\u0000\r\n\r\n", "X Name: 1\r\n\r\n", "" })
+		void answerWhoseTrailersBreakBehindAPauseIsNotForwarded(String end) throws IOException {
+			assertIndeterminate((request, number, out, socket) -> {
+				write(out, head(request) + ResponseForms.CHUNKED + "\r\n\r\n4\r\nbody\r\n0\r\n");
+				pause(600);
+				write(out, end);
+				socket.close();
+			});
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "+0\r\n\r\n", "0\r\nX Name: 1\r\n\r\n", "x\r\n", "\r\n\r\n" })
+		void streamWithABrokenEndIsNotComplete(String end) throws IOException {
+			String answer = answerInTime((request, number, out, socket) -> {
+				write(out, FakeUpstream.streamHead(request) + FakeUpstream.chunk(EVENT) + end);
+				socket.close();
+			}, STREAM);
+			assertThat(answer).contains(EVENT);
+			assertThat(answer).doesNotContain("\r\n0\r\n");
+		}
+
+		@ParameterizedTest
+		@MethodSource(FORMS + "soundChunks")
+		void answerWithSoundChunksIsForwarded(String chunks) throws IOException {
+			String answer = answerInTime(answerEnding(ResponseForms.CHUNKED, chunks), UNSAFE);
+			assertThat(answer).startsWith("HTTP/1.1 200");
+			assertThat(answer).endsWith("\r\n\r\n" + ResponseForms.CONTENT);
+		}
+
+		@ParameterizedTest
+		@MethodSource(FORMS + "soundFields")
+		void answerWithASoundTrailerIsForwarded(String trailer) throws IOException {
+			String answer = answerInTime(answerEnding(ResponseForms.CHUNKED, ResponseForms.chunks(trailer)), UNSAFE);
+			assertThat(answer).startsWith("HTTP/1.1 200");
+			assertThat(answer).endsWith("\r\n\r\n" + ResponseForms.CONTENT);
+		}
+
+	}
+
 }
--- a/src/test/java/org/jaywood/http/ResponseSyntaxTests.java
+++ b/src/test/java/org/jaywood/http/ResponseSyntaxTests.java
@@ -257,4 +257,113 @@
 
 	}
 
+	@Nested
+	class Chunks {
+
+		private static final String HEAD = STATUS_LINE + "Transfer-Encoding: chunked\r\n\r\n";
+
+		@ParameterizedTest
+		@MethodSource(FORMS + "brokenChunks")
+		void brokenChunkFails(String chunks) throws IOException {
+			assertBodyFails(HEAD + chunks);
+		}
+
+		@ParameterizedTest
+		@MethodSource({ FORMS + "linesThatAreNoFields", FORMS + "brokenNames", FORMS + "brokenValues" })
+		void brokenTrailerFails(String line) throws IOException {
+			assertBodyFails(HEAD + ResponseForms.chunks(line));
+		}
+
+		@ParameterizedTest
+		@MethodSource({ FORMS + "linesThatAreNoFields", FORMS + "brokenNames", FORMS + "brokenValues" })
+		void brokenTrailerBehindAnotherOneFails(String line) throws IOException {
+			assertBodyFails(HEAD + ResponseForms.chunks("X-Trailer: a\r\n" + line));
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { " X-Name: 1", "\tX-Name: 1", " " })
+		void continuationOfNoTrailerFails(String line) throws IOException {
+			assertBodyFails(HEAD + ResponseForms.chunks(line));
+		}
+
+		@ParameterizedTest
+		@MethodSource(FORMS + "soundChunks")
+		void soundChunksAreRead(String chunks) throws IOException {
+			assertRead(HEAD + chunks);
+		}
+
+		@ParameterizedTest
+		@MethodSource(FORMS + "soundFields")
+		void soundTrailersAreRead(String line) throws IOException {
+			assertRead(HEAD + ResponseForms.chunks(line));
+		}
+
+		@Test
+		void chunksThatArriveByteForByteAreRead() throws IOException {
+			String response = HEAD + ResponseForms.chunks("X-Trailer: a");
+			for (char c : response.toCharArray()) {
+				respond(String.valueOf(c));
+			}
+			assertThat(receiveBody()).isEqualTo(ResponseForms.CONTENT);
+		}
+
+	}
+
+	/**
+	 * A read times out within a chunked body; the next one goes on from there.
+	 */
+	@Nested
+	class PausesWithinChunks {
+
+		private static final String HEAD = STATUS_LINE + "Transfer-Encoding: chunked\r\n\r\n";
+
+		private static final long PAUSE_MILLIS = 20;
+
+		private final byte[] bytes = new byte[16];
+
+		private StreamedResponse response;
+
+		/**
+		 * Sends the beginning of a response and reads it until it times out.
+		 */
+		private void readBefore(String beginning) throws IOException {
+			respond(HEAD + beginning);
+			this.response = receive();
+			ResponseSyntaxTests.this.connection.setReadDeadline(PAUSE_MILLIS);
+			Failures.thrownBy(SocketTimeoutException.class, () -> this.response.body().readAllBytes());
+		}
+
+		private int readAfter(String end) throws IOException {
+			respond(end);
+			ResponseSyntaxTests.this.connection.setReadDeadline(TIMEOUT_MILLIS);
+			return this.response.body().read(this.bytes);
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "4\r\nbody\r\n0\r\n", "4\r\nbody\r\n0\r\nX-Trailer: a\r\n",
+				"4\r\nbody\r\n0\r\nX-Trail", "4\r\nbody\r\n0\r\n\r" })
+		void brokenTrailerBehindThePauseFails(String beginning) throws IOException {
+			readBefore(beginning);
+			Failures.thrownBy(IOException.class, () -> readAfter("\u0000\r\n\r\n"));
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "4\r\nbody\r\n0\r\n", "4\r\nbody\r\n0\r\nX-Trailer: a\r\n" })
+		void endOfTheConnectionBehindThePauseFails(String beginning) throws IOException {
+			readBefore(beginning);
+			ResponseSyntaxTests.this.accepted.shutdownOutput();
+			Failures.thrownBy(IOException.class, () -> readAfter(""));
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "4\r\nbody\r\n0\r\n", "4\r\nbody\r\n0\r\nX-Trailer: a\r\n",
+				"4\r\nbody\r\n0\r\nX-Trailer: a", "4\r\nbody\r\n0", "4\r\nbody\r\n" })
+		void soundEndBehindThePauseIsRead(String beginning) throws IOException {
+			readBefore(beginning);
+			String rest = "4\r\nbody\r\n0\r\nX-Trailer: a\r\n\r\n".substring(beginning.length());
+			assertThat(readAfter(rest)).isEqualTo(-1);
+		}
+
+	}
+
 }
