Pass on all bytes of a field value

Callers saw: bytes of 0x80 to 0x9f in a sound field of an answer, as in most letters beyond ASCII in UTF-8, as question marks. Found by the sound forms beside the broken ones.

Cause: without an encoder the output buffer of HttpCore replaces these bytes.

Change: the buffers of responses to callers and of requests to other processes encode in ISO 8859-1, as fields are read.

Why it works: reading and writing use the same one-to-one mapping of bytes and characters.

--- a/src/main/java/org/jaywood/http/ClientConnection.java
+++ b/src/main/java/org/jaywood/http/ClientConnection.java
@@ -5,6 +5,7 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Locale;
@@ -79,7 +80,8 @@
 
 	private final ResponseInputBuffer inputBuffer = new ResponseInputBuffer(BUFFER_BYTES, MAX_HEAD_BYTES);
 
-	private final SessionOutputBufferImpl outputBuffer = new SessionOutputBufferImpl(BUFFER_BYTES);
+	private final SessionOutputBufferImpl outputBuffer = new SessionOutputBufferImpl(BUFFER_BYTES,
+			StandardCharsets.ISO_8859_1.newEncoder());
 
 	private long keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
 
--- a/src/main/java/org/jaywood/http/ResponseWriter.java
+++ b/src/main/java/org/jaywood/http/ResponseWriter.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
 
 import org.apache.hc.core5.http.ClassicHttpResponse;
 import org.apache.hc.core5.http.HttpException;
@@ -21,7 +22,8 @@
 
 	private final OutputStream out;
 
-	private final SessionOutputBufferImpl buffer = new SessionOutputBufferImpl(BUFFER_BYTES);
+	private final SessionOutputBufferImpl buffer = new SessionOutputBufferImpl(BUFFER_BYTES,
+			StandardCharsets.ISO_8859_1.newEncoder());
 
 	private @Nullable ChunkedOutputStream chunkedBody;
 
