--- a/src/test/java/org/jaywood/replica/PeerClientTests.java
+++ b/src/test/java/org/jaywood/replica/PeerClientTests.java
@@ -2,12 +2,8 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.BitSet;
@@ -19,12 +15,16 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import org.jaywood.Failures;
+import org.jaywood.FixedResponseServer;
+import org.jaywood.ResponseForms;
 import org.jaywood.event.EventLog;
 import org.jaywood.http.ConnectionException;
 import org.jaywood.http.ConnectionPool;
+import org.jaywood.routing.ModelVersion;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.DaemonThreads;
 import org.jaywood.wire.Exchange;
@@ -171,35 +171,51 @@
 	}
 
 	/**
-	 * Guards against a peer in trouble whose status is none and that is waited on.
+	 * Guards against a peer in trouble whose status is none, or whose response is broken,
+	 * and that is waited on or believed.
 	 */
 	@Nested
-	class InvalidStatus {
+	class BrokenResponses {
 
-		@ParameterizedTest
-		@ValueSource(strings = { "000", "099", "600", "999", "2OO", "" })
-		void streamOfChunksFailsAtOnce(String status) throws Exception {
-			try (ServerSocket peer = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-				Thread.ofVirtual().start(() -> {
-					try (Socket socket = peer.accept()) {
-						socket.getOutputStream()
-							.write(("HTTP/1.1 " + status + " Status\r\nContent-Length: 0\r\n\r\n")
-								.getBytes(StandardCharsets.US_ASCII));
-						socket.getInputStream().readAllBytes();
-					}
-					catch (IOException ex) {
-						// The client has reset the connection.
-					}
-				});
+		private static final String FORMS = "org.jaywood.ResponseForms#";
+
+		private static final String STATUS_LINE = "HTTP/1.1 200 OK\r\n";
+
+		private void assertFailsAtOnce(String response) throws IOException {
+			try (FixedResponseServer peer = new FixedResponseServer(response)) {
 				long startNanos = System.nanoTime();
 				Failures.thrownBy(ConnectionException.class, () -> {
-					requestChunk(new Address("127.0.0.1", peer.getLocalPort()));
+					requestChunk(peer.address());
 					return null;
 				});
+				Failures.thrownBy(ConnectionException.class, () -> PeerClientTests.this.client
+					.fetchManifest(peer.address(), new ModelVersion("model", 2), WAIT_MILLIS));
 				assertThat(Duration.ofNanos(System.nanoTime() - startNanos).toMillis()).isLessThan(1_000);
 			}
 		}
 
+		@ParameterizedTest
+		@ValueSource(strings = { "000", "099", "600", "999", "2OO", "" })
+		void statusFailsAtOnce(String status) throws IOException {
+			assertFailsAtOnce("HTTP/1.1 " + status + " Status\r\nContent-Length: 0\r\n\r\n");
+		}
+
+		@ParameterizedTest
+		@MethodSource({ FORMS + "linesThatAreNoFields", FORMS + "brokenNames", FORMS + "brokenLengths" })
+		void headFailsAtOnce(String line) throws IOException {
+			assertFailsAtOnce(STATUS_LINE + line + "\r\n\r\nbody");
+		}
+
+		@ParameterizedTest
+		@MethodSource(FORMS + "brokenChunks")
+		void chunkFails(String chunks) throws IOException {
+			try (FixedResponseServer peer = new FixedResponseServer(
+					STATUS_LINE + ResponseForms.CHUNKED + "\r\n\r\n" + chunks)) {
+				Failures.thrownBy(IOException.class, () -> PeerClientTests.this.client.fetchManifest(peer.address(),
+						new ModelVersion("model", 2), WAIT_MILLIS));
+			}
+		}
+
 	}
 
 	/**
