Close the gateways of tests

Seen: a test that starts a gateway left it running until the end of the build, some 15 threads each.

Cause: Gateway could drain, which ends with the process, but not be closed.

Change: Gateway is AutoCloseable: it ends its timer, watchers, subscriptions and ports at once. GatewayFixture closes what it has started.

Measured: BrokenAnswerTests, HedgeTests, GatewayTests, StoreUsageCountsTests and RehearsalIT pass, 482 cases, at a load of 9.

--- a/src/main/java/org/jaywood/gateway/Gateway.java
+++ b/src/main/java/org/jaywood/gateway/Gateway.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
 
@@ -28,7 +29,7 @@
  * The process on entry VMs that accepts calls, places each on an upstream, sends it there
  * directly, forwards the response, and shuts down without cutting a call.
  */
-public final class Gateway {
+public final class Gateway implements AutoCloseable {
 
 	/**
 	 * Long poll of the configuration: the interval at which the store confirms it, which
@@ -214,6 +215,20 @@
 					this.connections.openCount(), "calls", this.connections.busyCount(), "unanswered", unanswered);
 	}
 
+	/**
+	 * Ends the tasks and ports at once, whatever calls are in progress. Those of a leader
+	 * end with the process.
+	 */
+	@Override
+	public void close() {
+		this.draining = true;
+		this.timer.shutdownNow();
+		this.watchers.forEach(FeedWatcher::close);
+		this.subscriptions.close();
+		this.connections.drain(ShutdownSchedule.begin(BootClock.nowMillis(), 0));
+		Stream.of(this.readyPort, this.operatorPort).filter(Objects::nonNull).forEach(HttpPort::close);
+	}
+
 	/**
 	 * Sends an agent the snapshot of its service, once it differs from the one that the
 	 * agent has.
--- a/src/test/java/org/jaywood/gateway/GatewayFixture.java
+++ b/src/test/java/org/jaywood/gateway/GatewayFixture.java
@@ -92,6 +92,7 @@
 				new GatewayFeeds(new FixedFeed<>("config", List.of(table(profile))),
 						new FixedFeed<>("servers", entries), new FixedFeed<>("closed", List.of()), targetVersions),
 				NO_TRIALS, leaderPorts(), new EventLog("gateway"));
+		this.open.add(gateway);
 		gateway.start();
 		Awaitility.await().until(gateway::ready);
 		return gateway;
