Read the responses of routers and agents as strictly as those of gateways

Callers would have seen: a broken answer of a service, through an agent and a router, as its answer. In the product's own setting all responses were read by the JDK's client.

Cause: that client drops a line of a head without a colon, and with it the length ("Transfer-Encoding chunked" gave the bytes of the chunks as the body), takes the first of two lengths, a length before chunks, a coding that it does not know for none, the first digits of a chunk's size for all of it, any trailer, and "2000" for 200. What it drops cannot be checked behind it. A response of a negative length, or without one, on a connection that stays open was waited for without end, since its time-out covers the head only.

Change: WireClient keeps its interface, the messages of the JDK's client, and sends over ConnectionPool, whose connections check what they read. The failures that callers tell apart are the same: no connection, no head in time, others. The body of a message has a time-out of 10 s at least. A pool can begin its connections at a local address, keep them for a time of its own, and close those that are idle for longer. The package wire now uses http; ArchitectureTests allows that, as routers and agents have no other reader for responses.

Why it works: there is one reader of responses left, and it accepts the grammar only.

--- a/src/main/java/org/jaywood/http/ClientConnection.java
+++ b/src/main/java/org/jaywood/http/ClientConnection.java
@@ -61,9 +61,6 @@
 	 */
 	private static final long KEEP_ALIVE_MARGIN_MILLIS = 1_000;
 
-	/** Keep-alive time of a process that announces none. */
-	private static final long DEFAULT_KEEP_ALIVE_MILLIS = 4_000;
-
 	private static final Http1Config CONFIG = Http1Config.custom()
 		.setMaxLineLength(MAX_HEAD_BYTES)
 		.setMaxHeaderCount(MAX_HEADERS)
@@ -83,7 +80,9 @@
 	private final SessionOutputBufferImpl outputBuffer = new SessionOutputBufferImpl(BUFFER_BYTES,
 			StandardCharsets.ISO_8859_1.newEncoder());
 
-	private long keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
+	private final ConnectionOptions options;
+
+	private long keepAliveMillis;
 
 	private boolean persistent = true;
 
@@ -99,8 +98,10 @@
 
 	private final Deque<String> refusedExchangeIds = new ArrayDeque<>();
 
-	private ClientConnection(Address address, Socket socket) throws IOException {
+	private ClientConnection(Address address, ConnectionOptions options, Socket socket) throws IOException {
 		this.address = address;
+		this.options = options;
+		this.keepAliveMillis = options.keepAliveMillis();
 		this.socket = socket;
 		this.in = new DeadlineInputStream(socket);
 		this.out = socket.getOutputStream();
@@ -111,11 +112,24 @@
 	 * @throws ConnectionException if the address cannot be reached within the time-out
 	 */
 	public static ClientConnection open(Address address, long timeoutMillis) throws ConnectionException {
+		return open(address, ConnectionOptions.DEFAULT, timeoutMillis);
+	}
+
+	/**
+	 * Opens a connection.
+	 * @throws ConnectionException if the address cannot be reached within the time-out
+	 */
+	static ClientConnection open(Address address, ConnectionOptions options, long timeoutMillis)
+			throws ConnectionException {
+		String localHost = options.localHost();
 		Socket socket = new Socket();
 		try {
 			SocketTuning.apply(socket);
+			if (localHost != null) {
+				socket.bind(new Address(localHost, 0).socketAddress());
+			}
 			socket.connect(address.socketAddress(), Math.toIntExact(Math.max(1, timeoutMillis)));
-			return new ClientConnection(address, socket);
+			return new ClientConnection(address, options, socket);
 		}
 		catch (IOException ex) {
 			closeQuietly(socket);
@@ -394,14 +408,14 @@
 		this.keepAliveMillis = (keepAlive != null) ? keepAliveMillis(keepAlive.getValue()) : this.keepAliveMillis;
 	}
 
-	private static long keepAliveMillis(String value) {
+	private long keepAliveMillis(String value) {
 		for (String part : value.split(",")) {
 			String text = part.strip();
 			if (text.matches("timeout=\\d{1,6}")) {
 				return TimeUnit.SECONDS.toMillis(Long.parseLong(text.substring("timeout=".length())));
 			}
 		}
-		return DEFAULT_KEEP_ALIVE_MILLIS;
+		return this.options.keepAliveMillis();
 	}
 
 	private static void closeQuietly(Socket socket) {
--- a/src/main/java/org/jaywood/http/ConnectionPool.java
+++ b/src/main/java/org/jaywood/http/ConnectionPool.java
@@ -6,6 +6,7 @@
 import java.net.SocketTimeoutException;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -41,6 +42,16 @@
 
 	private final AtomicLong opened = new AtomicLong();
 
+	private final ConnectionOptions options;
+
+	public ConnectionPool() {
+		this(ConnectionOptions.DEFAULT);
+	}
+
+	public ConnectionPool(ConnectionOptions options) {
+		this.options = options;
+	}
+
 	/**
 	 * Takes an idle connection or opens one.
 	 * @param address the other process
@@ -74,7 +85,7 @@
 			return idleConnection;
 		}
 		this.opened.incrementAndGet();
-		return ClientConnection.open(address, connectTimeoutMillis);
+		return ClientConnection.open(address, this.options, connectTimeoutMillis);
 	}
 
 	/**
@@ -154,7 +165,7 @@
 			}
 		}
 		this.opened.incrementAndGet();
-		return exchange(ClientConnection.open(address, CONNECT_TIMEOUT_MILLIS), request, body, limits);
+		return exchange(ClientConnection.open(address, this.options, CONNECT_TIMEOUT_MILLIS), request, body, limits);
 	}
 
 	private BufferedResponse exchange(ClientConnection connection, ClassicHttpRequest request, byte[] body,
@@ -228,6 +239,21 @@
 		}
 	}
 
+	/**
+	 * Closes the idle connections that are kept for longer than their keep-alive time.
+	 */
+	public void closeExpired(long nowNanos) {
+		this.idleByAddress.values().forEach((stack) -> {
+			synchronized (stack) {
+				List<ClientConnection> expired = stack.stream()
+					.filter((connection) -> !connection.withinKeepAlive(nowNanos))
+					.toList();
+				expired.forEach(ClientConnection::close);
+				stack.removeAll(expired);
+			}
+		});
+	}
+
 	/**
 	 * Returns the number of connections opened so far.
 	 */
--- a/src/main/java/org/jaywood/wire/WireClient.java
+++ b/src/main/java/org/jaywood/wire/WireClient.java
@@ -2,51 +2,59 @@
 
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ProtocolException;
+import java.net.ConnectException;
+import java.net.SocketTimeoutException;
 import java.net.URI;
-import java.net.UnknownHostException;
-import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
 import java.net.http.HttpRequest;
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
-import java.net.http.HttpResponse.BodyHandler;
-import java.net.http.HttpResponse.BodyHandlers;
+import java.net.http.HttpTimeoutException;
 import java.time.Duration;
 import java.util.Map;
-import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import org.jspecify.annotations.Nullable;
 
+import org.jaywood.http.ClientConnection;
+import org.jaywood.http.ConnectionException;
+import org.jaywood.http.ConnectionOptions;
+import org.jaywood.http.ConnectionPool;
+import org.jaywood.http.StreamedResponse;
+
 /**
  * HTTP client of a process. Requests block the calling (virtual) thread. Each request
  * carries common headers and each response is passed to an observer, so that the
- * configuration spreads with ordinary traffic.
+ * configuration spreads with ordinary traffic. It has the messages of the JDK's client
+ * but the connections of this project: that client drops lines of a head that are no
+ * field, and with them the length of a body, and accepts broken lengths and chunks.
  */
 public final class WireClient {
 
-	static {
-		// The pool must drop idle connections before the servers do (60 s).
-		if (System.getProperty("jdk.httpclient.keepalive.timeout") == null) {
-			System.setProperty("jdk.httpclient.keepalive.timeout", "20");
-		}
-		// Only the router decides on a retry; one by the client would be another attempt.
-		if (System.getProperty("jdk.httpclient.disableRetryConnect") == null) {
-			System.setProperty("jdk.httpclient.disableRetryConnect", "true");
-		}
-	}
-
 	/** Largest message between processes, and largest chunk of weights. */
 	public static final int MAX_MESSAGE_BYTES = 4 * 1024 * 1024;
 
-	private static final int MAX_STATUS = 599;
+	private static final long CONNECT_TIMEOUT_MILLIS = 2_000;
 
-	private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+	/** Less than the servers of this project keep idle connections (60 s). */
+	private static final long KEEP_ALIVE_MILLIS = 20_000;
 
-	private final HttpClient http;
+	/** Interval at which connections that are idle for too long are closed. */
+	private static final long EXPIRY_CHECK_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+	/** Time for the head of a response to a request that names none. */
+	private static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(10);
+
+	/** Least time for the body of a response that is read whole. */
+	private static final long MIN_BODY_TIMEOUT_MILLIS = 10_000;
+
+	private final ConnectionPool pool;
+
+	/** Time of the last check for idle connections, of the monotonic clock. */
+	private final AtomicLong expiryCheckedNanos = new AtomicLong(System.nanoTime());
 
 	private final @Nullable Credential credential;
 
@@ -63,14 +71,7 @@
 	 */
 	public WireClient(@Nullable String bindHost, @Nullable Credential credential,
 			Supplier<Map<String, String>> commonHeaders, Consumer<HttpResponse<?>> observer) {
-		HttpClient.Builder builder = HttpClient.newBuilder()
-			.version(HttpClient.Version.HTTP_1_1)
-			.connectTimeout(CONNECT_TIMEOUT)
-			.executor(Executors.newVirtualThreadPerTaskExecutor());
-		if (bindHost != null) {
-			builder.localAddress(inetAddress(bindHost));
-		}
-		this.http = builder.build();
+		this.pool = new ConnectionPool(new ConnectionOptions(bindHost, KEEP_ALIVE_MILLIS));
 		this.credential = credential;
 		this.commonHeaders = commonHeaders;
 		this.responseObserver = observer;
@@ -122,8 +123,7 @@
 	 * @throws IOException if no whole response arrives, or its body is larger
 	 */
 	public HttpResponse<byte[]> send(HttpRequest request, int maxBodyBytes) throws IOException, InterruptedException {
-		HttpResponse<byte[]> response = exchange(request,
-				BodyHandlers.limiting(BodyHandlers.ofByteArray(), maxBodyBytes));
+		HttpResponse<byte[]> response = interruptibly(() -> receiveWhole(request, maxBodyBytes));
 		this.responseObserver.accept(response);
 		return response;
 	}
@@ -133,37 +133,117 @@
 	 * closes the connection.
 	 */
 	public HttpResponse<InputStream> stream(HttpRequest request) throws IOException, InterruptedException {
-		HttpResponse<InputStream> response = exchange(request, BodyHandlers.ofInputStream());
+		HttpResponse<InputStream> response = interruptibly(() -> receiveStream(request));
 		this.responseObserver.accept(response);
 		return response;
 	}
 
+	private HttpResponse<byte[]> receiveWhole(HttpRequest request, int maxBodyBytes) throws IOException {
+		long bodyMillis = Math.max(timeoutMillis(request), MIN_BODY_TIMEOUT_MILLIS);
+		WireResponse<PooledBody> response = exchange(request);
+		try (PooledBody body = response.body()) {
+			body.setReadDeadline(bodyMillis);
+			byte[] bytes = body.readNBytes(maxBodyBytes + 1);
+			if (bytes.length > maxBodyBytes) {
+				throw new IOException("the response of " + request.uri() + " exceeds " + maxBodyBytes + " bytes");
+			}
+			return response.withBody(bytes);
+		}
+	}
+
+	private HttpResponse<InputStream> receiveStream(HttpRequest request) throws IOException {
+		WireResponse<PooledBody> response = exchange(request);
+		response.body().setReadDeadline(Long.MAX_VALUE);
+		return response.withBody(response.body());
+	}
+
 	/**
-	 * Sends a request. A response whose status is none counts as no response, and its
-	 * connection is closed; the JDK's client passes on any status from 200 to 999.
+	 * Sends a request and waits for the head of its response, both within the time of the
+	 * request. The request is never repeated here.
 	 */
-	private <T> HttpResponse<T> exchange(HttpRequest request, BodyHandler<T> handler)
-			throws IOException, InterruptedException {
+	private WireResponse<PooledBody> exchange(HttpRequest request) throws IOException {
+		closeExpired(System.nanoTime());
+		long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis(request));
+		Address address = new Address(request.uri().getHost(), request.uri().getPort());
+		ClientConnection connection = this.pool.acquire(address,
+				Math.min(CONNECT_TIMEOUT_MILLIS, timeoutMillis(request)));
+		boolean received = false;
 		try {
-			return this.http.send(request, (info) -> {
-				if (info.statusCode() > MAX_STATUS) {
-					throw new UncheckedIOException(new ProtocolException("invalid status " + info.statusCode()));
-				}
-				return handler.apply(info);
-			});
+			connection.send(WireRequest.head(request), WireRequest.body(request), leftMillis(deadlineNanos));
+			StreamedResponse response = connection.receive(leftMillis(deadlineNanos));
+			received = true;
+			return WireResponse.of(request, response.head(), new PooledBody(response.body(), connection, this.pool));
 		}
-		catch (UncheckedIOException ex) {
-			throw ex.getCause();
+		finally {
+			if (!received) {
+				connection.close();
+			}
 		}
 	}
 
-	private static InetAddress inetAddress(String host) {
+	private void closeExpired(long nowNanos) {
+		long checkedNanos = this.expiryCheckedNanos.get();
+		if (nowNanos - checkedNanos >= EXPIRY_CHECK_NANOS
+				&& this.expiryCheckedNanos.compareAndSet(checkedNanos, nowNanos)) {
+			this.pool.closeExpired(nowNanos);
+		}
+	}
+
+	private static long timeoutMillis(HttpRequest request) {
+		return request.timeout().orElse(DEFAULT_TIMEOUT).toMillis();
+	}
+
+	private static long leftMillis(long deadlineNanos) {
+		return Math.max(1, TimeUnit.NANOSECONDS.toMillis(deadlineNanos - System.nanoTime()));
+	}
+
+	/**
+	 * Runs an exchange. An interrupt of a virtual thread closes the socket that it reads.
+	 */
+	private static <T> T interruptibly(WireExchange<T> exchange) throws IOException, InterruptedException {
+		if (Thread.interrupted()) {
+			throw new InterruptedException();
+		}
 		try {
-			return InetAddress.getByName(host);
+			return exchange.run();
 		}
-		catch (UnknownHostException ex) {
-			throw new WireException("not an IP address: " + host, ex);
+		catch (IOException ex) {
+			if (Thread.interrupted()) {
+				throw new InterruptedException(ex.getMessage());
+			}
+			throw (ex instanceof ConnectionException failure) ? classified(failure) : ex;
 		}
 	}
 
+	/**
+	 * Returns a failure of a connection as the one of the JDK's client that its callers
+	 * tell apart: no connection, no response in time, or another one.
+	 */
+	private static IOException classified(ConnectionException failure) {
+		boolean timedOut = failure.getCause() instanceof SocketTimeoutException;
+		String message = String.valueOf(failure.getMessage());
+		IOException classified = failure;
+		if (!failure.requestSent()) {
+			classified = timedOut ? new HttpConnectTimeoutException(message) : new ConnectException(message);
+		}
+		else if (timedOut) {
+			classified = new HttpTimeoutException(message);
+		}
+		if (classified != failure) {
+			classified.initCause(failure);
+		}
+		return classified;
+	}
+
+	/**
+	 * Exchange of a request and its response.
+	 *
+	 * @param <T> type of the response
+	 */
+	private interface WireExchange<T> {
+
+		T run() throws IOException;
+
+	}
+
 }
--- a/src/test/java/org/jaywood/ArchitectureTests.java
+++ b/src/test/java/org/jaywood/ArchitectureTests.java
@@ -81,7 +81,7 @@
 				.whereLayer("feed")
 				.mayOnlyBeAccessedByLayers("cli", "platform", "gateway", "replica", "routing")
 				.whereLayer("http")
-				.mayOnlyBeAccessedByLayers("cli", "platform", "gateway", "replica", "routing")
+				.mayOnlyBeAccessedByLayers("cli", "platform", "gateway", "replica", "routing", "wire")
 				.whereLayer("leader")
 				.mayOnlyBeAccessedByLayers("cli", "platform", "gateway", "metering", "scaling")
 				.whereLayer("metering")
--- a/src/test/java/org/jaywood/ResponseForms.java
+++ b/src/test/java/org/jaywood/ResponseForms.java
@@ -100,7 +100,7 @@
 		return Stream.of("X-Name: value", "X-Name:value", "X-Name:", "X-Name:  \t value \t ",
 				"x!#$%&'*+-.^_`|~9: token", "X-Name: a, b; c=\"d: e\" (f) {\"g\":[1]}",
 				"X-Name: caf\u00e9 \u00c3\u00a9 \u00ff", "X-Name: a\tb", "X-Name: \u00c3\u009c \u0080 \u0085 \u00a0",
-				"X-Name: a\r\n b", "X-Name: a\r\n\tb", "X-Name:\r\n  b\r\n  c", "X-Name: 1\r\nX-Name: 2",
+				"X-Name: a\r\n b", "X-Name: a\r\n\tb", "X-Name:\r\n  b\r\n  c", "X-Name: 1\r\nx-name: 2",
 				"X-Name: ".concat("a".repeat(8_000)), "Content-Language: en", "Content-Length-X: 5",
 				"X-Content-Length: 5", "X-Transfer-Encoding: gzip");
 	}
--- a/src/test/java/org/jaywood/http/ConnectionPoolTests.java
+++ b/src/test/java/org/jaywood/http/ConnectionPoolTests.java
@@ -7,6 +7,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
@@ -108,4 +109,17 @@
 		assertThat(this.requestCount.get()).isEqualTo(2);
 	}
 
+	@Test
+	void connectionIdleForLongerThanItsKeepAliveTimeIsClosed() throws IOException {
+		Address address = startServer();
+		this.pool.exchange(address, new BasicClassicHttpRequest("GET", "/"), new byte[0], LIMITS);
+		long usedNanos = System.nanoTime();
+		this.pool.closeExpired(usedNanos);
+		ClientConnection kept = this.pool.acquire(address, LIMITS.headTimeoutMillis());
+		assertThat(kept.used()).isTrue();
+		this.pool.release(kept);
+		this.pool.closeExpired(usedNanos + TimeUnit.MINUTES.toNanos(1));
+		assertThat(this.pool.acquire(address, LIMITS.headTimeoutMillis()).used()).isFalse();
+	}
+
 }
--- a/src/test/java/org/jaywood/wire/InvalidPeerStatusTests.java
+++ b/src/test/java/org/jaywood/wire/InvalidPeerStatusTests.java
@@ -1,21 +1,16 @@
 package org.jaywood.wire;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.concurrent.atomic.AtomicInteger;
 
 import org.apache.hc.core5.http.message.BasicClassicHttpRequest;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import org.jaywood.Failures;
+import org.jaywood.FixedResponseServer;
 import org.jaywood.feed.BootClock;
 import org.jaywood.http.BufferedResponse;
 import org.jaywood.http.ConnectionException;
@@ -34,61 +29,25 @@
 
 	private static final long MAX_MILLIS = 1_000;
 
-	private final ServerSocket server = listen();
-
-	private final AtomicInteger connections = new AtomicInteger();
-
-	private final AtomicInteger requests = new AtomicInteger();
-
-	private static ServerSocket listen() {
-		try {
-			return new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
-		}
-		catch (IOException ex) {
-			throw new IllegalStateException(ex);
-		}
-	}
+	private @Nullable FixedResponseServer server;
 
 	@AfterEach
 	void close() throws IOException {
-		this.server.close();
+		if (this.server != null) {
+			this.server.close();
+		}
 	}
 
 	/**
 	 * Starts a process whose first response has a status, and all others status 200.
 	 */
 	private Address start(String status, String body) {
-		Thread.ofVirtual().start(() -> {
-			while (!this.server.isClosed()) {
-				try {
-					Socket socket = this.server.accept();
-					this.connections.incrementAndGet();
-					Thread.ofVirtual().start(() -> serve(socket, status, body));
-				}
-				catch (IOException ex) {
-					return;
-				}
-			}
-		});
-		return new Address("127.0.0.1", this.server.getLocalPort());
+		this.server = new FixedResponseServer(response(status, body), response("200", body));
+		return this.server.address();
 	}
 
-	private void serve(Socket socket, String status, String body) {
-		try (socket) {
-			BufferedReader in = new BufferedReader(
-					new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
-			for (String line = in.readLine(); line != null; line = in.readLine()) {
-				if (line.isEmpty()) {
-					String sent = (this.requests.incrementAndGet() == 1) ? status : "200";
-					socket.getOutputStream()
-						.write(("HTTP/1.1 " + sent + " Status\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
-							.getBytes(StandardCharsets.ISO_8859_1));
-				}
-			}
-		}
-		catch (IOException ex) {
-			// The client has closed the connection.
-		}
+	private static String response(String status, String body) {
+		return "HTTP/1.1 " + status + " Status\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
 	}
 
 	private void assertInTime(long sinceMillis) {
@@ -107,7 +66,7 @@
 			assertInTime(sinceMillis);
 			assertThat(failure.requestSent()).isTrue();
 			assertThat(get(pool, address, limits).status()).isEqualTo(200);
-			assertThat(this.connections.get()).isEqualTo(2);
+			assertThat(this.server.connections()).isEqualTo(2);
 		}
 	}
 
@@ -136,7 +95,7 @@
 		Failures.thrownBy(IOException.class, () -> client.get(address.uri("/x"), TIMEOUT));
 		assertInTime(sinceMillis);
 		assertThat(client.get(address.uri("/x"), TIMEOUT).statusCode()).isEqualTo(200);
-		assertThat(this.connections.get()).isEqualTo(2);
+		assertThat(this.server.connections()).isEqualTo(2);
 	}
 
 	@ParameterizedTest
@@ -149,7 +108,7 @@
 				() -> client.stream(client.request(address.uri("/x"), TIMEOUT).GET().build()));
 		assertInTime(sinceMillis);
 		assertThat(client.get(address.uri("/x"), TIMEOUT).statusCode()).isEqualTo(200);
-		assertThat(this.connections.get()).isEqualTo(2);
+		assertThat(this.server.connections()).isEqualTo(2);
 	}
 
 }
