Take a success without the signature of its engine for broken

Callers would have seen: a success whose signature is missing, as when a spoilt name is still a name, or whose body is encoded though no request allows that.

Cause: nothing read the signature.

Change: PlatformCalls tells of a success that cannot be the answer of an engine: without one signature, or with an encoded body. The attempt is then indeterminate, as at a head that is malformed. Failures need no signature. The upstream of the rehearsal sends one from upstream-headers.json.

Why it works: what the engines' users count as an answer is what is forwarded as a success.

--- a/src/main/java/org/jaywood/cli/StubServer.java
+++ b/src/main/java/org/jaywood/cli/StubServer.java
@@ -5,21 +5,26 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Map;
+import java.util.TreeMap;
 
 import org.jaywood.event.EventLog;
 import org.jaywood.wire.Address;
 import org.jaywood.wire.Exchange;
 import org.jaywood.wire.HttpPort;
+import org.jaywood.wire.Json;
 
 /**
  * Server that responds with the files of a directory. The path of a request selects the
- * file; the query is ignored. It delays the response to a request with a query, because
- * this may be a long poll.
+ * file; the query is ignored. Text files are answers of upstreams. It delays the response
+ * to a request with a query, because this may be a long poll.
  */
 final class StubServer implements AutoCloseable {
 
 	private static final long QUERY_DELAY_MILLIS = 300;
 
+	private static final String UPSTREAM_HEADERS = "upstream-headers.json";
+
 	private final Path directory;
 
 	private final HttpPort port;
@@ -44,6 +49,7 @@
 			send(exchange, "application/json", replacePlaceholders(json));
 		}
 		else if (Files.exists(text)) {
+			upstreamHeaders().forEach(exchange::setHeader);
 			send(exchange, "text/event-stream", Files.readAllBytes(text));
 		}
 		else {
@@ -51,6 +57,17 @@
 		}
 	}
 
+	/**
+	 * Returns the headers that answers of upstreams have.
+	 */
+	private Map<String, String> upstreamHeaders() throws IOException {
+		Map<String, String> headers = new TreeMap<>();
+		Json.tree(Files.readAllBytes(this.directory.resolve(UPSTREAM_HEADERS)))
+			.properties()
+			.forEach((header) -> headers.put(header.getKey(), header.getValue().asText()));
+		return headers;
+	}
+
 	private byte[] replacePlaceholders(Path file) throws IOException {
 		return Files.readString(file)
 			.replace("{prepared}", Integer.toString(address().port()))
--- a/src/main/java/org/jaywood/gateway/Attempt.java
+++ b/src/main/java/org/jaywood/gateway/Attempt.java
@@ -307,6 +307,9 @@
 			bufferBody(received);
 			throw new AttemptEndedException(new AttemptResult.NotRun(outcome, true, "status " + received.status()));
 		}
+		if (head.invalidSuccess() != null) {
+			throw new IOException(head.invalidSuccess());
+		}
 		if (this.progressToResume != null) {
 			requireContinuation(received, this.progressToResume);
 		}
--- a/src/main/java/org/jaywood/gateway/ResponseHead.java
+++ b/src/main/java/org/jaywood/gateway/ResponseHead.java
@@ -16,7 +16,9 @@
  * @param pauseMillis time for which the upstream wants no calls, or empty
  * @param limit what the upstream states about the calls that it takes
  * @param problem what is wrong with these three headers, for the log, or null
+ * @param invalidSuccess why this success cannot be the answer of the upstream, or null if
+ * it can or the response is no success
  */
 public record ResponseHead(@Nullable String callId, boolean notRun, boolean misdirected, boolean leaving,
-		OptionalLong pauseMillis, LimitNotice limit, @Nullable String problem) {
+		OptionalLong pauseMillis, LimitNotice limit, @Nullable String problem, @Nullable String invalidSuccess) {
 }
--- a/src/main/java/org/jaywood/platform/PlatformCalls.java
+++ b/src/main/java/org/jaywood/platform/PlatformCalls.java
@@ -53,6 +53,8 @@
 
 	private static final String NOT_EXECUTED = "X-Not-Executed";
 
+	private static final String RESPONSE_SIGNATURE = "X-Response-Seal";
+
 	private static final String BEARER = "Bearer ";
 
 	private static final Set<String> GATEWAY_HEADERS = Set.of(DEADLINE.toLowerCase(Locale.ROOT),
@@ -100,7 +102,24 @@
 		boolean misdirected = response.getCode() == HttpStatus.SC_MISDIRECTED_REQUEST;
 		EngineNotice notice = EngineNotice.read(response);
 		return new ResponseHead(headerValue(response, ATTEMPT_ID), misdirected || response.containsHeader(NOT_EXECUTED),
-				misdirected, notice.leaving(), notice.pauseMillis(), notice.limit(), notice.problem());
+				misdirected, notice.leaving(), notice.pauseMillis(), notice.limit(), notice.problem(),
+				invalidSuccess(response));
+	}
+
+	/**
+	 * Returns why a success cannot be the answer of an engine: each bears one signature,
+	 * and no body is encoded, since no request allows it.
+	 */
+	private static @Nullable String invalidSuccess(ClassicHttpResponse response) {
+		boolean success = response.getCode() >= HttpStatus.SC_OK && response.getCode() < HttpStatus.SC_REDIRECTION;
+		if (!success) {
+			return null;
+		}
+		String signature = headerValue(response, RESPONSE_SIGNATURE);
+		if (signature == null || signature.isBlank() || response.countHeaders(RESPONSE_SIGNATURE) > 1) {
+			return "a success without the signature of an engine";
+		}
+		return response.containsHeader(HttpHeaders.CONTENT_ENCODING) ? "a success with an encoded body" : null;
 	}
 
 	@Override
--- a/src/test/java/org/jaywood/gateway/BrokenAnswerTests.java
+++ b/src/test/java/org/jaywood/gateway/BrokenAnswerTests.java
@@ -285,4 +285,58 @@
 
 	}
 
+	/**
+	 * A success that is sound HTTP and not the answer of the engine.
+	 */
+	@Nested
+	class Signatures {
+
+		private static final String SIGNATURE = "X-Response-Seal: evil\r\n";
+
+		private FakeUpstream.Script answerWith(String lines) {
+			return (request, number, out, socket) -> write(out,
+					head(request).replace(SIGNATURE, lines) + "Content-Length: 4\r\n\r\nevil");
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "", "X-Response-Seal:\r\n", "X-Response-Sea: a\r\n",
+				"X-Response-Seal: a\r\nX-Response-Seal: b\r\n", "X-Response-Seal: a\r\nContent-Encoding: gzip\r\n" })
+		void idempotentCallIsAnsweredByAnotherUpstream(String lines) throws IOException {
+			assertAnsweredElsewhere(answerWith(lines));
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "", "X-Response-Seal:\r\n", "X-Response-Seal: a\r\nContent-Encoding: gzip\r\n" })
+		void callThatMayRunOnceIsNotSentAgain(String lines) throws IOException {
+			assertIndeterminate(answerWith(lines));
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "", "X-Response-Seal: a\r\nContent-Encoding: gzip\r\n" })
+		void streamIsAnsweredByAnotherUpstream(String lines) throws IOException {
+			String answer = answerInTime(once(
+					(request, number, out, socket) -> write(out,
+							FakeUpstream.streamHead(request).replace("X-Response-Seal: seal\r\n", lines)
+									+ FakeUpstream.chunk("id: 1\ndata: evil\n\n") + "0\r\n\r\n"),
+					(request, number, out, socket) -> write(out,
+							FakeUpstream.streamHead(request) + FakeUpstream.chunk(EVENT) + "0\r\n\r\n")),
+					STREAM);
+			assertThat(answer).contains(EVENT);
+			assertThat(answer).endsWith("0\r\n\r\n");
+			assertThat(answer).doesNotContain("evil");
+		}
+
+		@ParameterizedTest
+		@ValueSource(ints = { 400, 404, 500 })
+		void failureNeedsNoSignature(int status) throws IOException {
+			String answer = answerInTime(
+					(request, number, out, socket) -> write(out,
+							FakeUpstream.response(request, status, "", "own").replace("X-Response-Seal: seal\r\n", "")),
+					UNSAFE);
+			assertThat(answer).startsWith("HTTP/1.1 " + status);
+			assertThat(answer).endsWith("own");
+		}
+
+	}
+
 }
