Read no body behind the answer to a HEAD request

Callers saw: a body, or a failure, instead of the answer to a HEAD request.

Cause: ClientConnection took the stated length of any response for that of a body that follows (RFC 9112, section 6.3, has none there).

Change: it knows whether the last request was HEAD. The length is checked all the same. Three streams had the same read of a single byte; BulkInputStream has it now.

Why it works: bytes behind the head belong to no request, and a connection that has any is not used again.

--- a/src/main/java/org/jaywood/http/ClientConnection.java
+++ b/src/main/java/org/jaywood/http/ClientConnection.java
@@ -88,6 +88,9 @@
 
 	private boolean requestSent;
 
+	/** Whether the request asks for the head of a response only. */
+	private boolean headRequested;
+
 	private long idleSinceNanos;
 
 	private boolean used;
@@ -174,6 +177,7 @@
 	 */
 	public void send(ClassicHttpRequest request, byte[] body) throws ConnectionException {
 		this.requestSent = false;
+		this.headRequested = request.getMethod().equals("HEAD");
 		this.inputBuffer.startExchange();
 		try {
 			if (body.length > 0 || !request.getMethod().equals("GET")) {
@@ -259,7 +263,8 @@
 			this.parser = null;
 			this.interimResponses = 0;
 			this.inputBuffer.startBody();
-			long length = Framing.lengthOfResponse(head);
+			long statedLength = Framing.lengthOfResponse(head);
+			long length = this.headRequested ? 0 : statedLength;
 			recordPersistence(head, length);
 			return new StreamedResponse(head, length, body(length));
 		}
--- a/src/main/java/org/jaywood/http/DeadlineInputStream.java
+++ b/src/main/java/org/jaywood/http/DeadlineInputStream.java
@@ -1,6 +1,5 @@
 package org.jaywood.http;
 
-import java.io.FilterInputStream;
 import java.io.IOException;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -17,7 +16,7 @@
  * long intervals would never exceed it. After the deadline, bytes that have already
  * arrived can still be read, so that a process does not treat them as late after a stall.
  */
-final class DeadlineInputStream extends FilterInputStream {
+final class DeadlineInputStream extends BulkInputStream {
 
 	private final Socket socket;
 
@@ -58,12 +57,6 @@
 		this.memory = memory;
 	}
 
-	@Override
-	public int read() throws IOException {
-		byte[] single = new byte[1];
-		return (read(single, 0, 1) < 0) ? -1 : Byte.toUnsignedInt(single[0]);
-	}
-
 	@Override
 	public int read(byte[] bytes, int offset, int length) throws IOException {
 		MemoryReservation reservation = this.memory;
--- a/src/main/java/org/jaywood/http/Framing.java
+++ b/src/main/java/org/jaywood/http/Framing.java
@@ -59,8 +59,8 @@
 
 	/**
 	 * Returns the length of the body of a response in bytes, or one of the constants.
-	 * @throws HttpException if the length is stated as in {@link #lengthOf}, or although
-	 * the response has no body, or in a way that its version does not have
+	 * @throws HttpException if {@link #lengthOf} rejects the length, or if a response
+	 * that never has a body states one, or one of HTTP/1.0 has chunks
 	 */
 	static long lengthOfResponse(ClassicHttpResponse head) throws HttpException {
 		long length = lengthOf(head);
--- a/src/main/java/org/jaywood/http/TrailedBody.java
+++ b/src/main/java/org/jaywood/http/TrailedBody.java
@@ -1,6 +1,5 @@
 package org.jaywood.http;
 
-import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 
@@ -9,7 +8,7 @@
  * chunk if a read times out within the trailers, so that a body whose trailers never
  * arrive, or are broken, looks complete.
  */
-final class TrailedBody extends FilterInputStream {
+final class TrailedBody extends BulkInputStream {
 
 	private final ResponseInputBuffer buffer;
 
@@ -27,12 +26,6 @@
 		this.connectionInput = connectionInput;
 	}
 
-	@Override
-	public int read() throws IOException {
-		byte[] single = new byte[1];
-		return (read(single, 0, 1) < 0) ? -1 : Byte.toUnsignedInt(single[0]);
-	}
-
 	@Override
 	public int read(byte[] bytes, int offset, int length) throws IOException {
 		int count = super.read(bytes, offset, length);
--- a/src/main/java/org/jaywood/wire/PooledBody.java
+++ b/src/main/java/org/jaywood/wire/PooledBody.java
@@ -1,10 +1,10 @@
 package org.jaywood.wire;
 
-import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.util.concurrent.atomic.AtomicBoolean;
 
+import org.jaywood.http.BulkInputStream;
 import org.jaywood.http.ClientConnection;
 import org.jaywood.http.ConnectionPool;
 
@@ -12,7 +12,7 @@
  * Body of a response. At its end the connection goes back to the pool; one that is closed
  * earlier, from any thread, or fails closes the connection.
  */
-final class PooledBody extends FilterInputStream {
+final class PooledBody extends BulkInputStream {
 
 	private static final int END = -1;
 
@@ -38,12 +38,6 @@
 		this.connection.setReadDeadline(millis);
 	}
 
-	@Override
-	public int read() throws IOException {
-		byte[] single = new byte[1];
-		return (read(single, 0, 1) < 0) ? END : Byte.toUnsignedInt(single[0]);
-	}
-
 	@Override
 	public int read(byte[] bytes, int offset, int length) throws IOException {
 		if (this.complete) {
--- a/src/test/java/org/jaywood/gateway/BrokenAnswerTests.java
+++ b/src/test/java/org/jaywood/gateway/BrokenAnswerTests.java
@@ -339,4 +339,20 @@
 
 	}
 
+	/**
+	 * The caller asks for the head of an answer only.
+	 */
+	@Nested
+	class HeadRequests {
+
+		@ParameterizedTest
+		@ValueSource(strings = { "", "evil" })
+		void answerHasNoBody(String behind) throws IOException {
+			String answer = answerInTime(answerEnding(ResponseForms.LENGTH, behind), SAFE.replace("GET", "HEAD"));
+			assertThat(answer).startsWith("HTTP/1.1 200");
+			assertThat(answer).endsWith("\r\n\r\n");
+		}
+
+	}
+
 }
--- a/src/test/java/org/jaywood/http/ResponseSyntaxTests.java
+++ b/src/test/java/org/jaywood/http/ResponseSyntaxTests.java
@@ -184,6 +184,31 @@
 
 	}
 
+	/**
+	 * The request asks for the head only.
+	 */
+	@Nested
+	class HeadRequests {
+
+		@BeforeEach
+		void requestHead() throws IOException {
+			ResponseSyntaxTests.this.connection.send(new BasicClassicHttpRequest("HEAD", "/"), new byte[0]);
+		}
+
+		@ParameterizedTest
+		@ValueSource(strings = { "Content-Length: 4", "Transfer-Encoding: chunked", "X-Name: 1" })
+		void headIsTheWholeResponse(String line) throws IOException {
+			respond(STATUS_LINE + line + "\r\n\r\n");
+			assertThat(receiveBody()).isEmpty();
+		}
+
+		@Test
+		void brokenLengthFails() throws IOException {
+			assertHeadFails(STATUS_LINE + "Content-Length: +4\r\n\r\n");
+		}
+
+	}
+
 	@Nested
 	class Fields {
 
--- a/src/test/java/org/jaywood/wire/WireClientTests.java
+++ b/src/test/java/org/jaywood/wire/WireClientTests.java
@@ -22,6 +22,7 @@
 import org.junit.jupiter.api.Test;
 
 import org.jaywood.Failures;
+import org.jaywood.FixedResponseServer;
 import org.jaywood.event.EventLog;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -70,6 +71,16 @@
 			assertThat(response.headers().firstValue("content-type")).hasValue("text/plain");
 		}
 
+		@Test
+		void headIsTheWholeResponse() throws Exception {
+			try (FixedResponseServer service = new FixedResponseServer(
+					"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n")) {
+				HttpResponse<byte[]> response = WireClientTests.this.client
+					.send(WireClientTests.this.client.request(service.address().uri("/x"), TIMEOUT).HEAD().build());
+				assertThat(response.body()).isEmpty();
+			}
+		}
+
 	}
 
 	/**
