Names and comments of the response checks, read as a newcomer

Cause: the last reading of the change: a default time stood without a name, a state was called nothing, and comments used a word that is not of the field.

--- a/src/main/java/org/jaywood/http/ChunkSyntax.java
+++ b/src/main/java/org/jaywood/http/ChunkSyntax.java
@@ -34,7 +34,7 @@
 	 * Whether the line that ends the trailers has been read.
 	 */
 	boolean complete() {
-		return this.next == Part.NOTHING;
+		return this.next == Part.COMPLETE;
 	}
 
 	/**
@@ -47,7 +47,7 @@
 			case SIZE -> afterSize(line, endComplete);
 			case END_OF_DATA -> afterData(line, endComplete);
 			case TRAILER -> afterTrailer(line);
-			case NOTHING -> throw new MalformedChunkCodingException("a line behind the trailers");
+			case COMPLETE -> throw new MalformedChunkCodingException("a line behind the trailers");
 		};
 	}
 
@@ -67,18 +67,18 @@
 
 	private Part afterTrailer(CharSequence line) throws IOException {
 		if (line.isEmpty()) {
-			return Part.NOTHING;
+			return Part.COMPLETE;
 		}
 		this.trailers.check(line);
 		return Part.TRAILER;
 	}
 
 	/**
-	 * Parts of a chunked body that are lines.
+	 * Parts of a chunked body that are lines, and its end.
 	 */
 	private enum Part {
 
-		SIZE, END_OF_DATA, TRAILER, NOTHING
+		SIZE, END_OF_DATA, TRAILER, COMPLETE
 
 	}
 
--- a/src/main/java/org/jaywood/http/ConnectionOptions.java
+++ b/src/main/java/org/jaywood/http/ConnectionOptions.java
@@ -10,7 +10,9 @@
  */
 public record ConnectionOptions(@Nullable String localHost, long keepAliveMillis) {
 
-	/** Any local address, and a time that most servers exceed. */
-	static final ConnectionOptions DEFAULT = new ConnectionOptions(null, 4_000);
+	/** Less than most servers keep an idle connection. */
+	private static final long DEFAULT_KEEP_ALIVE_MILLIS = 4_000;
+
+	static final ConnectionOptions DEFAULT = new ConnectionOptions(null, DEFAULT_KEEP_ALIVE_MILLIS);
 
 }
--- a/src/main/java/org/jaywood/http/FieldSyntax.java
+++ b/src/main/java/org/jaywood/http/FieldSyntax.java
@@ -5,7 +5,7 @@
 /**
  * Checks the field lines of a head or of trailers as they arrive (RFC 9112, section 5).
  * HttpCore trims names and accepts any byte in names and values, so that a line whose
- * name is spoilt looks like another field.
+ * name is corrupted looks like another field.
  */
 final class FieldSyntax {
 
--- a/src/main/java/org/jaywood/wire/WireClient.java
+++ b/src/main/java/org/jaywood/wire/WireClient.java
@@ -28,9 +28,10 @@
 /**
  * HTTP client of a process. Requests block the calling (virtual) thread. Each request
  * carries common headers and each response is passed to an observer, so that the
- * configuration spreads with ordinary traffic. It has the messages of the JDK's client
- * but the connections of this project: that client drops lines of a head that are no
- * field, and with them the length of a body, and accepts broken lengths and chunks.
+ * configuration spreads with ordinary traffic. Requests and responses are those of the
+ * JDK's API, sent over the connections of this project: the JDK's client drops lines of a
+ * head that are no field, and with them the length of a body, and accepts malformed
+ * lengths and chunks.
  */
 public final class WireClient {
 
